Run one request through four stages on loopback

Cause: there was no code. A skeleton is needed in which every decision sits in one reducer and plumbing only executes effects.

Change: workspace with model, core, edge, entry, stand-ins and bench; requests run stage by stage with sampled routing, echo checks, numbered token streams and honest outcomes.

--- /dev/null
+++ b/crates/ferry-bench/src/cmd.rs
@@ -0,0 +1,28 @@
+//! Subcommands, one file each.
+
+pub mod demo;
+
+use argh::FromArgs;
+
+/// Measures tarragonferry on loopback.
+///
+/// Example: ferry-bench demo --deployment kancil --seconds 5
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::DemoArgs),
+}
+
+impl Args {
+    pub async fn run(self) -> Result<(), String> {
+        match self.command {
+            Command::Demo(args) => args.run().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-bench/src/main.rs
@@ -0,0 +1,17 @@
+//! The load and experiment tool.
+
+mod cmd;
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: cmd::Args = argh::from_env();
+    match args.run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ferry-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-core/src/event.rs
@@ -0,0 +1,91 @@
+//! Everything that can happen to a node, as plain data.
+
+use std::time::Duration;
+
+use ferry_model::{
+    AttemptId, Digest, Endpoint, InstanceId, Load, PeerMessage, PipelineId, RequestId, StageId,
+    StoreError, StoreReply, Ticket, WorkspaceId,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::CallId;
+
+/// The one input of [`crate::Node::reduce`]; serializable, so that a run can be replayed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// Time has passed; sent when [`crate::Node::next_wake`] is due.
+    Tick,
+    /// A caller's request came in.
+    Arrive(Arrival),
+    /// The caller of a ticket has disconnected.
+    CallerGone { ticket: Ticket },
+    /// Something happened to a stage call.
+    Call { attempt: AttemptId, event: CallEvent },
+    /// An object API call ended.
+    Store { call: CallId, result: Result<StoreReply, StoreError> },
+    /// A fresh copy of the instance list.
+    Fleet { endpoints: Vec<Endpoint> },
+    /// A peer sent a message.
+    Peer { from: InstanceId, message: PeerMessage },
+    /// The process was asked to shut down.
+    Shutdown,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Arrival {
+    pub ticket: Ticket,
+    pub workspace: WorkspaceId,
+    pub pipeline: PipelineId,
+    /// The caller's idempotency key; the node mints one where it is missing.
+    pub key: Option<String>,
+    pub input: String,
+    /// Digest of the whole body, to tell a repeat from a key used twice.
+    pub digest: Digest,
+    /// Time until the answer is worthless; the pipeline's own where the caller names none.
+    pub deadline: Option<Duration>,
+    /// Whether the caller wants tokens as they come.
+    pub stream: bool,
+}
+
+/// What an endpoint's reply says it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    pub request: RequestId,
+    pub stage: StageId,
+    pub attempt: AttemptId,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CallEvent {
+    /// No byte of the call was written; it may go elsewhere.
+    Unsent { error: String },
+    /// The endpoint answered that it did not take the call.
+    Refused { error: String, leaving: bool, retry_after: Option<Duration> },
+    /// The endpoint accepted the call: the first bytes of its answer are here.
+    Accepted { echo: Echo },
+    /// One token of a streamed answer; numbers start at zero.
+    Token { number: u32, text: String },
+    /// The whole answer of a stage.
+    Reply { echo: Echo, output: String, load: Option<Load> },
+    /// The terminal event of a streamed answer.
+    End { echo: Echo, count: u32, digest: Digest, load: Option<Load> },
+    /// The endpoint ran the call and reports that it failed.
+    Failed { echo: Option<Echo>, error: String },
+    /// The connection broke or its answer made no sense after bytes were written.
+    Broken { error: String },
+}
+
+impl CallEvent {
+    /// Whether nothing more comes of the call.
+    pub fn is_last(&self) -> bool {
+        match self {
+            CallEvent::Accepted { .. } | CallEvent::Token { .. } => false,
+            CallEvent::Unsent { .. }
+            | CallEvent::Refused { .. }
+            | CallEvent::Reply { .. }
+            | CallEvent::End { .. }
+            | CallEvent::Failed { .. }
+            | CallEvent::Broken { .. } => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-core/src/lib.rs
@@ -0,0 +1,20 @@
+//! The reducer and every decision under it.
+//!
+//! This crate has no clock, no I/O and no global state: the same events give the
+//! same effects, byte for byte. See docs/DESIGN.md for the layering.
+
+pub mod config;
+pub mod effect;
+pub mod event;
+pub mod fleet;
+pub mod node;
+pub mod request;
+pub mod route;
+pub mod settings;
+pub mod store;
+
+pub use effect::{Connection, Decision, DecisionKind, Effect, Metric, StageCall};
+pub use event::{Arrival, CallEvent, Echo, Event};
+pub use node::{Identity, InstanceRole, Node};
+pub use settings::Tuning;
+pub use store::{CallId, Owner};
--- /dev/null
+++ b/crates/ferry-edge/src/callers.rs
@@ -0,0 +1,63 @@
+//! Callers that wait for an answer on this process.
+
+use std::sync::Mutex;
+
+use ferry_model::{Answer, SortedMap, Ticket};
+use tokio::sync::mpsc;
+
+/// What a waiting caller gets, in order; the answer comes last.
+#[derive(Debug, Clone)]
+pub enum CallerEvent {
+    Token { number: u32, text: String },
+    Answer(Box<Answer>),
+}
+
+#[derive(Debug, Default)]
+pub struct Callers {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    next: Ticket,
+    waiting: SortedMap<Ticket, mpsc::UnboundedSender<CallerEvent>>,
+}
+
+impl Callers {
+    pub fn new() -> Callers {
+        Callers::default()
+    }
+
+    /// Registers a caller and returns its ticket with the channel of its answer.
+    pub fn register(&self) -> (Ticket, mpsc::UnboundedReceiver<CallerEvent>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut inner = self.lock();
+        inner.next += 1;
+        let ticket = inner.next;
+        inner.waiting.insert(ticket, tx);
+        (ticket, rx)
+    }
+
+    /// Hands an event to a caller; one that is gone is ignored.
+    pub fn deliver(&self, ticket: Ticket, event: CallerEvent) {
+        let mut inner = self.lock();
+        let is_last = matches!(event, CallerEvent::Answer(_));
+        let tx = match is_last {
+            true => inner.waiting.remove(&ticket),
+            false => inner.waiting.get(&ticket).cloned(),
+        };
+        drop(inner);
+        if let Some(tx) = tx {
+            let _ = tx.send(event);
+        }
+    }
+
+    /// Forgets a caller that disconnected.
+    pub fn forget(&self, ticket: Ticket) {
+        self.lock().waiting.remove(&ticket);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/ferry-edge/src/driver.rs
@@ -0,0 +1,175 @@
+//! Runs a node: feeds it events and executes its effects.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_core::{Effect, Event, Node};
+use ferry_model::{AttemptId, Moment, Revision, SortedMap};
+use slog::Logger;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::{CallerEvent, Callers, EndpointClient, FleetClient, StoreClient, logs};
+
+/// Longest sleep of the driver where the node asks for no earlier tick.
+const MAX_SLEEP: Duration = Duration::from_millis(250);
+
+/// The process's clients and outlets, each used by one kind of effect.
+#[derive(Debug, Clone)]
+pub struct Ports {
+    pub callers: Arc<Callers>,
+    pub endpoints: EndpointClient,
+    pub store: StoreClient,
+    pub fleet: FleetClient,
+    pub log: Logger,
+}
+
+/// What the process may tell about its node without asking it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Status {
+    pub revision: Revision,
+    pub ready: bool,
+    /// Every request has ended after a shutdown.
+    pub exited: bool,
+}
+
+/// Sends events to a running node.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    events: mpsc::UnboundedSender<Event>,
+    callers: Arc<Callers>,
+    status: watch::Receiver<Status>,
+}
+
+impl Handle {
+    /// Sends an event; after the node has ended it is dropped.
+    pub fn send(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    pub fn callers(&self) -> &Callers {
+        &self.callers
+    }
+
+    pub fn status(&self) -> Status {
+        self.status.borrow().clone()
+    }
+
+    /// Returns a receiver that sees each change of the status.
+    pub fn watch(&self) -> watch::Receiver<Status> {
+        self.status.clone()
+    }
+}
+
+#[derive(Debug)]
+pub struct Driver {
+    node: Node,
+    ports: Ports,
+    started: Instant,
+    sender: mpsc::UnboundedSender<Event>,
+    events: mpsc::UnboundedReceiver<Event>,
+    status: watch::Sender<Status>,
+    calls: SortedMap<AttemptId, AbortHandle>,
+}
+
+impl Driver {
+    /// Starts the node on the current runtime and returns its handle.
+    pub fn spawn(node: Node, ports: Ports) -> Handle {
+        let (sender, events) = mpsc::unbounded_channel();
+        let (status, seen) = watch::channel(Status::default());
+        let handle =
+            Handle { events: sender.clone(), callers: ports.callers.clone(), status: seen };
+        ports.fleet.clone().spawn(sender.clone());
+        let driver = Driver {
+            node,
+            ports,
+            started: Instant::now(),
+            sender,
+            events,
+            status,
+            calls: SortedMap::new(),
+        };
+        tokio::spawn(driver.run());
+        handle
+    }
+
+    async fn run(mut self) {
+        loop {
+            let wake = self.next_wake();
+            let event = tokio::select! {
+                event = self.events.recv() => event,
+                () = tokio::time::sleep_until(wake) => Some(Event::Tick),
+            };
+            let Some(event) = event else { return };
+            if let Event::Call { attempt, event } = &event
+                && event.is_last()
+            {
+                self.calls.remove(attempt);
+            }
+            let effects = self.node.reduce(self.now(), event);
+            for effect in effects {
+                self.execute(effect);
+            }
+            self.publish();
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        let latest = Instant::now() + MAX_SLEEP;
+        match self.node.next_wake() {
+            Some(at) => (self.started + at).min(latest),
+            None => latest,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+
+    fn execute(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { ticket, answer } => {
+                self.ports.callers.deliver(ticket, CallerEvent::Answer(answer));
+            }
+            Effect::Emit { ticket, number, text } => {
+                self.ports.callers.deliver(ticket, CallerEvent::Token { number, text });
+            }
+            Effect::Call(call) => {
+                let attempt = call.attempt;
+                let task = self.ports.endpoints.clone().run(*call, self.sender.clone());
+                self.calls.insert(attempt, tokio::spawn(task).abort_handle());
+            }
+            Effect::Cancel { attempt } => {
+                if let Some(task) = self.calls.remove(&attempt) {
+                    task.abort();
+                }
+            }
+            Effect::Store { call, op } => {
+                let store = self.ports.store.clone();
+                let sender = self.sender.clone();
+                tokio::spawn(async move {
+                    let result = store.run(op).await;
+                    let _ = sender.send(Event::Store { call, result });
+                });
+            }
+            Effect::Send { .. } => (),
+            Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
+            Effect::Count { .. } => (),
+            Effect::Exit => {
+                self.status.send_modify(|it| it.exited = true);
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let revision = self.node.revision();
+        let ready = self.node.is_ready();
+        self.status.send_if_modified(|it| {
+            let is_changed = it.revision != revision || it.ready != ready;
+            it.revision = revision;
+            it.ready = ready;
+            is_changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/ferry-edge/src/wire.rs
@@ -0,0 +1,153 @@
+//! Bodies exchanged with endpoints and the platform.
+//!
+//! Engines speak the OpenAI-style completions interface with server-sent
+//! events; what it lacks travels under `ferry`. Pools and services speak plain
+//! JSON. docs/ENDPOINTS.md describes both.
+
+use ferry_core::Echo;
+use ferry_model::{AttemptId, Endpoint, Load};
+use serde::{Deserialize, Serialize};
+
+/// Name of the server-sent event that accepts a completion.
+pub const EVENT_ACCEPTED: &str = "accepted";
+/// Name of the terminal server-sent event.
+pub const EVENT_END: &str = "end";
+
+/// What a call belongs to; every answer repeats it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireEcho {
+    /// Request id in hex.
+    pub request: String,
+    pub stage: String,
+    pub attempt: AttemptId,
+}
+
+impl WireEcho {
+    pub fn new(request: u128, stage: &str, attempt: AttemptId) -> WireEcho {
+        WireEcho { request: format!("{request:032x}"), stage: stage.to_owned(), attempt }
+    }
+
+    /// Returns the typed form, or nothing where the request id is not one.
+    pub fn parse(self) -> Option<Echo> {
+        let request = u128::from_str_radix(&self.request, 16).ok()?;
+        Some(Echo { request, stage: self.stage, attempt: self.attempt })
+    }
+}
+
+/// Body of `POST /v1/stages/{stage}`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StageBody {
+    pub ferry: WireEcho,
+    /// The caller's idempotency key.
+    pub key: String,
+    pub input: String,
+    pub budget_ms: u64,
+    #[serde(default)]
+    pub priority: u8,
+}
+
+/// Answer to [`StageBody`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StageAnswer {
+    pub ferry: WireEcho,
+    pub output: String,
+    pub load: Option<Load>,
+}
+
+/// Body of `POST /v1/completions`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionBody {
+    pub model: String,
+    pub prompt: String,
+    pub max_tokens: u32,
+    pub stream: bool,
+    pub ferry: CompletionExtras,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionExtras {
+    pub echo: WireEcho,
+    pub key: String,
+    /// Number of the first token wanted.
+    pub offset: u32,
+    /// Tokens already emitted by another engine.
+    pub emitted: String,
+    pub priority: u8,
+    pub budget_ms: u64,
+}
+
+/// One `data` line of a streamed completion.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionChunk {
+    pub choices: Vec<CompletionChoice>,
+    /// Number of the token, from zero.
+    pub number: u32,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionChoice {
+    pub index: u32,
+    pub text: String,
+}
+
+/// The terminal event of a streamed completion.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionEnd {
+    pub ferry: WireEcho,
+    /// Tokens of the whole answer.
+    pub count: u32,
+    /// BLAKE3 digest of the whole text, in hex.
+    pub digest: String,
+    pub load: Option<Load>,
+}
+
+/// Body of an endpoint's refusal, with status 429 or 503.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RefusalBody {
+    pub message: String,
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Body of `GET /v1/endpoints` on the instance list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FleetBody {
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// An object as the object API shows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ObjectBody {
+    pub metadata: ObjectMeta,
+    pub spec: serde_json::Value,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ObjectMeta {
+    pub name: String,
+    #[serde(rename = "resourceVersion")]
+    pub resource_version: String,
+}
+
+/// A list of objects.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ObjectList {
+    pub metadata: ListMeta,
+    pub items: Vec<ObjectBody>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListMeta {
+    #[serde(rename = "resourceVersion")]
+    pub resource_version: String,
+}
+
+/// Path of a kind of object.
+pub fn kind_path(kind: ferry_model::ObjectKind) -> String {
+    format!("/apis/ferry/v1/{kind}")
+}
+
+/// Path of one object.
+pub fn object_path(key: &ferry_model::ObjectKey) -> String {
+    format!("/apis/ferry/v1/{}/{}", key.kind, key.name)
+}
--- /dev/null
+++ b/crates/ferry-entry/src/lib.rs
@@ -0,0 +1,6 @@
+//! The caller-facing process.
+
+pub mod api;
+pub mod server;
+
+pub use server::{EntryOptions, EntryServer};
--- /dev/null
+++ b/crates/ferry-model/src/lib.rs
@@ -0,0 +1,27 @@
+//! Plain types shared by every tarragonferry process.
+//!
+//! Nothing here decides or performs I/O; see docs/DESIGN.md for the layering.
+
+pub mod config;
+pub mod fleet;
+pub mod ids;
+pub mod millis;
+pub mod object;
+pub mod outcome;
+pub mod peer;
+pub mod sorted;
+pub mod workspace;
+
+pub use config::{
+    Change, Config, Floor, Pipeline, Pool, PoolLimit, Preset, PresetName, Presets, Stage, StageKind,
+};
+pub use fleet::{Endpoint, EndpointState, Load, Role};
+pub use ids::{
+    AttemptId, Digest, EndpointId, Fence, Incarnation, InstanceId, ModelId, Moment, PipelineId,
+    PoolId, RegionId, RequestId, Revision, StageId, Ticket, Version, WorkspaceId, ZoneId,
+};
+pub use object::{ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply, StoredObject};
+pub use outcome::{Answer, FailReason, Outcome, RefusalReason, StageReport};
+pub use peer::{Heartbeat, InstanceState, KeyState, PeerMessage, PoolLoad};
+pub use sorted::SortedMap;
+pub use workspace::Workspace;
--- /dev/null
+++ b/crates/ferry-standin/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for what surrounds the system: the platform and the endpoints.
+//!
+//! They speak the published interfaces over loopback and keep a witness log, so
+//! that tests count lost, doubled and misaddressed work there.
+
+pub mod endpoint;
+pub mod platform;
+pub mod witness;
+
+pub use endpoint::{EndpointSpec, EndpointStandin};
+pub use platform::PlatformStandin;
+pub use witness::{Run, Witness};
--- /dev/null
+++ b/crates/ferry-standin/src/witness.rs
@@ -0,0 +1,37 @@
+//! A log of every call an endpoint ran.
+
+use std::sync::{Arc, Mutex};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// One run of a stage.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Run {
+    pub endpoint: String,
+    /// Request id in hex.
+    pub request: String,
+    pub stage: String,
+    pub attempt: u64,
+    pub key: String,
+}
+
+/// Shared by the stand-ins of one process.
+#[derive(Debug, Clone, Default)]
+pub struct Witness {
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Witness {
+    pub fn new() -> Witness {
+        Witness::default()
+    }
+
+    pub fn record(&self, run: Run) {
+        self.runs.lock().unwrap_or_else(|it| it.into_inner()).push(run);
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap_or_else(|it| it.into_inner()).clone()
+    }
+}
