Run entries and stand-ins as processes and carry messages between peers

Cause: the entry and the stand-ins ran only inside one process, and messages between instances had no transport.

Change: ferry-entry reads an INI file and reports every finding, prints its addresses, and drains on SIGTERM; ferry-standin runs a deployment's platform and endpoints; peers talk over QUIC with mutual TLS, each message bound to the name in its sender's certificate. Answers to operators, key and address questions go through the same ticket registry.

Measured: none in this change.

--- a/crates/ferry-edge/src/callers.rs
+++ b/crates/ferry-edge/src/callers.rs
@@ -1,8 +1,12 @@
-//! Callers that wait for an answer on this process.
+//! Callers and operators that wait for an answer of this process's node.
+//!
+//! Every question that the node answers later has a ticket from here, whichever
+//! interface it came in by.
 
 use std::sync::Mutex;
 
-use ferry_model::{Answer, SortedMap, Ticket};
+use ferry_core::InstancesAnswer;
+use ferry_model::{AdminReply, Answer, KeyState, SortedMap, Ticket};
 use tokio::sync::mpsc;
 
 /// What a waiting caller gets, in order; the answer comes last.
@@ -10,6 +14,22 @@
 pub enum CallerEvent {
     Token { number: u32, text: String },
     Answer(Box<Answer>),
+    Instances(Box<InstancesAnswer>),
+    Key(KeyState),
+    Admin(Box<AdminReply>),
+}
+
+impl CallerEvent {
+    /// Whether the ticket is spent.
+    pub fn is_last(&self) -> bool {
+        match self {
+            CallerEvent::Token { .. } => false,
+            CallerEvent::Answer(_)
+            | CallerEvent::Instances(_)
+            | CallerEvent::Key(_)
+            | CallerEvent::Admin(_) => true,
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -41,8 +61,7 @@
     /// Hands an event to a caller; one that is gone is ignored.
     pub fn deliver(&self, ticket: Ticket, event: CallerEvent) {
         let mut inner = self.lock();
-        let is_last = matches!(event, CallerEvent::Answer(_));
-        let tx = match is_last {
+        let tx = match event.is_last() {
             true => inner.waiting.remove(&ticket),
             false => inner.waiting.get(&ticket).cloned(),
         };
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -10,7 +10,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{CallerEvent, Callers, EndpointClient, FleetClient, StoreClient, logs};
+use crate::{CallerEvent, Callers, EndpointClient, FleetClient, Peers, StoreClient, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
@@ -22,6 +22,8 @@
     pub endpoints: EndpointClient,
     pub store: StoreClient,
     pub fleet: FleetClient,
+    /// None where the settings have no peer section: messages to peers are dropped.
+    pub peers: Option<Peers>,
     pub log: Logger,
 }
 
@@ -81,6 +83,9 @@
         let handle =
             Handle { events: sender.clone(), callers: ports.callers.clone(), status: seen };
         ports.fleet.clone().spawn(sender.clone());
+        if let Some(peers) = &ports.peers {
+            peers.spawn(sender.clone());
+        }
         let driver = Driver {
             node,
             ports,
@@ -153,12 +158,21 @@
                     let _ = sender.send(Event::Store { call, result });
                 });
             }
-            Effect::Send { .. }
-            | Effect::Instances { .. }
-            | Effect::Key { .. }
-            | Effect::Admin { .. }
-            | Effect::Order { .. }
-            | Effect::Inspect { .. } => (),
+            Effect::Send { to, address, message } => {
+                if let Some(peers) = &self.ports.peers {
+                    peers.send(&to, address, *message);
+                }
+            }
+            Effect::Instances { ticket, answer } => {
+                self.ports.callers.deliver(ticket, CallerEvent::Instances(answer));
+            }
+            Effect::Key { ticket, state } => {
+                self.ports.callers.deliver(ticket, CallerEvent::Key(state));
+            }
+            Effect::Admin { ticket, reply } => {
+                self.ports.callers.deliver(ticket, CallerEvent::Admin(reply));
+            }
+            Effect::Order { .. } | Effect::Inspect { .. } => (),
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
             Effect::Count { .. } => (),
             Effect::Exit => {
--- a/crates/ferry-edge/src/lib.rs
+++ b/crates/ferry-edge/src/lib.rs
@@ -3,11 +3,15 @@
 //! Nothing here decides; what to do and when comes from `ferry-core`.
 
 pub mod callers;
+pub mod certs;
 pub mod driver;
 pub mod endpoint;
 pub mod fleet;
 pub mod http;
 pub mod logs;
+pub mod peers;
+pub mod process;
+pub mod settings;
 pub mod store;
 pub mod wire;
 
@@ -16,4 +20,5 @@
 pub use endpoint::EndpointClient;
 pub use fleet::FleetClient;
 pub use http::{HttpClient, HttpError};
+pub use peers::{PeerIdentity, PeerOptions, Peers};
 pub use store::StoreClient;
--- a/crates/ferry-edge/src/logs.rs
+++ b/crates/ferry-edge/src/logs.rs
@@ -1,12 +1,59 @@
 //! Structured logs: one line for each decision.
 
+use std::io::{IsTerminal, stderr};
+
 use ferry_core::Decision;
-use slog::{Drain, Logger, info, o};
+use slog::{Drain, Level, LevelFilter, Logger, info, o};
+use strum::{Display, EnumIter, EnumString, VariantNames};
+
+/// Lines that may wait to be written; further ones are dropped and counted.
+const BUFFER: usize = 16 * 1024;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// For people on a terminal, JSON elsewhere.
+    Auto,
+    Json,
+    Terminal,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    Error,
+    Warning,
+    Info,
+    Debug,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogSettings {
+    pub format: LogFormat,
+    pub level: LogLevel,
+}
+
+impl LogSettings {
+    /// Makes the logger of a process; it writes to standard error.
+    pub fn logger(self) -> Logger {
+        let is_json = match self.format {
+            LogFormat::Auto => !stderr().is_terminal(),
+            LogFormat::Json => true,
+            LogFormat::Terminal => false,
+        };
+        match is_json {
+            true => logger(slog_json::Json::default(stderr()).fuse(), self.level),
+            false => {
+                let decorator = slog_term::TermDecorator::new().stderr().build();
+                logger(slog_term::FullFormat::new(decorator).build().fuse(), self.level)
+            }
+        }
+    }
+}
 
 /// Makes a logger that writes JSON lines to standard error, away from the callers' path.
 pub fn json_logger() -> Logger {
-    let drain = slog_json::Json::default(std::io::stderr()).fuse();
-    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+    LogSettings { format: LogFormat::Json, level: LogLevel::Info }.logger()
 }
 
 /// Makes a logger that drops every line.
@@ -30,3 +77,17 @@
         "revision" => decision.revision,
     );
 }
+
+fn logger<D>(drain: D, level: LogLevel) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    let drain = slog_async::Async::new(drain).chan_size(BUFFER).build();
+    Logger::root(LevelFilter::new(drain, level).fuse(), o!())
+}
--- /dev/null
+++ b/crates/ferry-edge/src/settings.rs
@@ -0,0 +1,49 @@
+//! Settings files in INI: typed values, and every finding reported at once.
+//!
+//! Both processes read the sections in [`common`]; docs/SETTINGS.md lists each key.
+
+pub mod common;
+mod reader;
+
+use std::fmt;
+
+use ferry_model::Finding;
+use thiserror::Error;
+
+pub use reader::{Address, Addresses, Choice, Hashes, Kind, Number, Reader, Secret, Text, Time};
+
+/// Everything wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub struct Findings(pub Vec<Finding>);
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (idx, it) in self.0.iter().enumerate() {
+            let end = if idx == 0 { "" } else { "\n" };
+            write!(f, "{end}{}: {}", it.place, it.problem)?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads a settings file and builds a value from it.
+pub fn load<T>(path: &str, build: impl FnOnce(&mut Reader) -> T) -> Result<T, Findings> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|it| Findings(vec![Finding::new(path, format!("could not read it: {it}"))]))?;
+    parse(path, &text, |name| std::env::var(name).ok(), build)
+}
+
+/// Builds a value from the text of a settings file; `env` looks up secrets.
+pub fn parse<T>(
+    file: &str,
+    text: &str,
+    env: impl Fn(&str) -> Option<String> + 'static,
+    build: impl FnOnce(&mut Reader) -> T,
+) -> Result<T, Findings> {
+    let mut reader = Reader::new(file, text, env)?;
+    let value = build(&mut reader);
+    match reader.finish() {
+        findings if findings.is_empty() => Ok(value),
+        findings => Err(Findings(findings)),
+    }
+}
--- /dev/null
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -0,0 +1,148 @@
+//! The sections that entry and control share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_core::{Identity, InstanceRole, Tuning};
+use ferry_model::{Incarnation, InstanceId, Workspace};
+
+use super::reader::{Address, Addresses, Choice, Hashes, Number, Reader, Secret, Text, Time};
+use crate::certs::CertPair;
+use crate::logs::{LogFormat, LogLevel, LogSettings};
+use crate::{PeerIdentity, PeerOptions};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+/// Start of the name of a workspace's section.
+const WORKSPACE_PREFIX: &str = "workspace ";
+
+/// Who this instance is and where it listens.
+#[derive(Debug, Clone, Default)]
+pub struct InstanceSettings {
+    pub id: InstanceId,
+    pub zone: String,
+    pub region: String,
+    /// Where callers or operators connect.
+    pub listen: Option<SocketAddr>,
+}
+
+impl InstanceSettings {
+    pub fn read(reader: &mut Reader) -> InstanceSettings {
+        InstanceSettings {
+            id: reader.required("instance", "id", Text),
+            zone: reader.required("instance", "zone", Text),
+            region: reader.required("instance", "region", Text),
+            listen: reader.required("instance", "listen", Address),
+        }
+    }
+
+    pub fn identity(&self, incarnation: Incarnation, role: InstanceRole) -> Identity {
+        Identity {
+            instance: self.id.clone(),
+            incarnation,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            role,
+        }
+    }
+}
+
+/// Where the platform is and how much it may be asked.
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// Addresses of the object API, tried in turn.
+    pub store: Vec<SocketAddr>,
+    /// Address of the instance list.
+    pub fleet: Option<SocketAddr>,
+    /// Longest wait for an answer of the object API.
+    pub timeout: Duration,
+    /// Time between two reads of the instance list.
+    pub interval: Duration,
+    /// Reads of the object API a second.
+    pub reads: u32,
+    /// Writes of the object API a second.
+    pub writes: u32,
+    /// Further tries of a read.
+    pub retries: u32,
+}
+
+impl PlatformSettings {
+    pub fn read(reader: &mut Reader) -> PlatformSettings {
+        PlatformSettings {
+            store: reader.required("platform", "store", Addresses),
+            fleet: reader.required("platform", "fleet", Address),
+            timeout: reader.value("platform", "timeout", Time(10 * MS..=MINUTE), SECOND),
+            interval: reader.value("platform", "interval", Time(50 * MS..=MINUTE), SECOND),
+            reads: reader.value("platform", "reads", Number(1..=100_000), 100),
+            writes: reader.value("platform", "writes", Number(1..=100_000), 50),
+            retries: reader.value("platform", "retries", Number(0..=10), 2),
+        }
+    }
+}
+
+/// Reads the peer section; without it the instance talks to no peer.
+pub fn peers(reader: &mut Reader, instance: &str) -> Option<PeerOptions> {
+    if !reader.has("peers") {
+        return None;
+    }
+    let listen = reader.required("peers", "listen", Address);
+    let authority = reader.required("peers", "authority", Secret);
+    let cert = reader.required("peers", "certificate", Secret);
+    let key = reader.required("peers", "key", Secret);
+    let identity = PeerIdentity { authority, pair: CertPair { cert, key } };
+    if let Err(error) = identity.check() {
+        reader.find("peers", error.what(), error.to_string());
+    }
+    Some(PeerOptions { listen: listen?, instance: instance.to_owned(), identity })
+}
+
+pub fn log(reader: &mut Reader) -> LogSettings {
+    LogSettings {
+        format: reader.value("log", "format", Choice::<LogFormat>::new(), LogFormat::Auto),
+        level: reader.value("log", "level", Choice::<LogLevel>::new(), LogLevel::Info),
+    }
+}
+
+/// Reads where metrics go; without the section they are dropped.
+pub fn metrics(reader: &mut Reader) -> Option<SocketAddr> {
+    match reader.has("metrics") {
+        true => reader.required("metrics", "statsd", Address),
+        false => None,
+    }
+}
+
+/// Reads the limits and intervals of the decisions.
+pub fn tuning(reader: &mut Reader) -> Tuning {
+    let base = Tuning::default();
+    let s = "tuning";
+    let ms = |low: u32, high: Duration| Time(low * MS..=high);
+    let mut it = base.clone();
+    it.config_poll = reader.value(s, "config_poll", ms(50, MINUTE), base.config_poll);
+    it.max_requests = reader.value(s, "max_requests", Number(1..=1_000_000), base.max_requests);
+    it.max_attempts = reader.value(s, "max_attempts", Number(1..=20), base.max_attempts);
+    it.sample = reader.value(s, "sample", Number(1..=64), base.sample);
+    it.retry_after = reader.value(s, "retry_after", ms(100, MINUTE), base.retry_after);
+    it.min_deadline = reader.value(s, "min_deadline", ms(1, MINUTE), base.min_deadline);
+    it.max_deadline = reader.value(s, "max_deadline", ms(100, 60 * MINUTE), base.max_deadline);
+    if it.max_deadline < it.min_deadline {
+        reader.find(s, "max_deadline", "it is below min_deadline; allowed is at least that");
+    }
+    it
+}
+
+/// Reads the workspaces that exist whatever the object API holds.
+pub fn workspaces(reader: &mut Reader) -> Vec<Workspace> {
+    let names = reader.sections(WORKSPACE_PREFIX);
+    names.into_iter().map(|it| workspace(reader, it)).collect()
+}
+
+fn workspace(reader: &mut Reader, name: String) -> Workspace {
+    let section = format!("{WORKSPACE_PREFIX}{name}");
+    Workspace {
+        name,
+        weight: reader.value(&section, "weight", Number(1..=1000), 1),
+        concurrent: reader.value(&section, "concurrent", Number(0..=1_000_000), 0),
+        tokens: reader.required(&section, "tokens", Hashes),
+    }
+}
--- a/crates/ferry-entry/src/lib.rs
+++ b/crates/ferry-entry/src/lib.rs
@@ -1,6 +1,10 @@
 //! The caller-facing process.
 
 pub mod api;
+mod run;
 pub mod server;
+pub mod settings;
 
+pub use run::{RunError, run};
 pub use server::{EntryOptions, EntryServer};
+pub use settings::{CallerLimits, EntrySettings};
--- a/crates/ferry-entry/src/main.rs
+++ b/crates/ferry-entry/src/main.rs
@@ -1,1 +1,57 @@
-fn main() {}
+//! The caller-facing process.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use ferry_edge::process;
+use ferry_entry::{EntrySettings, run};
+
+/// Serves callers: takes their requests through the stages of a pipeline.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "ferry-entry --settings etc/ferry-entry.ini",
+    note = "docs/SETTINGS.md lists every setting, docs/OPERATING.md signals and logs.",
+    error_code(1, "The process could not start or failed."),
+    error_code(2, "The settings have findings; each is on a line of its own.")
+)]
+struct Args {
+    /// settings file
+    #[argh(option)]
+    settings: Option<String>,
+    /// print every finding in the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    if args.version {
+        println!("ferry-entry {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = args.settings else {
+        eprintln!("ferry-entry: --settings is missing");
+        return ExitCode::FAILURE;
+    };
+    let settings = match EntrySettings::load(&path) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return process::settings_exit();
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ferry-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-standin/src/deployment.rs
@@ -0,0 +1,67 @@
+//! All stand-ins of one deployment: the platform and every endpoint.
+
+use std::net::SocketAddr;
+
+use ferry_core::config::CONFIG_NAME;
+use ferry_fakes::Deployment;
+use ferry_fakes::deployment::PoolShape;
+use ferry_model::{Endpoint, EndpointState, ObjectKind, Role};
+use slog::Logger;
+
+use crate::{EndpointSpec, EndpointStandin, PlatformStandin, Witness};
+
+pub struct DeploymentStandins {
+    pub platform: PlatformStandin,
+    pub endpoints: Vec<EndpointStandin>,
+    /// The endpoints as the instance list shows them.
+    pub listed: Vec<Endpoint>,
+    pub witness: Witness,
+}
+
+impl DeploymentStandins {
+    /// Starts the platform and the endpoints on ports of `bind`'s address.
+    pub fn start(
+        deployment: &Deployment,
+        bind: SocketAddr,
+        log: &Logger,
+    ) -> Result<DeploymentStandins, String> {
+        let witness = Witness::new();
+        let platform = PlatformStandin::start(bind, witness.clone(), log)?;
+        let mut endpoints = Vec::new();
+        let mut listed = Vec::new();
+        let any_port = SocketAddr::new(bind.ip(), 0);
+        for shape in &deployment.pools {
+            for idx in 0..shape.endpoints {
+                let spec = spec(shape, idx);
+                let standin = EndpointStandin::start(any_port, spec, witness.clone(), log)?;
+                listed.push(line(deployment, shape, idx, standin.address()));
+                endpoints.push(standin);
+            }
+        }
+        platform.state.set_endpoints(listed.clone());
+        let value = serde_json::to_value(&deployment.config).map_err(|it| it.to_string())?;
+        platform.state.seed(ObjectKind::Config.into(), CONFIG_NAME, value);
+        Ok(DeploymentStandins { platform, endpoints, listed, witness })
+    }
+}
+
+fn spec(shape: &PoolShape, idx: usize) -> EndpointSpec {
+    EndpointSpec {
+        id: format!("{}-{idx}", shape.name),
+        service: shape.service,
+        token: shape.token,
+        slots: shape.slots,
+    }
+}
+
+fn line(deployment: &Deployment, shape: &PoolShape, idx: usize, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: format!("{}-{idx}", shape.name),
+        pool: shape.name.to_owned(),
+        zone: deployment.zones[idx % deployment.zones.len()].to_owned(),
+        address,
+        state: EndpointState::Live,
+        models: shape.model.iter().map(|it| (*it).to_owned()).collect(),
+        role: Role::Both,
+    }
+}
--- a/crates/ferry-standin/src/lib.rs
+++ b/crates/ferry-standin/src/lib.rs
@@ -3,10 +3,12 @@
 //! They speak the published interfaces over loopback and keep a witness log, so
 //! that tests count lost, doubled and misaddressed work there.
 
+pub mod deployment;
 pub mod endpoint;
 pub mod platform;
 pub mod witness;
 
+pub use deployment::DeploymentStandins;
 pub use endpoint::{EndpointSpec, EndpointStandin};
 pub use platform::PlatformStandin;
 pub use witness::{Run, Witness};
--- a/crates/ferry-standin/src/platform.rs
+++ b/crates/ferry-standin/src/platform.rs
@@ -14,11 +14,15 @@
 use serde::{Deserialize, Serialize};
 use slog::Logger;
 
+use crate::{Run, Witness};
+
 /// Largest value of an object, in bytes.
 const MAX_VALUE: usize = 1024 * 1024;
 
 #[derive(Debug, Clone, Default)]
 pub struct PlatformState {
+    /// What the endpoints of the same process ran.
+    witness: Witness,
     inner: Arc<Mutex<Inner>>,
 }
 
@@ -71,8 +75,12 @@
 }
 
 impl PlatformStandin {
-    pub fn start(bind: SocketAddr, log: &Logger) -> Result<PlatformStandin, String> {
-        let state = PlatformState::new();
+    pub fn start(
+        bind: SocketAddr,
+        witness: Witness,
+        log: &Logger,
+    ) -> Result<PlatformStandin, String> {
+        let state = PlatformState { witness, ..PlatformState::new() };
         let config = ConfigDropshot {
             bind_address: bind,
             default_request_body_max_bytes: 2 * MAX_VALUE,
@@ -97,6 +105,9 @@
     api.register(put_object).map_err(|it| it.to_string())?;
     api.register(delete_object).map_err(|it| it.to_string())?;
     api.register(list_endpoints).map_err(|it| it.to_string())?;
+    api.register(put_instances).map_err(|it| it.to_string())?;
+    api.register(put_endpoints).map_err(|it| it.to_string())?;
+    api.register(list_runs).map_err(|it| it.to_string())?;
     Ok(api)
 }
 
@@ -208,6 +219,39 @@
     json(StatusCode::OK, &body)
 }
 
+/// Replaces our own processes in the instance list, as a test's setup.
+#[endpoint { method = PUT, path = "/control/instances" }]
+async fn put_instances(
+    rqctx: RequestContext<PlatformState>,
+    body: TypedBody<serde_json::Value>,
+) -> Result<Response<Body>, HttpError> {
+    match serde_json::from_value(body.into_inner()) {
+        Ok(instances) => rqctx.context().set_instances(instances),
+        Err(error) => return status(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+    json(StatusCode::OK, &serde_json::json!({}))
+}
+
+/// Replaces the endpoints in the instance list, as a test's setup.
+#[endpoint { method = PUT, path = "/control/endpoints" }]
+async fn put_endpoints(
+    rqctx: RequestContext<PlatformState>,
+    body: TypedBody<serde_json::Value>,
+) -> Result<Response<Body>, HttpError> {
+    match serde_json::from_value(body.into_inner()) {
+        Ok(endpoints) => rqctx.context().set_endpoints(endpoints),
+        Err(error) => return status(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+    json(StatusCode::OK, &serde_json::json!({}))
+}
+
+/// Lists every call that the endpoints of this process ran.
+#[endpoint { method = GET, path = "/control/runs" }]
+async fn list_runs(rqctx: RequestContext<PlatformState>) -> Result<Response<Body>, HttpError> {
+    let runs: Vec<Run> = rqctx.context().witness.runs();
+    json(StatusCode::OK, &runs)
+}
+
 fn body_of(name: &str, object: &Object) -> ObjectBody {
     ObjectBody {
         metadata: ObjectMeta {
