Answer callers with streams, keys, addresses and clear errors

Cause: the interface took one kind of call, read bodies without a time limit, searched tokens by plain comparison and did not notice a caller that left.

Change: server-sent events with numbers, count and digest; GET for a key and for addresses; liveness and readiness; bounds on bodies, headers, time and open requests; errors that name their field; tokens found by a keyed hash and compared in constant time. A handler holds no state of a request: dropping it tells the node that the caller has gone, and the work goes on as the node decides.

--- /dev/null
+++ b/crates/ferry-edge/src/auth.rs
@@ -0,0 +1,82 @@
+//! Bearer tokens: only their hashes are kept, and comparing them tells an attacker nothing.
+//!
+//! A token is hashed with BLAKE3, then again under a key of this process, and looked
+//! up by bisection: what the time of a lookup tells is about that last hash only,
+//! which nobody outside can compute. See docs/design/edge.md.
+
+use std::sync::{Arc, RwLock};
+
+use blake3::Hash;
+use ferry_model::SortedMap;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use rand::RngExt;
+use subtle::ConstantTimeEq;
+
+/// Longest token that is hashed.
+const MAX_TOKEN: usize = 512;
+
+type Sealed = [u8; 32];
+
+/// Maps tokens to who may use them; replaced as a whole.
+#[derive(Debug)]
+pub struct Tokens<T> {
+    key: Sealed,
+    owners: RwLock<Arc<SortedMap<Sealed, Owner<T>>>>,
+}
+
+#[derive(Debug)]
+struct Owner<T> {
+    hash: Hash,
+    value: T,
+}
+
+impl<T: Clone> Tokens<T> {
+    /// Takes pairs of a token's hash in hex and its owner; malformed hashes match nothing.
+    pub fn new<'a>(owners: impl IntoIterator<Item = (&'a str, T)>) -> Tokens<T> {
+        let mut key = Sealed::default();
+        rand::rng().fill(&mut key[..]);
+        let tokens = Tokens { key, owners: RwLock::default() };
+        tokens.replace(owners);
+        tokens
+    }
+
+    /// Replaces all owners; requests under way are not touched.
+    pub fn replace<'a>(&self, owners: impl IntoIterator<Item = (&'a str, T)>) {
+        let mut entries: Vec<(Sealed, Owner<T>)> = owners
+            .into_iter()
+            .filter_map(|(hex, value)| {
+                let hash = Hash::from_hex(hex).ok()?;
+                Some((self.seal(&hash), Owner { hash, value }))
+            })
+            .collect();
+        entries.sort_by_key(|it| it.0);
+        let owners = Arc::new(entries.into_iter().collect());
+        *self.owners.write().unwrap_or_else(|it| it.into_inner()) = owners;
+    }
+
+    /// Returns the owner of the bearer token in a request's headers.
+    pub fn find(&self, headers: &HeaderMap) -> Option<T> {
+        let token = bearer(headers)?;
+        let hash = blake3::hash(token.as_bytes());
+        let owners = self.owners.read().unwrap_or_else(|it| it.into_inner()).clone();
+        let owner = owners.get(&self.seal(&hash))?;
+        let is_same = bool::from(owner.hash.as_bytes().ct_eq(hash.as_bytes()));
+        is_same.then(|| owner.value.clone())
+    }
+
+    fn seal(&self, hash: &Hash) -> Sealed {
+        *blake3::keyed_hash(&self.key, hash.as_bytes()).as_bytes()
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let value = values.next()?.to_str().ok()?;
+    let (scheme, token) = value.split_once(' ')?;
+    let is_usable = scheme.eq_ignore_ascii_case("bearer")
+        && values.next().is_none()
+        && !token.is_empty()
+        && token.len() <= MAX_TOKEN;
+    is_usable.then_some(token)
+}
--- a/crates/ferry-edge/src/callers.rs
+++ b/crates/ferry-edge/src/callers.rs
@@ -5,10 +5,12 @@
 
 use std::sync::Mutex;
 
-use ferry_core::InstancesAnswer;
+use ferry_core::{Event, InstancesAnswer};
 use ferry_model::{AdminReply, Answer, KeyState, SortedMap, Ticket};
 use tokio::sync::mpsc;
 
+use crate::Handle;
+
 /// What a waiting caller gets, in order; the answer comes last.
 #[derive(Debug, Clone)]
 pub enum CallerEvent {
@@ -80,3 +82,46 @@
         self.inner.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
+
+/// A caller that waits for the events of its ticket.
+///
+/// Dropping it before the last event tells the node that the caller is gone; work
+/// that was started goes on or ends as the node decides.
+#[derive(Debug)]
+pub struct Waiter {
+    ticket: Ticket,
+    handle: Handle,
+    events: mpsc::UnboundedReceiver<CallerEvent>,
+    is_spent: bool,
+}
+
+impl Waiter {
+    pub(crate) fn new(handle: Handle) -> Waiter {
+        let (ticket, events) = handle.callers().register();
+        Waiter { ticket, handle, events, is_spent: false }
+    }
+
+    pub fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    /// Returns the next event; nothing comes after the last one or once the node has ended.
+    pub async fn next(&mut self) -> Option<CallerEvent> {
+        if self.is_spent {
+            return None;
+        }
+        let event = self.events.recv().await;
+        self.is_spent = event.as_ref().is_none_or(CallerEvent::is_last);
+        event
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        if self.is_spent {
+            return;
+        }
+        self.handle.callers().forget(self.ticket);
+        self.handle.send(Event::CallerGone { ticket: self.ticket });
+    }
+}
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use ferry_core::{Effect, Event, Node};
-use ferry_model::{AttemptId, Moment, Revision, SortedMap};
+use ferry_model::{AttemptId, Moment, Revision, SortedMap, Ticket};
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{CallerEvent, Callers, EndpointClient, FleetClient, Peers, StoreClient, logs};
+use crate::{CallerEvent, Callers, EndpointClient, FleetClient, Peers, StoreClient, Waiter, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
@@ -50,6 +50,13 @@
         let _ = self.events.send(event);
     }
 
+    /// Sends the event that `make` builds for a new ticket and returns who waits for it.
+    pub fn ask(&self, make: impl FnOnce(Ticket) -> Event) -> Waiter {
+        let waiter = Waiter::new(self.clone());
+        self.send(make(waiter.ticket()));
+        waiter
+    }
+
     pub fn callers(&self) -> &Callers {
         &self.callers
     }
--- a/crates/ferry-edge/src/lib.rs
+++ b/crates/ferry-edge/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here decides; what to do and when comes from `ferry-core`.
 
+pub mod auth;
 pub mod callers;
 pub mod certs;
 pub mod driver;
@@ -15,7 +16,8 @@
 pub mod store;
 pub mod wire;
 
-pub use callers::{CallerEvent, Callers};
+pub use auth::Tokens;
+pub use callers::{CallerEvent, Callers, Waiter};
 pub use driver::{Driver, Handle, Ports, Status};
 pub use endpoint::EndpointClient;
 pub use fleet::FleetClient;
--- /dev/null
+++ b/crates/ferry-entry/src/api/health.rs
@@ -0,0 +1,47 @@
+//! Liveness and readiness.
+
+use std::sync::Arc;
+
+use dropshot::{Body, HttpResponseUpdatedNoContent, RequestContext, endpoint};
+use http::header::CONTENT_TYPE;
+use http::{Response, StatusCode};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::Problem;
+use super::answer::internal;
+use crate::server::EntryContext;
+
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct ReadyBody {
+    pub ready: bool,
+    /// Revision of the configuration in force, zero before the first.
+    pub revision: u64,
+}
+
+/// Says that the process runs.
+#[endpoint { method = GET, path = "/v1/live" }]
+pub(super) async fn get_live(
+    _rqctx: RequestContext<Arc<EntryContext>>,
+) -> Result<HttpResponseUpdatedNoContent, Problem> {
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Says whether this instance takes requests.
+#[endpoint { method = GET, path = "/v1/ready" }]
+pub(super) async fn get_ready(
+    rqctx: RequestContext<Arc<EntryContext>>,
+) -> Result<Response<Body>, Problem> {
+    let status = rqctx.context().handle.status();
+    let code = match status.ready {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let body = ReadyBody { ready: status.ready, revision: status.revision };
+    let body = serde_json::to_string(&body).map_err(internal)?;
+    Response::builder()
+        .status(code)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Body::from(body))
+        .map_err(internal)
+}
--- /dev/null
+++ b/crates/ferry-entry/src/api/keys.rs
@@ -0,0 +1,76 @@
+//! `GET /v1/requests/{key}`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dropshot::{ErrorStatusCode, HttpResponseOk, Path, RequestContext, endpoint};
+use ferry_core::Event;
+use ferry_edge::CallerEvent;
+use ferry_model::KeyState;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::requests::is_key;
+use super::{AnswerBody, Problem, limits};
+use crate::server::EntryContext;
+
+/// Longest wait for what is known of a key.
+const ASK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What is known of an idempotency key.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct KeyBody {
+    pub key: String,
+    pub state: KeyStateName,
+    /// The answer, where the request has ended and its answer is still kept.
+    pub answer: Option<AnswerBody>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyStateName {
+    Running,
+    Settled,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(super) struct KeyPath {
+    key: String,
+}
+
+/// Tells what became of the request with an idempotency key of the caller's workspace.
+#[endpoint { method = GET, path = "/v1/requests/{key}" }]
+pub(super) async fn get_key(
+    rqctx: RequestContext<Arc<EntryContext>>,
+    path: Path<KeyPath>,
+) -> Result<HttpResponseOk<KeyBody>, Problem> {
+    let headers = rqctx.request.headers();
+    let context = rqctx.context();
+    limits::check_headers(&context.limits, headers)?;
+    let workspace = context.tokens.find(headers).ok_or_else(Problem::unauthorized)?;
+    let key = path.into_inner().key;
+    if !is_key(&key) {
+        return Err(Problem::invalid("key", "it is not an idempotency key"));
+    }
+    let _pass = context.gate.enter(&context.limits, rqctx.request.remote_addr())?;
+    let asked = key.clone();
+    let mut waiter = context.handle.ask(|ticket| Event::AskKey { ticket, workspace, key: asked });
+    match tokio::time::timeout(ASK_TIMEOUT, waiter.next()).await {
+        Ok(Some(CallerEvent::Key(state))) => body_of(key, state),
+        Ok(_) | Err(_) => Err(Problem::unanswered()),
+    }
+}
+
+fn body_of(key: String, state: KeyState) -> Result<HttpResponseOk<KeyBody>, Problem> {
+    let (state, answer) = match state {
+        KeyState::Unknown => return Err(unknown()),
+        KeyState::Running => (KeyStateName::Running, None),
+        KeyState::Settled { answer, .. } => (KeyStateName::Settled, Some(AnswerBody::new(&answer))),
+    };
+    Ok(HttpResponseOk(KeyBody { key, state, answer }))
+}
+
+fn unknown() -> Problem {
+    let message = "no request with this key is known here";
+    Problem::new(ErrorStatusCode::NOT_FOUND, "unknown_key", message).with_field("key")
+}
--- /dev/null
+++ b/crates/ferry-entry/src/api/limits.rs
@@ -0,0 +1,96 @@
+//! Bounds on what callers may have open at once.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use dropshot::ErrorStatusCode;
+use ferry_model::SortedMap;
+use http::HeaderMap;
+
+use super::Problem;
+use crate::CallerLimits;
+
+/// Counts open requests, over all connections and for each.
+#[derive(Debug, Default)]
+pub struct Gate {
+    open: Mutex<Open>,
+}
+
+#[derive(Debug, Default)]
+struct Open {
+    total: usize,
+    by_connection: SortedMap<SocketAddr, usize>,
+}
+
+/// One open request; dropping it makes room for another.
+#[derive(Debug)]
+pub struct Pass {
+    gate: Arc<Gate>,
+    connection: SocketAddr,
+}
+
+impl Gate {
+    pub fn new() -> Gate {
+        Gate::default()
+    }
+
+    /// Lets a request in, or says which limit it meets.
+    pub fn enter(
+        self: &Arc<Gate>,
+        limits: &CallerLimits,
+        connection: SocketAddr,
+    ) -> Result<Pass, Problem> {
+        let mut open = self.lock();
+        if limits.requests <= open.total {
+            return Err(too_many("requests", limits.requests));
+        }
+        let n_here = open.by_connection.entry_or_with(connection, || 0);
+        if limits.per_connection <= *n_here {
+            return Err(too_many("connection_requests", limits.per_connection));
+        }
+        *n_here += 1;
+        open.total += 1;
+        Ok(Pass { gate: self.clone(), connection })
+    }
+
+    /// Returns how many requests are open.
+    pub fn open(&self) -> usize {
+        self.lock().total
+    }
+
+    fn leave(&self, connection: SocketAddr) {
+        let mut open = self.lock();
+        open.total = open.total.saturating_sub(1);
+        let Some(n_here) = open.by_connection.get_mut(&connection) else { return };
+        *n_here = n_here.saturating_sub(1);
+        if *n_here == 0 {
+            open.by_connection.remove(&connection);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Open> {
+        self.open.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.gate.leave(self.connection);
+    }
+}
+
+/// Refuses headers that are larger in sum than allowed.
+pub fn check_headers(limits: &CallerLimits, headers: &HeaderMap) -> Result<(), Problem> {
+    let size: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size <= limits.headers {
+        return Ok(());
+    }
+    let message = format!("the headers have {size} bytes; at most {} are allowed", limits.headers);
+    let status = ErrorStatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    Err(Problem::new(status, "headers_too_large", message).with_field("headers"))
+}
+
+fn too_many(limit: &str, most: usize) -> Problem {
+    let message = format!("the limit {limit} of {most} open requests is met");
+    Problem::new(ErrorStatusCode::TOO_MANY_REQUESTS, "too_many_requests", message).with_field(limit)
+}
--- /dev/null
+++ b/crates/ferry-entry/src/api/problem.rs
@@ -0,0 +1,73 @@
+//! Errors of calls that never reached the node.
+
+use std::fmt;
+
+use dropshot::{ErrorStatusCode, HttpError, HttpResponseError};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Body of an error: what is wrong, and in which field.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Problem {
+    /// Short name of the problem, for programs.
+    pub error: String,
+    /// Field of the body, header or path that is wrong.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+    /// What is wrong and what is allowed.
+    pub message: String,
+    #[serde(skip, default = "bad_request")]
+    status: ErrorStatusCode,
+}
+
+impl Problem {
+    pub fn new(status: ErrorStatusCode, error: &str, message: impl Into<String>) -> Problem {
+        Problem { error: error.to_owned(), field: None, message: message.into(), status }
+    }
+
+    /// Makes the error for a field whose value is not allowed.
+    pub fn invalid(field: &str, message: impl Into<String>) -> Problem {
+        Problem::new(bad_request(), "invalid", message).with_field(field)
+    }
+
+    /// Makes the error for a token that belongs to no workspace.
+    pub fn unauthorized() -> Problem {
+        let message = "the bearer token is missing or belongs to no workspace";
+        Problem::new(ErrorStatusCode::UNAUTHORIZED, "unauthorized", message)
+            .with_field("Authorization")
+    }
+
+    /// Makes the error for a question that the node did not answer in time.
+    pub fn unanswered() -> Problem {
+        let message = "the instance did not answer in time";
+        Problem::new(ErrorStatusCode::SERVICE_UNAVAILABLE, "unanswered", message)
+    }
+
+    pub fn with_field(mut self, field: &str) -> Problem {
+        self.field = Some(field.to_owned());
+        self
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.error, self.message)
+    }
+}
+
+impl HttpResponseError for Problem {
+    fn status_code(&self) -> ErrorStatusCode {
+        self.status
+    }
+}
+
+impl From<HttpError> for Problem {
+    fn from(error: HttpError) -> Problem {
+        let name = error.error_code.as_deref().unwrap_or("rejected");
+        Problem::new(error.status_code, name, error.external_message)
+    }
+}
+
+fn bad_request() -> ErrorStatusCode {
+    ErrorStatusCode::BAD_REQUEST
+}
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -4,21 +4,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
 use ferry_edge::peers::PeerError;
 use ferry_edge::{
     Callers, Driver, EndpointClient, FleetClient, Handle, PeerOptions, Peers, Ports, StoreClient,
+    Tokens,
 };
-use ferry_model::{Incarnation, Workspace};
+use ferry_model::{Incarnation, Workspace, WorkspaceId};
 use slog::{Logger, warn};
 use thiserror::Error;
 
+use crate::api::Gate;
 use crate::{CallerLimits, EntrySettings, api};
 
 /// Any address of this machine, on a port that the system chooses.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Added to the server's own body limit, so that ours is met first and names the field.
+const BODY_SLACK: usize = 1024 * 1024;
+
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("could not describe the caller interface: {0}")]
@@ -72,8 +77,13 @@
 #[derive(Debug)]
 pub struct EntryContext {
     pub handle: Handle,
-    pub workspaces: Vec<Workspace>,
+    /// Workspaces by their bearer tokens.
+    pub tokens: Tokens<WorkspaceId>,
     pub limits: CallerLimits,
+    pub gate: Arc<Gate>,
+    /// Bounds of the deadline that a caller may name.
+    pub min_deadline: Duration,
+    pub max_deadline: Duration,
 }
 
 pub struct EntryServer {
@@ -89,6 +99,8 @@
         let instance = options.identity.instance.clone();
         let close_time = options.limits.close_time;
         let peers = options.peers.map(|it| Peers::bind(it, log.clone())).transpose()?;
+        let (min_deadline, max_deadline) =
+            (options.tuning.min_deadline, options.tuning.max_deadline);
         let node = Node::new(options.identity, options.tuning, options.seed);
         let ports = Ports {
             callers: Arc::new(Callers::new()),
@@ -101,13 +113,17 @@
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
             bind_address: options.listen,
-            default_request_body_max_bytes: options.limits.body,
+            default_request_body_max_bytes: options.limits.body + BODY_SLACK,
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
         let context = EntryContext {
             handle: handle.clone(),
-            workspaces: options.workspaces,
+            tokens: Tokens::new(token_owners(&options.workspaces)),
             limits: options.limits,
+            gate: Arc::new(Gate::new()),
+            min_deadline,
+            max_deadline,
         };
         let api = api::describe().map_err(StartError::Describe)?;
         let server = ServerBuilder::new(api, Arc::new(context), log.clone())
@@ -144,3 +160,8 @@
         &self.handle
     }
 }
+
+/// Pairs each hash of a token with its workspace.
+fn token_owners(workspaces: &[Workspace]) -> impl Iterator<Item = (&str, WorkspaceId)> {
+    workspaces.iter().flat_map(|it| it.tokens.iter().map(|token| (token.as_str(), it.name.clone())))
+}
--- /dev/null
+++ b/crates/ferry-entry/tests/entry/callers.rs
@@ -0,0 +1,157 @@
+//! What callers get, and what happens when they leave.
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use ferry_entry::CallerLimits;
+use ferry_entry::api::{AnswerBody, EVENT_END, EVENT_TOKEN, EndBody, ReadyBody, TokenBody};
+use futures_util::StreamExt;
+use http::{Method, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::harness::{Harness, TIMEOUT, requests_path};
+
+const DRAFTED: &str = "generate(rerank(retrieve(encode(hotel licence))))";
+
+#[tokio::test]
+async fn a_whole_answer_lists_every_stage() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let answer = harness.post("draft", "whole", &json!({ "input": "hotel licence" })).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let body: AnswerBody = answer.json().unwrap();
+    assert_eq!(body.output.as_deref(), Some(DRAFTED));
+    let stages: Vec<&str> = body.stages.iter().map(|it| it.stage.as_str()).collect();
+    assert_eq!(stages, ["encode", "retrieve", "rerank", "generate"]);
+    assert_eq!(body.revision, 1);
+}
+
+struct Streamed {
+    pipeline: &'static str,
+    output: &'static str,
+    is_one_token: bool,
+}
+
+#[tokio::test]
+async fn a_streamed_answer_is_numbered_and_ends_with_count_and_digest() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let cases = [
+        Streamed { pipeline: "draft", output: DRAFTED, is_one_token: false },
+        Streamed { pipeline: "calendar", output: "calendar(hotel licence)", is_one_token: true },
+    ];
+    for case in cases {
+        let body = json!({ "input": "hotel licence", "stream": true });
+        let answer = harness.post(case.pipeline, case.pipeline, &body).await;
+        assert_eq!(answer.headers["content-type"], "text/event-stream");
+        let mut events = Full::<Bytes>::from(answer.body).into_data_stream().eventsource();
+        let mut text = String::new();
+        let mut count = 0;
+        let end: EndBody = loop {
+            let event = events.next().await.unwrap().unwrap();
+            match event.event.as_str() {
+                EVENT_TOKEN => {
+                    let token: TokenBody = serde_json::from_str(&event.data).unwrap();
+                    assert_eq!(token.number, count);
+                    assert_eq!(event.id, count.to_string());
+                    text.push_str(&token.text);
+                    count += 1;
+                }
+                EVENT_END => break serde_json::from_str(&event.data).unwrap(),
+                other => panic!("unknown event {other}"),
+            }
+        };
+        assert!(events.next().await.is_none(), "the terminal event is not the last");
+        assert_eq!(text, case.output);
+        assert_eq!(end.count, count);
+        assert_eq!(count == 1, case.is_one_token);
+        assert_eq!(end.digest, blake3::hash(text.as_bytes()).to_hex().to_string());
+        assert_eq!(end.answer.outcome, "complete");
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_of_a_streamed_request_has_its_own_status() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let body = json!({ "input": "x", "stream": true });
+    let answer = harness.post("nothing", "refused", &body).await;
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    let body: AnswerBody = answer.json().unwrap();
+    assert_eq!(body.outcome, "not_run");
+}
+
+#[tokio::test]
+async fn refusals_that_may_pass_say_when_to_come_back() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    harness.standins.platform.state.set_endpoints(Vec::new());
+    let refused = async {
+        loop {
+            let answer = harness.post("file", "empty", &json!({ "input": "x" })).await;
+            if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+                return answer;
+            }
+        }
+    };
+    let answer = tokio::time::timeout(TIMEOUT, refused).await.unwrap();
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(answer.json::<AnswerBody>().unwrap().outcome, "not_run");
+}
+
+#[tokio::test]
+async fn work_that_may_not_repeat_goes_on_without_its_caller() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let stream = send_raw(&harness, "file", "left").await;
+    harness.wait_run("left", "filing").await;
+    drop(stream);
+    harness.wait_run("left", "payments").await;
+    harness.expect_good("after").await;
+    let stages: Vec<String> = harness.runs("left").into_iter().map(|it| it.stage).collect();
+    assert_eq!(stages, ["encode", "filing", "payments"]);
+}
+
+#[tokio::test]
+async fn repeatable_work_ends_with_its_caller() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let stream = send_raw(&harness, "draft", "left").await;
+    harness.wait_run("left", "retrieve").await;
+    drop(stream);
+    // A whole draft of another caller takes longer than the rest of the abandoned one.
+    harness.post("draft", "other", &json!({ "input": "x" })).await;
+    harness.wait_run("other", "generate").await;
+    let stages: Vec<String> = harness.runs("left").into_iter().map(|it| it.stage).collect();
+    assert!(!stages.contains(&"generate".to_owned()), "{stages:?}");
+}
+
+#[tokio::test]
+async fn health_needs_no_token() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    for (path, status) in [("/v1/live", 204), ("/v1/ready", 200), ("/v1/nothing", 404)] {
+        let mut request = harness.request(Method::GET, path);
+        request.headers_mut().unwrap().remove("authorization");
+        let answer = harness.send(request.body(Full::default()).unwrap()).await;
+        assert_eq!(answer.status.as_u16(), status, "{path}");
+    }
+    harness.entry.handle().send(ferry_core::Event::Shutdown);
+    let left = async {
+        loop {
+            let request = harness.request(Method::GET, "/v1/ready");
+            let answer = harness.send(request.body(Full::default()).unwrap()).await;
+            if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+                return answer.json::<ReadyBody>().unwrap();
+            }
+        }
+    };
+    assert!(!tokio::time::timeout(TIMEOUT, left).await.unwrap().ready);
+}
+
+/// Sends a request and leaves its answer unread.
+async fn send_raw(harness: &Harness, pipeline: &str, key: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(harness.address()).await.unwrap();
+    let text = format!(
+        "POST {} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer demo-token-agents\r\n\
+         idempotency-key: {key}\r\ncontent-length: 13\r\n\r\n{{\"input\":\"x\"}}",
+        requests_path(pipeline)
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
--- /dev/null
+++ b/crates/ferry-entry/tests/entry/harness.rs
@@ -0,0 +1,119 @@
+//! Starts one entry and talks to it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_core::{Identity, InstanceRole, Tuning};
+use ferry_edge::http::{HttpAnswer, read_answer};
+use ferry_edge::{HttpClient, logs};
+use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
+use ferry_fakes::deployment::demo_token;
+use ferry_fakes::{Deployment, DeploymentName};
+use ferry_standin::{DeploymentStandins, Run};
+use http::request::Builder;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+
+/// Generous: only a hang reaches it.
+pub const TIMEOUT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(5);
+const WORKSPACE: &str = "agents";
+
+pub struct Harness {
+    pub standins: DeploymentStandins,
+    pub entry: EntryServer,
+    http: HttpClient,
+}
+
+impl Harness {
+    pub async fn start(limits: CallerLimits) -> Harness {
+        let bind = SocketAddr::from(([127, 0, 0, 1], 0));
+        let log = logs::silent_logger();
+        let deployment = Deployment::new(DeploymentName::Ikenna);
+        let standins = DeploymentStandins::start(&deployment, bind, &log).unwrap();
+        let platform = standins.platform.address();
+        let options = EntryOptions {
+            identity: Identity {
+                instance: "entry-0".to_owned(),
+                incarnation: 1,
+                zone: deployment.zones[0].to_owned(),
+                region: deployment.region.to_owned(),
+                role: InstanceRole::Entry,
+            },
+            tuning: Tuning::default(),
+            seed: 1,
+            listen: bind,
+            store: platform,
+            fleet: platform,
+            store_timeout: Duration::from_secs(1),
+            fleet_interval: Duration::from_millis(100),
+            peers: None,
+            limits,
+            workspaces: deployment.workspaces.clone(),
+        };
+        let entry = EntryServer::start(options, &log).unwrap();
+        let mut status = entry.handle().watch();
+        tokio::time::timeout(TIMEOUT, status.wait_for(|it| it.ready)).await.unwrap().unwrap();
+        drop(status);
+        Harness { standins, entry, http: HttpClient::new() }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.entry.address()
+    }
+
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> HttpAnswer {
+        let address = self.address();
+        let answer = async {
+            let response = self.http.send_fresh(address, request).await.unwrap();
+            read_answer(address, response).await.unwrap()
+        };
+        tokio::time::timeout(TIMEOUT, answer).await.unwrap()
+    }
+
+    pub async fn post(&self, pipeline: &str, key: &str, body: &Value) -> HttpAnswer {
+        let request = self.request(Method::POST, &requests_path(pipeline));
+        let request = request.header("idempotency-key", key);
+        self.send(request.body(Full::from(body.to_string())).unwrap()).await
+    }
+
+    /// Starts a request with the token of a workspace.
+    pub fn request(&self, method: Method, path: &str) -> Builder {
+        let address = self.address();
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("host", address.to_string())
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", demo_token(WORKSPACE)))
+    }
+
+    /// Sends a good request and checks its answer.
+    pub async fn expect_good(&self, key: &str) {
+        let answer = self.post("calendar", key, &serde_json::json!({ "input": "x" })).await;
+        let body: Value = answer.json().unwrap();
+        assert_eq!(body["outcome"], "complete", "{body}");
+        assert_eq!(body["output"], "calendar(x)");
+    }
+
+    pub fn runs(&self, key: &str) -> Vec<Run> {
+        self.standins.witness.runs().into_iter().filter(|it| it.key == key).collect()
+    }
+
+    /// Waits until a stage of the request with `key` ran.
+    pub async fn wait_run(&self, key: &str, stage: &str) {
+        let ran = async {
+            while !self.runs(key).iter().any(|it| it.stage == stage) {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(TIMEOUT, ran).await;
+        assert!(waited.is_ok(), "{stage} did not run: {:?}", self.runs(key));
+    }
+}
+
+pub fn requests_path(pipeline: &str) -> String {
+    format!("/v1/pipelines/{pipeline}/requests")
+}
