Let the fakes show what crosses a node's border

Cause: a checker needs to know what each process applied, when it stopped and what the store really took, and deliberate errors need a place to sit. Change: World gets a Border hook, a trace of revisions, writes, exits, pauses and starts, single steps, and callers that hang up; a run names its sender and when the endpoint took it. Conclusion: tests can observe and disturb a node without knowing its inside.

--- a/crates/ferry-fakes/src/caller.rs
+++ b/crates/ferry-fakes/src/caller.rs
@@ -58,6 +58,8 @@
     pub answers: Vec<(Moment, Answer)>,
     /// The process died before it answered.
     pub cut: bool,
+    /// When the caller hung up.
+    pub gone: Option<Moment>,
 }
 
 impl Asked {
--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -58,8 +58,13 @@
     pub stage: String,
     pub attempt: AttemptId,
     pub key: String,
+    /// When it started to run.
     pub at: Moment,
-    /// The endpoint was leaving, and for how long.
+    /// When the endpoint took the call.
+    pub received: Moment,
+    /// Sender of the call.
+    pub node: NodeIdx,
+    /// The endpoint was leaving when it took the call, and for how long.
     pub leaving: Option<Duration>,
 }
 
@@ -67,6 +72,7 @@
 pub(crate) struct Job {
     pub(crate) node: NodeIdx,
     pub(crate) life: u32,
+    pub(crate) received: Moment,
     pub(crate) call: StageCall,
 }
 
--- /dev/null
+++ b/crates/ferry-fakes/src/trace.rs
@@ -0,0 +1,57 @@
+//! What a world remembers of its processes and of the store, for checks after the run.
+
+use ferry_model::{Moment, Revision};
+
+use crate::NodeIdx;
+
+#[derive(Debug, Clone, Default)]
+pub struct Trace {
+    /// Every change of a node's revision, in order.
+    pub applied: Vec<Applied>,
+    /// Every configuration that was written to the store, in order.
+    pub written: Vec<Written>,
+    /// When a process said that it may exit.
+    pub exits: Vec<(Moment, NodeIdx)>,
+    /// When a process was stopped and when it went on, if it did.
+    pub pauses: Vec<Pause>,
+    /// When a process started, with the number of its life.
+    pub starts: Vec<(Moment, NodeIdx, u32)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Applied {
+    pub at: Moment,
+    pub node: NodeIdx,
+    pub life: u32,
+    pub revision: Revision,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Written {
+    pub at: Moment,
+    pub revision: Revision,
+    /// Id of the newest change in the object.
+    pub change: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pause {
+    pub node: NodeIdx,
+    pub from: Moment,
+    pub until: Option<Moment>,
+}
+
+impl Trace {
+    /// Returns the last revision that a life of a node applied, zero before the first.
+    pub fn revision(&self, node: NodeIdx, life: u32) -> Revision {
+        let is_it = |it: &&Applied| it.node == node && it.life == life;
+        self.applied.iter().rev().find(is_it).map_or(0, |it| it.revision)
+    }
+
+    /// Whether a node stood still at any time from `from` to `until`.
+    pub fn was_paused(&self, node: NodeIdx, from: Moment, until: Moment) -> bool {
+        self.pauses
+            .iter()
+            .any(|it| it.node == node && it.from <= until && it.until.is_none_or(|end| from <= end))
+    }
+}
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -11,10 +11,12 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::border::Border;
 use crate::caller::{Asked, Request};
 use crate::endpoint::{FakeEndpoint, Run};
 use crate::network::Network;
 use crate::store::FakeStore;
+use crate::trace::{Applied, Pause, Trace};
 
 /// Position of a node in its world.
 pub type NodeIdx = usize;
@@ -40,6 +42,9 @@
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
     pub list_frozen: bool,
+    /// Sees everything that crosses the border of a node.
+    pub border: Option<Box<dyn Border>>,
+    pub trace: Trace,
     nodes: Vec<Slot>,
     queue: BinaryHeap<Reverse<Entry>>,
     watches: Vec<Watch>,
@@ -124,6 +129,8 @@
             runs: Vec::new(),
             decisions: Vec::new(),
             list_frozen: false,
+            border: None,
+            trace: Trace::default(),
             nodes: Vec::new(),
             queue: BinaryHeap::new(),
             watches: Vec::new(),
@@ -151,6 +158,7 @@
             counts: SortedMap::new(),
             exited: false,
         });
+        self.trace.starts.push((self.now, idx, 0));
         self.deliver(idx, Event::Tick);
         self.list(idx);
         idx
@@ -206,6 +214,7 @@
                 tokens: Vec::new(),
                 answers: Vec::new(),
                 cut,
+                gone: None,
             },
         );
         self.deliver(node, Event::Arrive(arrival));
@@ -222,13 +231,50 @@
             slot.held.push(event);
             return;
         }
-        let effects = slot.node.reduce(self.now - slot.started, event);
-        for effect in effects {
-            self.execute(idx, effect);
+        let now = self.now - slot.started;
+        let event = match &mut self.border {
+            Some(border) => border.event(idx, now, event),
+            None => Some(event),
+        };
+        if let Some(event) = event {
+            self.reduce(idx, now, event);
         }
         self.schedule_wake(idx);
     }
 
+    fn reduce(&mut self, idx: NodeIdx, now: Moment, event: Event) {
+        let slot = &mut self.nodes[idx];
+        let effects = slot.node.reduce(now, event);
+        let (life, revision) = (slot.life, slot.node.revision());
+        if self.trace.revision(idx, life) != revision {
+            self.trace.applied.push(Applied { at: self.now, node: idx, life, revision });
+        }
+        let Some(border) = &mut self.border else {
+            effects.into_iter().for_each(|it| self.execute(idx, it));
+            return;
+        };
+        let passed = border.effects(idx, now, effects);
+        passed.effects.into_iter().for_each(|it| self.execute(idx, it));
+        passed.events.into_iter().for_each(|it| self.reduce(idx, now, it));
+    }
+
+    /// Returns the number of a node's present life, counted from zero.
+    pub fn life(&self, idx: NodeIdx) -> u32 {
+        self.nodes[idx].life
+    }
+
+    pub fn is_frozen(&self, idx: NodeIdx) -> bool {
+        self.nodes[idx].frozen
+    }
+
+    /// Breaks a caller's connection.
+    pub fn hang_up(&mut self, ticket: Ticket) {
+        let Some(asked) = self.asked.get_mut(&ticket) else { return };
+        asked.gone = Some(self.now);
+        let node = asked.node;
+        self.deliver(node, Event::CallerGone { ticket });
+    }
+
     /// Kills a process without a word; its callers lose their connections.
     pub fn kill(&mut self, idx: NodeIdx) {
         let slot = &mut self.nodes[idx];
@@ -253,6 +299,7 @@
         slot.exited = false;
         slot.started = now;
         slot.wake = None;
+        self.trace.starts.push((now, idx, slot.life));
         self.deliver(idx, Event::Tick);
         self.list(idx);
     }
@@ -260,11 +307,15 @@
     /// Stops a process as `SIGSTOP` would: its events wait.
     pub fn freeze(&mut self, idx: NodeIdx) {
         self.nodes[idx].frozen = true;
+        self.trace.pauses.push(Pause { node: idx, from: self.now, until: None });
     }
 
     /// Lets a frozen process go on with everything that has waited.
     pub fn thaw(&mut self, idx: NodeIdx) {
         self.nodes[idx].frozen = false;
+        for pause in self.trace.pauses.iter_mut().filter(|it| it.node == idx) {
+            pause.until.get_or_insert(self.now);
+        }
         let held = std::mem::take(&mut self.nodes[idx].held);
         for event in held {
             self.deliver(idx, event);
@@ -274,16 +325,21 @@
 
     /// Runs everything that is due up to `until`.
     pub fn run_until(&mut self, until: Moment) {
-        while let Some(Reverse(entry)) = self.queue.peek()
-            && entry.at <= until
-        {
-            let Some(Reverse(entry)) = self.queue.pop() else { break };
-            self.now = entry.at;
-            self.handle(entry.item);
-        }
+        while self.step(until) {}
         self.now = self.now.max(until);
     }
 
+    /// Handles the next thing that is due up to `until`; false if there is none.
+    pub fn step(&mut self, until: Moment) -> bool {
+        if self.queue.peek().is_none_or(|Reverse(entry)| until < entry.at) {
+            return false;
+        }
+        let Some(Reverse(entry)) = self.queue.pop() else { return false };
+        self.now = entry.at;
+        self.handle(entry.item);
+        true
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(self.now + time);
     }
@@ -399,7 +455,10 @@
             Effect::Count { metric, by } => {
                 *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
             }
-            Effect::Exit => self.nodes[idx].exited = true,
+            Effect::Exit => {
+                self.nodes[idx].exited = true;
+                self.trace.exits.push((self.now, idx));
+            }
             Effect::Instances { .. }
             | Effect::Key { .. }
             | Effect::Admin { .. }
--- a/crates/ferry-fakes/src/world/serve.rs
+++ b/crates/ferry-fakes/src/world/serve.rs
@@ -1,10 +1,13 @@
 //! How calls to endpoints and to the store proceed on virtual time.
 
 use ferry_core::{CallEvent, Connection, Echo, Event, StageCall};
-use ferry_model::{AttemptId, Moment, StageKind, StoreError, StoreOp, StoreReply};
+use ferry_model::{
+    AttemptId, Config, Moment, ObjectKind, StageKind, StoreError, StoreOp, StoreReply,
+};
 
 use super::{Item, NodeIdx, STORE_TIMEOUT, WATCH_TIMEOUT, Watch, World};
 use crate::endpoint::{Job, Run, output_of, tokens_of};
+use crate::trace::Written;
 
 impl World {
     pub(super) fn start_call(&mut self, node: NodeIdx, life: u32, call: Box<StageCall>) {
@@ -56,7 +59,7 @@
             return;
         }
         let endpoint = call.endpoint.clone();
-        it.waiting.push(Job { node, life, call });
+        it.waiting.push(Job { node, life, received: self.now, call });
         self.start_jobs(&endpoint);
     }
 
@@ -72,7 +75,7 @@
             let service = it.draw(&mut self.rng);
             let token = it.token_time();
             let late = it.faults.late;
-            let leaving = it.leaving_since.map(|since| now.saturating_sub(since));
+            let leaving = it.leaving_since.and_then(|since| job.received.checked_sub(since));
             it.running.push(job.clone());
             self.runs.push(Run {
                 endpoint: endpoint.to_owned(),
@@ -81,6 +84,8 @@
                 attempt: job.call.attempt,
                 key: job.call.key.clone(),
                 at: now,
+                received: job.received,
+                node: job.node,
                 leaving,
             });
             let ends = match job.call.kind {
@@ -184,7 +189,10 @@
 
     pub(super) fn take_store(&mut self, node: NodeIdx, life: u32, call: u64, op: StoreOp) {
         let answer = match self.store.perform(&op) {
-            Some(answer) => answer,
+            Some(answer) => {
+                self.note_write(&op, &answer);
+                answer
+            }
             None => {
                 let until = self.now + WATCH_TIMEOUT;
                 self.watches.push(Watch { node, life, call, op, until });
@@ -201,6 +209,18 @@
         }
     }
 
+    /// Remembers each configuration that was really written, whatever its writer was told.
+    fn note_write(&mut self, op: &StoreOp, answer: &Result<StoreReply, StoreError>) {
+        let StoreOp::Put { key, value, .. } = op else { return };
+        let took_effect = matches!(answer, Ok(_) | Err(StoreError::Unknown(_)));
+        if key.kind != ObjectKind::Config || !took_effect {
+            return;
+        }
+        let Ok(config) = serde_json::from_str::<Config>(value) else { return };
+        let change = config.history.last().map(|it| it.id.clone()).unwrap_or_default();
+        self.trace.written.push(Written { at: self.now, revision: config.revision, change });
+    }
+
     /// Answers the watches that have something to report.
     pub fn wake_watches(&mut self) {
         let watches = std::mem::take(&mut self.watches);
