--- a/crates/ferry-core/src/fleet.rs
+++ b/crates/ferry-core/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_model::{Endpoint, EndpointId, EndpointState, Load, Moment, SortedMap};
+use ferry_model::{Endpoint, EndpointId, EndpointState, Load, Moment, Plan, Revision, SortedMap};
 use serde::{Deserialize, Serialize};
 
 /// Weight of the newest service time in the running mean.
@@ -21,6 +21,8 @@
     pub service: Duration,
     /// The endpoint itself or a refusal said that it leaves.
     pub leaving: bool,
+    /// The placement plan gives it no new work.
+    pub withheld: bool,
 }
 
 impl EndpointView {
@@ -32,18 +34,21 @@
             load_at: Moment::ZERO,
             service: FIRST_SERVICE,
             leaving: false,
+            withheld: false,
         }
     }
 
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
-        !self.leaving && self.endpoint.state == EndpointState::Live
+        !self.leaving && !self.withheld && self.endpoint.state == EndpointState::Live
     }
 }
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Fleet {
     views: SortedMap<EndpointId, EndpointView>,
+    /// The placement plan that this instance obeys.
+    plan: Plan,
 }
 
 impl Fleet {
@@ -54,6 +59,7 @@
     /// Joins a copy of the instance list with what was learned before.
     pub fn update(&mut self, endpoints: Vec<Endpoint>) {
         let mut old = std::mem::take(&mut self.views);
+        let plan = &self.plan;
         self.views = endpoints
             .into_iter()
             .map(|endpoint| {
@@ -61,7 +67,10 @@
                     Some(known) if known.endpoint.address == endpoint.address => {
                         EndpointView { endpoint, ..known }
                     }
-                    _ => EndpointView::new(endpoint),
+                    _ => {
+                        let withheld = plan.withholds(&endpoint.id);
+                        EndpointView { withheld, ..EndpointView::new(endpoint) }
+                    }
                 };
                 (view.endpoint.id.clone(), view)
             })
@@ -72,6 +81,31 @@
         self.views.get(id)
     }
 
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointView> {
+        self.views.values()
+    }
+
+    /// Obeys a placement plan if its revision is higher than the one obeyed so far.
+    pub fn set_plan(&mut self, plan: Plan) -> bool {
+        if plan.revision <= self.plan.revision {
+            return false;
+        }
+        for (id, view) in self.views.iter_mut() {
+            view.withheld = plan.withholds(id);
+        }
+        self.plan = plan;
+        true
+    }
+
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Returns the revision of the plan obeyed, as heartbeats acknowledge it; zero before the first.
+    pub fn plan_revision(&self) -> Revision {
+        self.plan.revision
+    }
+
     pub fn pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a EndpointView> {
         self.views.values().filter(move |it| it.endpoint.pool == pool)
     }
--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod fleet;
 pub mod node;
+pub mod place;
 pub mod request;
 pub mod route;
 pub mod settings;
@@ -18,5 +19,6 @@
 };
 pub use event::{Arrival, CallEvent, Echo, Event};
 pub use node::{Identity, InstanceRole, Node};
+pub use place::PlaceTuning;
 pub use settings::Tuning;
 pub use store::{CallId, Owner};
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
-use ferry_model::{Config, Digest, Incarnation, InstanceId, Moment, RegionId, Revision, ZoneId};
+use ferry_model::{
+    Config, Digest, Incarnation, InstanceId, Moment, PeerMessage, RegionId, Revision, ZoneId,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigState;
 use crate::fleet::Fleet;
+use crate::place::Placement;
 use crate::request::Requests;
 use crate::store::StoreCalls;
 use crate::{Effect, Event, Owner, Tuning};
@@ -64,6 +67,7 @@
     ctx: Context,
     config: ConfigState,
     requests: Requests,
+    placement: Placement,
 }
 
 impl Node {
@@ -80,6 +84,7 @@
             },
             config: ConfigState::new(),
             requests: Requests::new(),
+            placement: Placement::new(),
         }
     }
 
@@ -89,6 +94,7 @@
         let cx = &mut Turn { now, ctx: &mut self.ctx, out: &mut out };
         match event {
             Event::Tick => {
+                self.placement.tick(cx);
                 self.config.tick(cx);
                 self.requests.tick(cx);
             }
@@ -98,26 +104,45 @@
             Event::Store { call, result } => match cx.ctx.calls.finish(call) {
                 Some(Owner::Config) => self.config.on_store(cx, result),
                 Some(
-                    Owner::Workspaces | Owner::Claims | Owner::Lease | Owner::Plan | Owner::Admin,
-                )
-                | None => (),
+                    owner @ (Owner::Lease
+                    | Owner::Plan
+                    | Owner::PlanWatch
+                    | Owner::PlanPoll
+                    | Owner::History),
+                ) => self.placement.on_store(cx, owner, result),
+                Some(Owner::Workspaces | Owner::Claims | Owner::Admin) | None => (),
             },
-            Event::Fleet { endpoints, .. } => cx.ctx.fleet.update(endpoints),
+            Event::Fleet { endpoints, instances } => {
+                cx.ctx.fleet.update(endpoints);
+                self.placement.on_list(&instances);
+            }
             Event::Cache(_)
             | Event::AskInstances { .. }
             | Event::AskKey { .. }
-            | Event::Admin(_)
-            | Event::Ordered { .. }
-            | Event::Report { .. }
-            | Event::Peer { .. } => (),
-            Event::Shutdown => self.requests.shutdown(cx),
+            | Event::Admin(_) => (),
+            Event::Ordered { endpoint, fence, result } => {
+                self.placement.on_ordered(cx, &endpoint, fence, &result);
+            }
+            Event::Report { endpoint, report } => self.placement.on_report(cx, &endpoint, report),
+            Event::Peer { message, .. } => {
+                if let PeerMessage::Heartbeat(beat) = &message {
+                    self.placement.on_heartbeat(cx, beat);
+                }
+            }
+            Event::Shutdown => {
+                self.placement.shutdown(cx);
+                self.requests.shutdown(cx);
+            }
         }
         out
     }
 
     /// Returns when [`Event::Tick`] is due next.
     pub fn next_wake(&self) -> Option<Moment> {
-        [self.config.next_wake(), self.requests.next_wake()].into_iter().flatten().min()
+        [self.config.next_wake(), self.requests.next_wake(), self.placement.next_wake(&self.ctx)]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns a digest of the whole state, to compare a replay with the run it repeats.
@@ -138,6 +163,10 @@
         &self.ctx.fleet
     }
 
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
     /// Whether new requests are taken: a configuration is in force and the process is not leaving.
     pub fn is_ready(&self) -> bool {
         self.ctx.config.is_some() && !self.requests.is_leaving()
--- /dev/null
+++ b/crates/ferry-core/src/place.rs
@@ -0,0 +1,148 @@
+//! Placement: which endpoints hold capacity, decided by the one holder of a lease.
+//!
+//! Every instance follows the published plan ([`plan`]). A control instance also
+//! contends for the lease ([`lease`]); its holder reads demand from heartbeats
+//! ([`demand`], [`forecast`]), sizes each pool ([`scale`]), publishes the plan
+//! ([`publish`]) and brings endpoints to it by orders ([`engines`]). The design is
+//! in docs/design/placement.md.
+
+pub mod demand;
+pub mod engines;
+pub mod forecast;
+pub mod lease;
+pub mod plan;
+pub mod publish;
+pub mod scale;
+pub mod tuning;
+
+mod decide;
+
+use ferry_model::{
+    EndpointReport, Fence, Heartbeat, Instance, Moment, OrderResult, StoreError, StoreReply,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::node::{Context, Turn};
+use crate::{InstanceRole, Owner};
+
+pub use tuning::PlaceTuning;
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Placement {
+    reader: plan::PlanReader,
+    lease: lease::LeaseState,
+    demand: demand::Demand,
+    history: forecast::History,
+    publisher: publish::Publisher,
+    engines: engines::Engines,
+    scale: scale::Scale,
+    /// The term that the state above belongs to, with its first fencing number.
+    term: Option<lease::Term>,
+    next_decision: Moment,
+}
+
+impl Placement {
+    pub fn new() -> Placement {
+        Placement::default()
+    }
+
+    /// Returns the fencing number while this instance certainly holds the lease.
+    pub fn fence(&self, now: Moment) -> Option<Fence> {
+        self.lease.term(now).map(|it| it.fence)
+    }
+
+    pub fn next_wake(&self, ctx: &Context) -> Option<Moment> {
+        if !is_contender(ctx) {
+            return self.reader.next_wake();
+        }
+        let decision = self.term.map(|_| self.next_decision);
+        [self.reader.next_wake(), self.lease.next_wake(), decision].into_iter().flatten().min()
+    }
+
+    pub fn tick(&mut self, cx: &mut Turn<'_>) {
+        self.reader.tick(cx);
+        if !is_contender(cx.ctx) {
+            return;
+        }
+        self.lease.tick(cx);
+        self.follow_lease(cx);
+        if self.term.is_some() && self.next_decision <= cx.now {
+            self.next_decision = cx.now + cx.ctx.tuning.place.decide;
+            self.demand.sample(cx.now, &cx.ctx.tuning.place);
+            self.act(cx);
+        }
+    }
+
+    pub fn on_store(
+        &mut self,
+        cx: &mut Turn<'_>,
+        owner: Owner,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        match owner {
+            Owner::Lease => {
+                self.lease.on_store(cx, result);
+                self.follow_lease(cx);
+            }
+            Owner::Plan => {
+                self.publisher.on_store(cx, result);
+                self.act(cx);
+            }
+            Owner::PlanWatch => self.reader.on_watch(cx, result),
+            Owner::PlanPoll => self.reader.on_poll(cx, result),
+            Owner::History => self.history.on_store(cx, result),
+            Owner::Config | Owner::Workspaces | Owner::Claims | Owner::Admin => (),
+        }
+    }
+
+    pub fn on_list(&mut self, instances: &[Instance]) {
+        self.demand.on_list(instances);
+    }
+
+    pub fn on_heartbeat(&mut self, cx: &mut Turn<'_>, beat: &Heartbeat) {
+        if is_contender(cx.ctx) {
+            self.demand.on_heartbeat(cx.now, beat);
+        }
+    }
+
+    pub fn on_report(&mut self, cx: &mut Turn<'_>, id: &str, report: Option<EndpointReport>) {
+        self.engines.on_report(cx.now, &cx.ctx.tuning.place, id, report);
+        self.act(cx);
+    }
+
+    pub fn on_ordered(&mut self, cx: &mut Turn<'_>, id: &str, fence: Fence, end: &OrderResult) {
+        self.engines.on_ordered(cx.now, &cx.ctx.tuning.place, id, end);
+        if let OrderResult::Fenced { seen } = end
+            && fence < *seen
+            && self.lease.term(cx.now).is_some_and(|it| it.fence < *seen)
+        {
+            self.lease.doubt(cx, "an endpoint has seen a higher fencing number");
+            self.follow_lease(cx);
+        }
+    }
+
+    pub fn shutdown(&mut self, cx: &mut Turn<'_>) {
+        self.lease.shutdown(cx);
+        self.follow_lease(cx);
+    }
+
+    /// Starts a term afresh when the lease was gained, and ends it when it was lost.
+    fn follow_lease(&mut self, cx: &mut Turn<'_>) {
+        let term = self.lease.term(cx.now);
+        match (self.term, term) {
+            (Some(known), Some(term)) if known.since == term.since => (),
+            (_, Some(term)) => {
+                self.term = Some(term);
+                self.next_decision = cx.now;
+                self.engines.start_term();
+                self.publisher.start_term();
+                self.history.start_term();
+            }
+            (_, None) => self.term = None,
+        }
+    }
+}
+
+fn is_contender(ctx: &Context) -> bool {
+    ctx.identity.role == InstanceRole::Control && ctx.tuning.place.enabled
+}
--- /dev/null
+++ b/crates/ferry-core/src/place/decide.rs
@@ -0,0 +1,297 @@
+//! One placement decision: sizes the pools, publishes the plan and gives the orders it allows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ferry_model::{
+    Config, EndpointId, EndpointState, Fence, ModelId, Order, Pool, PoolId, SortedMap, StageKind,
+};
+
+use super::Placement;
+use super::engines::{Purpose, Standing};
+use super::scale::{self, Candidate};
+use crate::node::Turn;
+use crate::{Decision, DecisionKind, Effect};
+
+/// Calls an endpoint is taken to serve at once before one has reported.
+const FIRST_SLOTS: f64 = 4.0;
+
+/// What one pool should hold.
+struct PoolPlan {
+    pool: PoolId,
+    /// Models that a member must hold, sorted.
+    wanted: Vec<ModelId>,
+    candidates: Vec<Candidate>,
+    /// Endpoints that should hold capacity, sorted.
+    kept: Vec<EndpointId>,
+    target: usize,
+    /// Members refuse orders with an old fencing number.
+    checks_fence: bool,
+}
+
+impl Placement {
+    /// Does everything that the lease and the known state allow now.
+    pub(super) fn act(&mut self, cx: &mut Turn<'_>) {
+        self.follow_lease(cx);
+        let Some(term) = self.term else { return };
+        let Some(config) = cx.ctx.config.clone() else { return };
+        self.publisher.tick(cx);
+        self.history.tick(cx);
+        let placed = self.placed_endpoints(cx, &config);
+        self.engines.ask(cx, &placed);
+        if !self.history.is_read() {
+            return;
+        }
+        let Some(stored) = self.publisher.settled().cloned() else { return };
+        if self.lease.term(cx.now).is_some_and(|it| it.fence < stored.fence) {
+            self.lease.doubt(cx, "another holder has written the plan");
+            self.term = None;
+            return;
+        }
+        {
+            let (demand, tuning, now) = (&self.demand, &cx.ctx.tuning.place, cx.now);
+            self.engines.follow_plan(
+                now,
+                stored.revision,
+                |id| stored.withholds(id),
+                |revision| demand.has_acknowledged(now, tuning, revision),
+            );
+        }
+        let pools = self.plan_pools(cx, &config, &stored);
+        self.publish(cx, term.fence, &pools, &stored);
+        // Orders only ever follow a plan that is stored under this term.
+        if self.publisher.settled().is_some_and(|it| term.fence <= it.fence) {
+            self.order(cx, pools);
+        }
+    }
+
+    fn plan_pools(
+        &mut self,
+        cx: &mut Turn<'_>,
+        config: &Arc<Config>,
+        stored: &ferry_model::Plan,
+    ) -> Vec<PoolPlan> {
+        config
+            .pools
+            .iter()
+            .filter(|it| is_placed(it))
+            .map(|pool| self.plan_pool(cx, config, pool, stored))
+            .collect()
+    }
+
+    fn plan_pool(
+        &mut self,
+        cx: &mut Turn<'_>,
+        config: &Config,
+        pool: &Pool,
+        stored: &ferry_model::Plan,
+    ) -> PoolPlan {
+        let wanted = wanted_models(config, pool);
+        let fence = self.term.map_or(0, |it| it.fence);
+        let candidates: Vec<Candidate> = cx
+            .ctx
+            .fleet
+            .pool(&pool.name)
+            .filter(|it| it.endpoint.state == EndpointState::Live && !it.leaving)
+            .map(|it| {
+                let id = it.endpoint.id.clone();
+                let standing = match pool.checks_fence && !self.engines.has_seen(&id, fence) {
+                    true => Standing::Unknown,
+                    false => self.engines.standing(&id, &wanted, stored.withholds(&id)),
+                };
+                Candidate { id, zone: it.endpoint.zone.clone(), standing }
+            })
+            .collect();
+        let target = self.target(cx, config, &pool.name, &candidates);
+        let n_draining = (candidates.len() as f64 * cx.ctx.tuning.place.share) as usize;
+        let kept = scale::keep(&candidates, target, n_draining.max(1));
+        let checks_fence = pool.checks_fence;
+        PoolPlan { pool: pool.name.clone(), wanted, candidates, kept, target, checks_fence }
+    }
+
+    /// Returns the endpoints that may be asked what they hold, sorted.
+    ///
+    /// Where no fence is checked, an order of the holder before may still arrive
+    /// until its life is over; only what an endpoint holds after that counts.
+    fn placed_endpoints(&self, cx: &Turn<'_>, config: &Config) -> Vec<(EndpointId, SocketAddr)> {
+        let has_waited = self.has_waited(cx);
+        let is_asked = |it: &Pool| is_placed(it) && (it.checks_fence || has_waited);
+        cx.ctx
+            .fleet
+            .iter()
+            .filter(|it| config.pool(&it.endpoint.pool).is_some_and(is_asked))
+            .map(|it| (it.endpoint.id.clone(), it.endpoint.address))
+            .collect()
+    }
+
+    /// Whether every order of an earlier holder has come to the end of its life.
+    fn has_waited(&self, cx: &Turn<'_>) -> bool {
+        let place = &cx.ctx.tuning.place;
+        self.term.is_some_and(|it| it.since + place.order_life + place.lease_margin <= cx.now)
+    }
+
+    fn target(
+        &mut self,
+        cx: &Turn<'_>,
+        config: &Config,
+        pool: &str,
+        candidates: &[Candidate],
+    ) -> usize {
+        let tuning = &cx.ctx.tuning.place;
+        let level = self.demand.level(pool);
+        self.history.record(cx.now, tuning, pool, level);
+        let expected = self.history.expect(cx.now, tuning, pool, level);
+        let slots = self.mean_slots(candidates);
+        let need = scale::endpoints_for(expected, slots, tuning.utilisation);
+        let held = self.scale.need(cx.now, tuning, pool, need);
+        let floors = &config.preset().floors;
+        let floor = floors.iter().find(|it| it.pool == pool).map_or(1, |it| it.endpoints);
+        (held.max(floor).max(1) as usize).min(candidates.len())
+    }
+
+    fn mean_slots(&self, candidates: &[Candidate]) -> f64 {
+        let slots: Vec<u32> = candidates
+            .iter()
+            .filter_map(|it| self.engines.report(&it.id).map(|it| it.slots))
+            .filter(|it| 0 < *it)
+            .collect();
+        match slots.len() {
+            0 => FIRST_SLOTS,
+            n_known => f64::from(slots.iter().sum::<u32>()) / n_known as f64,
+        }
+    }
+
+    fn publish(
+        &mut self,
+        cx: &mut Turn<'_>,
+        fence: Fence,
+        pools: &[PoolPlan],
+        stored: &ferry_model::Plan,
+    ) {
+        let mut draining = Vec::new();
+        let mut holding = Vec::new();
+        for pool in pools {
+            for it in &pool.candidates {
+                let is_kept = pool.kept.binary_search(&it.id).is_ok();
+                let takes_work = match it.standing {
+                    Standing::Holding | Standing::Withheld => is_kept,
+                    Standing::Loading | Standing::Idle => false,
+                    Standing::Unknown => !stored.withholds(&it.id),
+                };
+                match takes_work {
+                    true => holding.push(it.id.clone()),
+                    false => draining.push(it.id.clone()),
+                }
+            }
+        }
+        draining.sort();
+        holding.sort();
+        self.publisher.publish(cx, fence, draining, holding);
+    }
+
+    fn order(&mut self, cx: &mut Turn<'_>, mut pools: Vec<PoolPlan>) {
+        pools.sort_by(|left, right| shortage(right).total_cmp(&shortage(left)));
+        for pool in &pools {
+            for it in &pool.candidates {
+                let is_kept = pool.kept.binary_search(&it.id).is_ok();
+                match (it.standing, is_kept) {
+                    (Standing::Idle, true) => self.load(cx, pool, &it.id),
+                    (Standing::Withheld, false) => self.unload(cx, pool, &it.id),
+                    (Standing::Unknown, _) => self.confirm(cx, pool, &it.id),
+                    (Standing::Holding | Standing::Loading, _)
+                    | (Standing::Idle, false)
+                    | (Standing::Withheld, true) => (),
+                }
+            }
+        }
+    }
+
+    fn load(&mut self, cx: &mut Turn<'_>, pool: &PoolPlan, id: &str) {
+        let holds_others = self.engines.report(id).is_some_and(|it| !it.models.is_empty());
+        if holds_others && !self.engines.is_drained(id) {
+            return;
+        }
+        if cx.ctx.tuning.place.loads_at_once <= self.engines.n_loading() {
+            return;
+        }
+        self.send(cx, pool, id, Purpose::Load, pool.wanted.clone());
+    }
+
+    fn unload(&mut self, cx: &mut Turn<'_>, pool: &PoolPlan, id: &str) {
+        if self.engines.is_drained(id) {
+            self.send(cx, pool, id, Purpose::Unload, Vec::new());
+        }
+    }
+
+    /// Raises the fence of an endpoint to this term's, so that no older order changes it.
+    fn confirm(&mut self, cx: &mut Turn<'_>, pool: &PoolPlan, id: &str) {
+        let fence = self.term.map_or(0, |it| it.fence);
+        if !pool.checks_fence || self.engines.has_seen(id, fence) {
+            return;
+        }
+        let Some(report) = self.engines.report(id).filter(|it| it.fence.is_some()) else { return };
+        let mut models: Vec<ModelId> =
+            report.models.iter().chain(&report.loading).cloned().collect();
+        models.sort();
+        self.send(cx, pool, id, Purpose::Confirm, models);
+    }
+
+    /// Gives one order, if the lease is still certainly held.
+    fn send(
+        &mut self,
+        cx: &mut Turn<'_>,
+        pool: &PoolPlan,
+        id: &str,
+        purpose: Purpose,
+        models: Vec<ModelId>,
+    ) {
+        let Some(term) = self.lease.term(cx.now) else { return };
+        if !self.engines.is_free(cx.now, id) {
+            return;
+        }
+        let Some(view) = cx.ctx.fleet.get(id) else { return };
+        let Some(report) = self.engines.report(id) else { return };
+        let address = view.endpoint.address;
+        let reason = format!("{purpose}: {} of {} wanted", pool.target, pool.candidates.len());
+        let decision = Decision::new(DecisionKind::Order, reason, cx.ctx.revision())
+            .with_endpoint(id)
+            .with_pool(&pool.pool)
+            .with_score(pool.candidates.len() as u32, term.fence);
+        cx.out.push(Effect::Log(decision));
+        let order = Order {
+            endpoint: id.to_owned(),
+            fence: term.fence,
+            models,
+            role: report.role,
+            life: cx.ctx.tuning.place.order_life,
+        };
+        cx.out.push(Effect::Order { address, order: Box::new(order) });
+        self.engines.sent(cx.now, id, purpose);
+    }
+}
+
+fn is_placed(pool: &Pool) -> bool {
+    pool.kind != StageKind::Service
+}
+
+/// Returns the models that the pipelines ask of a pool; a pool without any has one of its own name.
+fn wanted_models(config: &Config, pool: &Pool) -> Vec<ModelId> {
+    let mut models: SortedMap<ModelId, ()> = config
+        .pipelines
+        .iter()
+        .flat_map(|it| &it.stages)
+        .filter(|it| it.pool == pool.name)
+        .filter_map(|it| it.model.clone())
+        .map(|it| (it, ()))
+        .collect();
+    if models.is_empty() {
+        models.insert(pool.name.clone(), ());
+    }
+    models.keys().cloned().collect()
+}
+
+/// Returns the share of a pool's target that is missing.
+fn shortage(pool: &PoolPlan) -> f64 {
+    let n_held = pool.candidates.iter().filter(|it| it.standing <= Standing::Withheld).count();
+    pool.target.saturating_sub(n_held) as f64 / pool.target.max(1) as f64
+}
--- /dev/null
+++ b/crates/ferry-core/src/place/engines.rs
@@ -0,0 +1,229 @@
+//! What the lease holder knows of each endpoint, and the orders on their way.
+
+use std::net::SocketAddr;
+
+use ferry_model::{
+    EndpointId, EndpointReport, Fence, ModelId, Moment, OrderResult, Revision, SortedMap,
+};
+use serde::{Deserialize, Serialize};
+use strum::Display;
+
+use super::PlaceTuning;
+use crate::Effect;
+use crate::node::Turn;
+
+/// Where an endpoint stands for placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Loaded and taking work.
+    Holding,
+    /// Loaded, but the plan gives it no new work.
+    Withheld,
+    Loading,
+    /// Without the models of its pool.
+    Idle,
+    /// It has not said what it holds.
+    Unknown,
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct EngineView {
+    report: Option<EndpointReport>,
+    /// When the question that `report` answers was asked.
+    reported: Moment,
+    /// When the question that is not answered yet was asked.
+    asked: Option<Moment>,
+    next_ask: Moment,
+    /// Revision of the plan that first withheld it.
+    withheld: Option<Revision>,
+    /// When every instance was first seen to obey that revision.
+    acknowledged: Option<Moment>,
+    order: Option<Sent>,
+    /// No order goes out before this, and answers to earlier questions say nothing.
+    fresh_after: Moment,
+}
+
+/// What an order is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Purpose {
+    /// Repeats the endpoint's state under a new fence, so that older orders are refused.
+    Confirm,
+    Load,
+    Unload,
+}
+
+/// The last order, until a report shows what became of it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Sent {
+    at: Moment,
+    purpose: Purpose,
+    /// Its result is known, or not to be expected any more.
+    ended: bool,
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Engines {
+    views: SortedMap<EndpointId, EngineView>,
+}
+
+impl Engines {
+    /// Forgets everything, as another holder may have given orders in between.
+    pub fn start_term(&mut self) {
+        self.views = SortedMap::new();
+    }
+
+    /// Asks each endpoint in `placed` what it holds when that is due.
+    pub fn ask(&mut self, cx: &mut Turn<'_>, placed: &[(EndpointId, SocketAddr)]) {
+        self.views.retain(|id, _| placed.binary_search_by(|(it, _)| it.cmp(id)).is_ok());
+        let timeout = cx.ctx.tuning.place.inspect;
+        for (id, address) in placed {
+            let view = self.views.entry_or_with(id.clone(), EngineView::default);
+            view.expire_order(cx.now, &cx.ctx.tuning.place);
+            if view.asked.is_some_and(|it| cx.now < it + timeout) || cx.now < view.next_ask {
+                continue;
+            }
+            view.asked = Some(cx.now);
+            cx.out.push(Effect::Inspect { endpoint: id.clone(), address: *address });
+        }
+    }
+
+    pub fn on_report(
+        &mut self,
+        now: Moment,
+        tuning: &PlaceTuning,
+        id: &str,
+        report: Option<EndpointReport>,
+    ) {
+        let Some(view) = self.views.get_mut(id) else { return };
+        let Some(asked) = view.asked.take() else { return };
+        if asked < view.fresh_after {
+            view.next_ask = now.max(view.fresh_after);
+            return;
+        }
+        view.reported = asked;
+        view.report = report;
+        if view.order.as_ref().is_some_and(|it| it.ended) {
+            view.order = None;
+        }
+        let is_busy = view.withheld.is_some()
+            || view.order.is_some()
+            || view.report.as_ref().is_some_and(|it| !it.loading.is_empty());
+        view.next_ask = now + if is_busy { tuning.inspect_busy } else { tuning.inspect };
+    }
+
+    pub fn on_ordered(&mut self, now: Moment, tuning: &PlaceTuning, id: &str, end: &OrderResult) {
+        let Some(view) = self.views.get_mut(id) else { return };
+        let wait = match end {
+            OrderResult::Obeyed => Moment::ZERO,
+            // An order of unknown fate may still arrive within its life.
+            OrderResult::Unknown { .. } => tuning.order_life,
+            OrderResult::Unsent { .. }
+            | OrderResult::Fenced { .. }
+            | OrderResult::Refused { .. } => tuning.decide,
+        };
+        view.end_order(now + wait);
+    }
+
+    /// Returns where an endpoint stands, from its report and the order on its way.
+    pub fn standing(&self, id: &str, wanted: &[ModelId], is_withheld: bool) -> Standing {
+        let Some(view) = self.views.get(id) else { return Standing::Unknown };
+        match view.order.as_ref().map(|it| it.purpose) {
+            Some(Purpose::Load) => return Standing::Loading,
+            Some(Purpose::Unload) => return Standing::Idle,
+            Some(Purpose::Confirm) => return Standing::Unknown,
+            None => (),
+        }
+        let Some(report) = &view.report else { return Standing::Unknown };
+        if wanted.iter().all(|it| report.models.binary_search(it).is_ok()) {
+            return if is_withheld { Standing::Withheld } else { Standing::Holding };
+        }
+        match report.loading.is_empty() {
+            true => Standing::Idle,
+            false => Standing::Loading,
+        }
+    }
+
+    /// Whether an endpoint has seen `fence` or a higher one.
+    pub fn has_seen(&self, id: &str, fence: Fence) -> bool {
+        self.report(id).and_then(|it| it.fence).is_some_and(|it| fence <= it)
+    }
+
+    pub fn report(&self, id: &str) -> Option<&EndpointReport> {
+        self.views.get(id)?.report.as_ref()
+    }
+
+    /// Endpoints that load, or are about to: each uses a part of the weight store's rate.
+    pub fn n_loading(&self) -> usize {
+        let is_loading = |it: &&EngineView| {
+            it.order.as_ref().is_some_and(|it| it.purpose == Purpose::Load)
+                || it.report.as_ref().is_some_and(|it| !it.loading.is_empty())
+        };
+        self.views.values().filter(is_loading).count()
+    }
+
+    /// Follows which endpoints the stored plan withholds, and who has acknowledged that.
+    pub fn follow_plan(
+        &mut self,
+        now: Moment,
+        revision: Revision,
+        is_withheld: impl Fn(&str) -> bool,
+        has_acknowledged: impl Fn(Revision) -> bool,
+    ) {
+        for (id, view) in self.views.iter_mut() {
+            if !is_withheld(id) {
+                view.withheld = None;
+                view.acknowledged = None;
+                continue;
+            }
+            let since = *view.withheld.get_or_insert(revision);
+            if !has_acknowledged(since) {
+                view.acknowledged = None;
+            } else if view.acknowledged.is_none() {
+                view.acknowledged = Some(now);
+                view.next_ask = now;
+            }
+        }
+    }
+
+    /// Whether an endpoint has nothing in flight and no instance will send it anything.
+    ///
+    /// Only an answer to a question asked after the last acknowledgement counts:
+    /// an earlier one may miss a call that was on its way.
+    pub fn is_drained(&self, id: &str) -> bool {
+        let Some(view) = self.views.get(id) else { return false };
+        let (Some(acknowledged), Some(report)) = (view.acknowledged, &view.report) else {
+            return false;
+        };
+        acknowledged <= view.reported && report.in_flight == 0
+    }
+
+    /// Whether an order may go out now: none is on its way and none failed just now.
+    pub fn is_free(&self, now: Moment, id: &str) -> bool {
+        self.views.get(id).is_some_and(|it| it.order.is_none() && it.fresh_after <= now)
+    }
+
+    pub fn sent(&mut self, now: Moment, id: &str, purpose: Purpose) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.order = Some(Sent { at: now, purpose, ended: false });
+        }
+    }
+}
+
+impl EngineView {
+    fn end_order(&mut self, fresh_after: Moment) {
+        if let Some(order) = &mut self.order {
+            order.ended = true;
+        }
+        self.fresh_after = fresh_after;
+        self.next_ask = fresh_after;
+    }
+
+    /// Gives up on the result of an order whose life is long over.
+    fn expire_order(&mut self, now: Moment, tuning: &PlaceTuning) {
+        let is_over = |it: &Sent| !it.ended && it.at + 2 * tuning.order_life <= now;
+        if self.order.as_ref().is_some_and(is_over) {
+            self.end_order(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-core/src/place/forecast.rs
@@ -0,0 +1,214 @@
+//! Demand to prepare for: the recent level and the same time of earlier days.
+
+use std::time::Duration;
+
+use ferry_model::{
+    DemandDay, DemandHistory, Moment, ObjectKey, ObjectKind, PoolDemand, StoreError, StoreOp,
+    StoreReply, Version,
+};
+use serde::{Deserialize, Serialize};
+
+use super::PlaceTuning;
+use crate::Owner;
+use crate::node::Turn;
+
+/// Parts of a day that are kept apart.
+const N_PARTS: usize = 48;
+/// Days that are kept; with a hundred pools they stay under a quarter of a megabyte.
+const N_DAYS: usize = 7;
+/// Earlier days that a forecast looks at.
+const N_COMPARED: usize = 3;
+/// Stored levels are tenths of a call.
+const TENTHS: f64 = 10.0;
+/// Bounds of how much today may differ from earlier days.
+const RATIO: std::ops::RangeInclusive<f64> = 0.6..=1.3;
+const HISTORY_NAME: &str = "history";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum Step {
+    Unread,
+    Reading,
+    Ready,
+    Writing,
+}
+
+/// A part of a day, counted from the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Part {
+    day: u64,
+    idx: usize,
+}
+
+/// The stored demand of earlier days, with today's added as it comes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct History {
+    step: Step,
+    version: Version,
+    days: Vec<DemandDay>,
+    /// Part of the day at the last write.
+    written: Option<Part>,
+    next_read: Moment,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        History {
+            step: Step::Unread,
+            version: 0,
+            days: Vec::new(),
+            written: None,
+            next_read: Moment::ZERO,
+        }
+    }
+}
+
+impl History {
+    /// Reads the stored history anew; what was recorded since stays.
+    pub fn start_term(&mut self) {
+        self.step = Step::Unread;
+    }
+
+    /// Whether earlier days are known, or known not to be there.
+    pub fn is_read(&self) -> bool {
+        matches!(self.step, Step::Ready | Step::Writing)
+    }
+
+    pub fn tick(&mut self, cx: &mut Turn<'_>) {
+        let part = part_at(cx.now, &cx.ctx.tuning.place);
+        match self.step {
+            Step::Unread if self.next_read <= cx.now => {
+                self.step = Step::Reading;
+                let op = StoreOp::Get { key: history_key() };
+                cx.ctx.calls.start(Owner::History, op, cx.out);
+            }
+            Step::Ready if self.written.is_some_and(|it| it != part) => self.write(cx, part),
+            Step::Ready => self.written = Some(part),
+            Step::Unread | Step::Reading | Step::Writing => (),
+        }
+    }
+
+    pub fn on_store(&mut self, cx: &mut Turn<'_>, result: Result<StoreReply, StoreError>) {
+        let retry = cx.now + cx.ctx.tuning.place.lease_poll;
+        match (self.step, result) {
+            (Step::Reading, Ok(StoreReply::Object(object))) => {
+                self.step = Step::Ready;
+                self.version = object.as_ref().map_or(0, |it| it.version);
+                let stored: DemandHistory =
+                    object.and_then(|it| serde_json::from_str(&it.value).ok()).unwrap_or_default();
+                self.merge(stored);
+            }
+            (Step::Writing, Ok(StoreReply::Written(version))) => {
+                self.step = Step::Ready;
+                self.version = version;
+            }
+            (Step::Reading | Step::Writing, _) => {
+                self.step = Step::Unread;
+                self.next_read = retry;
+            }
+            (Step::Unread | Step::Ready, _) => (),
+        }
+    }
+
+    /// Records the present level of a pool.
+    pub fn record(&mut self, now: Moment, tuning: &PlaceTuning, pool: &str, level: f64) {
+        let part = part_at(now, tuning);
+        let level = (level * TENTHS).ceil() as u32;
+        let known = levels_mut(day_mut(&mut self.days, part.day), pool);
+        known[part.idx] = known[part.idx].max(level);
+        let surplus = self.days.len().saturating_sub(N_DAYS);
+        self.days.drain(..surplus);
+    }
+
+    /// Returns the highest level to expect of a pool from now until `tuning.ahead` has passed.
+    pub fn expect(&self, now: Moment, tuning: &PlaceTuning, pool: &str, level: f64) -> f64 {
+        if !tuning.forecast {
+            return level;
+        }
+        let here = part_at(now, tuning);
+        let usual_now = self.usual(here, pool);
+        let ratio = match usual_now {
+            usual if usual < 1.0 => 1.0,
+            usual => (level / usual).clamp(*RATIO.start(), *RATIO.end()),
+        };
+        let step = part_length(tuning);
+        let n_steps = tuning.ahead.as_millis().div_ceil(step.as_millis().max(1)) as u32;
+        let coming = (0..=n_steps)
+            .map(|it| now + (step * it).min(tuning.ahead))
+            .map(|at| self.usual(part_at(at, tuning), pool))
+            .fold(0.0, f64::max);
+        level.max(coming * ratio)
+    }
+
+    /// Returns the highest level of the same part of the last days.
+    fn usual(&self, part: Part, pool: &str) -> f64 {
+        self.days
+            .iter()
+            .filter(|it| it.day < part.day && part.day <= it.day + N_COMPARED as u64)
+            .filter_map(|it| {
+                let idx = it.pools.binary_search_by(|it| it.pool.as_str().cmp(pool)).ok()?;
+                it.pools[idx].levels.get(part.idx).copied()
+            })
+            .map(|it| f64::from(it) / TENTHS)
+            .fold(0.0, f64::max)
+    }
+
+    fn write(&mut self, cx: &mut Turn<'_>, part: Part) {
+        self.written = Some(part);
+        self.step = Step::Writing;
+        let history = DemandHistory { days: self.days.clone() };
+        let value = serde_json::to_string(&history).unwrap_or_default();
+        let op = StoreOp::Put { key: history_key(), expect: self.version, value };
+        cx.ctx.calls.start(Owner::History, op, cx.out);
+    }
+
+    fn merge(&mut self, stored: DemandHistory) {
+        for day in stored.days {
+            for pool in day.pools {
+                let known = levels_mut(day_mut(&mut self.days, day.day), &pool.pool);
+                for (left, right) in known.iter_mut().zip(pool.levels) {
+                    *left = (*left).max(right);
+                }
+            }
+        }
+    }
+}
+
+fn day_mut(days: &mut Vec<DemandDay>, day: u64) -> &mut DemandDay {
+    let idx = match days.binary_search_by_key(&day, |it| it.day) {
+        Ok(idx) => idx,
+        Err(idx) => {
+            days.insert(idx, DemandDay { day, pools: Vec::new() });
+            idx
+        }
+    };
+    &mut days[idx]
+}
+
+fn levels_mut<'a>(day: &'a mut DemandDay, pool: &str) -> &'a mut Vec<u32> {
+    let idx = match day.pools.binary_search_by(|it| it.pool.as_str().cmp(pool)) {
+        Ok(idx) => idx,
+        Err(idx) => {
+            let levels = vec![0; N_PARTS];
+            day.pools.insert(idx, PoolDemand { pool: pool.to_owned(), levels });
+            idx
+        }
+    };
+    let levels = &mut day.pools[idx].levels;
+    levels.resize(N_PARTS, 0);
+    levels
+}
+
+fn part_length(tuning: &PlaceTuning) -> Duration {
+    tuning.day / N_PARTS as u32
+}
+
+fn part_at(now: Moment, tuning: &PlaceTuning) -> Part {
+    let wall = u128::from(tuning.started_at) + now.as_millis();
+    let day = tuning.day.as_millis().max(1);
+    let idx = (wall % day) * N_PARTS as u128 / day;
+    Part { day: (wall / day) as u64, idx: idx as usize }
+}
+
+fn history_key() -> ObjectKey {
+    ObjectKey::new(ObjectKind::Demand, HISTORY_NAME)
+}
--- a/crates/ferry-core/src/settings.rs
+++ b/crates/ferry-core/src/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::PlaceTuning;
+
 /// Every figure the reducer uses that an operator may set; docs/SETTINGS.md lists them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tuning {
@@ -21,6 +23,7 @@
     pub min_deadline: Duration,
     /// Longest deadline a caller may ask for.
     pub max_deadline: Duration,
+    pub place: PlaceTuning,
 }
 
 impl Default for Tuning {
@@ -33,6 +36,7 @@
             retry_after: Duration::from_secs(1),
             min_deadline: Duration::from_millis(10),
             max_deadline: Duration::from_secs(120),
+            place: PlaceTuning::default(),
         }
     }
 }
--- a/crates/ferry-core/src/store.rs
+++ b/crates/ferry-core/src/store.rs
@@ -15,7 +15,14 @@
     Workspaces,
     Claims,
     Lease,
+    /// The lease holder's reads and writes of the placement plan.
     Plan,
+    /// The watch through which every instance follows the placement plan.
+    PlanWatch,
+    /// The poll that covers for a silent watch.
+    PlanPoll,
+    /// The stored demand of earlier days.
+    History,
     Admin,
 }
 
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -10,7 +10,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{CallerEvent, Callers, EndpointClient, FleetClient, StoreClient, logs};
+use crate::{CallerEvent, Callers, EndpointClient, FleetClient, OrderClient, StoreClient, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
@@ -71,6 +71,7 @@
     events: mpsc::UnboundedReceiver<Event>,
     status: watch::Sender<Status>,
     calls: SortedMap<AttemptId, AbortHandle>,
+    orders: OrderClient,
 }
 
 impl Driver {
@@ -89,6 +90,7 @@
             events,
             status,
             calls: SortedMap::new(),
+            orders: OrderClient::new(),
         };
         tokio::spawn(driver.run());
         handle
@@ -156,9 +158,15 @@
             Effect::Send { .. }
             | Effect::Instances { .. }
             | Effect::Key { .. }
-            | Effect::Admin { .. }
-            | Effect::Order { .. }
-            | Effect::Inspect { .. } => (),
+            | Effect::Admin { .. } => (),
+            Effect::Order { address, order } => {
+                let orders = self.orders.clone();
+                tokio::spawn(orders.order(address, *order, Instant::now(), self.sender.clone()));
+            }
+            Effect::Inspect { endpoint, address } => {
+                let orders = self.orders.clone();
+                tokio::spawn(orders.inspect(address, endpoint, self.sender.clone()));
+            }
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
             Effect::Count { .. } => (),
             Effect::Exit => {
--- a/crates/ferry-edge/src/lib.rs
+++ b/crates/ferry-edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod http;
 pub mod logs;
+pub mod orders;
 pub mod store;
 pub mod wire;
 
@@ -16,4 +17,5 @@
 pub use endpoint::EndpointClient;
 pub use fleet::FleetClient;
 pub use http::{HttpClient, HttpError};
+pub use orders::OrderClient;
 pub use store::StoreClient;
--- /dev/null
+++ b/crates/ferry-edge/src/orders.rs
@@ -0,0 +1,148 @@
+//! Gives orders to endpoints and asks them what they hold.
+//!
+//! Each order has a connection of its own, which is closed when the order's life
+//! is over: no queue between here and the endpoint can deliver it later. See
+//! docs/design/placement.md.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_core::Event;
+use ferry_model::{EndpointId, EndpointReport, Fence, Order, OrderResult};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::HttpClient;
+use crate::http::{HttpAnswer, json_request, read_answer};
+
+/// Path of an endpoint's state: `PUT` orders it, `GET` tells it.
+pub const STATE_PATH: &str = "/v1/state";
+
+/// Time that an endpoint has to tell its state.
+const INSPECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Body of the answer to an order that carried an old fencing number, with status 409.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FencedBody {
+    pub seen: Fence,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct OrderClient {
+    http: HttpClient,
+}
+
+impl OrderClient {
+    pub fn new() -> OrderClient {
+        OrderClient { http: HttpClient::new() }
+    }
+
+    /// Gives one order; `received` is when the reducer decided on it.
+    pub async fn order(
+        self,
+        address: SocketAddr,
+        order: Order,
+        received: Instant,
+        events: UnboundedSender<Event>,
+    ) {
+        let (endpoint, fence) = (order.endpoint.clone(), order.fence);
+        let deadline = received + order.life;
+        let result = match connect(address, deadline).await {
+            Ok(link) => link.send(address, &order, deadline).await,
+            Err(error) => OrderResult::Unsent { error },
+        };
+        let _ = events.send(Event::Ordered { endpoint, fence, result });
+    }
+
+    /// Asks one endpoint what it holds.
+    pub async fn inspect(
+        self,
+        address: SocketAddr,
+        endpoint: EndpointId,
+        events: UnboundedSender<Event>,
+    ) {
+        let answer =
+            self.http.call::<()>(Method::GET, address, STATE_PATH, None, INSPECT_TIMEOUT).await;
+        let report = answer
+            .ok()
+            .filter(|it| it.status == StatusCode::OK)
+            .and_then(|it| it.json::<EndpointReport>().ok())
+            .filter(|it| it.endpoint == endpoint);
+        let _ = events.send(Event::Report { endpoint, report });
+    }
+}
+
+/// One connection for one order; dropping it closes the socket.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Link {
+    async fn send(mut self, address: SocketAddr, order: &Order, deadline: Instant) -> OrderResult {
+        let request = match json_request(Method::PUT, address, STATE_PATH, Some(order)) {
+            Ok(request) => request,
+            Err(error) => return OrderResult::Unsent { error: error.to_string() },
+        };
+        // The last look at the clock before the first byte: this process may have been paused.
+        if deadline <= Instant::now() {
+            return OrderResult::Unsent { error: "the order's life is over".to_owned() };
+        }
+        match tokio::time::timeout_at(deadline, self.finish(address, request)).await {
+            Ok(Ok(answer)) => read(&answer),
+            Ok(Err(error)) => OrderResult::Unknown { error },
+            Err(_) => OrderResult::Unknown { error: "no answer in the order's life".to_owned() },
+        }
+    }
+
+    async fn finish(
+        &mut self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpAnswer, String> {
+        let response = self.sender.send_request(request).await.map_err(|it| it.to_string())?;
+        read_answer(address, response).await.map_err(|it| it.to_string())
+    }
+}
+
+async fn connect(address: SocketAddr, deadline: Instant) -> Result<Link, String> {
+    let stream = tokio::time::timeout_at(deadline, TcpStream::connect(address))
+        .await
+        .map_err(|_| format!("could not connect to {address} in the order's life"))?
+        .map_err(|it| format!("could not connect to {address}: {it}"))?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|it| it.to_string())?;
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(Link { sender, task: task.abort_handle() })
+}
+
+fn read(answer: &HttpAnswer) -> OrderResult {
+    match answer.status {
+        StatusCode::OK | StatusCode::ACCEPTED => OrderResult::Obeyed,
+        StatusCode::CONFLICT => match answer.json::<FencedBody>() {
+            Ok(body) => OrderResult::Fenced { seen: body.seen },
+            Err(error) => OrderResult::Unknown { error: error.to_string() },
+        },
+        status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+            let text = String::from_utf8_lossy(&answer.body);
+            OrderResult::Refused { error: format!("status {status}: {text}") }
+        }
+        status => OrderResult::Unknown { error: format!("status {status}") },
+    }
+}
--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::NodeIdx;
+use crate::world::FakeEngine;
 
 /// How fast an endpoint is when nothing is wrong.
 #[derive(Debug, Clone)]
@@ -48,6 +49,13 @@
     pub leaving: bool,
     /// Reports no load.
     pub mute: bool,
+    /// Orders take this much longer to arrive.
+    pub order_delay: Duration,
+    /// Orders arrive however late, as if their sender was paused between its last check and the
+    /// write.
+    pub late_orders: bool,
+    /// Obeys orders while their answers are lost.
+    pub order_lost: bool,
 }
 
 /// One run of a stage, as the endpoint saw it.
@@ -75,6 +83,9 @@
     pub endpoint: Endpoint,
     pub speed: Speed,
     pub faults: EndpointFaults,
+    pub engine: FakeEngine,
+    /// The instance list shows its models.
+    pub(crate) lists_models: bool,
     /// When it began to leave.
     pub leaving_since: Option<Moment>,
     /// Time that its slots were busy.
@@ -85,7 +96,13 @@
 
 impl FakeEndpoint {
     pub fn new(endpoint: Endpoint, speed: Speed) -> FakeEndpoint {
+        let models = match endpoint.models.is_empty() {
+            true => vec![endpoint.pool.clone()],
+            false => endpoint.models.clone(),
+        };
         FakeEndpoint {
+            engine: FakeEngine::new(models),
+            lists_models: !endpoint.models.is_empty(),
             endpoint,
             speed,
             faults: EndpointFaults::default(),
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -1,5 +1,6 @@
 //! Virtual time, the event queue and the nodes on it.
 
+mod orders;
 mod serve;
 
 use std::cmp::Reverse;
@@ -7,7 +8,9 @@
 use std::time::Duration;
 
 use ferry_core::{Arrival, Decision, Effect, Event, Identity, Metric, Node, StageCall, Tuning};
-use ferry_model::{AttemptId, Endpoint, EndpointId, Instance, Moment, SortedMap, StoreOp, Ticket};
+use ferry_model::{
+    AttemptId, Endpoint, EndpointId, Instance, Moment, Order, SortedMap, StoreOp, Ticket,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -16,6 +19,8 @@
 use crate::network::Network;
 use crate::store::FakeStore;
 
+pub use orders::{FakeEngine, OrderSeen, WeightStore};
+
 /// Position of a node in its world.
 pub type NodeIdx = usize;
 
@@ -36,6 +41,9 @@
     pub instances: Vec<Instance>,
     pub asked: SortedMap<Ticket, Asked>,
     pub runs: Vec<Run>,
+    pub weights: WeightStore,
+    /// Every order that reached an endpoint.
+    pub orders: Vec<OrderSeen>,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
@@ -92,6 +100,9 @@
     Finish { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Cancel { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Store { node: NodeIdx, life: u32, call: u64, op: StoreOp },
+    Order { node: NodeIdx, life: u32, order: Box<Order> },
+    Inspect { node: NodeIdx, life: u32, endpoint: EndpointId },
+    Loaded { endpoint: EndpointId, number: u64 },
     List,
 }
 
@@ -122,6 +133,8 @@
             instances: Vec::new(),
             asked: SortedMap::new(),
             runs: Vec::new(),
+            weights: WeightStore::default(),
+            orders: Vec::new(),
             decisions: Vec::new(),
             list_frozen: false,
             nodes: Vec::new(),
@@ -330,6 +343,9 @@
                 self.cancel_call(&endpoint, node, life, attempt);
             }
             Item::Store { node, life, call, op } => self.take_store(node, life, call, op),
+            Item::Order { node, life, order } => self.take_order(node, life, &order),
+            Item::Inspect { node, life, endpoint } => self.take_inspect(node, life, endpoint),
+            Item::Loaded { endpoint, number } => self.finish_load(&endpoint, number),
             Item::List => {
                 for idx in 0..self.nodes.len() {
                     self.list(idx);
@@ -400,11 +416,9 @@
                 *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
             }
             Effect::Exit => self.nodes[idx].exited = true,
-            Effect::Instances { .. }
-            | Effect::Key { .. }
-            | Effect::Admin { .. }
-            | Effect::Order { .. }
-            | Effect::Inspect { .. } => (),
+            Effect::Order { order, .. } => self.start_order(idx, life, order),
+            Effect::Inspect { endpoint, .. } => self.inspect(idx, life, endpoint),
+            Effect::Instances { .. } | Effect::Key { .. } | Effect::Admin { .. } => (),
         }
     }
 }
--- /dev/null
+++ b/crates/ferry-fakes/src/world/orders.rs
@@ -0,0 +1,254 @@
+//! Orders to endpoints, their reports and the weight store on virtual time.
+
+use std::time::Duration;
+
+use ferry_core::{CallEvent, Event};
+use ferry_model::{
+    EndpointId, EndpointReport, Fence, ModelId, Moment, Order, OrderResult, StageKind,
+};
+
+use super::{Item, NodeIdx, World};
+use crate::endpoint::FakeEndpoint;
+
+/// The store of model weights that all endpoints load from.
+#[derive(Debug, Clone)]
+pub struct WeightStore {
+    /// Loads that it serves at once; further ones are refused.
+    pub at_once: usize,
+    /// Time of one load.
+    pub load: Duration,
+    /// Loads that were refused.
+    pub refused: u64,
+}
+
+impl Default for WeightStore {
+    fn default() -> Self {
+        WeightStore { at_once: 2, load: Duration::from_secs(5), refused: 0 }
+    }
+}
+
+/// One order, as the endpoint saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderSeen {
+    pub at: Moment,
+    pub node: NodeIdx,
+    pub endpoint: EndpointId,
+    pub fence: Fence,
+    pub models: Vec<ModelId>,
+    /// It was refused for its fencing number.
+    pub fenced: bool,
+    /// Calls in flight that it cut.
+    pub cut: usize,
+}
+
+/// The models of one endpoint and the orders it has seen.
+#[derive(Debug, Clone, Default)]
+pub struct FakeEngine {
+    /// Sorted.
+    pub models: Vec<ModelId>,
+    /// Sorted.
+    pub loading: Vec<ModelId>,
+    /// Highest fencing number seen; none where it checks none.
+    pub fence: Option<Fence>,
+    /// Time with models loaded or loading, up to `held_since`.
+    pub held: Duration,
+    pub held_since: Option<Moment>,
+    /// Tells a load from an earlier one that was broken off.
+    pub(crate) n_loads: u64,
+}
+
+impl FakeEngine {
+    pub fn new(models: Vec<ModelId>) -> FakeEngine {
+        FakeEngine {
+            models,
+            fence: Some(0),
+            held_since: Some(Moment::ZERO),
+            ..FakeEngine::default()
+        }
+    }
+
+    /// Returns the time for which it has held capacity.
+    pub fn held(&self, now: Moment) -> Duration {
+        self.held + self.held_since.map_or(Duration::ZERO, |it| now.saturating_sub(it))
+    }
+
+    fn account(&mut self, now: Moment) {
+        self.held = self.held(now);
+        let is_held = !self.models.is_empty() || !self.loading.is_empty();
+        self.held_since = is_held.then_some(now);
+    }
+}
+
+impl FakeEndpoint {
+    /// Whether it can run a call of this kind and model.
+    pub(crate) fn can_run(&self, kind: StageKind, model: Option<&ModelId>) -> bool {
+        match (kind, model) {
+            (StageKind::Service, _) => true,
+            (_, Some(model)) => self.engine.models.binary_search(model).is_ok(),
+            (_, None) => !self.engine.models.is_empty(),
+        }
+    }
+}
+
+impl World {
+    /// Returns the time for which the endpoints of a pool have held capacity.
+    pub fn held(&self, pool: &str) -> Duration {
+        let members = self.endpoints.values().filter(|it| it.endpoint.pool == pool);
+        members.map(|it| it.engine.held(self.now)).sum()
+    }
+
+    /// Returns how many endpoints of a pool have their models loaded.
+    pub fn n_loaded(&self, pool: &str) -> usize {
+        let is_loaded = |it: &&FakeEndpoint| !it.engine.models.is_empty();
+        self.endpoints.values().filter(|it| it.endpoint.pool == pool).filter(is_loaded).count()
+    }
+
+    pub(super) fn start_order(&mut self, node: NodeIdx, life: u32, order: Box<Order>) {
+        let Some(it) = self.endpoints.get(&order.endpoint) else {
+            let error = "no such endpoint".to_owned();
+            self.ordered(node, life, &order, self.now, OrderResult::Unsent { error });
+            return;
+        };
+        let delay = self.network.delay(&self.nodes[node].zone, &it.endpoint.zone);
+        let delay = delay + it.faults.order_delay;
+        if order.life < delay && !it.faults.late_orders {
+            let error = "the order's life is over".to_owned();
+            let at = self.now + order.life;
+            self.ordered(node, life, &order, at, OrderResult::Unknown { error });
+            return;
+        }
+        self.schedule(self.now + delay, Item::Order { node, life, order });
+    }
+
+    pub(super) fn take_order(&mut self, node: NodeIdx, life: u32, order: &Order) {
+        let Some(it) = self.endpoints.get_mut(&order.endpoint) else { return };
+        let at = self.now + self.network.delay(&self.nodes[node].zone, &it.endpoint.zone);
+        let is_lost = it.faults.order_lost;
+        if it.faults.down {
+            let error = "connection refused".to_owned();
+            self.ordered(node, life, order, at, OrderResult::Unsent { error });
+            return;
+        }
+        let result = self.obey(node, order);
+        if is_lost {
+            let error = "the answer was lost".to_owned();
+            let at = self.now + order.life;
+            self.ordered(node, life, order, at, OrderResult::Unknown { error });
+        } else {
+            self.ordered(node, life, order, at, result);
+        }
+    }
+
+    fn obey(&mut self, node: NodeIdx, order: &Order) -> OrderResult {
+        let now = self.now;
+        let n_loading = self.endpoints.values().filter(|it| !it.engine.loading.is_empty()).count();
+        let mut seen = OrderSeen {
+            at: now,
+            node,
+            endpoint: order.endpoint.clone(),
+            fence: order.fence,
+            models: order.models.clone(),
+            fenced: false,
+            cut: 0,
+        };
+        let Some(it) = self.endpoints.get_mut(&order.endpoint) else {
+            return OrderResult::Refused { error: "no such endpoint".to_owned() };
+        };
+        if let Some(known) = it.engine.fence {
+            if order.fence < known {
+                seen.fenced = true;
+                self.orders.push(seen);
+                return OrderResult::Fenced { seen: known };
+            }
+            it.engine.fence = Some(order.fence);
+        }
+        let missing: Vec<ModelId> =
+            order.models.iter().filter(|it2| !it.engine.models.contains(it2)).cloned().collect();
+        let is_new_load = !missing.is_empty() && missing != it.engine.loading;
+        if is_new_load && self.weights.at_once <= n_loading {
+            self.weights.refused += 1;
+            self.orders.push(seen);
+            return OrderResult::Refused { error: "the weight store is busy".to_owned() };
+        }
+        let is_unload = it.engine.models.iter().any(|it| !order.models.contains(it));
+        it.engine.models.retain(|it| order.models.contains(it));
+        if is_new_load {
+            it.engine.n_loads += 1;
+            let item = Item::Loaded { endpoint: order.endpoint.clone(), number: it.engine.n_loads };
+            it.engine.loading = missing;
+            self.schedule(now + self.weights.load, item);
+        } else if missing.is_empty() {
+            it.engine.loading.clear();
+        }
+        if is_unload {
+            seen.cut = self.cut_calls(&order.endpoint);
+        }
+        self.orders.push(seen);
+        self.changed(&order.endpoint);
+        OrderResult::Obeyed
+    }
+
+    pub(super) fn finish_load(&mut self, endpoint: &str, number: u64) {
+        let Some(it) = self.endpoints.get_mut(endpoint) else { return };
+        if it.engine.n_loads != number || it.engine.loading.is_empty() {
+            return;
+        }
+        let loaded = std::mem::take(&mut it.engine.loading);
+        it.engine.models.extend(loaded);
+        it.engine.models.sort();
+        self.changed(endpoint);
+    }
+
+    pub(super) fn inspect(&mut self, node: NodeIdx, life: u32, endpoint: EndpointId) {
+        let Some(it) = self.endpoints.get(&endpoint) else {
+            self.send(self.now, node, life, Event::Report { endpoint, report: None });
+            return;
+        };
+        let delay = self.network.delay(&self.nodes[node].zone, &it.endpoint.zone);
+        self.schedule(self.now + delay, Item::Inspect { node, life, endpoint });
+    }
+
+    pub(super) fn take_inspect(&mut self, node: NodeIdx, life: u32, endpoint: EndpointId) {
+        let Some(it) = self.endpoints.get(&endpoint) else { return };
+        let delay = self.network.delay(&self.nodes[node].zone, &it.endpoint.zone);
+        let report = (!it.faults.down).then(|| EndpointReport {
+            endpoint: endpoint.clone(),
+            models: it.engine.models.clone(),
+            loading: it.engine.loading.clone(),
+            role: it.endpoint.role,
+            in_flight: (it.running.len() + it.waiting.len()) as u32,
+            slots: it.speed.slots as u32,
+            fence: it.engine.fence,
+        });
+        self.send(self.now + delay, node, life, Event::Report { endpoint, report });
+    }
+
+    /// Breaks every call of an endpoint whose models are gone, and returns how many.
+    fn cut_calls(&mut self, endpoint: &str) -> usize {
+        let Some(it) = self.endpoints.get_mut(endpoint) else { return 0 };
+        let mut jobs = std::mem::take(&mut it.running);
+        jobs.append(&mut it.waiting);
+        let n_cut = jobs.len();
+        for job in jobs {
+            let event = CallEvent::Broken { error: "the model was unloaded".to_owned() };
+            let event = Event::Call { attempt: job.call.attempt, event };
+            self.send(self.now, job.node, job.life, event);
+        }
+        n_cut
+    }
+
+    /// Brings the list's line and the account of an endpoint up to date.
+    fn changed(&mut self, endpoint: &str) {
+        let now = self.now;
+        let Some(it) = self.endpoints.get_mut(endpoint) else { return };
+        it.engine.account(now);
+        if it.lists_models {
+            it.endpoint.models = it.engine.models.clone();
+        }
+    }
+
+    fn ordered(&mut self, node: NodeIdx, life: u32, order: &Order, at: Moment, end: OrderResult) {
+        let (endpoint, fence) = (order.endpoint.clone(), order.fence);
+        self.send(at, node, life, Event::Ordered { endpoint, fence, result: end });
+    }
+}
--- a/crates/ferry-fakes/src/world/serve.rs
+++ b/crates/ferry-fakes/src/world/serve.rs
@@ -49,6 +49,12 @@
             self.report(node, life, attempt, at, event);
             return;
         }
+        if !it.can_run(call.kind, call.model.as_ref()) {
+            let error = "the model is not loaded".to_owned();
+            let event = CallEvent::Refused { error, leaving: false, retry_after: None };
+            self.report(node, life, attempt, at, event);
+            return;
+        }
         if it.faults.crash_before_run {
             it.faults.crash_before_run = false;
             let error = "connection reset".to_owned();
--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -26,6 +26,8 @@
 pub use object::{ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply, StoredObject};
 pub use outcome::{Answer, FailReason, Outcome, RefusalReason, StageReport};
 pub use peer::{Heartbeat, InstanceState, KeyState, PeerMessage, PoolLoad};
-pub use place::{EndpointReport, Order, OrderResult, Plan};
+pub use place::{
+    DemandDay, DemandHistory, EndpointReport, Lease, Order, OrderResult, Plan, PoolDemand,
+};
 pub use sorted::SortedMap;
 pub use workspace::Workspace;
--- a/crates/ferry-model/src/object.rs
+++ b/crates/ferry-model/src/object.rs
@@ -38,6 +38,8 @@
     Lease,
     /// The placement plan.
     Plan,
+    /// Demand of earlier days.
+    Demand,
     /// Status written for operators.
     Status,
 }
