--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -10,7 +10,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{CallerEvent, Callers, EndpointClient, FleetClient, Peers, StoreClient, logs};
+use crate::{
+    CallerEvent, Callers, EndpointClient, FleetClient, OrderClient, Peers, StoreClient, logs,
+};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
@@ -73,6 +75,7 @@
     events: mpsc::UnboundedReceiver<Event>,
     status: watch::Sender<Status>,
     calls: SortedMap<AttemptId, AbortHandle>,
+    orders: OrderClient,
 }
 
 impl Driver {
@@ -94,6 +97,7 @@
             events,
             status,
             calls: SortedMap::new(),
+            orders: OrderClient::new(),
         };
         tokio::spawn(driver.run());
         handle
@@ -172,7 +176,14 @@
             Effect::Admin { ticket, reply } => {
                 self.ports.callers.deliver(ticket, CallerEvent::Admin(reply));
             }
-            Effect::Order { .. } | Effect::Inspect { .. } => (),
+            Effect::Order { address, order } => {
+                let orders = self.orders.clone();
+                tokio::spawn(orders.order(address, *order, Instant::now(), self.sender.clone()));
+            }
+            Effect::Inspect { endpoint, address } => {
+                let orders = self.orders.clone();
+                tokio::spawn(orders.inspect(address, endpoint, self.sender.clone()));
+            }
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
             Effect::Count { .. } => (),
             Effect::Exit => {
--- a/crates/ferry-fakes/src/lib.rs
+++ b/crates/ferry-fakes/src/lib.rs
@@ -19,4 +19,4 @@
 pub use network::Network;
 pub use store::{FakeStore, StoreFaults};
 pub use trace::{Applied, Pause, Trace, Written};
-pub use world::{NodeIdx, World};
+pub use world::{FakeEngine, NodeIdx, OrderSeen, WeightStore, World};
