--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -1,5 +1,6 @@
 //! Virtual time, the event queue and the nodes on it.
 
+mod orders;
 mod serve;
 
 use std::cmp::Reverse;
@@ -7,14 +8,20 @@
 use std::time::Duration;
 
 use ferry_core::{Arrival, Decision, Effect, Event, Identity, Metric, Node, StageCall, Tuning};
-use ferry_model::{AttemptId, Endpoint, EndpointId, Instance, Moment, SortedMap, StoreOp, Ticket};
+use ferry_model::{
+    AttemptId, Endpoint, EndpointId, Instance, Moment, Order, SortedMap, StoreOp, Ticket,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::border::Border;
 use crate::caller::{Asked, Request};
 use crate::endpoint::{FakeEndpoint, Run};
 use crate::network::Network;
 use crate::store::FakeStore;
+use crate::trace::{Applied, Pause, Trace};
+
+pub use orders::{FakeEngine, OrderSeen, WeightStore};
 
 /// Position of a node in its world.
 pub type NodeIdx = usize;
@@ -36,10 +43,16 @@
     pub instances: Vec<Instance>,
     pub asked: SortedMap<Ticket, Asked>,
     pub runs: Vec<Run>,
+    pub weights: WeightStore,
+    /// Every order that reached an endpoint.
+    pub orders: Vec<OrderSeen>,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
     pub list_frozen: bool,
+    /// Sees everything that crosses the border of a node.
+    pub border: Option<Box<dyn Border>>,
+    pub trace: Trace,
     nodes: Vec<Slot>,
     queue: BinaryHeap<Reverse<Entry>>,
     watches: Vec<Watch>,
@@ -92,6 +105,9 @@
     Finish { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Cancel { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Store { node: NodeIdx, life: u32, call: u64, op: StoreOp },
+    Order { node: NodeIdx, life: u32, order: Box<Order> },
+    Inspect { node: NodeIdx, life: u32, endpoint: EndpointId },
+    Loaded { endpoint: EndpointId, number: u64 },
     List,
 }
 
@@ -122,8 +138,12 @@
             instances: Vec::new(),
             asked: SortedMap::new(),
             runs: Vec::new(),
+            weights: WeightStore::default(),
+            orders: Vec::new(),
             decisions: Vec::new(),
             list_frozen: false,
+            border: None,
+            trace: Trace::default(),
             nodes: Vec::new(),
             queue: BinaryHeap::new(),
             watches: Vec::new(),
@@ -151,6 +171,7 @@
             counts: SortedMap::new(),
             exited: false,
         });
+        self.trace.starts.push((self.now, idx, 0));
         self.deliver(idx, Event::Tick);
         self.list(idx);
         idx
@@ -206,6 +227,7 @@
                 tokens: Vec::new(),
                 answers: Vec::new(),
                 cut,
+                gone: None,
             },
         );
         self.deliver(node, Event::Arrive(arrival));
@@ -222,13 +244,50 @@
             slot.held.push(event);
             return;
         }
-        let effects = slot.node.reduce(self.now - slot.started, event);
-        for effect in effects {
-            self.execute(idx, effect);
+        let now = self.now - slot.started;
+        let event = match &mut self.border {
+            Some(border) => border.event(idx, now, event),
+            None => Some(event),
+        };
+        if let Some(event) = event {
+            self.reduce(idx, now, event);
         }
         self.schedule_wake(idx);
     }
 
+    fn reduce(&mut self, idx: NodeIdx, now: Moment, event: Event) {
+        let slot = &mut self.nodes[idx];
+        let effects = slot.node.reduce(now, event);
+        let (life, revision) = (slot.life, slot.node.revision());
+        if self.trace.revision(idx, life) != revision {
+            self.trace.applied.push(Applied { at: self.now, node: idx, life, revision });
+        }
+        let Some(border) = &mut self.border else {
+            effects.into_iter().for_each(|it| self.execute(idx, it));
+            return;
+        };
+        let passed = border.effects(idx, now, effects);
+        passed.effects.into_iter().for_each(|it| self.execute(idx, it));
+        passed.events.into_iter().for_each(|it| self.reduce(idx, now, it));
+    }
+
+    /// Returns the number of a node's present life, counted from zero.
+    pub fn life(&self, idx: NodeIdx) -> u32 {
+        self.nodes[idx].life
+    }
+
+    pub fn is_frozen(&self, idx: NodeIdx) -> bool {
+        self.nodes[idx].frozen
+    }
+
+    /// Breaks a caller's connection.
+    pub fn hang_up(&mut self, ticket: Ticket) {
+        let Some(asked) = self.asked.get_mut(&ticket) else { return };
+        asked.gone = Some(self.now);
+        let node = asked.node;
+        self.deliver(node, Event::CallerGone { ticket });
+    }
+
     /// Kills a process without a word; its callers lose their connections.
     pub fn kill(&mut self, idx: NodeIdx) {
         let slot = &mut self.nodes[idx];
@@ -253,6 +312,7 @@
         slot.exited = false;
         slot.started = now;
         slot.wake = None;
+        self.trace.starts.push((now, idx, slot.life));
         self.deliver(idx, Event::Tick);
         self.list(idx);
     }
@@ -260,11 +320,15 @@
     /// Stops a process as `SIGSTOP` would: its events wait.
     pub fn freeze(&mut self, idx: NodeIdx) {
         self.nodes[idx].frozen = true;
+        self.trace.pauses.push(Pause { node: idx, from: self.now, until: None });
     }
 
     /// Lets a frozen process go on with everything that has waited.
     pub fn thaw(&mut self, idx: NodeIdx) {
         self.nodes[idx].frozen = false;
+        for pause in self.trace.pauses.iter_mut().filter(|it| it.node == idx) {
+            pause.until.get_or_insert(self.now);
+        }
         let held = std::mem::take(&mut self.nodes[idx].held);
         for event in held {
             self.deliver(idx, event);
@@ -274,16 +338,21 @@
 
     /// Runs everything that is due up to `until`.
     pub fn run_until(&mut self, until: Moment) {
-        while let Some(Reverse(entry)) = self.queue.peek()
-            && entry.at <= until
-        {
-            let Some(Reverse(entry)) = self.queue.pop() else { break };
-            self.now = entry.at;
-            self.handle(entry.item);
-        }
+        while self.step(until) {}
         self.now = self.now.max(until);
     }
 
+    /// Handles the next thing that is due up to `until`; false if there is none.
+    pub fn step(&mut self, until: Moment) -> bool {
+        if self.queue.peek().is_none_or(|Reverse(entry)| until < entry.at) {
+            return false;
+        }
+        let Some(Reverse(entry)) = self.queue.pop() else { return false };
+        self.now = entry.at;
+        self.handle(entry.item);
+        true
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(self.now + time);
     }
@@ -330,6 +399,9 @@
                 self.cancel_call(&endpoint, node, life, attempt);
             }
             Item::Store { node, life, call, op } => self.take_store(node, life, call, op),
+            Item::Order { node, life, order } => self.take_order(node, life, &order),
+            Item::Inspect { node, life, endpoint } => self.take_inspect(node, life, endpoint),
+            Item::Loaded { endpoint, number } => self.finish_load(&endpoint, number),
             Item::List => {
                 for idx in 0..self.nodes.len() {
                     self.list(idx);
@@ -399,12 +471,13 @@
             Effect::Count { metric, by } => {
                 *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
             }
-            Effect::Exit => self.nodes[idx].exited = true,
-            Effect::Instances { .. }
-            | Effect::Key { .. }
-            | Effect::Admin { .. }
-            | Effect::Order { .. }
-            | Effect::Inspect { .. } => (),
+            Effect::Exit => {
+                self.nodes[idx].exited = true;
+                self.trace.exits.push((self.now, idx));
+            }
+            Effect::Order { order, .. } => self.start_order(idx, life, order),
+            Effect::Inspect { endpoint, .. } => self.inspect(idx, life, endpoint),
+            Effect::Instances { .. } | Effect::Key { .. } | Effect::Admin { .. } => (),
         }
     }
 }
