Record operator, address and key answers in World; leave in phases

Cause: World dropped the effects that answer operators and callers' questions, and a shutdown refused new requests at once although callers still hold the address. Change: World keeps every reply and counts peer messages; a drain state serves for the life of an answer, then refuses, and exits last. Heartbeats name known leavers and can be asked for. Conclusion: the ground for membership and administration.

--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! same effects, byte for byte. See docs/DESIGN.md for the layering.
 
 pub mod config;
+pub mod drain;
 pub mod effect;
 pub mod event;
 pub mod fleet;
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigState;
+use crate::drain::Drain;
 use crate::fleet::Fleet;
 use crate::request::Requests;
 use crate::store::StoreCalls;
@@ -64,6 +65,7 @@
     ctx: Context,
     config: ConfigState,
     requests: Requests,
+    drain: Drain,
 }
 
 impl Node {
@@ -80,6 +82,7 @@
             },
             config: ConfigState::new(),
             requests: Requests::new(),
+            drain: Drain::new(),
         }
     }
 
@@ -110,14 +113,21 @@
             | Event::Ordered { .. }
             | Event::Report { .. }
             | Event::Peer { .. } => (),
-            Event::Shutdown => self.requests.shutdown(cx),
+            Event::Shutdown => self.drain.start(cx),
         }
+        if self.drain.close_when_due(cx) {
+            self.requests.close();
+        }
+        self.drain.exit_when(cx, self.requests.is_idle());
         out
     }
 
     /// Returns when [`Event::Tick`] is due next.
     pub fn next_wake(&self) -> Option<Moment> {
-        [self.config.next_wake(), self.requests.next_wake()].into_iter().flatten().min()
+        [self.config.next_wake(), self.requests.next_wake(), self.drain.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns a digest of the whole state, to compare a replay with the run it repeats.
--- a/crates/ferry-core/src/request.rs
+++ b/crates/ferry-core/src/request.rs
@@ -131,9 +131,13 @@
         }
     }
 
-    pub fn shutdown(&mut self, cx: &mut Turn<'_>) {
+    /// Refuses every later arrival; requests in flight go on to their end.
+    pub fn close(&mut self) {
         self.leaving = true;
-        self.exit_when_idle(cx);
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.flights.is_empty()
     }
 
     fn admit(
@@ -281,7 +285,6 @@
             self.tickets.remove(&ticket);
             answer(cx, ticket, given.with_stages(flight.reports));
         }
-        self.exit_when_idle(cx);
     }
 
     fn end_attempt(&mut self, cx: &mut Turn<'_>, id: RequestId) -> Option<Attempt> {
@@ -319,12 +322,6 @@
     fn endpoint_of(&self, id: RequestId) -> Option<String> {
         Some(self.flights.get(&id)?.attempt.as_ref()?.endpoint.clone())
     }
-
-    fn exit_when_idle(&self, cx: &mut Turn<'_>) {
-        if self.leaving && self.flights.is_empty() {
-            cx.out.push(Effect::Exit);
-        }
-    }
 }
 
 fn answer(cx: &mut Turn<'_>, ticket: Ticket, answer: Answer) {
--- a/crates/ferry-core/src/settings.rs
+++ b/crates/ferry-core/src/settings.rs
@@ -9,6 +9,10 @@
 pub struct Tuning {
     /// Time between polls of the configuration object.
     pub config_poll: Duration,
+    /// How long callers may keep an answer about which addresses to use.
+    pub answer_life: Duration,
+    /// How long a leaving instance serves beyond that, for peers that had not heard of it.
+    pub leave_margin: Duration,
     /// Most requests in flight on this instance.
     pub max_requests: usize,
     /// Most calls for one stage of one request.
@@ -27,6 +31,8 @@
     fn default() -> Self {
         Tuning {
             config_poll: Duration::from_secs(1),
+            answer_life: Duration::from_secs(10),
+            leave_margin: Duration::from_secs(3),
             max_requests: 4096,
             max_attempts: 3,
             sample: 4,
--- a/crates/ferry-fakes/src/lib.rs
+++ b/crates/ferry-fakes/src/lib.rs
@@ -15,4 +15,4 @@
 pub use endpoint::{EndpointFaults, FakeEndpoint, Run, Speed};
 pub use network::Network;
 pub use store::{FakeStore, StoreFaults};
-pub use world::{NodeIdx, World};
+pub use world::{NodeIdx, PeerTraffic, World};
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -6,8 +6,13 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use ferry_core::{Arrival, Decision, Effect, Event, Identity, Metric, Node, StageCall, Tuning};
-use ferry_model::{AttemptId, Endpoint, EndpointId, Instance, Moment, SortedMap, StoreOp, Ticket};
+use ferry_core::{
+    Arrival, Decision, Effect, Event, Identity, InstancesAnswer, Metric, Node, StageCall, Tuning,
+};
+use ferry_model::{
+    AdminOp, AdminReply, AdminRequest, AttemptId, Endpoint, EndpointId, Instance, KeyState, Moment,
+    SortedMap, StoreOp, Ticket,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -16,6 +21,13 @@
 use crate::network::Network;
 use crate::store::FakeStore;
 
+/// Count and encoded size of messages between peers, without the transport's own bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeerTraffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
 /// Position of a node in its world.
 pub type NodeIdx = usize;
 
@@ -36,6 +48,14 @@
     pub instances: Vec<Instance>,
     pub asked: SortedMap<Ticket, Asked>,
     pub runs: Vec<Run>,
+    /// What operators were told; more than one reply to a ticket is a fault of ours.
+    pub replies: SortedMap<Ticket, Vec<(Moment, AdminReply)>>,
+    /// Addresses that callers were told to use.
+    pub choices: SortedMap<Ticket, InstancesAnswer>,
+    /// What callers were told of their keys.
+    pub keys: SortedMap<Ticket, KeyState>,
+    /// Messages between peers that were sent, and their encoded size.
+    pub sent: PeerTraffic,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
@@ -122,6 +142,10 @@
             instances: Vec::new(),
             asked: SortedMap::new(),
             runs: Vec::new(),
+            replies: SortedMap::new(),
+            choices: SortedMap::new(),
+            keys: SortedMap::new(),
+            sent: PeerTraffic::default(),
             decisions: Vec::new(),
             list_frozen: false,
             nodes: Vec::new(),
@@ -212,6 +236,33 @@
         ticket
     }
 
+    /// Sends an operator's request to a node and returns its ticket.
+    pub fn administer(&mut self, node: NodeIdx, author: &str, id: &str, op: AdminOp) -> Ticket {
+        self.n_tickets += 1;
+        let ticket = self.n_tickets;
+        let at = self.now.as_millis() as u64;
+        let (author, id) = (author.to_owned(), id.to_owned());
+        self.deliver(node, Event::Admin(AdminRequest { ticket, author, id, at, op }));
+        ticket
+    }
+
+    /// Asks a node which addresses to use and returns the ticket.
+    pub fn ask_instances(&mut self, node: NodeIdx, zone: Option<&str>) -> Ticket {
+        self.n_tickets += 1;
+        let ticket = self.n_tickets;
+        let zone = zone.map(str::to_owned);
+        self.deliver(node, Event::AskInstances { ticket, zone });
+        ticket
+    }
+
+    /// Returns the one reply that an operator got, if there is exactly one.
+    pub fn reply(&self, ticket: Ticket) -> Option<&AdminReply> {
+        match self.replies.get(&ticket).map(Vec::as_slice) {
+            Some([(_, reply)]) => Some(reply),
+            Some(_) | None => None,
+        }
+    }
+
     /// Delivers an event to a node now.
     pub fn deliver(&mut self, idx: NodeIdx, event: Event) {
         let slot = &mut self.nodes[idx];
@@ -383,6 +434,8 @@
                 self.schedule(at, Item::Store { node: idx, life, call, op });
             }
             Effect::Send { to, message, .. } => {
+                self.sent.messages += 1;
+                self.sent.bytes += postcard::to_stdvec(&message).map_or(0, |it| it.len() as u64);
                 let from = self.nodes[idx].node.identity().instance.clone();
                 let found =
                     self.nodes.iter().position(|it| it.node.identity().instance == to && it.alive);
@@ -400,11 +453,16 @@
                 *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
             }
             Effect::Exit => self.nodes[idx].exited = true,
-            Effect::Instances { .. }
-            | Effect::Key { .. }
-            | Effect::Admin { .. }
-            | Effect::Order { .. }
-            | Effect::Inspect { .. } => (),
+            Effect::Instances { ticket, answer } => {
+                self.choices.insert(ticket, *answer);
+            }
+            Effect::Key { ticket, state } => {
+                self.keys.insert(ticket, state);
+            }
+            Effect::Admin { ticket, reply } => {
+                self.replies.entry_or_with(ticket, Vec::new).push((self.now, *reply));
+            }
+            Effect::Order { .. } | Effect::Inspect { .. } => (),
         }
     }
 }
--- a/crates/ferry-model/src/peer.rs
+++ b/crates/ferry-model/src/peer.rs
@@ -31,6 +31,8 @@
         key: String,
         state: KeyState,
     },
+    /// Asks for a heartbeat now; the answer carries no loads.
+    AskHeartbeat,
 }
 
 /// What a claim's holder knows of a key.
@@ -55,6 +57,8 @@
     pub loads: Vec<PoolLoad>,
     /// Requests in flight by workspace, sorted, only the largest ones.
     pub demand: Vec<(WorkspaceId, u32)>,
+    /// Other instances that are known to leave, the latest ones only.
+    pub leaving: Vec<(InstanceId, Incarnation)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
