--- /dev/null
+++ b/crates/ferry-core/src/admin.rs
@@ -0,0 +1,317 @@
+//! Operators' requests: each write is one conditional update that is settled before its deadline.
+//!
+//! A lost answer is settled by reading back and, where the object still has the version that was
+//! read, by the same conditional update again: at most one of them can take effect.
+//! docs/design/configuration.md weighs the ways.
+
+pub mod document;
+
+use ferry_model::{
+    AdminOp, AdminReply, AdminRequest, InstanceState, InstanceStatus, Moment, ObjectKind, Revision,
+    SortedMap, StoreError, StoreOp, StoreReply, StoredObject, Ticket, Version,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::admin::document::{Document, Target};
+use crate::config::feed::jitter;
+use crate::member::sweep;
+use crate::node::Turn;
+use crate::{CallId, Decision, DecisionKind, Effect, Owner};
+
+/// Wait before the object API is asked again; it doubles with each failure up to the maximum.
+const FIRST_RETRY: Moment = Moment::from_millis(50);
+const MAX_RETRY: Moment = Moment::from_secs(1);
+
+/// The value that a write tries to put in place.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Write {
+    document: Document,
+    value: String,
+    /// Version of the object that the change was made from.
+    expect: Version,
+    /// Whether an earlier put of this value may still take effect.
+    may_stand: bool,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Phase {
+    /// The object is being read.
+    Read,
+    Write(Box<Write>),
+    /// The object is being read to learn what became of a put.
+    Settle(Box<Write>),
+    List,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Op {
+    request: AdminRequest,
+    phase: Phase,
+    call: Option<CallId>,
+    deadline: Moment,
+    /// When the call of the phase is made again.
+    retry_at: Option<Moment>,
+    backoff: Moment,
+    /// Why the object API did not answer, for the reply at the deadline.
+    error: String,
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Admin {
+    ops: SortedMap<Ticket, Op>,
+}
+
+impl Admin {
+    pub fn new() -> Admin {
+        Admin::default()
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.ops.is_empty()
+    }
+
+    pub fn next_wake(&self) -> Option<Moment> {
+        self.ops.values().map(|it| it.retry_at.unwrap_or(it.deadline).min(it.deadline)).min()
+    }
+
+    pub fn on_request(&mut self, cx: &mut Turn<'_>, request: AdminRequest) {
+        let ticket = request.ticket;
+        let phase = match &request.op {
+            AdminOp::Status => {
+                let reply = AdminReply::Status(status(cx));
+                answer(cx, ticket, reply);
+                return;
+            }
+            AdminOp::ReadWorkspaces => Phase::List,
+            _ => Phase::Read,
+        };
+        let op = Op {
+            request,
+            phase,
+            call: None,
+            deadline: cx.now + cx.ctx.tuning.admin_deadline,
+            retry_at: Some(cx.now),
+            backoff: FIRST_RETRY,
+            error: "no answer in time".to_owned(),
+        };
+        self.ops.insert(ticket, op);
+        self.tick(cx);
+    }
+
+    pub fn tick(&mut self, cx: &mut Turn<'_>) {
+        let now = cx.now;
+        let expired: Vec<Ticket> =
+            self.ops.iter().filter(|(_, it)| it.deadline <= now).map(|(id, _)| *id).collect();
+        for ticket in expired {
+            if let Some(op) = self.ops.remove(&ticket) {
+                let reply = op.expire();
+                finish(cx, &op.request, reply);
+            }
+        }
+        for op in self.ops.values_mut() {
+            if op.retry_at.is_some_and(|it| it <= now) {
+                op.retry_at = None;
+                op.call = Some(cx.ctx.calls.start(Owner::Admin, op.next_call(), cx.out));
+            }
+        }
+    }
+
+    pub fn on_store(
+        &mut self,
+        cx: &mut Turn<'_>,
+        call: CallId,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        let found = self.ops.iter().find(|(_, it)| it.call == Some(call)).map(|(id, _)| *id);
+        let Some(ticket) = found else { return };
+        let Some(mut op) = self.ops.remove(&ticket) else { return };
+        op.call = None;
+        match op.on_result(cx, result) {
+            Some(reply) => finish(cx, &op.request, reply),
+            None => {
+                self.ops.insert(ticket, op);
+                self.tick(cx);
+            }
+        }
+    }
+}
+
+impl Op {
+    fn next_call(&self) -> StoreOp {
+        let key = Target::new(&self.request.op).key();
+        match &self.phase {
+            Phase::List => StoreOp::List { kind: ObjectKind::Workspaces },
+            Phase::Read | Phase::Settle(_) => StoreOp::Get { key },
+            Phase::Write(write) => {
+                StoreOp::Put { key, expect: write.expect, value: write.value.clone() }
+            }
+        }
+    }
+
+    /// Takes the result of the call of this phase; returns the reply once it is settled.
+    fn on_result(
+        &mut self,
+        cx: &mut Turn<'_>,
+        result: Result<StoreReply, StoreError>,
+    ) -> Option<AdminReply> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Read);
+        match (phase, result) {
+            (Phase::List, Ok(StoreReply::List { objects, .. })) => {
+                Some(document::list_workspaces(&objects))
+            }
+            (Phase::Read, Ok(StoreReply::Object(object))) => self.on_read(cx, object),
+            (Phase::Write(write), Ok(StoreReply::Written(_))) => {
+                let revision = write.document.revision();
+                write.document.offer(cx);
+                Some(AdminReply::Accepted { revision })
+            }
+            (Phase::Write(write), Err(StoreError::Conflict(_))) if write.may_stand => {
+                self.again(cx, Phase::Settle(write), Moment::ZERO)
+            }
+            // Another writer was first: read what it wrote and judge the request again.
+            (Phase::Write(_), Err(StoreError::Conflict(_))) => {
+                self.again(cx, Phase::Read, Moment::ZERO)
+            }
+            (Phase::Write(mut write), Err(StoreError::Unknown(error))) => {
+                write.may_stand = true;
+                self.error = error;
+                self.again(cx, Phase::Settle(write), Moment::ZERO)
+            }
+            (Phase::Write(write), Err(StoreError::Refused(error))) if !write.may_stand => {
+                Some(AdminReply::Unavailable(error))
+            }
+            (Phase::Settle(write), Ok(StoreReply::Object(object))) => {
+                self.on_settled(cx, write, object)
+            }
+            (phase, Err(error)) => {
+                self.error = error.to_string();
+                self.later(cx, phase)
+            }
+            (phase, Ok(_)) => self.later(cx, phase),
+        }
+    }
+
+    fn on_read(&mut self, cx: &mut Turn<'_>, object: Option<StoredObject>) -> Option<AdminReply> {
+        let expect = object.as_ref().map_or(0, |it| it.version);
+        let target = Target::new(&self.request.op);
+        let document = match Document::parse(target, object.as_ref()) {
+            Ok(document) => document,
+            Err(error) => return Some(AdminReply::Unavailable(error)),
+        };
+        if document.revision() < document.revision_in_force(cx) {
+            "the object API shows an older revision than the one in force"
+                .clone_into(&mut self.error);
+            return self.later(cx, Phase::Read);
+        }
+        if let Some(revision) = document.find(&self.request.id) {
+            document.offer(cx);
+            return Some(AdminReply::Accepted { revision });
+        }
+        let edited = match document.edit(&self.request) {
+            Ok(edited) => edited,
+            Err(reply) => return Some(reply),
+        };
+        let value = match edited.to_json() {
+            Ok(value) => value,
+            Err(reply) => return Some(reply),
+        };
+        let write = Write { document: edited, value, expect, may_stand: false };
+        self.again(cx, Phase::Write(Box::new(write)), Moment::ZERO)
+    }
+
+    /// Judges a put whose answer was lost by what the object holds now.
+    fn on_settled(
+        &mut self,
+        cx: &mut Turn<'_>,
+        write: Box<Write>,
+        object: Option<StoredObject>,
+    ) -> Option<AdminReply> {
+        let version = object.as_ref().map_or(0, |it| it.version);
+        let target = Target::new(&self.request.op);
+        let Ok(document) = Document::parse(target, object.as_ref()) else {
+            return self.later(cx, Phase::Settle(write));
+        };
+        if let Some(revision) = document.find(&self.request.id) {
+            document.offer(cx);
+            return Some(AdminReply::Accepted { revision });
+        }
+        if version <= write.expect {
+            // The put has not taken effect yet, or this read is stale: the same conditional
+            // update again cannot take effect twice.
+            return self.later(cx, Phase::Write(write));
+        }
+        if !document.covers(write.document.revision()) {
+            return Some(AdminReply::Unsettled(
+                "the history no longer reaches back to this change".to_owned(),
+            ));
+        }
+        // Another change stands on the version that was read, so the put can never take effect.
+        self.again(cx, Phase::Read, Moment::ZERO)
+    }
+
+    /// Goes on with `phase` after `wait`.
+    fn again(&mut self, cx: &Turn<'_>, phase: Phase, wait: Moment) -> Option<AdminReply> {
+        self.phase = phase;
+        self.retry_at = Some(cx.now + wait);
+        None
+    }
+
+    /// Goes on with `phase` after a backoff.
+    fn later(&mut self, cx: &mut Turn<'_>, phase: Phase) -> Option<AdminReply> {
+        let wait = jitter(cx, self.backoff);
+        self.backoff = (self.backoff * 2).min(MAX_RETRY);
+        self.again(cx, phase, wait)
+    }
+
+    /// Says what is known at the deadline.
+    fn expire(&self) -> AdminReply {
+        match &self.phase {
+            Phase::Read | Phase::List => AdminReply::Unavailable(self.error.clone()),
+            Phase::Write(write) if !write.may_stand && self.call.is_none() => {
+                AdminReply::Unavailable(self.error.clone())
+            }
+            Phase::Write(_) | Phase::Settle(_) => AdminReply::Unsettled(self.error.clone()),
+        }
+    }
+}
+
+/// Every instance's state and revision, this one's included.
+fn status(cx: &mut Turn<'_>) -> Vec<InstanceStatus> {
+    let mut statuses = sweep::status(cx);
+    let own_revision: Revision = cx.ctx.revision();
+    if let Some(instance) = cx.ctx.members.own_instance() {
+        let state = match cx.ctx.members.is_leaving() {
+            true => InstanceState::Leaving,
+            false => InstanceState::Live,
+        };
+        let (highest, since) = cx.ctx.members.highest();
+        let lagging = (own_revision < highest).then(|| cx.now.saturating_sub(since));
+        let own =
+            InstanceStatus { instance: instance.clone(), state, revision: own_revision, lagging };
+        statuses.push(own);
+        statuses.sort_by(|left, right| left.instance.id.cmp(&right.instance.id));
+    }
+    statuses
+}
+
+fn finish(cx: &mut Turn<'_>, request: &AdminRequest, reply: AdminReply) {
+    let outcome = match &reply {
+        AdminReply::Accepted { revision } => format!("accepted as revision {revision}"),
+        AdminReply::Conflict { revision, .. } => format!("conflicts with revision {revision}"),
+        AdminReply::Invalid(findings) => format!("invalid: {} findings", findings.len()),
+        AdminReply::NotFound => "not found".to_owned(),
+        AdminReply::Unavailable(error) => format!("not accepted: {error}"),
+        AdminReply::Unsettled(error) => format!("unsettled: {error}"),
+        AdminReply::Config(_) | AdminReply::Workspaces(_) | AdminReply::Status(_) => {
+            "read".to_owned()
+        }
+    };
+    let reason = format!("change {} of {}: {outcome}", request.id, request.author);
+    let decision = Decision::new(DecisionKind::Configure, reason, cx.ctx.revision());
+    cx.out.push(Effect::Log(decision));
+    answer(cx, request.ticket, reply);
+}
+
+fn answer(cx: &mut Turn<'_>, ticket: Ticket, reply: AdminReply) {
+    cx.out.push(Effect::Admin { ticket, reply: Box::new(reply) });
+}
--- a/crates/ferry-core/src/config.rs
+++ b/crates/ferry-core/src/config.rs
@@ -1,59 +1,157 @@
 //! The configuration in force: only a higher revision ever replaces it.
+//!
+//! It arrives by watch, by poll and from peers; docs/design/configuration.md says why all three.
+
+pub mod feed;
+pub mod validate;
 
 use std::sync::Arc;
 
-use ferry_model::{Config, Moment, ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply};
+use ferry_model::{
+    Config, InstanceId, Moment, ObjectKind, PeerMessage, Revision, StoreError, StoreReply,
+    StoredObject,
+};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
+use crate::config::feed::{Feed, Scope};
 use crate::node::Turn;
-use crate::{Decision, DecisionKind, Effect, Metric, Owner};
+use crate::{CallId, Decision, DecisionKind, Effect, Metric, Owner};
 
 /// Name of the one configuration object.
 pub const CONFIG_NAME: &str = "deployment";
 
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+/// Time between two requests for the same change, each to another peer.
+const PULL_RETRY: Moment = Moment::from_millis(300);
+/// Most peers remembered as holders of a change.
+const MAX_HOLDERS: usize = 8;
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfigState {
-    next_poll: Moment,
-    polling: bool,
+    feed: Feed,
+    /// Highest revision that a peer has announced.
+    announced: Revision,
+    /// Peers that have a higher revision than this instance.
+    holders: Vec<InstanceId>,
+    next_pull: Option<Moment>,
+    started: bool,
+}
+
+impl Default for ConfigState {
+    fn default() -> Self {
+        ConfigState::new()
+    }
 }
 
 impl ConfigState {
     pub fn new() -> ConfigState {
-        ConfigState::default()
+        ConfigState {
+            feed: Feed::new(
+                Owner::Config,
+                ObjectKind::Config,
+                Scope::Object(CONFIG_NAME.to_owned()),
+            ),
+            announced: 0,
+            holders: Vec::new(),
+            next_pull: None,
+            started: false,
+        }
     }
 
     pub fn next_wake(&self) -> Option<Moment> {
-        (!self.polling).then_some(self.next_poll)
+        [self.feed.next_wake(), self.next_pull].into_iter().flatten().min()
     }
 
     pub fn tick(&mut self, cx: &mut Turn<'_>) {
-        if self.polling || cx.now < self.next_poll {
+        self.feed.tick(cx);
+        if !self.started {
+            self.started = true;
+            self.next_pull = Some(cx.now + cx.ctx.tuning.pull_grace);
+        }
+        if self.next_pull.is_some_and(|it| it <= cx.now) {
+            self.pull(cx);
+        }
+    }
+
+    pub fn on_store(
+        &mut self,
+        cx: &mut Turn<'_>,
+        call: CallId,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        for object in self.feed.on_store(cx, call, result) {
+            read_object(cx, &object);
+        }
+    }
+
+    /// Notes that a peer has `revision`; if the object API does not bring it, the peer is asked.
+    pub fn on_announced(&mut self, cx: &mut Turn<'_>, from: InstanceId, revision: Revision) {
+        if revision <= cx.ctx.revision() {
             return;
         }
-        self.polling = true;
-        let key = ObjectKey::new(ObjectKind::Config, CONFIG_NAME);
-        cx.ctx.calls.start(Owner::Config, StoreOp::Get { key }, cx.out);
+        if self.announced < revision {
+            self.announced = revision;
+            self.holders.clear();
+        }
+        if self.announced == revision
+            && self.holders.len() < MAX_HOLDERS
+            && !self.holders.contains(&from)
+        {
+            self.holders.push(from);
+        }
+        let grace = match self.feed.is_healthy() {
+            true => cx.ctx.tuning.pull_grace,
+            false => Moment::ZERO,
+        };
+        let at = cx.now + grace;
+        self.next_pull = Some(self.next_pull.map_or(at, |it| it.min(at)));
+    }
+
+    /// Answers a peer that asks for a revision above its own.
+    pub fn on_pull(&self, cx: &mut Turn<'_>, from: &str, above: Revision) {
+        let Some(config) = cx.ctx.config.as_ref().filter(|it| above < it.revision) else { return };
+        let message = PeerMessage::Config(Box::new(Config::clone(config)));
+        cx.send(from, message);
     }
 
-    pub fn on_store(&mut self, cx: &mut Turn<'_>, result: Result<StoreReply, StoreError>) {
-        self.polling = false;
-        self.next_poll = cx.now + cx.ctx.tuning.config_poll;
-        let Ok(StoreReply::Object(Some(object))) = result else { return };
-        match serde_json::from_str::<Config>(&object.value) {
-            Ok(config) => offer(cx, config),
-            Err(error) => {
-                let reason = format!("could not read the configuration object: {error}");
-                cx.out.push(Effect::Log(Decision::new(
-                    DecisionKind::Configure,
-                    reason,
-                    cx.ctx.revision(),
-                )));
-            }
+    /// Asks one peer that is known to have a higher revision, or any while there is none at all.
+    fn pull(&mut self, cx: &mut Turn<'_>) {
+        let own = cx.ctx.revision();
+        if own != 0 && self.announced <= own {
+            self.next_pull = None;
+            self.holders.clear();
+            return;
+        }
+        self.next_pull = Some(cx.now + PULL_RETRY);
+        let candidates = match self.holders.is_empty() {
+            true => cx.ctx.members.targets(),
+            false => &self.holders,
+        };
+        if candidates.is_empty() {
+            return;
+        }
+        let idx = cx.ctx.rng.random_range(0..candidates.len());
+        let to = candidates[idx].clone();
+        cx.send(&to, PeerMessage::PullConfig { above: own });
+    }
+}
+
+/// Parses a stored configuration and offers it.
+fn read_object(cx: &mut Turn<'_>, object: &StoredObject) {
+    if object.name != CONFIG_NAME {
+        return;
+    }
+    match serde_json::from_str::<Config>(&object.value) {
+        Ok(config) => offer(cx, config),
+        Err(error) => {
+            let reason = format!("could not read the configuration object: {error}");
+            let decision = Decision::new(DecisionKind::Configure, reason, cx.ctx.revision());
+            cx.out.push(Effect::Log(decision));
         }
     }
 }
 
-/// Applies a configuration if its revision is higher than the one in force.
+/// Applies a configuration if its revision is higher than the one in force, and announces it.
 pub fn offer(cx: &mut Turn<'_>, config: Config) {
     if config.revision <= cx.ctx.revision() {
         return;
@@ -61,5 +159,7 @@
     let reason = format!("revision {} replaces {}", config.revision, cx.ctx.revision());
     cx.out.push(Effect::Log(Decision::new(DecisionKind::Configure, reason, config.revision)));
     cx.out.push(Effect::Count { metric: Metric::ConfigApplied, by: 1 });
+    cx.ctx.members.saw_revision(cx.now, config.revision);
     cx.ctx.config = Some(Arc::new(config));
+    cx.ctx.members.announce(cx.now);
 }
--- a/crates/ferry-core/src/drain.rs
+++ b/crates/ferry-core/src/drain.rs
@@ -49,6 +49,7 @@
         }
         let until = cx.now + cx.ctx.tuning.answer_life + cx.ctx.tuning.leave_margin;
         self.phase = Phase::Leaving { until };
+        cx.ctx.members.leave(cx.now);
         log(cx, "leaving; serving until callers have moved");
     }
 
--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -3,16 +3,19 @@
 //! This crate has no clock, no I/O and no global state: the same events give the
 //! same effects, byte for byte. See docs/DESIGN.md for the layering.
 
+pub mod admin;
 pub mod config;
 pub mod drain;
 pub mod effect;
 pub mod event;
 pub mod fleet;
+pub mod member;
 pub mod node;
 pub mod request;
 pub mod route;
 pub mod settings;
 pub mod store;
+pub mod workspaces;
 
 pub use effect::{
     Connection, Decision, DecisionKind, Effect, InstanceChoice, InstancesAnswer, Metric, StageCall,
--- /dev/null
+++ b/crates/ferry-core/src/member.rs
@@ -0,0 +1,217 @@
+//! Membership: the lagging instance list joined with heartbeats between peers.
+//!
+//! It steers efficiency only: no promise rests on it. docs/design/membership.md weighs the ways.
+
+pub mod beat;
+pub mod choose;
+pub mod subset;
+pub mod sweep;
+
+use std::net::SocketAddr;
+
+use ferry_model::{
+    EndpointState, Incarnation, Instance, InstanceId, InstanceState, Moment, PoolLoad, Revision,
+    SortedMap, WorkspaceId,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::Identity;
+use crate::member::sweep::Sweep;
+
+/// How long an instance that is neither listed nor heard stays in the status.
+const FORGET_AFTER: Moment = Moment::from_secs(60);
+/// How long news of a leaving instance travels with heartbeats.
+const NEWS_LIFE: Moment = Moment::from_secs(30);
+
+/// What is known of another instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    pub instance: Instance,
+    /// When the list last showed it.
+    pub listed_at: Moment,
+    /// What it last said of itself.
+    pub heard: Option<Heard>,
+    /// Since when it has been asked for a heartbeat in vain.
+    asked_at: Option<Moment>,
+    /// When it was last asked for its revision on behalf of an operator.
+    swept_at: Option<Moment>,
+}
+
+impl Member {
+    fn new(instance: Instance, listed_at: Moment) -> Member {
+        Member { instance, listed_at, heard: None, asked_at: None, swept_at: None }
+    }
+
+    /// Whether a heartbeat is overdue for `patience`.
+    fn is_silent(&self, now: Moment, patience: Moment) -> bool {
+        let is_overdue = |since: Moment| patience <= now.saturating_sub(since);
+        let is_late = |it: &Heard| !it.is_stranger() && is_overdue(it.at);
+        self.heard.as_ref().is_some_and(is_late) || self.asked_at.is_some_and(is_overdue)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    pub at: Moment,
+    /// When it last sent a heartbeat without being asked, if it ever did.
+    pub pushed_at: Option<Moment>,
+    pub incarnation: Incarnation,
+    pub state: InstanceState,
+    pub revision: Revision,
+    /// Revision of the placement plan that it obeys.
+    pub plan: Revision,
+    pub workspaces: u32,
+    pub loads: Vec<PoolLoad>,
+    pub demand: Vec<(WorkspaceId, u32)>,
+}
+
+impl Heard {
+    /// Whether it sends its heartbeats to others, so that silence says nothing.
+    fn is_stranger(&self) -> bool {
+        self.pushed_at.is_none_or(|it| FORGET_AFTER <= self.at.saturating_sub(it))
+    }
+
+    /// Requests in flight and queued over all pools.
+    pub fn load(&self) -> u32 {
+        self.loads.iter().map(|it| it.running + it.queued).sum()
+    }
+}
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Members {
+    views: SortedMap<InstanceId, Member>,
+    /// Peers that this instance sends its heartbeats to.
+    targets: Vec<InstanceId>,
+    listed_at: Moment,
+    /// This instance as the list shows it.
+    own: Option<Instance>,
+    next_beat: Moment,
+    /// A heartbeat out of turn is due then.
+    next_announce: Option<Moment>,
+    announced_at: Option<Moment>,
+    /// Instances known to leave, with the life that leaves and when it was learned.
+    leaving: SortedMap<InstanceId, (Incarnation, Moment)>,
+    is_leaving: bool,
+    /// Highest revision known here, and since when.
+    highest: Revision,
+    highest_at: Moment,
+    sweep: Sweep,
+    /// Revision of the placement plan that this instance obeys, for its heartbeats.
+    pub plan: Revision,
+}
+
+impl Members {
+    pub fn new() -> Members {
+        Members::default()
+    }
+
+    /// Number of other instances that are known.
+    pub fn len(&self) -> usize {
+        self.views.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.views.is_empty()
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.views.get(id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.views.values()
+    }
+
+    pub fn targets(&self) -> &[InstanceId] {
+        &self.targets
+    }
+
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.views.get(id).map(|it| it.instance.peer)
+    }
+
+    /// This instance, once the list shows it.
+    pub fn own_instance(&self) -> Option<&Instance> {
+        self.own.as_ref()
+    }
+
+    /// Other instances that serve, as far as it is known.
+    pub fn live(&self, now: Moment, suspect_after: Moment) -> impl Iterator<Item = &Member> {
+        self.views
+            .values()
+            .filter(move |it| self.state(now, suspect_after, it) == InstanceState::Live)
+    }
+
+    pub fn state(&self, now: Moment, suspect_after: Moment, member: &Member) -> InstanceState {
+        let is_listed = member.listed_at == self.listed_at;
+        let is_silent = member.is_silent(now, suspect_after);
+        if !is_listed && (is_silent || member.heard.is_none()) {
+            return InstanceState::Gone;
+        }
+        if member.instance.state == EndpointState::Leaving || self.is_known_to_leave(member) {
+            return InstanceState::Leaving;
+        }
+        if is_silent {
+            return InstanceState::Suspect;
+        }
+        member.heard.as_ref().map_or(InstanceState::Live, |it| it.state)
+    }
+
+    /// Joins a fresh copy of the instance list.
+    pub fn update(
+        &mut self,
+        now: Moment,
+        identity: &Identity,
+        fanout: usize,
+        instances: Vec<Instance>,
+    ) {
+        self.listed_at = now;
+        self.own = instances.iter().find(|it| it.id == identity.instance).cloned();
+        for instance in instances.into_iter().filter(|it| it.id != identity.instance) {
+            match self.views.get_mut(&instance.id) {
+                Some(known) => {
+                    known.instance = instance;
+                    known.listed_at = now;
+                }
+                None => {
+                    let id = instance.id.clone();
+                    self.views.insert(id, Member::new(instance, now));
+                }
+            }
+        }
+        self.views.retain(|_, it| {
+            let heard_at = it.heard.as_ref().map_or(Moment::ZERO, |it| it.at);
+            now.saturating_sub(it.listed_at.max(heard_at)) < FORGET_AFTER
+        });
+        let listed: Vec<&Instance> =
+            self.views.values().filter(|it| it.listed_at == now).map(|it| &it.instance).collect();
+        self.targets = subset::choose(identity, &listed, fanout);
+    }
+
+    /// Notes the highest revision, to tell since when others lag.
+    pub fn saw_revision(&mut self, now: Moment, revision: Revision) {
+        if self.highest < revision {
+            self.highest = revision;
+            self.highest_at = now;
+        }
+    }
+
+    pub fn highest(&self) -> (Revision, Moment) {
+        (self.highest, self.highest_at)
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Marks this instance as leaving and tells its peers at once.
+    pub fn leave(&mut self, now: Moment) {
+        self.is_leaving = true;
+        self.announce(now);
+    }
+
+    fn is_known_to_leave(&self, member: &Member) -> bool {
+        let Some((incarnation, _)) = self.leaving.get(&member.instance.id) else { return false };
+        member.heard.as_ref().is_none_or(|it| it.incarnation == *incarnation)
+    }
+}
--- /dev/null
+++ b/crates/ferry-core/src/member/sweep.rs
@@ -0,0 +1,98 @@
+//! Asks every instance for its revision while an operator looks at the status.
+//!
+//! An instance hears of few others by itself; asking at a bounded rate keeps the budget of bytes.
+
+use ferry_model::{InstanceId, InstanceStatus, Moment, PeerMessage};
+use serde::{Deserialize, Serialize};
+
+use super::Members;
+use crate::node::Turn;
+
+/// How long after an operator's look the asking goes on.
+const INTEREST: Moment = Moment::from_secs(30);
+/// A revision heard longer ago than this is asked for again.
+const STALE_AFTER: Moment = Moment::from_secs(2);
+/// Time between two rounds of asking.
+const ROUND: Moment = Moment::from_millis(100);
+
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Sweep {
+    until: Moment,
+    next: Option<Moment>,
+    /// Asks that the bounded rate still allows, in tenths.
+    allowance: u32,
+    cursor: InstanceId,
+}
+
+impl Sweep {
+    pub fn next_wake(&self) -> Option<Moment> {
+        self.next
+    }
+}
+
+/// Returns the revision and state of every known instance, and begins to ask for fresher ones.
+pub fn status(cx: &mut Turn<'_>) -> Vec<InstanceStatus> {
+    let now = cx.now;
+    let suspect_after = cx.ctx.tuning.suspect_after;
+    let members = &mut cx.ctx.members;
+    members.sweep.until = now + INTEREST;
+    members.sweep.next.get_or_insert(now);
+    let members = &cx.ctx.members;
+    let (highest, since) = members.highest();
+    members
+        .iter()
+        .map(|member| {
+            let revision = member.heard.as_ref().map_or(0, |it| it.revision);
+            InstanceStatus {
+                instance: member.instance.clone(),
+                state: members.state(now, suspect_after, member),
+                revision,
+                lagging: (revision < highest).then(|| now.saturating_sub(since)),
+            }
+        })
+        .collect()
+}
+
+pub fn tick(cx: &mut Turn<'_>) {
+    let now = cx.now;
+    let n_asks = cx.ctx.tuning.status_asks;
+    let sweep = &mut cx.ctx.members.sweep;
+    if sweep.next.is_none_or(|it| now < it) {
+        return;
+    }
+    if sweep.until <= now {
+        sweep.next = None;
+        return;
+    }
+    sweep.next = Some(now + ROUND);
+    sweep.allowance = (sweep.allowance + n_asks).min(10 * n_asks);
+    let mut due = stale(now, &cx.ctx.members, sweep_cursor(&cx.ctx.members));
+    due.truncate((cx.ctx.members.sweep.allowance / 10) as usize);
+    cx.ctx.members.sweep.allowance -= 10 * due.len() as u32;
+    for id in due {
+        cx.ctx.members.sweep.cursor.clone_from(&id);
+        if let Some(member) = cx.ctx.members.views.get_mut(&id) {
+            member.swept_at = Some(now);
+        }
+        cx.send(&id, PeerMessage::AskHeartbeat);
+    }
+}
+
+fn sweep_cursor(members: &Members) -> &str {
+    &members.sweep.cursor
+}
+
+/// Instances whose revision is old or behind, those after the cursor first.
+fn stale(now: Moment, members: &Members, cursor: &str) -> Vec<InstanceId> {
+    let (highest, _) = members.highest();
+    let is_due = |id: &str| {
+        members.get(id).is_some_and(|it| {
+            let is_asked = it.swept_at.is_some_and(|at| now.saturating_sub(at) < STALE_AFTER);
+            let is_known = it.heard.as_ref().is_some_and(|heard| heard.revision == highest);
+            !is_asked && !is_known
+        })
+    };
+    let ids: Vec<&InstanceId> = members.views.keys().filter(|it| is_due(it)).collect();
+    let split = ids.partition_point(|it| it.as_str() <= cursor);
+    ids[split..].iter().chain(&ids[..split]).map(|it| (*it).clone()).collect()
+}
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -2,16 +2,22 @@
 
 use std::sync::Arc;
 
-use ferry_model::{Config, Digest, Incarnation, InstanceId, Moment, RegionId, Revision, ZoneId};
+use ferry_model::{
+    Config, Digest, Incarnation, InstanceId, Moment, PeerMessage, RegionId, Revision, ZoneId,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-use crate::config::ConfigState;
+use crate::admin::Admin;
+use crate::config::{self, ConfigState};
 use crate::drain::Drain;
 use crate::fleet::Fleet;
+use crate::member::beat::{self, Summary};
+use crate::member::{Members, choose, sweep};
 use crate::request::Requests;
 use crate::store::StoreCalls;
+use crate::workspaces::{self, Workspaces, WorkspacesState};
 use crate::{Effect, Event, Owner, Tuning};
 
 /// Who this process is, from its settings.
@@ -42,6 +48,8 @@
     /// The configuration in force; none until the first one was read.
     pub config: Option<Arc<Config>>,
     pub fleet: Fleet,
+    pub members: Members,
+    pub workspaces: Arc<Workspaces>,
 }
 
 impl Context {
@@ -59,11 +67,22 @@
     pub out: &'a mut Vec<Effect>,
 }
 
+impl Turn<'_> {
+    /// Sends a message to a peer; one that is not in the list cannot be reached.
+    pub fn send(&mut self, to: &str, message: PeerMessage) {
+        let Some(address) = self.ctx.members.address(to) else { return };
+        let (to, message) = (to.to_owned(), Box::new(message));
+        self.out.push(Effect::Send { to, address, message });
+    }
+}
+
 /// The whole state of a process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Node {
     ctx: Context,
     config: ConfigState,
+    workspaces: WorkspacesState,
+    admin: Admin,
     requests: Requests,
     drain: Drain,
 }
@@ -79,8 +98,12 @@
                 calls: StoreCalls::new(),
                 config: None,
                 fleet: Fleet::new(),
+                members: Members::new(),
+                workspaces: Arc::default(),
             },
             config: ConfigState::new(),
+            workspaces: WorkspacesState::new(),
+            admin: Admin::new(),
             requests: Requests::new(),
             drain: Drain::new(),
         }
@@ -93,41 +116,94 @@
         match event {
             Event::Tick => {
                 self.config.tick(cx);
+                self.workspaces.tick(cx);
+                self.admin.tick(cx);
                 self.requests.tick(cx);
             }
             Event::Arrive(arrival) => self.requests.arrive(cx, arrival),
             Event::CallerGone { ticket } => self.requests.caller_gone(cx, ticket),
             Event::Call { attempt, event } => self.requests.on_call(cx, attempt, event),
             Event::Store { call, result } => match cx.ctx.calls.finish(call) {
-                Some(Owner::Config) => self.config.on_store(cx, result),
-                Some(
-                    Owner::Workspaces | Owner::Claims | Owner::Lease | Owner::Plan | Owner::Admin,
-                )
-                | None => (),
+                Some(Owner::Config) => self.config.on_store(cx, call, result),
+                Some(Owner::Workspaces) => self.workspaces.on_store(cx, call, result),
+                Some(Owner::Admin) => self.admin.on_store(cx, call, result),
+                Some(Owner::Claims | Owner::Lease | Owner::Plan) | None => (),
             },
-            Event::Fleet { endpoints, .. } => cx.ctx.fleet.update(endpoints),
+            Event::Fleet { endpoints, instances } => {
+                cx.ctx.fleet.update(endpoints);
+                let Context { identity, members, tuning, .. } = &mut *cx.ctx;
+                members.update(now, identity, tuning.beat_fanout, instances);
+            }
+            Event::AskInstances { ticket, zone } => {
+                let own_load = self.requests.n_flights();
+                let answer = Box::new(choose::answer(cx, zone.as_ref(), own_load));
+                cx.out.push(Effect::Instances { ticket, answer });
+            }
+            Event::Admin(request) => self.admin.on_request(cx, request),
+            Event::Peer { from, message } => self.on_peer(now, &mut out, from, message),
             Event::Cache(_)
-            | Event::AskInstances { .. }
             | Event::AskKey { .. }
-            | Event::Admin(_)
             | Event::Ordered { .. }
-            | Event::Report { .. }
-            | Event::Peer { .. } => (),
+            | Event::Report { .. } => (),
             Event::Shutdown => self.drain.start(cx),
         }
+        self.finish(now, &mut out);
+        out
+    }
+
+    fn on_peer(
+        &mut self,
+        now: Moment,
+        out: &mut Vec<Effect>,
+        from: InstanceId,
+        message: PeerMessage,
+    ) {
+        let cx = &mut Turn { now, ctx: &mut self.ctx, out };
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                let Some(heard) = beat::on_heartbeat(cx, &from, heartbeat) else { return };
+                self.workspaces.on_digest(cx, &from, heard.workspaces);
+                self.config.on_announced(cx, from, heard.revision);
+            }
+            PeerMessage::AskHeartbeat => beat::on_ask(cx, &from),
+            PeerMessage::PullConfig { above } => self.config.on_pull(cx, &from, above),
+            PeerMessage::Config(config) => config::offer(cx, *config),
+            PeerMessage::PullWorkspaces { above } => workspaces::on_pull(cx, &from, &above),
+            PeerMessage::Workspaces(shards) => {
+                for (number, shard) in shards {
+                    workspaces::offer(cx, usize::from(number), shard);
+                }
+            }
+            PeerMessage::AskOutcome { .. } | PeerMessage::OutcomeIs { .. } => (),
+        }
+    }
+
+    /// Does what is due after any event: heartbeats, and the steps of a shutdown.
+    fn finish(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        let cx = &mut Turn { now, ctx: &mut self.ctx, out };
+        if cx.ctx.members.next_wake().is_some_and(|it| it <= now) {
+            let summary = Summary { loads: self.requests.loads(), demand: self.requests.demand() };
+            beat::tick(cx, summary);
+            sweep::tick(cx);
+        }
         if self.drain.close_when_due(cx) {
             self.requests.close();
         }
-        self.drain.exit_when(cx, self.requests.is_idle());
-        out
+        let is_idle = self.requests.is_idle() && self.admin.is_idle();
+        self.drain.exit_when(cx, is_idle);
     }
 
     /// Returns when [`Event::Tick`] is due next.
     pub fn next_wake(&self) -> Option<Moment> {
-        [self.config.next_wake(), self.requests.next_wake(), self.drain.next_wake()]
-            .into_iter()
-            .flatten()
-            .min()
+        let due = [
+            self.config.next_wake(),
+            self.workspaces.next_wake(),
+            self.admin.next_wake(),
+            self.ctx.members.next_wake(),
+            self.requests.next_wake(),
+            self.drain.next_wake(),
+        ];
+        due.into_iter().flatten().min()
     }
 
     /// Returns a digest of the whole state, to compare a replay with the run it repeats.
@@ -148,6 +224,20 @@
         &self.ctx.fleet
     }
 
+    pub fn members(&self) -> &Members {
+        &self.ctx.members
+    }
+
+    /// Returns the workspaces in force, to map tokens without asking the node.
+    pub fn workspaces(&self) -> &Arc<Workspaces> {
+        &self.ctx.workspaces
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.ctx.config.as_ref()
+    }
+
     /// Whether new requests are taken: a configuration is in force and the process is not leaving.
     pub fn is_ready(&self) -> bool {
         self.ctx.config.is_some() && !self.requests.is_leaving()
--- a/crates/ferry-core/src/request.rs
+++ b/crates/ferry-core/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests in flight, from arrival to their final answer.
 
 pub mod flight;
+pub mod summary;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/ferry-core/src/workspaces.rs
@@ -0,0 +1,189 @@
+//! Workspaces in force: shards by revision, and the tokens that map to them.
+
+use std::sync::Arc;
+
+use ferry_model::workspace::parse_shard;
+use ferry_model::{
+    InstanceId, Moment, N_SHARDS, ObjectKind, PeerMessage, Revision, Shard, SortedMap, StoreError,
+    StoreReply, StoredObject, Workspace,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::config::feed::{Feed, Scope};
+use crate::node::Turn;
+use crate::{CallId, Decision, DecisionKind, Effect, Owner};
+
+/// How long a peer's shards may differ before they are compared.
+const PULL_GRACE: Moment = Moment::from_secs(1);
+/// Most bytes of entries in one answer to a peer, about.
+const MAX_PART: usize = 64 * 1024;
+/// Size of an entry as it is counted towards a part.
+const ENTRY_BYTES: usize = 200;
+
+/// The workspaces of the deployment, as a process may look them up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Workspaces {
+    shards: Vec<Arc<Index>>,
+}
+
+/// One shard with its tokens sorted for search.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct Index {
+    shard: Shard,
+    /// Token hash and position of its entry.
+    tokens: SortedMap<String, u32>,
+}
+
+impl Default for Workspaces {
+    fn default() -> Self {
+        Workspaces::new()
+    }
+}
+
+impl Workspaces {
+    pub fn new() -> Workspaces {
+        Workspaces { shards: vec![Arc::default(); N_SHARDS] }
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Workspace> {
+        let index = &self.shards[ferry_model::workspace::shard_of(name)];
+        index.shard.get(name).map(|it| &it.workspace)
+    }
+
+    /// Finds the workspace of a bearer token by the token's BLAKE3 hash in hex.
+    pub fn by_token(&self, hash: &str) -> Option<&Workspace> {
+        self.shards.iter().find_map(|it| {
+            let idx = it.tokens.get(hash)?;
+            it.shard.entries.get(*idx as usize).map(|it| &it.workspace)
+        })
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Workspace> {
+        self.shards.iter().flat_map(|it| it.shard.entries.iter()).map(|it| &it.workspace)
+    }
+
+    /// Whether any shard was read.
+    pub fn is_known(&self) -> bool {
+        self.shards.iter().any(|it| it.shard.revision != 0)
+    }
+
+    pub fn revision(&self, shard: usize) -> Revision {
+        self.shards.get(shard).map_or(0, |it| it.shard.revision)
+    }
+
+    pub fn revisions(&self) -> Vec<Revision> {
+        self.shards.iter().map(|it| it.shard.revision).collect()
+    }
+
+    /// Digest of all revisions: two instances with the same one have the same workspaces.
+    pub fn digest(&self) -> u32 {
+        self.shards.iter().fold(0x811c_9dc5, |digest, it| {
+            (digest ^ it.shard.revision as u32).wrapping_mul(0x0100_0193)
+        })
+    }
+
+    fn replace(&mut self, number: usize, shard: Shard) {
+        let tokens = (0..).zip(&shard.entries).flat_map(|(idx, it)| {
+            it.workspace.tokens.iter().map(move |token| (token.clone(), idx))
+        });
+        let tokens = tokens.collect();
+        self.shards[number] = Arc::new(Index { shard, tokens });
+    }
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WorkspacesState {
+    feed: Feed,
+    /// A peer whose shards differ, and when to compare them.
+    pull: Option<(InstanceId, Moment)>,
+}
+
+impl Default for WorkspacesState {
+    fn default() -> Self {
+        WorkspacesState::new()
+    }
+}
+
+impl WorkspacesState {
+    pub fn new() -> WorkspacesState {
+        let feed = Feed::new(Owner::Workspaces, ObjectKind::Workspaces, Scope::Kind);
+        WorkspacesState { feed, pull: None }
+    }
+
+    pub fn next_wake(&self) -> Option<Moment> {
+        let pull = self.pull.as_ref().map(|(_, at)| *at);
+        [self.feed.next_wake(), pull].into_iter().flatten().min()
+    }
+
+    pub fn tick(&mut self, cx: &mut Turn<'_>) {
+        self.feed.tick(cx);
+        if let Some((peer, at)) = &self.pull
+            && *at <= cx.now
+        {
+            let above = cx.ctx.workspaces.revisions();
+            cx.send(&peer.clone(), PeerMessage::PullWorkspaces { above });
+            self.pull = None;
+        }
+    }
+
+    pub fn on_store(
+        &mut self,
+        cx: &mut Turn<'_>,
+        call: CallId,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        for object in self.feed.on_store(cx, call, result) {
+            read_object(cx, &object);
+        }
+    }
+
+    /// Compares the digest of a heartbeat; a lasting difference is settled shard by shard.
+    pub fn on_digest(&mut self, cx: &Turn<'_>, from: &InstanceId, digest: u32) {
+        let is_equal = digest == cx.ctx.workspaces.digest();
+        match &self.pull {
+            Some((peer, _)) if peer == from && is_equal => self.pull = None,
+            None if !is_equal => self.pull = Some((from.clone(), cx.now + PULL_GRACE)),
+            Some(_) | None => (),
+        }
+    }
+}
+
+/// Sends a peer the shards that it lacks, up to a bounded size; it asks again for the rest.
+pub fn on_pull(cx: &mut Turn<'_>, from: &str, above: &[Revision]) {
+    let mut shards = Vec::new();
+    let mut size = 0;
+    for (number, index) in (0..).zip(&cx.ctx.workspaces.shards) {
+        let known = above.get(usize::from(number)).copied().unwrap_or(0);
+        if known < index.shard.revision && size < MAX_PART {
+            size += index.shard.entries.len() * ENTRY_BYTES;
+            shards.push((number, index.shard.clone()));
+        }
+    }
+    if !shards.is_empty() {
+        cx.send(from, PeerMessage::Workspaces(shards));
+    }
+}
+
+/// Applies a shard if its revision is higher than the one in force.
+pub fn offer(cx: &mut Turn<'_>, number: usize, shard: Shard) {
+    let Some(index) = cx.ctx.workspaces.shards.get(number) else { return };
+    if shard.revision <= index.shard.revision {
+        return;
+    }
+    let reason = format!("workspaces of shard {number}: revision {}", shard.revision);
+    let decision = Decision::new(DecisionKind::Configure, reason, cx.ctx.revision());
+    cx.out.push(Effect::Log(decision));
+    Arc::make_mut(&mut cx.ctx.workspaces).replace(number, shard);
+}
+
+fn read_object(cx: &mut Turn<'_>, object: &StoredObject) {
+    let Some(number) = parse_shard(&object.name) else { return };
+    match serde_json::from_str::<Shard>(&object.value) {
+        Ok(shard) => offer(cx, number, shard),
+        Err(error) => {
+            let reason = format!("could not read workspaces {}: {error}", object.name);
+            let decision = Decision::new(DecisionKind::Configure, reason, cx.ctx.revision());
+            cx.out.push(Effect::Log(decision));
+        }
+    }
+}
--- a/crates/ferry-fakes/src/deployment.rs
+++ b/crates/ferry-fakes/src/deployment.rs
@@ -5,9 +5,11 @@
 
 use ferry_core::config::CONFIG_NAME;
 use ferry_core::{Identity, InstanceRole, Tuning};
+use ferry_model::workspace::{shard_name, shard_of};
 use ferry_model::{
     Change, Config, Endpoint, EndpointState, Floor, Instance, ObjectKey, ObjectKind, Pipeline,
-    Pool, Preset, PresetName, Presets, Role, Stage, StageKind, Workspace,
+    Pool, Preset, PresetName, Presets, Role, Shard, SortedMap, Stage, StageKind, Workspace,
+    WorkspaceEntry,
 };
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
@@ -66,6 +68,18 @@
         }
     }
 
+    /// Returns the workspaces as the object API holds them, with the numbers of the shards.
+    pub fn shards(&self) -> Vec<(usize, Shard)> {
+        let mut shards: SortedMap<usize, Shard> = SortedMap::new();
+        for workspace in &self.workspaces {
+            let shard = shards.entry_or_with(shard_of(&workspace.name), Shard::default);
+            shard.revision = 1;
+            shard.entries.push(WorkspaceEntry { revision: 1, workspace: workspace.clone() });
+            shard.entries.sort_by(|left, right| left.workspace.name.cmp(&right.workspace.name));
+        }
+        shards.iter().map(|(number, shard)| (*number, shard.clone())).collect()
+    }
+
     /// Returns the line of the instance list for an entry.
     pub fn instance(&self, identity: &Identity, idx: usize) -> Instance {
         let port = 10_000 + 2 * idx as u16;
@@ -126,6 +140,10 @@
         }
         let value = serde_json::to_string(&deployment.config)?;
         world.store.seed(ObjectKey::new(ObjectKind::Config, CONFIG_NAME), value);
+        for (number, shard) in deployment.shards() {
+            let key = ObjectKey::new(ObjectKind::Workspaces, shard_name(number));
+            world.store.seed(key, serde_json::to_string(&shard)?);
+        }
         for idx in 0..n_entries {
             let identity = deployment.entry(idx, seed);
             let instance = deployment.instance(&identity, idx);
--- a/crates/ferry-fakes/src/store.rs
+++ b/crates/ferry-fakes/src/store.rs
@@ -19,6 +19,8 @@
     pub lost_answers: u32,
     /// Watches report nothing.
     pub deaf_watches: bool,
+    /// Watches move on without the changes that they should report.
+    pub gapped_watches: bool,
     /// Reads give what the store held this long ago; writes are unaffected.
     pub stale_reads: bool,
 }
@@ -30,6 +32,7 @@
             delay: Duration::from_millis(2),
             lost_answers: 0,
             deaf_watches: false,
+            gapped_watches: false,
             stale_reads: false,
         }
     }
@@ -93,6 +96,10 @@
                 if objects.is_empty() || self.faults.deaf_watches {
                     return None;
                 }
+                let objects = match self.faults.gapped_watches {
+                    true => Vec::new(),
+                    false => objects,
+                };
                 Some(Ok(StoreReply::Changed { objects, version: self.version }))
             }
         }
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -1,5 +1,6 @@
 //! Virtual time, the event queue and the nodes on it.
 
+mod execute;
 mod serve;
 
 use std::cmp::Reverse;
@@ -7,11 +8,11 @@
 use std::time::Duration;
 
 use ferry_core::{
-    Arrival, Decision, Effect, Event, Identity, InstancesAnswer, Metric, Node, StageCall, Tuning,
+    Arrival, Decision, Event, Identity, InstancesAnswer, Metric, Node, StageCall, Tuning,
 };
 use ferry_model::{
-    AdminOp, AdminReply, AdminRequest, AttemptId, Endpoint, EndpointId, Instance, KeyState, Moment,
-    SortedMap, StoreOp, Ticket,
+    AdminReply, AttemptId, Endpoint, EndpointId, Instance, KeyState, Moment, SortedMap, StoreOp,
+    Ticket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -56,6 +57,8 @@
     pub keys: SortedMap<Ticket, KeyState>,
     /// Messages between peers that were sent, and their encoded size.
     pub sent: PeerTraffic,
+    /// Calls to the object API by verb.
+    pub verbs: SortedMap<&'static str, u64>,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
@@ -146,6 +149,7 @@
             choices: SortedMap::new(),
             keys: SortedMap::new(),
             sent: PeerTraffic::default(),
+            verbs: SortedMap::new(),
             decisions: Vec::new(),
             list_frozen: false,
             nodes: Vec::new(),
@@ -236,33 +240,6 @@
         ticket
     }
 
-    /// Sends an operator's request to a node and returns its ticket.
-    pub fn administer(&mut self, node: NodeIdx, author: &str, id: &str, op: AdminOp) -> Ticket {
-        self.n_tickets += 1;
-        let ticket = self.n_tickets;
-        let at = self.now.as_millis() as u64;
-        let (author, id) = (author.to_owned(), id.to_owned());
-        self.deliver(node, Event::Admin(AdminRequest { ticket, author, id, at, op }));
-        ticket
-    }
-
-    /// Asks a node which addresses to use and returns the ticket.
-    pub fn ask_instances(&mut self, node: NodeIdx, zone: Option<&str>) -> Ticket {
-        self.n_tickets += 1;
-        let ticket = self.n_tickets;
-        let zone = zone.map(str::to_owned);
-        self.deliver(node, Event::AskInstances { ticket, zone });
-        ticket
-    }
-
-    /// Returns the one reply that an operator got, if there is exactly one.
-    pub fn reply(&self, ticket: Ticket) -> Option<&AdminReply> {
-        match self.replies.get(&ticket).map(Vec::as_slice) {
-            Some([(_, reply)]) => Some(reply),
-            Some(_) | None => None,
-        }
-    }
-
     /// Delivers an event to a node now.
     pub fn deliver(&mut self, idx: NodeIdx, event: Event) {
         let slot = &mut self.nodes[idx];
@@ -412,57 +389,4 @@
             Event::Fleet { endpoints: self.listed.clone(), instances: self.instances.clone() };
         self.deliver(idx, event);
     }
-
-    fn execute(&mut self, idx: NodeIdx, effect: Effect) {
-        let life = self.nodes[idx].life;
-        match effect {
-            Effect::Answer { ticket, answer } => {
-                let at = self.now;
-                if let Some(asked) = self.asked.get_mut(&ticket) {
-                    asked.answers.push((at, *answer));
-                }
-            }
-            Effect::Emit { ticket, number, text } => {
-                if let Some(asked) = self.asked.get_mut(&ticket) {
-                    asked.tokens.push((number, text));
-                }
-            }
-            Effect::Call(call) => self.start_call(idx, life, call),
-            Effect::Cancel { attempt } => self.start_cancel(idx, life, attempt),
-            Effect::Store { call, op } => {
-                let at = self.now + self.store.faults.delay;
-                self.schedule(at, Item::Store { node: idx, life, call, op });
-            }
-            Effect::Send { to, message, .. } => {
-                self.sent.messages += 1;
-                self.sent.bytes += postcard::to_stdvec(&message).map_or(0, |it| it.len() as u64);
-                let from = self.nodes[idx].node.identity().instance.clone();
-                let found =
-                    self.nodes.iter().position(|it| it.node.identity().instance == to && it.alive);
-                let Some(target) = found else { return };
-                let (left, right) = (&self.nodes[idx].zone, &self.nodes[target].zone);
-                if self.network.is_cut(left, right) {
-                    return;
-                }
-                let at = self.now + self.network.delay(left, right);
-                let life = self.nodes[target].life;
-                self.send(at, target, life, Event::Peer { from, message: *message });
-            }
-            Effect::Log(decision) => self.decisions.push((self.now, idx, decision)),
-            Effect::Count { metric, by } => {
-                *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
-            }
-            Effect::Exit => self.nodes[idx].exited = true,
-            Effect::Instances { ticket, answer } => {
-                self.choices.insert(ticket, *answer);
-            }
-            Effect::Key { ticket, state } => {
-                self.keys.insert(ticket, state);
-            }
-            Effect::Admin { ticket, reply } => {
-                self.replies.entry_or_with(ticket, Vec::new).push((self.now, *reply));
-            }
-            Effect::Order { .. } | Effect::Inspect { .. } => (),
-        }
-    }
 }
--- /dev/null
+++ b/crates/ferry-fakes/tests/config_spread.rs
@@ -0,0 +1,271 @@
+//! An accepted change is in force everywhere within seconds and never reverts.
+
+use std::time::Duration;
+
+use ferry_core::Tuning;
+use ferry_fakes::{Deployment, DeploymentName, NodeIdx, Request, World};
+use ferry_model::{
+    AdminOp, AdminReply, InstanceState, Outcome, PresetName, RefusalReason, Revision, Workspace,
+};
+
+const N_NODES: usize = 8;
+/// Time for a change to be in force everywhere at today's size.
+const TARGET: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(5);
+
+struct Case {
+    name: &'static str,
+    /// Trouble before the change is asked for.
+    before: fn(&mut World),
+    /// Trouble at the moment of acceptance.
+    accepted: fn(&mut World),
+    /// What ends the trouble; the time to be in force everywhere counts from then.
+    mend: Option<fn(&mut World)>,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "healthy", before: |_| (), accepted: |_| (), mend: None },
+    Case {
+        name: "slow store",
+        before: |it| it.store.faults.delay = Duration::from_millis(150),
+        accepted: |_| (),
+        mend: None,
+    },
+    Case {
+        name: "deaf watches",
+        before: |it| it.store.faults.deaf_watches = true,
+        accepted: |_| (),
+        mend: None,
+    },
+    Case {
+        name: "watches with gaps",
+        before: |it| it.store.faults.gapped_watches = true,
+        accepted: |_| (),
+        mend: None,
+    },
+    Case {
+        name: "store down after acceptance",
+        before: |it| it.store.faults.deaf_watches = true,
+        accepted: |it| it.store.faults.down = true,
+        mend: None,
+    },
+    Case {
+        name: "stale reads and deaf watches",
+        before: |it| {
+            it.store.faults.deaf_watches = true;
+            it.store.freeze_reads();
+        },
+        accepted: |_| (),
+        mend: None,
+    },
+    Case {
+        name: "one instance frozen, then thawed",
+        before: |it| it.freeze(5),
+        accepted: |_| (),
+        mend: Some(|it| it.thaw(5)),
+    },
+    Case {
+        name: "one frozen while the store goes down",
+        before: |it| it.freeze(5),
+        accepted: |it| it.store.faults.down = true,
+        mend: Some(|it| it.thaw(5)),
+    },
+    Case {
+        name: "a zone cut off with deaf watches, then joined",
+        before: |it| {
+            it.store.faults.deaf_watches = true;
+            for other in ["lagos-1", "lagos-3", "lagos-4"] {
+                it.network.cuts.push(("lagos-2".to_owned(), other.to_owned()));
+            }
+        },
+        accepted: |it| it.store.faults.down = true,
+        mend: Some(|it| it.network.cuts.clear()),
+    },
+];
+
+fn world(seed: u64) -> World {
+    let deployment = Deployment::new(DeploymentName::Ikenna);
+    let mut world = World::with_deployment(&deployment, N_NODES, &Tuning::default(), seed)
+        .expect("the configuration is valid");
+    world.run_for(Duration::from_secs(3));
+    world
+}
+
+fn revisions(world: &World) -> Vec<Revision> {
+    (0..world.n_nodes()).map(|it| world.node(it).revision()).collect()
+}
+
+/// Runs until `is_done`, checks at each step that no revision falls, and returns the time taken.
+fn run_monotonic(
+    world: &mut World,
+    name: &str,
+    limit: Duration,
+    is_done: impl Fn(&World) -> bool,
+) -> Option<Duration> {
+    let started = world.now;
+    let mut last = revisions(world);
+    while world.now < started + limit {
+        if is_done(world) {
+            return Some(world.now - started);
+        }
+        world.run_for(STEP);
+        let next = revisions(world);
+        let fell = last.iter().zip(&next).any(|(old, new)| new < old);
+        assert!(!fell, "{name}: a revision fell from {last:?} to {next:?}");
+        last = next;
+    }
+    None
+}
+
+fn is_settled(world: &World, ticket: u64) -> bool {
+    world.replies.get(&ticket).is_some()
+}
+
+fn has_everywhere(revision: Revision) -> impl Fn(&World) -> bool {
+    move |world| revisions(world).iter().all(|it| revision <= *it)
+}
+
+fn use_preset(world: &mut World, node: NodeIdx, id: &str, name: PresetName) -> u64 {
+    let expect = world.node(node).revision();
+    world.administer(node, "amaka", id, AdminOp::UsePreset { expect, name })
+}
+
+#[test]
+fn accepted_change_spreads_within_the_target() {
+    for case in CASES {
+        for seed in 0..5 {
+            let mut world = world(seed);
+            (case.before)(&mut world);
+            let ticket = use_preset(&mut world, 0, "switch", PresetName::Peak);
+            run_monotonic(&mut world, case.name, Duration::from_secs(12), |it| {
+                is_settled(it, ticket)
+            });
+            let reply = world.reply(ticket).cloned();
+            assert_eq!(reply, Some(AdminReply::Accepted { revision: 2 }), "{}", case.name);
+            (case.accepted)(&mut world);
+            if let Some(mend) = case.mend {
+                world.run_for(Duration::from_secs(5));
+                mend(&mut world);
+            }
+            let took = run_monotonic(&mut world, case.name, TARGET, has_everywhere(2));
+            let now = revisions(&world);
+            assert!(took.is_some(), "{} with seed {seed}: {now:?} after 2 s", case.name);
+            for idx in 0..N_NODES {
+                let config = world.node(idx).config().expect("a configuration");
+                assert_eq!(config.chosen, PresetName::Peak, "{}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn stale_reads_never_bring_an_old_revision_back() {
+    let mut world = world(3);
+    world.store.freeze_reads();
+    let ticket = use_preset(&mut world, 1, "switch", PresetName::Maintenance);
+    let took = run_monotonic(&mut world, "stale reads", Duration::from_secs(30), has_everywhere(2));
+    assert!(took.is_some_and(|it| it <= TARGET), "{took:?} {:?}", world.reply(ticket));
+    let still =
+        run_monotonic(&mut world, "stale reads", Duration::from_secs(40), |it| it.now.is_zero());
+    assert_eq!(still, None);
+    assert!(has_everywhere(2)(&world));
+}
+
+#[test]
+fn fresh_instance_starts_from_peers_without_the_store() {
+    let deployment = Deployment::new(DeploymentName::Ikenna);
+    let mut world = world(4);
+    let ticket = use_preset(&mut world, 0, "switch", PresetName::Peak);
+    world.run_for(TARGET);
+    assert_eq!(world.reply(ticket), Some(&AdminReply::Accepted { revision: 2 }));
+    world.store.faults.down = true;
+    world.kill(3);
+    world.run_for(Duration::from_secs(1));
+    world.replace(3, deployment.entry(3, 99), Tuning::default(), 99);
+    world.run_for(TARGET);
+    assert_eq!(world.node(3).revision(), 2);
+    let token = blake3::hash(b"demo-token-bars").to_hex().to_string();
+    let found = world.node(3).workspaces().by_token(&token);
+    assert_eq!(found.map(|it| it.name.as_str()), Some("bars"), "workspaces come from peers too");
+    let ticket = world.ask(3, Request::new("bars", "draft", "licence"));
+    world.run_for(Duration::from_secs(10));
+    let answer = world.asked.get(&ticket).and_then(|it| it.answer());
+    assert_eq!(answer.map(|it| it.outcome), Some(Outcome::Complete));
+}
+
+#[test]
+fn without_store_and_peers_nothing_runs() {
+    let deployment = Deployment::new(DeploymentName::Kancil);
+    let mut world = World::with_deployment(&deployment, 0, &Tuning::default(), 5)
+        .expect("the configuration is valid");
+    world.store.faults.down = true;
+    let idx = world.add_node(deployment.entry(0, 5), Tuning::default(), 5);
+    world.run_for(Duration::from_secs(5));
+    assert!(!world.node(idx).is_ready());
+    let ticket = world.ask(idx, Request::new("stores", "tag", "crate 9"));
+    world.run_for(Duration::from_secs(1));
+    let answer = world.asked.get(&ticket).and_then(|it| it.answer()).expect("an answer");
+    assert_eq!(answer.outcome, Outcome::NotRun);
+    assert_eq!(answer.refusal, Some(RefusalReason::NoConfiguration));
+    world.store.faults.down = false;
+    world.run_for(TARGET);
+    assert!(world.node(idx).is_ready());
+}
+
+#[test]
+fn request_keeps_the_revision_it_started_under() {
+    let mut world = world(6);
+    let ticket = world.ask(2, Request::new("bars", "draft", "licence"));
+    world.run_for(Duration::from_millis(20));
+    use_preset(&mut world, 0, "switch", PresetName::Peak);
+    world.run_for(Duration::from_secs(10));
+    let answer = world.asked.get(&ticket).and_then(|it| it.answer()).expect("an answer");
+    assert_eq!((answer.outcome, answer.revision), (Outcome::Complete, 1));
+    assert_eq!(world.node(2).revision(), 2);
+}
+
+#[test]
+fn workspace_change_spreads_by_watch_and_by_peers() {
+    for deaf in [false, true] {
+        let mut world = world(7);
+        world.store.faults.deaf_watches = deaf;
+        let token = blake3::hash(b"fresh").to_hex().to_string();
+        let workspace = Workspace {
+            name: "caterers".to_owned(),
+            weight: 1,
+            concurrent: 3,
+            tokens: vec![token.clone()],
+        };
+        let op = AdminOp::PutWorkspace { expect: 0, workspace };
+        let ticket = world.administer(1, "amaka", "caterers", op);
+        world.run_for(Duration::from_secs(5));
+        assert!(matches!(world.reply(ticket), Some(AdminReply::Accepted { .. })));
+        for idx in 0..N_NODES {
+            let found = world.node(idx).workspaces().by_token(&token);
+            assert_eq!(found.map(|it| it.concurrent), Some(3), "node {idx}, deaf {deaf}");
+        }
+    }
+}
+
+#[test]
+fn status_names_who_lags_and_since_when() {
+    let mut world = world(8);
+    world.freeze(5);
+    use_preset(&mut world, 0, "switch", PresetName::Peak);
+    world.run_for(Duration::from_secs(4));
+    let ticket = world.administer(0, "amaka", "look", AdminOp::Status);
+    world.run_for(Duration::from_millis(10));
+    let Some(AdminReply::Status(statuses)) = world.reply(ticket) else { panic!("no status") };
+    assert_eq!(statuses.len(), N_NODES);
+    for status in statuses {
+        let is_frozen = status.instance.id == "entry-5";
+        assert_eq!(status.revision, if is_frozen { 1 } else { 2 }, "{}", status.instance.id);
+        let lag = status.lagging.unwrap_or_default();
+        assert_eq!(lag >= Duration::from_secs(3), is_frozen, "{}", status.instance.id);
+    }
+    world.run_for(Duration::from_secs(4));
+    let ticket = world.administer(0, "amaka", "look again", AdminOp::Status);
+    let Some(AdminReply::Status(statuses)) = world.reply(ticket) else { panic!("no status") };
+    let state = statuses.iter().find(|it| it.instance.id == "entry-5").map(|it| it.state);
+    assert_eq!(state, Some(InstanceState::Suspect));
+}
--- a/crates/ferry-model/src/admin.rs
+++ b/crates/ferry-model/src/admin.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Change, Config, Instance, InstanceState, Moment, Pipeline, Preset, PresetName, Revision,
-    Ticket, Workspace,
+    Change, Config, Instance, InstanceState, Moment, Pipeline, Pool, Preset, PresetName, Revision,
+    Ticket, Workspace, WorkspaceEntry,
 };
 
 /// One operator's request; the revision that they read is part of every write.
@@ -37,6 +37,14 @@
         name: PresetName,
         preset: Preset,
     },
+    PutPool {
+        expect: Revision,
+        pool: Pool,
+    },
+    DeletePool {
+        expect: Revision,
+        name: String,
+    },
     /// Chooses the preset in force.
     UsePreset {
         expect: Revision,
@@ -44,7 +52,7 @@
     },
     ReadWorkspaces,
     PutWorkspace {
-        /// Revision of the workspace's shard that was read.
+        /// Revision of the workspace that was read; zero creates it.
         expect: Revision,
         workspace: Workspace,
     },
@@ -59,10 +67,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum AdminReply {
     Config(Box<Config>),
-    Workspaces {
-        workspaces: Vec<Workspace>,
-        revision: Revision,
-    },
+    Workspaces(Vec<WorkspaceEntry>),
     /// The write is in the store with this revision.
     Accepted {
         revision: Revision,
@@ -100,6 +105,7 @@
 pub struct InstanceStatus {
     pub instance: Instance,
     pub state: InstanceState,
+    /// Revision in force there, zero if it has not been heard of yet.
     pub revision: Revision,
     /// How long it has lagged behind the highest revision known.
     pub lagging: Option<Moment>,
--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -28,4 +28,4 @@
 pub use peer::{Heartbeat, InstanceState, KeyState, PeerMessage, PoolLoad};
 pub use place::{EndpointReport, Order, OrderResult, Plan};
 pub use sorted::SortedMap;
-pub use workspace::Workspace;
+pub use workspace::{N_SHARDS, Shard, Workspace, WorkspaceEntry};
--- a/crates/ferry-model/src/peer.rs
+++ b/crates/ferry-model/src/peer.rs
@@ -7,7 +7,7 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::{
-    Answer, Config, Incarnation, InstanceId, Outcome, PoolId, Revision, WorkspaceId, ZoneId,
+    Answer, Config, Incarnation, InstanceId, Outcome, PoolId, Revision, Shard, WorkspaceId, ZoneId,
 };
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, IntoStaticStr)]
@@ -33,6 +33,12 @@
     },
     /// Asks for a heartbeat now; the answer carries no loads.
     AskHeartbeat,
+    /// Asks for the shards whose revision is higher than these, by number of the shard.
+    PullWorkspaces {
+        above: Vec<Revision>,
+    },
+    /// Shards with their numbers; a long list comes in parts.
+    Workspaces(Vec<(u16, Shard)>),
 }
 
 /// What a claim's holder knows of a key.
@@ -59,6 +65,8 @@
     pub demand: Vec<(WorkspaceId, u32)>,
     /// Other instances that are known to leave, the latest ones only.
     pub leaving: Vec<(InstanceId, Incarnation)>,
+    /// Digest of the revisions of all shards of workspaces.
+    pub workspaces: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/ferry-model/src/workspace.rs
+++ b/crates/ferry-model/src/workspace.rs
@@ -3,7 +3,10 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::WorkspaceId;
+use crate::{Change, Revision, WorkspaceId};
+
+/// Number of objects that the workspaces are spread over; stored names depend on it.
+pub const N_SHARDS: usize = 64;
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Workspace {
@@ -15,3 +18,51 @@
     /// BLAKE3 hashes of the bearer tokens that map to this workspace, in hex.
     pub tokens: Vec<String>,
 }
+
+/// A workspace with the revision of its last change, which an edit has to name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct WorkspaceEntry {
+    pub revision: Revision,
+    pub workspace: Workspace,
+}
+
+/// One of the [`N_SHARDS`] objects that hold the workspaces.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shard {
+    /// Grows by one with each change of the shard.
+    pub revision: Revision,
+    /// Sorted by name.
+    pub entries: Vec<WorkspaceEntry>,
+    /// The last changes, newest last.
+    pub history: Vec<Change>,
+}
+
+impl Shard {
+    pub fn get(&self, name: &str) -> Option<&WorkspaceEntry> {
+        self.position(name).ok().map(|idx| &self.entries[idx])
+    }
+
+    pub fn position(&self, name: &str) -> Result<usize, usize> {
+        self.entries.binary_search_by(|it| it.workspace.name.as_str().cmp(name))
+    }
+}
+
+/// Returns the shard that holds a workspace.
+pub fn shard_of(name: &str) -> usize {
+    // FNV-1a: the layout of stored objects must not change with a library's version.
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash % N_SHARDS as u64) as usize
+}
+
+/// Returns the name of a shard's object.
+pub fn shard_name(shard: usize) -> String {
+    format!("shard-{shard:02}")
+}
+
+/// Returns the shard that an object's name stands for.
+pub fn parse_shard(name: &str) -> Option<usize> {
+    let shard = name.strip_prefix("shard-")?.parse().ok()?;
+    (shard < N_SHARDS).then_some(shard)
+}
