--- a/crates/ferry-fakes/src/store.rs
+++ b/crates/ferry-fakes/src/store.rs
@@ -17,6 +17,10 @@
     pub delay: Duration,
     /// How many of the next writes take effect while their answer is lost.
     pub lost_answers: u32,
+    /// How many of the next writes are lost on their way, which looks the same to the writer.
+    pub lost_writes: u32,
+    /// How many of the next writes take effect only after the writer has given up.
+    pub late_writes: u32,
     /// Watches report nothing.
     pub deaf_watches: bool,
     /// Watches move on without the changes that they should report.
@@ -31,6 +35,8 @@
             down: false,
             delay: Duration::from_millis(2),
             lost_answers: 0,
+            lost_writes: 0,
+            late_writes: 0,
             deaf_watches: false,
             gapped_watches: false,
             stale_reads: false,
@@ -79,6 +85,11 @@
         if self.faults.down {
             return Some(Err(StoreError::Unavailable("the store is down".to_owned())));
         }
+        let is_write = matches!(op, StoreOp::Put { .. } | StoreOp::Delete { .. });
+        if is_write && self.faults.lost_writes > 0 {
+            self.faults.lost_writes -= 1;
+            return Some(Err(StoreError::Unknown("the call was lost".to_owned())));
+        }
         match op {
             StoreOp::Get { key } => {
                 self.reads += 1;
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -115,6 +115,7 @@
     Finish { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Cancel { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Store { node: NodeIdx, life: u32, call: u64, op: StoreOp },
+    LateWrite { op: StoreOp },
     List,
 }
 
@@ -358,6 +359,10 @@
                 self.cancel_call(&endpoint, node, life, attempt);
             }
             Item::Store { node, life, call, op } => self.take_store(node, life, call, op),
+            Item::LateWrite { op } => {
+                self.store.perform(&op);
+                self.wake_watches();
+            }
             Item::List => {
                 for idx in 0..self.nodes.len() {
                     self.list(idx);
--- a/crates/ferry-fakes/src/world/serve.rs
+++ b/crates/ferry-fakes/src/world/serve.rs
@@ -6,6 +6,9 @@
 use super::{Item, NodeIdx, STORE_TIMEOUT, WATCH_TIMEOUT, Watch, World};
 use crate::endpoint::{Job, Run, output_of, tokens_of};
 
+/// Time until a write that hangs takes effect, longer than the writer waits for it.
+const LATE_WRITE: Moment = Moment::from_millis(2_500);
+
 impl World {
     pub(super) fn start_call(&mut self, node: NodeIdx, life: u32, call: Box<StageCall>) {
         let from = &self.nodes[node].zone;
@@ -183,6 +186,14 @@
     }
 
     pub(super) fn take_store(&mut self, node: NodeIdx, life: u32, call: u64, op: StoreOp) {
+        let is_write = matches!(op, StoreOp::Put { .. } | StoreOp::Delete { .. });
+        if is_write && !self.store.faults.down && self.store.faults.late_writes > 0 {
+            self.store.faults.late_writes -= 1;
+            self.schedule(self.now + LATE_WRITE, Item::LateWrite { op });
+            let result = Err(StoreError::Unknown("the answer was lost".to_owned()));
+            self.send(self.now + STORE_TIMEOUT, node, life, Event::Store { call, result });
+            return;
+        }
         let answer = match self.store.perform(&op) {
             Some(answer) => answer,
             None => {
@@ -196,7 +207,7 @@
             Err(_) | Ok(_) => self.store.faults.delay,
         };
         self.send(self.now + delay, node, life, Event::Store { call, result: answer });
-        if matches!(op, StoreOp::Put { .. } | StoreOp::Delete { .. }) {
+        if is_write {
             self.wake_watches();
         }
     }
