--- a/crates/ferry-fakes/src/store.rs
+++ b/crates/ferry-fakes/src/store.rs
@@ -17,8 +17,14 @@
     pub delay: Duration,
     /// How many of the next writes take effect while their answer is lost.
     pub lost_answers: u32,
+    /// How many of the next writes are lost on their way, which looks the same to the writer.
+    pub lost_writes: u32,
+    /// How many of the next writes take effect only after the writer has given up.
+    pub late_writes: u32,
     /// Watches report nothing.
     pub deaf_watches: bool,
+    /// Watches move on without the changes that they should report.
+    pub gapped_watches: bool,
     /// Reads give what the store held this long ago; writes are unaffected.
     pub stale_reads: bool,
 }
@@ -29,7 +35,10 @@
             down: false,
             delay: Duration::from_millis(2),
             lost_answers: 0,
+            lost_writes: 0,
+            late_writes: 0,
             deaf_watches: false,
+            gapped_watches: false,
             stale_reads: false,
         }
     }
@@ -76,6 +85,11 @@
         if self.faults.down {
             return Some(Err(StoreError::Unavailable("the store is down".to_owned())));
         }
+        let is_write = matches!(op, StoreOp::Put { .. } | StoreOp::Delete { .. });
+        if is_write && self.faults.lost_writes > 0 {
+            self.faults.lost_writes -= 1;
+            return Some(Err(StoreError::Unknown("the call was lost".to_owned())));
+        }
         match op {
             StoreOp::Get { key } => {
                 self.reads += 1;
@@ -93,6 +107,10 @@
                 if objects.is_empty() || self.faults.deaf_watches {
                     return None;
                 }
+                let objects = match self.faults.gapped_watches {
+                    true => Vec::new(),
+                    false => objects,
+                };
                 Some(Ok(StoreReply::Changed { objects, version: self.version }))
             }
         }
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -1,5 +1,6 @@
 //! Virtual time, the event queue and the nodes on it.
 
+mod execute;
 mod orders;
 mod serve;
 
@@ -7,9 +8,12 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use ferry_core::{Arrival, Decision, Effect, Event, Identity, Metric, Node, StageCall, Tuning};
+use ferry_core::{
+    Arrival, Decision, Event, Identity, InstancesAnswer, Metric, Node, StageCall, Tuning,
+};
 use ferry_model::{
-    AttemptId, Endpoint, EndpointId, Instance, Moment, Order, SortedMap, StoreOp, Ticket,
+    AdminReply, AttemptId, Endpoint, EndpointId, Instance, KeyState, Moment, Order, SortedMap,
+    StoreOp, Ticket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -23,6 +27,13 @@
 
 pub use orders::{FakeEngine, OrderSeen, WeightStore};
 
+/// Count and encoded size of messages between peers, without the transport's own bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeerTraffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
 /// Position of a node in its world.
 pub type NodeIdx = usize;
 
@@ -46,6 +57,16 @@
     pub weights: WeightStore,
     /// Every order that reached an endpoint.
     pub orders: Vec<OrderSeen>,
+    /// What operators were told; more than one reply to a ticket is a fault of ours.
+    pub replies: SortedMap<Ticket, Vec<(Moment, AdminReply)>>,
+    /// Addresses that callers were told to use.
+    pub choices: SortedMap<Ticket, InstancesAnswer>,
+    /// What callers were told of their keys.
+    pub keys: SortedMap<Ticket, KeyState>,
+    /// Messages between peers that were sent, and their encoded size.
+    pub sent: PeerTraffic,
+    /// Calls to the object API by verb.
+    pub verbs: SortedMap<&'static str, u64>,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
@@ -108,6 +129,7 @@
     Order { node: NodeIdx, life: u32, order: Box<Order> },
     Inspect { node: NodeIdx, life: u32, endpoint: EndpointId },
     Loaded { endpoint: EndpointId, number: u64 },
+    LateWrite { op: StoreOp },
     List,
 }
 
@@ -140,6 +162,11 @@
             runs: Vec::new(),
             weights: WeightStore::default(),
             orders: Vec::new(),
+            replies: SortedMap::new(),
+            choices: SortedMap::new(),
+            keys: SortedMap::new(),
+            sent: PeerTraffic::default(),
+            verbs: SortedMap::new(),
             decisions: Vec::new(),
             list_frozen: false,
             border: None,
@@ -402,6 +429,10 @@
             Item::Order { node, life, order } => self.take_order(node, life, &order),
             Item::Inspect { node, life, endpoint } => self.take_inspect(node, life, endpoint),
             Item::Loaded { endpoint, number } => self.finish_load(&endpoint, number),
+            Item::LateWrite { op } => {
+                self.store.perform(&op);
+                self.wake_watches();
+            }
             Item::List => {
                 for idx in 0..self.nodes.len() {
                     self.list(idx);
@@ -433,51 +464,4 @@
             Event::Fleet { endpoints: self.listed.clone(), instances: self.instances.clone() };
         self.deliver(idx, event);
     }
-
-    fn execute(&mut self, idx: NodeIdx, effect: Effect) {
-        let life = self.nodes[idx].life;
-        match effect {
-            Effect::Answer { ticket, answer } => {
-                let at = self.now;
-                if let Some(asked) = self.asked.get_mut(&ticket) {
-                    asked.answers.push((at, *answer));
-                }
-            }
-            Effect::Emit { ticket, number, text } => {
-                if let Some(asked) = self.asked.get_mut(&ticket) {
-                    asked.tokens.push((number, text));
-                }
-            }
-            Effect::Call(call) => self.start_call(idx, life, call),
-            Effect::Cancel { attempt } => self.start_cancel(idx, life, attempt),
-            Effect::Store { call, op } => {
-                let at = self.now + self.store.faults.delay;
-                self.schedule(at, Item::Store { node: idx, life, call, op });
-            }
-            Effect::Send { to, message, .. } => {
-                let from = self.nodes[idx].node.identity().instance.clone();
-                let found =
-                    self.nodes.iter().position(|it| it.node.identity().instance == to && it.alive);
-                let Some(target) = found else { return };
-                let (left, right) = (&self.nodes[idx].zone, &self.nodes[target].zone);
-                if self.network.is_cut(left, right) {
-                    return;
-                }
-                let at = self.now + self.network.delay(left, right);
-                let life = self.nodes[target].life;
-                self.send(at, target, life, Event::Peer { from, message: *message });
-            }
-            Effect::Log(decision) => self.decisions.push((self.now, idx, decision)),
-            Effect::Count { metric, by } => {
-                *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
-            }
-            Effect::Exit => {
-                self.nodes[idx].exited = true;
-                self.trace.exits.push((self.now, idx));
-            }
-            Effect::Order { order, .. } => self.start_order(idx, life, order),
-            Effect::Inspect { endpoint, .. } => self.inspect(idx, life, endpoint),
-            Effect::Instances { .. } | Effect::Key { .. } | Effect::Admin { .. } => (),
-        }
-    }
 }
