--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -30,4 +30,4 @@
     DemandDay, DemandHistory, EndpointReport, Lease, Order, OrderResult, Plan, PoolDemand,
 };
 pub use sorted::SortedMap;
-pub use workspace::Workspace;
+pub use workspace::{N_SHARDS, Shard, Workspace, WorkspaceEntry};
