Call the object API within a budget and give its stand-in watches and faults

Cause: the client had no budget, no second address and no metrics, opened a new call for each batch of a watch, and its stand-in had neither watches nor faults.

Change: token buckets for reads and writes, counters by verb, jittered retries of reads only, other addresses only where no connection could be opened, and watches that stay open between questions. Only a clear refusal (429, or 503 with Retry-After) means that a write did not happen; other server errors are unknown. The stand-in keeps a log of changes for watches, bookmarks, gaps, lost and hung answers, stale lists, rates and an outage, set at /control/faults. Counters, gauges and timers go to a statsd address. Entry options take the settings of all clients as one PortOptions.

With a write sent again after a broken answer the test of writes fails.

Conclusion: a lost answer is told as unknown, for the reducer to settle.

--- a/crates/ferry-bench/src/cluster.rs
+++ b/crates/ferry-bench/src/cluster.rs
@@ -5,7 +5,7 @@
 
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::certs::{self, CertPair};
-use ferry_edge::{PeerIdentity, PeerOptions};
+use ferry_edge::{PeerIdentity, PeerOptions, PortOptions};
 use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
 use ferry_model::{EndpointState, Instance};
 use ferry_standin::DeploymentStandins;
@@ -45,16 +45,13 @@
                 role: InstanceRole::Entry,
             };
             let peers = peer_options(&authority, &identity.instance, bind)?;
+            let instance = identity.instance.clone();
             let options = EntryOptions {
                 identity,
                 tuning: Tuning::default(),
                 seed: seed.wrapping_add(idx as u64),
                 listen: bind,
-                store: platform,
-                fleet: platform,
-                store_timeout: Duration::from_secs(1),
-                fleet_interval: Duration::from_secs(1),
-                peers: Some(peers),
+                ports: PortOptions::new(&instance, platform).with_peers(peers),
                 limits: CallerLimits::default(),
                 workspaces: deployment.workspaces.clone(),
             };
--- a/crates/ferry-edge/src/callers.rs
+++ b/crates/ferry-edge/src/callers.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// Returns how many callers wait.
+    pub fn len(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Forgets a caller that disconnected.
     pub fn forget(&self, ticket: Ticket) {
         self.lock().waiting.remove(&ticket);
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -5,30 +5,18 @@
 
 use ferry_core::{Effect, Event, Node};
 use ferry_model::{AttemptId, Moment, Revision, SortedMap, Ticket};
-use slog::Logger;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{
-    CallerEvent, Callers, EndpointClient, FleetClient, OrderClient, Peers, StoreClient, Waiter,
-    logs,
-};
+use crate::metrics::{Gauge, Timer};
+use crate::{CallerEvent, Callers, OrderClient, Ports, Waiter, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
-/// The process's clients and outlets, each used by one kind of effect.
-#[derive(Debug, Clone)]
-pub struct Ports {
-    pub callers: Arc<Callers>,
-    pub endpoints: EndpointClient,
-    pub store: StoreClient,
-    pub fleet: FleetClient,
-    /// None where the settings have no peer section: messages to peers are dropped.
-    pub peers: Option<Peers>,
-    pub log: Logger,
-}
+/// Time between two values of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the process may tell about its node without asking it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -84,6 +72,7 @@
     status: watch::Sender<Status>,
     calls: SortedMap<AttemptId, AbortHandle>,
     orders: OrderClient,
+    next_gauges: Instant,
 }
 
 impl Driver {
@@ -106,6 +95,7 @@
             status,
             calls: SortedMap::new(),
             orders: OrderClient::new(),
+            next_gauges: Instant::now(),
         };
         tokio::spawn(driver.run());
         handle
@@ -124,12 +114,29 @@
             {
                 self.calls.remove(attempt);
             }
+            let begun = Instant::now();
             let effects = self.node.reduce(self.now(), event);
+            self.ports.metrics.time(Timer::ReduceTime, begun.elapsed());
             for effect in effects {
                 self.execute(effect);
             }
             self.publish();
+            self.send_gauges();
+        }
+    }
+
+    /// Sends the gauges if their interval has passed.
+    fn send_gauges(&mut self) {
+        let now = Instant::now();
+        if now < self.next_gauges {
+            return;
         }
+        self.next_gauges = now + GAUGE_INTERVAL;
+        let metrics = &self.ports.metrics;
+        metrics.gauge(Gauge::RequestsOpen, self.ports.callers.len() as u64);
+        metrics.gauge(Gauge::EventsWaiting, self.events.len() as u64);
+        metrics.gauge(Gauge::Revision, self.node.revision());
+        metrics.gauge(Gauge::Ready, u64::from(self.node.is_ready()));
     }
 
     fn next_wake(&self) -> Instant {
@@ -193,7 +200,7 @@
                 tokio::spawn(orders.inspect(address, endpoint, self.sender.clone()));
             }
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
-            Effect::Count { .. } => (),
+            Effect::Count { metric, by } => self.ports.metrics.decided(metric, by),
             Effect::Exit => {
                 self.status.send_modify(|it| it.exited = true);
             }
--- a/crates/ferry-edge/src/peers.rs
+++ b/crates/ferry-edge/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::certs::CertPair;
+use crate::metrics::{Counter, Metrics};
 use codec::{Envelope, MAX_MESSAGE};
 use sender::{Parcel, QUEUE, Sender};
 
@@ -82,6 +83,7 @@
     endpoint: Endpoint,
     instance: InstanceId,
     senders: Arc<Mutex<SortedMap<InstanceId, Route>>>,
+    metrics: Metrics,
     log: Logger,
 }
 
@@ -94,7 +96,7 @@
 
 impl Peers {
     /// Listens for peers; messages come once [`Peers::spawn`] was called.
-    pub fn bind(options: PeerOptions, log: Logger) -> Result<Peers, PeerError> {
+    pub fn bind(options: PeerOptions, metrics: Metrics, log: Logger) -> Result<Peers, PeerError> {
         let server = tls::server_config(&options.identity)?;
         let client = tls::client_config(&options.identity)?;
         let address = options.listen;
@@ -102,7 +104,7 @@
             .map_err(|error| PeerError::Listen { address, error })?;
         endpoint.set_default_client_config(client);
         let senders = Arc::new(Mutex::new(SortedMap::new()));
-        Ok(Peers { endpoint, instance: options.instance, senders, log })
+        Ok(Peers { endpoint, instance: options.instance, senders, metrics, log })
     }
 
     /// Returns where peers connect.
@@ -114,6 +116,7 @@
     pub fn spawn(&self, events: mpsc::UnboundedSender<Event>) {
         let receiver = Receiver {
             events,
+            metrics: self.metrics.clone(),
             log: self.log.clone(),
             slots: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         };
@@ -132,10 +135,15 @@
                 return;
             }
         };
+        let n_bytes = bytes.len() as u64;
         let parcel = Parcel { bytes, is_datagram };
         if self.route(to, address).try_send(parcel).is_err() {
+            self.metrics.count(Counter::PeerMessagesDropped, 1);
             debug!(self.log, "dropped a message to a slow peer"; "peer" => to);
+            return;
         }
+        self.metrics.count(Counter::PeerMessagesSent, 1);
+        self.metrics.count(Counter::PeerBytesSent, n_bytes);
     }
 
     /// Closes every connection.
@@ -172,6 +180,7 @@
 #[derive(Debug, Clone)]
 struct Receiver {
     events: mpsc::UnboundedSender<Event>,
+    metrics: Metrics,
     log: Logger,
     slots: Arc<Semaphore>,
 }
@@ -224,6 +233,8 @@
 
     /// Hands a message on if its sender is who its certificate says.
     fn take(&self, connection: &Connection, bytes: &[u8]) {
+        self.metrics.count(Counter::PeerMessagesReceived, 1);
+        self.metrics.count(Counter::PeerBytesReceived, bytes.len() as u64);
         let envelope = match codec::decode(bytes) {
             Ok(envelope) => envelope,
             Err(error) => return self.reject(connection, &error.to_string()),
@@ -236,6 +247,7 @@
     }
 
     fn reject(&self, connection: &Connection, error: &str) {
+        self.metrics.count(Counter::PeerConnectionsRejected, 1);
         warn!(self.log, "dropped a peer's connection";
             "address" => connection.remote_address().to_string(), "error" => error);
         connection.close(CLOSE_BAD_MESSAGE.into(), b"bad message");
--- /dev/null
+++ b/crates/ferry-edge/src/ports.rs
@@ -0,0 +1,95 @@
+//! The process's clients and outlets, opened from its settings.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_model::InstanceId;
+use slog::Logger;
+use thiserror::Error;
+
+use crate::metrics::{Metrics, MetricsError};
+use crate::peers::{PeerError, PeerOptions, Peers};
+use crate::{Callers, EndpointClient, FleetClient, StoreClient, StoreOptions};
+
+#[derive(Debug, Error)]
+pub enum OpenError {
+    #[error(transparent)]
+    Peers(#[from] PeerError),
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// What entry and control need alike to talk to the world.
+#[derive(Debug, Clone)]
+pub struct PortOptions {
+    pub instance: InstanceId,
+    pub store: StoreOptions,
+    /// Address of the instance list.
+    pub fleet: SocketAddr,
+    /// Time between two reads of the instance list.
+    pub interval: Duration,
+    /// None keeps the instance from talking to peers.
+    pub peers: Option<PeerOptions>,
+    /// Address of a statsd server; without one no metrics are sent.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl PortOptions {
+    /// Uses one address for the whole platform, without peers and metrics.
+    pub fn new(instance: &str, platform: SocketAddr) -> PortOptions {
+        PortOptions {
+            instance: instance.to_owned(),
+            store: StoreOptions::new(platform),
+            fleet: platform,
+            interval: Duration::from_secs(1),
+            peers: None,
+            statsd: None,
+        }
+    }
+
+    pub fn with_peers(mut self, peers: PeerOptions) -> PortOptions {
+        self.peers = Some(peers);
+        self
+    }
+
+    pub fn with_interval(mut self, interval: Duration) -> PortOptions {
+        self.interval = interval;
+        self
+    }
+}
+
+/// The clients and outlets, each used by one kind of effect.
+#[derive(Debug, Clone)]
+pub struct Ports {
+    pub callers: Arc<Callers>,
+    pub endpoints: EndpointClient,
+    pub store: StoreClient,
+    pub fleet: FleetClient,
+    /// Without it messages to peers are dropped.
+    pub peers: Option<Peers>,
+    pub metrics: Metrics,
+    pub log: Logger,
+}
+
+impl Ports {
+    pub fn open(options: PortOptions, log: &Logger) -> Result<Ports, OpenError> {
+        let metrics = match options.statsd {
+            Some(address) => Metrics::statsd(address, &options.instance)?,
+            None => Metrics::silent(),
+        };
+        let peers = match options.peers {
+            Some(peers) => Some(Peers::bind(peers, metrics.clone(), log.clone())?),
+            None => None,
+        };
+        Ok(Ports {
+            callers: Arc::new(Callers::new()),
+            endpoints: EndpointClient::new(),
+            store: StoreClient::new(options.store, metrics.clone()),
+            fleet: FleetClient::new(options.fleet, options.interval, log.clone()),
+            peers,
+            metrics,
+            log: log.clone(),
+        })
+    }
+}
--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -1,6 +1,6 @@
 //! The sections that entry and control share.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use ferry_core::{Identity, InstanceRole, Tuning};
@@ -9,11 +9,13 @@
 use super::reader::{Address, Addresses, Choice, Hashes, Number, Reader, Secret, Text, Time};
 use crate::certs::CertPair;
 use crate::logs::{LogFormat, LogLevel, LogSettings};
-use crate::{PeerIdentity, PeerOptions};
+use crate::{PeerIdentity, PeerOptions, PortOptions, StoreOptions};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
+/// Any port of this machine, where an address that must be set is missing.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Start of the name of a workspace's section.
 const WORKSPACE_PREFIX: &str = "workspace ";
 
@@ -24,7 +26,7 @@
     pub zone: String,
     pub region: String,
     /// Where callers or operators connect.
-    pub listen: Option<SocketAddr>,
+    listen: Option<SocketAddr>,
 }
 
 impl InstanceSettings {
@@ -37,6 +39,10 @@
         }
     }
 
+    pub fn listen(&self) -> SocketAddr {
+        self.listen.unwrap_or(ANY_PORT)
+    }
+
     pub fn identity(&self, incarnation: Incarnation, role: InstanceRole) -> Identity {
         Identity {
             instance: self.id.clone(),
@@ -68,6 +74,29 @@
 }
 
 impl PlatformSettings {
+    /// Joins the settings of everything that entry and control talk to.
+    pub fn ports(
+        self,
+        instance: &str,
+        peers: Option<PeerOptions>,
+        statsd: Option<SocketAddr>,
+    ) -> PortOptions {
+        PortOptions {
+            instance: instance.to_owned(),
+            store: StoreOptions {
+                addresses: self.store,
+                timeout: self.timeout,
+                reads: self.reads,
+                writes: self.writes,
+                retries: self.retries,
+            },
+            fleet: self.fleet.unwrap_or(ANY_PORT),
+            interval: self.interval,
+            peers,
+            statsd,
+        }
+    }
+
     pub fn read(reader: &mut Reader) -> PlatformSettings {
         PlatformSettings {
             store: reader.required("platform", "store", Addresses),
--- a/crates/ferry-edge/src/wire.rs
+++ b/crates/ferry-edge/src/wire.rs
@@ -143,6 +143,35 @@
     pub resource_version: String,
 }
 
+/// Body of an error of the object API.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StatusBody {
+    pub message: String,
+    /// Version that the object has, on a conflict.
+    #[serde(rename = "resourceVersion", default, skip_serializing_if = "Option::is_none")]
+    pub resource_version: Option<String>,
+}
+
+/// One line of a watch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WatchLine {
+    #[serde(rename = "type")]
+    pub kind: WatchKind,
+    pub object: ObjectBody,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum WatchKind {
+    Added,
+    Modified,
+    Deleted,
+    /// Nothing changed up to this version.
+    Bookmark,
+    /// The position is no longer kept.
+    Error,
+}
+
 /// Path of a kind of object.
 pub fn kind_path(kind: ferry_model::ObjectKind) -> String {
     format!("/apis/ferry/v1/{kind}")
--- a/crates/ferry-edge/tests/peers.rs
+++ b/crates/ferry-edge/tests/peers.rs
@@ -6,7 +6,7 @@
 use ferry_core::Event;
 use ferry_edge::certs::{self, CertPair};
 use ferry_edge::peers::codec::{self, Envelope, WIRE_VERSION};
-use ferry_edge::{PeerIdentity, PeerOptions, Peers, logs};
+use ferry_edge::{Metrics, PeerIdentity, PeerOptions, Peers, logs};
 use ferry_model::{
     Answer, Heartbeat, InstanceState, KeyState, Outcome, PeerMessage, PoolLoad, Revision,
 };
@@ -29,7 +29,7 @@
         let identity = PeerIdentity { authority: authority.cert.clone(), pair };
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let options = PeerOptions { listen, instance: name.to_owned(), identity };
-        let peers = Peers::bind(options, logs::silent_logger()).unwrap();
+        let peers = Peers::bind(options, Metrics::silent(), logs::silent_logger()).unwrap();
         let (tx, events) = mpsc::unbounded_channel();
         peers.spawn(tx);
         Peer { peers, events }
--- a/crates/ferry-entry/src/api/events.rs
+++ b/crates/ferry-entry/src/api/events.rs
@@ -1,6 +1,8 @@
 //! Streams an answer as server-sent events: numbered tokens, then one terminal event.
 
 use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use dropshot::Body;
@@ -17,6 +19,7 @@
 use super::answer::internal;
 use super::limits::Pass;
 use super::{AnswerBody, Problem};
+use crate::server::EntryContext;
 
 /// Name of the event of one token.
 pub const EVENT_TOKEN: &str = "token";
@@ -42,7 +45,10 @@
 }
 
 /// The rest of an answer that has begun to stream.
-struct Rest {
+pub struct Rest {
+    context: Arc<EntryContext>,
+    /// When the request came in.
+    started: Instant,
     waiter: Waiter,
     _pass: Pass,
     count: u32,
@@ -53,15 +59,8 @@
 }
 
 /// Answers with the stream that `first` begins.
-pub fn respond(waiter: Waiter, pass: Pass, first: CallerEvent) -> Result<Response<Body>, Problem> {
-    let rest = Rest {
-        waiter,
-        _pass: pass,
-        count: 0,
-        digest: blake3::Hasher::new(),
-        ready: Some(first),
-        is_over: false,
-    };
+pub fn respond(mut rest: Rest, first: CallerEvent) -> Result<Response<Body>, Problem> {
+    rest.ready = Some(first);
     let frames = stream::unfold(rest, async |mut rest| {
         let bytes = rest.next().await?;
         Some((Ok::<_, Infallible>(Frame::data(bytes)), rest))
@@ -75,6 +74,19 @@
 }
 
 impl Rest {
+    pub fn new(context: Arc<EntryContext>, started: Instant, waiter: Waiter, pass: Pass) -> Rest {
+        Rest {
+            context,
+            started,
+            waiter,
+            _pass: pass,
+            count: 0,
+            digest: blake3::Hasher::new(),
+            ready: None,
+            is_over: false,
+        }
+    }
+
     async fn next(&mut self) -> Option<Bytes> {
         if self.is_over {
             return None;
@@ -100,6 +112,7 @@
     /// Writes the terminal event; an answer that did not stream becomes one token before it.
     fn end(&mut self, answer: &Answer) -> Bytes {
         self.is_over = true;
+        self.context.measure(self.started.elapsed(), answer);
         let mut bytes = Vec::new();
         if let (0, Some(output)) = (self.count, &answer.output) {
             bytes.extend_from_slice(&self.token(0, output));
--- a/crates/ferry-entry/src/api/requests.rs
+++ b/crates/ferry-entry/src/api/requests.rs
@@ -1,16 +1,19 @@
 //! `POST /v1/pipelines/{pipeline}/requests`.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dropshot::{Body, Path, RequestContext, StreamingBody, endpoint};
 use ferry_core::{Arrival, Event};
 use ferry_edge::CallerEvent;
+use ferry_edge::metrics::Timer;
+use ferry_model::Answer;
 use http::{HeaderMap, Response};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use super::answer::{internal, respond};
+use super::events::Rest;
 use super::{Problem, body, events, limits};
 use crate::server::EntryContext;
 
@@ -62,15 +65,25 @@
         deadline,
         stream,
     };
+    let started = Instant::now();
     let mut waiter = context.handle.ask(|ticket| Event::Arrive(Arrival { ticket, ..arrival }));
     match waiter.next().await {
         Some(CallerEvent::Answer(answer)) if !stream || answer.output.is_none() => respond(&answer),
-        Some(first) => events::respond(waiter, pass, first),
+        Some(first) => events::respond(Rest::new(context.clone(), started, waiter, pass), first),
         None => Err(internal("the node has ended")),
     }
 }
 
 impl EntryContext {
+    /// Sends the times of a request and its stages as metrics.
+    pub(super) fn measure(&self, took: Duration, answer: &Answer) {
+        let outcome = answer.outcome.into();
+        self.metrics.time_by(Timer::RequestTime, took, "outcome", outcome);
+        for it in &answer.stages {
+            self.metrics.time_by(Timer::StageTime, it.took, "stage", &it.stage);
+        }
+    }
+
     fn check_deadline(&self, millis: Option<u64>) -> Result<Option<Duration>, Problem> {
         let Some(deadline) = millis.map(Duration::from_millis) else { return Ok(None) };
         let allowed = self.min_deadline..=self.max_deadline;
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -1,16 +1,12 @@
 //! Starts an entry: its node and its HTTP server.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::peers::PeerError;
-use ferry_edge::{
-    Callers, Driver, EndpointClient, FleetClient, Handle, PeerOptions, Peers, Ports, StoreClient,
-    Tokens,
-};
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens};
 use ferry_model::{Incarnation, Workspace, WorkspaceId};
 use slog::{Logger, warn};
 use thiserror::Error;
@@ -18,9 +14,6 @@
 use crate::api::Gate;
 use crate::{CallerLimits, EntrySettings, api};
 
-/// Any address of this machine, on a port that the system chooses.
-const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-
 /// Added to the server's own body limit, so that ours is met first and names the field.
 const BODY_SLACK: usize = 1024 * 1024;
 
@@ -29,7 +22,7 @@
     #[error("could not describe the caller interface: {0}")]
     Describe(String),
     #[error(transparent)]
-    Peers(#[from] PeerError),
+    Open(#[from] OpenError),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -40,12 +33,7 @@
     pub tuning: Tuning,
     pub seed: u64,
     pub listen: SocketAddr,
-    pub store: SocketAddr,
-    pub fleet: SocketAddr,
-    pub store_timeout: Duration,
-    pub fleet_interval: Duration,
-    /// None keeps the instance from talking to peers.
-    pub peers: Option<PeerOptions>,
+    pub ports: PortOptions,
     pub limits: CallerLimits,
     pub workspaces: Vec<Workspace>,
 }
@@ -56,17 +44,13 @@
         identity: Identity,
         incarnation: Incarnation,
     ) -> EntryOptions {
-        let platform = settings.platform;
+        let ports = settings.platform.ports(&identity.instance, settings.peers, settings.metrics);
         EntryOptions {
             identity,
             tuning: settings.tuning,
             seed: incarnation,
-            listen: settings.instance.listen.unwrap_or(ANY_PORT),
-            store: platform.store.first().copied().unwrap_or(ANY_PORT),
-            fleet: platform.fleet.unwrap_or(ANY_PORT),
-            store_timeout: platform.timeout,
-            fleet_interval: platform.interval,
-            peers: settings.peers,
+            listen: settings.instance.listen(),
+            ports,
             limits: settings.limits,
             workspaces: settings.workspaces,
         }
@@ -81,6 +65,7 @@
     pub tokens: Tokens<WorkspaceId>,
     pub limits: CallerLimits,
     pub gate: Arc<Gate>,
+    pub metrics: Metrics,
     /// Bounds of the deadline that a caller may name.
     pub min_deadline: Duration,
     pub max_deadline: Duration,
@@ -98,18 +83,11 @@
     pub fn start(options: EntryOptions, log: &Logger) -> Result<EntryServer, StartError> {
         let instance = options.identity.instance.clone();
         let close_time = options.limits.close_time;
-        let peers = options.peers.map(|it| Peers::bind(it, log.clone())).transpose()?;
+        let ports = Ports::open(options.ports, log)?;
+        let (peers, metrics) = (ports.peers.clone(), ports.metrics.clone());
         let (min_deadline, max_deadline) =
             (options.tuning.min_deadline, options.tuning.max_deadline);
         let node = Node::new(options.identity, options.tuning, options.seed);
-        let ports = Ports {
-            callers: Arc::new(Callers::new()),
-            endpoints: EndpointClient::new(),
-            store: StoreClient::new(options.store, options.store_timeout),
-            fleet: FleetClient::new(options.fleet, options.fleet_interval, log.clone()),
-            peers: peers.clone(),
-            log: log.clone(),
-        };
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
             bind_address: options.listen,
@@ -122,6 +100,7 @@
             tokens: Tokens::new(token_owners(&options.workspaces)),
             limits: options.limits,
             gate: Arc::new(Gate::new()),
+            metrics,
             min_deadline,
             max_deadline,
         };
--- a/crates/ferry-entry/tests/entry/harness.rs
+++ b/crates/ferry-entry/tests/entry/harness.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::http::{HttpAnswer, read_answer};
-use ferry_edge::{HttpClient, logs};
+use ferry_edge::{HttpClient, PortOptions, logs};
 use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
 use ferry_fakes::deployment::demo_token;
 use ferry_fakes::{Deployment, DeploymentName};
@@ -18,6 +18,7 @@
 
 /// Generous: only a hang reaches it.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
+const FLEET_INTERVAL: Duration = Duration::from_millis(100);
 const POLL: Duration = Duration::from_millis(5);
 const WORKSPACE: &str = "agents";
 
@@ -45,11 +46,7 @@
             tuning: Tuning::default(),
             seed: 1,
             listen: bind,
-            store: platform,
-            fleet: platform,
-            store_timeout: Duration::from_secs(1),
-            fleet_interval: Duration::from_millis(100),
-            peers: None,
+            ports: PortOptions::new("entry-0", platform).with_interval(FLEET_INTERVAL),
             limits,
             workspaces: deployment.workspaces.clone(),
         };
--- a/crates/ferry-standin/src/lib.rs
+++ b/crates/ferry-standin/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use deployment::DeploymentStandins;
 pub use endpoint::{EndpointSpec, EndpointStandin};
-pub use platform::PlatformStandin;
+pub use platform::{Counts, Faults, PlatformStandin, PlatformState};
 pub use witness::{Run, Witness};
--- /dev/null
+++ b/crates/ferry-standin/src/platform/state.rs
@@ -0,0 +1,191 @@
+//! What the platform holds.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use ferry_edge::wire::{FleetBody, ObjectBody, ObjectMeta, WatchKind};
+use ferry_model::{Endpoint, Instance, SortedMap, Version};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::faults::{Bucket, Counts, Faults};
+use super::fleet::FleetLog;
+use crate::Witness;
+
+/// Changes that watches can go back by.
+const HISTORY: usize = 10_000;
+
+/// Kind and name of an object.
+pub type Key = (String, String);
+pub type Objects = SortedMap<Key, Object>;
+
+#[derive(Debug, Clone)]
+pub struct PlatformState {
+    /// What the endpoints of the same process ran.
+    pub(super) witness: Witness,
+    inner: Arc<Mutex<Inner>>,
+    /// The newest version, for waiting watches.
+    newest: watch::Sender<Version>,
+}
+
+#[derive(Debug, Default)]
+pub struct Inner {
+    pub version: Version,
+    pub objects: Objects,
+    /// The last changes, oldest first.
+    pub changes: VecDeque<Change>,
+    /// Highest version that was dropped from `changes`.
+    pub forgotten: Version,
+    /// Changes up to this version are not shown by watches.
+    pub gap_end: Version,
+    pub gap_start: Version,
+    pub fleet: FleetLog,
+    pub faults: Faults,
+    pub counts: Counts,
+    /// What stale lists show.
+    pub stale: Option<(Version, Objects)>,
+    pub reads: Bucket,
+    pub writes: Bucket,
+}
+
+#[derive(Debug, Clone)]
+pub struct Object {
+    pub version: Version,
+    pub value: Arc<serde_json::Value>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Change {
+    pub kind: WatchKind,
+    pub key: Key,
+    pub object: Object,
+}
+
+impl PlatformState {
+    pub fn new(witness: Witness) -> PlatformState {
+        PlatformState { witness, inner: Arc::default(), newest: watch::Sender::new(0) }
+    }
+
+    /// Replaces the endpoints in the instance list.
+    pub fn set_endpoints(&self, endpoints: Vec<Endpoint>) {
+        let mut inner = self.lock();
+        let instances = inner.fleet.newest().instances;
+        inner.fleet.push(FleetBody { endpoints, instances });
+    }
+
+    /// Replaces our own processes in the instance list.
+    pub fn set_instances(&self, instances: Vec<Instance>) {
+        let mut inner = self.lock();
+        let endpoints = inner.fleet.newest().endpoints;
+        inner.fleet.push(FleetBody { endpoints, instances });
+    }
+
+    /// Replaces all faults.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut inner = self.lock();
+        if faults.watch_gap != inner.faults.watch_gap {
+            inner.gap_start = inner.version;
+            inner.gap_end = inner.version + faults.watch_gap;
+        }
+        inner.stale = match (faults.stale_lists, inner.stale.take()) {
+            (false, _) => None,
+            (true, Some(stale)) => Some(stale),
+            (true, None) => Some((inner.version, inner.objects.clone())),
+        };
+        let is_frozen = faults.stale_lists;
+        inner.fleet.freeze(is_frozen);
+        inner.faults = faults;
+        drop(inner);
+        self.newest.send_modify(|_| ());
+    }
+
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.lock().counts.clone()
+    }
+
+    /// Returns the value of an object, as a test's check.
+    pub fn value(&self, kind: &str, name: &str) -> Option<serde_json::Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.lock().objects.get(&key).map(|it| (*it.value).clone())
+    }
+
+    /// Writes an object whatever its version, as a test's setup.
+    pub fn seed(&self, kind: &str, name: &str, value: serde_json::Value) -> Version {
+        let version = self.lock().write((kind.to_owned(), name.to_owned()), value);
+        self.newest.send_replace(version);
+        version
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Wakes the watches after a change.
+    pub(super) fn wake(&self, version: Version) {
+        self.newest.send_replace(version);
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<Version> {
+        self.newest.subscribe()
+    }
+}
+
+impl Inner {
+    pub fn write(&mut self, key: Key, value: serde_json::Value) -> Version {
+        self.version += 1;
+        let object = Object { version: self.version, value: Arc::new(value) };
+        let kind = match self.objects.insert(key.clone(), object.clone()) {
+            Some(_) => WatchKind::Modified,
+            None => WatchKind::Added,
+        };
+        self.record(Change { kind, key, object });
+        self.version
+    }
+
+    pub fn remove(&mut self, key: Key) -> Version {
+        self.version += 1;
+        if let Some(object) = self.objects.remove(&key) {
+            let object = Object { version: self.version, ..object };
+            self.record(Change { kind: WatchKind::Deleted, key, object });
+        }
+        self.version
+    }
+
+    fn record(&mut self, change: Change) {
+        self.counts.effects += 1;
+        self.changes.push_back(change);
+        let most = match self.faults.history {
+            0 => HISTORY,
+            history => history,
+        };
+        while most < self.changes.len() {
+            let dropped = self.changes.pop_front();
+            self.forgotten = dropped.map_or(self.forgotten, |it| it.object.version);
+        }
+    }
+
+    /// Returns what a list shows, and as of which version.
+    pub fn listed(&self) -> (Version, &Objects) {
+        match &self.stale {
+            Some((version, objects)) => (*version, objects),
+            None => (self.version, &self.objects),
+        }
+    }
+
+    /// Returns the instance list as it is shown now.
+    pub fn shown_fleet(&self) -> FleetBody {
+        self.fleet.shown(Instant::now(), self.faults.fleet_lag_ms)
+    }
+}
+
+pub fn body_of(name: &str, object: &Object) -> ObjectBody {
+    let resource_version = object.version.to_string();
+    ObjectBody {
+        metadata: ObjectMeta { name: name.to_owned(), resource_version },
+        spec: (*object.value).clone(),
+    }
+}
--- /dev/null
+++ b/crates/ferry-standin/tests/platform.rs
@@ -0,0 +1,273 @@
+//! The client of the object API against the platform, healthy and with faults.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ferry_edge::{Metrics, StoreClient, StoreOptions, logs};
+use ferry_model::{ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply, Version};
+use ferry_standin::{Faults, PlatformStandin, Witness};
+use serde_json::json;
+
+/// Generous: only a hang reaches it.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// An answer that takes longer is lost.
+const STORE_TIMEOUT: Duration = Duration::from_secs(3);
+const KIND: ObjectKind = ObjectKind::Claims;
+
+struct Platform {
+    standin: PlatformStandin,
+    store: StoreClient,
+}
+
+impl Platform {
+    fn start() -> Platform {
+        let bind = SocketAddr::from(([127, 0, 0, 1], 0));
+        let standin = PlatformStandin::start(bind, Witness::new(), &logs::silent_logger()).unwrap();
+        let store = StoreClient::new(options(&standin), Metrics::silent());
+        Platform { standin, store }
+    }
+
+    fn with_faults(faults: Faults) -> Platform {
+        let platform = Platform::start();
+        platform.standin.state.set_faults(faults);
+        platform
+    }
+
+    async fn run(&self, op: StoreOp) -> Result<StoreReply, StoreError> {
+        tokio::time::timeout(TIMEOUT, self.store.run(op)).await.unwrap()
+    }
+
+    async fn put(&self, expect: Version, value: &str) -> Result<StoreReply, StoreError> {
+        self.run(StoreOp::Put { key: key(), expect, value: value.to_owned() }).await
+    }
+
+    async fn watch(&self, since: Version) -> Result<(Vec<String>, Version), StoreError> {
+        match self.run(StoreOp::Watch { kind: KIND, since }).await? {
+            StoreReply::Changed { objects, version } => {
+                Ok((objects.into_iter().map(|it| it.value).collect(), version))
+            }
+            other => panic!("a watch gave {other:?}"),
+        }
+    }
+
+    fn stored(&self) -> Option<serde_json::Value> {
+        self.standin.state.value(KIND.into(), "a")
+    }
+}
+
+fn options(standin: &PlatformStandin) -> StoreOptions {
+    StoreOptions { timeout: STORE_TIMEOUT, ..StoreOptions::new(standin.address()) }
+}
+
+fn key() -> ObjectKey {
+    ObjectKey::new(KIND, "a")
+}
+
+#[tokio::test]
+async fn only_the_expected_version_is_replaced_or_deleted() {
+    let platform = Platform::start();
+    assert_eq!(platform.put(0, "1").await, Ok(StoreReply::Written(1)));
+    assert_eq!(platform.put(0, "2").await, Err(StoreError::Conflict(1)));
+    assert_eq!(platform.put(1, "3").await, Ok(StoreReply::Written(2)));
+    let delete = |expect| StoreOp::Delete { key: key(), expect };
+    assert_eq!(platform.run(delete(1)).await, Err(StoreError::Conflict(2)));
+    assert_eq!(platform.stored(), Some(json!(3)));
+    assert_eq!(platform.run(delete(2)).await, Ok(StoreReply::Deleted));
+    let got = platform.run(StoreOp::Get { key: key() }).await;
+    assert_eq!(got, Ok(StoreReply::Object(None)));
+}
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Written,
+    /// Nothing was written.
+    Unavailable,
+    /// It may have been written.
+    Unknown,
+}
+
+struct WriteCase {
+    what: &'static str,
+    faults: Faults,
+    told: Told,
+    is_stored: bool,
+}
+
+#[tokio::test]
+async fn a_write_is_told_as_it_went_and_never_sent_twice() {
+    let healthy = Faults::default;
+    let cases = [
+        WriteCase { what: "healthy", faults: healthy(), told: Told::Written, is_stored: true },
+        WriteCase {
+            what: "slow",
+            faults: Faults { slow_ms: 100, ..healthy() },
+            told: Told::Written,
+            is_stored: true,
+        },
+        WriteCase {
+            what: "outage",
+            faults: Faults { outage: true, ..healthy() },
+            told: Told::Unavailable,
+            is_stored: false,
+        },
+        WriteCase {
+            what: "answer lost",
+            faults: Faults { lost_answers: 1, ..healthy() },
+            told: Told::Unknown,
+            is_stored: true,
+        },
+        WriteCase {
+            what: "answer hung",
+            faults: Faults { hung_answers: 1, ..healthy() },
+            told: Told::Unknown,
+            is_stored: true,
+        },
+        WriteCase {
+            what: "slower than the timeout",
+            faults: Faults { slow_ms: 20_000, ..healthy() },
+            told: Told::Unknown,
+            is_stored: false,
+        },
+    ];
+    let checks = cases.map(async |case| {
+        let platform = Platform::with_faults(case.faults);
+        let told = match platform.put(0, "1").await {
+            Ok(StoreReply::Written(1)) => Told::Written,
+            Err(StoreError::Unavailable(_)) => Told::Unavailable,
+            Err(StoreError::Unknown(_)) => Told::Unknown,
+            other => panic!("{}: {other:?}", case.what),
+        };
+        assert_eq!(told, case.told, "{}", case.what);
+        assert_eq!(platform.stored().is_some(), case.is_stored, "{}", case.what);
+        assert_eq!(platform.standin.state.counts().puts, 1, "{}", case.what);
+    });
+    futures_util::future::join_all(checks).await;
+}
+
+#[tokio::test]
+async fn a_write_goes_to_another_address_only_where_none_could_be_opened() {
+    let platform = Platform::start();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let addresses = vec![closed, platform.standin.address()];
+    let options = StoreOptions { addresses, ..options(&platform.standin) };
+    let store = StoreClient::new(options, Metrics::silent());
+    let put = StoreOp::Put { key: key(), expect: 0, value: "1".to_owned() };
+    assert_eq!(store.run(put).await, Ok(StoreReply::Written(1)));
+    let get = StoreOp::Get { key: key() };
+    assert!(matches!(store.run(get).await, Ok(StoreReply::Object(Some(_)))));
+}
+
+#[tokio::test]
+async fn reads_are_repeated_within_bounds() {
+    let platform = Platform::with_faults(Faults { outage: true, ..Faults::default() });
+    let got = platform.run(StoreOp::Get { key: key() }).await;
+    assert!(matches!(got, Err(StoreError::Unavailable(_))), "{got:?}");
+    assert_eq!(platform.standin.state.counts().gets, 3);
+
+    platform.standin.state.set_faults(Faults::default());
+    let got = platform.run(StoreOp::Get { key: key() }).await;
+    assert_eq!(got, Ok(StoreReply::Object(None)));
+}
+
+/// Writes as fast as it can and returns how many were let through, and how many may have been.
+async fn flood(store: &StoreClient) -> (u64, f64) {
+    let started = Instant::now();
+    let mut n_through = 0;
+    for _ in 0..30 {
+        let put = StoreOp::Put { key: key(), expect: 0, value: "1".to_owned() };
+        match store.run(put).await {
+            Err(StoreError::Unavailable(_)) => (),
+            Ok(_) | Err(_) => n_through += 1,
+        }
+    }
+    (n_through, 2.0 + started.elapsed().as_secs_f64())
+}
+
+#[tokio::test]
+async fn calls_beyond_the_budget_are_not_sent() {
+    let platform = Platform::start();
+    let options = StoreOptions {
+        writes: 1,
+        timeout: Duration::from_millis(50),
+        ..StoreOptions::new(platform.standin.address())
+    };
+    let store = StoreClient::new(options, Metrics::silent());
+    let (n_through, most) = flood(&store).await;
+    assert!(n_through as f64 <= most, "{n_through} calls were let through");
+    assert_eq!(platform.standin.state.counts().puts, n_through);
+}
+
+#[tokio::test]
+async fn the_platforms_own_rate_refuses_without_an_effect() {
+    let platform = Platform::with_faults(Faults { write_rate: 1, ..Faults::default() });
+    let (n_through, most) = flood(&platform.store).await;
+    assert!(n_through as f64 <= most, "{n_through} calls were let through");
+    let counts = platform.standin.state.counts();
+    assert_eq!((counts.puts, counts.refused), (30, 30 - n_through));
+    assert_eq!(counts.effects, 1);
+}
+
+#[tokio::test]
+async fn a_watch_shows_each_change_over_one_call() {
+    let platform = Platform::start();
+    platform.standin.state.seed(KIND.into(), "a", json!(0));
+    let (values, mut since) = platform.watch(0).await.unwrap();
+    assert_eq!(values, ["0"]);
+    for value in 1..=5 {
+        platform.standin.state.seed(ObjectKind::Config.into(), "other", json!(value));
+        platform.standin.state.seed(KIND.into(), "a", json!(value));
+        let (values, version) = platform.watch(since).await.unwrap();
+        assert_eq!(values, [value.to_string()]);
+        since = version;
+    }
+    assert_eq!(platform.standin.state.counts().watches, 1);
+}
+
+#[tokio::test]
+async fn a_quiet_watch_moves_on_by_bookmarks() {
+    let platform = Platform::start();
+    platform.standin.state.seed(KIND.into(), "a", json!(0));
+    for _ in 0..3 {
+        platform.standin.state.seed(ObjectKind::Config.into(), "other", json!(1));
+    }
+    let (values, version) = platform.watch(1).await.unwrap();
+    assert_eq!((values.len(), version), (0, 4));
+}
+
+#[tokio::test]
+async fn a_gap_of_a_watch_shows_in_lists_only() {
+    let platform = Platform::start();
+    platform.standin.state.seed(KIND.into(), "a", json!(0));
+    platform.standin.state.set_faults(Faults { watch_gap: 1, ..Faults::default() });
+    platform.standin.state.seed(KIND.into(), "a", json!(1));
+    platform.standin.state.seed(KIND.into(), "b", json!(2));
+    let (values, version) = platform.watch(1).await.unwrap();
+    assert_eq!((values, version), (vec!["2".to_owned()], 3));
+    let list = platform.run(StoreOp::List { kind: KIND }).await.unwrap();
+    let StoreReply::List { objects, version } = list else { panic!("{list:?}") };
+    assert_eq!((objects.len(), version), (2, 3));
+}
+
+#[tokio::test]
+async fn a_position_that_is_no_longer_kept_is_gone() {
+    let platform = Platform::with_faults(Faults { history: 2, ..Faults::default() });
+    for value in 0..5 {
+        platform.standin.state.seed(KIND.into(), "a", json!(value));
+    }
+    assert_eq!(platform.watch(1).await, Err(StoreError::Gone));
+    assert_eq!(platform.watch(4).await.unwrap().0, ["4"]);
+}
+
+#[tokio::test]
+async fn stale_lists_show_the_past_and_gets_do_not() {
+    let platform = Platform::start();
+    platform.standin.state.seed(KIND.into(), "a", json!(0));
+    platform.standin.state.set_faults(Faults { stale_lists: true, ..Faults::default() });
+    platform.standin.state.seed(KIND.into(), "a", json!(1));
+    let list = platform.run(StoreOp::List { kind: KIND }).await.unwrap();
+    let StoreReply::List { objects, .. } = list else { panic!("{list:?}") };
+    assert_eq!(objects[0].value, "0");
+    let got = platform.run(StoreOp::Get { key: key() }).await.unwrap();
+    let StoreReply::Object(Some(object)) = got else { panic!("{got:?}") };
+    assert_eq!(object.value, "1");
+}
