--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -137,6 +137,7 @@
         metrics.gauge(Gauge::EventsWaiting, self.events.len() as u64);
         metrics.gauge(Gauge::Revision, self.node.revision());
         metrics.gauge(Gauge::Ready, u64::from(self.node.is_ready()));
+        metrics.flush();
     }
 
     fn next_wake(&self) -> Instant {
--- a/crates/ferry-edge/src/settings/reader.rs
+++ b/crates/ferry-edge/src/settings/reader.rs
@@ -117,13 +117,17 @@
     pub(super) fn finish(mut self) -> Vec<Finding> {
         let mut unknown = Vec::new();
         for (section, properties) in self.ini.iter() {
-            let name = section.unwrap_or_default();
-            let Some(known) = self.known.get(name) else {
-                if section.is_some() || !properties.is_empty() {
-                    unknown.push((name.to_owned(), String::new(), self.unknown_section()));
+            let Some(name) = section else {
+                for (key, _) in properties.iter() {
+                    let problem = "the key is outside any section".to_owned();
+                    unknown.push((String::new(), key.to_owned(), problem));
                 }
                 continue;
             };
+            let Some(known) = self.known.get(name) else {
+                unknown.push((name.to_owned(), String::new(), self.unknown_section()));
+                continue;
+            };
             for (key, _) in properties.iter().filter(|(key, _)| !known.contains(key)) {
                 let problem = format!("unknown key; allowed are {}", known.join(", "));
                 unknown.push((name.to_owned(), key.to_owned(), problem));
--- a/crates/ferry-entry/src/api.rs
+++ b/crates/ferry-entry/src/api.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod body;
+mod document;
 mod events;
 mod health;
 mod instances;
@@ -17,6 +18,7 @@
 use crate::server::EntryContext;
 
 pub use answer::{AnswerBody, StageBody};
+pub use document::open_api;
 pub use events::{EVENT_END, EVENT_TOKEN, EndBody, TokenBody};
 pub use health::ReadyBody;
 pub use instances::{ChoiceBody, InstancesBody};
@@ -25,9 +27,6 @@
 pub use problem::Problem;
 pub use requests::RequestBody;
 
-/// Title in the OpenAPI document.
-const TITLE: &str = "tarragonferry caller interface";
-
 /// Describes every call of the interface.
 pub fn describe() -> Result<ApiDescription<Arc<EntryContext>>, String> {
     let mut api = ApiDescription::new();
@@ -38,9 +37,3 @@
     api.register(health::get_ready).map_err(|it| it.to_string())?;
     Ok(api)
 }
-
-/// Returns the OpenAPI document of the interface.
-pub fn open_api() -> Result<serde_json::Value, String> {
-    let version = semver::Version::new(1, 0, 0);
-    describe()?.openapi(TITLE, version).json().map_err(|it| it.to_string())
-}
