--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -68,6 +68,7 @@
     pub key: String,
     /// When it started to run.
     pub at: Moment,
+    pub repeatable: bool,
     /// When the endpoint took the call.
     pub received: Moment,
     /// Sender of the call.
@@ -82,6 +83,7 @@
     pub(crate) life: u32,
     pub(crate) received: Moment,
     pub(crate) call: StageCall,
+    pub(crate) started: Moment,
 }
 
 #[derive(Debug, Clone)]
@@ -119,6 +121,12 @@
         }
     }
 
+    /// Takes the waiting call to be served next: by priority, then in order of arrival.
+    pub(crate) fn take_next(&mut self) -> Job {
+        let best = (0..self.waiting.len()).min_by_key(|idx| self.waiting[*idx].call.priority);
+        self.waiting.remove(best.unwrap_or(0))
+    }
+
     pub(crate) fn load(&self) -> Option<Load> {
         if self.faults.mute {
             return None;
--- a/crates/ferry-model/src/peer.rs
+++ b/crates/ferry-model/src/peer.rs
@@ -7,7 +7,8 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::{
-    Answer, Config, Incarnation, InstanceId, Outcome, PoolId, Revision, Shard, WorkspaceId, ZoneId,
+    Answer, ClaimVerdict, Config, Incarnation, InstanceId, JournalOp, Outcome, PoolId, RequestId,
+    Revision, Shard, WorkspaceId, ZoneId,
 };
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, IntoStaticStr)]
@@ -39,6 +40,10 @@
     },
     /// Shards with their numbers; a long list comes in parts.
     Workspaces(Vec<(u16, Shard)>),
+    /// Asks the preferred writer of a claim shard to journal these with its own.
+    Journal(Vec<JournalOp>),
+    /// Answers the claims of [`PeerMessage::Journal`].
+    Journalled(Vec<(RequestId, ClaimVerdict)>),
 }
 
 /// What a claim's holder knows of a key.
