--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -4,6 +4,8 @@
 //! same effects, byte for byte. See docs/DESIGN.md for the layering.
 
 pub mod admin;
+pub mod admit;
+pub mod claim;
 pub mod config;
 pub mod drain;
 pub mod effect;
