Read every limit of the decisions from the settings and list them on a page

Change: sections for requests, routing, claims, membership and placement, with bounds and checks between keys; docs/SETTINGS.md, whose keys a test compares with the code.

Conclusion: no figure of a decision needs a rebuild.

--- a/crates/ferry-edge/src/logs.rs
+++ b/crates/ferry-edge/src/logs.rs
@@ -4,12 +4,12 @@
 
 use ferry_core::Decision;
 use slog::{Drain, Level, LevelFilter, Logger, info, o};
-use strum::{Display, EnumIter, EnumString, VariantNames};
+use strum::{Display, EnumIter, EnumString};
 
 /// Lines that may wait to be written; further ones are dropped and counted.
 const BUFFER: usize = 16 * 1024;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "snake_case")]
 pub enum LogFormat {
     /// For people on a terminal, JSON elsewhere.
@@ -18,7 +18,7 @@
     Terminal,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "snake_case")]
 pub enum LogLevel {
     Error,
--- a/crates/ferry-edge/src/settings.rs
+++ b/crates/ferry-edge/src/settings.rs
@@ -4,13 +4,16 @@
 
 pub mod common;
 mod reader;
+mod tuning;
 
 use std::fmt;
 
 use ferry_model::Finding;
 use thiserror::Error;
 
-pub use reader::{Address, Addresses, Choice, Hashes, Kind, Number, Reader, Secret, Text, Time};
+pub use reader::{
+    Address, Addresses, Choice, Hashes, Kind, Number, Reader, Secret, Switch, Text, Time,
+};
 
 /// Everything wrong with a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -143,21 +143,7 @@
 
 /// Reads the limits and intervals of the decisions.
 pub fn tuning(reader: &mut Reader) -> Tuning {
-    let base = Tuning::default();
-    let s = "tuning";
-    let ms = |low: u32, high: Duration| Time(low * MS..=high);
-    let mut it = base.clone();
-    it.config_poll = reader.value(s, "config_poll", ms(50, MINUTE), base.config_poll);
-    it.max_requests = reader.value(s, "max_requests", Number(1..=1_000_000), base.max_requests);
-    it.max_attempts = reader.value(s, "max_attempts", Number(1..=20), base.max_attempts);
-    it.sample = reader.value(s, "sample", Number(1..=64), base.sample);
-    it.retry_after = reader.value(s, "retry_after", ms(100, MINUTE), base.retry_after);
-    it.min_deadline = reader.value(s, "min_deadline", ms(1, MINUTE), base.min_deadline);
-    it.max_deadline = reader.value(s, "max_deadline", ms(100, 60 * MINUTE), base.max_deadline);
-    if it.max_deadline < it.min_deadline {
-        reader.find(s, "max_deadline", "it is below min_deadline; allowed is at least that");
-    }
-    it
+    super::tuning::read(reader)
 }
 
 /// Reads the workspaces that exist whatever the object API holds.
--- a/crates/ferry-edge/src/settings/reader.rs
+++ b/crates/ferry-edge/src/settings/reader.rs
@@ -8,7 +8,7 @@
 
 use ferry_model::{Finding, SortedMap};
 use ini::{Ini, ParseOption};
-use strum::{IntoEnumIterator, VariantNames};
+use strum::IntoEnumIterator;
 
 use super::Findings;
 
@@ -328,11 +328,12 @@
     }
 }
 
-impl<T: FromStr + IntoEnumIterator + VariantNames> Kind for Choice<T> {
+impl<T: FromStr + IntoEnumIterator + fmt::Display> Kind for Choice<T> {
     type Value = T;
 
     fn allowed(&self) -> String {
-        format!("one of {}", T::VARIANTS.join(", "))
+        let names: Vec<String> = T::iter().map(|it| it.to_string()).collect();
+        format!("one of {}", names.join(", "))
     }
 
     fn read(&self, text: &str, _: &Env) -> Result<T, String> {
@@ -340,6 +341,26 @@
     }
 }
 
+/// On or off.
+#[derive(Debug, Clone, Copy)]
+pub struct Switch;
+
+impl Kind for Switch {
+    type Value = bool;
+
+    fn allowed(&self) -> String {
+        "on or off".to_owned()
+    }
+
+    fn read(&self, text: &str, _: &Env) -> Result<bool, String> {
+        match text {
+            "on" => Ok(true),
+            "off" => Ok(false),
+            _ => Err(format!("{text:?} is neither")),
+        }
+    }
+}
+
 /// BLAKE3 hashes in hex, with commas between them.
 #[derive(Debug, Clone, Copy)]
 pub struct Hashes;
--- /dev/null
+++ b/crates/ferry-edge/src/settings/tuning.rs
@@ -0,0 +1,139 @@
+//! Limits and intervals of the decisions, a section for each matter.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ferry_core::Tuning;
+
+use super::reader::{Choice, Number, Reader, Switch, Time};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(60 * 60);
+/// Bounds of short waits and intervals.
+const SHORT: RangeInclusive<Duration> = MS..=MINUTE;
+const LONG: RangeInclusive<Duration> = SECOND..=Duration::from_secs(48 * 60 * 60);
+/// Bounds of a part of a whole.
+const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+
+/// Reads every section of the decisions; keys that are missing keep their defaults.
+pub fn read(reader: &mut Reader) -> Tuning {
+    let mut tuning = Tuning::default();
+    requests(&mut Section::new(reader, "tuning"), &mut tuning);
+    routing(&mut Section::new(reader, "routing"), &mut tuning);
+    claims(&mut Section::new(reader, "claims"), &mut tuning);
+    members(&mut Section::new(reader, "membership"), &mut tuning);
+    placement(&mut Section::new(reader, "placement"), &mut tuning);
+    if tuning.max_deadline < tuning.min_deadline {
+        reader.find("tuning", "max_deadline", "it is below min_deadline; allowed is at least that");
+    }
+    if tuning.place.lease_life <= tuning.place.lease_renew + tuning.place.lease_margin {
+        let problem = "it is not above lease_renew and lease_margin together";
+        reader.find("placement", "lease_life", problem);
+    }
+    tuning
+}
+
+fn requests(s: &mut Section<'_>, it: &mut Tuning) {
+    s.number("max_requests", &mut it.max_requests, 1..=1_000_000);
+    s.number("max_queue", &mut it.max_queue, 1..=1_000_000);
+    s.number("max_attempts", &mut it.max_attempts, 1..=20);
+    s.time("retry_after", &mut it.retry_after, 100 * MS..=MINUTE);
+    s.time("min_deadline", &mut it.min_deadline, MS..=MINUTE);
+    s.time("max_deadline", &mut it.max_deadline, 100 * MS..=HOUR);
+    s.number("admit_share", &mut it.admit_share, SHARE);
+    s.number("retry_share", &mut it.retry_share, SHARE);
+    s.number("hedge_share", &mut it.hedge_share, SHARE);
+    s.number("hedge_quantile", &mut it.hedge_quantile, SHARE);
+    s.time("backoff", &mut it.backoff, SHORT);
+}
+
+fn routing(s: &mut Section<'_>, it: &mut Tuning) {
+    it.policy = s.reader.value(s.name, "policy", Choice::new(), it.policy);
+    s.number("sample", &mut it.sample, 1..=64);
+    s.time("zone_cost", &mut it.zone_cost, Duration::ZERO..=SECOND);
+    s.time("progress", &mut it.progress, 50 * MS..=MINUTE);
+    s.time("silent_time", &mut it.silent_time, SHORT);
+    s.number("eject_after", &mut it.eject_after, 1..=100);
+    s.time("eject_time", &mut it.eject_time, 100 * MS..=HOUR);
+    s.number("eject_share", &mut it.eject_share, SHARE);
+    s.time("slow_start", &mut it.slow_start, SHORT);
+    s.number("limit_first", &mut it.limit_first, 1.0..=10_000.0);
+    s.number("limit_most", &mut it.limit_most, 1.0..=10_000.0);
+}
+
+fn claims(s: &mut Section<'_>, it: &mut Tuning) {
+    s.time("interval", &mut it.claim_interval, SHORT);
+    s.time("record", &mut it.claim_record, SHORT);
+    s.time("forward", &mut it.claim_forward, SHORT);
+    s.time("wait", &mut it.claim_wait, SHORT);
+    s.time("bucket", &mut it.claim_bucket, LONG);
+    s.time("retention", &mut it.claim_retention, LONG);
+    s.number("output_bytes", &mut it.claim_output, 0..=64 * 1024);
+}
+
+fn members(s: &mut Section<'_>, it: &mut Tuning) {
+    s.time("config_poll", &mut it.config_poll, 50 * MS..=MINUTE);
+    s.time("config_poll_max", &mut it.config_poll_max, 50 * MS..=HOUR);
+    s.time("store_retry", &mut it.store_retry, SHORT);
+    s.time("beat_interval", &mut it.beat_interval, 50 * MS..=MINUTE);
+    s.number("beat_fanout", &mut it.beat_fanout, 1..=512);
+    s.time("suspect_after", &mut it.suspect_after, 100 * MS..=HOUR);
+    s.time("pull_grace", &mut it.pull_grace, SHORT);
+    s.time("admin_deadline", &mut it.admin_deadline, SECOND..=MINUTE);
+    s.number("status_asks", &mut it.status_asks, 1..=10_000);
+    s.time("answer_life", &mut it.answer_life, MS..=HOUR);
+    s.time("leave_margin", &mut it.leave_margin, SHORT);
+}
+
+fn placement(s: &mut Section<'_>, it: &mut Tuning) {
+    let it = &mut it.place;
+    s.switch("enabled", &mut it.enabled);
+    s.time("day", &mut it.day, LONG);
+    s.time("plan_poll", &mut it.plan_poll, SHORT);
+    s.time("lease_life", &mut it.lease_life, 100 * MS..=HOUR);
+    s.time("lease_renew", &mut it.lease_renew, SHORT);
+    s.time("lease_margin", &mut it.lease_margin, SHORT);
+    s.time("lease_poll", &mut it.lease_poll, SHORT);
+    s.time("order_life", &mut it.order_life, SHORT);
+    s.time("decide", &mut it.decide, SHORT);
+    s.time("inspect", &mut it.inspect, SHORT);
+    s.time("inspect_busy", &mut it.inspect_busy, SHORT);
+    s.time("beat_life", &mut it.beat_life, SHORT);
+    s.number("loads_at_once", &mut it.loads_at_once, 1..=10_000);
+    s.number("share", &mut it.share, SHARE);
+    s.number("utilisation", &mut it.utilisation, SHARE);
+    s.time("hold", &mut it.hold, MS..=HOUR);
+    s.time("ahead", &mut it.ahead, MS..=HOUR);
+    s.switch("forecast", &mut it.forecast);
+}
+
+/// One section, whose values replace defaults in place.
+struct Section<'a> {
+    reader: &'a mut Reader,
+    name: &'static str,
+}
+
+impl<'a> Section<'a> {
+    fn new(reader: &'a mut Reader, name: &'static str) -> Section<'a> {
+        Section { reader, name }
+    }
+
+    fn time(&mut self, key: &'static str, slot: &mut Duration, bounds: RangeInclusive<Duration>) {
+        *slot = self.reader.value(self.name, key, Time(bounds), *slot);
+    }
+
+    fn number<T>(&mut self, key: &'static str, slot: &mut T, bounds: RangeInclusive<T>)
+    where
+        T: Copy + FromStr + PartialOrd + fmt::Display,
+    {
+        *slot = self.reader.value(self.name, key, Number(bounds), *slot);
+    }
+
+    fn switch(&mut self, key: &'static str, slot: &mut bool) {
+        *slot = self.reader.value(self.name, key, Switch, *slot);
+    }
+}
--- a/crates/ferry-entry/tests/entry/harness.rs
+++ b/crates/ferry-entry/tests/entry/harness.rs
@@ -19,6 +19,8 @@
 /// Generous: only a hang reaches it.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 const FLEET_INTERVAL: Duration = Duration::from_millis(100);
+/// Lets an instance that leaves be quick about it.
+const SHORT: Duration = Duration::from_millis(50);
 const POLL: Duration = Duration::from_millis(5);
 const WORKSPACE: &str = "agents";
 
@@ -43,7 +45,7 @@
                 region: deployment.region.to_owned(),
                 role: InstanceRole::Entry,
             },
-            tuning: Tuning::default(),
+            tuning: Tuning { answer_life: SHORT, leave_margin: SHORT, ..Tuning::default() },
             seed: 1,
             listen: bind,
             ports: PortOptions::new("entry-0", platform).with_interval(FLEET_INTERVAL),
--- a/crates/ferry-entry/tests/entry/process.rs
+++ b/crates/ferry-entry/tests/entry/process.rs
@@ -115,7 +115,8 @@
     format!(
         "[instance]\nid = entry-0\nzone = lagos-1\nregion = lagos\nlisten = 127.0.0.1:0\n\
          [platform]\nstore = {platform}\nfleet = {platform}\ninterval = 100ms\n\
-         [limits]\nclose_time = 100ms\n[workspace agents]\ntokens = {hash}\n"
+         [limits]\nclose_time = 100ms\n\
+         [membership]\nanswer_life = 100ms\nleave_margin = 100ms\n[workspace agents]\ntokens = {hash}\n"
     )
 }
 
--- /dev/null
+++ b/crates/ferry-entry/tests/settings_page.rs
@@ -0,0 +1,41 @@
+//! docs/SETTINGS.md lists every key that an entry reads.
+
+use ferry_edge::settings::{self, Findings};
+use ferry_entry::EntrySettings;
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
+/// A key that no section has: its finding lists the ones that are allowed.
+const UNKNOWN: &str = "unknown_to_all";
+
+fn findings(text: &str) -> Findings {
+    settings::parse("page.ini", text, |_| None, EntrySettings::read).unwrap_err()
+}
+
+fn allowed(findings: &Findings, place: &str) -> Vec<String> {
+    let found = findings.0.iter().find(|it| it.place == place).unwrap();
+    let list = found.problem.split("allowed are ").nth(1).unwrap();
+    list.split(", ").map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_lists_every_key_of_every_section() {
+    let page = std::fs::read_to_string(PAGE).unwrap();
+    let optional = "[peers]\n[metrics]\n[workspace NAME]\n";
+    let sections =
+        allowed(&findings(&format!("{optional}[{UNKNOWN}]\n")), "page.ini:unknown_to_all:");
+    assert!(sections.len() > 8, "{sections:?}");
+    for section in sections {
+        let heading = format!("### [{section}]\n");
+        let text = page.split(&heading).nth(1).unwrap_or_else(|| panic!("{heading} is missing"));
+        let text = text.split("### [").next().unwrap();
+        let others: String = optional
+            .lines()
+            .filter(|it| *it != format!("[{section}]"))
+            .map(|it| format!("{it}\n"))
+            .collect();
+        let ini = format!("{others}[{section}]\n{UNKNOWN} = 1\n");
+        for key in allowed(&findings(&ini), &format!("page.ini:{section}:{UNKNOWN}")) {
+            assert!(text.contains(&format!("| `{key}` |")), "{section}: {key} is missing");
+        }
+    }
+}
