--- a/crates/ferry-core/src/member.rs
+++ b/crates/ferry-core/src/member.rs
@@ -165,26 +165,38 @@
         fanout: usize,
         instances: Vec<Instance>,
     ) {
-        self.listed_at = now;
+        let last = std::mem::replace(&mut self.listed_at, now);
         self.own = instances.iter().find(|it| it.id == identity.instance).cloned();
+        let mut is_changed = false;
         for instance in instances.into_iter().filter(|it| it.id != identity.instance) {
             match self.views.get_mut(&instance.id) {
                 Some(known) => {
+                    let has_moved = known.instance.zone != instance.zone
+                        || known.instance.region != instance.region;
+                    is_changed |= has_moved || known.listed_at != last;
                     known.instance = instance;
                     known.listed_at = now;
                 }
                 None => {
-                    let id = instance.id.clone();
-                    self.views.insert(id, Member::new(instance, now));
+                    is_changed = true;
+                    self.views.insert(instance.id.clone(), Member::new(instance, now));
                 }
             }
         }
+        is_changed |= self.views.values().any(|it| it.listed_at == last && last < now);
         self.views.retain(|_, it| {
             let heard_at = it.heard.as_ref().map_or(Moment::ZERO, |it| it.at);
             now.saturating_sub(it.listed_at.max(heard_at)) < FORGET_AFTER
         });
+        if is_changed {
+            self.choose_targets(identity, fanout);
+        }
+    }
+
+    fn choose_targets(&mut self, identity: &Identity, fanout: usize) {
+        let is_listed = |it: &&Member| it.listed_at == self.listed_at;
         let listed: Vec<&Instance> =
-            self.views.values().filter(|it| it.listed_at == now).map(|it| &it.instance).collect();
+            self.views.values().filter(is_listed).map(|it| &it.instance).collect();
         self.targets = subset::choose(identity, &listed, fanout);
     }
 
