--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod member;
 pub mod node;
+pub mod place;
 pub mod request;
 pub mod route;
 pub mod settings;
@@ -22,5 +23,6 @@
 };
 pub use event::{Arrival, CallEvent, Echo, Event};
 pub use node::{Identity, InstanceRole, Node};
+pub use place::PlaceTuning;
 pub use settings::Tuning;
 pub use store::{CallId, Owner};
--- a/crates/ferry-core/src/member.rs
+++ b/crates/ferry-core/src/member.rs
@@ -96,8 +96,6 @@
     highest: Revision,
     highest_at: Moment,
     sweep: Sweep,
-    /// Revision of the placement plan that this instance obeys, for its heartbeats.
-    pub plan: Revision,
 }
 
 impl Members {
--- a/crates/ferry-core/src/member/beat.rs
+++ b/crates/ferry-core/src/member/beat.rs
@@ -72,8 +72,12 @@
     cx.send(from, message);
 }
 
-/// Joins a heartbeat; returns it if it is news of the sender's present life.
-pub fn on_heartbeat(cx: &mut Turn<'_>, from: &InstanceId, beat: Heartbeat) -> Option<Heartbeat> {
+/// Joins a heartbeat; returns it, with the loads known, if it is of the sender's present life.
+pub fn on_heartbeat(
+    cx: &mut Turn<'_>,
+    from: &InstanceId,
+    mut beat: Heartbeat,
+) -> Option<Heartbeat> {
     let now = cx.now;
     let suspect_after = cx.ctx.tuning.suspect_after;
     if beat.instance != *from || *from == cx.ctx.identity.instance {
@@ -97,10 +101,10 @@
     };
     // A bare heartbeat says nothing of loads, so the last known ones stand.
     let keeps_loads = beat.loads.is_empty() && beat.demand.is_empty();
-    let (loads, demand) = match old {
-        Some(old) if keeps_loads => (old.loads, old.demand),
-        Some(_) | None => (beat.loads.clone(), beat.demand.clone()),
-    };
+    if let Some(old) = old.filter(|_| keeps_loads) {
+        beat.loads = old.loads;
+        beat.demand = old.demand;
+    }
     member.heard = Some(Heard {
         at: now,
         pushed_at,
@@ -109,8 +113,8 @@
         revision: beat.revision,
         plan: beat.plan,
         workspaces: beat.workspaces,
-        loads,
-        demand,
+        loads: beat.loads.clone(),
+        demand: beat.demand.clone(),
     });
     members.saw_revision(now, beat.revision);
     if !asked {
@@ -179,7 +183,7 @@
             false => InstanceState::Live,
         },
         revision: ctx.revision(),
-        plan: ctx.members.plan,
+        plan: ctx.fleet.plan_revision(),
         loads: summary.loads,
         demand: summary.demand,
         leaving: latest(&ctx.members.leaving),
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::member::beat::{self, Summary};
 use crate::member::{Members, choose, sweep};
+use crate::place::Placement;
 use crate::request::Requests;
 use crate::store::StoreCalls;
 use crate::workspaces::{self, Workspaces, WorkspacesState};
@@ -85,6 +86,7 @@
     admin: Admin,
     requests: Requests,
     drain: Drain,
+    placement: Placement,
 }
 
 impl Node {
@@ -106,6 +108,7 @@
             admin: Admin::new(),
             requests: Requests::new(),
             drain: Drain::new(),
+            placement: Placement::new(),
         }
     }
 
@@ -115,6 +118,7 @@
         let cx = &mut Turn { now, ctx: &mut self.ctx, out: &mut out };
         match event {
             Event::Tick => {
+                self.placement.tick(cx);
                 self.config.tick(cx);
                 self.workspaces.tick(cx);
                 self.admin.tick(cx);
@@ -127,11 +131,19 @@
                 Some(Owner::Config) => self.config.on_store(cx, call, result),
                 Some(Owner::Workspaces) => self.workspaces.on_store(cx, call, result),
                 Some(Owner::Admin) => self.admin.on_store(cx, call, result),
-                Some(Owner::Claims | Owner::Lease | Owner::Plan) | None => (),
+                Some(
+                    owner @ (Owner::Lease
+                    | Owner::Plan
+                    | Owner::PlanWatch
+                    | Owner::PlanPoll
+                    | Owner::History),
+                ) => self.placement.on_store(cx, owner, result),
+                Some(Owner::Claims) | None => (),
             },
             Event::Fleet { endpoints, instances } => {
                 cx.ctx.fleet.update(endpoints);
                 let Context { identity, members, tuning, .. } = &mut *cx.ctx;
+                self.placement.on_list(&instances);
                 members.update(now, identity, tuning.beat_fanout, instances);
             }
             Event::AskInstances { ticket, zone } => {
@@ -141,11 +153,15 @@
             }
             Event::Admin(request) => self.admin.on_request(cx, request),
             Event::Peer { from, message } => self.on_peer(now, &mut out, from, message),
-            Event::Cache(_)
-            | Event::AskKey { .. }
-            | Event::Ordered { .. }
-            | Event::Report { .. } => (),
-            Event::Shutdown => self.drain.start(cx),
+            Event::Cache(_) | Event::AskKey { .. } => (),
+            Event::Ordered { endpoint, fence, result } => {
+                self.placement.on_ordered(cx, &endpoint, fence, &result);
+            }
+            Event::Report { endpoint, report } => self.placement.on_report(cx, &endpoint, report),
+            Event::Shutdown => {
+                self.placement.shutdown(cx);
+                self.drain.start(cx);
+            }
         }
         self.finish(now, &mut out);
         out
@@ -162,6 +178,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
                 let Some(heard) = beat::on_heartbeat(cx, &from, heartbeat) else { return };
+                self.placement.on_heartbeat(cx, &heard);
                 self.workspaces.on_digest(cx, &from, heard.workspaces);
                 self.config.on_announced(cx, from, heard.revision);
             }
@@ -201,6 +218,7 @@
             self.admin.next_wake(),
             self.ctx.members.next_wake(),
             self.requests.next_wake(),
+            self.placement.next_wake(&self.ctx),
             self.drain.next_wake(),
         ];
         due.into_iter().flatten().min()
@@ -238,6 +256,10 @@
         self.ctx.config.as_ref()
     }
 
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
     /// Whether new requests are taken: a configuration is in force and the process is not leaving.
     pub fn is_ready(&self) -> bool {
         self.ctx.config.is_some() && !self.requests.is_leaving()
--- a/crates/ferry-fakes/src/world/execute.rs
+++ b/crates/ferry-fakes/src/world/execute.rs
@@ -73,7 +73,10 @@
             Effect::Count { metric, by } => {
                 *self.nodes[idx].counts.entry_or_with(metric, || 0) += by;
             }
-            Effect::Exit => self.nodes[idx].exited = true,
+            Effect::Exit => {
+                self.nodes[idx].exited = true;
+                self.trace.exits.push((self.now, idx));
+            }
             Effect::Instances { ticket, answer } => {
                 self.choices.insert(ticket, *answer);
             }
@@ -83,7 +86,8 @@
             Effect::Admin { ticket, reply } => {
                 self.replies.entry_or_with(ticket, Vec::new).push((self.now, *reply));
             }
-            Effect::Order { .. } | Effect::Inspect { .. } => (),
+            Effect::Order { order, .. } => self.start_order(idx, life, order),
+            Effect::Inspect { endpoint, .. } => self.inspect(idx, life, endpoint),
         }
     }
 }
