Serve the administration interface

Cause: operators had no interface; the demonstration ran without a control process. Change: ferry-control with settings, signals and a dropshot interface under If-Match and change ids; one control runs in the demonstration; processes learn the workspaces in force.

--- a/crates/ferry-bench/src/cluster.rs
+++ b/crates/ferry-bench/src/cluster.rs
@@ -3,9 +3,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use ferry_control::{ControlOptions, ControlServer, Operator};
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::certs::{self, CertPair};
-use ferry_edge::{PeerIdentity, PeerOptions};
+use ferry_edge::{Handle, PeerIdentity, PeerOptions};
 use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
 use ferry_model::{EndpointState, Instance};
 use ferry_standin::DeploymentStandins;
@@ -13,6 +14,12 @@
 
 use crate::Deployment;
 
+/// Largest body of an operator's request, in bytes.
+const CONTROL_BODY: usize = 256 * 1024;
+/// Name of the operator of the demonstration, and its bearer token.
+pub const OPERATOR: &str = "demo";
+pub const OPERATOR_TOKEN: &str = "demo-operator-token";
+
 /// Time an entry has to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(10);
@@ -20,6 +27,7 @@
 pub struct Cluster {
     pub standins: DeploymentStandins,
     pub entries: Vec<EntryServer>,
+    pub control: ControlServer,
 }
 
 impl Cluster {
@@ -60,15 +68,16 @@
             };
             entries.push(EntryServer::start(options, log).map_err(|it| it.to_string())?);
         }
-        let cluster = Cluster { standins, entries };
-        cluster.list_entries(deployment);
+        let control = start_control(deployment, platform, &authority, seed, log)?;
+        let cluster = Cluster { standins, entries, control };
+        cluster.list_instances(deployment);
         cluster.wait_ready().await?;
         Ok(cluster)
     }
 
-    /// Puts the entries into the instance list.
-    fn list_entries(&self, deployment: &Deployment) {
-        let instances = self.entries.iter().enumerate().filter_map(|(idx, entry)| {
+    /// Puts the entries and the control process into the instance list.
+    fn list_instances(&self, deployment: &Deployment) {
+        let entries = self.entries.iter().enumerate().filter_map(|(idx, entry)| {
             Some(Instance {
                 id: entry.instance().to_owned(),
                 zone: deployment.zones[idx % deployment.zones.len()].to_owned(),
@@ -79,12 +88,25 @@
                 is_entry: true,
             })
         });
-        self.standins.platform.state.set_instances(instances.collect());
+        let control = self.control.peer_address().map(|peer| Instance {
+            id: self.control.instance().to_owned(),
+            zone: deployment.zones[0].to_owned(),
+            region: deployment.region.to_owned(),
+            address: self.control.address(),
+            peer,
+            state: EndpointState::Live,
+            is_entry: false,
+        });
+        self.standins.platform.state.set_instances(entries.chain(control).collect());
+    }
+
+    fn handles(&self) -> impl Iterator<Item = &Handle> {
+        self.entries.iter().map(|it| it.handle()).chain([self.control.handle()])
     }
 
     async fn wait_ready(&self) -> Result<(), String> {
         let ready = async {
-            while !self.entries.iter().all(|it| it.handle().status().ready) {
+            while !self.handles().all(|it| it.status().ready) {
                 tokio::time::sleep(READY_POLL).await;
             }
         };
@@ -94,6 +116,39 @@
     }
 }
 
+fn start_control(
+    deployment: &Deployment,
+    platform: SocketAddr,
+    authority: &CertPair,
+    seed: u64,
+    log: &Logger,
+) -> Result<ControlServer, String> {
+    let bind = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let identity = Identity {
+        instance: "control-0".to_owned(),
+        incarnation: seed.wrapping_add(1_000),
+        zone: deployment.zones[0].to_owned(),
+        region: deployment.region.to_owned(),
+        role: InstanceRole::Control,
+    };
+    let token = blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().to_string();
+    let options = ControlOptions {
+        peers: Some(peer_options(authority, &identity.instance, bind)?),
+        identity,
+        tuning: Tuning::default(),
+        seed: seed.wrapping_add(1_000),
+        listen: bind,
+        store: platform,
+        fleet: platform,
+        store_timeout: Duration::from_secs(1),
+        fleet_interval: Duration::from_secs(1),
+        body: CONTROL_BODY,
+        close_time: Duration::from_secs(5),
+        operators: vec![Operator { name: OPERATOR.to_owned(), tokens: vec![token] }],
+    };
+    ControlServer::start(options, log).map_err(|it| it.to_string())
+}
+
 fn peer_options(
     authority: &CertPair,
     instance: &str,
--- a/crates/ferry-control/src/main.rs
+++ b/crates/ferry-control/src/main.rs
@@ -1,1 +1,57 @@
-fn main() {}
+//! The process that operators talk to.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use ferry_control::{ControlSettings, run};
+use ferry_edge::process;
+
+/// Serves operators: edits the configuration and places capacity.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "ferry-control --settings etc/ferry-control.ini",
+    note = "docs/SETTINGS.md lists every setting, docs/OPERATING.md signals and logs.",
+    error_code(1, "The process could not start or failed."),
+    error_code(2, "The settings have findings; each is on a line of its own.")
+)]
+struct Args {
+    /// settings file
+    #[argh(option)]
+    settings: Option<String>,
+    /// print every finding in the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    if args.version {
+        println!("ferry-control {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = args.settings else {
+        eprintln!("ferry-control: --settings is missing");
+        return ExitCode::FAILURE;
+    };
+    let settings = match ControlSettings::load(&path) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return process::settings_exit();
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ferry-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-control/src/settings.rs
@@ -0,0 +1,80 @@
+//! The settings file of a control process; docs/SETTINGS.md lists the shared keys.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_core::Tuning;
+use ferry_edge::PeerOptions;
+use ferry_edge::logs::LogSettings;
+use ferry_edge::settings::common::{self, InstanceSettings, PlatformSettings};
+use ferry_edge::settings::{Findings, Hashes, Number, Reader, Time};
+
+const KIB: usize = 1024;
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+/// Start of the name of an operator's section.
+const OPERATOR_PREFIX: &str = "operator ";
+
+/// Someone who may administer the deployment; the history names them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operator {
+    pub name: String,
+    /// BLAKE3 hashes of the operator's bearer tokens, in hex.
+    pub tokens: Vec<String>,
+}
+
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    pub instance: InstanceSettings,
+    pub platform: PlatformSettings,
+    pub peers: Option<PeerOptions>,
+    pub log: LogSettings,
+    pub metrics: Option<SocketAddr>,
+    /// Largest body of an operator's request, in bytes.
+    pub body: usize,
+    /// Time for the last bytes to reach operators at shutdown.
+    pub close_time: Duration,
+    pub tuning: Tuning,
+    pub operators: Vec<Operator>,
+}
+
+impl ControlSettings {
+    /// Reads the file; the error has every finding.
+    pub fn load(path: &str) -> Result<ControlSettings, Findings> {
+        ferry_edge::settings::load(path, ControlSettings::read)
+    }
+
+    pub fn read(reader: &mut Reader) -> ControlSettings {
+        let instance = InstanceSettings::read(reader);
+        let peers = common::peers(reader, &instance.id);
+        ControlSettings {
+            instance,
+            platform: PlatformSettings::read(reader),
+            peers,
+            log: common::log(reader),
+            metrics: common::metrics(reader),
+            body: reader.value("limits", "body_bytes", Number(KIB..=1024 * KIB), 256 * KIB),
+            close_time: reader.value(
+                "limits",
+                "close_time",
+                Time(SECOND / 10..=MINUTE),
+                5 * SECOND,
+            ),
+            tuning: common::tuning(reader),
+            operators: operators(reader),
+        }
+    }
+}
+
+/// Reads who may administer; nobody may where the file names no operator.
+fn operators(reader: &mut Reader) -> Vec<Operator> {
+    let names = reader.sections(OPERATOR_PREFIX);
+    names
+        .into_iter()
+        .map(|name| {
+            let section = format!("{OPERATOR_PREFIX}{name}");
+            let tokens = reader.required(&section, "tokens", Hashes);
+            Operator { name, tokens }
+        })
+        .collect()
+}
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_core::workspaces::Workspaces;
 use ferry_core::{Effect, Event, Node};
 use ferry_model::{AttemptId, Moment, Revision, SortedMap};
 use slog::Logger;
@@ -44,6 +45,7 @@
     events: mpsc::UnboundedSender<Event>,
     callers: Arc<Callers>,
     status: watch::Receiver<Status>,
+    workspaces: watch::Receiver<Arc<Workspaces>>,
 }
 
 impl Handle {
@@ -60,6 +62,11 @@
         self.status.borrow().clone()
     }
 
+    /// Returns the workspaces in force.
+    pub fn workspaces(&self) -> Arc<Workspaces> {
+        self.workspaces.borrow().clone()
+    }
+
     /// Returns a receiver that sees each change of the status.
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
@@ -74,6 +81,7 @@
     sender: mpsc::UnboundedSender<Event>,
     events: mpsc::UnboundedReceiver<Event>,
     status: watch::Sender<Status>,
+    workspaces: watch::Sender<Arc<Workspaces>>,
     calls: SortedMap<AttemptId, AbortHandle>,
     orders: OrderClient,
 }
@@ -83,8 +91,13 @@
     pub fn spawn(node: Node, ports: Ports) -> Handle {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, seen) = watch::channel(Status::default());
-        let handle =
-            Handle { events: sender.clone(), callers: ports.callers.clone(), status: seen };
+        let (workspaces, known) = watch::channel(node.workspaces().clone());
+        let handle = Handle {
+            events: sender.clone(),
+            callers: ports.callers.clone(),
+            status: seen,
+            workspaces: known,
+        };
         ports.fleet.clone().spawn(sender.clone());
         if let Some(peers) = &ports.peers {
             peers.spawn(sender.clone());
@@ -96,6 +109,7 @@
             sender,
             events,
             status,
+            workspaces,
             calls: SortedMap::new(),
             orders: OrderClient::new(),
         };
@@ -193,6 +207,14 @@
     }
 
     fn publish(&self) {
+        let workspaces = self.node.workspaces();
+        self.workspaces.send_if_modified(|it| {
+            let is_changed = !Arc::ptr_eq(it, workspaces);
+            if is_changed {
+                it.clone_from(workspaces);
+            }
+            is_changed
+        });
         let revision = self.node.revision();
         let ready = self.node.is_ready();
         self.status.send_if_modified(|it| {
--- a/crates/ferry-standin/src/deployment.rs
+++ b/crates/ferry-standin/src/deployment.rs
@@ -5,6 +5,7 @@
 use ferry_core::config::CONFIG_NAME;
 use ferry_fakes::Deployment;
 use ferry_fakes::deployment::PoolShape;
+use ferry_model::workspace::shard_name;
 use ferry_model::{Endpoint, EndpointState, ObjectKind, Role};
 use slog::Logger;
 
@@ -41,6 +42,10 @@
         platform.state.set_endpoints(listed.clone());
         let value = serde_json::to_value(&deployment.config).map_err(|it| it.to_string())?;
         platform.state.seed(ObjectKind::Config.into(), CONFIG_NAME, value);
+        for (number, shard) in deployment.shards() {
+            let value = serde_json::to_value(&shard).map_err(|it| it.to_string())?;
+            platform.state.seed(ObjectKind::Workspaces.into(), &shard_name(number), value);
+        }
         Ok(DeploymentStandins { platform, endpoints, listed, witness })
     }
 }
