--- a/crates/ferry-edge/tests/peers.rs
+++ b/crates/ferry-edge/tests/peers.rs
@@ -69,7 +69,7 @@
         plan: 0,
         loads: vec![load],
         demand: vec![("agents".to_owned(), 2)],
-        leaving: vec![("entry-3".to_owned(), 8)],
+        leaving: vec![("entry-2".to_owned(), 4)],
         workspaces: 7,
     })
 }
--- a/crates/ferry-entry/src/api.rs
+++ b/crates/ferry-entry/src/api.rs
@@ -138,6 +138,9 @@
         .and_then(|it| it.to_str().ok()?.strip_prefix("Bearer "))
         .ok_or_else(unauthorized)?;
     let hash = blake3::hash(token.as_bytes()).to_hex().to_string();
+    if let Some(workspace) = context.handle.workspaces().by_token(&hash) {
+        return Ok(workspace.name.clone());
+    }
     let found = context.workspaces.iter().find(|it| it.tokens.contains(&hash));
     found.map(|it| it.name.clone()).ok_or_else(unauthorized)
 }
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -54,6 +54,9 @@
     pub instances: Vec<Instance>,
     pub asked: SortedMap<Ticket, Asked>,
     pub runs: Vec<Run>,
+    pub weights: WeightStore,
+    /// Every order that reached an endpoint.
+    pub orders: Vec<OrderSeen>,
     /// What operators were told; more than one reply to a ticket is a fault of ours.
     pub replies: SortedMap<Ticket, Vec<(Moment, AdminReply)>>,
     /// Addresses that callers were told to use.
@@ -64,9 +67,6 @@
     pub sent: PeerTraffic,
     /// Calls to the object API by verb.
     pub verbs: SortedMap<&'static str, u64>,
-    pub weights: WeightStore,
-    /// Every order that reached an endpoint.
-    pub orders: Vec<OrderSeen>,
     /// Every decision, with the node that made it.
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// The instance list is frozen as it is.
@@ -126,10 +126,10 @@
     Finish { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Cancel { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
     Store { node: NodeIdx, life: u32, call: u64, op: StoreOp },
-    LateWrite { op: StoreOp },
     Order { node: NodeIdx, life: u32, order: Box<Order> },
     Inspect { node: NodeIdx, life: u32, endpoint: EndpointId },
     Loaded { endpoint: EndpointId, number: u64 },
+    LateWrite { op: StoreOp },
     List,
 }
 
@@ -160,13 +160,13 @@
             instances: Vec::new(),
             asked: SortedMap::new(),
             runs: Vec::new(),
+            weights: WeightStore::default(),
+            orders: Vec::new(),
             replies: SortedMap::new(),
             choices: SortedMap::new(),
             keys: SortedMap::new(),
             sent: PeerTraffic::default(),
             verbs: SortedMap::new(),
-            weights: WeightStore::default(),
-            orders: Vec::new(),
             decisions: Vec::new(),
             list_frozen: false,
             border: None,
@@ -426,13 +426,13 @@
                 self.cancel_call(&endpoint, node, life, attempt);
             }
             Item::Store { node, life, call, op } => self.take_store(node, life, call, op),
+            Item::Order { node, life, order } => self.take_order(node, life, &order),
+            Item::Inspect { node, life, endpoint } => self.take_inspect(node, life, endpoint),
+            Item::Loaded { endpoint, number } => self.finish_load(&endpoint, number),
             Item::LateWrite { op } => {
                 self.store.perform(&op);
                 self.wake_watches();
             }
-            Item::Order { node, life, order } => self.take_order(node, life, &order),
-            Item::Inspect { node, life, endpoint } => self.take_inspect(node, life, endpoint),
-            Item::Loaded { endpoint, number } => self.finish_load(&endpoint, number),
             Item::List => {
                 for idx in 0..self.nodes.len() {
                     self.list(idx);
