--- a/crates/ferry-edge/src/auth.rs
+++ b/crates/ferry-edge/src/auth.rs
@@ -57,8 +57,7 @@
 
     /// Returns the owner of the bearer token in a request's headers.
     pub fn find(&self, headers: &HeaderMap) -> Option<T> {
-        let token = bearer(headers)?;
-        let hash = blake3::hash(token.as_bytes());
+        let hash = token_hash(headers)?;
         let owners = self.owners.read().unwrap_or_else(|it| it.into_inner()).clone();
         let owner = owners.get(&self.seal(&hash))?;
         let is_same = bool::from(owner.hash.as_bytes().ct_eq(hash.as_bytes()));
@@ -70,6 +69,11 @@
     }
 }
 
+/// Returns the BLAKE3 hash of the bearer token in a request's headers.
+pub fn token_hash(headers: &HeaderMap) -> Option<Hash> {
+    bearer(headers).map(|it| blake3::hash(it.as_bytes()))
+}
+
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     let mut values = headers.get_all(AUTHORIZATION).iter();
     let value = values.next()?.to_str().ok()?;
