Add the promise checker, the fault matrix and stories

Cause: nothing showed that the promises hold when something fails. Change: ferry-proof checks every promise over a finished world; the matrix strikes each fault at each step, alone, three times and in pairs; deliberate errors at the border show that the checker can fail; stories under scenarios/ are read by a small test language.

--- /dev/null
+++ b/crates/ferry-proof/src/check.rs
@@ -0,0 +1,86 @@
+//! The one checker of every promise over a finished world.
+
+mod config;
+mod requests;
+mod runs;
+
+use std::fmt;
+use std::time::Duration;
+
+use ferry_fakes::World;
+use serde::Serialize;
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// What must hold in every run, whatever failed in it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Display, EnumIter, IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Promise {
+    /// Each request ends in exactly one answer while its process lives, in time.
+    Answered,
+    /// A complete answer is the whole one to the request's own input.
+    Own,
+    /// Streamed tokens come once, in order and whole.
+    Streamed,
+    /// What was refused as not run never ran.
+    NotRun,
+    /// A stage that may not be repeated runs at most once per key.
+    AtMostOnce,
+    /// A leaving endpoint takes no new work after the stated time.
+    Leaving,
+    /// A graceful shutdown cuts no request.
+    Graceful,
+    /// Accepted configurations reach every live node in time and never revert.
+    Configured,
+}
+
+/// One broken promise, with the place where it shows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    pub promise: Promise,
+    pub what: String,
+}
+
+impl Violation {
+    pub fn new(promise: Promise, what: impl Into<String>) -> Violation {
+        Violation { promise, what: what.into() }
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.what)
+    }
+}
+
+/// The stated times; they come from the targets, never from what was measured.
+#[derive(Debug, Clone)]
+pub struct Bounds {
+    /// How long after its deadline a request may get its final answer.
+    pub grace: Duration,
+    /// How long a leaving endpoint may still take new work.
+    pub leaving: Duration,
+    /// How long an accepted configuration may take to be in force everywhere.
+    pub in_force: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            grace: Duration::from_millis(250),
+            leaving: Duration::from_secs(3),
+            in_force: Duration::from_secs(18),
+        }
+    }
+}
+
+/// Checks every promise over a world that has come to rest.
+pub fn check(world: &World, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = Vec::new();
+    requests::check(world, bounds, &mut found);
+    runs::check(world, bounds, &mut found);
+    config::check(world, bounds, &mut found);
+    found
+}
--- /dev/null
+++ b/crates/ferry-proof/src/lib.rs
@@ -0,0 +1,17 @@
+//! Checks of the promises over whole worlds on virtual time: the shared checker,
+//! the fault matrix, deliberate errors and scenarios.
+//!
+//! See docs/PROOF.md for how to run them and docs/design/proof.md for the reasons.
+
+pub mod check;
+pub mod fault;
+pub mod matrix;
+pub mod mutation;
+pub mod scenario;
+pub mod step;
+
+pub use check::{Bounds, Promise, Violation, check};
+pub use fault::Fault;
+pub use matrix::{Cell, Verdict};
+pub use mutation::Mutation;
+pub use step::Step;
--- /dev/null
+++ b/crates/ferry-proof/src/scenario.rs
@@ -0,0 +1,292 @@
+//! Stories in a small test language; docs/PROOF.md describes every statement.
+
+pub mod parse;
+
+use std::time::Duration;
+
+use ferry_core::{Event, Tuning};
+use ferry_fakes::{Deployment, DeploymentName, EndpointFaults, FakeEndpoint, Request, World};
+use ferry_model::{EndpointState, SortedMap, Ticket};
+use thiserror::Error;
+
+use crate::check::{Bounds, check};
+use crate::fault::LIST_LAG;
+use crate::matrix::{self, N_ENTRIES};
+use crate::scenario::parse::{Ask, EndpointFault, NodeVerb, Show, Statement, StoreFault};
+
+/// A mistake in a story, with its line counted from the block's first.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("line {line} of the block, `{text}`: {problem}")]
+pub struct StoryError {
+    pub line: usize,
+    pub text: String,
+    pub problem: String,
+}
+
+/// One story: a world and the names that its statements gave to requests.
+#[derive(Debug)]
+pub struct Story {
+    world: World,
+    deployment: Deployment,
+    tuning: Tuning,
+    seed: u64,
+    asked: SortedMap<String, Vec<Ticket>>,
+}
+
+impl Story {
+    pub fn new(name: DeploymentName, seed: u64) -> Story {
+        let deployment = Deployment::new(name);
+        let tuning = Tuning::default();
+        let mut world = matrix::world_with_controls(&deployment, &tuning, seed);
+        world.run_for(Duration::from_secs(3));
+        Story { world, deployment, tuning, seed, asked: SortedMap::new() }
+    }
+
+    /// Carries out a block of statements and returns the lines that it shows.
+    pub fn run(&mut self, block: &str) -> Result<String, StoryError> {
+        let mut shown = String::new();
+        for (idx, text) in block.lines().enumerate() {
+            let fail = |problem| StoryError { line: idx + 1, text: text.to_owned(), problem };
+            let Some(statement) = Statement::parse(text).map_err(fail)? else { continue };
+            self.perform(statement, &mut shown).map_err(fail)?;
+        }
+        Ok(shown)
+    }
+
+    fn perform(&mut self, statement: Statement, shown: &mut String) -> Result<(), String> {
+        match statement {
+            Statement::Run(time) => self.run_for(time),
+            Statement::Ask(ask) => self.ask(&ask)?,
+            Statement::HangUp(name) => {
+                for ticket in self.tickets(&name)?.to_vec() {
+                    self.world.hang_up(ticket);
+                }
+            }
+            Statement::Fault { target, fault } => {
+                let now = self.world.now;
+                self.each_endpoint(&target, |it| disturb(it, fault, now))?;
+            }
+            Statement::Heal(target) => self.each_endpoint(&target, |it| {
+                it.faults = EndpointFaults::default();
+            })?,
+            Statement::Node { node, verb } => self.act(node, verb)?,
+            Statement::Store(fault) => self.disturb_store(fault),
+            Statement::Cut { left, right } => {
+                for zone in [&left, &right] {
+                    self.expect_zone(zone)?;
+                }
+                self.world.network.cuts.push((left, right));
+            }
+            Statement::Rejoin => self.world.network.cuts.clear(),
+            Statement::Preset { node, name, author } => {
+                self.expect_node(node)?;
+                matrix::choose_preset(&mut self.world, node, &author, name);
+            }
+            Statement::Show(show) => {
+                shown.push_str(&self.show(&show)?);
+                shown.push('\n');
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs the world, with the instance list showing leaving endpoints after its lag.
+    fn run_for(&mut self, time: Duration) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            let next = (self.world.now + LIST_LAG).min(end);
+            self.world.run_until(next);
+            let now = self.world.now;
+            for it in self.world.endpoints.values_mut() {
+                if it.leaving_since.is_some_and(|since| since + LIST_LAG <= now) {
+                    it.endpoint.state = EndpointState::Leaving;
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, ask: &Ask) -> Result<(), String> {
+        self.expect_node(ask.entry)?;
+        if self.deployment.config.pipeline(&ask.pipeline).is_none() {
+            let names: Vec<&str> =
+                self.deployment.config.pipelines.iter().map(|it| it.name.as_str()).collect();
+            return Err(format!("no pipeline `{}`; there are {}", ask.pipeline, names.join(", ")));
+        }
+        for idx in 0..ask.times {
+            let name =
+                if ask.times == 1 { ask.name.clone() } else { format!("{}-{idx}", ask.name) };
+            let key = ask.key.clone().unwrap_or_else(|| name.clone());
+            let input = ask.input.clone().unwrap_or_else(|| format!("papers of {key}"));
+            let mut request = Request::new(&ask.workspace, &ask.pipeline, input).with_key(key);
+            request.deadline = ask.deadline;
+            request.stream = ask.stream;
+            let ticket = self.world.ask((ask.entry + idx) % N_ENTRIES, request);
+            self.asked.entry_or_with(ask.name.clone(), Vec::new).push(ticket);
+            self.run_for(ask.every);
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, node: usize, verb: NodeVerb) -> Result<(), String> {
+        self.expect_node(node)?;
+        match verb {
+            NodeVerb::Kill => self.world.kill(node),
+            NodeVerb::Replace => {
+                let life = u64::from(self.world.life(node)) + 1;
+                let mut identity = self.world.node(node).identity().clone();
+                identity.incarnation += 1_000_000 * life;
+                self.list_instance(node, EndpointState::Live);
+                let seed = self.seed + 100 * life + node as u64;
+                self.world.replace(node, identity, self.tuning.clone(), seed);
+            }
+            NodeVerb::Freeze => self.world.freeze(node),
+            NodeVerb::Thaw => self.world.thaw(node),
+            NodeVerb::Shutdown => {
+                self.list_instance(node, EndpointState::Leaving);
+                self.world.deliver(node, Event::Shutdown);
+            }
+        }
+        Ok(())
+    }
+
+    fn list_instance(&mut self, node: usize, state: EndpointState) {
+        let id = self.world.node(node).identity().instance.clone();
+        for it in self.world.instances.iter_mut().filter(|it| it.id == id) {
+            it.state = state;
+        }
+    }
+
+    fn disturb_store(&mut self, fault: StoreFault) {
+        let store = &mut self.world.store;
+        match fault {
+            StoreFault::Down => store.faults.down = true,
+            StoreFault::Slow => store.faults.delay = Duration::from_millis(400),
+            StoreFault::LoseAnswer => store.faults.lost_answers += 1,
+            StoreFault::Deaf => store.faults.deaf_watches = true,
+            StoreFault::Stale => store.freeze_reads(),
+            StoreFault::Well => {
+                store.faults = Default::default();
+                self.world.wake_watches();
+            }
+        }
+    }
+
+    fn show(&self, show: &Show) -> Result<String, String> {
+        match show {
+            Show::Request(name) => Ok(format!("{name}: {}", self.outcomes(name)?)),
+            Show::Runs { stage, key } => {
+                let is_it = |it: &&ferry_fakes::Run| {
+                    it.stage == *stage && key.as_ref().is_none_or(|key| it.key == *key)
+                };
+                let n_runs = self.world.runs.iter().filter(is_it).count();
+                Ok(format!("runs of {stage}: {n_runs}"))
+            }
+            Show::Revisions => {
+                let alive = (0..self.world.n_nodes()).filter(|it| self.world.is_alive(*it));
+                let revisions: Vec<String> =
+                    alive.map(|it| self.world.node(it).revision().to_string()).collect();
+                Ok(format!("revisions: {}", revisions.join(" ")))
+            }
+            Show::Exited(node) => {
+                self.expect_node(*node)?;
+                let has_exited = self.world.has_exited(*node);
+                Ok(format!("node {node}: {}", if has_exited { "exited" } else { "running" }))
+            }
+            Show::Promises => {
+                let found = check(&self.world, &Bounds::default());
+                if found.is_empty() {
+                    return Ok("promises: hold".to_owned());
+                }
+                let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
+                Ok(format!("promises: broken\n{}", lines.join("\n")))
+            }
+        }
+    }
+
+    /// Names each outcome with its count, as most stories ask many at once.
+    fn outcomes(&self, name: &str) -> Result<String, String> {
+        let mut counts: SortedMap<String, usize> = SortedMap::new();
+        for ticket in self.tickets(name)? {
+            let Some(asked) = self.world.asked.get(ticket) else { continue };
+            let word = match asked.answer() {
+                Some(answer) => answer.outcome.to_string(),
+                None if asked.cut => "connection lost".to_owned(),
+                None if asked.gone.is_some() => "hung up".to_owned(),
+                None => "no answer".to_owned(),
+            };
+            *counts.entry_or_with(word, || 0) += 1;
+        }
+        let words: Vec<String> = counts
+            .iter()
+            .map(|(word, count)| if *count == 1 { word.clone() } else { format!("{count} {word}") })
+            .collect();
+        Ok(words.join(", "))
+    }
+
+    fn tickets(&self, name: &str) -> Result<&[Ticket], String> {
+        match self.asked.get(name) {
+            Some(tickets) => Ok(tickets),
+            None => {
+                let names: Vec<&str> = self.asked.keys().map(String::as_str).collect();
+                Err(format!("no request `{name}`; there are {}", names.join(", ")))
+            }
+        }
+    }
+
+    /// Applies `change` to one endpoint, or to each of a pool.
+    fn each_endpoint(
+        &mut self,
+        target: &str,
+        mut change: impl FnMut(&mut FakeEndpoint),
+    ) -> Result<(), String> {
+        let mut n_found = 0;
+        for it in self.world.endpoints.values_mut() {
+            if it.endpoint.id == target || it.endpoint.pool == target {
+                change(it);
+                n_found += 1;
+            }
+        }
+        match n_found {
+            0 => Err(format!("no endpoint or pool `{target}`")),
+            _ => Ok(()),
+        }
+    }
+
+    fn expect_node(&self, node: usize) -> Result<(), String> {
+        let n_nodes = self.world.n_nodes();
+        if node < n_nodes {
+            Ok(())
+        } else {
+            Err(format!("no node {node}; there are 0 to {}", n_nodes - 1))
+        }
+    }
+
+    fn expect_zone(&self, zone: &str) -> Result<(), String> {
+        if self.deployment.zones.contains(&zone) {
+            return Ok(());
+        }
+        Err(format!("no zone `{zone}`; there are {}", self.deployment.zones.join(", ")))
+    }
+}
+
+fn disturb(it: &mut FakeEndpoint, fault: EndpointFault, now: Duration) {
+    let faults = &mut it.faults;
+    match fault {
+        EndpointFault::Down => faults.down = true,
+        EndpointFault::Silent => faults.silent = true,
+        EndpointFault::Straggle => faults.straggle = Some(20.0),
+        EndpointFault::CrashAfter => faults.crash_after_run = true,
+        EndpointFault::CrashBefore => faults.crash_before_run = true,
+        EndpointFault::Late => faults.late = Duration::from_secs(3),
+        EndpointFault::Duplicate => faults.duplicate = true,
+        EndpointFault::Misaddress => faults.misaddress = true,
+        EndpointFault::Break => faults.break_after = Some(5),
+        EndpointFault::Stall => faults.stall_after = Some(5),
+        EndpointFault::Fail => faults.fail = true,
+        EndpointFault::Mute => faults.mute = true,
+        EndpointFault::Leave => {
+            faults.leaving = true;
+            it.leaving_since.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-proof/tests/matrix.rs
@@ -0,0 +1,130 @@
+//! The fault matrix, with its counts, and proof that its checker can fail.
+
+use std::sync::OnceLock;
+
+use ferry_proof::matrix::{Cell, Counts, pairs, repeats, run_all, singles};
+use ferry_proof::mutation::Mutant;
+use ferry_proof::{Fault, Mutation, Promise, Step, Verdict};
+use strum::IntoEnumIterator;
+
+struct Table {
+    name: &'static str,
+    cells: fn(u64) -> Vec<Cell>,
+    seeds: &'static [u64],
+}
+
+const TABLES: &[Table] = &[
+    Table { name: "single", cells: singles, seeds: &[1, 2] },
+    Table { name: "repeated", cells: repeats, seeds: &[3] },
+    Table { name: "pairs", cells: pairs, seeds: &[4, 5] },
+];
+
+/// Runs the whole matrix once for all tests of this file, and prints its counts.
+fn verdicts() -> &'static [(Cell, Verdict)] {
+    static VERDICTS: OnceLock<Vec<(Cell, Verdict)>> = OnceLock::new();
+    VERDICTS.get_or_init(|| {
+        let mut all = Vec::new();
+        for table in TABLES {
+            let cells: Vec<Cell> = table.seeds.iter().flat_map(|it| (table.cells)(*it)).collect();
+            let verdicts = run_all(&cells);
+            let mut counts = Counts::default();
+            verdicts.iter().for_each(|it| counts.add(it));
+            eprintln!("fault matrix, {}: {counts:?}", table.name);
+            all.extend(cells.into_iter().zip(verdicts));
+        }
+        all
+    })
+}
+
+fn assert_holds(promise: Promise) {
+    let mut broken = Vec::new();
+    for (cell, verdict) in verdicts() {
+        let Verdict::Broken(found) = verdict else { continue };
+        if let Some(it) = found.iter().find(|it| it.promise == promise) {
+            broken.push(format!("{cell:?}: {it}"));
+        }
+    }
+    assert!(broken.is_empty(), "{} cells break {promise}:\n{}", broken.len(), broken.join("\n"));
+}
+
+#[test]
+fn every_step_is_reached() {
+    let missed = |it: &&(Cell, Verdict)| it.1 == Verdict::Missed;
+    let missed: Vec<_> = verdicts().iter().filter(missed).map(|it| &it.0).collect();
+    assert!(missed.is_empty(), "{} cells never came to their step: {missed:?}", missed.len());
+}
+
+#[test]
+fn each_request_gets_one_answer_in_time() {
+    assert_holds(Promise::Answered);
+}
+
+#[test]
+fn each_answer_is_the_requests_own() {
+    assert_holds(Promise::Own);
+}
+
+#[test]
+fn streams_come_once_in_order_and_whole() {
+    assert_holds(Promise::Streamed);
+}
+
+#[test]
+fn what_is_refused_never_ran() {
+    assert_holds(Promise::NotRun);
+}
+
+#[test]
+fn unrepeatable_stages_run_at_most_once() {
+    assert_holds(Promise::AtMostOnce);
+}
+
+#[test]
+fn leaving_endpoints_get_no_new_work() {
+    assert_holds(Promise::Leaving);
+}
+
+#[test]
+fn graceful_shutdowns_cut_nothing() {
+    assert_holds(Promise::Graceful);
+}
+
+#[test]
+fn configurations_spread_and_never_revert() {
+    assert_holds(Promise::Configured);
+}
+
+/// Cells in which each deliberate error has occasion to show.
+const OCCASIONS: &[(Step, Fault)] = &[
+    (Step::Admit, Fault::Burst),
+    (Step::DispatchService, Fault::CrashAfter),
+    (Step::DispatchGenerate, Fault::LeavingEndpoint),
+    (Step::DispatchService, Fault::LeavingEndpoint),
+    (Step::Reply, Fault::LeavingEntry),
+];
+
+fn breaks(promise: Promise, mutation: Option<Mutation>) -> usize {
+    let is_broken = |verdict: Verdict| match verdict {
+        Verdict::Broken(found) => found.iter().any(|it| it.promise == promise),
+        Verdict::Held | Verdict::Missed | Verdict::Excluded(_) => false,
+    };
+    OCCASIONS
+        .iter()
+        .flat_map(|(step, fault)| [Cell::new(*step, *fault, 7), Cell::new(*step, *fault, 8)])
+        .filter(|cell| match mutation {
+            Some(mutation) => is_broken(cell.run_with(Some(Box::new(Mutant::new(mutation))))),
+            None => is_broken(cell.run()),
+        })
+        .count()
+}
+
+#[test]
+fn each_deliberate_error_turns_cells_red() {
+    for mutation in Mutation::iter() {
+        let promise = mutation.breaks();
+        let n_red = breaks(promise, Some(mutation));
+        eprintln!("{mutation}: {n_red} of {} cells break {promise}", 2 * OCCASIONS.len());
+        assert!(0 < n_red, "{mutation} breaks {promise} in no cell");
+        assert_eq!(breaks(promise, None), 0, "{promise} holds without {mutation}");
+    }
+}
