--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod node;
 pub mod place;
+pub mod replay;
 pub mod request;
 pub mod route;
 pub mod settings;
--- /dev/null
+++ b/crates/ferry-core/src/replay.rs
@@ -0,0 +1,89 @@
+//! Event logs: one node's whole input as JSON lines, and its replay.
+//!
+//! The first line says how the node began, each further one has an event, and the
+//! last has the digest of the state that the run ended with; see docs/PROOF.md.
+
+use std::io::{BufRead, Write};
+
+use ferry_model::{Digest, Moment};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{Event, Identity, Node, Tuning};
+
+/// One line of an event log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Line {
+    Start { identity: Identity, tuning: Box<Tuning>, seed: u64 },
+    Event { at: Moment, event: Box<Event> },
+    End { digest: Digest },
+}
+
+#[derive(Debug, Error)]
+pub enum ReplayError {
+    #[error("could not read line {line}: {error}")]
+    Read { line: usize, error: std::io::Error },
+    #[error("could not parse line {line}: {error}")]
+    Parse { line: usize, error: serde_json::Error },
+    #[error("line {line} stands where the log should {expected}")]
+    Order { line: usize, expected: &'static str },
+    #[error("the log has no first line")]
+    Empty,
+}
+
+/// What a replay came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replayed {
+    pub events: u64,
+    pub effects: u64,
+    pub digest: Digest,
+    /// Digest at the end of the log; none if the run was cut off.
+    pub recorded: Option<Digest>,
+}
+
+impl Replayed {
+    /// Whether the replay ended in the recorded state.
+    pub fn is_same(&self) -> bool {
+        self.recorded == Some(self.digest)
+    }
+}
+
+/// Writes one line of a log.
+pub fn write_line(out: &mut impl Write, line: &Line) -> std::io::Result<()> {
+    serde_json::to_writer(&mut *out, line)?;
+    out.write_all(b"\n")
+}
+
+/// Repeats a recorded run.
+pub fn replay(log: impl BufRead) -> Result<Replayed, ReplayError> {
+    let mut node: Option<Node> = None;
+    let mut replayed = Replayed { events: 0, effects: 0, digest: [0; 32], recorded: None };
+    for (idx, text) in log.lines().enumerate() {
+        let line = idx + 1;
+        let text = text.map_err(|error| ReplayError::Read { line, error })?;
+        let parsed =
+            serde_json::from_str(&text).map_err(|error| ReplayError::Parse { line, error })?;
+        if replayed.recorded.is_some() {
+            return Err(ReplayError::Order { line, expected: "end" });
+        }
+        match (parsed, &mut node) {
+            (Line::Start { identity, tuning, seed }, None) => {
+                node = Some(Node::new(identity, *tuning, seed));
+            }
+            (Line::Event { at, event }, Some(node)) => {
+                replayed.events += 1;
+                replayed.effects += node.reduce(at, *event).len() as u64;
+            }
+            (Line::End { digest }, Some(_)) => replayed.recorded = Some(digest),
+            (Line::Start { .. }, Some(_)) => {
+                return Err(ReplayError::Order { line, expected: "have an event" });
+            }
+            (Line::Event { .. } | Line::End { .. }, None) => {
+                return Err(ReplayError::Order { line, expected: "start" });
+            }
+        }
+    }
+    replayed.digest = node.ok_or(ReplayError::Empty)?.digest();
+    Ok(replayed)
+}
--- a/crates/ferry-proof/src/check.rs
+++ b/crates/ferry-proof/src/check.rs
@@ -1,6 +1,7 @@
 //! The one checker of every promise over a finished world.
 
 mod config;
+mod orders;
 mod requests;
 mod runs;
 
@@ -34,6 +35,10 @@
     Graceful,
     /// Accepted configurations reach every live node in time and never revert.
     Configured,
+    /// No endpoint obeys an order that is older than one it has obeyed.
+    Fenced,
+    /// No order cuts work in flight.
+    Uncut,
 }
 
 /// One broken promise, with the place where it shows.
@@ -82,5 +87,6 @@
     requests::check(world, bounds, &mut found);
     runs::check(world, bounds, &mut found);
     config::check(world, bounds, &mut found);
+    orders::check(world, &mut found);
     found
 }
--- a/crates/ferry-proof/src/lib.rs
+++ b/crates/ferry-proof/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fault;
 pub mod matrix;
 pub mod mutation;
+pub mod record;
 pub mod scenario;
 pub mod step;
 
@@ -14,4 +15,5 @@
 pub use fault::Fault;
 pub use matrix::{Cell, Verdict};
 pub use mutation::Mutation;
+pub use record::Recorder;
 pub use step::Step;
--- a/crates/ferry-proof/src/mutation.rs
+++ b/crates/ferry-proof/src/mutation.rs
@@ -1,7 +1,7 @@
 //! Deliberate errors at the border of a node, to show that the checker can fail.
 
 use ferry_core::{CallEvent, Effect, Event};
-use ferry_fakes::{Border, NodeIdx, Passed};
+use ferry_fakes::{Border, NodeIdx, Passed, World};
 use ferry_model::{EndpointState, Moment, ObjectKind, Outcome, SortedMap, StoreOp, StoreReply};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
@@ -30,6 +30,8 @@
     RepeatToken,
     /// The process exits as soon as it is asked to.
     ExitAtOnce,
+    /// Endpoints ignore the fence, and an old order arrives again.
+    IgnoreFence,
 }
 
 impl Mutation {
@@ -44,6 +46,7 @@
             Mutation::AnswerTwice | Mutation::ForgetAnswer => Promise::Answered,
             Mutation::RepeatToken => Promise::Streamed,
             Mutation::ExitAtOnce => Promise::Graceful,
+            Mutation::IgnoreFence => Promise::Fenced,
         }
     }
 }
@@ -54,12 +57,26 @@
     mutation: Mutation,
     outputs: SortedMap<NodeIdx, String>,
     exits: Vec<NodeIdx>,
+    first: Option<Effect>,
     versions: u64,
 }
 
 impl Mutant {
     pub fn new(mutation: Mutation) -> Mutant {
-        Mutant { mutation, outputs: SortedMap::new(), exits: Vec::new(), versions: 1 << 32 }
+        Mutant {
+            mutation,
+            outputs: SortedMap::new(),
+            exits: Vec::new(),
+            first: None,
+            versions: 1 << 32,
+        }
+    }
+
+    /// Prepares the endpoints for errors that are theirs.
+    pub fn prepare(&self, world: &mut World) {
+        if self.mutation == Mutation::IgnoreFence {
+            world.endpoints.values_mut().for_each(|it| it.engine.fence = None);
+        }
     }
 
     fn alter_call(&mut self, node: NodeIdx, event: CallEvent) -> CallEvent {
@@ -108,6 +125,11 @@
                 passed.effects.push(Effect::Emit { ticket, number, text: text.clone() });
                 passed.effects.push(Effect::Emit { ticket, number, text });
             }
+            (Mutation::IgnoreFence, Effect::Order { address, order }) => {
+                let now = Effect::Order { address, order };
+                let first = self.first.get_or_insert_with(|| now.clone()).clone();
+                passed.effects.extend([now, first]);
+            }
             (_, effect) => passed.effects.push(effect),
         }
     }
