--- a/crates/ferry-edge/tests/peers.rs
+++ b/crates/ferry-edge/tests/peers.rs
@@ -69,6 +69,8 @@
         plan: 0,
         loads: vec![load],
         demand: vec![("agents".to_owned(), 2)],
+        leaving: vec![("entry-2".to_owned(), 4)],
+        workspaces: 7,
     })
 }
 
