--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod member;
 pub mod node;
 pub mod place;
+pub mod replay;
 pub mod request;
 pub mod route;
 pub mod settings;
