--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -6,8 +6,9 @@
 
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens};
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens, auth};
 use ferry_model::{Incarnation, Workspace, WorkspaceId};
+use http::HeaderMap;
 use slog::{Logger, warn};
 use thiserror::Error;
 
@@ -61,7 +62,7 @@
 #[derive(Debug)]
 pub struct EntryContext {
     pub handle: Handle,
-    /// Workspaces by their bearer tokens.
+    /// Workspaces of the settings by their bearer tokens; the stored ones go first.
     pub tokens: Tokens<WorkspaceId>,
     pub limits: CallerLimits,
     pub gate: Arc<Gate>,
@@ -71,6 +72,17 @@
     pub max_deadline: Duration,
 }
 
+impl EntryContext {
+    /// Returns the workspace of a request's bearer token: a stored one, else one of the settings.
+    pub fn workspace_of(&self, headers: &HeaderMap) -> Option<WorkspaceId> {
+        let hash = auth::token_hash(headers)?.to_hex();
+        match self.handle.workspaces().by_token(&hash) {
+            Some(workspace) => Some(workspace.name.clone()),
+            None => self.tokens.find(headers),
+        }
+    }
+}
+
 pub struct EntryServer {
     server: HttpServer<Arc<EntryContext>>,
     handle: Handle,
--- a/crates/ferry-fakes/src/lib.rs
+++ b/crates/ferry-fakes/src/lib.rs
@@ -20,5 +20,5 @@
 pub use network::Network;
 pub use promises::broken_promises;
 pub use store::{FakeStore, StoreFaults};
-pub use trace::{Applied, Pause, Trace, Written};
+pub use trace::{Applied, Asking, Pause, Trace, Written};
 pub use world::{FakeEngine, NodeIdx, OrderSeen, PeerTraffic, WeightStore, World};
