Use a fresh key for each try of a refused request in its test

Cause: the test repeats one key until it is refused. Since outcomes are kept by key, a first try that completed before the instance list became empty is rightly answered again as complete, for ever.

Change: each try has its own key; the expectation is the same.

Conclusion: the test asked for what at-most-once forbids.

--- a/crates/ferry-entry/tests/entry/callers.rs
+++ b/crates/ferry-entry/tests/entry/callers.rs
@@ -85,12 +85,14 @@
     let harness = Harness::start(CallerLimits::default()).await;
     harness.standins.platform.state.set_endpoints(Vec::new());
     let refused = async {
-        loop {
-            let answer = harness.post("file", "empty", &json!({ "input": "x" })).await;
+        for n_tries in 0.. {
+            let key = format!("empty-{n_tries}");
+            let answer = harness.post("file", &key, &json!({ "input": "x" })).await;
             if answer.status == StatusCode::SERVICE_UNAVAILABLE {
                 return answer;
             }
         }
+        unreachable!("the tries do not end")
     };
     let answer = tokio::time::timeout(TIMEOUT, refused).await.unwrap();
     assert!(answer.headers.contains_key("retry-after"));
