Follow the stored workspaces with tokens compared in constant time

Cause: tokens of stored workspaces were found by a plain search over their hashes, and an instance that had read no workspace yet called every token wrong.

Change: one index of sealed hashes for the stored workspaces and those of the settings, replaced as the store changes; status 503 until any workspace is known. Tests of keys, addresses, key conflicts and stored tokens over HTTP.

Conclusion: both sources of workspaces go through the same comparison.

--- a/crates/ferry-edge/src/auth.rs
+++ b/crates/ferry-edge/src/auth.rs
@@ -50,6 +50,7 @@
                 Some((self.seal(&hash), Owner { hash, value }))
             })
             .collect();
+        // Of equal hashes the last one counts, as the sort is stable.
         entries.sort_by_key(|it| it.0);
         let owners = Arc::new(entries.into_iter().collect());
         *self.owners.write().unwrap_or_else(|it| it.into_inner()) = owners;
@@ -57,7 +58,7 @@
 
     /// Returns the owner of the bearer token in a request's headers.
     pub fn find(&self, headers: &HeaderMap) -> Option<T> {
-        let hash = token_hash(headers)?;
+        let hash = blake3::hash(bearer(headers)?.as_bytes());
         let owners = self.owners.read().unwrap_or_else(|it| it.into_inner()).clone();
         let owner = owners.get(&self.seal(&hash))?;
         let is_same = bool::from(owner.hash.as_bytes().ct_eq(hash.as_bytes()));
@@ -69,11 +70,6 @@
     }
 }
 
-/// Returns the BLAKE3 hash of the bearer token in a request's headers.
-pub fn token_hash(headers: &HeaderMap) -> Option<Hash> {
-    bearer(headers).map(|it| blake3::hash(it.as_bytes()))
-}
-
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     let mut values = headers.get_all(AUTHORIZATION).iter();
     let value = values.next()?.to_str().ok()?;
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -63,6 +63,11 @@
         self.workspaces.borrow().clone()
     }
 
+    /// Returns a receiver that sees each change of the workspaces.
+    pub fn watch_workspaces(&self) -> watch::Receiver<Arc<Workspaces>> {
+        self.workspaces.clone()
+    }
+
     /// Returns a receiver that sees each change of the status.
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
--- a/crates/ferry-entry/src/api/instances.rs
+++ b/crates/ferry-entry/src/api/instances.rs
@@ -49,7 +49,7 @@
     let headers = rqctx.request.headers();
     let context = rqctx.context();
     limits::check_headers(&context.limits, headers)?;
-    context.workspace_of(headers).ok_or_else(Problem::unauthorized)?;
+    context.tokens.find(headers)?;
     let _pass = context.gate.enter(&context.limits, rqctx.request.remote_addr())?;
     let zone = query.into_inner().zone;
     let mut waiter = context.handle.ask(|ticket| Event::AskInstances { ticket, zone });
--- a/crates/ferry-entry/src/api/keys.rs
+++ b/crates/ferry-entry/src/api/keys.rs
@@ -47,7 +47,7 @@
     let headers = rqctx.request.headers();
     let context = rqctx.context();
     limits::check_headers(&context.limits, headers)?;
-    let workspace = context.workspace_of(headers).ok_or_else(Problem::unauthorized)?;
+    let workspace = context.tokens.find(headers)?;
     let key = path.into_inner().key;
     if !is_key(&key) {
         return Err(Problem::invalid("key", "it is not an idempotency key"));
--- a/crates/ferry-entry/src/api/problem.rs
+++ b/crates/ferry-entry/src/api/problem.rs
@@ -37,6 +37,12 @@
             .with_field("Authorization")
     }
 
+    /// Makes the error for a token while no workspace was read yet.
+    pub fn no_workspaces() -> Problem {
+        let message = "the instance has not read the workspaces yet; ask another one";
+        Problem::new(ErrorStatusCode::SERVICE_UNAVAILABLE, "no_workspaces", message)
+    }
+
     /// Makes the error for a question that the node did not answer in time.
     pub fn unanswered() -> Problem {
         let message = "the instance did not answer in time";
--- a/crates/ferry-entry/src/api/requests.rs
+++ b/crates/ferry-entry/src/api/requests.rs
@@ -49,7 +49,7 @@
     let headers = rqctx.request.headers();
     let context = rqctx.context();
     limits::check_headers(&context.limits, headers)?;
-    let workspace = context.workspace_of(headers).ok_or_else(Problem::unauthorized)?;
+    let workspace = context.tokens.find(headers)?;
     let key = key_of(headers)?;
     let pass = context.gate.enter(&context.limits, rqctx.request.remote_addr())?;
     let (body, bytes) = body::read_json::<RequestBody>(&context.limits, headers, body).await?;
--- a/crates/ferry-entry/src/lib.rs
+++ b/crates/ferry-entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod run;
 pub mod server;
 pub mod settings;
+pub mod tokens;
 
 pub use run::{RunError, run};
 pub use server::{EntryOptions, EntryServer};
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -6,13 +6,13 @@
 
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens, auth};
-use ferry_model::{Incarnation, Workspace, WorkspaceId};
-use http::HeaderMap;
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports};
+use ferry_model::{Incarnation, Workspace};
 use slog::{Logger, warn};
 use thiserror::Error;
 
 use crate::api::Gate;
+use crate::tokens::WorkspaceTokens;
 use crate::{CallerLimits, EntrySettings, api};
 
 /// Added to the server's own body limit, so that ours is met first and names the field.
@@ -62,8 +62,7 @@
 #[derive(Debug)]
 pub struct EntryContext {
     pub handle: Handle,
-    /// Workspaces of the settings by their bearer tokens; the stored ones go first.
-    pub tokens: Tokens<WorkspaceId>,
+    pub tokens: Arc<WorkspaceTokens>,
     pub limits: CallerLimits,
     pub gate: Arc<Gate>,
     pub metrics: Metrics,
@@ -72,17 +71,6 @@
     pub max_deadline: Duration,
 }
 
-impl EntryContext {
-    /// Returns the workspace of a request's bearer token: a stored one, else one of the settings.
-    pub fn workspace_of(&self, headers: &HeaderMap) -> Option<WorkspaceId> {
-        let hash = auth::token_hash(headers)?.to_hex();
-        match self.handle.workspaces().by_token(&hash) {
-            Some(workspace) => Some(workspace.name.clone()),
-            None => self.tokens.find(headers),
-        }
-    }
-}
-
 pub struct EntryServer {
     server: HttpServer<Arc<EntryContext>>,
     handle: Handle,
@@ -107,9 +95,11 @@
             default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
+        let tokens = Arc::new(WorkspaceTokens::new(options.workspaces));
+        tokens.follow(&handle);
         let context = EntryContext {
             handle: handle.clone(),
-            tokens: Tokens::new(token_owners(&options.workspaces)),
+            tokens,
             limits: options.limits,
             gate: Arc::new(Gate::new()),
             metrics,
@@ -151,8 +141,3 @@
         &self.handle
     }
 }
-
-/// Pairs each hash of a token with its workspace.
-fn token_owners(workspaces: &[Workspace]) -> impl Iterator<Item = (&str, WorkspaceId)> {
-    workspaces.iter().flat_map(|it| it.tokens.iter().map(|token| (token.as_str(), it.name.clone())))
-}
--- a/crates/ferry-entry/tests/entry/callers.rs
+++ b/crates/ferry-entry/tests/entry/callers.rs
@@ -3,7 +3,11 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use ferry_entry::CallerLimits;
-use ferry_entry::api::{AnswerBody, EVENT_END, EVENT_TOKEN, EndBody, ReadyBody, TokenBody};
+use ferry_entry::api::{
+    AnswerBody, EVENT_END, EVENT_TOKEN, EndBody, InstancesBody, KeyBody, KeyStateName, ReadyBody,
+    TokenBody,
+};
+use ferry_fakes::deployment::demo_token;
 use futures_util::StreamExt;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -146,6 +150,87 @@
     assert!(!tokio::time::timeout(TIMEOUT, left).await.unwrap().ready);
 }
 
+#[tokio::test]
+async fn stored_workspaces_come_and_go_with_their_tokens() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let status = async |token: &str| {
+        let mut request = harness.request(Method::GET, "/v1/instances");
+        let headers = request.headers_mut().unwrap();
+        headers.insert("authorization", format!("Bearer {token}").parse().unwrap());
+        harness.send(request.body(Full::default()).unwrap()).await.status
+    };
+    let wait_status = async |token: &str, expected: StatusCode| {
+        let seen = async { while status(token).await != expected {} };
+        let seen = tokio::time::timeout(TIMEOUT, seen).await;
+        assert!(seen.is_ok(), "{token} does not get {expected}");
+    };
+    assert_eq!(status("new").await, StatusCode::UNAUTHORIZED);
+    harness.store_workspace(1, Some("new"));
+    wait_status("new", StatusCode::OK).await;
+    harness.store_workspace(2, Some("newer"));
+    wait_status("newer", StatusCode::OK).await;
+    assert_eq!(status("new").await, StatusCode::UNAUTHORIZED);
+    harness.store_workspace(3, None);
+    wait_status("newer", StatusCode::UNAUTHORIZED).await;
+    assert_eq!(status(&demo_token("agents")).await, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_key_tells_what_became_of_its_request_to_its_own_workspace() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    harness.post("file", "known", &json!({ "input": "x" })).await;
+    let ask = async |key: &str, workspace: &str| {
+        let mut request = harness.request(Method::GET, &format!("/v1/requests/{key}"));
+        let headers = request.headers_mut().unwrap();
+        let token = format!("Bearer {}", demo_token(workspace));
+        headers.insert("authorization", token.parse().unwrap());
+        harness.send(request.body(Full::default()).unwrap()).await
+    };
+    let known = ask("known", "agents").await;
+    assert_eq!(known.status, StatusCode::OK);
+    let body: KeyBody = known.json().unwrap();
+    assert_eq!(body.state, KeyStateName::Settled);
+    assert_eq!(body.answer.unwrap().outcome, "complete");
+    for (key, workspace) in [("known", "bars"), ("unknown", "agents")] {
+        let answer = ask(key, workspace).await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND, "{key} of {workspace}");
+    }
+}
+
+#[tokio::test]
+async fn the_same_key_with_another_body_is_a_conflict() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    let first = harness.post("file", "twice", &json!({ "input": "x" })).await;
+    let again = harness.post("file", "twice", &json!({ "input": "x" })).await;
+    let other = harness.post("file", "twice", &json!({ "input": "y" })).await;
+    assert_eq!((first.status, again.status), (StatusCode::OK, StatusCode::OK));
+    assert_eq!(other.status, StatusCode::CONFLICT);
+    let body: AnswerBody = other.json().unwrap();
+    assert_eq!(body.outcome, "not_run");
+    assert_eq!(body.field.as_deref(), Some("Idempotency-Key"));
+    let n_filings = harness.runs("twice").iter().filter(|it| it.stage == "filing").count();
+    assert_eq!(n_filings, 1);
+}
+
+#[tokio::test]
+async fn callers_are_told_which_addresses_to_use() {
+    let harness = Harness::start(CallerLimits::default()).await;
+    harness.list_entry();
+    let told = async {
+        loop {
+            let request = harness.request(Method::GET, "/v1/instances?zone=lagos-1");
+            let answer = harness.send(request.body(Full::default()).unwrap()).await;
+            let body: InstancesBody = answer.json().unwrap();
+            if !body.instances.is_empty() {
+                return body;
+            }
+        }
+    };
+    let body = tokio::time::timeout(TIMEOUT, told).await.unwrap();
+    assert_eq!(body.instances[0].address, harness.address());
+    assert!(0 < body.ttl_ms && 0 < body.instances[0].weight);
+}
+
 /// Sends a request and leaves its answer unread.
 async fn send_raw(harness: &Harness, pipeline: &str, key: &str) -> TcpStream {
     let mut stream = TcpStream::connect(harness.address()).await.unwrap();
--- a/crates/ferry-entry/tests/entry/harness.rs
+++ b/crates/ferry-entry/tests/entry/harness.rs
@@ -10,6 +10,10 @@
 use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
 use ferry_fakes::deployment::demo_token;
 use ferry_fakes::{Deployment, DeploymentName};
+use ferry_model::workspace::{shard_name, shard_of};
+use ferry_model::{
+    EndpointState, Instance, ObjectKind, Revision, Shard, Workspace, WorkspaceEntry,
+};
 use ferry_standin::{DeploymentStandins, Run};
 use http::request::Builder;
 use http::{Method, Request};
@@ -97,6 +101,34 @@
         assert_eq!(body["output"], "calendar(x)");
     }
 
+    /// Stores a revision of a workspace with one token, or of its shard without it.
+    pub fn store_workspace(&self, revision: Revision, token: Option<&str>) {
+        let workspace = |token: &str| Workspace {
+            name: "stored".to_owned(),
+            weight: 1,
+            concurrent: 0,
+            tokens: vec![blake3::hash(token.as_bytes()).to_hex().to_string()],
+        };
+        let entries = token.map(|it| WorkspaceEntry { revision, workspace: workspace(it) });
+        let shard = Shard { revision, entries: Vec::from_iter(entries), history: Vec::new() };
+        let name = shard_name(shard_of("stored"));
+        let value = serde_json::to_value(&shard).unwrap();
+        self.standins.platform.state.seed(ObjectKind::Workspaces.into(), &name, value);
+    }
+
+    /// Puts the entry into the instance list.
+    pub fn list_entry(&self) {
+        self.standins.platform.state.set_instances(vec![Instance {
+            id: "entry-0".to_owned(),
+            zone: "lagos-1".to_owned(),
+            region: "lagos".to_owned(),
+            address: self.address(),
+            peer: self.address(),
+            state: EndpointState::Live,
+            is_entry: true,
+        }]);
+    }
+
     pub fn runs(&self, key: &str) -> Vec<Run> {
         self.standins.witness.runs().into_iter().filter(|it| it.key == key).collect()
     }
