Add ferry-bench overhead: one entry against calling an endpoint directly

Cause: nothing told what the entry costs.

Change: a subcommand that runs the entry as a process, alternates both ways and reports medians of throughput and latency, processor time, memory and startup.

--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub mod demo;
+pub mod overhead;
 
 use argh::FromArgs;
 
@@ -17,12 +18,14 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::DemoArgs),
+    Overhead(overhead::OverheadArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
         match self.command {
             Command::Demo(args) => args.run().await,
+            Command::Overhead(args) => args.run().await,
         }
     }
 }
--- a/crates/ferry-bench/src/lib.rs
+++ b/crates/ferry-bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod load;
+pub mod overhead;
 pub mod tally;
 
 pub use cluster::Cluster;
