--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 mod cert;
+mod token;
 
 use argh::FromArgs;
 use thiserror::Error;
@@ -33,6 +34,7 @@
 #[argh(subcommand)]
 enum Command {
     Cert(cert::CertArgs),
+    Token(token::TokenArgs),
 }
 
 impl Args {
@@ -42,7 +44,9 @@
             return Ok(());
         }
         match self.command.ok_or(CommandError::Missing)? {
-            Command::Cert(args) => Ok(args.run()?),
+            Command::Cert(args) => args.run()?,
+            Command::Token(args) => args.run(),
         }
+        Ok(())
     }
 }
--- a/crates/ferryctl/tests/cert.rs
+++ b/crates/ferryctl/tests/make.rs
@@ -1,4 +1,4 @@
-//! `ferryctl cert` gives settings that an instance accepts.
+//! What `ferryctl` makes is accepted by an instance.
 
 use std::process::{Command, Output};
 
@@ -34,6 +34,19 @@
     assert_eq!(findings.0[0].place, "entry.ini:peers:key");
 }
 
+#[test]
+fn a_token_is_new_each_time_and_fits_its_hash() {
+    let make = || String::from_utf8(run(&["token"]).stdout).unwrap();
+    let (first, second) = (make(), make());
+    assert_ne!(first, second);
+    let value = |key: &str| {
+        let line = first.lines().find_map(|it| it.strip_prefix(&format!("{key} = ")));
+        line.unwrap().to_owned()
+    };
+    let hash = blake3::hash(value("token").as_bytes()).to_hex().to_string();
+    assert_eq!(value("hash"), hash);
+}
+
 struct Failure {
     args: &'static [&'static str],
     error: &'static str,
