Measure policies, claims and decisions on virtual time

Cause: nothing compared the routing with simple policies, and the cost of claims and of a decision was unknown.

--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,9 @@
 //! Subcommands, one file each.
 
+pub mod claims;
+pub mod decide;
 pub mod demo;
+pub mod policies;
 
 use argh::FromArgs;
 
@@ -16,13 +19,19 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Claims(claims::ClaimsArgs),
+    Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Policies(policies::PoliciesArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
         match self.command {
+            Command::Claims(args) => args.run(),
+            Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Policies(args) => args.run(),
         }
     }
 }
--- /dev/null
+++ b/crates/ferry-bench/src/cmd/claims.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use argh::FromArgs;
+use ferry_bench::experiments::claims::perform;
+
+/// Counts the object API calls that claims cost at several rates, on virtual time.
+///
+/// Example: ferry-bench claims --seed 2
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "claims")]
+pub struct ClaimsArgs {
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Requests a second, and for how long.
+const RATES: [(f64, u64); 4] = [(1.0, 600), (10.0, 120), (100.0, 30), (1_000.0, 15)];
+
+impl ClaimsArgs {
+    pub fn run(self) -> Result<(), String> {
+        for (rate, seconds) in RATES {
+            let length = Duration::from_secs(seconds);
+            let it = perform(rate, length, self.seed).map_err(|it| it.to_string())?;
+            println!(
+                "rate {rate:>5} requests {:>6} complete {:>6} calls {:>6} calls/1,000 {:>7.1} p50 {:.1} ms p99 {:.1} ms largest {} B broken {}",
+                it.requests,
+                it.complete,
+                it.calls,
+                it.calls_per_thousand,
+                it.p50_ms,
+                it.p99_ms,
+                it.largest,
+                it.broken.len(),
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ferry-bench/src/cmd/decide.rs
@@ -0,0 +1,28 @@
+use argh::FromArgs;
+use ferry_bench::experiments::decide::{SIZES, perform, slope};
+
+/// Times routing decisions at several numbers of endpoints; run it in release.
+///
+/// Example: ferry-bench decide --decisions 100000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "decide")]
+pub struct DecideArgs {
+    /// decisions at each size
+    #[argh(option, default = "50000")]
+    decisions: usize,
+}
+
+impl DecideArgs {
+    pub fn run(self) -> Result<(), String> {
+        let n_decisions = self.decisions.max(100);
+        let figures: Vec<_> = SIZES.iter().map(|it| perform(*it, n_decisions)).collect();
+        for it in &figures {
+            println!(
+                "endpoints {:>5} mean {:.2} us p99 {:.2} us",
+                it.endpoints, it.mean_us, it.p99_us
+            );
+        }
+        println!("slope {:.2} (1 is linear)", slope(&figures));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ferry-bench/src/experiments.rs
@@ -0,0 +1,5 @@
+//! Experiments on virtual time: the same seed gives the same figures.
+
+pub mod claims;
+pub mod decide;
+pub mod policies;
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the state that all parts share, to measure one of them alone.
+    pub fn into_context(self) -> Context {
+        self.ctx
+    }
+
     /// Takes one event at `now` and returns what the process has to do, in order.
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
--- a/crates/ferry-fakes/src/promises.rs
+++ b/crates/ferry-fakes/src/promises.rs
@@ -1,6 +1,6 @@
 //! What must hold of every request of a world, judged by the endpoints' own records.
 
-use ferry_model::{Outcome, SortedMap};
+use ferry_model::{Outcome, RequestId, SortedMap};
 
 use crate::World;
 use crate::caller::Asked;
@@ -8,8 +8,10 @@
 /// Returns a line for every promise on requests that the world broke.
 pub fn broken_promises(world: &World) -> Vec<String> {
     let mut broken = doubled_runs(world);
+    let mut ran: Vec<RequestId> = world.runs.iter().map(|it| it.request).collect();
+    ran.sort_unstable();
     for asked in world.asked.values() {
-        broken.extend(broken_answer(world, asked));
+        broken.extend(broken_answer(&ran, asked));
     }
     broken
 }
@@ -27,7 +29,7 @@
         .collect()
 }
 
-fn broken_answer(world: &World, asked: &Asked) -> Option<String> {
+fn broken_answer(ran: &[RequestId], asked: &Asked) -> Option<String> {
     let ticket = asked.ticket;
     if 1 < asked.answers.len() {
         return Some(format!("ticket {ticket} got {} answers", asked.answers.len()));
@@ -38,7 +40,7 @@
         None => return Some(format!("ticket {ticket} got no answer")),
     };
     match answer.outcome {
-        Outcome::NotRun if world.runs.iter().any(|it| it.request == answer.request) => {
+        Outcome::NotRun if ran.binary_search(&answer.request).is_ok() => {
             Some(format!("ticket {ticket} was told that its request did not run, but it did"))
         }
         Outcome::Complete => broken_output(asked, answer.output.as_deref()),
--- a/crates/ferry-fakes/src/store.rs
+++ b/crates/ferry-fakes/src/store.rs
@@ -54,6 +54,8 @@
     /// Writes that took effect.
     pub writes: u64,
     pub reads: u64,
+    /// Calls of each kind, whatever became of them.
+    calls: SortedMap<ObjectKind, u64>,
 }
 
 impl FakeStore {
@@ -74,6 +76,10 @@
         self.objects.get(key)
     }
 
+    pub fn calls(&self, kind: ObjectKind) -> u64 {
+        self.calls.get(&kind).copied().unwrap_or(0)
+    }
+
     /// Returns the size of each value of a kind, in bytes.
     pub fn sizes(&self, kind: ObjectKind) -> Vec<usize> {
         let of_kind = self.objects.iter().filter(|(key, _)| key.kind == kind);
@@ -88,6 +94,7 @@
 
     /// Performs a call; `Watch` gives nothing while there is nothing to report.
     pub fn perform(&mut self, op: &StoreOp) -> Option<Result<StoreReply, StoreError>> {
+        *self.calls.entry_or_with(kind_of(op), || 0) += 1;
         if self.faults.down {
             return Some(Err(StoreError::Unavailable("the store is down".to_owned())));
         }
@@ -164,6 +171,13 @@
     }
 }
 
+fn kind_of(op: &StoreOp) -> ObjectKind {
+    match op {
+        StoreOp::Get { key } | StoreOp::Put { key, .. } | StoreOp::Delete { key, .. } => key.kind,
+        StoreOp::List { kind } | StoreOp::Watch { kind, .. } => *kind,
+    }
+}
+
 fn changed(
     objects: &SortedMap<ObjectKey, StoredObject>,
     kind: ObjectKind,
