Take a late first answer as a sign of the whole service time

Cause: a hedge told the router only the time that the slow call had run, which for an engine is far less than its usual whole answer, so a straggler went on getting work.

Change: a late first answer is scaled to the service time it stands for; pools of up to 16 endpoints are looked at whole; hedges start at the 0.99 quantile.

--- a/crates/ferry-bench/src/experiments/decide.rs
+++ b/crates/ferry-bench/src/experiments/decide.rs
@@ -10,6 +10,8 @@
 
 /// Endpoint counts from one pool of today to the whole fleet planned for.
 pub const SIZES: [usize; 6] = [64, 256, 1_024, 2_048, 4_096, 5_400];
+/// Decisions before the first one that counts.
+const WARM_UP: usize = 1_000;
 const ZONES: [&str; 4] = ["a-1", "a-2", "a-3", "a-4"];
 
 #[derive(Debug, Clone, Serialize)]
@@ -48,7 +50,7 @@
     let input = "a prompt of some length that has a prefix worth a few blocks ".repeat(16);
     let mut turns = Turns::default();
     let mut times = Vec::with_capacity(n_decisions);
-    for idx in 0..n_decisions {
+    for idx in 0..n_decisions + WARM_UP {
         let query = Query {
             stage: &stage,
             input: &input,
@@ -66,6 +68,7 @@
             ctx.fleet.ended(&choice.endpoint);
         }
     }
+    times.drain(..WARM_UP);
     times.sort();
     let sum: Duration = times.iter().sum();
     Figures {
--- a/crates/ferry-bench/src/experiments/policies.rs
+++ b/crates/ferry-bench/src/experiments/policies.rs
@@ -56,7 +56,7 @@
     /// Share of requests complete within their deadline.
     pub attainment: f64,
     pub pipelines: Vec<PipelineFigures>,
-    /// Requests complete in time a second, over the capacity of the narrowest pool.
+    /// Requests of the narrowest pool that were complete in time, over what it can take.
     pub goodput: f64,
     pub calls: u64,
     pub hedges: u64,
@@ -64,6 +64,8 @@
     /// Endpoint time used by pool, in seconds per 1,000 requests.
     pub runner_seconds: Vec<(String, f64)>,
     pub broken: Vec<String>,
+    /// Requests that were not complete in time, by what their callers were told.
+    pub missed: Vec<(String, u32)>,
 }
 
 #[derive(Debug, Clone, Serialize)]
@@ -135,8 +137,8 @@
     deployment
 }
 
-/// Requests a second that the narrowest pool can take of this mix.
-fn capacity(deployment: &Deployment) -> f64 {
+/// Requests a second of this mix that the narrowest pool can take, and that pool.
+fn capacity(deployment: &Deployment) -> (f64, &'static str) {
     let per_pool = deployment.pools.iter().map(|pool| {
         let share: f64 = deployment
             .mix
@@ -150,9 +152,9 @@
         // An engine's token time counts for the tokens that its answers have.
         let service = pool.service.as_secs_f64() + pool.token.as_secs_f64() * N_TOKENS;
         let calls = (pool.endpoints * pool.slots) as f64 / service;
-        if share == 0.0 { f64::INFINITY } else { calls / share }
+        if share == 0.0 { (f64::INFINITY, pool.name) } else { (calls / share, pool.name) }
     });
-    per_pool.fold(f64::INFINITY, f64::min)
+    per_pool.min_by(|left, right| left.0.total_cmp(&right.0)).unwrap_or((f64::INFINITY, ""))
 }
 
 /// Tokens of an engine's answer to an input of this experiment.
@@ -173,8 +175,17 @@
     }
 }
 
+/// Share of arrivals whose pipeline has a stage in the pool.
+fn share_of(deployment: &Deployment, pool: &str) -> f64 {
+    let has_pool = |name: &str| {
+        let pipeline = deployment.config.pipeline(name);
+        pipeline.is_some_and(|it| it.stages.iter().any(|it| it.pool == pool))
+    };
+    deployment.mix.iter().filter(|(name, _)| has_pool(name)).map(|(_, share)| share).sum()
+}
+
 fn arrivals(deployment: &Deployment, run: Run) -> Vec<Arrival> {
-    let capacity = capacity(deployment);
+    let (capacity, _) = capacity(deployment);
     let mut rng = Pcg64Mcg::seed_from_u64(run.seed);
     let mut at = Duration::ZERO;
     let mut arrivals = Vec::new();
@@ -257,6 +268,8 @@
 fn measure(deployment: &Deployment, run: Run, world: &World, start: Moment) -> Figures {
     let mut groups: SortedMap<&str, (usize, Vec<Duration>)> = SortedMap::new();
     let mut n_good = 0;
+    let (capacity, narrowest) = capacity(deployment);
+    let narrow_share: f64 = share_of(deployment, narrowest);
     let window = start + SETTLE..start + run.length;
     for asked in world.asked.values() {
         let Some(pipeline) = deployment.config.pipeline(&asked.request.pipeline) else { continue };
@@ -266,12 +279,13 @@
         let took = at.saturating_sub(asked.at);
         if answer.outcome == Outcome::Complete && took <= pipeline.deadline {
             group.1.push(took);
-            n_good += usize::from(window.contains(at));
+            let is_narrow = pipeline.stages.iter().any(|it| it.pool == narrowest);
+            n_good += usize::from(is_narrow && window.contains(at));
         }
     }
     let n_sent = world.asked.len();
     let n_in_time: usize = groups.values().map(|it| it.1.len()).sum();
-    let goodput = n_good as f64 / (run.length - SETTLE).as_secs_f64() / capacity(deployment);
+    let goodput = n_good as f64 / (run.length - SETTLE).as_secs_f64() / (capacity * narrow_share);
     let count = |metric| (0..N_ENTRIES).map(|it| world.count(it, metric)).sum();
     Figures {
         deployment: run.deployment.to_string(),
@@ -287,7 +301,25 @@
         retries: count(Metric::CallsRetried),
         runner_seconds: runner_seconds(world, n_sent),
         broken: broken_promises(world),
+        missed: missed(world),
+    }
+}
+
+fn missed(world: &World) -> Vec<(String, u32)> {
+    let mut counts: SortedMap<String, u32> = SortedMap::new();
+    for asked in world.asked.values() {
+        let told = match asked.answer() {
+            Some(answer) if answer.outcome == Outcome::Complete => continue,
+            Some(answer) => {
+                let refusal = answer.refusal.map(|it| it.to_string());
+                let failure = answer.failure.map(|it| it.to_string());
+                format!("{} {}", answer.outcome, refusal.or(failure).unwrap_or_default())
+            }
+            None => "no answer".to_owned(),
+        };
+        *counts.entry_or_with(told, || 0) += 1;
     }
+    counts.iter().map(|(told, count)| (told.clone(), *count)).collect()
 }
 
 fn pipeline_figures(name: &str, (n_sent, in_time): &(usize, Vec<Duration>)) -> PipelineFigures {
--- a/crates/ferry-core/src/admit.rs
+++ b/crates/ferry-core/src/admit.rs
@@ -47,6 +47,12 @@
         self.service.quantile(0.5).unwrap_or(FIRST_SERVICE)
     }
 
+    /// Returns the service time that a first answer so late stands for.
+    pub fn scaled(&self, first: Duration) -> Duration {
+        let usual = self.first.quantile(0.5).unwrap_or(FIRST_SERVICE);
+        self.median().mul_f64(first.as_secs_f64() / usual.as_secs_f64().max(1e-6))
+    }
+
     /// Counts a completed call.
     pub fn completed(&mut self, now: Moment) {
         if let Some(before) = self.busy_at {
--- a/crates/ferry-core/src/request/dispatch.rs
+++ b/crates/ferry-core/src/request/dispatch.rs
@@ -197,8 +197,8 @@
         let Some(slow) = flight.attempt_mut(attempt) else { return };
         slow.hedge_at = None;
         let (endpoint, running) = (slow.endpoint.clone(), cx.now.saturating_sub(slow.started));
-        cx.ctx.fleet.lags(cx.now, &endpoint, running);
         let state = self.pools.get_mut(&pool);
+        cx.ctx.fleet.lags(cx.now, &endpoint, state.scaled(running));
         let is_overloaded = !state.queue.is_empty();
         if is_overloaded || 0 < flight.tokens || !state.hedges.spend() {
             return;
--- a/crates/ferry-core/src/request/reply.rs
+++ b/crates/ferry-core/src/request/reply.rs
@@ -247,13 +247,17 @@
 
     fn cancel_others(&mut self, cx: &mut Turn<'_>, id: RequestId, winner: AttemptId) {
         let Some(flight) = self.flights.get(&id) else { return };
+        let pool = flight.current().pool.clone();
         let losers: Vec<AttemptId> =
             flight.attempts.iter().map(|it| it.id).filter(|it| *it != winner).collect();
         for attempt in losers {
             cx.out.push(Effect::Cancel { attempt });
-            if let Some(ended) = self.end_attempt(cx, id, attempt) {
+            let ended = self.end_attempt(cx, id, attempt);
+            if let Some(ended) = ended {
+                let pool = self.pools.get(&pool);
                 let running = cx.now.saturating_sub(ended.started);
-                cx.ctx.fleet.lags(cx.now, &ended.endpoint, running);
+                let service = pool.map_or(running, |it| it.scaled(running));
+                cx.ctx.fleet.lags(cx.now, &ended.endpoint, service);
             }
         }
     }
--- a/crates/ferry-core/src/route.rs
+++ b/crates/ferry-core/src/route.rs
@@ -7,6 +7,7 @@
 
 use ferry_model::{EndpointId, Moment, PoolId, Role, SortedMap, Stage, StageKind};
 use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
@@ -18,6 +19,8 @@
 
 /// Looks per sampled candidate before the whole group is searched.
 const LOOKS: usize = 4;
+/// Endpoints up to which a decision looks at each.
+const SMALL_GROUP: usize = 16;
 
 /// How an endpoint is chosen; all but the score are there to be measured against.
 #[derive(
@@ -181,8 +184,34 @@
             sample.look(view);
         }
     }
-    let half = tuning.sample.div_ceil(2);
-    for (list, n_wanted) in [(&group.near, half), (&group.all, tuning.sample)] {
+    if group.all.len() <= SMALL_GROUP {
+        look_at_all(fleet, group, &mut sample);
+    } else {
+        look_at_some(fleet, group, &mut sample, rng);
+    }
+    if sample.best.is_none() && !sample.is_full {
+        search(fleet, group, &mut sample);
+    }
+    match sample.best {
+        Some((score, view)) => Pick::Chosen(chosen(now, view, sample.considered, score)),
+        None if sample.is_full => Pick::Full,
+        None => Pick::Nobody,
+    }
+}
+
+fn look_at_all<'a>(fleet: &'a Fleet, group: &Group, sample: &mut Sample<'a>) {
+    for idx in &group.all {
+        if let Some(view) = fleet.at(*idx) {
+            sample.look(view);
+        }
+    }
+}
+
+/// Looks at a few endpoints in this zone and a few anywhere.
+fn look_at_some<'a>(fleet: &'a Fleet, group: &Group, sample: &mut Sample<'a>, rng: &mut Pcg64Mcg) {
+    let n_sample = sample.tuning.sample;
+    let half = n_sample.div_ceil(2);
+    for (list, n_wanted) in [(&group.near, half), (&group.all, n_sample)] {
         let mut n_found = 0;
         for _ in 0..LOOKS * n_wanted {
             if list.is_empty() || n_wanted <= n_found {
@@ -193,14 +222,6 @@
             n_found += usize::from(is_found);
         }
     }
-    if sample.best.is_none() && !sample.is_full {
-        search(fleet, group, &mut sample);
-    }
-    match sample.best {
-        Some((score, view)) => Pick::Chosen(chosen(now, view, sample.considered, score)),
-        None if sample.is_full => Pick::Full,
-        None => Pick::Nobody,
-    }
 }
 
 /// Looks at every endpoint of the group until one would do.
--- a/crates/ferry-core/src/settings.rs
+++ b/crates/ferry-core/src/settings.rs
@@ -119,7 +119,7 @@
             admit_share: 0.7,
             retry_share: 0.1,
             hedge_share: 0.05,
-            hedge_quantile: 0.95,
+            hedge_quantile: 0.99,
             backoff: Duration::from_millis(20),
             progress: Duration::from_secs(1),
             silent_time: Duration::from_secs(30),
