--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -85,8 +85,8 @@
     workspaces: WorkspacesState,
     admin: Admin,
     requests: Requests,
-    placement: Placement,
     drain: Drain,
+    placement: Placement,
 }
 
 impl Node {
@@ -107,8 +107,8 @@
             workspaces: WorkspacesState::new(),
             admin: Admin::new(),
             requests: Requests::new(),
-            placement: Placement::new(),
             drain: Drain::new(),
+            placement: Placement::new(),
         }
     }
 
@@ -187,8 +187,8 @@
         let cx = &mut Turn { now, ctx: &mut self.ctx, out };
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
-                self.placement.on_heartbeat(cx, &heartbeat);
                 let Some(heard) = beat::on_heartbeat(cx, &from, heartbeat) else { return };
+                self.placement.on_heartbeat(cx, &heard);
                 self.workspaces.on_digest(cx, &from, heard.workspaces);
                 self.config.on_announced(cx, from, heard.revision);
             }
@@ -231,8 +231,8 @@
             self.admin.next_wake(),
             self.ctx.members.next_wake(),
             self.requests.next_wake(),
-            self.drain.next_wake(),
             self.placement.next_wake(&self.ctx),
+            self.drain.next_wake(),
         ];
         due.into_iter().flatten().min()
     }
@@ -255,10 +255,6 @@
         &self.ctx.fleet
     }
 
-    pub fn placement(&self) -> &Placement {
-        &self.placement
-    }
-
     pub fn members(&self) -> &Members {
         &self.ctx.members
     }
@@ -273,6 +269,10 @@
         self.ctx.config.as_ref()
     }
 
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
     /// Whether new requests are taken: a configuration is in force and the process is not leaving.
     pub fn is_ready(&self) -> bool {
         self.ctx.config.is_some() && !self.requests.is_leaving()
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -1,30 +1,29 @@
 //! Starts an entry: its node and its HTTP server.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::peers::PeerError;
-use ferry_edge::{
-    Callers, Driver, EndpointClient, FleetClient, Handle, PeerOptions, Peers, Ports, StoreClient,
-};
-use ferry_model::{Incarnation, Workspace};
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens, auth};
+use ferry_model::{Incarnation, Workspace, WorkspaceId};
+use http::HeaderMap;
 use slog::{Logger, warn};
 use thiserror::Error;
 
+use crate::api::Gate;
 use crate::{CallerLimits, EntrySettings, api};
 
-/// Any address of this machine, on a port that the system chooses.
-const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Added to the server's own body limit, so that ours is met first and names the field.
+const BODY_SLACK: usize = 1024 * 1024;
 
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("could not describe the caller interface: {0}")]
     Describe(String),
     #[error(transparent)]
-    Peers(#[from] PeerError),
+    Open(#[from] OpenError),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -35,12 +34,7 @@
     pub tuning: Tuning,
     pub seed: u64,
     pub listen: SocketAddr,
-    pub store: SocketAddr,
-    pub fleet: SocketAddr,
-    pub store_timeout: Duration,
-    pub fleet_interval: Duration,
-    /// None keeps the instance from talking to peers.
-    pub peers: Option<PeerOptions>,
+    pub ports: PortOptions,
     pub limits: CallerLimits,
     pub workspaces: Vec<Workspace>,
 }
@@ -51,17 +45,13 @@
         identity: Identity,
         incarnation: Incarnation,
     ) -> EntryOptions {
-        let platform = settings.platform;
+        let ports = settings.platform.ports(&identity.instance, settings.peers, settings.metrics);
         EntryOptions {
             identity,
             tuning: settings.tuning,
             seed: incarnation,
-            listen: settings.instance.listen.unwrap_or(ANY_PORT),
-            store: platform.store.first().copied().unwrap_or(ANY_PORT),
-            fleet: platform.fleet.unwrap_or(ANY_PORT),
-            store_timeout: platform.timeout,
-            fleet_interval: platform.interval,
-            peers: settings.peers,
+            listen: settings.instance.listen(),
+            ports,
             limits: settings.limits,
             workspaces: settings.workspaces,
         }
@@ -72,8 +62,25 @@
 #[derive(Debug)]
 pub struct EntryContext {
     pub handle: Handle,
-    pub workspaces: Vec<Workspace>,
+    /// Workspaces of the settings by their bearer tokens; the stored ones go first.
+    pub tokens: Tokens<WorkspaceId>,
     pub limits: CallerLimits,
+    pub gate: Arc<Gate>,
+    pub metrics: Metrics,
+    /// Bounds of the deadline that a caller may name.
+    pub min_deadline: Duration,
+    pub max_deadline: Duration,
+}
+
+impl EntryContext {
+    /// Returns the workspace of a request's bearer token: a stored one, else one of the settings.
+    pub fn workspace_of(&self, headers: &HeaderMap) -> Option<WorkspaceId> {
+        let hash = auth::token_hash(headers)?.to_hex();
+        match self.handle.workspaces().by_token(&hash) {
+            Some(workspace) => Some(workspace.name.clone()),
+            None => self.tokens.find(headers),
+        }
+    }
 }
 
 pub struct EntryServer {
@@ -88,26 +95,26 @@
     pub fn start(options: EntryOptions, log: &Logger) -> Result<EntryServer, StartError> {
         let instance = options.identity.instance.clone();
         let close_time = options.limits.close_time;
-        let peers = options.peers.map(|it| Peers::bind(it, log.clone())).transpose()?;
+        let ports = Ports::open(options.ports, log)?;
+        let (peers, metrics) = (ports.peers.clone(), ports.metrics.clone());
+        let (min_deadline, max_deadline) =
+            (options.tuning.min_deadline, options.tuning.max_deadline);
         let node = Node::new(options.identity, options.tuning, options.seed);
-        let ports = Ports {
-            callers: Arc::new(Callers::new()),
-            endpoints: EndpointClient::new(),
-            store: StoreClient::new(options.store, options.store_timeout),
-            fleet: FleetClient::new(options.fleet, options.fleet_interval, log.clone()),
-            peers: peers.clone(),
-            log: log.clone(),
-        };
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
             bind_address: options.listen,
-            default_request_body_max_bytes: options.limits.body,
+            default_request_body_max_bytes: options.limits.body + BODY_SLACK,
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
         let context = EntryContext {
             handle: handle.clone(),
-            workspaces: options.workspaces,
+            tokens: Tokens::new(token_owners(&options.workspaces)),
             limits: options.limits,
+            gate: Arc::new(Gate::new()),
+            metrics,
+            min_deadline,
+            max_deadline,
         };
         let api = api::describe().map_err(StartError::Describe)?;
         let server = ServerBuilder::new(api, Arc::new(context), log.clone())
@@ -144,3 +151,8 @@
         &self.handle
     }
 }
+
+/// Pairs each hash of a token with its workspace.
+fn token_owners(workspaces: &[Workspace]) -> impl Iterator<Item = (&str, WorkspaceId)> {
+    workspaces.iter().flat_map(|it| it.tokens.iter().map(|token| (token.as_str(), it.name.clone())))
+}
