Let a stream that goes on earn further calls

Cause: a stream that two bad engines broke ran out of its three calls although each had brought tokens.

Conclusion: the retry budget, not the count of calls, bounds a stream.

--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -251,6 +251,11 @@
         &self.ctx.identity
     }
 
+    /// Requests in flight.
+    pub fn n_requests(&self) -> usize {
+        self.requests.n_flights() as usize
+    }
+
     pub fn fleet(&self) -> &Fleet {
         &self.ctx.fleet
     }
--- a/crates/ferry-core/src/request/dispatch.rs
+++ b/crates/ferry-core/src/request/dispatch.rs
@@ -185,6 +185,7 @@
             connection,
             accepted: false,
             is_hedge,
+            offset: flight.tokens,
         });
         self.attempts.insert(attempt, id);
         self.set_timer(id);
--- a/crates/ferry-core/src/request/flight.rs
+++ b/crates/ferry-core/src/request/flight.rs
@@ -102,6 +102,8 @@
     /// The answer has begun and names this call.
     pub accepted: bool,
     pub is_hedge: bool,
+    /// Tokens that were there when it started.
+    pub offset: u32,
 }
 
 impl Attempt {
--- a/crates/ferry-core/src/request/reply.rs
+++ b/crates/ferry-core/src/request/reply.rs
@@ -163,6 +163,11 @@
 
     /// Goes on with a stream: on a new connection to its engine first, then on another engine.
     fn resume(&mut self, cx: &mut Turn<'_>, id: RequestId, ended: &Attempt, error: &str) {
+        if let Some(flight) = self.flights.get_mut(&id)
+            && ended.offset < flight.tokens
+        {
+            flight.calls = 1;
+        }
         let next = (ended.connection == Connection::Pooled)
             .then(|| NextCall { endpoint: ended.endpoint.clone(), connection: Connection::Fresh });
         self.retry(cx, id, error, Duration::ZERO, next);
--- a/crates/ferry-core/src/settings.rs
+++ b/crates/ferry-core/src/settings.rs
@@ -36,7 +36,7 @@
     pub max_requests: usize,
     /// Most requests waiting for one pool on this instance.
     pub max_queue: usize,
-    /// Most calls for one stage of one request.
+    /// Most calls for one stage of one request since its stream last went on.
     pub max_attempts: u32,
     /// How an endpoint is chosen.
     pub policy: Policy,
@@ -109,7 +109,7 @@
             leave_margin: Duration::from_secs(3),
             max_requests: 4096,
             max_queue: 1024,
-            max_attempts: 3,
+            max_attempts: 4,
             policy: Policy::Score,
             sample: 4,
             zone_cost: Duration::from_millis(2),
--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Whether it has no call, running or waiting.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
     /// Takes the waiting call to be served next: by priority, then in order of arrival.
     pub(crate) fn take_next(&mut self) -> Job {
         let best = (0..self.waiting.len()).min_by_key(|idx| self.waiting[*idx].call.priority);
