--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,7 +1,10 @@
 //! Subcommands, one file each.
 
+pub mod claims;
+pub mod decide;
 pub mod demo;
 pub mod overhead;
+pub mod policies;
 
 use argh::FromArgs;
 
@@ -17,15 +20,21 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Claims(claims::ClaimsArgs),
+    Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     Overhead(overhead::OverheadArgs),
+    Policies(policies::PoliciesArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
         match self.command {
+            Command::Claims(args) => args.run(),
+            Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::Overhead(args) => args.run().await,
+            Command::Policies(args) => args.run(),
         }
     }
 }
