--- a/crates/ferry-control/src/api.rs
+++ b/crates/ferry-control/src/api.rs
@@ -33,6 +33,7 @@
     note(api.register(put_pipeline));
     note(api.register(delete_pipeline));
     note(api.register(list_pools));
+    note(api.register(get_pool));
     note(api.register(put_pool));
     note(api.register(delete_pool));
     note(api.register(list_presets));
@@ -108,6 +109,12 @@
     Exchange::read(&rqctx)?.part(|it| Some(ListBody { items: it.pools })).await
 }
 
+#[endpoint { method = GET, path = "/v1/pools/{name}" }]
+async fn get_pool(rqctx: Context, path: Path<NamePath>) -> Reply {
+    let name = path.into_inner().name;
+    Exchange::read(&rqctx)?.part(|it| it.pool(&name).cloned()).await
+}
+
 /// Creates or replaces a pool; it says whether its endpoints check fencing numbers.
 #[endpoint { method = PUT, path = "/v1/pools/{name}" }]
 async fn put_pool(rqctx: Context, path: Path<NamePath>, body: TypedBody<Pool>) -> Reply {
--- /dev/null
+++ b/crates/ferryctl/src/cmd.rs
@@ -0,0 +1,111 @@
+//! Subcommands, one file each.
+
+mod history;
+mod pipeline;
+mod pool;
+mod preset;
+mod resource;
+mod status;
+mod use_preset;
+mod workspace;
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use thiserror::Error;
+
+use crate::client::{Client, ClientError};
+use crate::output::Format;
+
+/// Environment variable with the addresses of control instances.
+const CONTROL_ENV: &str = "FERRY_CONTROL";
+/// Environment variable with the operator's bearer token.
+const TOKEN_ENV: &str = "FERRY_TOKEN";
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    #[error("no command was given; see ferryctl --help")]
+    Missing,
+    #[error("no control instance was named; set --control or {CONTROL_ENV}")]
+    NoControl,
+    #[error("could not read {text:?} as an IP address and port")]
+    Address { text: String },
+    #[error("{TOKEN_ENV} is not set")]
+    NoToken,
+    #[error("could not read {path}: {error}")]
+    File { path: String, error: String },
+    #[error("say which revision was read with --revision, or take the present one with --latest")]
+    NoRevision,
+    #[error("revision {revision} is not in force everywhere: {lagging}")]
+    Lagging { revision: u64, lagging: String },
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    #[error("could not format the output: {0}")]
+    Format(#[from] serde_json::Error),
+}
+
+/// Administers a tarragonferry deployment.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "FERRY_TOKEN=... ferryctl --control 10.0.0.7:8443 use peak --latest --wait",
+    note = "docs/CONFIGURATION.md describes each command.",
+    error_code(1, "The command failed or was not understood.")
+)]
+pub struct Args {
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+    /// addresses of control instances with commas between them, tried in turn
+    #[argh(option)]
+    control: Option<String>,
+    /// print JSON instead of tables
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Pipeline(pipeline::PipelineArgs),
+    Pool(pool::PoolArgs),
+    Preset(preset::PresetArgs),
+    Workspace(workspace::WorkspaceArgs),
+    Use(use_preset::UseArgs),
+    Status(status::StatusArgs),
+    History(history::HistoryArgs),
+}
+
+impl Args {
+    pub async fn run(self) -> Result<(), CommandError> {
+        if self.version {
+            println!("ferryctl {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        let format = Format::new(self.json);
+        let command = self.command.ok_or(CommandError::Missing)?;
+        let client = connect(self.control)?;
+        match command {
+            Command::Pipeline(args) => args.run(&client, format).await,
+            Command::Pool(args) => args.run(&client, format).await,
+            Command::Preset(args) => args.run(&client, format).await,
+            Command::Workspace(args) => args.run(&client, format).await,
+            Command::Use(args) => args.run(&client, format).await,
+            Command::Status(args) => args.run(&client, format).await,
+            Command::History(args) => args.run(&client, format).await,
+        }
+    }
+}
+
+/// Makes a client from the option or the environment.
+fn connect(control: Option<String>) -> Result<Client, CommandError> {
+    let text =
+        control.or_else(|| std::env::var(CONTROL_ENV).ok()).ok_or(CommandError::NoControl)?;
+    let parse =
+        |it: &str| it.trim().parse().map_err(|_| CommandError::Address { text: it.to_owned() });
+    let addresses = text.split(',').map(parse).collect::<Result<Vec<SocketAddr>, _>>()?;
+    let token = std::env::var(TOKEN_ENV).map_err(|_| CommandError::NoToken)?;
+    Ok(Client::new(addresses, token))
+}
