--- a/crates/ferry-bench/src/cluster.rs
+++ b/crates/ferry-bench/src/cluster.rs
@@ -6,7 +6,7 @@
 use ferry_control::{ControlOptions, ControlServer, Operator};
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::certs::{self, CertPair};
-use ferry_edge::{Handle, PeerIdentity, PeerOptions};
+use ferry_edge::{Handle, PeerIdentity, PeerOptions, PortOptions};
 use ferry_entry::{CallerLimits, EntryOptions, EntryServer};
 use ferry_model::{EndpointState, Instance};
 use ferry_standin::DeploymentStandins;
@@ -53,16 +53,13 @@
                 role: InstanceRole::Entry,
             };
             let peers = peer_options(&authority, &identity.instance, bind)?;
+            let instance = identity.instance.clone();
             let options = EntryOptions {
                 identity,
                 tuning: Tuning::default(),
                 seed: seed.wrapping_add(idx as u64),
                 listen: bind,
-                store: platform,
-                fleet: platform,
-                store_timeout: Duration::from_secs(1),
-                fleet_interval: Duration::from_secs(1),
-                peers: Some(peers),
+                ports: PortOptions::new(&instance, platform).with_peers(peers),
                 limits: CallerLimits::default(),
                 workspaces: deployment.workspaces.clone(),
             };
@@ -133,15 +130,15 @@
     };
     let token = blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().to_string();
     let options = ControlOptions {
-        peers: Some(peer_options(authority, &identity.instance, bind)?),
+        ports: PortOptions::new(&identity.instance, platform).with_peers(peer_options(
+            authority,
+            &identity.instance,
+            bind,
+        )?),
         identity,
         tuning: Tuning::default(),
         seed: seed.wrapping_add(1_000),
         listen: bind,
-        store: platform,
-        fleet: platform,
-        store_timeout: Duration::from_secs(1),
-        fleet_interval: Duration::from_secs(1),
         body: CONTROL_BODY,
         close_time: Duration::from_secs(5),
         operators: vec![Operator { name: OPERATOR.to_owned(), tokens: vec![token] }],
--- a/crates/ferry-control/src/server.rs
+++ b/crates/ferry-control/src/server.rs
@@ -1,30 +1,24 @@
 //! Starts a control process: its node and its HTTP server.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::peers::PeerError;
-use ferry_edge::{
-    Callers, Driver, EndpointClient, FleetClient, Handle, PeerOptions, Peers, Ports, StoreClient,
-};
+use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports};
 use ferry_model::Incarnation;
 use slog::{Logger, warn};
 use thiserror::Error;
 
 use crate::{ControlSettings, Operator, api};
 
-/// This machine, on a port that the system chooses.
-const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("could not describe the administration interface: {0}")]
     Describe(String),
     #[error(transparent)]
-    Peers(#[from] PeerError),
+    Open(#[from] OpenError),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -35,12 +29,7 @@
     pub tuning: Tuning,
     pub seed: u64,
     pub listen: SocketAddr,
-    pub store: SocketAddr,
-    pub fleet: SocketAddr,
-    pub store_timeout: Duration,
-    pub fleet_interval: Duration,
-    /// None keeps the instance from talking to peers.
-    pub peers: Option<PeerOptions>,
+    pub ports: PortOptions,
     /// Largest body of an operator's request, in bytes.
     pub body: usize,
     pub close_time: Duration,
@@ -53,17 +42,13 @@
         identity: Identity,
         incarnation: Incarnation,
     ) -> ControlOptions {
-        let platform = settings.platform;
+        let ports = settings.platform.ports(&identity.instance, settings.peers, settings.metrics);
         ControlOptions {
             identity,
             tuning: settings.tuning,
             seed: incarnation,
-            listen: settings.instance.listen.unwrap_or(ANY_PORT),
-            store: platform.store.first().copied().unwrap_or(ANY_PORT),
-            fleet: platform.fleet.unwrap_or(ANY_PORT),
-            store_timeout: platform.timeout,
-            fleet_interval: platform.interval,
-            peers: settings.peers,
+            listen: settings.instance.listen(),
+            ports,
             body: settings.body,
             close_time: settings.close_time,
             operators: settings.operators,
@@ -89,16 +74,9 @@
 impl ControlServer {
     pub fn start(options: ControlOptions, log: &Logger) -> Result<ControlServer, StartError> {
         let instance = options.identity.instance.clone();
-        let peers = options.peers.map(|it| Peers::bind(it, log.clone())).transpose()?;
+        let ports = Ports::open(options.ports, log)?;
+        let peers = ports.peers.clone();
         let node = Node::new(options.identity, options.tuning, options.seed);
-        let ports = Ports {
-            callers: Arc::new(Callers::new()),
-            endpoints: EndpointClient::new(),
-            store: StoreClient::new(options.store, options.store_timeout),
-            fleet: FleetClient::new(options.fleet, options.fleet_interval, log.clone()),
-            peers: peers.clone(),
-            log: log.clone(),
-        };
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
             bind_address: options.listen,
--- a/crates/ferry-control/tests/administration.rs
+++ b/crates/ferry-control/tests/administration.rs
@@ -6,7 +6,7 @@
 use ferry_control::{ControlOptions, ControlServer, Operator};
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::http::read_answer;
-use ferry_edge::{HttpClient, logs};
+use ferry_edge::{HttpClient, PortOptions, logs};
 use ferry_fakes::{Deployment, DeploymentName};
 use ferry_standin::DeploymentStandins;
 use http::{Method, Request, StatusCode};
@@ -63,6 +63,9 @@
         };
         let mut tuning = Tuning::default();
         tuning.place.enabled = false;
+        let mut ports = PortOptions::new("control-0", standins.platform.address())
+            .with_interval(Duration::from_millis(200));
+        ports.store.timeout = Duration::from_millis(500);
         let options = ControlOptions {
             identity: Identity {
                 instance: "control-0".to_owned(),
@@ -74,11 +77,7 @@
             tuning,
             seed: 7,
             listen: bind,
-            store: standins.platform.address(),
-            fleet: standins.platform.address(),
-            store_timeout: Duration::from_millis(500),
-            fleet_interval: Duration::from_millis(200),
-            peers: None,
+            ports,
             body: 64 * 1024,
             close_time: Duration::from_secs(1),
             operators: vec![operator("amaka"), operator("farid")],
--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -4,6 +4,8 @@
 //! same effects, byte for byte. See docs/DESIGN.md for the layering.
 
 pub mod admin;
+pub mod admit;
+pub mod claim;
 pub mod config;
 pub mod drain;
 pub mod effect;
@@ -12,6 +14,7 @@
 pub mod member;
 pub mod node;
 pub mod place;
+pub mod replay;
 pub mod request;
 pub mod route;
 pub mod settings;
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -131,6 +131,7 @@
                 Some(Owner::Config) => self.config.on_store(cx, call, result),
                 Some(Owner::Workspaces) => self.workspaces.on_store(cx, call, result),
                 Some(Owner::Admin) => self.admin.on_store(cx, call, result),
+                Some(Owner::Claims) => self.requests.on_store(cx, call, result),
                 Some(
                     owner @ (Owner::Lease
                     | Owner::Plan
@@ -138,14 +139,19 @@
                     | Owner::PlanPoll
                     | Owner::History),
                 ) => self.placement.on_store(cx, owner, result),
-                Some(Owner::Claims) | None => (),
+                None => (),
             },
             Event::Fleet { endpoints, instances } => {
-                cx.ctx.fleet.update(endpoints);
-                let Context { identity, members, tuning, .. } = &mut *cx.ctx;
+                let Context { identity, members, tuning, fleet, .. } = &mut *cx.ctx;
+                fleet.update(endpoints, &identity.zone, tuning);
                 self.placement.on_list(&instances);
+                self.requests.on_instances(&instances);
                 members.update(now, identity, tuning.beat_fanout, instances);
             }
+            Event::Cache(update) => cx.ctx.fleet.cached(cx.now, &update),
+            Event::AskKey { ticket, workspace, key } => {
+                self.requests.ask_key(cx, ticket, &workspace, &key);
+            }
             Event::AskInstances { ticket, zone } => {
                 let own_load = self.requests.n_flights();
                 let answer = Box::new(choose::answer(cx, zone.as_ref(), own_load));
@@ -153,7 +159,6 @@
             }
             Event::Admin(request) => self.admin.on_request(cx, request),
             Event::Peer { from, message } => self.on_peer(now, &mut out, from, message),
-            Event::Cache(_) | Event::AskKey { .. } => (),
             Event::Ordered { endpoint, fence, result } => {
                 self.placement.on_ordered(cx, &endpoint, fence, &result);
             }
@@ -191,7 +196,10 @@
                     workspaces::offer(cx, usize::from(number), shard);
                 }
             }
-            PeerMessage::AskOutcome { .. } | PeerMessage::OutcomeIs { .. } => (),
+            claims @ (PeerMessage::AskOutcome { .. }
+            | PeerMessage::OutcomeIs { .. }
+            | PeerMessage::Journal(_)
+            | PeerMessage::Journalled(_)) => self.requests.on_peer(cx, &from, claims),
         }
     }
 
@@ -206,7 +214,7 @@
         if self.drain.close_when_due(cx) {
             self.requests.close();
         }
-        let is_idle = self.requests.is_idle() && self.admin.is_idle();
+        let is_idle = self.requests.is_idle(now) && self.admin.is_idle();
         self.drain.exit_when(cx, is_idle);
     }
 
--- a/crates/ferry-core/src/request/summary.rs
+++ b/crates/ferry-core/src/request/summary.rs
@@ -4,9 +4,6 @@
 
 use super::Requests;
 
-/// Most workspaces named in a heartbeat.
-const MAX_WORKSPACES: usize = 8;
-
 impl Requests {
     pub fn n_flights(&self) -> u32 {
         self.flights.len() as u32
@@ -23,9 +20,9 @@
                 queued: 0,
                 arrived: 0,
             });
-            match flight.attempt {
-                Some(_) => load.running += 1,
-                None => load.queued += 1,
+            match flight.attempts.is_empty() {
+                true => load.queued += 1,
+                false => load.running += 1,
             }
         }
         pools.values().cloned().collect()
@@ -33,15 +30,6 @@
 
     /// Requests in flight by workspace, the largest ones only, sorted by name.
     pub fn demand(&self) -> Vec<(WorkspaceId, u32)> {
-        let mut demand: SortedMap<WorkspaceId, u32> = SortedMap::new();
-        for flight in self.flights.values() {
-            *demand.entry_or_with(flight.workspace.clone(), || 0) += 1;
-        }
-        let mut largest: Vec<(WorkspaceId, u32)> =
-            demand.iter().map(|(name, count)| (name.clone(), *count)).collect();
-        largest.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-        largest.truncate(MAX_WORKSPACES);
-        largest.sort();
-        largest
+        self.shares.demand()
     }
 }
--- a/crates/ferry-edge/src/lib.rs
+++ b/crates/ferry-edge/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here decides; what to do and when comes from `ferry-core`.
 
+pub mod auth;
 pub mod callers;
 pub mod certs;
 pub mod driver;
@@ -9,18 +10,23 @@
 pub mod fleet;
 pub mod http;
 pub mod logs;
+pub mod metrics;
 pub mod orders;
 pub mod peers;
+pub mod ports;
 pub mod process;
 pub mod settings;
 pub mod store;
 pub mod wire;
 
-pub use callers::{CallerEvent, Callers};
-pub use driver::{Driver, Handle, Ports, Status};
+pub use auth::Tokens;
+pub use callers::{CallerEvent, Callers, Waiter};
+pub use driver::{Driver, Handle, Status};
 pub use endpoint::EndpointClient;
 pub use fleet::FleetClient;
 pub use http::{HttpClient, HttpError};
+pub use metrics::Metrics;
 pub use orders::OrderClient;
 pub use peers::{PeerIdentity, PeerOptions, Peers};
-pub use store::StoreClient;
+pub use ports::{OpenError, PortOptions, Ports};
+pub use store::{StoreClient, StoreOptions};
