--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub mod demo;
+pub mod spread;
 
 use argh::FromArgs;
 
@@ -17,12 +18,14 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::DemoArgs),
+    Spread(spread::SpreadArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
         match self.command {
             Command::Demo(args) => args.run().await,
+            Command::Spread(args) => args.run(),
         }
     }
 }
--- /dev/null
+++ b/crates/ferry-bench/src/cmd/spread.rs
@@ -0,0 +1,126 @@
+//! Measures how a change reaches every instance and what that costs.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use ferry_bench::experiments::announce::{self, Fleet, Setup, Trouble, Way};
+use ferry_bench::experiments::spread::{self, Condition};
+use strum::IntoEnumIterator;
+
+/// Fleet sizes, each with its number of zones.
+const SIZES: [(usize, usize); 3] = [(8, 4), (64, 8), (470, 28)];
+const SHARES: [f64; 3] = [0.0, 0.05, 0.2];
+/// Runs of each announcement.
+const N_RUNS: u64 = 50;
+/// Time between changes at 15,000 a day.
+const CHANGE_GAP: Duration = Duration::from_millis(5_760);
+
+/// Measure the spread of configuration: time, coverage, messages, bytes and store calls.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "spread", example = "ferry-bench spread --changes 200")]
+pub struct SpreadArgs {
+    /// changes in each condition (default 200)
+    #[argh(option, default = "200")]
+    changes: u64,
+    /// seed of everything random (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds of virtual time for the costs (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+}
+
+impl SpreadArgs {
+    pub fn run(&self) -> Result<(), String> {
+        self.times()?;
+        self.announcements();
+        self.costs()
+    }
+
+    fn times(&self) -> Result<(), String> {
+        println!("time in force at 8 instances, {} changes, ms", self.changes);
+        println!("{:<28} {:>8} {:>8} {:>8}", "condition", "p50", "p99", "max");
+        for condition in Condition::iter() {
+            let mut times = spread::measure(condition, self.changes, self.seed)?;
+            times.sort();
+            let at = |share: f64| {
+                let rank = (times.len() as f64 * share).ceil() as usize;
+                times[rank.clamp(1, times.len()) - 1].as_secs_f64() * 1e3
+            };
+            let name: &str = condition.into();
+            println!("{name:<28} {:>8.0} {:>8.0} {:>8.0}", at(0.5), at(0.99), at(1.0));
+        }
+        Ok(())
+    }
+
+    fn announcements(&self) {
+        println!("\none announcement, mean of {N_RUNS} runs (worst coverage in brackets)");
+        println!(
+            "{:<8} {:>4} {:<5} {:>5} {:>2} {:>18} {:>9} {:>9} {:>8} {:>8}",
+            "way",
+            "n",
+            "bad",
+            "share",
+            "k",
+            "coverage",
+            "messages",
+            "most sent",
+            "p99 ms",
+            "last ms"
+        );
+        for (n_instances, n_zones) in SIZES {
+            let fleet = Fleet::new(spread::fleet(n_instances, n_zones));
+            for trouble in Trouble::iter() {
+                for share in SHARES {
+                    for way in Way::iter() {
+                        let setup = Setup { way, n_instances, trouble, share };
+                        self.announcement(setup, &fleet);
+                    }
+                }
+            }
+        }
+    }
+
+    fn announcement(&self, setup: Setup, fleet: &Fleet) {
+        let seeds = (0..N_RUNS).map(|it| self.seed.wrapping_mul(1_000).wrapping_add(it));
+        let runs: Vec<_> = seeds.map(|it| announce::run(setup, fleet, it)).collect();
+        let mean = |of: fn(&announce::Outcome) -> f64| {
+            runs.iter().map(of).sum::<f64>() / runs.len() as f64
+        };
+        let worst = runs.iter().map(|it| it.coverage).fold(1.0, f64::min);
+        let copies = match setup.way {
+            Way::Tree => announce::replication(setup.n_instances, setup.share).to_string(),
+            Way::FanOut | Way::Gossip => "-".to_owned(),
+        };
+        let (way, trouble): (&str, &str) = (setup.way.into(), setup.trouble.into());
+        println!(
+            "{way:<8} {:>4} {trouble:<5} {:>5.2} {copies:>2} {:>9.4} ({worst:.4}) {:>9.0} {:>9.0} \
+             {:>8.1} {:>8.1}",
+            setup.n_instances,
+            setup.share,
+            mean(|it| it.coverage),
+            mean(|it| it.messages as f64),
+            mean(|it| it.most_sent as f64),
+            mean(|it| it.p99.as_secs_f64() * 1e3),
+            mean(|it| it.last.as_secs_f64() * 1e3),
+        );
+    }
+
+    fn costs(&self) -> Result<(), String> {
+        println!("\ncost of one instance a second; changes come every {CHANGE_GAP:?}");
+        println!(
+            "{:>4} {:<8} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8}",
+            "n", "load", "messages", "bytes", "get", "watch", "list", "put"
+        );
+        for (n_instances, n_zones) in SIZES {
+            for (name, gap) in [("rest", None), ("changes", Some(CHANGE_GAP))] {
+                let it = spread::cost(n_instances, n_zones, gap, self.seconds)?;
+                println!(
+                    "{n_instances:>4} {name:<8} {:>9.2} {:>9.0} {:>8.4} {:>8.4} {:>8.4} {:>8.4}",
+                    it.messages, it.bytes, it.gets, it.watches, it.lists, it.puts
+                );
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ferry-bench/src/experiments/announce.rs
@@ -0,0 +1,234 @@
+//! Three ways to announce a change, driven message by message on virtual time.
+//!
+//! Each way sees the same instances, delays, dead and slow peers; docs/design/membership.md
+//! weighs the outcome.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use ferry_core::member::subset;
+use ferry_core::{Identity, InstanceRole};
+use ferry_model::{Instance, InstanceId};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// Share of instances that the tree is to reach, for its replication.
+const RELIABILITY: f64 = 0.999;
+/// Peers that gossip is sent to.
+const FANOUT: usize = 8;
+/// One-way delays inside a zone, in a region and between regions.
+const NEAR: Duration = Duration::from_micros(200);
+const REGION: Duration = Duration::from_micros(1_500);
+const FAR: Duration = Duration::from_millis(40);
+/// Bits of an identifier that the tree looks at.
+const MAX_BITS: u32 = 32;
+/// Time that a slow peer takes for each message.
+const SLOW: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Way {
+    /// The writer tells everyone.
+    FanOut,
+    /// Everyone tells the peers of its heartbeats once.
+    Gossip,
+    /// Delegates of ever smaller subtrees, each replicated.
+    Tree,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Trouble {
+    Dead,
+    Slow,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Setup {
+    pub way: Way,
+    pub n_instances: usize,
+    pub trouble: Trouble,
+    /// Share of the other instances in trouble.
+    pub share: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    /// Share of living instances that were reached.
+    pub coverage: f64,
+    pub messages: u64,
+    /// Most messages that one instance sent.
+    pub most_sent: u64,
+    /// When 99 in 100 of the living instances that were reached had it.
+    pub p99: Duration,
+    pub last: Duration,
+}
+
+struct Run<'a> {
+    setup: Setup,
+    fleet: &'a Fleet,
+    is_bad: Vec<bool>,
+    reached: Vec<Option<Duration>>,
+    sent: Vec<u64>,
+    queue: BinaryHeap<Reverse<(Duration, u64, usize, u32)>>,
+    n_queued: u64,
+    rng: Pcg64Mcg,
+}
+
+/// Instances with what each way needs to know of them.
+pub struct Fleet {
+    instances: Vec<Instance>,
+    /// Peers by instance, as the reducer chooses them.
+    targets: Vec<Vec<usize>>,
+    /// Positions in the tree's space of identifiers.
+    ids: Vec<u64>,
+}
+
+impl Fleet {
+    pub fn new(instances: Vec<Instance>) -> Fleet {
+        let position = |id: &InstanceId| instances.iter().position(|it| it.id == *id);
+        let targets = instances
+            .iter()
+            .map(|own| {
+                let others: Vec<&Instance> =
+                    instances.iter().filter(|it| it.id != own.id).collect();
+                let chosen = subset::choose(&identity(own), &others, FANOUT);
+                chosen.iter().filter_map(position).collect()
+            })
+            .collect();
+        let ids = instances.iter().map(|it| hash(&it.id)).collect();
+        Fleet { instances, targets, ids }
+    }
+
+    fn delay(&self, from: usize, to: usize) -> Duration {
+        let (from, to) = (&self.instances[from], &self.instances[to]);
+        match (from.zone == to.zone, from.region == to.region) {
+            (true, _) => NEAR,
+            (false, true) => REGION,
+            (false, false) => FAR,
+        }
+    }
+}
+
+/// Announces one change from a random living instance.
+pub fn run(setup: Setup, fleet: &Fleet, seed: u64) -> Outcome {
+    let n = setup.n_instances;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let origin = rng.random_range(0..n);
+    let mut others: Vec<usize> = (0..n).filter(|it| *it != origin).collect();
+    shuffle(&mut others, &mut rng);
+    let n_bad = (setup.share * n as f64).round() as usize;
+    let mut is_bad = vec![false; n];
+    others.iter().take(n_bad).for_each(|it| is_bad[*it] = true);
+    let mut run = Run {
+        setup,
+        fleet,
+        is_bad,
+        reached: vec![None; n],
+        sent: vec![0; n],
+        queue: BinaryHeap::new(),
+        n_queued: 0,
+        rng,
+    };
+    run.receive(Duration::ZERO, origin, 0);
+    while let Some(Reverse((at, _, to, height))) = run.queue.pop() {
+        run.receive(at, to, height);
+    }
+    run.outcome()
+}
+
+impl Run<'_> {
+    fn receive(&mut self, at: Duration, node: usize, height: u32) {
+        let is_dead = self.is_bad[node] && self.setup.trouble == Trouble::Dead;
+        if is_dead || self.reached[node].is_some() {
+            return;
+        }
+        let at = if self.is_bad[node] { at + SLOW } else { at };
+        self.reached[node] = Some(at);
+        match self.setup.way {
+            Way::FanOut => {
+                if self.n_queued == 0 {
+                    (0..self.setup.n_instances)
+                        .filter(|it| *it != node)
+                        .for_each(|it| self.send(at, node, it, 0));
+                }
+            }
+            Way::Gossip => {
+                let fleet = self.fleet;
+                fleet.targets[node].iter().for_each(|it| self.send(at, node, *it, 0));
+            }
+            Way::Tree => self.delegate(at, node, height),
+        }
+    }
+
+    /// Chooses delegates in each subtree that this instance is responsible for.
+    fn delegate(&mut self, at: Duration, node: usize, height: u32) {
+        let copies = replication(self.setup.n_instances, self.setup.share);
+        let own = self.fleet.ids[node];
+        for bit in height..MAX_BITS {
+            let in_bucket = |it: &usize| (own ^ self.fleet.ids[*it]).leading_zeros() == bit;
+            let mut bucket: Vec<usize> =
+                (0..self.setup.n_instances).filter(|it| *it != node).filter(in_bucket).collect();
+            shuffle(&mut bucket, &mut self.rng);
+            bucket.truncate(copies);
+            bucket.into_iter().for_each(|it| self.send(at, node, it, bit + 1));
+        }
+    }
+
+    fn send(&mut self, at: Duration, from: usize, to: usize, height: u32) {
+        self.sent[from] += 1;
+        self.n_queued += 1;
+        let arrives = at + self.fleet.delay(from, to);
+        self.queue.push(Reverse((arrives, self.n_queued, to, height)));
+    }
+
+    fn outcome(&self) -> Outcome {
+        let is_living = |it: &usize| !self.is_bad[*it] || self.setup.trouble == Trouble::Slow;
+        let living: Vec<usize> = (0..self.setup.n_instances).filter(is_living).collect();
+        let mut times: Vec<Duration> = living.iter().filter_map(|it| self.reached[*it]).collect();
+        times.sort();
+        let rank = (times.len() * 99).div_ceil(100).saturating_sub(1);
+        Outcome {
+            coverage: times.len() as f64 / living.len() as f64,
+            messages: self.sent.iter().sum(),
+            most_sent: self.sent.iter().max().copied().unwrap_or(0),
+            p99: times[rank],
+            last: times.last().copied().unwrap_or_default(),
+        }
+    }
+}
+
+/// Delegates of each subtree that reach the wanted share, by equation 5 of the broadcast paper:
+/// `k = ln(2 (1 - m^(1/b))) / ln P`, rounded up, for `b` address bits and losses `P`.
+pub fn replication(n_instances: usize, losses: f64) -> usize {
+    if losses <= 0.0 {
+        return 1;
+    }
+    let bits = (n_instances as f64).log2();
+    let missed = 2.0 * (1.0 - RELIABILITY.powf(1.0 / bits));
+    (missed.ln() / losses.ln()).ceil().max(1.0) as usize
+}
+
+fn identity(instance: &Instance) -> Identity {
+    Identity {
+        instance: instance.id.clone(),
+        incarnation: 1,
+        zone: instance.zone.clone(),
+        region: instance.region.clone(),
+        role: InstanceRole::Entry,
+    }
+}
+
+fn hash(id: &str) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(id.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn shuffle(items: &mut [usize], rng: &mut Pcg64Mcg) {
+    for idx in (1..items.len()).rev() {
+        items.swap(idx, rng.random_range(0..=idx));
+    }
+}
--- /dev/null
+++ b/crates/ferry-bench/src/experiments/spread.rs
@@ -0,0 +1,174 @@
+//! Time until a change is in force everywhere, and what the spread costs in bytes and calls.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use ferry_core::{Identity, InstanceRole, Tuning};
+use ferry_fakes::{Deployment, DeploymentName, World};
+use ferry_model::{AdminOp, AdminReply, EndpointState, Instance, PresetName};
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// Time after which a change counts as never in force.
+const LIMIT: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(1);
+/// How long the fleet settles before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(5);
+/// One-way delay of a slow store.
+const SLOW_STORE: Duration = Duration::from_millis(250);
+/// Node that takes the operators' requests.
+const WRITER: usize = 0;
+/// Node that is frozen, and for how long after acceptance.
+const FROZEN: usize = 5;
+const FREEZE: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Condition {
+    Healthy,
+    StoreSlow,
+    WatchesGapped,
+    StoreDownAfterAcceptance,
+    /// Time counts from the thaw for the frozen instance.
+    FrozenThenThawed,
+}
+
+/// Instances over zones and seven regions, with addresses that nobody listens on.
+pub fn fleet(n_instances: usize, n_zones: usize) -> Vec<Instance> {
+    (0..n_instances)
+        .map(|idx| Instance {
+            id: format!("entry-{idx:03}"),
+            zone: format!("zone-{:02}", idx % n_zones),
+            region: format!("region-{}", idx % n_zones % 7),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + 2 * idx as u16)),
+            peer: SocketAddr::from((Ipv4Addr::LOCALHOST, 10_001 + 2 * idx as u16)),
+            state: EndpointState::Live,
+            is_entry: true,
+        })
+        .collect()
+}
+
+/// Makes a world of that many entries that have settled.
+pub fn world(n_instances: usize, n_zones: usize, seed: u64) -> Result<World, String> {
+    let deployment = Deployment::new(DeploymentName::Ikenna);
+    let mut world = World::with_deployment(&deployment, 0, &Tuning::default(), seed)
+        .map_err(|it| it.to_string())?;
+    world.instances = fleet(n_instances, n_zones);
+    for (idx, instance) in world.instances.clone().into_iter().enumerate() {
+        let identity = Identity {
+            instance: instance.id,
+            incarnation: seed.wrapping_mul(1_000).wrapping_add(idx as u64 + 1),
+            zone: instance.zone,
+            region: instance.region,
+            role: InstanceRole::Entry,
+        };
+        world.add_node(identity, Tuning::default(), seed.wrapping_add(idx as u64));
+    }
+    world.run_for(WARM_UP);
+    Ok(world)
+}
+
+/// Makes `n_changes` one after the other and returns the time that each took to be in force.
+pub fn measure(condition: Condition, n_changes: u64, seed: u64) -> Result<Vec<Duration>, String> {
+    let mut world = world(8, 4, seed)?;
+    let faults = &mut world.store.faults;
+    faults.gapped_watches = condition == Condition::WatchesGapped;
+    if condition == Condition::StoreSlow {
+        faults.delay = SLOW_STORE;
+    }
+    let mut times = Vec::new();
+    for nth in 0..n_changes {
+        if condition == Condition::FrozenThenThawed {
+            world.freeze(FROZEN);
+        }
+        let revision = change(&mut world, nth)?;
+        world.store.faults.down = condition == Condition::StoreDownAfterAcceptance;
+        if condition == Condition::FrozenThenThawed {
+            world.run_for(FREEZE);
+            world.thaw(FROZEN);
+        }
+        let started = world.now;
+        while !is_everywhere(&world, revision) {
+            if started + LIMIT <= world.now {
+                return Err(format!("{condition}: change {nth} was not in force in time"));
+            }
+            world.run_for(STEP);
+        }
+        times.push(world.now - started);
+        world.store.faults.down = false;
+        // Changes at other phases of the heartbeats and polls each time.
+        world.run_for(Duration::from_millis(2_000 + 37 * nth % 1_000));
+    }
+    Ok(times)
+}
+
+/// Bytes and calls of one node over a while at rest or with changes.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cost {
+    pub messages: f64,
+    /// Encoded bytes sent a second by one instance, without the transport's own.
+    pub bytes: f64,
+    pub gets: f64,
+    pub watches: f64,
+    pub lists: f64,
+    pub puts: f64,
+}
+
+/// Measures the cost of one instance a second; `gap` is the time between changes, if any.
+pub fn cost(
+    n_instances: usize,
+    n_zones: usize,
+    gap: Option<Duration>,
+    seconds: u64,
+) -> Result<Cost, String> {
+    let mut world = world(n_instances, n_zones, 1)?;
+    // The first reads of the start are no part of it.
+    world.run_for(Duration::from_secs(20));
+    let (sent, verbs) = (world.sent, world.verbs.clone());
+    let until = world.now + Duration::from_secs(seconds);
+    let mut nth = 0;
+    while world.now < until {
+        match gap {
+            Some(gap) => {
+                let started = world.now;
+                change(&mut world, nth)?;
+                nth += 1;
+                world.run_until(until.min(started + gap));
+            }
+            None => world.run_until(until),
+        }
+    }
+    let per = n_instances as f64 * seconds as f64;
+    let rate = |verb: &str| {
+        let count = |it: Option<&u64>| it.copied().unwrap_or(0);
+        (count(world.verbs.get(verb)) - count(verbs.get(verb))) as f64 / per
+    };
+    Ok(Cost {
+        messages: (world.sent.messages - sent.messages) as f64 / per,
+        bytes: (world.sent.bytes - sent.bytes) as f64 / per,
+        gets: rate("get"),
+        watches: rate("watch"),
+        lists: rate("list"),
+        puts: rate("put"),
+    })
+}
+
+/// Chooses another preset and returns the revision once it is accepted.
+fn change(world: &mut World, nth: u64) -> Result<u64, String> {
+    let expect = world.node(WRITER).revision();
+    let name = if nth.is_multiple_of(2) { PresetName::Peak } else { PresetName::Ordinary };
+    let op = AdminOp::UsePreset { expect, name };
+    let ticket = world.administer(WRITER, "bench", &format!("change-{nth}"), op);
+    let until = world.now + LIMIT;
+    while world.now < until {
+        match world.reply(ticket) {
+            Some(AdminReply::Accepted { revision }) => return Ok(*revision),
+            Some(other) => return Err(format!("change {nth} was not accepted: {other:?}")),
+            None => world.run_for(STEP),
+        }
+    }
+    Err(format!("change {nth} was not settled"))
+}
+
+fn is_everywhere(world: &World, revision: u64) -> bool {
+    (0..world.n_nodes()).all(|it| revision <= world.node(it).revision())
+}
--- a/crates/ferry-core/src/member/beat.rs
+++ b/crates/ferry-core/src/member/beat.rs
@@ -101,9 +101,17 @@
     };
     // A bare heartbeat says nothing of loads, so the last known ones stand.
     let keeps_loads = beat.loads.is_empty() && beat.demand.is_empty();
-    if let Some(old) = old.filter(|_| keeps_loads) {
-        beat.loads = old.loads;
-        beat.demand = old.demand;
+    if let Some(old) = old {
+        // Messages may overtake each other; within one life these only ever rise.
+        beat.revision = beat.revision.max(old.revision);
+        beat.plan = beat.plan.max(old.plan);
+        if old.state == InstanceState::Leaving {
+            beat.state = InstanceState::Leaving;
+        }
+        if keeps_loads {
+            beat.loads = old.loads;
+            beat.demand = old.demand;
+        }
     }
     member.heard = Some(Heard {
         at: now,
--- a/crates/ferry-fakes/tests/member_peers.rs
+++ b/crates/ferry-fakes/tests/member_peers.rs
@@ -6,7 +6,7 @@
 use ferry_core::member::subset;
 use ferry_core::{Event, Identity, InstanceRole, Tuning};
 use ferry_fakes::{Deployment, DeploymentName, Request, World};
-use ferry_model::{EndpointState, Instance, InstanceState};
+use ferry_model::{EndpointState, Heartbeat, Instance, InstanceState, PeerMessage};
 
 /// Bytes a second that control may cost a node.
 const BYTES_A_SECOND: u64 = 8 * 1024;
@@ -175,3 +175,32 @@
     assert!(far.clone().count() >= 1, "another zone stands by");
     assert!(far.map(|it| it.weight).max() < idle);
 }
+
+#[test]
+fn heartbeat_that_was_overtaken_lowers_nothing() {
+    let deployment = Deployment::new(DeploymentName::Kancil);
+    let mut world = World::with_deployment(&deployment, 2, &Tuning::default(), 25)
+        .expect("the configuration is valid");
+    world.run_for(Duration::from_secs(2));
+    let beat = |revision, plan, state| {
+        let heartbeat = Heartbeat {
+            instance: "entry-1".to_owned(),
+            incarnation: 99_000,
+            zone: "kl-2".to_owned(),
+            state,
+            revision,
+            plan,
+            loads: Vec::new(),
+            demand: Vec::new(),
+            leaving: Vec::new(),
+            workspaces: 0,
+        };
+        let message = PeerMessage::Heartbeat(heartbeat);
+        Event::Peer { from: "entry-1".to_owned(), message }
+    };
+    world.deliver(0, beat(1, 5, InstanceState::Leaving));
+    world.deliver(0, beat(1, 3, InstanceState::Live));
+    let heard = world.node(0).members().get("entry-1").and_then(|it| it.heard.clone());
+    let heard = heard.expect("a heartbeat was heard");
+    assert_eq!((heard.revision, heard.plan, heard.state), (1, 5, InstanceState::Leaving));
+}
