--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -157,6 +157,7 @@
     if it.max_deadline < it.min_deadline {
         reader.find(s, "max_deadline", "it is below min_deadline; allowed is at least that");
     }
+    membership(reader, &mut it);
     it
 }
 
@@ -175,3 +176,25 @@
         tokens: reader.required(&section, "tokens", Hashes),
     }
 }
+
+/// Reads how configuration, membership and shutdown keep time.
+fn membership(reader: &mut Reader, it: &mut Tuning) {
+    let s = "tuning";
+    let ms = |low: u32, high: Duration| Time(low * MS..=high);
+    it.config_poll_max = reader.value(s, "config_poll_max", ms(50, MINUTE), it.config_poll_max);
+    it.store_retry = reader.value(s, "store_retry", ms(10, MINUTE), it.store_retry);
+    it.beat_interval = reader.value(s, "beat_interval", ms(50, MINUTE), it.beat_interval);
+    it.beat_fanout = reader.value(s, "beat_fanout", Number(1..=64), it.beat_fanout);
+    it.suspect_after = reader.value(s, "suspect_after", ms(100, 10 * MINUTE), it.suspect_after);
+    it.pull_grace = reader.value(s, "pull_grace", ms(1, MINUTE), it.pull_grace);
+    it.answer_life = reader.value(s, "answer_life", ms(100, 10 * MINUTE), it.answer_life);
+    it.leave_margin = reader.value(s, "leave_margin", ms(1, 10 * MINUTE), it.leave_margin);
+    it.admin_deadline = reader.value(s, "admin_deadline", ms(500, MINUTE), it.admin_deadline);
+    it.status_asks = reader.value(s, "status_asks", Number(1..=1000), it.status_asks);
+    if it.config_poll_max < it.config_poll {
+        reader.find(s, "config_poll_max", "it is below config_poll; allowed is at least that");
+    }
+    if it.suspect_after < 3 * it.beat_interval {
+        reader.find(s, "suspect_after", "allowed is at least three times beat_interval");
+    }
+}
