--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod overhead;
 pub mod policies;
+pub mod spread;
 
 use argh::FromArgs;
 
@@ -25,6 +26,7 @@
     Demo(demo::DemoArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Spread(spread::SpreadArgs),
 }
 
 impl Args {
@@ -35,6 +37,7 @@
             Command::Demo(args) => args.run().await,
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Spread(args) => args.run(),
         }
     }
 }
