--- a/crates/ferry-fakes/src/deployment.rs
+++ b/crates/ferry-fakes/src/deployment.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Returns the identity of a control instance; another seed gives another incarnation.
+    pub fn control(&self, idx: usize, seed: u64) -> Identity {
+        Identity {
+            instance: format!("control-{idx}"),
+            incarnation: seed.wrapping_mul(1_000).wrapping_add(idx as u64 + 501),
+            role: InstanceRole::Control,
+            ..self.entry(idx, seed)
+        }
+    }
+
     /// Returns the line of the instance list for an entry.
     pub fn instance(&self, identity: &Identity, idx: usize) -> Instance {
         let port = 10_000 + 2 * idx as u16;
--- a/crates/ferry-fakes/src/lib.rs
+++ b/crates/ferry-fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`World`] drives any number of nodes with events alone. It is seeded, reads no
 //! clock and does no I/O; tests and experiments share it.
 
+pub mod beats;
 pub mod caller;
 pub mod deployment;
 pub mod endpoint;
@@ -10,6 +11,7 @@
 pub mod store;
 pub mod world;
 
+pub use beats::{FakeEntries, FakeEntry};
 pub use caller::{Asked, Request};
 pub use deployment::{Deployment, DeploymentName, PoolShape};
 pub use endpoint::{EndpointFaults, FakeEndpoint, Run, Speed};
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -9,7 +9,7 @@
 
 use ferry_core::{Arrival, Decision, Effect, Event, Identity, Metric, Node, StageCall, Tuning};
 use ferry_model::{
-    AttemptId, Endpoint, EndpointId, Instance, Moment, Order, SortedMap, StoreOp, Ticket,
+    AttemptId, Endpoint, EndpointId, Fence, Instance, Moment, Order, SortedMap, StoreOp, Ticket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -285,6 +285,19 @@
         self.deliver(idx, Event::Tick);
     }
 
+    /// Lets a frozen process go on whose clock stood still meanwhile, as after a suspended machine.
+    pub fn thaw_suspended(&mut self, idx: NodeIdx, paused: Duration) {
+        self.nodes[idx].started += paused;
+        self.thaw(idx);
+    }
+
+    /// Returns the fencing number under which a node would give orders now.
+    pub fn fence(&self, idx: NodeIdx) -> Option<Fence> {
+        let slot = &self.nodes[idx];
+        let is_acting = slot.alive && !slot.frozen;
+        is_acting.then(|| slot.node.placement().fence(self.now - slot.started)).flatten()
+    }
+
     /// Runs everything that is due up to `until`.
     pub fn run_until(&mut self, until: Moment) {
         while let Some(Reverse(entry)) = self.queue.peek()
