--- /dev/null
+++ b/crates/ferry-core/src/request/summary.rs
@@ -0,0 +1,40 @@
+//! What a heartbeat says of the requests in flight.
+
+use ferry_model::{Config, PoolId, PoolLoad, SortedMap, WorkspaceId};
+
+use super::Requests;
+
+impl Requests {
+    pub fn n_flights(&self) -> u32 {
+        self.flights.len() as u32
+    }
+
+    /// Requests in flight by the pool of their present stage, sorted by pool.
+    ///
+    /// An idle instance names the first pool of `config`: a heartbeat without any
+    /// loads leaves the last known ones in place.
+    pub fn loads(&self, config: Option<&Config>) -> Vec<PoolLoad> {
+        let mut pools: SortedMap<PoolId, PoolLoad> = SortedMap::new();
+        if let Some(pool) = config.and_then(|it| it.pools.first()) {
+            pools.insert(pool.name.clone(), empty(&pool.name));
+        }
+        for flight in self.flights.values() {
+            let Some(stage) = flight.pipeline.stages.get(flight.stage) else { continue };
+            let load = pools.entry_or_with(stage.pool.clone(), || empty(&stage.pool));
+            match flight.attempts.is_empty() {
+                true => load.queued += 1,
+                false => load.running += 1,
+            }
+        }
+        pools.values().cloned().collect()
+    }
+
+    /// Requests in flight by workspace, the largest ones only, sorted by name.
+    pub fn demand(&self) -> Vec<(WorkspaceId, u32)> {
+        self.shares.demand()
+    }
+}
+
+fn empty(pool: &PoolId) -> PoolLoad {
+    PoolLoad { pool: pool.clone(), running: 0, queued: 0, arrived: 0 }
+}
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -4,22 +4,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Callers, Driver, EndpointClient, FleetClient, Handle, Ports, StoreClient};
-use ferry_model::Workspace;
-use slog::Logger;
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, Tokens, auth};
+use ferry_model::{Incarnation, Workspace, WorkspaceId};
+use http::HeaderMap;
+use slog::{Logger, warn};
 use thiserror::Error;
 
-use crate::api;
+use crate::api::Gate;
+use crate::{CallerLimits, EntrySettings, api};
 
-/// Largest body a caller may send.
-const MAX_BODY: usize = 1024 * 1024;
+/// Added to the server's own body limit, so that ours is met first and names the field.
+const BODY_SLACK: usize = 1024 * 1024;
 
 #[derive(Debug, Error)]
 pub enum StartError {
     #[error("could not describe the caller interface: {0}")]
     Describe(String),
+    #[error(transparent)]
+    Open(#[from] OpenError),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -30,55 +34,125 @@
     pub tuning: Tuning,
     pub seed: u64,
     pub listen: SocketAddr,
-    pub store: SocketAddr,
-    pub fleet: SocketAddr,
-    pub store_timeout: Duration,
-    pub fleet_interval: Duration,
+    pub ports: PortOptions,
+    pub limits: CallerLimits,
     pub workspaces: Vec<Workspace>,
 }
 
+impl EntryOptions {
+    pub fn from_settings(
+        settings: EntrySettings,
+        identity: Identity,
+        incarnation: Incarnation,
+    ) -> EntryOptions {
+        let ports = settings.platform.ports(&identity.instance, settings.peers, settings.metrics);
+        EntryOptions {
+            identity,
+            tuning: settings.tuning,
+            seed: incarnation,
+            listen: settings.instance.listen(),
+            ports,
+            limits: settings.limits,
+            workspaces: settings.workspaces,
+        }
+    }
+}
+
 /// What the handlers of the caller interface share.
 #[derive(Debug)]
 pub struct EntryContext {
     pub handle: Handle,
-    pub workspaces: Vec<Workspace>,
+    /// Workspaces of the settings by their bearer tokens; the stored ones go first.
+    pub tokens: Tokens<WorkspaceId>,
+    pub limits: CallerLimits,
+    pub gate: Arc<Gate>,
+    pub metrics: Metrics,
+    /// Bounds of the deadline that a caller may name.
+    pub min_deadline: Duration,
+    pub max_deadline: Duration,
+}
+
+impl EntryContext {
+    /// Returns the workspace of a request's bearer token: a stored one, else one of the settings.
+    pub fn workspace_of(&self, headers: &HeaderMap) -> Option<WorkspaceId> {
+        let hash = auth::token_hash(headers)?.to_hex();
+        match self.handle.workspaces().by_token(&hash) {
+            Some(workspace) => Some(workspace.name.clone()),
+            None => self.tokens.find(headers),
+        }
+    }
 }
 
 pub struct EntryServer {
     server: HttpServer<Arc<EntryContext>>,
     handle: Handle,
+    peers: Option<Peers>,
+    instance: String,
+    close_time: Duration,
 }
 
 impl EntryServer {
     pub fn start(options: EntryOptions, log: &Logger) -> Result<EntryServer, StartError> {
+        let instance = options.identity.instance.clone();
+        let close_time = options.limits.close_time;
+        let ports = Ports::open(options.ports, log)?;
+        let (peers, metrics) = (ports.peers.clone(), ports.metrics.clone());
+        let (min_deadline, max_deadline) =
+            (options.tuning.min_deadline, options.tuning.max_deadline);
         let node = Node::new(options.identity, options.tuning, options.seed);
-        let ports = Ports {
-            callers: Arc::new(Callers::new()),
-            endpoints: EndpointClient::new(),
-            store: StoreClient::new(options.store, options.store_timeout),
-            fleet: FleetClient::new(options.fleet, options.fleet_interval, log.clone()),
-            log: log.clone(),
-        };
         let handle = Driver::spawn(node, ports);
-        let context = EntryContext { handle: handle.clone(), workspaces: options.workspaces };
         let config = ConfigDropshot {
             bind_address: options.listen,
-            default_request_body_max_bytes: MAX_BODY,
+            default_request_body_max_bytes: options.limits.body + BODY_SLACK,
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
+        let context = EntryContext {
+            handle: handle.clone(),
+            tokens: Tokens::new(token_owners(&options.workspaces)),
+            limits: options.limits,
+            gate: Arc::new(Gate::new()),
+            metrics,
+            min_deadline,
+            max_deadline,
+        };
         let api = api::describe().map_err(StartError::Describe)?;
         let server = ServerBuilder::new(api, Arc::new(context), log.clone())
             .config(config)
             .start()
             .map_err(|it| StartError::Listen { address: options.listen, error: it.to_string() })?;
-        Ok(EntryServer { server, handle })
+        Ok(EntryServer { server, handle, peers, instance, close_time })
     }
 
     pub fn address(&self) -> SocketAddr {
         self.server.local_addr()
     }
 
+    /// Returns where peers connect, if they may.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peers.as_ref()?.address().ok()
+    }
+
+    pub fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    /// Stops listening, gives open connections a while for their last bytes, then drops them.
+    pub async fn close(self, log: &Logger) {
+        if tokio::time::timeout(self.close_time, self.server.close()).await.is_err() {
+            warn!(log, "some connections were still open at the end");
+        }
+        if let Some(peers) = self.peers {
+            peers.close();
+        }
+    }
+
     pub fn handle(&self) -> &Handle {
         &self.handle
     }
 }
+
+/// Pairs each hash of a token with its workspace.
+fn token_owners(workspaces: &[Workspace]) -> impl Iterator<Item = (&str, WorkspaceId)> {
+    workspaces.iter().flat_map(|it| it.tokens.iter().map(|token| (token.as_str(), it.name.clone())))
+}
--- a/crates/ferry-fakes/src/beats.rs
+++ b/crates/ferry-fakes/src/beats.rs
@@ -106,6 +106,8 @@
         plan: entry.plan,
         loads: entry.loads.clone(),
         demand: Vec::new(),
+        leaving: Vec::new(),
+        workspaces: 0,
     };
     Event::Peer { from: entry.name.clone(), message: PeerMessage::Heartbeat(beat) }
 }
--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -54,6 +54,8 @@
     /// Orders arrive however late, as if their sender was paused between its last check and the
     /// write.
     pub late_orders: bool,
+    /// Reports the highest fencing number, and obeys orders with lower ones all the same.
+    pub unfenced: bool,
     /// Obeys orders while their answers are lost.
     pub order_lost: bool,
 }
@@ -66,8 +68,14 @@
     pub stage: String,
     pub attempt: AttemptId,
     pub key: String,
+    /// When it started to run.
     pub at: Moment,
-    /// The endpoint was leaving, and for how long.
+    pub repeatable: bool,
+    /// When the endpoint took the call.
+    pub received: Moment,
+    /// Sender of the call.
+    pub node: NodeIdx,
+    /// The endpoint was leaving when it took the call, and for how long.
     pub leaving: Option<Duration>,
 }
 
@@ -75,7 +83,9 @@
 pub(crate) struct Job {
     pub(crate) node: NodeIdx,
     pub(crate) life: u32,
+    pub(crate) received: Moment,
     pub(crate) call: StageCall,
+    pub(crate) started: Moment,
 }
 
 #[derive(Debug, Clone)]
@@ -113,6 +123,12 @@
         }
     }
 
+    /// Takes the waiting call to be served next: by priority, then in order of arrival.
+    pub(crate) fn take_next(&mut self) -> Job {
+        let best = (0..self.waiting.len()).min_by_key(|idx| self.waiting[*idx].call.priority);
+        self.waiting.remove(best.unwrap_or(0))
+    }
+
     pub(crate) fn load(&self) -> Option<Load> {
         if self.faults.mute {
             return None;
