--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -94,6 +94,8 @@
     pub speed: Speed,
     pub faults: EndpointFaults,
     pub engine: FakeEngine,
+    /// Calls in flight that never end.
+    pub pinned: usize,
     /// The instance list shows its models.
     pub(crate) lists_models: bool,
     /// When it began to leave.
@@ -112,6 +114,7 @@
         };
         FakeEndpoint {
             engine: FakeEngine::new(models),
+            pinned: 0,
             lists_models: !endpoint.models.is_empty(),
             endpoint,
             speed,
--- a/crates/ferry-fakes/src/world/orders.rs
+++ b/crates/ferry-fakes/src/world/orders.rs
@@ -216,7 +216,7 @@
             models: it.engine.models.clone(),
             loading: it.engine.loading.clone(),
             role: it.endpoint.role,
-            in_flight: (it.running.len() + it.waiting.len()) as u32,
+            in_flight: (it.running.len() + it.waiting.len() + it.pinned) as u32,
             slots: it.speed.slots as u32,
             fence: it.engine.fence,
         });
@@ -228,7 +228,7 @@
         let Some(it) = self.endpoints.get_mut(endpoint) else { return 0 };
         let mut jobs = std::mem::take(&mut it.running);
         jobs.append(&mut it.waiting);
-        let n_cut = jobs.len();
+        let n_cut = jobs.len() + std::mem::take(&mut it.pinned);
         for job in jobs {
             let event = CallEvent::Broken { error: "the model was unloaded".to_owned() };
             let event = Event::Call { attempt: job.call.attempt, event };
--- a/crates/ferry-fakes/tests/place_orders.rs
+++ b/crates/ferry-fakes/tests/place_orders.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use ferry_core::config::CONFIG_NAME;
+use ferry_core::place::plan::plan_key;
 use ferry_core::{Event, Tuning};
 use ferry_fakes::{Deployment, DeploymentName, FakeEntries, NodeIdx, OrderSeen, Request, World};
-use ferry_model::{Config, ObjectKey, ObjectKind, Outcome, PresetName};
+use ferry_model::{Config, ObjectKey, ObjectKind, Outcome, Plan, PresetName};
 
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
@@ -141,22 +142,37 @@
     }
 }
 
-/// A call that takes long keeps its endpoint loaded until it has ended.
+/// A call in flight keeps its endpoint loaded until it has ended.
 #[test]
 fn endpoint_with_a_call_in_flight_is_not_unloaded() {
-    let mut it = Setup::new(6, 1, true);
-    it.world.run_for(2 * SECOND);
-    for endpoint in it.world.endpoints.values_mut().filter(|it| it.endpoint.pool == "drafting") {
-        endpoint.faults.straggle = Some(90.0);
-    }
-    for number in 0..40 {
-        let request =
-            Request::new("bars", "draft", format!("case {number}")).with_deadline(100 * SECOND);
-        it.world.ask(0, request);
+    let mut it = Setup::new(6, 0, true);
+    let mut entries = FakeEntries::new(&mut it.world, 2);
+    let pin = |world: &mut World, n_calls| {
+        let engines = world.endpoints.values_mut().filter(|it| it.endpoint.pool == "drafting");
+        engines.for_each(|it| it.pinned = n_calls);
+    };
+    pin(&mut it.world, 1);
+    entries.run(&mut it.world, &it.controls, MINUTE);
+    assert_eq!(unloads(&it.world, "drafting"), Vec::<&OrderSeen>::new());
+    pin(&mut it.world, 0);
+    entries.run(&mut it.world, &it.controls, MINUTE);
+    assert_eq!(it.world.n_loaded("drafting"), 5, "the floor");
+}
+
+/// The last entry sends a call and then obeys: what the endpoint said before does not count.
+#[test]
+fn call_sent_just_before_the_acknowledgement_is_not_cut() {
+    for seed in 1..=10 {
+        let mut it = Setup::new(seed, 0, true);
+        let mut entries = FakeEntries::new(&mut it.world, 3);
+        entries.entries[1].obeys = false;
+        let wait = 30 * SECOND + Duration::from_millis(61 * seed);
+        entries.run(&mut it.world, &it.controls, wait);
+        it.world.endpoints.values_mut().for_each(|it| it.pinned = 1);
+        entries.entries[1].obeys = true;
+        entries.run(&mut it.world, &it.controls, 30 * SECOND);
+        assert_eq!(it.n_cut(), 0, "seed {seed}: calls cut");
     }
-    it.world.run_for(3 * MINUTE);
-    assert!(!unloads(&it.world, "drafting").is_empty(), "it scaled down in the end");
-    assert_eq!(it.n_cut(), 0, "calls cut");
 }
 
 /// At most a share of a pool drains at once.
@@ -193,42 +209,119 @@
     assert_eq!(it.world.weights.refused, 0, "the weight store's rate");
 }
 
-/// An order of the holder before is on its way while the next one takes over at once.
+/// Runs on in small steps; returns unloads by `node` that hit an endpoint in use.
+fn run_watching(
+    it: &mut Setup,
+    entries: &mut FakeEntries,
+    node: NodeIdx,
+    time: Duration,
+) -> Vec<OrderSeen> {
+    let end = it.world.now + time;
+    let mut hits = Vec::new();
+    while it.world.now < end {
+        let n_before = it.world.orders.len();
+        let stored = it.world.store.get(&plan_key()).expect("a plan");
+        let plan: Plan = serde_json::from_str(&stored.value).expect("valid");
+        entries.run(&mut it.world, &it.controls, Duration::from_millis(20));
+        let is_hit = |it: &&OrderSeen| {
+            let is_unload = it.node == node && it.models.is_empty() && !it.fenced;
+            is_unload && plan.holding.binary_search(&it.endpoint).is_ok()
+        };
+        hits.extend(it.world.orders[n_before..].iter().filter(is_hit).cloned());
+    }
+    hits
+}
+
+/// Orders of the holder before are on their way while the next one takes over at once.
 #[test]
-fn late_order_of_the_holder_before_cuts_nothing() {
+fn late_orders_of_the_holder_before_take_no_endpoint_from_use() {
     for checks_fence in [true, false] {
         let mut n_late = 0;
-        for seed in 1..=20 {
+        for seed in 1..=40 {
             let mut it = Setup::new(seed, 0, checks_fence);
             let mut entries = FakeEntries::new(&mut it.world, 2);
             it.add_control(seed);
             let delay = Duration::from_millis(1_900);
-            it.world.endpoints.values_mut().for_each(|it| it.faults.order_delay = delay);
-            // The first unloads are on their way some seconds after the hold time.
-            let until = 10 * SECOND + Duration::from_millis(500 * seed);
+            let until = 10 * SECOND + Duration::from_millis(130 * seed);
             entries.run(&mut it.world, &it.controls, until);
+            let engines = it.world.endpoints.values_mut();
+            engines.for_each(|it| it.faults.order_delay = delay);
+            entries.run(&mut it.world, &it.controls, SECOND);
             let holder = it.controls.iter().copied().find(|idx| it.world.fence(*idx).is_some());
             let holder = holder.expect("a holder");
             let handed_over = it.world.now;
             it.world.deliver(holder, Event::Shutdown);
+            // Later orders are quick, so that nothing but the rules holds the next holder back.
+            it.world.endpoints.values_mut().for_each(|it| it.faults.order_delay = Duration::ZERO);
             entries.set_level("drafting", 70);
-            entries.run(&mut it.world, &it.controls, MINUTE);
-
-            let late: Vec<_> = it
-                .world
-                .orders
-                .iter()
-                .filter(|it| it.node == holder && handed_over < it.at && !it.fenced)
-                .collect();
-            n_late += late.len();
-            for order in late.iter().filter(|it| it.models.is_empty()) {
-                let reused = it.world.orders.iter().find(|next| {
-                    next.endpoint == order.endpoint && next.at < order.at && handed_over < next.at
-                });
-                assert_eq!(reused, None, "seed {seed}: obeyed after a newer order");
-            }
+            let hits = run_watching(&mut it, &mut entries, holder, 30 * SECOND);
+            assert_eq!(hits, Vec::new(), "checks {checks_fence}, seed {seed}");
+            let is_late = |it: &&OrderSeen| it.node == holder && handed_over < it.at;
+            n_late += it.world.orders.iter().filter(is_late).count();
+            entries.run(&mut it.world, &it.controls, 30 * SECOND);
             assert_eq!(it.world.n_loaded("drafting"), 10, "seed {seed}: all are needed");
         }
         assert!(0 < n_late, "checks {checks_fence}: some orders came late");
     }
 }
+
+/// The holder is paused with an answer waiting that would let it unload.
+#[test]
+fn paused_holder_unloads_nothing_when_it_wakes() {
+    for checks_fence in [true, false] {
+        for seed in 1..=40 {
+            let mut it = Setup::new(seed, 0, checks_fence);
+            let mut entries = FakeEntries::new(&mut it.world, 2);
+            it.add_control(seed);
+            let until = 10 * SECOND + Duration::from_millis(101 * seed);
+            entries.run(&mut it.world, &it.controls, until);
+            let holder = it.controls.iter().copied().find(|idx| it.world.fence(*idx).is_some());
+            let holder = holder.expect("a holder");
+            it.world.freeze(holder);
+            entries.set_level("drafting", 70);
+            entries.run(&mut it.world, &it.controls, 30 * SECOND);
+            let woken = it.world.now;
+            it.world.thaw(holder);
+            entries.run(&mut it.world, &it.controls, 20 * SECOND);
+            let is_late = |it: &&OrderSeen| it.node == holder && woken <= it.at;
+            let late: Vec<_> = it.world.orders.iter().filter(is_late).collect();
+            assert_eq!(late, Vec::<&OrderSeen>::new(), "checks {checks_fence}, seed {seed}");
+        }
+    }
+}
+
+/// The holder's clock stood still with it, so it cannot know that its lease is over.
+#[test]
+fn holder_with_a_stopped_clock_does_harm_for_a_bounded_time() {
+    for checks_fence in [true, false] {
+        for seed in 1..=20 {
+            let mut it = Setup::new(seed, 0, checks_fence);
+            let mut entries = FakeEntries::new(&mut it.world, 2);
+            it.add_control(seed);
+            let until = 10 * SECOND + Duration::from_millis(101 * seed);
+            entries.run(&mut it.world, &it.controls, until);
+            let holder = it.controls.iter().copied().find(|idx| it.world.fence(*idx).is_some());
+            let holder = holder.expect("a holder");
+            it.world.freeze(holder);
+            entries.set_level("drafting", 70);
+            let paused = 60 * SECOND;
+            entries.run(&mut it.world, &it.controls, paused);
+            assert_eq!(it.world.n_loaded("drafting"), 10, "seed {seed}: all are needed");
+            let woken = it.world.now;
+            it.world.thaw_suspended(holder, paused);
+            let hits = run_watching(&mut it, &mut entries, holder, 60 * SECOND);
+            if checks_fence {
+                assert_eq!(hits, Vec::new(), "seed {seed}: old orders are refused");
+            }
+            // One renewal tells it; the repair is seen within an inspection and loads in turn.
+            let place = &tuning().place;
+            let told = woken + place.lease_renew;
+            assert!(hits.iter().all(|it| it.at <= told), "seed {seed}: {hits:?}");
+            let n_loads = hits.len().div_ceil(it.world.weights.at_once) as u32;
+            let repaired = told + place.inspect + place.decide + it.world.weights.load * n_loads;
+            let last = it.world.orders.iter().map(|it| it.at).max().unwrap_or(woken);
+            assert!(last <= repaired, "seed {seed}: the last order came at {last:?}");
+            assert_eq!(it.world.n_loaded("drafting"), 10, "seed {seed}: repaired");
+        }
+    }
+}
