--- a/crates/ferry-fakes/tests/place_orders.rs
+++ b/crates/ferry-fakes/tests/place_orders.rs
@@ -273,6 +273,9 @@
             let mut it = Setup::new(seed, 0, checks_fence);
             let mut entries = FakeEntries::new(&mut it.world, 2);
             it.add_control(seed);
+            // Slow links, so that an answer is under way at most times.
+            it.world.network.near = Duration::from_millis(150);
+            it.world.network.far = Duration::from_millis(150);
             let until = 10 * SECOND + Duration::from_millis(101 * seed);
             entries.run(&mut it.world, &it.controls, until);
             let holder = it.controls.iter().copied().find(|idx| it.world.fence(*idx).is_some());
