--- a/crates/ferry-core/src/request/summary.rs
+++ b/crates/ferry-core/src/request/summary.rs
@@ -1,6 +1,6 @@
 //! What a heartbeat says of the requests in flight.
 
-use ferry_model::{PoolId, PoolLoad, SortedMap, WorkspaceId};
+use ferry_model::{Config, PoolId, PoolLoad, SortedMap, WorkspaceId};
 
 use super::Requests;
 
@@ -10,16 +10,17 @@
     }
 
     /// Requests in flight by the pool of their present stage, sorted by pool.
-    pub fn loads(&self) -> Vec<PoolLoad> {
+    ///
+    /// An idle instance names the first pool of `config`: a heartbeat without any
+    /// loads leaves the last known ones in place.
+    pub fn loads(&self, config: Option<&Config>) -> Vec<PoolLoad> {
         let mut pools: SortedMap<PoolId, PoolLoad> = SortedMap::new();
+        if let Some(pool) = config.and_then(|it| it.pools.first()) {
+            pools.insert(pool.name.clone(), empty(&pool.name));
+        }
         for flight in self.flights.values() {
             let Some(stage) = flight.pipeline.stages.get(flight.stage) else { continue };
-            let load = pools.entry_or_with(stage.pool.clone(), || PoolLoad {
-                pool: stage.pool.clone(),
-                running: 0,
-                queued: 0,
-                arrived: 0,
-            });
+            let load = pools.entry_or_with(stage.pool.clone(), || empty(&stage.pool));
             match flight.attempts.is_empty() {
                 true => load.queued += 1,
                 false => load.running += 1,
@@ -33,3 +34,7 @@
         self.shares.demand()
     }
 }
+
+fn empty(pool: &PoolId) -> PoolLoad {
+    PoolLoad { pool: pool.clone(), running: 0, queued: 0, arrived: 0 }
+}
--- a/crates/ferry-fakes/src/deployment.rs
+++ b/crates/ferry-fakes/src/deployment.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Returns the identity of a control instance; another seed gives another incarnation.
+    pub fn control(&self, idx: usize, seed: u64) -> Identity {
+        Identity {
+            instance: format!("control-{idx}"),
+            incarnation: seed.wrapping_mul(1_000).wrapping_add(idx as u64 + 501),
+            role: InstanceRole::Control,
+            ..self.entry(idx, seed)
+        }
+    }
+
     /// Returns the workspaces as the object API holds them, with the numbers of the shards.
     pub fn shards(&self) -> Vec<(usize, Shard)> {
         let mut shards: SortedMap<usize, Shard> = SortedMap::new();
