--- a/crates/ferry-proof/src/matrix.rs
+++ b/crates/ferry-proof/src/matrix.rs
@@ -5,7 +5,7 @@
 
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_fakes::{Border, Deployment, DeploymentName, NodeIdx, Request, World};
-use ferry_model::{AdminOp, Moment, PresetName};
+use ferry_model::{AdminOp, Moment, PresetName, Ticket};
 use serde::Serialize;
 use strum::{Display, IntoEnumIterator};
 
@@ -151,10 +151,10 @@
 }
 
 /// Has an operator choose a preset under the revision that the node has applied.
-pub fn choose_preset(world: &mut World, node: NodeIdx, id: &str, name: PresetName) {
+pub fn choose_preset(world: &mut World, node: NodeIdx, id: &str, name: PresetName) -> Ticket {
     let expect = world.node(node).revision();
     let id = format!("{id}-{}", world.now.as_micros());
-    world.administer(node, "operator", &id, AdminOp::UsePreset { expect, name });
+    world.administer(node, "operator", &id, AdminOp::UsePreset { expect, name })
 }
 
 struct Run<'a> {
@@ -246,8 +246,12 @@
             self.world.ask_instances(node, None);
         }
         match idx {
-            12 => choose_preset(&mut self.world, N_ENTRIES, "peak", PresetName::Peak),
-            50 => choose_preset(&mut self.world, N_ENTRIES + 1, "calm", PresetName::Maintenance),
+            12 => {
+                choose_preset(&mut self.world, N_ENTRIES, "peak", PresetName::Peak);
+            }
+            50 => {
+                choose_preset(&mut self.world, N_ENTRIES + 1, "calm", PresetName::Maintenance);
+            }
             _ => (),
         }
         self.show_leaving();
--- a/crates/ferry-proof/src/scenario.rs
+++ b/crates/ferry-proof/src/scenario.rs
@@ -6,7 +6,7 @@
 
 use ferry_core::{Event, Tuning};
 use ferry_fakes::{Deployment, DeploymentName, EndpointFaults, FakeEndpoint, Request, World};
-use ferry_model::{EndpointState, SortedMap, Ticket};
+use ferry_model::{AdminReply, EndpointState, SortedMap, Ticket};
 use thiserror::Error;
 
 use crate::check::{Bounds, check};
@@ -31,6 +31,8 @@
     tuning: Tuning,
     seed: u64,
     asked: SortedMap<String, Vec<Ticket>>,
+    /// The last change of each operator.
+    changes: SortedMap<String, Ticket>,
 }
 
 impl Story {
@@ -39,7 +41,14 @@
         let tuning = Tuning::default();
         let mut world = matrix::world_with_controls(&deployment, &tuning, seed);
         world.run_for(Duration::from_secs(3));
-        Story { world, deployment, tuning, seed, asked: SortedMap::new() }
+        Story {
+            world,
+            deployment,
+            tuning,
+            seed,
+            asked: SortedMap::new(),
+            changes: SortedMap::new(),
+        }
     }
 
     /// Carries out a block of statements and returns the lines that it shows.
@@ -80,7 +89,8 @@
             Statement::Rejoin => self.world.network.cuts.clear(),
             Statement::Preset { node, name, author } => {
                 self.expect_node(node)?;
-                matrix::choose_preset(&mut self.world, node, &author, name);
+                let ticket = matrix::choose_preset(&mut self.world, node, &author, name);
+                self.changes.insert(author, ticket);
             }
             Statement::Show(show) => {
                 shown.push_str(&self.show(&show)?);
@@ -181,6 +191,11 @@
                 let n_runs = self.world.runs.iter().filter(is_it).count();
                 Ok(format!("runs of {stage}: {n_runs}"))
             }
+            Show::Change(author) => {
+                let ticket = self.changes.get(author);
+                let ticket = ticket.ok_or_else(|| format!("no change by `{author}`"))?;
+                Ok(format!("change by {author}: {}", reply_word(self.world.reply(*ticket))))
+            }
             Show::Revisions => {
                 let alive = (0..self.world.n_nodes()).filter(|it| self.world.is_alive(*it));
                 let revisions: Vec<String> =
@@ -269,6 +284,19 @@
     }
 }
 
+fn reply_word(reply: Option<&AdminReply>) -> &'static str {
+    match reply {
+        Some(AdminReply::Accepted { .. }) => "accepted",
+        Some(AdminReply::Conflict { .. }) => "conflict",
+        Some(AdminReply::Invalid(_)) => "invalid",
+        Some(AdminReply::NotFound) => "not found",
+        Some(AdminReply::Unavailable(_)) => "unavailable",
+        Some(AdminReply::Unsettled(_)) => "unsettled",
+        Some(_) => "answered",
+        None => "no reply",
+    }
+}
+
 fn disturb(it: &mut FakeEndpoint, fault: EndpointFault, now: Duration) {
     let faults = &mut it.faults;
     match fault {
@@ -288,5 +316,8 @@
             faults.leaving = true;
             it.leaving_since.get_or_insert(now);
         }
+        EndpointFault::Retire => {
+            it.leaving_since.get_or_insert(now);
+        }
     }
 }
--- a/crates/ferry-proof/src/scenario/parse.rs
+++ b/crates/ferry-proof/src/scenario/parse.rs
@@ -69,7 +69,10 @@
     Break,
     Stall,
     Fail,
+    /// Leaves and refuses calls from now on.
     Leave,
+    /// Leaves while it still takes calls.
+    Retire,
     Mute,
 }
 
@@ -97,7 +100,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Show {
     Request(String),
-    Runs { stage: String, key: Option<String> },
+    Runs {
+        stage: String,
+        key: Option<String>,
+    },
+    /// What an operator was told of their last change.
+    Change(String),
     Revisions,
     Exited(usize),
     Promises,
@@ -166,9 +174,10 @@
 }
 
 fn show(words: &mut Words) -> Result<Show, String> {
-    let what = words.take("a request, `runs`, `revisions`, `node` or `promises`")?;
+    let what = words.take("a request, `runs`, `change`, `revisions`, `node` or `promises`")?;
     Ok(match what.as_str() {
         "runs" => Show::Runs { stage: words.take("a stage")?, key: words.named("key") },
+        "change" => Show::Change(words.take("the operator's name")?),
         "revisions" => Show::Revisions,
         "node" => Show::Exited(number(&words.take("the number of a node")?)?),
         "promises" => Show::Promises,
