--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -3,31 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_core::workspaces::Workspaces;
 use ferry_core::{Effect, Event, Node};
-use ferry_model::{AttemptId, Moment, Revision, SortedMap};
-use slog::Logger;
+use ferry_model::{AttemptId, Moment, Revision, SortedMap, Ticket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::{
-    CallerEvent, Callers, EndpointClient, FleetClient, OrderClient, Peers, StoreClient, logs,
-};
+use crate::metrics::{Gauge, Timer};
+use crate::{CallerEvent, Callers, OrderClient, Ports, Waiter, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
-/// The process's clients and outlets, each used by one kind of effect.
-#[derive(Debug, Clone)]
-pub struct Ports {
-    pub callers: Arc<Callers>,
-    pub endpoints: EndpointClient,
-    pub store: StoreClient,
-    pub fleet: FleetClient,
-    /// None where the settings have no peer section: messages to peers are dropped.
-    pub peers: Option<Peers>,
-    pub log: Logger,
-}
+/// Time between two values of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the process may tell about its node without asking it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -44,6 +34,7 @@
     events: mpsc::UnboundedSender<Event>,
     callers: Arc<Callers>,
     status: watch::Receiver<Status>,
+    workspaces: watch::Receiver<Arc<Workspaces>>,
 }
 
 impl Handle {
@@ -52,6 +43,13 @@
         let _ = self.events.send(event);
     }
 
+    /// Sends the event that `make` builds for a new ticket and returns who waits for it.
+    pub fn ask(&self, make: impl FnOnce(Ticket) -> Event) -> Waiter {
+        let waiter = Waiter::new(self.clone());
+        self.send(make(waiter.ticket()));
+        waiter
+    }
+
     pub fn callers(&self) -> &Callers {
         &self.callers
     }
@@ -60,6 +58,11 @@
         self.status.borrow().clone()
     }
 
+    /// Returns the workspaces in force.
+    pub fn workspaces(&self) -> Arc<Workspaces> {
+        self.workspaces.borrow().clone()
+    }
+
     /// Returns a receiver that sees each change of the status.
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
@@ -74,8 +77,10 @@
     sender: mpsc::UnboundedSender<Event>,
     events: mpsc::UnboundedReceiver<Event>,
     status: watch::Sender<Status>,
+    workspaces: watch::Sender<Arc<Workspaces>>,
     calls: SortedMap<AttemptId, AbortHandle>,
     orders: OrderClient,
+    next_gauges: Instant,
 }
 
 impl Driver {
@@ -83,8 +88,13 @@
     pub fn spawn(node: Node, ports: Ports) -> Handle {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, seen) = watch::channel(Status::default());
-        let handle =
-            Handle { events: sender.clone(), callers: ports.callers.clone(), status: seen };
+        let (workspaces, known) = watch::channel(node.workspaces().clone());
+        let handle = Handle {
+            events: sender.clone(),
+            callers: ports.callers.clone(),
+            status: seen,
+            workspaces: known,
+        };
         ports.fleet.clone().spawn(sender.clone());
         if let Some(peers) = &ports.peers {
             peers.spawn(sender.clone());
@@ -96,8 +106,10 @@
             sender,
             events,
             status,
+            workspaces,
             calls: SortedMap::new(),
             orders: OrderClient::new(),
+            next_gauges: Instant::now(),
         };
         tokio::spawn(driver.run());
         handle
@@ -116,14 +128,31 @@
             {
                 self.calls.remove(attempt);
             }
+            let begun = Instant::now();
             let effects = self.node.reduce(self.now(), event);
+            self.ports.metrics.time(Timer::ReduceTime, begun.elapsed());
             for effect in effects {
                 self.execute(effect);
             }
             self.publish();
+            self.send_gauges();
         }
     }
 
+    /// Sends the gauges if their interval has passed.
+    fn send_gauges(&mut self) {
+        let now = Instant::now();
+        if now < self.next_gauges {
+            return;
+        }
+        self.next_gauges = now + GAUGE_INTERVAL;
+        let metrics = &self.ports.metrics;
+        metrics.gauge(Gauge::RequestsOpen, self.ports.callers.len() as u64);
+        metrics.gauge(Gauge::EventsWaiting, self.events.len() as u64);
+        metrics.gauge(Gauge::Revision, self.node.revision());
+        metrics.gauge(Gauge::Ready, u64::from(self.node.is_ready()));
+    }
+
     fn next_wake(&self) -> Instant {
         let latest = Instant::now() + MAX_SLEEP;
         match self.node.next_wake() {
@@ -185,7 +214,7 @@
                 tokio::spawn(orders.inspect(address, endpoint, self.sender.clone()));
             }
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
-            Effect::Count { .. } => (),
+            Effect::Count { metric, by } => self.ports.metrics.decided(metric, by),
             Effect::Exit => {
                 self.status.send_modify(|it| it.exited = true);
             }
@@ -193,6 +222,14 @@
     }
 
     fn publish(&self) {
+        let workspaces = self.node.workspaces();
+        self.workspaces.send_if_modified(|it| {
+            let is_changed = !Arc::ptr_eq(it, workspaces);
+            if is_changed {
+                it.clone_from(workspaces);
+            }
+            is_changed
+        });
         let revision = self.node.revision();
         let ready = self.node.is_ready();
         self.status.send_if_modified(|it| {
