--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,7 +1,11 @@
 //! Subcommands, one file each.
 
+pub mod claims;
+pub mod decide;
 pub mod demo;
 pub mod overhead;
+pub mod policies;
+pub mod spread;
 
 use argh::FromArgs;
 
@@ -22,8 +26,12 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Claims(claims::ClaimsArgs),
+    Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     Overhead(overhead::OverheadArgs),
+    Policies(policies::PoliciesArgs),
+    Spread(spread::SpreadArgs),
 }
 
 impl Args {
@@ -33,8 +41,12 @@
             return Ok(());
         }
         match self.command.ok_or("no command was given; see ferry-bench --help")? {
+            Command::Claims(args) => args.run(),
+            Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::Overhead(args) => args.run().await,
+            Command::Policies(args) => args.run(),
+            Command::Spread(args) => args.run(),
         }
     }
 }
--- a/crates/ferry-core/src/place/decide.rs
+++ b/crates/ferry-core/src/place/decide.rs
@@ -144,9 +144,14 @@
         let slots = self.mean_slots(candidates);
         let need = scale::endpoints_for(expected, slots, tuning.utilisation);
         let held = self.scale.need(cx.now, tuning, pool, need);
+        // A new holder has not seen demand for long enough to give anything up.
+        let n_kept = match self.term.is_some_and(|it| cx.now < it.since + tuning.hold) {
+            true => candidates.iter().filter(|it| it.standing == Standing::Holding).count(),
+            false => 1,
+        };
         let floors = &config.preset().floors;
         let floor = floors.iter().find(|it| it.pool == pool).map_or(1, |it| it.endpoints);
-        (held.max(floor).max(1) as usize).min(candidates.len())
+        (held.max(floor) as usize).max(n_kept).min(candidates.len())
     }
 
     fn mean_slots(&self, candidates: &[Candidate]) -> f64 {
--- a/crates/ferry-edge/src/settings/tuning.rs
+++ b/crates/ferry-edge/src/settings/tuning.rs
@@ -30,6 +30,14 @@
     if tuning.max_deadline < tuning.min_deadline {
         reader.find("tuning", "max_deadline", "it is below min_deadline; allowed is at least that");
     }
+    if tuning.config_poll_max < tuning.config_poll {
+        let problem = "it is below config_poll; allowed is at least that";
+        reader.find("membership", "config_poll_max", problem);
+    }
+    if tuning.suspect_after < 3 * tuning.beat_interval {
+        let problem = "allowed is at least three times beat_interval";
+        reader.find("membership", "suspect_after", problem);
+    }
     if tuning.place.lease_life <= tuning.place.lease_renew + tuning.place.lease_margin {
         let problem = "it is not above lease_renew and lease_margin together";
         reader.find("placement", "lease_life", problem);
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -1,11 +1,29 @@
 //! Subcommands, one file each.
 
 mod cert;
+mod history;
+mod pipeline;
+mod pool;
+mod preset;
+mod resource;
+mod status;
 mod token;
+mod use_preset;
+mod workspace;
+
+use std::net::SocketAddr;
 
 use argh::FromArgs;
 use thiserror::Error;
 
+use crate::client::{Client, ClientError};
+use crate::output::Format;
+
+/// Environment variable with the addresses of control instances.
+const CONTROL_ENV: &str = "FERRY_CONTROL";
+/// Environment variable with the operator's bearer token.
+const TOKEN_ENV: &str = "FERRY_TOKEN";
+
 /// Why a command failed.
 #[derive(Debug, Error)]
 pub enum CommandError {
@@ -13,19 +31,41 @@
     Missing,
     #[error(transparent)]
     Cert(#[from] cert::CertCommandError),
+    #[error("no control instance was named; set --control or {CONTROL_ENV}")]
+    NoControl,
+    #[error("could not read {text:?} as an IP address and port")]
+    Address { text: String },
+    #[error("{TOKEN_ENV} is not set")]
+    NoToken,
+    #[error("could not read {path}: {error}")]
+    File { path: String, error: String },
+    #[error("say which revision was read with --revision, or take the present one with --latest")]
+    NoRevision,
+    #[error("revision {revision} is not in force everywhere: {lagging}")]
+    Lagging { revision: u64, lagging: String },
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    #[error("could not format the output: {0}")]
+    Format(#[from] serde_json::Error),
 }
 
 /// Administers a tarragonferry deployment.
 #[derive(Debug, FromArgs)]
 #[argh(
-    example = "ferryctl cert authority > authority.ini",
-    note = "docs/OPERATING.md describes each command.",
+    example = "FERRY_TOKEN=... ferryctl --control 10.0.0.7:8443 use peak --latest --wait",
+    note = "docs/CONFIGURATION.md describes each command.",
     error_code(1, "The command failed or was not understood.")
 )]
 pub struct Args {
     /// print the version and exit
     #[argh(switch)]
     version: bool,
+    /// addresses of control instances with commas between them, tried in turn
+    #[argh(option)]
+    control: Option<String>,
+    /// print JSON instead of tables
+    #[argh(switch)]
+    json: bool,
     #[argh(subcommand)]
     command: Option<Command>,
 }
@@ -35,6 +75,13 @@
 enum Command {
     Cert(cert::CertArgs),
     Token(token::TokenArgs),
+    Pipeline(pipeline::PipelineArgs),
+    Pool(pool::PoolArgs),
+    Preset(preset::PresetArgs),
+    Workspace(workspace::WorkspaceArgs),
+    Use(use_preset::UseArgs),
+    Status(status::StatusArgs),
+    History(history::HistoryArgs),
 }
 
 impl Args {
@@ -43,10 +90,31 @@
             println!("ferryctl {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
         }
+        let (format, control) = (Format::new(self.json), self.control);
         match self.command.ok_or(CommandError::Missing)? {
-            Command::Cert(args) => args.run()?,
-            Command::Token(args) => args.run(),
+            Command::Cert(args) => Ok(args.run()?),
+            Command::Token(args) => {
+                args.run();
+                Ok(())
+            }
+            Command::Pipeline(args) => args.run(&connect(control)?, format).await,
+            Command::Pool(args) => args.run(&connect(control)?, format).await,
+            Command::Preset(args) => args.run(&connect(control)?, format).await,
+            Command::Workspace(args) => args.run(&connect(control)?, format).await,
+            Command::Use(args) => args.run(&connect(control)?, format).await,
+            Command::Status(args) => args.run(&connect(control)?, format).await,
+            Command::History(args) => args.run(&connect(control)?, format).await,
         }
-        Ok(())
     }
 }
+
+/// Makes a client from the option or the environment.
+fn connect(control: Option<String>) -> Result<Client, CommandError> {
+    let text =
+        control.or_else(|| std::env::var(CONTROL_ENV).ok()).ok_or(CommandError::NoControl)?;
+    let parse =
+        |it: &str| it.trim().parse().map_err(|_| CommandError::Address { text: it.to_owned() });
+    let addresses = text.split(',').map(parse).collect::<Result<Vec<SocketAddr>, _>>()?;
+    let token = std::env::var(TOKEN_ENV).map_err(|_| CommandError::NoToken)?;
+    Ok(Client::new(addresses, token))
+}
--- a/crates/ferryctl/src/main.rs
+++ b/crates/ferryctl/src/main.rs
@@ -1,6 +1,8 @@
 //! The operator's command line.
 
+mod client;
 mod cmd;
+mod output;
 
 use std::process::ExitCode;
 
