--- a/crates/ferry-edge/src/settings/tuning.rs
+++ b/crates/ferry-edge/src/settings/tuning.rs
@@ -27,22 +27,26 @@
     claims(&mut Section::new(reader, "claims"), &mut tuning);
     members(&mut Section::new(reader, "membership"), &mut tuning);
     placement(&mut Section::new(reader, "placement"), &mut tuning);
-    if tuning.max_deadline < tuning.min_deadline {
+    find_contradictions(reader, &tuning);
+    tuning
+}
+
+/// Reports values that are allowed by themselves but not together.
+fn find_contradictions(reader: &mut Reader, it: &Tuning) {
+    if it.max_deadline < it.min_deadline {
         reader.find("tuning", "max_deadline", "it is below min_deadline; allowed is at least that");
     }
-    if tuning.config_poll_max < tuning.config_poll {
-        let problem = "it is below config_poll; allowed is at least that";
-        reader.find("membership", "config_poll_max", problem);
+    let s = "membership";
+    if it.config_poll_max < it.config_poll {
+        reader.find(s, "config_poll_max", "it is below config_poll; allowed is at least that");
     }
-    if tuning.suspect_after < 3 * tuning.beat_interval {
-        let problem = "allowed is at least three times beat_interval";
-        reader.find("membership", "suspect_after", problem);
+    if it.suspect_after < 3 * it.beat_interval {
+        reader.find(s, "suspect_after", "allowed is at least three times beat_interval");
     }
-    if tuning.place.lease_life <= tuning.place.lease_renew + tuning.place.lease_margin {
-        let problem = "it is not above lease_renew and lease_margin together";
+    if it.place.lease_life <= it.place.lease_renew + it.place.lease_margin {
+        let problem = "allowed is more than lease_renew and lease_margin together";
         reader.find("placement", "lease_life", problem);
     }
-    tuning
 }
 
 fn requests(s: &mut Section<'_>, it: &mut Tuning) {
