Give operators roles: viewer, operator and admin

Cause: any operator's token could edit everything, and tokens were compared one after another.

Change: a role for each operator, viewer where the settings name none; the choice of the preset takes operator, edits take admin, else status 403. Operators' tokens use the same sealed index as callers'.

Measured: none.

Conclusion: a dashboard's token can no longer change the deployment.

--- a/crates/ferry-bench/src/cluster.rs
+++ b/crates/ferry-bench/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use ferry_control::{ControlOptions, ControlServer, Operator};
+use ferry_control::{ControlOptions, ControlServer, Operator, OperatorRole};
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::certs::{self, CertPair};
 use ferry_edge::{Handle, PeerIdentity, PeerOptions, PortOptions};
@@ -141,7 +141,11 @@
         listen: bind,
         body: CONTROL_BODY,
         close_time: Duration::from_secs(5),
-        operators: vec![Operator { name: OPERATOR.to_owned(), tokens: vec![token] }],
+        operators: vec![Operator {
+            name: OPERATOR.to_owned(),
+            role: OperatorRole::Admin,
+            tokens: vec![token],
+        }],
     };
     ControlServer::start(options, log).map_err(|it| it.to_string())
 }
--- a/crates/ferry-control/src/api.rs
+++ b/crates/ferry-control/src/api.rs
@@ -162,7 +162,7 @@
 /// Chooses the preset in force.
 #[endpoint { method = PUT, path = "/v1/chosen" }]
 async fn put_chosen(rqctx: Context, body: TypedBody<ChosenBody>) -> Reply {
-    let exchange = Exchange::write(&rqctx)?;
+    let exchange = Exchange::choose(&rqctx)?;
     let (expect, name): (_, PresetName) = (exchange.expect, body.into_inner().preset);
     exchange.ask(AdminOp::UsePreset { expect, name }).await
 }
--- a/crates/ferry-control/src/api/exchange.rs
+++ b/crates/ferry-control/src/api/exchange.rs
@@ -1,5 +1,6 @@
 //! One operator's request: who asks, under which revision, and how the reply is told.
 
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use dropshot::{Body, ClientErrorStatusCode, HttpError};
@@ -12,8 +13,8 @@
 
 use super::bodies::{AcceptedBody, ConflictBody, ErrorBody, InvalidBody};
 use super::{Context, Reply};
-use crate::Operator;
 use crate::server::ControlContext;
+use crate::{Operator, OperatorRole};
 
 /// Header with the id of a change, so that a repeat of a lost answer is recognised.
 pub const CHANGE_ID: &str = "change-id";
@@ -32,15 +33,28 @@
 
 impl Exchange<'_> {
     pub fn read(rqctx: &Context) -> Result<Exchange<'_>, HttpError> {
+        Exchange::new(rqctx, OperatorRole::Viewer)
+    }
+
+    /// Takes the revision and the change's id of an edit from the headers.
+    pub fn write(rqctx: &Context) -> Result<Exchange<'_>, HttpError> {
+        Exchange::change(rqctx, OperatorRole::Admin)
+    }
+
+    /// Like `write`, for the choice of the preset in force.
+    pub fn choose(rqctx: &Context) -> Result<Exchange<'_>, HttpError> {
+        Exchange::change(rqctx, OperatorRole::Operator)
+    }
+
+    fn new(rqctx: &Context, needed: OperatorRole) -> Result<Exchange<'_>, HttpError> {
         let context = rqctx.context();
-        let author = authenticate(&context.operators, rqctx.request.headers())?;
+        let author = authenticate(context, rqctx.request.headers(), needed)?.name.clone();
         Ok(Exchange { context, author, id: String::new(), expect: ABSENT })
     }
 
-    /// Like `read`, and takes the revision and the change's id from the headers.
-    pub fn write(rqctx: &Context) -> Result<Exchange<'_>, HttpError> {
+    fn change(rqctx: &Context, needed: OperatorRole) -> Result<Exchange<'_>, HttpError> {
         let headers = rqctx.request.headers();
-        let exchange = Exchange::read(rqctx)?;
+        let exchange = Exchange::new(rqctx, needed)?;
         let id = match headers.get(CHANGE_ID) {
             Some(value) => read_id(value)?,
             None => format!("{:032x}", rand::rng().random::<u128>()),
@@ -145,22 +159,23 @@
     json(status, None, body)
 }
 
-/// Returns the name of the operator whose bearer token the request carries.
-fn authenticate(operators: &[Operator], headers: &HeaderMap) -> Result<String, HttpError> {
-    let unauthorized = || {
+/// Returns the operator of the bearer token if the role allows what is asked.
+fn authenticate(
+    context: &ControlContext,
+    headers: &HeaderMap,
+    needed: OperatorRole,
+) -> Result<Arc<Operator>, HttpError> {
+    let refused = |status, message: String| HttpError::for_client_error(None, status, message);
+    let operator = context.operators.find(headers).ok_or_else(|| {
         let message = "could not find an operator for the bearer token".to_owned();
-        HttpError::for_client_error(None, ClientErrorStatusCode::UNAUTHORIZED, message)
-    };
-    let token = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|it| it.to_str().ok()?.strip_prefix("Bearer "))
-        .ok_or_else(unauthorized)?;
-    let hash = blake3::hash(token.as_bytes());
-    let is_theirs = |it: &&Operator| {
-        // Comparing `blake3::Hash` values takes the same time wherever they differ.
-        it.tokens.iter().any(|token| blake3::Hash::from_hex(token).is_ok_and(|it| it == hash))
-    };
-    operators.iter().find(is_theirs).map(|it| it.name.clone()).ok_or_else(unauthorized)
+        refused(ClientErrorStatusCode::UNAUTHORIZED, message)
+    })?;
+    if operator.role < needed {
+        let message =
+            format!("this takes the role {needed}; {} has {}", operator.name, operator.role);
+        return Err(refused(ClientErrorStatusCode::FORBIDDEN, message));
+    }
+    Ok(operator)
 }
 
 /// Returns the revision that a write is based on; without one it is refused.
--- a/crates/ferry-control/src/lib.rs
+++ b/crates/ferry-control/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use run::{RunError, run};
 pub use server::{ControlOptions, ControlServer};
-pub use settings::{ControlSettings, Operator};
+pub use settings::{ControlSettings, Operator, OperatorRole};
--- a/crates/ferry-control/src/server.rs
+++ b/crates/ferry-control/src/server.rs
@@ -6,7 +6,7 @@
 
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports};
+use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports, Tokens};
 use ferry_model::Incarnation;
 use slog::{Logger, warn};
 use thiserror::Error;
@@ -60,7 +60,8 @@
 #[derive(Debug)]
 pub struct ControlContext {
     pub handle: Handle,
-    pub operators: Vec<Operator>,
+    /// Operators by their bearer tokens.
+    pub operators: Tokens<Arc<Operator>>,
 }
 
 pub struct ControlServer {
@@ -83,7 +84,8 @@
             default_request_body_max_bytes: options.body,
             ..ConfigDropshot::default()
         };
-        let context = ControlContext { handle: handle.clone(), operators: options.operators };
+        let operators = Tokens::new(token_owners(&options.operators));
+        let context = ControlContext { handle: handle.clone(), operators };
         let api = api::describe().map_err(StartError::Describe)?;
         let server = ServerBuilder::new(api, Arc::new(context), log.clone())
             .config(config)
@@ -120,3 +122,11 @@
         }
     }
 }
+
+/// Pairs each hash of a token with its operator.
+fn token_owners(operators: &[Operator]) -> impl Iterator<Item = (&str, Arc<Operator>)> {
+    operators.iter().flat_map(|it| {
+        let operator = Arc::new(it.clone());
+        it.tokens.iter().map(move |token| (token.as_str(), operator.clone()))
+    })
+}
--- a/crates/ferry-control/src/settings.rs
+++ b/crates/ferry-control/src/settings.rs
@@ -7,7 +7,8 @@
 use ferry_edge::PeerOptions;
 use ferry_edge::logs::LogSettings;
 use ferry_edge::settings::common::{self, InstanceSettings, PlatformSettings};
-use ferry_edge::settings::{Findings, Hashes, Number, Reader, Time};
+use ferry_edge::settings::{Choice, Findings, Hashes, Number, Reader, Time};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 const KIB: usize = 1024;
 const SECOND: Duration = Duration::from_secs(1);
@@ -15,10 +16,25 @@
 /// Start of the name of an operator's section.
 const OPERATOR_PREFIX: &str = "operator ";
 
+/// What an operator may do; each role includes the ones before it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString, IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum OperatorRole {
+    /// Reads everything.
+    Viewer,
+    /// Chooses the preset in force.
+    Operator,
+    /// Edits pipelines, pools, presets and workspaces.
+    Admin,
+}
+
 /// Someone who may administer the deployment; the history names them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Operator {
     pub name: String,
+    pub role: OperatorRole,
     /// BLAKE3 hashes of the operator's bearer tokens, in hex.
     pub tokens: Vec<String>,
 }
@@ -74,7 +90,8 @@
         .map(|name| {
             let section = format!("{OPERATOR_PREFIX}{name}");
             let tokens = reader.required(&section, "tokens", Hashes);
-            Operator { name, tokens }
+            let role = reader.value(&section, "role", Choice::new(), OperatorRole::Viewer);
+            Operator { name, role, tokens }
         })
         .collect()
 }
--- a/crates/ferry-control/tests/administration.rs
+++ b/crates/ferry-control/tests/administration.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use ferry_control::{ControlOptions, ControlServer, Operator};
+use ferry_control::{ControlOptions, ControlServer, Operator, OperatorRole};
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_edge::http::read_answer;
 use ferry_edge::{HttpClient, PortOptions, logs};
@@ -34,6 +34,12 @@
         Call { method, path, headers, body: None }
     }
 
+    /// Asks with another operator's token.
+    fn by(mut self, operator: &str) -> Call {
+        self.headers[0].1 = format!("Bearer {operator}-token");
+        self
+    }
+
     fn with(mut self, name: &'static str, value: impl ToString) -> Call {
         self.headers.push((name, value.to_string()));
         self
@@ -57,8 +63,9 @@
         let bind = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let deployment = Deployment::new(DeploymentName::Ikenna);
         let standins = DeploymentStandins::start(&deployment, bind, &log).expect("stand-ins");
-        let operator = |name: &str| Operator {
+        let operator = |name: &str, role: OperatorRole| Operator {
             name: name.to_owned(),
+            role,
             tokens: vec![blake3::hash(format!("{name}-token").as_bytes()).to_hex().to_string()],
         };
         let mut tuning = Tuning::default();
@@ -80,7 +87,12 @@
             ports,
             body: 64 * 1024,
             close_time: Duration::from_secs(1),
-            operators: vec![operator("amaka"), operator("farid")],
+            operators: vec![
+                operator("amaka", OperatorRole::Admin),
+                operator("farid", OperatorRole::Admin),
+                operator("ngozi", OperatorRole::Operator),
+                operator("suria", OperatorRole::Viewer),
+            ],
         };
         let control = ControlServer::start(options, &log).expect("a control process");
         let mut status = control.handle().watch();
@@ -144,6 +156,40 @@
     assert_eq!(history.body["changes"][1]["id"], "monday");
 }
 
+#[tokio::test]
+async fn each_role_does_what_it_may_and_no_more() {
+    let bench = Bench::start().await;
+    let pipeline = bench.call(Call::new(Method::GET, "/v1/pipelines/calendar")).await.body;
+    let calls = [
+        (Method::GET, "/v1/config", None),
+        (Method::PUT, "/v1/chosen", Some(json!({"preset": "peak"}))),
+        (Method::PUT, "/v1/pipelines/calendar", Some(pipeline)),
+        (Method::DELETE, "/v1/pipelines/calendar", None),
+        (
+            Method::PUT,
+            "/v1/workspaces/cafes",
+            Some(json!({"name": "cafes", "weight": 1,
+            "concurrent": 0, "tokens": []})),
+        ),
+    ];
+    // A stale revision keeps the allowed writes from changing anything.
+    let (ok, stale, no) = (StatusCode::OK, StatusCode::PRECONDITION_FAILED, StatusCode::FORBIDDEN);
+    let cases = [
+        ("suria", [ok, no, no, no, no]),
+        ("ngozi", [ok, stale, no, no, no]),
+        ("amaka", [ok, stale, stale, stale, stale]),
+        ("nobody", [StatusCode::UNAUTHORIZED; 5]),
+    ];
+    for (operator, expected) in cases {
+        for ((method, path, body), status) in calls.iter().zip(expected) {
+            let mut call = Call::new(method.clone(), path).by(operator).with("if-match", "\"99\"");
+            call.body.clone_from(body);
+            let told = bench.call(call).await;
+            assert_eq!(told.status, status, "{operator}: {method} {path}: {}", told.body);
+        }
+    }
+}
+
 #[tokio::test]
 async fn each_kind_of_value_can_be_read_put_and_deleted() {
     let bench = Bench::start().await;
