--- a/crates/ferry-control/tests/process.rs
+++ b/crates/ferry-control/tests/process.rs
@@ -37,7 +37,7 @@
     let text = "[instance]\nid = control-1\nzone = a\nlisten = nowhere\n\
                 [platform]\nstore = 127.0.0.1:1\nfleet = 127.0.0.1:1\n\
                 [limits]\nbody_bytes = 7\n[operator amaka]\ntokens = secret\n\
-                [tuning]\nsuspect_after = 1s\n";
+                [membership]\nsuspect_after = 1s\n";
     let path = file("findings.ini", text);
     let output = control(&["--settings", path.to_str().expect("a path"), "--check"]);
     assert_eq!(output.status.code(), Some(2));
@@ -47,7 +47,7 @@
         "instance:listen",
         "limits:body_bytes",
         "operator amaka:tokens",
-        "tuning:suspect_after",
+        "membership:suspect_after",
     ];
     for place in places {
         assert!(error.contains(place), "{place} is missing in:\n{error}");
@@ -65,7 +65,7 @@
     let text = format!(
         "[instance]\nid = control-1\nzone = kl-1\nregion = kl-central\nlisten = 127.0.0.1:0\n\
          [platform]\nstore = {platform}\nfleet = {platform}\n[log]\nlevel = error\n\
-         [tuning]\nanswer_life = 200ms\nleave_margin = 100ms\n"
+         [membership]\nanswer_life = 200ms\nleave_margin = 100ms\n"
     );
     let path = file("run.ini", &text);
     let mut child = Command::new(env!("CARGO_BIN_EXE_ferry-control"))
