--- a/crates/ferry-core/src/admit.rs
+++ b/crates/ferry-core/src/admit.rs
@@ -65,14 +65,14 @@
         self.busy_at = (!self.queue.is_empty()).then_some(now);
     }
 
-    /// Returns how long a newcomer of this priority is likely to wait.
-    pub fn wait(&self, priority: u8) -> Duration {
-        let n_ahead = self.queue.ahead(priority);
-        if n_ahead == 0 {
+    /// Returns how long a newcomer is likely to wait.
+    pub fn wait(&self, priority: u8, workspace: &str, weight: u32) -> Duration {
+        if self.queue.is_empty() {
             return Duration::ZERO;
         }
+        let n_ahead = self.queue.ahead(priority, workspace, weight);
         let gap = self.gap.unwrap_or_else(|| self.median() / self.running.max(1));
-        gap.mul_f64(n_ahead as f64)
+        gap.mul_f64(n_ahead)
     }
 }
 
@@ -94,13 +94,14 @@
         pipeline.stages[stage..].iter().map(|it| self.median(&it.pool)).sum()
     }
 
-    /// Returns the time that the stages from `stage` on are likely to take with their waits.
-    pub fn outlook(&self, pipeline: &Pipeline, stage: usize) -> Duration {
+    /// Returns the time that all stages are likely to take with their waits.
+    pub fn outlook(&self, pipeline: &Pipeline, workspace: &str, weight: u32) -> Duration {
         let wait = |pool: &str| {
-            self.pools.get(pool).map_or(Duration::ZERO, |it| it.wait(pipeline.priority))
+            let state = self.pools.get(pool);
+            state.map_or(Duration::ZERO, |it| it.wait(pipeline.priority, workspace, weight))
         };
-        let waits: Duration = pipeline.stages[stage..].iter().map(|it| wait(&it.pool)).sum();
-        waits + self.rest(pipeline, stage)
+        let waits: Duration = pipeline.stages.iter().map(|it| wait(&it.pool)).sum();
+        waits + self.rest(pipeline, 0)
     }
 
     pub fn median(&self, pool: &str) -> Duration {
--- a/crates/ferry-core/src/admit/queue.rs
+++ b/crates/ferry-core/src/admit/queue.rs
@@ -36,9 +36,26 @@
         self.waiting.is_empty()
     }
 
-    /// Counts those that are served before a newcomer of this priority.
-    pub fn ahead(&self, priority: u8) -> usize {
-        self.waiting.iter().filter(|it| it.priority <= priority).count()
+    /// Returns about how many are served before a newcomer: all of a better priority, and of its
+    /// own as many as its workspace's share lets go before it.
+    pub fn ahead(&self, priority: u8, workspace: &str, weight: u32) -> f64 {
+        let mut n_better = 0.0;
+        let mut n_level = 0.0;
+        let mut n_own = 0.0;
+        let mut weights: SortedMap<&str, u32> = SortedMap::new();
+        for it in self.waiting.iter().filter(|it| it.priority <= priority) {
+            if it.priority < priority {
+                n_better += 1.0;
+                continue;
+            }
+            n_level += 1.0;
+            n_own += f64::from(u8::from(it.workspace == workspace));
+            weights.insert(&it.workspace, it.weight.max(1));
+        }
+        weights.insert(workspace, weight.max(1));
+        let total: u32 = weights.values().sum();
+        let in_turn = n_own * f64::from(total) / f64::from(weight.max(1));
+        n_better + in_turn.min(n_level)
     }
 
     /// Adds a request; a workspace that was idle starts level with the least served one.
--- a/crates/ferry-core/src/request/arrive.rs
+++ b/crates/ferry-core/src/request/arrive.rs
@@ -105,7 +105,9 @@
         if !self.shares.has_room(cx, &arrival.workspace) {
             return Err(RefusalReason::WorkspaceLimit);
         }
-        let outlook = self.pools.outlook(pipeline, 0);
+        let workspace = &arrival.workspace;
+        let weight = cx.ctx.workspaces.get(workspace).map_or(1, |it| it.weight);
+        let outlook = self.pools.outlook(pipeline, workspace, weight);
         let is_managed = cx.ctx.tuning.policy.is_managed();
         if is_managed && budget.mul_f64(cx.ctx.tuning.admit_share) < outlook {
             return Err(match self.pools.rest(pipeline, 0) < budget {
