--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -3,7 +3,9 @@
 pub mod claims;
 pub mod decide;
 pub mod demo;
+pub mod overhead;
 pub mod policies;
+pub mod spread;
 
 use argh::FromArgs;
 
@@ -22,7 +24,9 @@
     Claims(claims::ClaimsArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Spread(spread::SpreadArgs),
 }
 
 impl Args {
@@ -31,7 +35,9 @@
             Command::Claims(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Spread(args) => args.run(),
         }
     }
 }
--- a/crates/ferry-bench/src/experiments.rs
+++ b/crates/ferry-bench/src/experiments.rs
@@ -1,5 +1,7 @@
 //! Experiments on virtual time: the same seed gives the same figures.
 
+pub mod announce;
 pub mod claims;
 pub mod decide;
 pub mod policies;
+pub mod spread;
--- a/crates/ferry-bench/src/lib.rs
+++ b/crates/ferry-bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cluster;
 pub mod experiments;
 pub mod load;
+pub mod overhead;
 pub mod tally;
 
 pub use cluster::Cluster;
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -212,7 +212,8 @@
     fn finish(&mut self, now: Moment, out: &mut Vec<Effect>) {
         let cx = &mut Turn { now, ctx: &mut self.ctx, out };
         if cx.ctx.members.next_wake().is_some_and(|it| it <= now) {
-            let summary = Summary { loads: self.requests.loads(), demand: self.requests.demand() };
+            let loads = self.requests.loads(cx.ctx.config.as_deref());
+            let summary = Summary { loads, demand: self.requests.demand() };
             beat::tick(cx, summary);
             sweep::tick(cx);
         }
