--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub mod demo;
+pub mod overhead;
 pub mod spread;
 
 use argh::FromArgs;
@@ -19,6 +20,7 @@
 enum Command {
     Demo(demo::DemoArgs),
     Spread(spread::SpreadArgs),
+    Overhead(overhead::OverheadArgs),
 }
 
 impl Args {
@@ -26,6 +28,7 @@
         match self.command {
             Command::Demo(args) => args.run().await,
             Command::Spread(args) => args.run(),
+            Command::Overhead(args) => args.run().await,
         }
     }
 }
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -63,6 +63,11 @@
         self.workspaces.borrow().clone()
     }
 
+    /// Returns a receiver that sees each change of the workspaces.
+    pub fn watch_workspaces(&self) -> watch::Receiver<Arc<Workspaces>> {
+        self.workspaces.clone()
+    }
+
     /// Returns a receiver that sees each change of the status.
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
@@ -151,6 +156,7 @@
         metrics.gauge(Gauge::EventsWaiting, self.events.len() as u64);
         metrics.gauge(Gauge::Revision, self.node.revision());
         metrics.gauge(Gauge::Ready, u64::from(self.node.is_ready()));
+        metrics.flush();
     }
 
     fn next_wake(&self) -> Instant {
--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -143,22 +143,7 @@
 
 /// Reads the limits and intervals of the decisions.
 pub fn tuning(reader: &mut Reader) -> Tuning {
-    let base = Tuning::default();
-    let s = "tuning";
-    let ms = |low: u32, high: Duration| Time(low * MS..=high);
-    let mut it = base.clone();
-    it.config_poll = reader.value(s, "config_poll", ms(50, MINUTE), base.config_poll);
-    it.max_requests = reader.value(s, "max_requests", Number(1..=1_000_000), base.max_requests);
-    it.max_attempts = reader.value(s, "max_attempts", Number(1..=20), base.max_attempts);
-    it.sample = reader.value(s, "sample", Number(1..=64), base.sample);
-    it.retry_after = reader.value(s, "retry_after", ms(100, MINUTE), base.retry_after);
-    it.min_deadline = reader.value(s, "min_deadline", ms(1, MINUTE), base.min_deadline);
-    it.max_deadline = reader.value(s, "max_deadline", ms(100, 60 * MINUTE), base.max_deadline);
-    if it.max_deadline < it.min_deadline {
-        reader.find(s, "max_deadline", "it is below min_deadline; allowed is at least that");
-    }
-    membership(reader, &mut it);
-    it
+    super::tuning::read(reader)
 }
 
 /// Reads the workspaces that exist whatever the object API holds.
@@ -176,25 +161,3 @@
         tokens: reader.required(&section, "tokens", Hashes),
     }
 }
-
-/// Reads how configuration, membership and shutdown keep time.
-fn membership(reader: &mut Reader, it: &mut Tuning) {
-    let s = "tuning";
-    let ms = |low: u32, high: Duration| Time(low * MS..=high);
-    it.config_poll_max = reader.value(s, "config_poll_max", ms(50, MINUTE), it.config_poll_max);
-    it.store_retry = reader.value(s, "store_retry", ms(10, MINUTE), it.store_retry);
-    it.beat_interval = reader.value(s, "beat_interval", ms(50, MINUTE), it.beat_interval);
-    it.beat_fanout = reader.value(s, "beat_fanout", Number(1..=64), it.beat_fanout);
-    it.suspect_after = reader.value(s, "suspect_after", ms(100, 10 * MINUTE), it.suspect_after);
-    it.pull_grace = reader.value(s, "pull_grace", ms(1, MINUTE), it.pull_grace);
-    it.answer_life = reader.value(s, "answer_life", ms(100, 10 * MINUTE), it.answer_life);
-    it.leave_margin = reader.value(s, "leave_margin", ms(1, 10 * MINUTE), it.leave_margin);
-    it.admin_deadline = reader.value(s, "admin_deadline", ms(500, MINUTE), it.admin_deadline);
-    it.status_asks = reader.value(s, "status_asks", Number(1..=1000), it.status_asks);
-    if it.config_poll_max < it.config_poll {
-        reader.find(s, "config_poll_max", "it is below config_poll; allowed is at least that");
-    }
-    if it.suspect_after < 3 * it.beat_interval {
-        reader.find(s, "suspect_after", "allowed is at least three times beat_interval");
-    }
-}
--- a/crates/ferry-edge/src/settings/reader.rs
+++ b/crates/ferry-edge/src/settings/reader.rs
@@ -8,7 +8,7 @@
 
 use ferry_model::{Finding, SortedMap};
 use ini::{Ini, ParseOption};
-use strum::{IntoEnumIterator, VariantNames};
+use strum::IntoEnumIterator;
 
 use super::Findings;
 
@@ -117,13 +117,17 @@
     pub(super) fn finish(mut self) -> Vec<Finding> {
         let mut unknown = Vec::new();
         for (section, properties) in self.ini.iter() {
-            let name = section.unwrap_or_default();
-            let Some(known) = self.known.get(name) else {
-                if section.is_some() || !properties.is_empty() {
-                    unknown.push((name.to_owned(), String::new(), self.unknown_section()));
+            let Some(name) = section else {
+                for (key, _) in properties.iter() {
+                    let problem = "the key is outside any section".to_owned();
+                    unknown.push((String::new(), key.to_owned(), problem));
                 }
                 continue;
             };
+            let Some(known) = self.known.get(name) else {
+                unknown.push((name.to_owned(), String::new(), self.unknown_section()));
+                continue;
+            };
             for (key, _) in properties.iter().filter(|(key, _)| !known.contains(key)) {
                 let problem = format!("unknown key; allowed are {}", known.join(", "));
                 unknown.push((name.to_owned(), key.to_owned(), problem));
@@ -324,11 +328,12 @@
     }
 }
 
-impl<T: FromStr + IntoEnumIterator + VariantNames> Kind for Choice<T> {
+impl<T: FromStr + IntoEnumIterator + fmt::Display> Kind for Choice<T> {
     type Value = T;
 
     fn allowed(&self) -> String {
-        format!("one of {}", T::VARIANTS.join(", "))
+        let names: Vec<String> = T::iter().map(|it| it.to_string()).collect();
+        format!("one of {}", names.join(", "))
     }
 
     fn read(&self, text: &str, _: &Env) -> Result<T, String> {
@@ -336,6 +341,26 @@
     }
 }
 
+/// On or off.
+#[derive(Debug, Clone, Copy)]
+pub struct Switch;
+
+impl Kind for Switch {
+    type Value = bool;
+
+    fn allowed(&self) -> String {
+        "on or off".to_owned()
+    }
+
+    fn read(&self, text: &str, _: &Env) -> Result<bool, String> {
+        match text {
+            "on" => Ok(true),
+            "off" => Ok(false),
+            _ => Err(format!("{text:?} is neither")),
+        }
+    }
+}
+
 /// BLAKE3 hashes in hex, with commas between them.
 #[derive(Debug, Clone, Copy)]
 pub struct Hashes;
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -1,11 +1,13 @@
 //! Subcommands, one file each.
 
+mod cert;
 mod history;
 mod pipeline;
 mod pool;
 mod preset;
 mod resource;
 mod status;
+mod token;
 mod use_preset;
 mod workspace;
 
@@ -40,6 +42,8 @@
     #[error("revision {revision} is not in force everywhere: {lagging}")]
     Lagging { revision: u64, lagging: String },
     #[error(transparent)]
+    Cert(#[from] cert::CertCommandError),
+    #[error(transparent)]
     Client(#[from] ClientError),
     #[error("could not format the output: {0}")]
     Format(#[from] serde_json::Error),
@@ -49,7 +53,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "FERRY_TOKEN=... ferryctl --control 10.0.0.7:8443 use peak --latest --wait",
-    note = "docs/CONFIGURATION.md describes each command.",
+    note = "docs/OPERATING.md and docs/CONFIGURATION.md describe each command.",
     error_code(1, "The command failed or was not understood.")
 )]
 pub struct Args {
@@ -69,6 +73,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Cert(cert::CertArgs),
+    Token(token::TokenArgs),
     Pipeline(pipeline::PipelineArgs),
     Pool(pool::PoolArgs),
     Preset(preset::PresetArgs),
@@ -85,16 +91,19 @@
             return Ok(());
         }
         let format = Format::new(self.json);
-        let command = self.command.ok_or(CommandError::Missing)?;
-        let client = connect(self.control)?;
-        match command {
-            Command::Pipeline(args) => args.run(&client, format).await,
-            Command::Pool(args) => args.run(&client, format).await,
-            Command::Preset(args) => args.run(&client, format).await,
-            Command::Workspace(args) => args.run(&client, format).await,
-            Command::Use(args) => args.run(&client, format).await,
-            Command::Status(args) => args.run(&client, format).await,
-            Command::History(args) => args.run(&client, format).await,
+        match self.command.ok_or(CommandError::Missing)? {
+            Command::Cert(args) => Ok(args.run()?),
+            Command::Token(args) => {
+                args.run();
+                Ok(())
+            }
+            Command::Pipeline(args) => args.run(&connect(self.control)?, format).await,
+            Command::Pool(args) => args.run(&connect(self.control)?, format).await,
+            Command::Preset(args) => args.run(&connect(self.control)?, format).await,
+            Command::Workspace(args) => args.run(&connect(self.control)?, format).await,
+            Command::Use(args) => args.run(&connect(self.control)?, format).await,
+            Command::Status(args) => args.run(&connect(self.control)?, format).await,
+            Command::History(args) => args.run(&connect(self.control)?, format).await,
         }
     }
 }
