--- a/crates/ferry-bench/src/cmd/spread.rs
+++ b/crates/ferry-bench/src/cmd/spread.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use ferry_bench::experiments::announce::{self, Fleet, Setup, Trouble, Way};
 use ferry_bench::experiments::spread::{self, Condition};
-use strum::IntoEnumIterator;
+use strum::{EnumString, IntoEnumIterator};
 
 /// Fleet sizes, each with its number of zones.
 const SIZES: [(usize, usize); 3] = [(8, 4), (64, 8), (470, 28)];
@@ -28,13 +28,32 @@
     /// seconds of virtual time for the costs (default 60)
     #[argh(option, default = "60")]
     seconds: u64,
+    /// what to measure: all, times, announcements or costs (default all)
+    #[argh(option, default = "Part::All")]
+    part: Part,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "snake_case")]
+enum Part {
+    All,
+    Times,
+    Announcements,
+    Costs,
 }
 
 impl SpreadArgs {
     pub fn run(&self) -> Result<(), String> {
-        self.times()?;
-        self.announcements();
-        self.costs()
+        if matches!(self.part, Part::All | Part::Times) {
+            self.times()?;
+        }
+        if matches!(self.part, Part::All | Part::Announcements) {
+            self.announcements();
+        }
+        if matches!(self.part, Part::All | Part::Costs) {
+            self.costs()?;
+        }
+        Ok(())
     }
 
     fn times(&self) -> Result<(), String> {
@@ -107,7 +126,8 @@
     }
 
     fn costs(&self) -> Result<(), String> {
-        println!("\ncost of one instance a second; changes come every {CHANGE_GAP:?}");
+        println!("\nstored configuration: {} bytes", spread::config_bytes()?);
+        println!("cost of one instance a second; changes come every {CHANGE_GAP:?}");
         println!(
             "{:>4} {:<8} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8}",
             "n", "load", "messages", "bytes", "get", "watch", "list", "put"
--- a/crates/ferry-bench/src/experiments/announce.rs
+++ b/crates/ferry-bench/src/experiments/announce.rs
@@ -200,7 +200,7 @@
     }
 }
 
-/// Delegates of each subtree that reach the wanted share, by equation 5 of the broadcast paper:
+/// Delegates of each subtree that reach the wanted share `m` of instances:
 /// `k = ln(2 (1 - m^(1/b))) / ln P`, rounded up, for `b` address bits and losses `P`.
 pub fn replication(n_instances: usize, losses: f64) -> usize {
     if losses <= 0.0 {
--- a/crates/ferry-bench/src/experiments/spread.rs
+++ b/crates/ferry-bench/src/experiments/spread.rs
@@ -3,9 +3,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use ferry_core::config::CONFIG_NAME;
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_fakes::{Deployment, DeploymentName, World};
-use ferry_model::{AdminOp, AdminReply, EndpointState, Instance, PresetName};
+use ferry_model::{
+    AdminOp, AdminReply, EndpointState, Instance, ObjectKey, ObjectKind, PresetName,
+};
 use strum::{Display, EnumIter, IntoStaticStr};
 
 /// Time after which a change counts as never in force.
@@ -28,7 +31,7 @@
     StoreSlow,
     WatchesGapped,
     StoreDownAfterAcceptance,
-    /// Time counts from the thaw for the frozen instance.
+    /// Time counts from the thaw.
     FrozenThenThawed,
 }
 
@@ -67,11 +70,14 @@
     Ok(world)
 }
 
-/// Makes `n_changes` one after the other and returns the time that each took to be in force.
+/// Makes `n_changes` one after the other and returns the time from each one's effect in the object
+/// API until it was in force everywhere.
 pub fn measure(condition: Condition, n_changes: u64, seed: u64) -> Result<Vec<Duration>, String> {
     let mut world = world(8, 4, seed)?;
     let faults = &mut world.store.faults;
     faults.gapped_watches = condition == Condition::WatchesGapped;
+    // The outage begins before any watch has reported the change.
+    faults.deaf_watches = condition == Condition::StoreDownAfterAcceptance;
     if condition == Condition::StoreSlow {
         faults.delay = SLOW_STORE;
     }
@@ -80,14 +86,15 @@
         if condition == Condition::FrozenThenThawed {
             world.freeze(FROZEN);
         }
-        let revision = change(&mut world, nth)?;
+        let change = change(&mut world, nth)?;
         world.store.faults.down = condition == Condition::StoreDownAfterAcceptance;
+        let mut started = change.written_at;
         if condition == Condition::FrozenThenThawed {
             world.run_for(FREEZE);
+            started = world.now;
             world.thaw(FROZEN);
         }
-        let started = world.now;
-        while !is_everywhere(&world, revision) {
+        while !is_everywhere(&world, change.revision) {
             if started + LIMIT <= world.now {
                 return Err(format!("{condition}: change {nth} was not in force in time"));
             }
@@ -152,16 +159,31 @@
     })
 }
 
-/// Chooses another preset and returns the revision once it is accepted.
-fn change(world: &mut World, nth: u64) -> Result<u64, String> {
+/// An accepted change.
+struct Change {
+    revision: u64,
+    /// When it took effect in the object API.
+    written_at: Duration,
+}
+
+/// Chooses another preset and returns once it is accepted.
+fn change(world: &mut World, nth: u64) -> Result<Change, String> {
     let expect = world.node(WRITER).revision();
     let name = if nth.is_multiple_of(2) { PresetName::Peak } else { PresetName::Ordinary };
     let op = AdminOp::UsePreset { expect, name };
+    let n_writes = world.store.writes;
     let ticket = world.administer(WRITER, "bench", &format!("change-{nth}"), op);
     let until = world.now + LIMIT;
+    let mut written_at = None;
     while world.now < until {
+        if n_writes < world.store.writes {
+            written_at.get_or_insert(world.now);
+        }
         match world.reply(ticket) {
-            Some(AdminReply::Accepted { revision }) => return Ok(*revision),
+            Some(AdminReply::Accepted { revision }) => {
+                let written_at = written_at.unwrap_or(world.now);
+                return Ok(Change { revision: *revision, written_at });
+            }
             Some(other) => return Err(format!("change {nth} was not accepted: {other:?}")),
             None => world.run_for(STEP),
         }
@@ -169,6 +191,16 @@
     Err(format!("change {nth} was not settled"))
 }
 
+/// Size of the stored configuration after a full history of changes, in bytes.
+pub fn config_bytes() -> Result<usize, String> {
+    let mut world = world(8, 4, 1)?;
+    for nth in 0..64 {
+        change(&mut world, nth)?;
+    }
+    let key = ObjectKey::new(ObjectKind::Config, CONFIG_NAME);
+    Ok(world.store.get(&key).map_or(0, |it| it.value.len()))
+}
+
 fn is_everywhere(world: &World, revision: u64) -> bool {
     (0..world.n_nodes()).all(|it| revision <= world.node(it).revision())
 }
