--- a/crates/ferry-proof/src/matrix.rs
+++ b/crates/ferry-proof/src/matrix.rs
@@ -23,6 +23,8 @@
 const LOAD: Duration = Duration::from_secs(8);
 /// Time after the load in which every deadline, lease and watch runs out.
 const REST: Duration = Duration::from_secs(32);
+/// Time of low demand before capacity is given up; a cell is over before the usual one.
+const CELL_HOLD: Duration = Duration::from_secs(1);
 /// Most threads that run cells at once.
 const MAX_THREADS: usize = 4;
 /// Time between requests of the load.
@@ -102,7 +104,8 @@
             0 => DeploymentName::Kancil,
             _ => DeploymentName::Ikenna,
         });
-        let tuning = Tuning::default();
+        let mut tuning = Tuning::default();
+        tuning.place.hold = CELL_HOLD;
         let mut run = Run::new(self, &deployment, &tuning);
         if let Some(mutant) = &mutant {
             mutant.prepare(&mut run.world);
