--- a/crates/ferry-edge/src/fleet.rs
+++ b/crates/ferry-edge/src/fleet.rs
@@ -1,16 +1,22 @@
-//! Reads the platform's instance list at a fixed interval.
+//! Reads the platform's instance list at an interval, and its body only when it has changed.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_core::Event;
-use http::Method;
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, StatusCode};
+use rand::RngExt;
 use slog::{Logger, warn};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::HttpClient;
+use crate::http::{json_request, read_answer};
 use crate::wire::FleetBody;
 
+/// Path of the instance list.
+const PATH: &str = "/v1/endpoints";
+
 #[derive(Debug, Clone)]
 pub struct FleetClient {
     http: HttpClient,
@@ -27,29 +33,54 @@
     /// Reads the list until nobody receives it any more.
     pub fn spawn(self, events: UnboundedSender<Event>) {
         tokio::spawn(async move {
+            let mut known = None;
             while !events.is_closed() {
-                match self.read().await {
-                    Ok(body) => {
-                        let _ = events.send(Event::Fleet {
-                            endpoints: body.endpoints,
-                            instances: body.instances,
-                        });
-                    }
+                match self.read(known.as_ref()).await {
+                    Ok(Some(list)) => known = Some(list),
+                    Ok(None) => (),
                     Err(error) => warn!(self.log, "could not read the instance list";
                         "error" => error),
                 }
-                tokio::time::sleep(self.interval).await;
+                if let Some(List { body, .. }) = known.clone() {
+                    let FleetBody { endpoints, instances } = body;
+                    let _ = events.send(Event::Fleet { endpoints, instances });
+                }
+                tokio::time::sleep(self.interval.mul_f64(jitter())).await;
             }
         });
     }
 
-    async fn read(&self) -> Result<FleetBody, String> {
-        let path = "/v1/endpoints";
-        let answer = self
-            .http
-            .call::<()>(Method::GET, self.address, path, None, self.interval)
+    /// Reads the list, or nothing if it is still the known one.
+    async fn read(&self, known: Option<&List>) -> Result<Option<List>, String> {
+        let mut request = json_request::<()>(Method::GET, self.address, PATH, None)
+            .map_err(|it| it.to_string())?;
+        if let Some(tag) = known.and_then(|it| it.tag.clone()) {
+            request.headers_mut().insert(IF_NONE_MATCH, tag);
+        }
+        let exchange = async {
+            let response = self.http.send_pooled(self.address, request).await?;
+            read_answer(self.address, response).await
+        };
+        let answer = tokio::time::timeout(self.interval, exchange)
             .await
+            .map_err(|_| "no answer in time".to_owned())?
             .map_err(|it| it.to_string())?;
-        answer.json().map_err(|it| format!("could not read {path}: {it}"))
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let body = answer.json().map_err(|it| format!("could not read {PATH}: {it}"))?;
+        Ok(Some(List { tag: answer.headers.get(ETAG).cloned(), body }))
     }
 }
+
+/// A copy of the list with its entity tag.
+#[derive(Debug, Clone)]
+struct List {
+    tag: Option<HeaderValue>,
+    body: FleetBody,
+}
+
+/// Spreads the reads of many instances that started together.
+fn jitter() -> f64 {
+    rand::rng().random_range(0.9..1.1)
+}
--- a/crates/ferry-edge/tests/peers.rs
+++ b/crates/ferry-edge/tests/peers.rs
@@ -142,8 +142,9 @@
         let message = PeerMessage::PullConfig { above: 1 };
         stranger.peers.send(case.to, receiver.address(), message);
         tokio::time::sleep(QUIET).await;
-        friend.peers.send("entry-1", receiver.address(), heartbeat());
-        let expected = Event::Peer { from: "entry-4".to_owned(), message: heartbeat() };
+        let message = PeerMessage::PullConfig { above: 2 };
+        friend.peers.send("entry-1", receiver.address(), message.clone());
+        let expected = Event::Peer { from: "entry-4".to_owned(), message };
         assert_eq!(receiver.next().await, expected, "{}", case.what);
     }
 }
--- a/crates/ferry-standin/src/platform/fleet.rs
+++ b/crates/ferry-standin/src/platform/fleet.rs
@@ -4,7 +4,8 @@
 
 use dropshot::{Body, HttpError, RequestContext, endpoint};
 use ferry_edge::wire::FleetBody;
-use http::{Response, StatusCode};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Response, StatusCode};
 use tokio::time::Instant;
 
 use super::objects::admit;
@@ -14,7 +15,14 @@
 #[derive(Debug, Default)]
 pub struct FleetLog {
     versions: Vec<(Instant, FleetBody)>,
-    frozen: Option<FleetBody>,
+    frozen: Option<Shown>,
+}
+
+/// A version of the list, and how many came before it.
+#[derive(Debug, Clone)]
+pub struct Shown {
+    pub number: usize,
+    pub body: FleetBody,
 }
 
 impl FleetLog {
@@ -34,22 +42,23 @@
         self.frozen = match (is_frozen, self.frozen.take()) {
             (false, _) => None,
             (true, Some(frozen)) => Some(frozen),
-            (true, None) => Some(self.newest()),
+            (true, None) => Some(self.at(self.versions.len().saturating_sub(1))),
         };
     }
 
     /// Returns the list of `lag_ms` ago, or the oldest one.
-    pub fn shown(&self, now: Instant, lag_ms: u64) -> FleetBody {
+    pub fn shown(&self, now: Instant, lag_ms: u64) -> Shown {
         if let Some(frozen) = &self.frozen {
             return frozen.clone();
         }
         let lag = Duration::from_millis(lag_ms);
         let is_visible = |at: &Instant| lag <= now.saturating_duration_since(*at);
-        let shown = self.versions.iter().rev().find(|(at, _)| is_visible(at));
-        match shown.or_else(|| self.versions.first()) {
-            Some((_, body)) => body.clone(),
-            None => self.newest(),
-        }
+        self.at(self.versions.iter().rposition(|(at, _)| is_visible(at)).unwrap_or(0))
+    }
+
+    fn at(&self, number: usize) -> Shown {
+        let body = self.versions.get(number).map(|(_, body)| body.clone());
+        Shown { number, body: body.unwrap_or_else(|| self.newest()) }
     }
 }
 
@@ -61,6 +70,18 @@
     if let Some(refusal) = admit(state, |it| (&mut it.fleet_lists, false)).await? {
         return Ok(refusal);
     }
-    let body = state.lock().shown_fleet();
-    json(StatusCode::OK, &body)
+    let shown = state.lock().shown_fleet();
+    let tag = format!("\"{}\"", shown.number);
+    if rqctx.request.headers().get(IF_NONE_MATCH).is_some_and(|it| it == tag.as_str()) {
+        return Response::builder()
+            .status(StatusCode::NOT_MODIFIED)
+            .header(ETAG, tag)
+            .body(Body::empty())
+            .map_err(|it| HttpError::for_internal_error(it.to_string()));
+    }
+    let mut response = json(StatusCode::OK, &shown.body)?;
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    Ok(response)
 }
--- a/crates/ferry-standin/src/platform/state.rs
+++ b/crates/ferry-standin/src/platform/state.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::faults::{Bucket, Counts, Faults};
-use super::fleet::FleetLog;
+use super::fleet::{FleetLog, Shown};
 use crate::Witness;
 
 /// Changes that watches can go back by.
@@ -177,7 +177,7 @@
     }
 
     /// Returns the instance list as it is shown now.
-    pub fn shown_fleet(&self) -> FleetBody {
+    pub fn shown_fleet(&self) -> Shown {
         self.fleet.shown(Instant::now(), self.faults.fleet_lag_ms)
     }
 }
--- a/crates/ferry-standin/tests/platform.rs
+++ b/crates/ferry-standin/tests/platform.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ferry_edge::{Metrics, StoreClient, StoreOptions, logs};
+use ferry_edge::http::{json_request, read_answer};
+use ferry_edge::{HttpClient, Metrics, StoreClient, StoreOptions, logs};
 use ferry_model::{ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply, Version};
 use ferry_standin::{Faults, PlatformStandin, Witness};
+use http::{HeaderValue, Method, StatusCode};
 use serde_json::json;
 
 /// Generous: only a hang reaches it.
@@ -271,3 +273,26 @@
     let StoreReply::Object(Some(object)) = got else { panic!("{got:?}") };
     assert_eq!(object.value, "1");
 }
+
+#[tokio::test]
+async fn an_unchanged_instance_list_has_no_body() {
+    let platform = Platform::start();
+    let address = platform.standin.address();
+    let get = async |tag: Option<HeaderValue>| {
+        let http = HttpClient::new();
+        let mut request = json_request::<()>(Method::GET, address, "/v1/endpoints", None).unwrap();
+        if let Some(tag) = tag {
+            request.headers_mut().insert("if-none-match", tag);
+        }
+        let response = http.send_fresh(address, request).await.unwrap();
+        read_answer(address, response).await.unwrap()
+    };
+    platform.standin.state.set_endpoints(Vec::new());
+    let first = get(None).await;
+    assert_eq!(first.status, StatusCode::OK);
+    let tag = first.headers.get("etag").cloned();
+    let again = get(tag.clone()).await;
+    assert_eq!((again.status, again.body.len()), (StatusCode::NOT_MODIFIED, 0));
+    platform.standin.state.set_endpoints(Vec::new());
+    assert_eq!(get(tag).await.status, StatusCode::OK);
+}
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -97,13 +97,13 @@
                 args.run();
                 Ok(())
             }
-            Command::Pipeline(args) => args.run(&connect(self.control)?, format).await,
-            Command::Pool(args) => args.run(&connect(self.control)?, format).await,
-            Command::Preset(args) => args.run(&connect(self.control)?, format).await,
-            Command::Workspace(args) => args.run(&connect(self.control)?, format).await,
-            Command::Use(args) => args.run(&connect(self.control)?, format).await,
-            Command::Status(args) => args.run(&connect(self.control)?, format).await,
-            Command::History(args) => args.run(&connect(self.control)?, format).await,
+            Command::Pipeline(args) => args.run(&connect(control)?, format).await,
+            Command::Pool(args) => args.run(&connect(control)?, format).await,
+            Command::Preset(args) => args.run(&connect(control)?, format).await,
+            Command::Workspace(args) => args.run(&connect(control)?, format).await,
+            Command::Use(args) => args.run(&connect(control)?, format).await,
+            Command::Status(args) => args.run(&connect(control)?, format).await,
+            Command::History(args) => args.run(&connect(control)?, format).await,
         }
     }
 }
