Drop two metrics that nothing counted

Cause: store_calls and store_unknown were listed but no part of the node counted them; the process counts each call by verb and each lost answer.

Measured: none.

--- a/crates/ferry-core/src/effect.rs
+++ b/crates/ferry-core/src/effect.rs
@@ -225,8 +225,6 @@
     CallsRetried,
     CallsHedged,
     RepliesDropped,
-    StoreCalls,
-    StoreUnknown,
     ConfigApplied,
     EndpointsEjected,
 }
