--- a/crates/ferry-proof/src/step.rs
+++ b/crates/ferry-proof/src/step.rs
@@ -38,8 +38,10 @@
     DispatchRetrieve,
     DispatchRerank,
     DispatchGenerate,
-    /// A call to a plain service; most of them may not be repeated.
+    /// A call to a plain service that may be repeated.
     DispatchService,
+    /// A call that may not be repeated.
+    DispatchOnce,
     /// A streamed answer is half-way.
     MidStream,
     /// The whole answer of a stage has come.
@@ -65,6 +67,7 @@
             | Step::DispatchRerank
             | Step::DispatchGenerate
             | Step::DispatchService
+            | Step::DispatchOnce
             | Step::MidStream
             | Step::Reply => true,
             Step::Resolve
@@ -92,6 +95,7 @@
 
     fn of_effect(effect: &Effect) -> Option<Step> {
         match effect {
+            Effect::Call(call) if !call.repeatable => Some(Step::DispatchOnce),
             Effect::Call(call) => Some(match call.kind {
                 StageKind::Encode => Step::DispatchEncode,
                 StageKind::Retrieve => Step::DispatchRetrieve,
