--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,11 @@
 //! Subcommands, one file each.
 
+pub mod claims;
+pub mod decide;
 pub mod demo;
+pub mod overhead;
+pub mod policies;
+pub mod spread;
 
 use argh::FromArgs;
 
@@ -16,13 +21,23 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Claims(claims::ClaimsArgs),
+    Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Overhead(overhead::OverheadArgs),
+    Policies(policies::PoliciesArgs),
+    Spread(spread::SpreadArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
         match self.command {
+            Command::Claims(args) => args.run(),
+            Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Overhead(args) => args.run().await,
+            Command::Policies(args) => args.run(),
+            Command::Spread(args) => args.run(),
         }
     }
 }
--- a/crates/ferry-core/src/request/reply.rs
+++ b/crates/ferry-core/src/request/reply.rs
@@ -163,6 +163,11 @@
 
     /// Goes on with a stream: on a new connection to its engine first, then on another engine.
     fn resume(&mut self, cx: &mut Turn<'_>, id: RequestId, ended: &Attempt, error: &str) {
+        if let Some(flight) = self.flights.get_mut(&id)
+            && ended.offset < flight.tokens
+        {
+            flight.calls = 1;
+        }
         let next = (ended.connection == Connection::Pooled)
             .then(|| NextCall { endpoint: ended.endpoint.clone(), connection: Connection::Fresh });
         self.retry(cx, id, error, Duration::ZERO, next);
@@ -247,13 +252,17 @@
 
     fn cancel_others(&mut self, cx: &mut Turn<'_>, id: RequestId, winner: AttemptId) {
         let Some(flight) = self.flights.get(&id) else { return };
+        let pool = flight.current().pool.clone();
         let losers: Vec<AttemptId> =
             flight.attempts.iter().map(|it| it.id).filter(|it| *it != winner).collect();
         for attempt in losers {
             cx.out.push(Effect::Cancel { attempt });
-            if let Some(ended) = self.end_attempt(cx, id, attempt) {
+            let ended = self.end_attempt(cx, id, attempt);
+            if let Some(ended) = ended {
+                let pool = self.pools.get(&pool);
                 let running = cx.now.saturating_sub(ended.started);
-                cx.ctx.fleet.lags(cx.now, &ended.endpoint, running);
+                let service = pool.map_or(running, |it| it.scaled(running));
+                cx.ctx.fleet.lags(cx.now, &ended.endpoint, service);
             }
         }
     }
--- a/crates/ferry-fakes/src/endpoint.rs
+++ b/crates/ferry-fakes/src/endpoint.rs
@@ -94,6 +94,8 @@
     pub speed: Speed,
     pub faults: EndpointFaults,
     pub engine: FakeEngine,
+    /// Calls in flight that never end.
+    pub pinned: usize,
     /// The instance list shows its models.
     pub(crate) lists_models: bool,
     /// When it began to leave.
@@ -112,6 +114,7 @@
         };
         FakeEndpoint {
             engine: FakeEngine::new(models),
+            pinned: 0,
             lists_models: !endpoint.models.is_empty(),
             endpoint,
             speed,
@@ -123,6 +126,11 @@
         }
     }
 
+    /// Whether it has no call, running or waiting.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
     /// Takes the waiting call to be served next: by priority, then in order of arrival.
     pub(crate) fn take_next(&mut self) -> Job {
         let best = (0..self.waiting.len()).min_by_key(|idx| self.waiting[*idx].call.priority);
