Replay event logs, fuzz what strangers send and measure slopes

Cause: logs could not be replayed by an operator, strangers' input was tested only by example, and no command told how costs grow. Change: ferryctl replay; proptest over settings, peer bytes, faulty peers and odd requests; ferry-bench matrix and ferry-bench slopes; pages on proof and for developers.

--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -3,8 +3,10 @@
 pub mod claims;
 pub mod decide;
 pub mod demo;
+pub mod matrix;
 pub mod overhead;
 pub mod policies;
+pub mod slopes;
 pub mod spread;
 
 use argh::FromArgs;
@@ -24,8 +26,10 @@
     Claims(claims::ClaimsArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Slopes(slopes::SlopesArgs),
     Spread(spread::SpreadArgs),
 }
 
@@ -35,8 +39,10 @@
             Command::Claims(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Slopes(args) => args.run(),
             Command::Spread(args) => args.run(),
         }
     }
--- /dev/null
+++ b/crates/ferry-bench/src/cmd/slopes.rs
@@ -0,0 +1,44 @@
+//! Measures how costs grow and what they come to at the size to design for.
+
+use argh::FromArgs;
+use ferry_bench::slopes::{Slope, measure};
+
+/// Measure each role's costs at several sizes, fit lines and extend them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes", example = "ferry-bench slopes --json")]
+pub struct SlopesArgs {
+    /// print one JSON array as the last line
+    #[argh(switch)]
+    json: bool,
+}
+
+impl SlopesArgs {
+    pub fn run(&self) -> Result<(), String> {
+        let slopes = measure::all(|what| eprintln!("measuring over {what}"))?;
+        slopes.iter().for_each(print);
+        if self.json {
+            println!("{}", serde_json::to_string(&slopes).map_err(|it| it.to_string())?);
+        }
+        Ok(())
+    }
+}
+
+fn print(slope: &Slope) {
+    let fit = slope.fit();
+    println!("{} ({}, {}) over {}", slope.what, slope.role, slope.unit, slope.over);
+    let points: Vec<String> = slope.points.iter().map(|(x, y)| format!("{x}: {y:.6}")).collect();
+    println!("  points {}", points.join(", "));
+    println!(
+        "  line {:.6} + {:.9} x, r2 {:.3}; at {:.0}: {:.4}",
+        fit.base,
+        fit.slope,
+        fit.r_squared,
+        slope.size,
+        slope.at_size()
+    );
+    let verdict = if slope.is_over() { "OVER" } else { "within" };
+    match slope.limit {
+        Some(limit) => println!("  limit {limit:.4}: {verdict}"),
+        None => println!("  no limit"),
+    }
+}
--- a/crates/ferry-bench/src/lib.rs
+++ b/crates/ferry-bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod experiments;
 pub mod load;
 pub mod overhead;
+pub mod slopes;
 pub mod tally;
 
 pub use cluster::Cluster;
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -5,6 +5,7 @@
 mod pipeline;
 mod pool;
 mod preset;
+mod replay;
 mod resource;
 mod status;
 mod token;
@@ -43,6 +44,8 @@
     NoRevision,
     #[error("revision {revision} is not in force everywhere: {lagging}")]
     Lagging { revision: u64, lagging: String },
+    #[error("the replay of {path} does not end in the recorded state")]
+    Diverged { path: String },
     #[error(transparent)]
     Client(#[from] ClientError),
     #[error("could not format the output: {0}")]
@@ -82,6 +85,7 @@
     Use(use_preset::UseArgs),
     Status(status::StatusArgs),
     History(history::HistoryArgs),
+    Replay(replay::ReplayArgs),
 }
 
 impl Args {
@@ -101,6 +105,7 @@
             Command::Pool(args) => args.run(&connect(control)?, format).await,
             Command::Preset(args) => args.run(&connect(control)?, format).await,
             Command::Workspace(args) => args.run(&connect(control)?, format).await,
+            Command::Replay(args) => args.run(),
             Command::Use(args) => args.run(&connect(control)?, format).await,
             Command::Status(args) => args.run(&connect(control)?, format).await,
             Command::History(args) => args.run(&connect(control)?, format).await,
