Split a workspace's limit by the demand that peers have known

Cause: a share followed the demand of the moment, so a burst at every instance at once put 84 requests in flight under a limit of 30.

Change: a share follows the demand told a whole heartbeat interval ago, refused requests counted. Random orders of events now also have late writes and stale reads of the store.

Conclusion: the limit holds within the spare request of each instance.

--- a/crates/ferry-core/src/admit/share.rs
+++ b/crates/ferry-core/src/admit/share.rs
@@ -8,11 +8,17 @@
 /// Most workspaces that one heartbeat names.
 const MOST_NAMED: usize = 8;
 /// Age at which the demand of peers is summed up anew.
-const REFRESH: Moment = Moment::from_millis(500);
+const REFRESH: Moment = Moment::from_millis(200);
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Shares {
     running: SortedMap<WorkspaceId, u32>,
+    /// Requests that found no room since the last regular heartbeat.
+    refused: SortedMap<WorkspaceId, u32>,
+    /// Demand as the last regular heartbeat told it, and the one before.
+    told: SortedMap<WorkspaceId, u32>,
+    told_before: SortedMap<WorkspaceId, u32>,
+    told_at: Moment,
     elsewhere: Elsewhere,
 }
 
@@ -31,10 +37,18 @@
         Shares::default()
     }
 
-    /// Returns the largest demands here, for the next heartbeat.
-    pub fn demand(&self) -> Vec<(WorkspaceId, u32)> {
+    /// Returns the largest demands here, for the heartbeat that goes out now.
+    pub fn tell_demand(&mut self, now: Moment, interval: Moment) -> Vec<(WorkspaceId, u32)> {
+        let names = self.running.keys().chain(self.refused.keys());
+        let demand: SortedMap<WorkspaceId, u32> =
+            names.map(|it| (it.clone(), self.wanted(it))).collect();
+        if self.told_at + interval / 2 <= now {
+            self.told_before = std::mem::replace(&mut self.told, demand.clone());
+            self.told_at = now;
+            self.refused = SortedMap::new();
+        }
         let mut demand: Vec<(WorkspaceId, u32)> =
-            self.running.iter().map(|(name, running)| (name.clone(), *running)).collect();
+            demand.iter().map(|(name, wanted)| (name.clone(), *wanted)).collect();
         demand.sort_by(|left, right| right.1.cmp(&left.1).then(left.0.cmp(&right.0)));
         demand.truncate(MOST_NAMED);
         demand.sort();
@@ -51,9 +65,26 @@
         if is_old {
             self.elsewhere = Elsewhere::new(cx.ctx, cx.now);
         }
-        let running = self.running.get(workspace).copied().unwrap_or(0);
+        let running = count_of(&self.running, workspace);
+        let known = self.known(workspace);
         let elsewhere = self.elsewhere.of(workspace);
-        running < share_of(limit, running, elsewhere, self.elsewhere.n_peers)
+        let has_room = running < share_of(limit, known, elsewhere, self.elsewhere.n_peers);
+        if !has_room {
+            *self.refused.entry_or_with(workspace.to_owned(), || 0) += 1;
+        }
+        has_room
+    }
+
+    /// Returns the demand here that peers have known for a whole interval.
+    ///
+    /// By then they have told theirs, so a burst everywhere at once stays within the limit.
+    fn known(&self, workspace: &str) -> u32 {
+        count_of(&self.told, workspace).min(count_of(&self.told_before, workspace))
+    }
+
+    /// Returns the requests in flight, and those that lately found no room.
+    fn wanted(&self, workspace: &str) -> u32 {
+        count_of(&self.running, workspace) + count_of(&self.refused, workspace)
     }
 
     pub fn started(&mut self, workspace: &WorkspaceId) {
@@ -92,11 +123,15 @@
     }
 }
 
+fn count_of(counts: &SortedMap<WorkspaceId, u32>, workspace: &str) -> u32 {
+    counts.get(workspace).copied().unwrap_or(0)
+}
+
 /// Splits a limit by demand, with a spare request for each instance so that an idle one can start.
-fn share_of(limit: u32, running: u32, elsewhere: u32, n_peers: u32) -> u32 {
-    let own = u64::from(running) + 1;
-    let all = u64::from(running) + u64::from(elsewhere) + u64::from(n_peers) + 1;
+fn share_of(limit: u32, known: u32, elsewhere: u32, n_peers: u32) -> u32 {
+    let own = u64::from(known) + 1;
+    let all = u64::from(known) + u64::from(elsewhere) + u64::from(n_peers) + 1;
     let share = (u64::from(limit) * own / all) as u32;
-    let has_spare = running.saturating_add(elsewhere) < limit;
+    let has_spare = known.saturating_add(elsewhere) < limit;
     share.max(u32::from(has_spare))
 }
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -213,7 +213,9 @@
         let cx = &mut Turn { now, ctx: &mut self.ctx, out };
         if cx.ctx.members.next_wake().is_some_and(|it| it <= now) {
             let loads = self.requests.loads(cx.ctx.config.as_deref());
-            let summary = Summary { loads, demand: self.requests.demand() };
+            let interval = cx.ctx.tuning.beat_interval;
+            let demand = self.requests.tell_demand(now, interval);
+            let summary = Summary { loads, demand };
             beat::tick(cx, summary);
             sweep::tick(cx);
         }
--- a/crates/ferry-core/src/request/summary.rs
+++ b/crates/ferry-core/src/request/summary.rs
@@ -1,6 +1,6 @@
 //! What a heartbeat says of the requests in flight.
 
-use ferry_model::{Config, PoolId, PoolLoad, SortedMap, WorkspaceId};
+use ferry_model::{Config, Moment, PoolId, PoolLoad, SortedMap, WorkspaceId};
 
 use super::Requests;
 
@@ -30,8 +30,8 @@
     }
 
     /// Requests in flight by workspace, the largest ones only, sorted by name.
-    pub fn demand(&self) -> Vec<(WorkspaceId, u32)> {
-        self.shares.demand()
+    pub fn tell_demand(&mut self, now: Moment, interval: Moment) -> Vec<(WorkspaceId, u32)> {
+        self.shares.tell_demand(now, interval)
     }
 }
 
--- a/crates/ferry-fakes/tests/claims_orders.rs
+++ b/crates/ferry-fakes/tests/claims_orders.rs
@@ -18,6 +18,8 @@
     Thaw { node: usize },
     Store { down: bool },
     LoseAnswers { count: u32 },
+    LateWrites { count: u32 },
+    StaleReads { stale: bool },
     Delay { millis: u16 },
     Leave { ticket: u8 },
     Fault { endpoint: u8, fault: u8 },
@@ -36,6 +38,8 @@
         2 => node.prop_map(|node| Step::Thaw { node }),
         2 => any::<bool>().prop_map(|down| Step::Store { down }),
         2 => (1..4_u32).prop_map(|count| Step::LoseAnswers { count }),
+        2 => (1..3_u32).prop_map(|count| Step::LateWrites { count }),
+        2 => any::<bool>().prop_map(|stale| Step::StaleReads { stale }),
         1 => (1..300_u16).prop_map(|millis| Step::Delay { millis }),
         1 => any::<u8>().prop_map(|ticket| Step::Leave { ticket }),
         4 => (any::<u8>(), any::<u8>())
@@ -81,6 +85,9 @@
             Step::Thaw { node } => world.thaw(node),
             Step::Store { down } => world.store.faults.down = down,
             Step::LoseAnswers { count } => world.store.faults.lost_answers += count,
+            Step::LateWrites { count } => world.store.faults.late_writes += count,
+            Step::StaleReads { stale: true } => world.store.freeze_reads(),
+            Step::StaleReads { stale: false } => world.store.faults.stale_reads = false,
             Step::Delay { millis } => {
                 world.store.faults.delay = Duration::from_millis(millis.into());
             }
@@ -133,13 +140,14 @@
             self.world.thaw(node);
         }
         self.world.store.faults.down = false;
+        self.world.store.faults.stale_reads = false;
         self.world.run_for(Duration::from_secs(60));
     }
 }
 
 proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig {
-        cases: 48,
+        cases: 96,
         rng_seed: proptest::test_runner::RngSeed::Fixed(4),
         failure_persistence: None,
         ..Default::default()
