--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -3,19 +3,26 @@
 pub mod claims;
 pub mod decide;
 pub mod demo;
+pub mod matrix;
 pub mod overhead;
 pub mod policies;
+pub mod slopes;
 pub mod spread;
 
 use argh::FromArgs;
 
 /// Measures tarragonferry on loopback.
-///
-/// Example: ferry-bench demo --deployment kancil --seconds 5
 #[derive(Debug, FromArgs)]
+#[argh(
+    example = "ferry-bench demo --deployment kancil --seconds 5",
+    error_code(1, "A measurement failed, or something was lost, doubled or misaddressed.")
+)]
 pub struct Args {
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
     #[argh(subcommand)]
-    command: Command,
+    command: Option<Command>,
 }
 
 #[derive(Debug, FromArgs)]
@@ -24,19 +31,27 @@
     Claims(claims::ClaimsArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Slopes(slopes::SlopesArgs),
     Spread(spread::SpreadArgs),
 }
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
-        match self.command {
+        if self.version {
+            println!("ferry-bench {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        match self.command.ok_or("no command was given; see ferry-bench --help")? {
             Command::Claims(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Slopes(args) => args.run(),
             Command::Spread(args) => args.run(),
         }
     }
