--- a/crates/ferry-bench/src/experiments.rs
+++ b/crates/ferry-bench/src/experiments.rs
@@ -1,4 +1,7 @@
-//! Measurements on virtual time: the reducers over the fakes, with no socket and no clock.
+//! Experiments on virtual time: the same seed gives the same figures.
 
 pub mod announce;
+pub mod claims;
+pub mod decide;
+pub mod policies;
 pub mod spread;
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the state that all parts share, to measure one of them alone.
+    pub fn into_context(self) -> Context {
+        self.ctx
+    }
+
     /// Takes one event at `now` and returns what the process has to do, in order.
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
@@ -207,7 +212,8 @@
     fn finish(&mut self, now: Moment, out: &mut Vec<Effect>) {
         let cx = &mut Turn { now, ctx: &mut self.ctx, out };
         if cx.ctx.members.next_wake().is_some_and(|it| it <= now) {
-            let summary = Summary { loads: self.requests.loads(), demand: self.requests.demand() };
+            let loads = self.requests.loads(cx.ctx.config.as_deref());
+            let summary = Summary { loads, demand: self.requests.demand() };
             beat::tick(cx, summary);
             sweep::tick(cx);
         }
@@ -246,6 +252,11 @@
         &self.ctx.identity
     }
 
+    /// Requests in flight.
+    pub fn n_requests(&self) -> usize {
+        self.requests.n_flights() as usize
+    }
+
     pub fn fleet(&self) -> &Fleet {
         &self.ctx.fleet
     }
--- a/crates/ferry-fakes/src/lib.rs
+++ b/crates/ferry-fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`World`] drives any number of nodes with events alone. It is seeded, reads no
 //! clock and does no I/O; tests and experiments share it.
 
+pub mod beats;
 pub mod border;
 pub mod caller;
 pub mod deployment;
@@ -13,6 +14,7 @@
 pub mod trace;
 pub mod world;
 
+pub use beats::{FakeEntries, FakeEntry};
 pub use border::{Border, Passed};
 pub use caller::{Asked, Request};
 pub use deployment::{Deployment, DeploymentName, PoolShape};
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -29,6 +29,8 @@
 pub enum CommandError {
     #[error("no command was given; see ferryctl --help")]
     Missing,
+    #[error(transparent)]
+    Cert(#[from] cert::CertCommandError),
     #[error("no control instance was named; set --control or {CONTROL_ENV}")]
     NoControl,
     #[error("could not read {text:?} as an IP address and port")]
@@ -42,8 +44,6 @@
     #[error("revision {revision} is not in force everywhere: {lagging}")]
     Lagging { revision: u64, lagging: String },
     #[error(transparent)]
-    Cert(#[from] cert::CertCommandError),
-    #[error(transparent)]
     Client(#[from] ClientError),
     #[error("could not format the output: {0}")]
     Format(#[from] serde_json::Error),
@@ -90,20 +90,20 @@
             println!("ferryctl {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
         }
-        let format = Format::new(self.json);
+        let (format, control) = (Format::new(self.json), self.control);
         match self.command.ok_or(CommandError::Missing)? {
             Command::Cert(args) => Ok(args.run()?),
             Command::Token(args) => {
                 args.run();
                 Ok(())
             }
-            Command::Pipeline(args) => args.run(&connect(self.control)?, format).await,
-            Command::Pool(args) => args.run(&connect(self.control)?, format).await,
-            Command::Preset(args) => args.run(&connect(self.control)?, format).await,
-            Command::Workspace(args) => args.run(&connect(self.control)?, format).await,
-            Command::Use(args) => args.run(&connect(self.control)?, format).await,
-            Command::Status(args) => args.run(&connect(self.control)?, format).await,
-            Command::History(args) => args.run(&connect(self.control)?, format).await,
+            Command::Pipeline(args) => args.run(&connect(control)?, format).await,
+            Command::Pool(args) => args.run(&connect(control)?, format).await,
+            Command::Preset(args) => args.run(&connect(control)?, format).await,
+            Command::Workspace(args) => args.run(&connect(control)?, format).await,
+            Command::Use(args) => args.run(&connect(control)?, format).await,
+            Command::Status(args) => args.run(&connect(control)?, format).await,
+            Command::History(args) => args.run(&connect(control)?, format).await,
         }
     }
 }
