--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -46,7 +46,7 @@
             Command::Demo(args) => args.run().await,
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
-            Command::Spread(args) => args.run(),
+            Command::Spread(args) => args.run().await,
         }
     }
 }
--- a/crates/ferry-bench/src/cmd/spread.rs
+++ b/crates/ferry-bench/src/cmd/spread.rs
@@ -5,6 +5,8 @@
 use argh::FromArgs;
 use ferry_bench::experiments::announce::{self, Fleet, Setup, Trouble, Way};
 use ferry_bench::experiments::spread::{self, Condition};
+use ferry_bench::experiments::wire;
+use ferry_bench::{Deployment, DeploymentName};
 use strum::{EnumString, IntoEnumIterator};
 
 /// Fleet sizes, each with its number of zones.
@@ -28,7 +30,7 @@
     /// seconds of virtual time for the costs (default 60)
     #[argh(option, default = "60")]
     seconds: u64,
-    /// what to measure: all, times, announcements or costs (default all)
+    /// what to measure: all, times, announcements, costs or wire (default all)
     #[argh(option, default = "Part::All")]
     part: Part,
 }
@@ -40,10 +42,11 @@
     Times,
     Announcements,
     Costs,
+    Wire,
 }
 
 impl SpreadArgs {
-    pub fn run(&self) -> Result<(), String> {
+    pub async fn run(&self) -> Result<(), String> {
         if matches!(self.part, Part::All | Part::Times) {
             self.times()?;
         }
@@ -53,6 +56,9 @@
         if matches!(self.part, Part::All | Part::Costs) {
             self.costs()?;
         }
+        if matches!(self.part, Part::All | Part::Wire) {
+            self.wire().await?;
+        }
         Ok(())
     }
 
@@ -125,6 +131,17 @@
         );
     }
 
+    async fn wire(&self) -> Result<(), String> {
+        let deployment = Deployment::new(DeploymentName::Ikenna);
+        println!("\nbetween real instances at rest, sent and received by one, a second");
+        println!("{:>4} {:>10} {:>10}", "n", "datagrams", "bytes");
+        for n_entries in [2, 4, 8] {
+            let it = wire::measure(&deployment, n_entries, self.seconds).await?;
+            println!("{n_entries:>4} {:>10.1} {:>10.0}", it.datagrams, it.bytes);
+        }
+        Ok(())
+    }
+
     fn costs(&self) -> Result<(), String> {
         println!("\nstored configuration: {} bytes", spread::config_bytes()?);
         println!("cost of one instance a second; changes come every {CHANGE_GAP:?}");
--- a/crates/ferry-bench/src/experiments.rs
+++ b/crates/ferry-bench/src/experiments.rs
@@ -1,7 +1,8 @@
-//! Experiments on virtual time: the same seed gives the same figures.
+//! Experiments on virtual time, where the same seed gives the same figures; [`wire`] uses sockets.
 
 pub mod announce;
 pub mod claims;
 pub mod decide;
 pub mod policies;
 pub mod spread;
+pub mod wire;
