--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -52,7 +52,7 @@
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
             Command::Slopes(args) => args.run(),
-            Command::Spread(args) => args.run(),
+            Command::Spread(args) => args.run().await,
         }
     }
 }
