--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub mod claims;
+pub mod day;
 pub mod decide;
 pub mod demo;
 pub mod overhead;
@@ -22,6 +23,7 @@
 #[argh(subcommand)]
 enum Command {
     Claims(claims::ClaimsArgs),
+    Day(day::DayArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     Overhead(overhead::OverheadArgs),
@@ -33,6 +35,7 @@
     pub async fn run(self) -> Result<(), String> {
         match self.command {
             Command::Claims(args) => args.run(),
+            Command::Day(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::Overhead(args) => args.run().await,
--- a/crates/ferry-bench/src/experiments.rs
+++ b/crates/ferry-bench/src/experiments.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod claims;
+pub mod day;
 pub mod decide;
 pub mod policies;
 pub mod spread;
