--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -53,7 +53,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "FERRY_TOKEN=... ferryctl --control 10.0.0.7:8443 use peak --latest --wait",
-    note = "docs/CONFIGURATION.md describes each command.",
+    note = "docs/OPERATING.md and docs/CONFIGURATION.md describe each command.",
     error_code(1, "The command failed or was not understood.")
 )]
 pub struct Args {
@@ -97,13 +97,13 @@
                 args.run();
                 Ok(())
             }
-            Command::Pipeline(args) => args.run(&connect(control)?, format).await,
-            Command::Pool(args) => args.run(&connect(control)?, format).await,
-            Command::Preset(args) => args.run(&connect(control)?, format).await,
-            Command::Workspace(args) => args.run(&connect(control)?, format).await,
-            Command::Use(args) => args.run(&connect(control)?, format).await,
-            Command::Status(args) => args.run(&connect(control)?, format).await,
-            Command::History(args) => args.run(&connect(control)?, format).await,
+            Command::Pipeline(args) => args.run(&connect(self.control)?, format).await,
+            Command::Pool(args) => args.run(&connect(self.control)?, format).await,
+            Command::Preset(args) => args.run(&connect(self.control)?, format).await,
+            Command::Workspace(args) => args.run(&connect(self.control)?, format).await,
+            Command::Use(args) => args.run(&connect(self.control)?, format).await,
+            Command::Status(args) => args.run(&connect(self.control)?, format).await,
+            Command::History(args) => args.run(&connect(self.control)?, format).await,
         }
     }
 }
