Give the endpoint stand-in orders, a weight store, faults and its log over HTTP

Cause: orders of real processes had nobody to obey or refuse them.

Change: GET and PUT /v1/state, with fences where they are checked, loads through a weight store that serves two at once, GET /witness, GET and PUT /control/faults (straggle, late, misaddress, fail, leaving, mute, broken, stalled and doubled streams). Demand's mean and bursts are told apart, as the upper envelope of noisy samples was paid for twice.

Conclusion: the order client and the stand-in agree on the interface.

--- a/crates/ferry-core/src/place/decide.rs
+++ b/crates/ferry-core/src/place/decide.rs
@@ -139,7 +139,7 @@
     ) -> usize {
         let tuning = &cx.ctx.tuning.place;
         let level = self.demand.level(pool);
-        self.history.record(cx.now, tuning, pool, level);
+        self.history.record(cx.now, tuning, pool, self.demand.mean(pool));
         let expected = self.history.expect(cx.now, tuning, pool, level);
         let slots = self.mean_slots(candidates);
         let need = scale::endpoints_for(expected, slots, tuning.utilisation);
--- a/crates/ferry-core/src/place/demand.rs
+++ b/crates/ferry-core/src/place/demand.rs
@@ -7,10 +7,12 @@
 
 use super::PlaceTuning;
 
-/// Weight of a higher sample in the running level: bursts count at once.
-const RISE: f64 = 0.6;
-/// Weight of a lower sample.
-const FALL: f64 = 0.15;
+/// Weight of a sample in the mean level; the noise of single samples stays out of it.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Weight of a sample in the level that tells bursts.
+const BURST_WEIGHT: f64 = 0.5;
+/// Standard deviations above the mean from which a level is a burst.
+const BURST: f64 = 2.0;
 
 /// The last heartbeat of one instance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -21,13 +23,26 @@
     loads: Vec<PoolLoad>,
 }
 
+/// Smoothed number of concurrent calls to one pool.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct Level {
+    mean: f64,
+    recent: f64,
+}
+
+impl Level {
+    fn add(&mut self, sample: f64) {
+        self.mean += MEAN_WEIGHT * (sample - self.mean);
+        self.recent += BURST_WEIGHT * (sample - self.recent);
+    }
+}
+
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Demand {
     members: SortedMap<InstanceId, Member>,
     /// Entries on the instance list, sorted.
     listed: Vec<InstanceId>,
-    /// Smoothed number of concurrent calls by pool.
-    levels: SortedMap<PoolId, f64>,
+    levels: SortedMap<PoolId, Level>,
 }
 
 impl Demand {
@@ -53,15 +68,23 @@
             sums.entry_or_with(pool.clone(), || 0.0);
         }
         for (pool, sample) in sums.iter() {
-            let level = self.levels.entry_or_with(pool.clone(), || *sample);
-            let weight = if *level < *sample { RISE } else { FALL };
-            *level += weight * (sample - *level);
+            let first = Level { mean: *sample, recent: *sample };
+            self.levels.entry_or_with(pool.clone(), || first).add(*sample);
         }
     }
 
-    /// Returns the smoothed number of concurrent calls to a pool.
+    /// Returns the number of concurrent calls to a pool: the mean, or a burst above it.
     pub fn level(&self, pool: &str) -> f64 {
-        self.levels.get(pool).copied().unwrap_or(0.0)
+        let level = self.levels.get(pool).copied().unwrap_or_default();
+        match level.mean + BURST * level.mean.sqrt() < level.recent {
+            true => level.recent,
+            false => level.mean,
+        }
+    }
+
+    /// Returns the mean number of concurrent calls to a pool.
+    pub fn mean(&self, pool: &str) -> f64 {
+        self.levels.get(pool).map_or(0.0, |it| it.mean)
     }
 
     /// Whether each instance that may send work obeys the plan `revision` or a later one.
--- a/crates/ferry-standin/src/deployment.rs
+++ b/crates/ferry-standin/src/deployment.rs
@@ -1,6 +1,7 @@
 //! All stand-ins of one deployment: the platform and every endpoint.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_core::config::CONFIG_NAME;
 use ferry_fakes::Deployment;
@@ -9,7 +10,11 @@
 use ferry_model::{Endpoint, EndpointState, ObjectKind, Role};
 use slog::Logger;
 
-use crate::{EndpointSpec, EndpointStandin, PlatformStandin, Witness};
+use crate::{EndpointSpec, EndpointStandin, PlatformStandin, WeightStore, Witness};
+
+/// Loads that the weight store serves at once, and the time of each.
+const LOADS_AT_ONCE: usize = 2;
+const LOAD: Duration = Duration::from_secs(1);
 
 pub struct DeploymentStandins {
     pub platform: PlatformStandin,
@@ -28,13 +33,15 @@
     ) -> Result<DeploymentStandins, String> {
         let witness = Witness::new();
         let platform = PlatformStandin::start(bind, witness.clone(), log)?;
+        let weights = WeightStore::new(LOADS_AT_ONCE, LOAD);
         let mut endpoints = Vec::new();
         let mut listed = Vec::new();
         let any_port = SocketAddr::new(bind.ip(), 0);
         for shape in &deployment.pools {
             for idx in 0..shape.endpoints {
-                let spec = spec(shape, idx);
-                let standin = EndpointStandin::start(any_port, spec, witness.clone(), log)?;
+                let spec = spec(deployment, shape, idx);
+                let (witness, weights) = (witness.clone(), weights.clone());
+                let standin = EndpointStandin::start(any_port, spec, witness, weights, log)?;
                 listed.push(line(deployment, shape, idx, standin.address()));
                 endpoints.push(standin);
             }
@@ -50,12 +57,14 @@
     }
 }
 
-fn spec(shape: &PoolShape, idx: usize) -> EndpointSpec {
+fn spec(deployment: &Deployment, shape: &PoolShape, idx: usize) -> EndpointSpec {
     EndpointSpec {
         id: format!("{}-{idx}", shape.name),
         service: shape.service,
         token: shape.token,
         slots: shape.slots,
+        models: vec![shape.model.unwrap_or(shape.name).to_owned()],
+        checks_fence: deployment.config.pool(shape.name).is_none_or(|it| it.checks_fence),
     }
 }
 
--- a/crates/ferry-standin/src/lib.rs
+++ b/crates/ferry-standin/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod witness;
 
 pub use deployment::DeploymentStandins;
-pub use endpoint::{EndpointSpec, EndpointStandin};
+pub use endpoint::{
+    EndpointFaults, EndpointSpec, EndpointStandin, EngineState, Obedience, WeightStore,
+};
 pub use platform::{Counts, Faults, PlatformStandin, PlatformState};
 pub use witness::{Run, Witness};
--- /dev/null
+++ b/crates/ferry-standin/tests/endpoint.rs
@@ -0,0 +1,198 @@
+//! The endpoint stand-in: orders with and without fences, the weight store, faults and the log.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_core::Event;
+use ferry_edge::{HttpClient, OrderClient, logs};
+use ferry_model::{EndpointReport, Order, OrderResult, Role};
+use ferry_standin::{EndpointFaults, EndpointSpec, EndpointStandin, Run, WeightStore, Witness};
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const MODEL: &str = "draft-large";
+
+fn start(checks_fence: bool, weights: &WeightStore) -> EndpointStandin {
+    let spec = EndpointSpec {
+        id: "engine-0".to_owned(),
+        service: Duration::from_millis(1),
+        token: Duration::from_millis(1),
+        slots: 4,
+        models: vec![MODEL.to_owned()],
+        checks_fence,
+    };
+    let bind = SocketAddr::from(([127, 0, 0, 1], 0));
+    let log = logs::silent_logger();
+    EndpointStandin::start(bind, spec, Witness::new(), weights.clone(), &log).expect("it starts")
+}
+
+fn weights() -> WeightStore {
+    WeightStore::new(1, Duration::from_millis(50))
+}
+
+fn order(fence: u64, models: &[&str]) -> Order {
+    Order {
+        endpoint: "engine-0".to_owned(),
+        fence,
+        models: models.iter().map(|it| (*it).to_owned()).collect(),
+        role: Role::Both,
+        life: TIMEOUT,
+    }
+}
+
+async fn give(address: SocketAddr, order: Order, received: Instant) -> OrderResult {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    OrderClient::new().order(address, order, received, tx).await;
+    match rx.recv().await {
+        Some(Event::Ordered { result, .. }) => result,
+        other => panic!("an order's end, not {other:?}"),
+    }
+}
+
+async fn inspect(address: SocketAddr) -> EndpointReport {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    OrderClient::new().inspect(address, "engine-0".to_owned(), tx).await;
+    match rx.recv().await {
+        Some(Event::Report { report: Some(report), .. }) => report,
+        other => panic!("a report, not {other:?}"),
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &Value,
+) -> (StatusCode, Value) {
+    let http = HttpClient::new();
+    let answer = http.call(method, address, path, Some(body), TIMEOUT).await.expect("an answer");
+    (answer.status, answer.json().unwrap_or(Value::Null))
+}
+
+fn stage_body(attempt: u64) -> Value {
+    let ferry = json!({ "request": "0a", "stage": "encode", "attempt": attempt });
+    json!({ "ferry": ferry, "key": "k", "input": "x", "budget_ms": 1000 })
+}
+
+struct Case {
+    name: &'static str,
+    checks_fence: bool,
+    fences: [u64; 2],
+    result: OrderResult,
+    models: &'static [&'static str],
+}
+
+#[tokio::test]
+async fn old_fences_are_refused_where_they_are_checked() {
+    let cases = [
+        Case {
+            name: "newer fence",
+            checks_fence: true,
+            fences: [5, 6],
+            result: OrderResult::Obeyed,
+            models: &[],
+        },
+        Case {
+            name: "old fence",
+            checks_fence: true,
+            fences: [5, 4],
+            result: OrderResult::Fenced { seen: 5 },
+            models: &[MODEL],
+        },
+        Case {
+            name: "old fence, not checked",
+            checks_fence: false,
+            fences: [5, 4],
+            result: OrderResult::Obeyed,
+            models: &[],
+        },
+    ];
+    for case in cases {
+        let standin = start(case.checks_fence, &weights());
+        let address = standin.address();
+        let first = give(address, order(case.fences[0], &[MODEL]), Instant::now()).await;
+        assert_eq!(first, OrderResult::Obeyed, "{}", case.name);
+        let second = give(address, order(case.fences[1], &[]), Instant::now()).await;
+        assert_eq!(second, case.result, "{}", case.name);
+        assert_eq!(inspect(address).await.models, case.models, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn order_whose_life_is_over_is_not_sent() {
+    let standin = start(true, &weights());
+    let received = Instant::now();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let late = Order { life: Duration::from_millis(10), ..order(9, &[]) };
+    let result = give(standin.address(), late, received).await;
+    assert!(matches!(result, OrderResult::Unsent { .. }), "{result:?}");
+    let report = inspect(standin.address()).await;
+    assert_eq!((report.models.len(), report.fence), (1, Some(0)), "it never saw the order");
+}
+
+#[tokio::test]
+async fn loads_wait_for_the_weight_store() {
+    let weights = weights();
+    let (left, right) = (start(true, &weights), start(true, &weights));
+    for it in [&left, &right] {
+        let result = give(it.address(), order(1, &[]), Instant::now()).await;
+        assert_eq!(result, OrderResult::Obeyed);
+    }
+    let first = give(left.address(), order(2, &[MODEL]), Instant::now()).await;
+    assert_eq!(first, OrderResult::Obeyed);
+    assert_eq!(inspect(left.address()).await.loading, [MODEL]);
+    let second = give(right.address(), order(2, &[MODEL]), Instant::now()).await;
+    assert!(matches!(second, OrderResult::Refused { .. }), "{second:?}");
+    let loaded = async {
+        while inspect(left.address()).await.models.is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, loaded).await.expect("it loads");
+    let again = give(right.address(), order(2, &[MODEL]), Instant::now()).await;
+    assert_eq!(again, OrderResult::Obeyed);
+}
+
+#[tokio::test]
+async fn unloaded_endpoint_refuses_calls_and_runs_none() {
+    let standin = start(true, &weights());
+    let address = standin.address();
+    let (status, _) = call(address, Method::POST, "/v1/stages/encode", &stage_body(1)).await;
+    assert_eq!(status, StatusCode::OK);
+    give(address, order(1, &[]), Instant::now()).await;
+    let (status, body) = call(address, Method::POST, "/v1/stages/encode", &stage_body(2)).await;
+    assert_eq!((status, &body["leaving"]), (StatusCode::SERVICE_UNAVAILABLE, &json!(false)));
+    let (_, runs) = call(address, Method::GET, "/witness", &Value::Null).await;
+    let runs: Vec<Run> = serde_json::from_value(runs).expect("runs");
+    let attempts: Vec<u64> = runs.iter().map(|it| it.attempt).collect();
+    assert_eq!(attempts, [1], "only the call that was taken");
+}
+
+#[tokio::test]
+async fn faults_are_set_over_http() {
+    let standin = start(true, &weights());
+    let address = standin.address();
+    let cases = [
+        (json!({ "leaving": true }), StatusCode::SERVICE_UNAVAILABLE),
+        (json!({ "fail": true }), StatusCode::INTERNAL_SERVER_ERROR),
+        (json!({}), StatusCode::OK),
+    ];
+    for (faults, expected) in cases {
+        let (status, body) = call(address, Method::PUT, "/control/faults", &faults).await;
+        assert_eq!(status, StatusCode::OK);
+        let set: EndpointFaults = serde_json::from_value(body).expect("faults");
+        assert_eq!(set, serde_json::from_value(faults.clone()).expect("faults"));
+        let (status, _) = call(address, Method::POST, "/v1/stages/encode", &stage_body(1)).await;
+        assert_eq!(status, expected, "{faults}");
+    }
+    let misaddress = json!({ "misaddress": true });
+    call(address, Method::PUT, "/control/faults", &misaddress).await;
+    let (_, body) = call(address, Method::POST, "/v1/stages/encode", &stage_body(6)).await;
+    assert_eq!(body["ferry"]["attempt"], json!(7), "another call's echo");
+    let unknown = json!({ "no_such_fault": true });
+    let (status, _) = call(address, Method::PUT, "/control/faults", &unknown).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
