--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -4,8 +4,10 @@
 pub mod day;
 pub mod decide;
 pub mod demo;
+pub mod matrix;
 pub mod overhead;
 pub mod policies;
+pub mod slopes;
 pub mod spread;
 
 use argh::FromArgs;
@@ -31,8 +33,10 @@
     Day(day::DayArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Slopes(slopes::SlopesArgs),
     Spread(spread::SpreadArgs),
 }
 
@@ -47,8 +51,10 @@
             Command::Day(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Slopes(args) => args.run(),
             Command::Spread(args) => args.run(),
         }
     }
