--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub mod claims;
+pub mod day;
 pub mod decide;
 pub mod demo;
 pub mod matrix;
@@ -29,6 +30,7 @@
 #[argh(subcommand)]
 enum Command {
     Claims(claims::ClaimsArgs),
+    Day(day::DayArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     Matrix(matrix::MatrixArgs),
@@ -46,6 +48,7 @@
         }
         match self.command.ok_or("no command was given; see ferry-bench --help")? {
             Command::Claims(args) => args.run(),
+            Command::Day(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::Matrix(args) => args.run(),
