Run experiments from files and report them

Cause: experiments were commands with fixed figures, and nobody could draw them or set two side by side. Change: ferry-bench list, run, compare and report over files in experiments/, with open-loop arrivals, hdrhistogram quantiles, CSV and an HTML page. Conclusion: an experiment can be repeated from its file and its seed.

--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,11 +1,15 @@
 //! Subcommands, one file each.
 
 pub mod claims;
+pub mod compare;
 pub mod decide;
 pub mod demo;
+pub mod list;
 pub mod matrix;
 pub mod overhead;
 pub mod policies;
+pub mod report;
+pub mod run;
 pub mod slopes;
 pub mod spread;
 
@@ -24,11 +28,15 @@
 #[argh(subcommand)]
 enum Command {
     Claims(claims::ClaimsArgs),
+    Compare(compare::CompareArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    List(list::ListArgs),
     Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Report(report::ReportArgs),
+    Run(run::RunArgs),
     Slopes(slopes::SlopesArgs),
     Spread(spread::SpreadArgs),
 }
@@ -37,11 +45,15 @@
     pub async fn run(self) -> Result<(), String> {
         match self.command {
             Command::Claims(args) => args.run(),
+            Command::Compare(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::List(args) => args.run(),
             Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Report(args) => args.run(),
+            Command::Run(args) => args.run(),
             Command::Slopes(args) => args.run(),
             Command::Spread(args) => args.run(),
         }
--- /dev/null
+++ b/crates/ferry-bench/src/experiment/samples.rs
@@ -0,0 +1,189 @@
+//! One line for each request of an experiment, and what they sum up to.
+
+use std::fs;
+use std::path::Path;
+
+use ferry_model::{Outcome, SortedMap};
+use hdrhistogram::Histogram;
+
+use crate::experiments::policies::{Played, Run};
+
+const HEADER: &str = "policy,seed,at_ms,pipeline,outcome,latency_us,deadline_us";
+const COST_HEADER: &str = "policy,pool,runner_seconds,requests";
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY: u64 = 600_000_000;
+
+/// One request; latency counts from when it was meant to start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    pub policy: String,
+    pub seed: u64,
+    pub at_ms: u64,
+    pub pipeline: String,
+    /// None if no answer came.
+    pub outcome: Option<Outcome>,
+    pub latency_us: u64,
+    pub deadline_us: u64,
+}
+
+/// Time that a pool's endpoints were busy under a policy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Cost {
+    pub policy: String,
+    pub pool: String,
+    pub runner_seconds: f64,
+    pub requests: u64,
+}
+
+/// Everything an experiment left.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Results {
+    pub samples: Vec<Sample>,
+    pub costs: Vec<Cost>,
+}
+
+/// What the requests of one policy sum up to.
+#[derive(Debug, Clone)]
+pub struct Summary {
+    pub policy: String,
+    pub sent: usize,
+    /// Share complete within their deadline.
+    pub attainment: f64,
+    /// Latency of complete requests, in microseconds.
+    pub latencies: Histogram<u64>,
+}
+
+impl Sample {
+    pub fn is_in_time(&self) -> bool {
+        self.outcome == Some(Outcome::Complete) && self.latency_us <= self.deadline_us
+    }
+}
+
+impl Results {
+    /// Adds the requests and the costs of one run.
+    pub fn add(&mut self, run: Run, played: &Played) {
+        let policy = run.policy.to_string();
+        let config = &played.deployment.config;
+        for asked in played.world.asked.values() {
+            let Some(pipeline) = config.pipeline(&asked.request.pipeline) else { continue };
+            let deadline = asked.request.deadline.unwrap_or(pipeline.deadline);
+            self.samples.push(Sample {
+                policy: policy.clone(),
+                seed: run.seed,
+                at_ms: asked.at.saturating_sub(played.start).as_millis() as u64,
+                pipeline: pipeline.name.clone(),
+                outcome: asked.answer().map(|it| it.outcome),
+                latency_us: asked.latency().unwrap_or_default().as_micros() as u64,
+                deadline_us: deadline.as_micros() as u64,
+            });
+        }
+        let requests = played.world.asked.len() as u64;
+        for shape in &played.deployment.pools {
+            let members =
+                played.world.endpoints.values().filter(|it| it.endpoint.pool == shape.name);
+            let runner_seconds = members.map(|it| it.busy.as_secs_f64()).sum();
+            let (policy, pool) = (policy.clone(), shape.name.to_owned());
+            self.costs.push(Cost { policy, pool, runner_seconds, requests });
+        }
+    }
+
+    /// Returns the policies in the order in which they first ran.
+    pub fn policies(&self) -> Vec<&str> {
+        let mut names: Vec<&str> = Vec::new();
+        for sample in &self.samples {
+            if !names.contains(&sample.policy.as_str()) {
+                names.push(&sample.policy);
+            }
+        }
+        names
+    }
+
+    pub fn summary(&self, policy: &str) -> Result<Summary, String> {
+        let mut latencies = Histogram::new_with_max(MAX_LATENCY, 3).map_err(|it| it.to_string())?;
+        let own: Vec<&Sample> = self.samples.iter().filter(|it| it.policy == policy).collect();
+        for sample in own.iter().filter(|it| it.outcome == Some(Outcome::Complete)) {
+            latencies.saturating_record(sample.latency_us);
+        }
+        let n_in_time = own.iter().filter(|it| it.is_in_time()).count();
+        let attainment = n_in_time as f64 / own.len().max(1) as f64;
+        Ok(Summary { policy: policy.to_owned(), sent: own.len(), attainment, latencies })
+    }
+
+    /// Returns runner-seconds by pool for 1,000 requests of a policy.
+    pub fn costs_of(&self, policy: &str) -> Vec<(&str, f64)> {
+        let mut sums: SortedMap<&str, (f64, u64)> = SortedMap::new();
+        for it in self.costs.iter().filter(|it| it.policy == policy) {
+            let sum = sums.entry_or_with(it.pool.as_str(), || (0.0, 0));
+            sum.0 += it.runner_seconds;
+            sum.1 += it.requests;
+        }
+        let per_thousand = |it: &(f64, u64)| it.0 * 1e3 / it.1.max(1) as f64;
+        sums.iter().map(|(pool, sum)| (*pool, per_thousand(sum))).collect()
+    }
+
+    /// Writes `NAME.csv` and `NAME.cost.csv` into a folder.
+    pub fn save(&self, folder: &Path, name: &str) -> Result<(), String> {
+        fs::create_dir_all(folder)
+            .map_err(|it| format!("could not make {}: {it}", folder.display()))?;
+        let mut text = format!("{HEADER}\n");
+        for it in &self.samples {
+            let outcome = it.outcome.map_or_else(|| "none".to_owned(), |it| it.to_string());
+            text += &format!(
+                "{},{},{},{},{outcome},{},{}\n",
+                it.policy, it.seed, it.at_ms, it.pipeline, it.latency_us, it.deadline_us
+            );
+        }
+        write(&folder.join(format!("{name}.csv")), &text)?;
+        let mut text = format!("{COST_HEADER}\n");
+        for it in &self.costs {
+            text += &format!("{},{},{},{}\n", it.policy, it.pool, it.runner_seconds, it.requests);
+        }
+        write(&folder.join(format!("{name}.cost.csv")), &text)
+    }
+
+    /// Reads what [`Results::save`] wrote, by the path of `NAME.csv`.
+    pub fn load(path: &Path) -> Result<Results, String> {
+        let samples = rows(path, HEADER, |it| {
+            Some(Sample {
+                policy: it.first()?.to_string(),
+                seed: it.get(1)?.parse().ok()?,
+                at_ms: it.get(2)?.parse().ok()?,
+                pipeline: it.get(3)?.to_string(),
+                outcome: it.get(4)?.parse().ok(),
+                latency_us: it.get(5)?.parse().ok()?,
+                deadline_us: it.get(6)?.parse().ok()?,
+            })
+        })?;
+        let costs = rows(&path.with_extension("cost.csv"), COST_HEADER, |it| {
+            Some(Cost {
+                policy: it.first()?.to_string(),
+                pool: it.get(1)?.to_string(),
+                runner_seconds: it.get(2)?.parse().ok()?,
+                requests: it.get(3)?.parse().ok()?,
+            })
+        })?;
+        Ok(Results { samples, costs })
+    }
+}
+
+fn rows<T>(
+    path: &Path,
+    header: &str,
+    read: impl Fn(&[&str]) -> Option<T>,
+) -> Result<Vec<T>, String> {
+    let shown = path.display();
+    let text = fs::read_to_string(path).map_err(|it| format!("could not read {shown}: {it}"))?;
+    let mut lines = text.lines().zip(1..);
+    if lines.next().map(|(it, _)| it) != Some(header) {
+        return Err(format!("could not read {shown}:1: expected `{header}`"));
+    }
+    let parse = |(line, number): (&str, usize)| {
+        let fields: Vec<&str> = line.split(',').collect();
+        read(&fields).ok_or_else(|| format!("could not read {shown}:{number}: `{line}`"))
+    };
+    lines.map(parse).collect()
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    fs::write(path, text).map_err(|it| format!("could not write {}: {it}", path.display()))
+}
--- a/crates/ferry-bench/src/experiments/policies.rs
+++ b/crates/ferry-bench/src/experiments/policies.rs
@@ -96,8 +96,22 @@
     runs
 }
 
-/// Performs a run on virtual time.
+/// A world after a run, with the time of the first arrival.
+#[derive(Debug)]
+pub struct Played {
+    pub deployment: Deployment,
+    pub world: World,
+    pub start: Moment,
+}
+
+/// Performs a run on virtual time and measures it.
 pub fn perform(run: Run) -> Result<Figures, serde_json::Error> {
+    let Played { deployment, world, start } = play(run)?;
+    Ok(measure(&deployment, run, &world, start))
+}
+
+/// Performs a run on virtual time.
+pub fn play(run: Run) -> Result<Played, serde_json::Error> {
     let deployment = shape(run);
     let tuning = Tuning { policy: run.policy, ..Tuning::default() };
     let mut world = World::with_deployment(&deployment, N_ENTRIES, &tuning, run.seed)?;
@@ -118,7 +132,7 @@
         world.ask(alive, arrival.request);
     }
     world.run_until(start + run.length + TAIL);
-    Ok(measure(&deployment, run, &world, start))
+    Ok(Played { deployment, world, start })
 }
 
 /// Returns the deployment with the pools and the mix of the case.
--- a/crates/ferry-bench/src/lib.rs
+++ b/crates/ferry-bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load and experiment tool: whole deployments on loopback and their measurements.
 
 pub mod cluster;
+pub mod experiment;
 pub mod experiments;
 pub mod load;
 pub mod overhead;
