--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -16,12 +16,17 @@
 use argh::FromArgs;
 
 /// Measures tarragonferry on loopback.
-///
-/// Example: ferry-bench demo --deployment kancil --seconds 5
 #[derive(Debug, FromArgs)]
+#[argh(
+    example = "ferry-bench demo --deployment kancil --seconds 5",
+    error_code(1, "A measurement failed, or something was lost, doubled or misaddressed.")
+)]
 pub struct Args {
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
     #[argh(subcommand)]
-    command: Command,
+    command: Option<Command>,
 }
 
 #[derive(Debug, FromArgs)]
@@ -43,7 +48,11 @@
 
 impl Args {
     pub async fn run(self) -> Result<(), String> {
-        match self.command {
+        if self.version {
+            println!("ferry-bench {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        match self.command.ok_or("no command was given; see ferry-bench --help")? {
             Command::Claims(args) => args.run(),
             Command::Compare(args) => args.run(),
             Command::Decide(args) => args.run(),
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -56,7 +56,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "FERRY_TOKEN=... ferryctl --control 10.0.0.7:8443 use peak --latest --wait",
-    note = "docs/CONFIGURATION.md describes each command.",
+    note = "docs/OPERATING.md and docs/CONFIGURATION.md describe each command.",
     error_code(1, "The command failed or was not understood.")
 )]
 pub struct Args {
