Print the matrix's counts past the test runner's capture

Cause: the counts were captured whenever all cells held. Change: they go straight to standard error. Conclusion: cargo test shows them in every run.

--- a/crates/ferry-proof/tests/matrix.rs
+++ b/crates/ferry-proof/tests/matrix.rs
@@ -1,5 +1,6 @@
 //! The fault matrix, with its counts, and proof that its checker can fail.
 
+use std::io::Write;
 use std::sync::OnceLock;
 
 use ferry_proof::matrix::{Cell, Counts, pairs, repeats, run_all, singles};
@@ -29,13 +30,18 @@
             let verdicts = run_all(&cells);
             let mut counts = Counts::default();
             verdicts.iter().for_each(|it| counts.add(it));
-            eprintln!("fault matrix, {}: {counts:?}", table.name);
+            report(&format!("fault matrix, {}: {counts:?}", table.name));
             all.extend(cells.into_iter().zip(verdicts));
         }
         all
     })
 }
 
+/// Prints past the capture of the test runner, as the counts matter when all is well, too.
+fn report(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
 fn assert_holds(promise: Promise) {
     let mut broken = Vec::new();
     for (cell, verdict) in verdicts() {
@@ -142,7 +148,9 @@
         let promise = mutation.breaks();
         let (n_red, n_before) = (breaks(promise, Some(mutation)), breaks(promise, None));
         let n_cells = 2 * OCCASIONS.len();
-        eprintln!("{mutation}: {promise} broken in {n_red} of {n_cells} cells, {n_before} before");
+        report(&format!(
+            "{mutation}: {promise} broken in {n_red} of {n_cells} cells, {n_before} before"
+        ));
         if n_red == 0 || 0 < n_before {
             wrong.push(mutation.to_string());
         }
