--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -1,12 +1,16 @@
 //! Subcommands, one file each.
 
 pub mod claims;
+pub mod compare;
 pub mod day;
 pub mod decide;
 pub mod demo;
+pub mod list;
 pub mod matrix;
 pub mod overhead;
 pub mod policies;
+pub mod report;
+pub mod run;
 pub mod slopes;
 pub mod spread;
 
@@ -30,12 +34,16 @@
 #[argh(subcommand)]
 enum Command {
     Claims(claims::ClaimsArgs),
+    Compare(compare::CompareArgs),
     Day(day::DayArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
+    List(list::ListArgs),
     Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
+    Report(report::ReportArgs),
+    Run(run::RunArgs),
     Slopes(slopes::SlopesArgs),
     Spread(spread::SpreadArgs),
 }
@@ -48,12 +56,16 @@
         }
         match self.command.ok_or("no command was given; see ferry-bench --help")? {
             Command::Claims(args) => args.run(),
+            Command::Compare(args) => args.run(),
             Command::Day(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
+            Command::List(args) => args.run(),
             Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
+            Command::Report(args) => args.run(),
+            Command::Run(args) => args.run(),
             Command::Slopes(args) => args.run(),
             Command::Spread(args) => args.run().await,
         }
