--- a/crates/ferry-control/src/server.rs
+++ b/crates/ferry-control/src/server.rs
@@ -6,7 +6,7 @@
 
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports};
+use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports, process};
 use ferry_model::Incarnation;
 use slog::{Logger, warn};
 use thiserror::Error;
@@ -72,10 +72,11 @@
 }
 
 impl ControlServer {
-    pub fn start(options: ControlOptions, log: &Logger) -> Result<ControlServer, StartError> {
+    pub fn start(mut options: ControlOptions, log: &Logger) -> Result<ControlServer, StartError> {
         let instance = options.identity.instance.clone();
         let ports = Ports::open(options.ports, log)?;
         let peers = ports.peers.clone();
+        options.tuning.place.started_at = process::wall_clock();
         let node = Node::new(options.identity, options.tuning, options.seed);
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
--- a/crates/ferry-edge/src/process.rs
+++ b/crates/ferry-edge/src/process.rs
@@ -21,9 +21,13 @@
 ///
 /// It only tells lives apart: nothing that must hold rests on the wall clock.
 pub fn incarnation() -> Incarnation {
+    (wall_clock() << RANDOM_BITS) | rand::rng().random_range(0..1 << RANDOM_BITS)
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+pub fn wall_clock() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
-    (millis << RANDOM_BITS) | rand::rng().random_range(0..1 << RANDOM_BITS)
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// The signals that ask for a graceful shutdown.
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -6,7 +6,7 @@
 
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use ferry_core::{Identity, Node, Tuning};
-use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports};
+use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, process};
 use ferry_model::{Incarnation, Workspace};
 use slog::{Logger, warn};
 use thiserror::Error;
@@ -80,13 +80,14 @@
 }
 
 impl EntryServer {
-    pub fn start(options: EntryOptions, log: &Logger) -> Result<EntryServer, StartError> {
+    pub fn start(mut options: EntryOptions, log: &Logger) -> Result<EntryServer, StartError> {
         let instance = options.identity.instance.clone();
         let close_time = options.limits.close_time;
         let ports = Ports::open(options.ports, log)?;
         let (peers, metrics) = (ports.peers.clone(), ports.metrics.clone());
         let (min_deadline, max_deadline) =
             (options.tuning.min_deadline, options.tuning.max_deadline);
+        options.tuning.place.started_at = process::wall_clock();
         let node = Node::new(options.identity, options.tuning, options.seed);
         let handle = Driver::spawn(node, ports);
         let config = ConfigDropshot {
