--- a/crates/ferry-bench/src/experiments.rs
+++ b/crates/ferry-bench/src/experiments.rs
@@ -1,4 +1,4 @@
-//! Experiments on virtual time: the same seed gives the same figures.
+//! Experiments on virtual time, where the same seed gives the same figures; [`wire`] uses sockets.
 
 pub mod announce;
 pub mod claims;
@@ -6,3 +6,4 @@
 pub mod decide;
 pub mod policies;
 pub mod spread;
+pub mod wire;
--- a/crates/ferry-fakes/tests/member_peers.rs
+++ b/crates/ferry-fakes/tests/member_peers.rs
@@ -174,6 +174,9 @@
     let far = answer.choices.iter().filter(|it| it.zone != "lagos-2");
     assert!(far.clone().count() >= 1, "another zone stands by");
     assert!(far.map(|it| it.weight).max() < idle);
+    world.run_for(Duration::from_secs(8));
+    let heard = world.node(0).members().get("entry-1").and_then(|it| it.heard.as_ref());
+    assert_eq!(heard.map(|it| it.load()), Some(0), "its work has ended");
 }
 
 #[test]
