--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod compare;
+pub mod day;
 pub mod decide;
 pub mod demo;
 pub mod list;
@@ -34,6 +35,7 @@
 enum Command {
     Claims(claims::ClaimsArgs),
     Compare(compare::CompareArgs),
+    Day(day::DayArgs),
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     List(list::ListArgs),
@@ -55,6 +57,7 @@
         match self.command.ok_or("no command was given; see ferry-bench --help")? {
             Command::Claims(args) => args.run(),
             Command::Compare(args) => args.run(),
+            Command::Day(args) => args.run(),
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::List(args) => args.run(),
@@ -64,7 +67,7 @@
             Command::Report(args) => args.run(),
             Command::Run(args) => args.run(),
             Command::Slopes(args) => args.run(),
-            Command::Spread(args) => args.run(),
+            Command::Spread(args) => args.run().await,
         }
     }
 }
