--- a/crates/ferry-bench/src/slopes/measure.rs
+++ b/crates/ferry-bench/src/slopes/measure.rs
@@ -86,7 +86,8 @@
             .with_points(points(|it| it.core)),
         target(slope("control: messages to peers", "entry", "bytes/s"), TRAFFIC)
             .with_points(points(|it| it.bytes)),
-        target(slope("state", "entry", "bytes"), MEMORY).with_points(points(|it| it.memory)),
+        target(slope("state, encoded", "entry", "bytes"), MEMORY)
+            .with_points(points(|it| it.memory)),
         target(slope("reads and watches", "object API", "calls/s"), STORE_READS)
             .with_points(points(|it| it.reads)),
         target(slope("writes at rest, with changes", "object API", "calls/s"), STORE_WRITES)
@@ -183,7 +184,9 @@
         slope("control: processor, placing", "lease holder", "cores")
             .with_target(N_ENDPOINTS, Some(CORE_SHARE))
             .with_points(holder),
-        slope("state", "entry", "bytes").with_target(N_ENDPOINTS, Some(MEMORY)).with_points(state),
+        slope("state, encoded", "entry", "bytes")
+            .with_target(N_ENDPOINTS, Some(MEMORY))
+            .with_points(state),
         slope("instance list, read whole each second", "entry", "bytes/s")
             .with_target(N_ENDPOINTS, Some(TRAFFIC))
             .with_points(list),
@@ -221,7 +224,7 @@
         world.run_for(Duration::from_secs(5));
         points.push((size as f64, state_bytes(world.node(0))?));
     }
-    Ok(Slope::new("state", "entry", "bytes", "workspaces")
+    Ok(Slope::new("state, encoded", "entry", "bytes", "workspaces")
         .with_target(N_WORKSPACES, Some(MEMORY))
         .with_points(points))
 }
@@ -239,7 +242,7 @@
         world.run_for(Duration::from_millis(20));
         points.push((size as f64, state_bytes(world.node(0))?));
     }
-    Ok(Slope::new("state", "entry", "bytes", "requests in flight")
+    Ok(Slope::new("state, encoded", "entry", "bytes", "requests in flight")
         .with_target(NODE_FLIGHTS, Some(MEMORY))
         .with_points(points))
 }
