Decide placement on news, not on each report

Cause: each report of an endpoint ran a whole decision, and a decision looks at every endpoint, so the holder's time grew with the square of their number. Ruled out: the demand sampling, which runs once a second.

Change: a report leads to a decision only if it shows other models, loads or fences than the one before, or the endpoint drains, loads or has an order on its way; such decisions gather reports for 100 ms. The regular decision each second stays.

--- a/crates/ferry-core/src/place.rs
+++ b/crates/ferry-core/src/place.rs
@@ -17,6 +17,8 @@
 
 mod decide;
 
+use std::time::Duration;
+
 use ferry_model::{
     EndpointReport, Fence, Heartbeat, Instance, Moment, OrderResult, StoreError, StoreReply,
 };
@@ -27,6 +29,9 @@
 
 pub use tuning::PlaceTuning;
 
+/// How long reports are gathered before a decision, as each looks at every endpoint.
+const GATHER_TIME: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Placement {
     reader: plan::PlanReader,
@@ -39,6 +44,8 @@
     /// The term that the state above belongs to, with its first fencing number.
     term: Option<lease::Term>,
     next_decision: Moment,
+    /// Reports have come in that a decision need not wait for.
+    early_decision: Option<Moment>,
 }
 
 impl Placement {
@@ -55,7 +62,7 @@
         if !is_contender(ctx) {
             return self.reader.next_wake();
         }
-        let decision = self.term.map(|_| self.next_decision);
+        let decision = self.term.map(|_| self.decision_at());
         [self.reader.next_wake(), self.lease.next_wake(), decision].into_iter().flatten().min()
     }
 
@@ -66,11 +73,19 @@
         }
         self.lease.tick(cx);
         self.follow_lease(cx);
-        if self.term.is_some() && self.next_decision <= cx.now {
+        if self.term.is_none() || cx.now < self.decision_at() {
+            return;
+        }
+        if self.next_decision <= cx.now {
             self.next_decision = cx.now + cx.ctx.tuning.place.decide;
             self.demand.sample(cx.now, &cx.ctx.tuning.place);
-            self.act(cx);
         }
+        self.early_decision = None;
+        self.act(cx);
+    }
+
+    fn decision_at(&self) -> Moment {
+        self.early_decision.map_or(self.next_decision, |it| it.min(self.next_decision))
     }
 
     pub fn on_store(
@@ -106,8 +121,10 @@
     }
 
     pub fn on_report(&mut self, cx: &mut Turn<'_>, id: &str, report: Option<EndpointReport>) {
-        self.engines.on_report(cx.now, &cx.ctx.tuning.place, id, report);
-        self.act(cx);
+        let is_news = self.engines.on_report(cx.now, &cx.ctx.tuning.place, id, report);
+        if is_news && self.early_decision.is_none() {
+            self.early_decision = Some(cx.now + GATHER_TIME);
+        }
     }
 
     pub fn on_ordered(&mut self, cx: &mut Turn<'_>, id: &str, fence: Fence, end: &OrderResult) {
@@ -134,6 +151,7 @@
             (_, Some(term)) => {
                 self.term = Some(term);
                 self.next_decision = cx.now;
+                self.early_decision = None;
                 self.engines.start_term();
                 self.publisher.start_term();
                 self.history.start_term();
--- a/crates/ferry-core/src/place/engines.rs
+++ b/crates/ferry-core/src/place/engines.rs
@@ -88,20 +88,22 @@
         }
     }
 
+    /// Takes an endpoint's answer; returns whether a decision may depend on it.
     pub fn on_report(
         &mut self,
         now: Moment,
         tuning: &PlaceTuning,
         id: &str,
         report: Option<EndpointReport>,
-    ) {
-        let Some(view) = self.views.get_mut(id) else { return };
-        let Some(asked) = view.asked.take() else { return };
+    ) -> bool {
+        let Some(view) = self.views.get_mut(id) else { return false };
+        let Some(asked) = view.asked.take() else { return false };
         if asked < view.fresh_after {
             view.next_ask = now.max(view.fresh_after);
-            return;
+            return false;
         }
         view.reported = asked;
+        let is_news = !holds_the_same(view.report.as_ref(), report.as_ref());
         view.report = report;
         if view.order.as_ref().is_some_and(|it| it.ended) {
             view.order = None;
@@ -110,6 +112,7 @@
             || view.order.is_some()
             || view.report.as_ref().is_some_and(|it| !it.loading.is_empty());
         view.next_ask = now + if is_busy { tuning.inspect_busy } else { tuning.inspect };
+        is_news || is_busy
     }
 
     pub fn on_ordered(&mut self, now: Moment, tuning: &PlaceTuning, id: &str, end: &OrderResult) {
@@ -227,3 +230,9 @@
         }
     }
 }
+
+/// Whether two reports differ in nothing but the calls in flight.
+fn holds_the_same(left: Option<&EndpointReport>, right: Option<&EndpointReport>) -> bool {
+    let idle = |it: &EndpointReport| EndpointReport { in_flight: 0, ..it.clone() };
+    left.map(idle) == right.map(idle)
+}
