--- a/crates/ferry-core/src/claim.rs
+++ b/crates/ferry-core/src/claim.rs
@@ -4,6 +4,7 @@
 //! dispatched. Safety rests on conditional updates alone; which instance writes a shard is only a
 //! matter of cost. See docs/design/requests.md.
 
+pub mod chain;
 pub mod segment;
 pub mod shard;
 
--- a/crates/ferry-core/src/claim/shard.rs
+++ b/crates/ferry-core/src/claim/shard.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::claim::chain::{Index, Phase, Sealed, print_of};
 use crate::claim::segment::{MOST_BYTES, Segment, Step, decide, record_bytes};
 use crate::node::Turn;
 use crate::{CallId, Owner};
@@ -50,48 +51,6 @@
     has_fetched: bool,
 }
 
-/// Where a chain begins. Each new segment is confirmed by a conditional update of the index
-/// before a claim goes into it, so none is granted in one that others have dropped.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-struct Index {
-    first: u64,
-    open: u64,
-}
-
-/// A sealed segment's keys, to look one up without reading it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Sealed {
-    number: u64,
-    opened: u64,
-    version: Version,
-    /// Upper halves of the keys, sorted.
-    prints: Vec<u64>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-enum Phase {
-    /// Nothing is known of the chain.
-    Cold,
-    /// Reads the segments in turn up to the open one.
-    Walk(u64),
-    /// The open segment is known.
-    Ready,
-    /// Reads a sealed segment that a key may be in.
-    Fetch(u64),
-    /// A batch is being written.
-    Write,
-    /// The open segment is being sealed.
-    Seal,
-    /// The next segment is being created, empty.
-    Create,
-    /// The index is being moved to the created segment.
-    Mark,
-    /// The index is being moved past the oldest segment.
-    Expire,
-    /// The oldest segment is being deleted.
-    Delete,
-}
-
 impl Shard {
     pub fn new(number: u32) -> Shard {
         Shard {
@@ -466,7 +425,3 @@
         ObjectKey::new(ObjectKind::Claims, format!("{:03}-{number:012}", self.number))
     }
 }
-
-fn print_of(key: ClaimKey) -> u64 {
-    (key >> 64) as u64
-}
