--- a/crates/ferry-core/src/claim.rs
+++ b/crates/ferry-core/src/claim.rs
@@ -5,6 +5,7 @@
 //! matter of cost. See docs/design/requests.md.
 
 pub mod chain;
+pub mod queue;
 pub mod segment;
 pub mod shard;
 
@@ -17,7 +18,8 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::claim::shard::{Ended, Shard};
+use crate::claim::queue::Ended;
+use crate::claim::shard::Shard;
 use crate::node::Turn;
 use crate::{CallId, Effect};
 
--- a/crates/ferry-core/src/claim/shard.rs
+++ b/crates/ferry-core/src/claim/shard.rs
@@ -6,28 +6,22 @@
 use std::time::Duration;
 
 use ferry_model::{
-    ClaimKey, ClaimRecord, ClaimVerdict, JournalOp, Moment, ObjectKey, ObjectKind, StoreError,
-    StoreOp, StoreReply, StoredObject, Version,
+    ClaimKey, ClaimRecord, Moment, ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply,
+    StoredObject, Version,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::claim::chain::{Index, Phase, Sealed, print_of};
+use crate::claim::queue::{Ended, Queue, Queued};
 use crate::claim::segment::{MOST_BYTES, Segment, Step, decide, record_bytes};
 use crate::node::Turn;
 use crate::{CallId, Owner};
 
 /// Wait before a shard is tried again after the store failed.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Most changes waiting for one shard.
-const MOST_WAITING: usize = 8192;
 /// Longest walk along the chain before the index is read again; far below any retention.
 const LONGEST_WALK: Duration = Duration::from_secs(60);
 
-/// A change and the peer that asked for it; none for one of our own.
-pub type Queued = (Option<String>, JournalOp);
-/// How a change ended, and for whom.
-pub type Ended = (Queued, ClaimVerdict);
-
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Shard {
     number: u32,
@@ -39,9 +33,7 @@
     open: Segment,
     version: Version,
     sealed: Vec<Sealed>,
-    waiting: Vec<Queued>,
-    /// Records that may wait for the next claim's batch.
-    records_due: Option<Moment>,
+    queue: Queue,
     /// No write before this.
     ready_at: Moment,
     call: Option<CallId>,
@@ -62,8 +54,7 @@
             open: Segment::default(),
             version: 0,
             sealed: Vec::new(),
-            waiting: Vec::new(),
-            records_due: None,
+            queue: Queue::new(),
             ready_at: Moment::ZERO,
             call: None,
             fetched: Segment::default(),
@@ -72,37 +63,28 @@
     }
 
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_empty()
+        self.queue.is_empty()
     }
 
     /// Whether another change may wait.
     pub fn has_room(&self) -> bool {
-        self.waiting.len() < MOST_WAITING
+        self.queue.has_room()
     }
 
     pub fn push(&mut self, now: Moment, queued: Queued, delay: Duration) {
-        if matches!(queued.1, JournalOp::Record(_)) {
-            self.records_due.get_or_insert(now + delay);
-        }
-        self.waiting.push(queued);
+        self.queue.push(now, queued, delay);
     }
 
     /// Drops the claim of a request that was given up before it was written.
     pub fn withdraw(&mut self, request: u128) {
-        self.waiting.retain(|(_, op)| {
-            !(matches!(op, JournalOp::Claim { .. }) && op.record().request == request)
-        });
+        self.queue.withdraw(request);
     }
 
     pub fn next_wake(&self) -> Option<Moment> {
-        if self.call.is_some() || self.waiting.is_empty() {
+        if self.call.is_some() {
             return None;
         }
-        let has_claim = self.waiting.iter().any(|(_, op)| matches!(op, JournalOp::Claim { .. }));
-        match has_claim {
-            true => Some(self.ready_at),
-            false => self.records_due.map(|it| it.max(self.ready_at)),
-        }
+        self.queue.due().map(|it| it.max(self.ready_at))
     }
 
     /// Makes the next call if one is due; returns its id.
@@ -161,7 +143,7 @@
             Err(StoreError::Unavailable(_) | StoreError::Refused(_) | StoreError::Gone) => {
                 self.read_again();
                 self.ready_at = cx.now + RETRY_DELAY;
-                self.fail_claims()
+                self.queue.fail_claims()
             }
         }
     }
@@ -260,9 +242,9 @@
         let mut next = self.open.clone();
         let mut bytes = 0;
         let mut fetch = None;
-        for queued in std::mem::take(&mut self.waiting) {
+        for queued in self.queue.take() {
             if MOST_BYTES / 2 < bytes {
-                self.waiting.push(queued);
+                self.queue.keep(queued);
                 continue;
             }
             let record = queued.1.record();
@@ -270,7 +252,7 @@
                 Ok(found) => found,
                 Err(number) => {
                     fetch = fetch.or(Some(number));
-                    self.waiting.push(queued);
+                    self.queue.keep(queued);
                     continue;
                 }
             };
@@ -279,7 +261,7 @@
                 Step::Write => {
                     bytes += record_bytes(record);
                     next.put(record.clone());
-                    self.waiting.push(queued);
+                    self.queue.keep(queued);
                 }
             }
         }
@@ -292,7 +274,7 @@
         }
         self.has_fetched = false;
         if !may_write {
-            self.records_due = None;
+            self.queue.clear_due();
             return None;
         }
         if self.must_roll(cx, clock, bytes) {
@@ -341,7 +323,7 @@
             Phase::Write => {
                 self.version = version;
                 self.phase = Phase::Ready;
-                return self.settle_waiting();
+                return self.queue.settle(&self.open);
             }
             Phase::Seal => {
                 let sealed = std::mem::take(&mut self.open);
@@ -363,32 +345,6 @@
         Vec::new()
     }
 
-    /// Ends every waiting change that the written segment now shows.
-    fn settle_waiting(&mut self) -> Vec<Ended> {
-        let mut ended = Vec::new();
-        for queued in std::mem::take(&mut self.waiting) {
-            let record = queued.1.record();
-            let is_there = self.open.find(record.key).is_some_and(|it| it == record);
-            match is_there {
-                true => ended.push((queued, ClaimVerdict::Claimed)),
-                false => self.waiting.push(queued),
-            }
-        }
-        let is_record = |it: &Queued| matches!(it.1, JournalOp::Record(_));
-        if !self.waiting.iter().any(is_record) {
-            self.records_due = None;
-        }
-        ended
-    }
-
-    fn fail_claims(&mut self) -> Vec<Ended> {
-        let (claims, records): (Vec<Queued>, Vec<Queued>) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|it| matches!(it.1, JournalOp::Claim { .. }));
-        self.waiting = records;
-        claims.into_iter().map(|it| (it, ClaimVerdict::Unavailable)).collect()
-    }
-
     /// Returns the newest sealed segment that may hold a key.
     fn sealed_with(&self, key: ClaimKey) -> Option<u64> {
         let print = print_of(key);
