Split the fakes' world and show the demo's progress on a terminal

Change: what kills, stops and replaces processes, and the event queue, have files of their own; the demo writes how far it has come to a terminal.

--- a/crates/ferry-bench/src/cmd/demo.rs
+++ b/crates/ferry-bench/src/cmd/demo.rs
@@ -1,5 +1,6 @@
 //! Runs both deployments on loopback and prints what their callers got.
 
+use std::io::IsTerminal;
 use std::time::Duration;
 
 use argh::FromArgs;
@@ -7,8 +8,10 @@
 use ferry_edge::logs;
 use serde::Serialize;
 use strum::IntoEnumIterator;
+use tokio::time::Instant;
 
 const N_ENTRIES: usize = 3;
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Run both deployments' pipelines on loopback and print their outcomes.
 #[derive(Debug, FromArgs)]
@@ -74,7 +77,7 @@
         let entries: Vec<_> = cluster.entries.iter().map(|it| it.address()).collect();
         let length = Duration::from_secs(self.seconds);
         let plan = LoadPlan { seed: self.seed, length, rate: self.rate };
-        let samples = load::run(&deployment, &entries, &plan).await;
+        let samples = with_progress(name, length, load::run(&deployment, &entries, &plan)).await;
         Ok(Tally::new(&deployment, &samples, &cluster.standins.witness.runs()))
     }
 }
@@ -95,6 +98,28 @@
     }
 }
 
+/// Shows on a terminal how far a load of `length` has come until `work` ends.
+async fn with_progress<F: Future>(name: DeploymentName, length: Duration, work: F) -> F::Output {
+    if !std::io::stderr().is_terminal() {
+        return work.await;
+    }
+    let started = Instant::now();
+    let mut ticks = tokio::time::interval(PROGRESS_INTERVAL);
+    let mut work = std::pin::pin!(work);
+    loop {
+        tokio::select! {
+            output = &mut work => {
+                eprint!("\r\x1b[K");
+                return output;
+            }
+            _ = ticks.tick() => {
+                let passed = started.elapsed().min(length).as_secs();
+                eprint!("\r{name}: {passed} of {} s", length.as_secs());
+            }
+        }
+    }
+}
+
 fn print_table(name: DeploymentName, tally: &Tally) {
     println!(
         "{name}: sent {} complete {} not_run {} failed {} in_doubt {} lost {} doubled {} \
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -2,18 +2,17 @@
 
 mod execute;
 mod orders;
+mod process;
+mod queue;
 mod serve;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use ferry_core::{
-    Arrival, Decision, Event, Identity, InstancesAnswer, Metric, Node, StageCall, Tuning,
-};
+use ferry_core::{Arrival, Decision, Event, Identity, InstancesAnswer, Metric, Node, Tuning};
 use ferry_model::{
-    AdminReply, AttemptId, Endpoint, EndpointId, Fence, Instance, KeyState, Moment, Order,
-    SortedMap, StoreOp, Ticket,
+    AdminReply, Endpoint, EndpointId, Instance, KeyState, Moment, SortedMap, StoreOp, Ticket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -23,7 +22,8 @@
 use crate::endpoint::{FakeEndpoint, Run};
 use crate::network::Network;
 use crate::store::FakeStore;
-use crate::trace::{Applied, Pause, Trace};
+use crate::trace::{Applied, Trace};
+use crate::world::queue::{Entry, Item};
 
 pub use orders::{FakeEngine, OrderSeen, WeightStore};
 
@@ -98,49 +98,6 @@
     exited: bool,
 }
 
-#[derive(Debug, PartialEq, Eq)]
-struct Entry {
-    at: Moment,
-    number: u64,
-    item: Item,
-}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
-/// What the queue holds; boxed payloads are compared by nothing but their order.
-#[derive(Debug)]
-enum Item {
-    Node { node: NodeIdx, life: u32, event: Event },
-    Wake { node: NodeIdx, life: u32 },
-    Call { node: NodeIdx, life: u32, call: Box<StageCall> },
-    Finish { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
-    Cancel { endpoint: EndpointId, node: NodeIdx, life: u32, attempt: AttemptId },
-    Store { node: NodeIdx, life: u32, call: u64, op: StoreOp },
-    Order { node: NodeIdx, life: u32, order: Box<Order> },
-    Inspect { node: NodeIdx, life: u32, endpoint: EndpointId },
-    Loaded { endpoint: EndpointId, number: u64 },
-    LateWrite { op: StoreOp },
-    List,
-}
-
-impl PartialEq for Item {
-    fn eq(&self, _: &Self) -> bool {
-        true
-    }
-}
-
-impl Eq for Item {}
-
 #[derive(Debug)]
 struct Watch {
     node: NodeIdx,
@@ -298,15 +255,6 @@
         passed.events.into_iter().for_each(|it| self.reduce(idx, now, it));
     }
 
-    /// Returns the number of a node's present life, counted from zero.
-    pub fn life(&self, idx: NodeIdx) -> u32 {
-        self.nodes[idx].life
-    }
-
-    pub fn is_frozen(&self, idx: NodeIdx) -> bool {
-        self.nodes[idx].frozen
-    }
-
     /// Breaks a caller's connection.
     pub fn hang_up(&mut self, ticket: Ticket) {
         let Some(asked) = self.asked.get_mut(&ticket) else { return };
@@ -315,67 +263,6 @@
         self.deliver(node, Event::CallerGone { ticket });
     }
 
-    /// Kills a process without a word; its callers lose their connections.
-    pub fn kill(&mut self, idx: NodeIdx) {
-        let slot = &mut self.nodes[idx];
-        slot.alive = false;
-        slot.life += 1;
-        slot.held.clear();
-        for asked in self.asked.values_mut() {
-            asked.cut |= asked.node == idx && asked.answers.is_empty();
-        }
-        self.watches.retain(|it| it.node != idx);
-    }
-
-    /// Starts a fresh process in the place of one that has ended.
-    pub fn replace(&mut self, idx: NodeIdx, identity: Identity, tuning: Tuning, seed: u64) {
-        let now = self.now;
-        let slot = &mut self.nodes[idx];
-        slot.zone = identity.zone.clone();
-        slot.node = Node::new(identity, tuning, seed);
-        slot.life += 1;
-        slot.alive = true;
-        slot.frozen = false;
-        slot.exited = false;
-        slot.started = now;
-        slot.wake = None;
-        self.trace.starts.push((now, idx, slot.life));
-        self.deliver(idx, Event::Tick);
-        self.list(idx);
-    }
-
-    /// Stops a process as `SIGSTOP` would: its events wait.
-    pub fn freeze(&mut self, idx: NodeIdx) {
-        self.nodes[idx].frozen = true;
-        self.trace.pauses.push(Pause { node: idx, from: self.now, until: None });
-    }
-
-    /// Lets a frozen process go on with everything that has waited.
-    pub fn thaw(&mut self, idx: NodeIdx) {
-        self.nodes[idx].frozen = false;
-        for pause in self.trace.pauses.iter_mut().filter(|it| it.node == idx) {
-            pause.until.get_or_insert(self.now);
-        }
-        let held = std::mem::take(&mut self.nodes[idx].held);
-        for event in held {
-            self.deliver(idx, event);
-        }
-        self.deliver(idx, Event::Tick);
-    }
-
-    /// Lets a frozen process go on whose clock stood still meanwhile, as after a suspended machine.
-    pub fn thaw_suspended(&mut self, idx: NodeIdx, paused: Duration) {
-        self.nodes[idx].started += paused;
-        self.thaw(idx);
-    }
-
-    /// Returns the fencing number under which a node would give orders now.
-    pub fn fence(&self, idx: NodeIdx) -> Option<Fence> {
-        let slot = &self.nodes[idx];
-        let is_acting = slot.alive && !slot.frozen;
-        is_acting.then(|| slot.node.placement().fence(self.now - slot.started)).flatten()
-    }
-
     /// Runs everything that is due up to `until`.
     pub fn run_until(&mut self, until: Moment) {
         while self.step(until) {}
