Ask idle endpoints less often and count placement decisions

Cause: an unloaded endpoint stays withheld, and every withheld one counted as draining: it was asked twice a second and each answer led to a decision.

Change: an endpoint drains only while it has something to unload. The counter placement_decisions shows how often the holder decides; a test bounds it by the regular interval.

Conclusion: reports without news cost the holder nothing.

--- a/crates/ferry-core/src/effect.rs
+++ b/crates/ferry-core/src/effect.rs
@@ -227,4 +227,5 @@
     RepliesDropped,
     ConfigApplied,
     EndpointsEjected,
+    PlacementDecisions,
 }
--- a/crates/ferry-core/src/place/decide.rs
+++ b/crates/ferry-core/src/place/decide.rs
@@ -11,7 +11,7 @@
 use super::engines::{Purpose, Standing};
 use super::scale::{self, Candidate};
 use crate::node::Turn;
-use crate::{Decision, DecisionKind, Effect};
+use crate::{Decision, DecisionKind, Effect, Metric};
 
 /// Calls an endpoint is taken to serve at once before one has reported.
 const FIRST_SLOTS: f64 = 4.0;
@@ -57,6 +57,7 @@
                 |revision| demand.has_acknowledged(now, tuning, revision),
             );
         }
+        cx.out.push(Effect::Count { metric: Metric::PlacementDecisions, by: 1 });
         let pools = self.plan_pools(cx, &config, &stored);
         self.publish(cx, term.fence, &pools, &stored);
         // Orders only ever follow a plan that is stored under this term.
--- a/crates/ferry-core/src/place/engines.rs
+++ b/crates/ferry-core/src/place/engines.rs
@@ -108,9 +108,7 @@
         if view.order.as_ref().is_some_and(|it| it.ended) {
             view.order = None;
         }
-        let is_busy = view.withheld.is_some()
-            || view.order.is_some()
-            || view.report.as_ref().is_some_and(|it| !it.loading.is_empty());
+        let is_busy = view.order.is_some() || view.is_draining() || view.is_loading();
         view.next_ask = now + if is_busy { tuning.inspect_busy } else { tuning.inspect };
         is_news || is_busy
     }
@@ -159,8 +157,7 @@
     /// Endpoints that load, or are about to: each uses a part of the weight store's rate.
     pub fn n_loading(&self) -> usize {
         let is_loading = |it: &&EngineView| {
-            it.order.as_ref().is_some_and(|it| it.purpose == Purpose::Load)
-                || it.report.as_ref().is_some_and(|it| !it.loading.is_empty())
+            it.order.as_ref().is_some_and(|it| it.purpose == Purpose::Load) || it.is_loading()
         };
         self.views.values().filter(is_loading).count()
     }
@@ -214,6 +211,15 @@
 }
 
 impl EngineView {
+    fn is_loading(&self) -> bool {
+        self.report.as_ref().is_some_and(|it| !it.loading.is_empty())
+    }
+
+    /// Whether it is withheld and still has something to unload.
+    fn is_draining(&self) -> bool {
+        self.withheld.is_some() && self.report.as_ref().is_some_and(|it| !it.models.is_empty())
+    }
+
     fn end_order(&mut self, fresh_after: Moment) {
         if let Some(order) = &mut self.order {
             order.ended = true;
--- a/crates/ferry-fakes/tests/place_orders.rs
+++ b/crates/ferry-fakes/tests/place_orders.rs
@@ -4,7 +4,7 @@
 
 use ferry_core::config::CONFIG_NAME;
 use ferry_core::place::plan::plan_key;
-use ferry_core::{Event, Tuning};
+use ferry_core::{Event, Metric, Tuning};
 use ferry_fakes::{Deployment, DeploymentName, FakeEntries, NodeIdx, OrderSeen, Request, World};
 use ferry_model::{Config, ObjectKey, ObjectKind, Outcome, Plan, PresetName};
 
@@ -328,3 +328,18 @@
         }
     }
 }
+
+/// The cost of a decision grows with the endpoints, so their reports must not each cause one.
+#[test]
+fn reports_without_news_cause_no_decision() {
+    let mut setup = Setup::new(5, 3, true);
+    setup.world.run_for(2 * MINUTE);
+    let holder = setup.controls[0];
+    let before = setup.world.count(holder, Metric::PlacementDecisions);
+    assert!(0 < before, "the holder decides");
+    let n_seconds = 60;
+    setup.world.run_for(n_seconds * SECOND);
+    let n_decisions = setup.world.count(holder, Metric::PlacementDecisions) - before;
+    let n_regular = u64::from(n_seconds);
+    assert!(n_decisions <= n_regular + 1, "{n_decisions} decisions in {n_seconds} s");
+}
