Share the life of a process between entry and control

Change: ferry_edge::process loads settings, announces addresses, hands on signals and reports the exit status for both.

Conclusion: a change of how a process ends is made once.

--- a/crates/ferry-edge/src/process.rs
+++ b/crates/ferry-edge/src/process.rs
@@ -1,20 +1,81 @@
 //! What the binaries share: exit statuses, signals and incarnations.
 
+use std::fmt;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use ferry_core::Event;
 use ferry_model::Incarnation;
 use rand::RngExt;
+use serde::Serialize;
+use slog::{Logger, info};
+use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::Handle;
+use crate::settings::Findings;
+
 /// The settings have findings; docs/OPERATING.md lists the exit statuses.
 pub const EXIT_SETTINGS: u8 = 2;
 /// Random bits below the start time of an incarnation.
 const RANDOM_BITS: u32 = 20;
 
-/// Returns the exit status for findings in the settings.
-pub fn settings_exit() -> ExitCode {
-    ExitCode::from(EXIT_SETTINGS)
+#[derive(Debug, Error)]
+pub enum ProcessError {
+    #[error("could not listen for signals: {0}")]
+    Signals(#[from] std::io::Error),
+    #[error("could not print the addresses: {0}")]
+    Print(#[from] serde_json::Error),
+}
+
+/// Loads the settings of the binary `name`, or reports what is wrong and returns its exit status.
+pub fn load_settings<T>(
+    name: &str,
+    path: Option<String>,
+    load: impl FnOnce(&str) -> Result<T, Findings>,
+) -> Result<T, ExitCode> {
+    let Some(path) = path else {
+        eprintln!("{name}: --settings is missing");
+        return Err(ExitCode::FAILURE);
+    };
+    load(&path).map_err(|findings| {
+        eprintln!("{findings}");
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+/// Reports the error of the binary `name`, if any, and returns its exit status.
+pub fn finish<E: fmt::Display>(name: &str, result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Prints the line that tells where a process listens.
+pub fn announce<T: Serialize>(started: &T) -> Result<(), ProcessError> {
+    println!("{}", serde_json::to_string(started)?);
+    Ok(())
+}
+
+/// Hands each signal to the node until it says that the process may exit.
+pub async fn serve(handle: &Handle, signals: &mut StopSignals, log: &Logger) {
+    let mut status = handle.watch();
+    loop {
+        tokio::select! {
+            name = signals.next() => {
+                info!(log, "asked to stop; open requests go on"; "signal" => name);
+                handle.send(Event::Shutdown);
+            }
+            ended = status.wait_for(|it| it.exited) => {
+                info!(log, "every request has ended"; "driver_ended" => ended.is_err());
+                return;
+            }
+        }
+    }
 }
 
 /// Makes the number of this life of a process; a later start has a higher one.
@@ -38,7 +99,7 @@
 }
 
 impl StopSignals {
-    pub fn new() -> Result<StopSignals, std::io::Error> {
+    pub fn new() -> Result<StopSignals, ProcessError> {
         Ok(StopSignals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
--- a/crates/ferry-entry/src/main.rs
+++ b/crates/ferry-entry/src/main.rs
@@ -6,6 +6,8 @@
 use ferry_edge::process;
 use ferry_entry::{EntrySettings, run};
 
+const NAME: &str = "ferry-entry";
+
 /// Serves callers: takes their requests through the stages of a pipeline.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -30,28 +32,15 @@
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
     if args.version {
-        println!("ferry-entry {}", env!("CARGO_PKG_VERSION"));
+        println!("{NAME} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = args.settings else {
-        eprintln!("ferry-entry: --settings is missing");
-        return ExitCode::FAILURE;
-    };
-    let settings = match EntrySettings::load(&path) {
+    let settings = match process::load_settings(NAME, args.settings, EntrySettings::load) {
         Ok(settings) => settings,
-        Err(findings) => {
-            eprintln!("{findings}");
-            return process::settings_exit();
-        }
+        Err(code) => return code,
     };
     if args.check {
         return ExitCode::SUCCESS;
     }
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("ferry-entry: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    process::finish(NAME, run(settings).await)
 }
