Count a new connection to the same endpoint with its first call

Cause: with two of ten engines stalled, a report that met both ran out of its four calls: each engine took two, one on an open and one on a new connection. Ruled out: the retry budget, which was not spent.

Change: the call on a new connection to the endpoint just tried tells whether connection or endpoint is at fault, and does not count as a further attempt; the budget of the pool still bounds all of them.

Conclusion: a silent endpoint costs one attempt.

--- a/crates/ferry-core/src/request/dispatch.rs
+++ b/crates/ferry-core/src/request/dispatch.rs
@@ -172,8 +172,10 @@
             connection,
         })));
         cx.ctx.fleet.started(&choice.endpoint);
+        // A new connection to the same endpoint only tells which of the two is at fault.
+        let is_same = flight.tried.last() == Some(&choice.endpoint);
         flight.tried.push(choice.endpoint.clone());
-        flight.calls += 1;
+        flight.calls += u32::from(!is_same);
         flight.phase = Phase::Running;
         flight.attempts.push(Attempt {
             id: attempt,
--- a/crates/ferry-core/src/request/flight.rs
+++ b/crates/ferry-core/src/request/flight.rs
@@ -37,7 +37,7 @@
     pub input: String,
     /// Endpoints tried for that stage.
     pub tried: Vec<EndpointId>,
-    /// Calls made for that stage.
+    /// Calls made for that stage; a new connection to the same endpoint counts with the first.
     pub calls: u32,
     pub attempts: Vec<Attempt>,
     /// Where and how the next call goes, if that is not for the router to choose.
