Record the events of real processes for ferryctl replay

Cause: event logs were written by tests only, so a fault of a running process could not be repeated.

Conclusion: the reducer of a real process is deterministic in its events.

--- a/crates/ferry-control/src/main.rs
+++ b/crates/ferry-control/src/main.rs
@@ -1,5 +1,6 @@
 //! The process that operators talk to.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -20,6 +21,9 @@
     /// settings file
     #[argh(option)]
     settings: Option<String>,
+    /// write every event to this file, for ferryctl replay; it holds callers' inputs
+    #[argh(option)]
+    record: Option<PathBuf>,
     /// print every finding in the settings and exit
     #[argh(switch)]
     check: bool,
@@ -42,5 +46,5 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    process::finish(NAME, run(settings).await)
+    process::finish(NAME, run(settings, args.record).await)
 }
--- a/crates/ferry-control/src/server.rs
+++ b/crates/ferry-control/src/server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
-use ferry_core::{Identity, Node, Tuning};
+use ferry_core::{Identity, Tuning};
 use ferry_edge::{Driver, Handle, OpenError, Peers, PortOptions, Ports, Tokens, process};
 use ferry_model::Incarnation;
 use slog::{Logger, warn};
@@ -19,6 +19,8 @@
     Describe(String),
     #[error(transparent)]
     Open(#[from] OpenError),
+    #[error("could not create the event log: {0}")]
+    Record(std::io::Error),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -78,8 +80,8 @@
         let ports = Ports::open(options.ports, log)?;
         let peers = ports.peers.clone();
         options.tuning.place.started_at = process::wall_clock();
-        let node = Node::new(options.identity, options.tuning, options.seed);
-        let handle = Driver::spawn(node, ports);
+        let handle = Driver::spawn(options.identity, options.tuning, options.seed, ports)
+            .map_err(StartError::Record)?;
         let config = ConfigDropshot {
             bind_address: options.listen,
             default_request_body_max_bytes: options.body,
--- a/crates/ferry-edge/src/driver.rs
+++ b/crates/ferry-edge/src/driver.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use ferry_core::workspaces::Workspaces;
-use ferry_core::{Effect, Event, Node};
+use ferry_core::{Effect, Event, Identity, Node, Tuning};
 use ferry_model::{AttemptId, Moment, Revision, SortedMap, Ticket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::metrics::{Gauge, Timer};
+use crate::record::Recorder;
 use crate::{CallerEvent, Callers, OrderClient, Ports, Waiter, logs};
 
 /// Longest sleep of the driver where the node asks for no earlier tick.
@@ -86,11 +87,23 @@
     calls: SortedMap<AttemptId, AbortHandle>,
     orders: OrderClient,
     next_gauges: Instant,
+    record: Option<Recorder>,
 }
 
 impl Driver {
-    /// Starts the node on the current runtime and returns its handle.
-    pub fn spawn(node: Node, ports: Ports) -> Handle {
+    /// Starts a fresh node on the current runtime and returns its handle.
+    pub fn spawn(
+        identity: Identity,
+        tuning: Tuning,
+        seed: u64,
+        ports: Ports,
+    ) -> std::io::Result<Handle> {
+        let record = ports
+            .record
+            .as_ref()
+            .map(|it| Recorder::create(it, &identity, &tuning, seed, ports.log.clone()))
+            .transpose()?;
+        let node = Node::new(identity, tuning, seed);
         let (sender, events) = mpsc::unbounded_channel();
         let (status, seen) = watch::channel(Status::default());
         let (workspaces, known) = watch::channel(node.workspaces().clone());
@@ -115,9 +128,10 @@
             calls: SortedMap::new(),
             orders: OrderClient::new(),
             next_gauges: Instant::now(),
+            record,
         };
         tokio::spawn(driver.run());
-        handle
+        Ok(handle)
     }
 
     async fn run(mut self) {
@@ -134,7 +148,11 @@
                 self.calls.remove(attempt);
             }
             let begun = Instant::now();
-            let effects = self.node.reduce(self.now(), event);
+            let now = self.now();
+            if let Some(record) = &mut self.record {
+                record.event(now, &event);
+            }
+            let effects = self.node.reduce(now, event);
             self.ports.metrics.time(Timer::ReduceTime, begun.elapsed());
             for effect in effects {
                 self.execute(effect);
@@ -222,6 +240,9 @@
             Effect::Log(decision) => logs::decision(&self.ports.log, &decision),
             Effect::Count { metric, by } => self.ports.metrics.decided(metric, by),
             Effect::Exit => {
+                if let Some(record) = &mut self.record {
+                    record.end(&self.node);
+                }
                 self.status.send_modify(|it| it.exited = true);
             }
         }
--- a/crates/ferry-edge/src/lib.rs
+++ b/crates/ferry-edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod ports;
 pub mod process;
+pub mod record;
 pub mod settings;
 pub mod store;
 pub mod wire;
--- a/crates/ferry-edge/src/ports.rs
+++ b/crates/ferry-edge/src/ports.rs
@@ -1,6 +1,7 @@
 //! The process's clients and outlets, opened from its settings.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
     pub peers: Option<PeerOptions>,
     /// Address of a statsd server; without one no metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// File that every event is written to.
+    pub record: Option<PathBuf>,
 }
 
 impl PortOptions {
@@ -45,6 +48,7 @@
             interval: Duration::from_secs(1),
             peers: None,
             statsd: None,
+            record: None,
         }
     }
 
@@ -53,6 +57,11 @@
         self
     }
 
+    pub fn with_record(mut self, record: Option<PathBuf>) -> PortOptions {
+        self.record = record;
+        self
+    }
+
     pub fn with_interval(mut self, interval: Duration) -> PortOptions {
         self.interval = interval;
         self
@@ -70,6 +79,7 @@
     pub peers: Option<Peers>,
     pub metrics: Metrics,
     pub log: Logger,
+    pub record: Option<PathBuf>,
 }
 
 impl Ports {
@@ -90,6 +100,7 @@
             peers,
             metrics,
             log: log.clone(),
+            record: options.record,
         })
     }
 }
--- /dev/null
+++ b/crates/ferry-edge/src/record.rs
@@ -0,0 +1,62 @@
+//! Writes every event of a node to a file, for `ferryctl replay`.
+//!
+//! It is a tool for finding faults: the file holds callers' inputs, and writing it takes time
+//! from the node.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+
+use ferry_core::replay::{Line, write_line};
+use ferry_core::{Event, Identity, Node, Tuning};
+use ferry_model::Moment;
+use slog::{Logger, warn};
+
+#[derive(Debug)]
+pub struct Recorder {
+    out: BufWriter<File>,
+    /// A write failed, or the log has its end.
+    closed: bool,
+    log: Logger,
+}
+
+impl Recorder {
+    /// Creates the file with its first line.
+    pub fn create(
+        path: &Path,
+        identity: &Identity,
+        tuning: &Tuning,
+        seed: u64,
+        log: Logger,
+    ) -> std::io::Result<Recorder> {
+        let mut out = BufWriter::new(File::create(path)?);
+        let (identity, tuning) = (identity.clone(), Box::new(tuning.clone()));
+        write_line(&mut out, &Line::Start { identity, tuning, seed })?;
+        Ok(Recorder { out, closed: false, log })
+    }
+
+    pub fn event(&mut self, at: Moment, event: &Event) {
+        self.write(&Line::Event { at, event: Box::new(event.clone()) });
+    }
+
+    /// Ends the log with the state that the node has come to.
+    pub fn end(&mut self, node: &Node) {
+        self.write(&Line::End { digest: node.digest() });
+        self.closed = true;
+    }
+
+    fn write(&mut self, line: &Line) {
+        if self.closed {
+            return;
+        }
+        let is_end = matches!(line, Line::End { .. });
+        let mut written = write_line(&mut self.out, line);
+        if is_end {
+            written = written.and_then(|()| self.out.flush());
+        }
+        if let Err(error) = written {
+            warn!(self.log, "could not write the event log"; "error" => error.to_string());
+            self.closed = true;
+        }
+    }
+}
--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -94,6 +94,7 @@
             interval: self.interval,
             peers,
             statsd,
+            record: None,
         }
     }
 
--- a/crates/ferry-entry/src/run.rs
+++ b/crates/ferry-entry/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of an entry process: start, serve, drain, close.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use ferry_core::InstanceRole;
 use ferry_edge::process::{self, ProcessError, StopSignals};
@@ -29,13 +30,14 @@
     peers: Option<SocketAddr>,
 }
 
-/// Runs an entry until a signal asks it to stop and every request has ended.
-pub async fn run(settings: EntrySettings) -> Result<(), RunError> {
+/// Runs an entry until a signal asks it to stop and every request has ended; each event goes to `record`.
+pub async fn run(settings: EntrySettings, record: Option<PathBuf>) -> Result<(), RunError> {
     let incarnation = process::incarnation();
     let log = settings.log.logger().new(o!("instance" => settings.instance.id.clone()));
     let mut signals = StopSignals::new()?;
     let identity = settings.instance.identity(incarnation, InstanceRole::Entry);
-    let options = EntryOptions::from_settings(settings, identity, incarnation);
+    let mut options = EntryOptions::from_settings(settings, identity, incarnation);
+    options.ports = options.ports.with_record(record);
     let server = EntryServer::start(options, &log)?;
     process::announce(&Started {
         instance: server.instance(),
--- a/crates/ferry-entry/src/server.rs
+++ b/crates/ferry-entry/src/server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
-use ferry_core::{Identity, Node, Tuning};
+use ferry_core::{Identity, Tuning};
 use ferry_edge::{Driver, Handle, Metrics, OpenError, Peers, PortOptions, Ports, process};
 use ferry_model::{Incarnation, Workspace};
 use slog::{Logger, warn};
@@ -24,6 +24,8 @@
     Describe(String),
     #[error(transparent)]
     Open(#[from] OpenError),
+    #[error("could not create the event log: {0}")]
+    Record(std::io::Error),
     #[error("could not listen on {address}: {error}")]
     Listen { address: SocketAddr, error: String },
 }
@@ -88,8 +90,8 @@
         let (min_deadline, max_deadline) =
             (options.tuning.min_deadline, options.tuning.max_deadline);
         options.tuning.place.started_at = process::wall_clock();
-        let node = Node::new(options.identity, options.tuning, options.seed);
-        let handle = Driver::spawn(node, ports);
+        let handle = Driver::spawn(options.identity, options.tuning, options.seed, ports)
+            .map_err(StartError::Record)?;
         let config = ConfigDropshot {
             bind_address: options.listen,
             default_request_body_max_bytes: options.limits.body + BODY_SLACK,
--- a/crates/ferry-entry/tests/entry/process.rs
+++ b/crates/ferry-entry/tests/entry/process.rs
@@ -19,6 +19,7 @@
 /// Generous: only a hang reaches it.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A file that is gone after the test.
 struct SettingsFile(std::path::PathBuf);
 
 impl SettingsFile {
@@ -77,15 +78,18 @@
 }
 
 #[tokio::test]
-async fn two_terminate_signals_cut_no_request() {
+async fn two_terminate_signals_cut_no_request_and_the_run_can_be_replayed() {
     let deployment = Deployment::new(DeploymentName::Ikenna);
     let bind = SocketAddr::from(([127, 0, 0, 1], 0));
     let log = logs::silent_logger();
     let standins = DeploymentStandins::start(&deployment, bind, &log).unwrap();
     let file = SettingsFile::new("signals", &settings(standins.platform.address()));
+    let record = SettingsFile::new("events", "");
     let mut child = Command::new(ENTRY)
         .arg("--settings")
         .arg(&file.0)
+        .arg("--record")
+        .arg(&record.0)
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
@@ -108,6 +112,10 @@
     assert_eq!(answer.outcome, "complete");
     let status = tokio::task::spawn_blocking(move || child.wait()).await.unwrap().unwrap();
     assert_eq!(status.code(), Some(0));
+    let events = std::fs::File::open(&record.0).unwrap();
+    let replayed = ferry_core::replay::replay(BufReader::new(events)).unwrap();
+    assert!(replayed.is_same(), "a replay ends in another state: {replayed:?}");
+    assert!(0 < replayed.effects);
 }
 
 fn settings(platform: SocketAddr) -> String {
