Check the defaults on the settings page against the code

Cause: max_attempts and hedge_quantile had other defaults in the code than on the page and in the example; the test only compared the keys.

Conclusion: the page cannot drift unseen.

--- a/crates/ferry-entry/tests/settings_page.rs
+++ b/crates/ferry-entry/tests/settings_page.rs
@@ -1,5 +1,6 @@
-//! docs/SETTINGS.md lists every key that an entry reads.
+//! docs/SETTINGS.md lists every key that an entry reads, with its default.
 
+use ferry_core::Tuning;
 use ferry_edge::settings::{self, Findings};
 use ferry_entry::EntrySettings;
 
@@ -7,6 +8,11 @@
 /// A key that no section has: its finding lists the ones that are allowed.
 const UNKNOWN: &str = "unknown_to_all";
 
+/// Sections of the limits and intervals of decisions.
+const DECISIONS: [&str; 5] = ["tuning", "routing", "claims", "membership", "placement"];
+const REQUIRED: &str = "[instance]\nid = entry-0\nzone = a\nregion = b\nlisten = 127.0.0.1:1\n\
+                        [platform]\nstore = 127.0.0.1:1\nfleet = 127.0.0.1:1\n";
+
 fn findings(text: &str) -> Findings {
     settings::parse("page.ini", text, |_| None, EntrySettings::read).unwrap_err()
 }
@@ -39,3 +45,27 @@
         }
     }
 }
+
+/// Returns the lines `key = default` of a section of the page.
+fn defaults(page: &str, section: &str) -> String {
+    let text = page.split(&format!("### [{section}]\n")).nth(1).unwrap();
+    let rows = text.split("### [").next().unwrap().lines().filter(|it| it.starts_with("| `"));
+    rows.map(|row| {
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        format!("{} = {}\n", cells[1].trim_matches('`'), cells[3].replace(' ', ""))
+    })
+    .collect()
+}
+
+#[test]
+fn the_page_gives_the_defaults_of_the_code() {
+    let page = std::fs::read_to_string(PAGE).unwrap();
+    for section in DECISIONS {
+        for line in defaults(&page, section).lines() {
+            let ini = format!("{REQUIRED}[{section}]\n{line}\n");
+            let read = settings::parse("page.ini", &ini, |_| None, EntrySettings::read)
+                .unwrap_or_else(|it| panic!("{section}: {line}: {it}"));
+            assert_eq!(read.tuning, Tuning::default(), "{section}: {line}");
+        }
+    }
+}
