Kill, stop and terminate a real control process under load

Cause: control was under faults on virtual time only.

Change: the real-process tests start ferry-control beside the entries, kill it, stop and continue it, and ask it to leave, while callers go on.

Conclusion: requests do not depend on control.

--- a/crates/ferry-proof/tests/processes/cluster.rs
+++ b/crates/ferry-proof/tests/processes/cluster.rs
@@ -12,7 +12,7 @@
 use ferry_edge::http::{json_request, read_answer};
 use ferry_fakes::deployment::demo_token;
 use ferry_fakes::{Deployment, DeploymentName};
-use ferry_model::{EndpointState, Instance};
+use ferry_model::{EndpointState, Instance, Workspace};
 use ferry_standin::Run;
 use http::Method;
 use serde_json::Value;
@@ -95,6 +95,8 @@
     pub client: HttpClient,
     pub standin: Process,
     pub entries: Vec<Entry>,
+    /// The one control process, where a test wants one.
+    pub control: Option<Entry>,
     authority: CertPair,
     folder: PathBuf,
     n_started: usize,
@@ -117,6 +119,7 @@
             client: HttpClient::new(),
             standin,
             entries: Vec::new(),
+            control: None,
             authority: certs::make_authority().expect("an authority"),
             folder,
             n_started: 0,
@@ -140,6 +143,13 @@
         self.wait_ready(idx).await;
     }
 
+    /// Starts a fresh control process in the place of the one there is, if any.
+    pub async fn replace_control(&mut self) {
+        let control = self.start_instance("ferry-control");
+        self.control = Some(control);
+        self.list_entries().await;
+    }
+
     /// Shows an entry as leaving in the instance list.
     pub async fn list_leaving(&mut self, idx: usize) {
         self.entries[idx].instance.state = EndpointState::Leaving;
@@ -161,12 +171,21 @@
     }
 
     fn start_entry(&mut self) -> Entry {
+        self.start_instance("ferry-entry")
+    }
+
+    fn start_instance(&mut self, binary: &str) -> Entry {
         let idx = self.n_started;
         self.n_started += 1;
-        let id = format!("entry-{idx}");
+        let is_entry = binary == "ferry-entry";
+        let id = format!("{binary}-{idx}");
         let zone = self.deployment.zones[idx % self.deployment.zones.len()];
         let path = self.folder.join(format!("{id}.ini"));
-        fs::write(&path, self.settings(&id, zone)).expect("the settings can be written");
+        let mut settings = self.settings(&id, zone);
+        if is_entry {
+            settings += &self.workspaces();
+        }
+        fs::write(&path, settings).expect("the settings can be written");
         let pair = certs::make_instance(&self.authority, &id).expect("a certificate");
         let env = [
             ("FERRY_PEER_AUTHORITY", self.authority.cert.as_str()),
@@ -174,15 +193,16 @@
             ("FERRY_PEER_KEY", pair.key.as_str()),
         ];
         let path = path.to_string_lossy();
-        let process = Process::start("ferry-entry", &["--settings", &path], &env);
+        let process = Process::start(binary, &["--settings", &path], &env);
+        let address = if is_entry { "callers" } else { "operators" };
         let instance = Instance {
             id,
             zone: zone.to_owned(),
             region: self.deployment.region.to_owned(),
-            address: process.address("callers"),
+            address: process.address(address),
             peer: process.address("peers"),
             state: EndpointState::Live,
-            is_entry: true,
+            is_entry,
         };
         Entry { process, instance }
     }
@@ -190,22 +210,26 @@
     fn settings(&self, id: &str, zone: &str) -> String {
         let platform = self.platform();
         let region = self.deployment.region;
-        let mut text = format!(
+        format!(
             "[instance]\nid = {id}\nzone = {zone}\nregion = {region}\nlisten = 127.0.0.1:0\n\
              [platform]\nstore = {platform}\nfleet = {platform}\ntimeout = 1s\ninterval = 200ms\n\
              reads = 1000\nwrites = 1000\n\
              [log]\nlevel = error\n\
              [peers]\nlisten = 127.0.0.1:0\nauthority = env:FERRY_PEER_AUTHORITY\n\
              certificate = env:FERRY_PEER_CERTIFICATE\nkey = env:FERRY_PEER_KEY\n"
-        );
-        for it in &self.deployment.workspaces {
-            text += &format!("[workspace {}]\ntokens = {}\n", it.name, it.tokens.join(", "));
-        }
-        text
+        )
+    }
+
+    fn workspaces(&self) -> String {
+        let section = |it: &Workspace| {
+            format!("[workspace {}]\ntokens = {}\n", it.name, it.tokens.join(", "))
+        };
+        self.deployment.workspaces.iter().map(section).collect()
     }
 
     async fn list_entries(&self) {
-        let instances: Vec<&Instance> = self.entries.iter().map(|it| &it.instance).collect();
+        let all = self.entries.iter().chain(&self.control);
+        let instances: Vec<&Instance> = all.map(|it| &it.instance).collect();
         let body = serde_json::to_value(instances).expect("instances are JSON");
         self.ask(Method::PUT, self.platform(), "/control/instances", Some(&body)).await;
     }
@@ -274,6 +298,8 @@
                 "--bin",
                 "ferry-entry",
                 "--bin",
+                "ferry-control",
+                "--bin",
                 "ferry-standin",
             ])
             .current_dir(env!("CARGO_MANIFEST_DIR"))
--- a/crates/ferry-proof/tests/processes/main.rs
+++ b/crates/ferry-proof/tests/processes/main.rs
@@ -47,6 +47,8 @@
     Stops,
     StoreOutage,
     FrozenSockets,
+    /// The control process is killed, stopped and asked to leave.
+    Control,
 }
 
 /// One request as its caller saw it.
@@ -148,6 +150,21 @@
             }
             pause(500).await;
         }
+        Disturbance::Control => {
+            for signal in [Signal::Kill, Signal::Stop, Signal::Terminate] {
+                cluster.replace_control().await;
+                pause(2_000).await;
+                let control = cluster.control.as_mut().expect("it was started");
+                control.process.signal(signal);
+                pause(1_000).await;
+                if matches!(signal, Signal::Stop) {
+                    control.process.signal(Signal::Continue);
+                    pause(1_000).await;
+                }
+            }
+            let control = cluster.control.as_mut().expect("it was started");
+            assert!(control.process.ended().await, "the control process ends well");
+        }
     }
 }
 
@@ -289,3 +306,14 @@
     let report = run("sockets", deployment, MIXED, Disturbance::FrozenSockets).await;
     assert_eq!(report.check(deployment), 0, "connections broke");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_of_control_touch_no_request() {
+    let deployment = DeploymentName::Kancil;
+    let report = run("control", deployment, MIXED, Disturbance::Control).await;
+    assert_eq!(report.check(deployment), 0, "connections broke");
+    let is_whole = |it: &Sample| {
+        it.answers.last().and_then(Option::as_ref).is_some_and(|it| it["outcome"] == "complete")
+    };
+    assert!(report.samples.iter().all(is_whole), "each request completes without control");
+}
