--- a/crates/ferry-bench/src/cluster.rs
+++ b/crates/ferry-bench/src/cluster.rs
@@ -37,6 +37,30 @@
         n_entries: usize,
         seed: u64,
         log: &Logger,
+    ) -> Result<Cluster, String> {
+        let cluster = Cluster::new(deployment, n_entries, seed, log)?;
+        cluster.list_instances(deployment);
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Starts a deployment whose instance list is still empty, as it may be for a while.
+    pub async fn start_unlisted(
+        deployment: &Deployment,
+        n_entries: usize,
+        seed: u64,
+        log: &Logger,
+    ) -> Result<Cluster, String> {
+        let cluster = Cluster::new(deployment, n_entries, seed, log)?;
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    fn new(
+        deployment: &Deployment,
+        n_entries: usize,
+        seed: u64,
+        log: &Logger,
     ) -> Result<Cluster, String> {
         let bind = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let standins = DeploymentStandins::start(deployment, bind, log)?;
@@ -66,14 +90,11 @@
             entries.push(EntryServer::start(options, log).map_err(|it| it.to_string())?);
         }
         let control = start_control(deployment, platform, &authority, seed, log)?;
-        let cluster = Cluster { standins, entries, control };
-        cluster.list_instances(deployment);
-        cluster.wait_ready().await?;
-        Ok(cluster)
+        Ok(Cluster { standins, entries, control })
     }
 
     /// Puts the entries and the control process into the instance list.
-    fn list_instances(&self, deployment: &Deployment) {
+    pub fn list_instances(&self, deployment: &Deployment) {
         let entries = self.entries.iter().enumerate().filter_map(|(idx, entry)| {
             Some(Instance {
                 id: entry.instance().to_owned(),
--- a/crates/ferry-control/src/api/bodies.rs
+++ b/crates/ferry-control/src/api/bodies.rs
@@ -69,8 +69,8 @@
 pub struct StatusBody {
     /// Highest revision known.
     pub revision: Revision,
-    /// Lowest revision of a live instance.
-    pub lowest: Revision,
+    /// Lowest revision of a live instance; absent while none is known, this one included.
+    pub lowest: Option<Revision>,
     pub instances: Vec<InstanceBody>,
 }
 
@@ -90,7 +90,7 @@
         let live = statuses.iter().filter(|it| it.state == ferry_model::InstanceState::Live);
         StatusBody {
             revision: statuses.iter().map(|it| it.revision).max().unwrap_or(0),
-            lowest: live.map(|it| it.revision).min().unwrap_or(0),
+            lowest: live.map(|it| it.revision).min(),
             instances: statuses.iter().map(InstanceBody::new).collect(),
         }
     }
--- a/crates/ferryctl/src/cmd.rs
+++ b/crates/ferryctl/src/cmd.rs
@@ -44,6 +44,10 @@
     NoRevision,
     #[error("revision {revision} is not in force everywhere: {lagging}")]
     Lagging { revision: u64, lagging: String },
+    #[error(
+        "revision {revision} is accepted, but no instance is known that could have it in force"
+    )]
+    NoInstances { revision: u64 },
     #[error("the replay of {path} does not end in the recorded state")]
     Diverged { path: String },
     #[error(transparent)]
--- a/crates/ferryctl/src/cmd/use_preset.rs
+++ b/crates/ferryctl/src/cmd/use_preset.rs
@@ -71,17 +71,29 @@
 async fn wait(client: &Client, revision: Revision, until: Instant) -> Result<(), CommandError> {
     loop {
         let status = client.read("/v1/status").await?.value;
-        let lagging = lagging(&status, revision);
-        if lagging.is_empty() {
-            return Ok(());
-        }
+        let Err(error) = check(&status, revision) else { return Ok(()) };
         if until <= Instant::now() {
-            return Err(CommandError::Lagging { revision, lagging: lagging.join(", ") });
+            return Err(error);
         }
         tokio::time::sleep(POLL).await;
     }
 }
 
+/// Says why the revision cannot be taken to be in force everywhere.
+///
+/// Until the control process has read the instance list there is nobody who could lag.
+fn check(status: &Value, revision: Revision) -> Result<(), CommandError> {
+    let is_anyone_live = status.get("lowest").is_some_and(Value::is_u64);
+    if !is_anyone_live {
+        return Err(CommandError::NoInstances { revision });
+    }
+    let lagging = lagging(status, revision);
+    if !lagging.is_empty() {
+        return Err(CommandError::Lagging { revision, lagging: lagging.join(", ") });
+    }
+    Ok(())
+}
+
 fn lagging(status: &Value, revision: Revision) -> Vec<String> {
     let instances = status.get("instances").and_then(Value::as_array);
     let is_behind = |it: &&Value| {
--- a/crates/ferryctl/tests/administration.rs
+++ b/crates/ferryctl/tests/administration.rs
@@ -77,6 +77,27 @@
     assert!(peak.contains("yes"), "{}", presets.out);
 }
 
+/// No instance is known yet, so nothing can be said of all of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn use_with_wait_does_not_take_an_empty_list_for_everyone() {
+    let deployment = Deployment::new(DeploymentName::Kancil);
+    let log = logs::silent_logger();
+    let cluster = Cluster::start_unlisted(&deployment, 3, 34, &log).await.expect("a deployment");
+    let status = ferryctl(&cluster, &["--json", "status"]).await.json();
+    assert_eq!(status["lowest"], Value::Null);
+    let wait = ["use", "peak", "--revision", "1", "--wait", "--seconds", "1"];
+    let told = ferryctl(&cluster, &wait).await;
+    assert!(!told.ok, "{}", told.out);
+    assert!(told.error.contains("no instance is known"), "{}", told.error);
+
+    cluster.list_instances(&deployment);
+    let told = ferryctl(&cluster, &["use", "ordinary", "--latest", "--wait"]).await;
+    assert!(told.ok, "{}", told.error);
+    let status = ferryctl(&cluster, &["--json", "status"]).await.json();
+    assert_eq!(status["lowest"], 3);
+    assert_eq!(status["instances"].as_array().map(Vec::len), Some(4));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pipeline_is_read_compared_and_put() {
     let cluster = cluster(32).await;
