Ask one instance before a request with stages is begun

Requests were begun until their time limit could not be met any more, by waits that heartbeats tell: a burst over the limit was seen when its first requests had reached the last stage. Ruled out: half-empty calls (92 of 96 items a call there), endpoints without calls (84% of the time in calls by the expected time, the rest is reading inputs), failed items (2 in 100). Change: an instance found by rendezvous hashing keeps account of what has been begun for each pool, by class, and lets a request begin if it can be in time. Larger requests may wait longer; one in eight goes first whatever it is; callers that come back late take what is left. Estimates of engines count what is likely cached, and items are late only 100 ms after their due time.

--- /dev/null
+++ b/crates/ferry-serve/src/admission.rs
@@ -0,0 +1,90 @@
+//! Decides which requests with stages are begun, by what the endpoints of their stages can do.
+//!
+//! Answers the load of a burst above what the endpoints of a stage can do. Were every request begun,
+//! the first stages would work for requests that the last one cannot serve, and all would end late.
+//! One instance, the same for all, keeps account of what has been begun; docs/design/platform.md
+//! weighs the ways.
+
+mod account;
+mod capacity;
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use ferry_model::PoolId;
+use serde::{Deserialize, Serialize};
+
+use crate::CallerAttempt;
+
+pub use account::{Account, Judgement};
+pub use capacity::Capacity;
+
+/// Classes of requests; a lower one is begun first, and the last one is for those that are late.
+pub const N_CLASSES: usize = 9;
+/// Class of requests that can only be late: they take what the others leave.
+pub const LATE_CLASS: u8 = N_CLASSES as u8 - 1;
+/// One of this many requests goes before all others whatever it is, so that none is starved.
+const FIRST_EACH: u64 = 8;
+/// Bounds of the factor by which a request that is worth less or more may wait.
+const LEAST_WORTH: f64 = 0.4;
+const MOST_WORTH: f64 = 2.0;
+/// Live instances for each of those that keep account.
+const INSTANCES_PER_ACCOUNT: usize = 128;
+
+/// What a request needs of the endpoints of its stages.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    pub attempt: CallerAttempt,
+    pub part: Part,
+    pub class: u8,
+    /// Worth for the work, one for the usual request of its route.
+    pub worth: f64,
+    /// Items by pool.
+    pub items: Vec<(PoolId, u32)>,
+    /// Longest wait at all pools together with which the request is still in time.
+    pub slack: Duration,
+}
+
+/// The part of all requests, and of what endpoints can do, that one account is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Part {
+    pub number: u16,
+    pub of: u16,
+}
+
+impl Part {
+    /// Returns the part of an attempt, where `n_instances` live.
+    pub fn of_attempt(attempt: &str, n_instances: usize) -> Part {
+        let of = Part::count(n_instances);
+        let number = (draw(attempt, 1) % u64::from(of)) as u16;
+        Part { number, of }
+    }
+
+    /// Returns all parts, where `n_instances` live.
+    pub fn all(n_instances: usize) -> impl Iterator<Item = Part> {
+        let of = Part::count(n_instances);
+        (0..of).map(move |number| Part { number, of })
+    }
+
+    fn count(n_instances: usize) -> u16 {
+        n_instances.div_ceil(INSTANCES_PER_ACCOUNT).clamp(1, usize::from(u16::MAX)) as u16
+    }
+}
+
+/// Returns the class and the worth of a request that can be in time, from its rank among `n_ranks`.
+pub fn place(attempt: &str, rank: usize, n_ranks: usize, worth: f64) -> (u8, f64) {
+    let n_classes = usize::from(LATE_CLASS);
+    let is_drawn = draw(attempt, 2).is_multiple_of(FIRST_EACH);
+    match (is_drawn, n_ranks <= n_classes) {
+        (true, _) => (0, MOST_WORTH),
+        (false, true) => (rank as u8, worth),
+        (false, false) => ((rank * n_classes / n_ranks) as u8, worth),
+    }
+}
+
+/// Draws a number for an attempt that every instance draws too.
+fn draw(attempt: &str, purpose: u8) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (purpose, attempt).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/ferry-serve/src/admission/capacity.rs
@@ -0,0 +1,59 @@
+//! What the endpoints of a pool can do, as those that gather its items tell it.
+
+use std::time::Duration;
+
+use ferry_model::{BatchLimits, Moment};
+
+use super::{N_CLASSES, Part};
+use crate::batch::{Batcher, batch_limits, full_call};
+use crate::node::Context;
+use crate::{Backlog, Group, groups};
+
+/// Part of the rate that is given out: the closer to all of it, the longer the queues.
+const USABLE: f64 = 0.9;
+
+/// What one account may give out of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Capacity {
+    /// Items a second, in full calls.
+    pub rate: f64,
+    /// Items that wait at the instances that gather them, by class.
+    pub queued: [f64; N_CLASSES],
+}
+
+impl Capacity {
+    /// Returns the part of what a pool can do.
+    pub fn new(ctx: &Context, batcher: &Batcher, now: Moment, pool: &str, part: Part) -> Capacity {
+        let mut total = Capacity::default();
+        let Some(limits) = batch_limits(ctx, pool) else { return total };
+        let share = 1.0 / f64::from(part.of.max(1));
+        for group in groups(&ctx.endpoints, pool) {
+            let told = told(ctx, batcher, now, &group);
+            let rate = told.as_ref().map_or_else(|| usual_rate(ctx, &group, &limits), |it| it.rate);
+            total.rate += rate * share * USABLE;
+            let queued = told.map_or([0; N_CLASSES], |it| it.queued);
+            for (sum, n_items) in total.queued.iter_mut().zip(queued) {
+                *sum += f64::from(n_items) * share;
+            }
+        }
+        total
+    }
+}
+
+/// Returns what the instance that gathers the items of a group says of it, if it has any.
+fn told(ctx: &Context, batcher: &Batcher, now: Moment, group: &Group) -> Option<Backlog> {
+    match ctx.batcher(now, group) {
+        None => batcher.backlog(now, ctx, group),
+        Some(peer) => {
+            let backlog = &ctx.peers.get(peer)?.heartbeat.backlog;
+            backlog.iter().find(|it| it.group == *group).cloned()
+        }
+    }
+}
+
+/// Returns the rate of a group whose endpoints are as fast as the configuration says.
+fn usual_rate(ctx: &Context, group: &Group, limits: &BatchLimits) -> f64 {
+    let members = ctx.endpoints.pool(&group.pool).filter(|it| group.has(it) && it.takes_work());
+    let full: Duration = full_call(limits);
+    members.count() as f64 * limits.batch as f64 / full.as_secs_f64().max(1e-3)
+}
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -4,6 +4,7 @@
 //! its items. So one instance gathers the items of a pool, an endpoint gets a call only when it is
 //! free, and what is due first goes first; docs/design/platform.md has the figures.
 
+mod backlog;
 mod job;
 mod lanes;
 mod outcomes;
@@ -23,6 +24,7 @@
 pub use job::{Job, JobKey, Outcome, Owner};
 use lanes::Lane;
 use outcomes::{finish, tell};
+pub(crate) use plan::full_call;
 
 /// Time that a call spends on the way, beside the endpoint's work.
 const TRANSIT: Duration = Duration::from_millis(6);
@@ -140,18 +142,6 @@
         [hedge, limit, blocked, linger].into_iter().flatten().min()
     }
 
-    /// Returns the time until an item of `group` that comes now is started.
-    pub fn wait(&self, now: Moment, ctx: &Context, group: &Group) -> Option<Duration> {
-        let limits = batch_limits(ctx, &group.pool)?;
-        let n_items: usize =
-            self.jobs.values().filter(|it| it.group == *group).map(|it| it.pending.len()).sum();
-        let n_calls = n_items.div_ceil(limits.batch.max(1));
-        let call = call_time(&limits, limits.batch);
-        let busy = self.calls.values().filter(|it| it.group == *group);
-        let rest: Duration = busy.map(|it| (it.at + it.expected).saturating_sub(now)).sum();
-        Some((call * n_calls as u32 + rest) / usable(ctx, now, group).max(1) as u32)
-    }
-
     /// Returns the groups whose items this instance gathers at the moment.
     pub fn groups(&self) -> Vec<Group> {
         let open = self.jobs.values().filter(|it| it.outcome.is_none());
--- /dev/null
+++ b/crates/ferry-serve/src/batch/backlog.rs
@@ -0,0 +1,56 @@
+//! What peers are told of the work that this instance gathers.
+
+use std::time::Duration;
+
+use ferry_model::{BatchLimits, Moment};
+
+use super::lanes::FASTEST;
+use super::{Batcher, batch_limits, call_time, full_call, usable};
+use crate::admission::{LATE_CLASS, N_CLASSES};
+use crate::node::Context;
+use crate::{Backlog, Group};
+
+impl Batcher {
+    /// Returns the time until an item of `group` that comes now is started.
+    pub fn wait(&self, now: Moment, ctx: &Context, group: &Group) -> Option<Duration> {
+        let limits = batch_limits(ctx, &group.pool)?;
+        let n_items: usize =
+            self.jobs.values().filter(|it| it.group == *group).map(|it| it.pending.len()).sum();
+        let n_calls = n_items.div_ceil(limits.batch.max(1));
+        let call = call_time(&limits, limits.batch);
+        let busy = self.calls.values().filter(|it| it.group == *group);
+        let rest: Duration = busy.map(|it| (it.at + it.expected).saturating_sub(now)).sum();
+        Some((call * n_calls as u32 + rest) / usable(ctx, now, group).max(1) as u32)
+    }
+
+    /// Returns what peers are told of a group; none if it has no endpoint that takes work.
+    pub fn backlog(&self, now: Moment, ctx: &Context, group: &Group) -> Option<Backlog> {
+        let limits = batch_limits(ctx, &group.pool)?;
+        let wait = self.wait(now, ctx, group)?;
+        let members = ctx.endpoints.pool(&group.pool).filter(|it| group.has(it));
+        let usable = members.filter(|it| it.is_usable(now));
+        let full = full_call(&limits).as_secs_f64().max(1e-3);
+        let rate = usable.map(|it| limits.batch as f64 / (full * it.slow.max(FASTEST))).sum();
+        Some(Backlog { group: group.clone(), wait, rate, queued: self.queued(now, group, &limits) })
+    }
+
+    /// Counts the waiting items of a group by class, without those of the next call: they wait
+    /// for an endpoint to end its call also where there is no queue.
+    fn queued(&self, now: Moment, group: &Group, limits: &BatchLimits) -> [u32; N_CLASSES] {
+        let mut queued = [0; N_CLASSES];
+        for (_, job) in self.waiting(group) {
+            let class = match job.is_late(now, full_call(limits)) {
+                true => LATE_CLASS,
+                false => job.class.min(LATE_CLASS),
+            };
+            queued[usize::from(class)] += job.pending.len() as u32;
+        }
+        let mut next_call = limits.batch as u32;
+        for n_items in &mut queued {
+            let part = next_call.min(*n_items);
+            *n_items -= part;
+            next_call -= part;
+        }
+        queued
+    }
+}
--- a/crates/ferry-serve/src/batch/job.rs
+++ b/crates/ferry-serve/src/batch/job.rs
@@ -1,6 +1,7 @@
 //! Items of one stage of one request.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_model::{Moment, ResultHandle, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -45,6 +46,9 @@
     Late,
 }
 
+/// Time by which estimates of what follows a stage are too long at most.
+const DUE_SLACK: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Clone)]
 pub struct Job {
     pub owner: Owner,
@@ -58,7 +62,7 @@
     /// Approximate size of one result.
     pub result_bytes: u64,
     /// Zero is served first.
-    pub priority: u8,
+    pub class: u8,
     /// Availability zone in which its inputs lie, or in which its results will be read.
     pub zone: Option<ZoneId>,
     pub results: Vec<Option<ResultHandle>>,
@@ -82,7 +86,7 @@
             limit: since,
             since,
             result_bytes: 0,
-            priority: 0,
+            class: 0,
             zone: None,
             results: vec![None; usize::from(n_items)],
             pending: (0..n_items).collect(),
@@ -98,7 +102,7 @@
     pub fn from_submit(owner: Owner, submit: Submit, now: Moment) -> (JobKey, Job) {
         let job = Job::new(owner, submit.group, submit.n_items, submit.input, now)
             .with_times(now + submit.due, now + submit.left)
-            .with_priority(submit.priority)
+            .with_class(submit.class)
             .with_zone(submit.zone)
             .with_result_bytes(submit.result_bytes);
         (submit.key, job)
@@ -110,8 +114,8 @@
         self
     }
 
-    pub fn with_priority(mut self, priority: u8) -> Job {
-        self.priority = priority;
+    pub fn with_class(mut self, class: u8) -> Job {
+        self.class = class;
         self
     }
 
@@ -129,6 +133,11 @@
         self.outcome.is_none() && !self.pending.is_empty()
     }
 
+    /// Whether a call that takes `call` from now on ends too late for the answer to be worth most.
+    pub fn is_late(&self, now: Moment, call: Duration) -> bool {
+        self.due + DUE_SLACK < now + call
+    }
+
     pub fn settle(&mut self, now: Moment, outcome: Outcome) {
         self.outcome = Some(outcome);
         self.settled = Some(now);
--- a/crates/ferry-serve/src/batch/lanes.rs
+++ b/crates/ferry-serve/src/batch/lanes.rs
@@ -13,7 +13,7 @@
 const WORTH_WAITING: f64 = 0.8;
 
 /// Least part of the expected time that an endpoint is believed to take.
-const FASTEST: f64 = 0.1;
+pub(super) const FASTEST: f64 = 0.1;
 
 #[derive(Debug, Clone)]
 pub struct Lane {
--- a/crates/ferry-serve/src/batch/plan.rs
+++ b/crates/ferry-serve/src/batch/plan.rs
@@ -9,8 +9,8 @@
 
 use super::{Job, JobKey, Lane, TRANSIT, call_time, lanes};
 
-/// Time by which each lower priority stands back.
-const PRIORITY_STEP: Duration = Duration::from_millis(150);
+/// Time by which each lower class stands back.
+const CLASS_STEP: Duration = Duration::from_millis(1000);
 /// Calls that must still fit before an item is due for it to wait for an endpoint in its zone.
 const NEAR_CALLS: f64 = 2.0;
 /// Calls that must still fit before its time is over for a late item to wait for such an endpoint.
@@ -72,14 +72,14 @@
     late
 }
 
-/// Orders jobs: those that can still be in time first, then by when they are due and by priority.
+/// Orders jobs: those that can still be in time first, then by when they are due and by class.
 fn rank(now: Moment, job: &Job, full: Duration) -> (bool, Moment) {
-    let is_late = job.due < now + full;
-    (is_late, job.due + PRIORITY_STEP * u32::from(job.priority))
+    let is_late = job.is_late(now, full);
+    (is_late, job.due + CLASS_STEP * u32::from(job.class))
 }
 
 /// Returns the time of a full call, with what it takes to be heard of.
-fn full_call(limits: &BatchLimits) -> Duration {
+pub(crate) fn full_call(limits: &BatchLimits) -> Duration {
     call_time(limits, limits.batch) + TRANSIT
 }
 
@@ -89,7 +89,7 @@
     if *zone == lane.zone || lanes.iter().all(|it| it.zone != *zone) {
         return true;
     }
-    let is_late = job.due < now + full;
+    let is_late = job.is_late(now, full);
     match is_late {
         false => job.due < now + full.mul_f64(NEAR_CALLS),
         true => job.limit < now + full.mul_f64(LATE_NEAR_CALLS),
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -11,8 +11,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     config: Option<Arc<GatewayConfig>>,
+    /// Priorities of requests, sorted.
+    ranks: Vec<Rank>,
 }
 
+/// Priority of a request, and that of its route: where every workspace has a priority of its own,
+/// the routes' decide among the requests of equal ones.
+type Rank = (u8, u8);
+
 /// What the configuration says of a request that it allows.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Admitted {
@@ -20,6 +26,9 @@
     pub pool: PoolId,
     pub workspace: Option<WorkspaceId>,
     pub priority: u8,
+    /// Place of its priorities among all that the configuration has.
+    pub rank: usize,
+    pub n_ranks: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +48,7 @@
     pub fn offer(&mut self, config: Arc<GatewayConfig>) -> bool {
         let is_newer = self.config.as_ref().is_none_or(|it| it.version < config.version);
         if is_newer {
+            self.ranks = ranks(&config);
             self.config = Some(config);
         }
         is_newer
@@ -68,15 +78,34 @@
         if config.keys.is_some() && owner.is_none() && !route.anonymous {
             return Err(Rejection::UnknownKey);
         }
+        let priority = owner.and_then(|it| it.priority).unwrap_or(route.priority);
         Ok(Admitted {
             pool: target(route, &head.attempt),
             workspace: owner.map(|it| it.workspace.clone()),
-            priority: owner.and_then(|it| it.priority).unwrap_or(route.priority),
+            priority,
+            rank: self.ranks.binary_search(&(priority, route.priority)).unwrap_or_else(|it| it),
+            n_ranks: self.ranks.len(),
             route: Arc::new(route.clone()),
         })
     }
 }
 
+/// Returns the priorities that requests with stages may have, sorted.
+fn ranks(config: &GatewayConfig) -> Vec<Rank> {
+    let owners = config.keys.iter().flat_map(|it| it.values());
+    let own: Vec<Option<u8>> = owners.map(|it| it.priority).collect();
+    let mut ranks: Vec<Rank> = Vec::new();
+    for route in config.routes.iter().filter(|it| !it.stages.is_empty()) {
+        if config.keys.is_none() || route.anonymous {
+            ranks.push((route.priority, route.priority));
+        }
+        ranks.extend(own.iter().map(|it| (it.unwrap_or(route.priority), route.priority)));
+    }
+    ranks.sort_unstable();
+    ranks.dedup();
+    ranks
+}
+
 /// Divides requests among the targets by weight; an attempt always gets the same one.
 fn target(route: &Route, attempt: &str) -> PoolId {
     let total: u64 = route.targets.iter().map(|it| u64::from(it.weight)).sum();
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -96,6 +96,14 @@
     prompt.iter().map(&mut add).collect()
 }
 
+/// Returns the tokens that an engine is likely to read: its own part, and what it lacks of the
+/// shared ones.
+pub fn likely_read(prompt: &[PromptPart]) -> f64 {
+    let Some((own, shared)) = prompt.split_last() else { return 0.0 };
+    let shared: u32 = shared.iter().map(|it| it.tokens).sum();
+    f64::from(own.tokens) + f64::from(shared) * (1.0 - LIKELY_CACHED)
+}
+
 /// Orders names by a hash with `key`, so that all instances agree on the first without talking.
 pub fn rendezvous(key: u64, name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -217,6 +217,7 @@
     RequestsComplete,
     RequestsFailed,
     RequestsDropped,
+    AsksUnanswered,
     CallsSent,
     CallsRepeated,
     StreamsResumed,
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -81,6 +81,7 @@
     pub key: Option<ApiKey>,
     /// Time that the caller still waits.
     pub left: Option<Duration>,
+    pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order.
     pub prompt: Vec<PromptPart>,
     /// Items of each stage; a stage beyond the list has none.
@@ -89,6 +90,13 @@
     pub item_key: Option<String>,
 }
 
+/// How many tokens a request reads, and how many it may write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenCounts {
+    pub prompt: u32,
+    pub output: u32,
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Gateway::reduce`] takes the time and one event and returns effects as data. There is no clock
 //! and no I/O here; docs/design/platform.md has the parts and the reasons.
 
+mod admission;
 mod batch;
 mod budget;
 mod catalog;
@@ -18,6 +19,7 @@
 mod strain;
 mod tuning;
 
+pub use admission::{Ask, Part};
 pub use batch::{Batcher, Job, JobKey, Outcome};
 pub use budget::Budget;
 pub use catalog::{Catalog, Rejection};
@@ -28,7 +30,7 @@
 pub use endpoints::{EndpointView, Endpoints, LoadReport, Observation, Observations};
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Head, ItemInput, ItemReason, ItemResult, NotRunReason,
-    PromptPart, StoreNews,
+    PromptPart, StoreNews, TokenCounts,
 };
 pub use group::{Group, groups};
 pub use node::{Context, Gateway, Identity, Snapshot, Turn};
--- a/crates/ferry-serve/src/node.rs
+++ b/crates/ferry-serve/src/node.rs
@@ -1,6 +1,7 @@
 //! The one reducer of a gateway: every event passes through [`Gateway::reduce`].
 
 mod context;
+mod usual;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,8 +9,9 @@
 
 use ferry_model::{ConfigVersion, GatewayConfig, Moment, SortedMap};
 
+use crate::admission::{Account, Part};
 use crate::batch::{Batcher, Job, JobKey, Outcome, Owner};
-use crate::request::Requests;
+use crate::request::{Requests, judge};
 use crate::strain::Strain;
 use crate::{
     Backlog, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group, Heartbeat,
@@ -21,6 +23,7 @@
 
 pub(crate) use context::free;
 pub use context::{Context, Identity, Snapshot, Turn};
+pub use usual::Standing;
 
 /// The whole state of a process.
 #[derive(Debug)]
@@ -47,6 +50,8 @@
                 peers: Peers::new(),
                 strain: Strain::new(),
                 observations: Observations::default(),
+                account: Account::default(),
+                usual: SortedMap::new(),
                 budgets: SortedMap::new(),
                 last_call: 0,
             },
@@ -205,7 +210,7 @@
     }
 
     fn beat(&mut self, now: Moment, out: &mut Vec<Effect>) {
-        let owners = self.batcher.owners();
+        let owners = self.told_at_once(now);
         let due = self.ctx.peers.due(now, &self.ctx.tuning, &owners);
         if due.is_empty() {
             return;
@@ -217,6 +222,18 @@
         }
     }
 
+    /// Returns the peers that need each heartbeat: the owners of jobs, and those that keep account
+    /// of what the endpoints of its groups can do.
+    fn told_at_once(&self, now: Moment) -> Vec<SocketAddr> {
+        let mut told = self.batcher.owners();
+        if told.is_empty() && self.batcher.is_idle() {
+            return told;
+        }
+        let n_instances = self.ctx.peers.n_instances(now, &self.ctx.tuning);
+        told.extend(Part::all(n_instances).filter_map(|it| self.ctx.accountant(now, it)));
+        told
+    }
+
     fn heartbeat(&self, now: Moment, observations: Vec<Observation>) -> Heartbeat {
         let identity = &self.ctx.identity;
         Heartbeat {
@@ -237,10 +254,7 @@
 
     fn backlog(&self, now: Moment) -> Vec<Backlog> {
         let groups = self.batcher.groups();
-        let backlog = |group: Group| {
-            let wait = self.batcher.wait(now, &self.ctx, &group)?;
-            Some(Backlog { group, wait })
-        };
+        let backlog = |group: Group| self.batcher.backlog(now, &self.ctx, &group);
         groups.into_iter().filter_map(backlog).collect()
     }
 
@@ -310,6 +324,14 @@
             }
         }
         PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
+        PeerMessage::Ask(ask) => {
+            let is_begun = judge(cx, batcher, &ask);
+            let message = PeerMessage::Verdict { attempt: ask.attempt, is_begun };
+            cx.out.push(Effect::Send { to: from, message });
+        }
+        PeerMessage::Verdict { attempt, is_begun } => {
+            requests.on_verdict(cx, batcher, &attempt, is_begun);
+        }
         PeerMessage::Taken(key) => requests.on_taken(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
         PeerMessage::Settled { key, outcome } => cx.settled.push((key, outcome)),
--- a/crates/ferry-serve/src/node/context.rs
+++ b/crates/ferry-serve/src/node/context.rs
@@ -1,5 +1,6 @@
 //! What every part of the gateway shares.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,13 +10,18 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::usual::{Standing, Usual};
+use crate::admission::{Account, Part};
 use crate::batch::{JobKey, Outcome};
 use crate::strain::Strain;
 use crate::{
-    Budget, CallId, Catalog, Decision, Effect, Endpoints, Group, Metric, Observations, Peers,
+    Budget, CallId, Catalog, Decision, Effect, Endpoints, Group, Head, Metric, Observations, Peers,
     Tuning,
 };
 
+/// Draws the instances that keep account apart from other roles.
+const ACCOUNTS_KEY: &str = "accounts";
+
 /// Who this process is, from its settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Identity {
@@ -40,6 +46,10 @@
     pub peers: Peers,
     pub strain: Strain,
     pub observations: Observations,
+    /// Requests that have been begun, if this instance keeps account of them.
+    pub account: Account,
+    /// What requests are usually like, by route.
+    pub(super) usual: SortedMap<String, Usual>,
     pub(super) budgets: SortedMap<PoolId, Budget>,
     pub(super) last_call: CallId,
 }
@@ -47,8 +57,24 @@
 impl Context {
     /// Returns the peer that gathers items of `group`; none if this instance does.
     pub fn batcher(&self, now: Moment, group: &Group) -> Option<SocketAddr> {
+        self.holder(now, group)
+    }
+
+    /// Returns the peer that keeps account of a part of the requests; none if this instance does.
+    pub fn accountant(&self, now: Moment, part: Part) -> Option<SocketAddr> {
+        self.holder(now, (ACCOUNTS_KEY, part))
+    }
+
+    fn holder(&self, now: Moment, work: impl Hash) -> Option<SocketAddr> {
+        let mut hasher = DefaultHasher::new();
+        work.hash(&mut hasher);
         let is_strained = self.strain.is_strained(now);
-        self.peers.batcher(now, &self.tuning, &self.identity, is_strained, group)
+        self.peers.holder(now, &self.tuning, &self.identity, is_strained, hasher.finish())
+    }
+
+    /// Notes a request of a route and returns where it stands among them.
+    pub fn standing(&mut self, route: &str, head: &Head) -> Standing {
+        self.usual.entry_or_with(route.to_owned(), Usual::default).note(head)
     }
 
     /// Returns the repeat budget of a pool.
--- /dev/null
+++ b/crates/ferry-serve/src/node/usual.rs
@@ -0,0 +1,71 @@
+//! What requests of a route are usually like, to tell where one of them stands.
+
+use std::time::Duration;
+
+use crate::Head;
+
+/// Weight of the newest request in averages.
+const NEWEST: f64 = 0.05;
+/// Time by which a first attempt may seem later than the first of others.
+const SAME_ATTEMPT: Duration = Duration::from_millis(50);
+/// Tokens read that cost an engine as much as one that it writes.
+const TOKENS_PER_OUTPUT: f64 = 10.0;
+/// Part of a request's worth that does not depend on its size.
+const BASE_WORTH: f64 = 0.3;
+
+/// One request against the usual ones of its route.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// Time since the caller's first attempt.
+    pub elapsed: Duration,
+    /// Worth for the work of its stages, one for the usual request.
+    pub worth: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Usual {
+    /// Longest time that callers have had.
+    longest: Duration,
+    size: f64,
+    items: f64,
+}
+
+impl Usual {
+    /// Notes a request and returns where it stands.
+    pub fn note(&mut self, head: &Head) -> Standing {
+        let (size, items) = (size(head), head.items.iter().map(|it| f64::from(*it)).sum());
+        average(&mut self.size, size);
+        average(&mut self.items, items);
+        Standing { elapsed: self.elapsed(head), worth: self.worth(size, items) }
+    }
+
+    /// Callers of a route have the same time for all their attempts.
+    fn elapsed(&mut self, head: &Head) -> Duration {
+        let Some(left) = head.left else { return Duration::ZERO };
+        self.longest = self.longest.max(left);
+        let elapsed = self.longest - left;
+        if elapsed < SAME_ATTEMPT { Duration::ZERO } else { elapsed }
+    }
+
+    fn worth(&self, size: f64, items: f64) -> f64 {
+        let worth = BASE_WORTH + (1.0 - BASE_WORTH) * ratio(size, self.size);
+        worth / ratio(items, self.items)
+    }
+}
+
+/// Returns the tokens of a request, those that it may write counted by what they cost.
+fn size(head: &Head) -> f64 {
+    match head.tokens {
+        Some(tokens) => f64::from(tokens.prompt) + TOKENS_PER_OUTPUT * f64::from(tokens.output),
+        None => head.prompt.iter().map(|it| f64::from(it.tokens)).sum(),
+    }
+}
+
+fn average(average: &mut f64, newest: f64) {
+    let weight = if *average == 0.0 { 1.0 } else { NEWEST };
+    *average += weight * (newest - *average);
+}
+
+fn ratio(value: f64, usual: f64) -> f64 {
+    if value <= 0.0 || usual <= 0.0 { 1.0 } else { value / usual }
+}
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -10,7 +10,10 @@
 use ferry_model::{ConfigVersion, Incarnation, InstanceId, Moment, SortedMap, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Group, Identity, ItemInput, JobKey, Observation, Outcome, Tuning, rendezvous};
+use crate::admission::{Ask, N_CLASSES};
+use crate::{
+    CallerAttempt, Group, Identity, ItemInput, JobKey, Observation, Outcome, Tuning, rendezvous,
+};
 
 /// Peers that get each heartbeat of an instance; more get theirs in turns.
 const BEAT_FANOUT: usize = 8;
@@ -59,6 +62,10 @@
     pub group: Group,
     /// Time until an item that comes now is started.
     pub wait: Duration,
+    /// Items a second that its endpoints do in full calls.
+    pub rate: f64,
+    /// Items that wait, by class.
+    pub queued: [u32; N_CLASSES],
 }
 
 /// Items of one stage of one request, for the instance that gathers items of their pool.
@@ -70,7 +77,7 @@
     /// Approximate size of one result.
     pub result_bytes: u64,
     /// Zero is served first.
-    pub priority: u8,
+    pub class: u8,
     /// Availability zone in which the items are best worked on, if that matters.
     pub zone: Option<ZoneId>,
     pub input: ItemInput,
@@ -84,6 +91,13 @@
 pub enum PeerMessage {
     Heartbeat(Heartbeat),
     Submit(Box<Submit>),
+    /// Asks whether a request may be begun.
+    Ask(Box<Ask>),
+    /// Says whether it may.
+    Verdict {
+        attempt: CallerAttempt,
+        is_begun: bool,
+    },
     /// The items are being gathered.
     Taken(JobKey),
     /// The results are not needed, or not needed any more.
@@ -214,20 +228,17 @@
             .map(|(address, _)| address)
     }
 
-    /// Returns the peer that gathers items of `group`; none if this instance does.
+    /// Returns the peer that does the work named `key` for all; none if this instance does.
     ///
     /// Strained instances do so only if every one is.
-    pub fn batcher(
+    pub fn holder(
         &self,
         now: Moment,
         tuning: &Tuning,
         own: &Identity,
         is_strained: bool,
-        group: &Group,
+        key: u64,
     ) -> Option<SocketAddr> {
-        let mut hasher = DefaultHasher::new();
-        group.hash(&mut hasher);
-        let key = hasher.finish();
         let peers = self.live(now, tuning).filter(|(_, it)| it.heartbeat.takes_work()).map(
             |(address, PeerView { heartbeat, .. })| {
                 (
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -1,6 +1,7 @@
 //! Takes each request through its stages to an endpoint, and ends it exactly once.
 
 mod arrive;
+mod ask;
 mod call;
 mod end;
 mod flight;
@@ -15,6 +16,7 @@
 use crate::node::Turn;
 use crate::{Arrival, CallEvent, CallId, CallerAttempt, Tuning};
 
+pub use ask::judge;
 use flight::{Flight, Phase};
 
 /// Requests in progress.
@@ -40,7 +42,10 @@
     }
 
     pub fn arrive(&mut self, cx: &mut Turn<'_>, batcher: &mut Batcher, arrival: Arrival) {
-        let Some(flight) = arrive::take(cx, batcher, arrival) else { return };
+        let Some(mut flight) = arrive::take(cx, batcher, arrival) else { return };
+        if ask::ask(cx, batcher, &mut flight) {
+            return;
+        }
         self.attempts.insert(flight.head.attempt.clone(), flight.ticket);
         self.go_on(cx, batcher, flight);
     }
@@ -71,6 +76,23 @@
         }
     }
 
+    /// Takes the decision on a request that has just come.
+    pub fn on_verdict(
+        &mut self,
+        cx: &mut Turn<'_>,
+        batcher: &mut Batcher,
+        attempt: &CallerAttempt,
+        is_begun: bool,
+    ) {
+        let Some(ticket) = self.attempts.get(attempt).copied() else { return };
+        let Some(mut flight) = self.flights.remove(&ticket) else { return };
+        let is_open = matches!(flight.phase, Phase::Asking { .. });
+        if is_open && ask::on_verdict(cx, &mut flight, is_begun) {
+            return self.forget(&flight);
+        }
+        self.go_on(cx, batcher, flight);
+    }
+
     /// Takes the results of a stage.
     pub fn on_settled(
         &mut self,
@@ -116,6 +138,9 @@
                 end::expire(cx, batcher, flight);
                 continue;
             }
+            if matches!(flight.phase, Phase::Asking { until } if until <= cx.now) {
+                ask::on_silence(cx, &mut flight);
+            }
             if flight.fetched_at().is_some_and(|it| it <= cx.now) {
                 call::on_fetched(cx, batcher, &mut flight);
             }
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -7,9 +7,10 @@
 use super::end::{self, Comeback};
 use super::flight::{Flight, Phase, StageState};
 use super::{stages, times};
+use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Admitted, Rejection};
-use crate::node::Turn;
+use crate::node::{Standing, Turn};
 use crate::{Arrival, Decision, DecisionKind, Effect, Metric, Refusal, Status, groups};
 
 /// Returns the request if it is taken; it is answered otherwise.
@@ -24,7 +25,8 @@
     };
     let (now, tuning) = (cx.now, cx.ctx.tuning.clone());
     cx.ctx.budget(&admitted.pool).earn(now, &tuning);
-    let flight = flight(cx.now, arrival, admitted);
+    let standing = cx.ctx.standing(&admitted.route.name, &arrival.head);
+    let flight = flight(cx.now, standing, arrival, admitted);
     if flight.limit <= cx.now {
         end::refuse(cx, &flight, Status::NotRun, Comeback::Soon, "no time is left");
         return None;
@@ -55,10 +57,12 @@
     cx.out.push(Effect::Refuse { ticket: arrival.ticket, refusal });
 }
 
-fn flight(now: Moment, arrival: Arrival, admitted: Admitted) -> Flight {
+fn flight(now: Moment, standing: Standing, arrival: Arrival, admitted: Admitted) -> Flight {
     let Arrival { ticket, head } = arrival;
     let route = admitted.route;
     let left = head.left.unwrap_or(route.time_limit).min(route.time_limit);
+    let (class, worth) =
+        admission::place(&head.attempt, admitted.rank, admitted.n_ranks, standing.worth);
     let stage = |idx: usize| match head.items.get(idx) {
         None | Some(0) => StageState::EMPTY,
         Some(_) => StageState::Waiting,
@@ -69,8 +73,10 @@
         rounds: vec![0; route.stages.len()],
         pool: admitted.pool,
         workspace: admitted.workspace,
+        class,
+        worth,
         priority: admitted.priority,
-        arrived: now,
+        arrived: now.saturating_sub(standing.elapsed),
         limit: now + left,
         phase: Phase::Staging,
         tried: Vec::new(),
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -8,7 +8,7 @@
 use super::flight::{Calling, Flight, Phase, StageState};
 use super::{end, stages};
 use crate::batch::Batcher;
-use crate::choose::{Need, chain, choose};
+use crate::choose::{Need, chain, choose, likely_read};
 use crate::node::Turn;
 use crate::{
     Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, NotRunReason,
@@ -154,9 +154,9 @@
 
 /// Returns the time until the first event once the stages are done, with a prompt partly cached.
 pub fn engine_time(cx: &Turn<'_>, flight: &Flight) -> Duration {
-    let tokens: u32 = flight.head.prompt.iter().map(|it| it.tokens).sum();
-    let read = f64::from(tokens) / cx.ctx.tuning.tokens_per_ms;
-    cx.ctx.tuning.first_token + Duration::from_secs_f64(read / 1e3)
+    let tuning = &cx.ctx.tuning;
+    tuning.first_token
+        + Duration::from_secs_f64(likely_read(&flight.head.prompt) / tuning.tokens_per_ms / 1e3)
 }
 
 fn pick(cx: &Turn<'_>, flight: &Flight) -> Option<Choice> {
--- a/crates/ferry-serve/src/request/flight.rs
+++ b/crates/ferry-serve/src/request/flight.rs
@@ -20,6 +20,11 @@
     pub workspace: Option<WorkspaceId>,
     /// Zero is served first.
     pub priority: u8,
+    /// Order among the requests for its stages; zero is served first.
+    pub class: u8,
+    /// Worth for the work of its stages, one for the usual request of its route.
+    pub worth: f64,
+    /// When the caller sent its first attempt, as far as its time left tells.
     pub arrived: Moment,
     /// When the caller, or the operator, wants no answer any more.
     pub limit: Moment,
@@ -76,6 +81,10 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Phase {
+    /// Waits for the decision whether it is begun.
+    Asking {
+        until: Moment,
+    },
     Staging,
     Calling(Calling),
 }
@@ -103,7 +112,7 @@
 impl Flight {
     pub fn call(&self) -> Option<CallId> {
         match &self.phase {
-            Phase::Staging => None,
+            Phase::Asking { .. } | Phase::Staging => None,
             Phase::Calling(calling) => Some(calling.call),
         }
     }
@@ -142,12 +151,20 @@
         submitted
             .chain(self.silence_ends(tuning))
             .chain(self.fetched_at())
+            .chain(self.asks_until())
             .fold(self.limit, Moment::min)
     }
 
+    fn asks_until(&self) -> Option<Moment> {
+        match &self.phase {
+            Phase::Asking { until } => Some(*until),
+            Phase::Staging | Phase::Calling(_) => None,
+        }
+    }
+
     pub fn fetched_at(&self) -> Option<Moment> {
         match &self.phase {
-            Phase::Staging => None,
+            Phase::Asking { .. } | Phase::Staging => None,
             Phase::Calling(calling) => calling.fetched_at,
         }
     }
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -285,7 +285,7 @@
         group,
         n_items: flight.head.items.get(idx).copied().unwrap_or_default(),
         result_bytes: flight.route.stages[idx].result_bytes,
-        priority: flight.priority,
+        class: flight.class,
         zone,
         input,
         due: flight.objective().saturating_sub(cx.now + rest),
--- a/crates/ferry-serve/src/request/times.rs
+++ b/crates/ferry-serve/src/request/times.rs
@@ -16,11 +16,20 @@
 
 /// Returns the least time that the remaining stages take.
 pub fn path_time(cx: &Turn<'_>, flight: &Flight) -> Duration {
+    longest_path(flight, |pool| call_time(cx, pool))
+}
+
+/// Returns the time that the remaining stages take in full calls, without a queue.
+pub fn full_path_time(cx: &Turn<'_>, flight: &Flight) -> Duration {
+    longest_path(flight, |pool| full_call_time(cx, pool))
+}
+
+fn longest_path(flight: &Flight, time: impl Fn(&str) -> Duration) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(flight.stages.len());
     for (idx, stage) in flight.route.stages.iter().enumerate() {
         let begin = stage.after.iter().filter_map(|it| ends.get(*it)).max().copied();
         let own = match &flight.stages[idx] {
-            StageState::Waiting => call_time(cx, &stage.pool),
+            StageState::Waiting => time(&stage.pool),
             StageState::Submitted(_) | StageState::Done { .. } => Duration::ZERO,
         };
         ends.push(begin.unwrap_or_default() + own);
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+mod admission;
 mod batches;
 mod budgets;
 mod config;
--- a/crates/ferry-serve/tests/decisions/world/config.rs
+++ b/crates/ferry-serve/tests/decisions/world/config.rs
@@ -31,7 +31,8 @@
     }
 }
 
-/// Four routes: plain and repeatable, plain and not, and two streams behind two stages.
+/// Five routes: plain and repeatable, plain and not, and three streams behind two stages, one of
+/// them more urgent.
 pub fn config(version: u64) -> GatewayConfig {
     let pools = [
         (PLAIN, PoolKind::Plain),
@@ -50,6 +51,7 @@
             route("post", RouteKind::NonIdempotent, 1, false),
             route("stream", RouteKind::Stream, 2, true),
             route("once", RouteKind::Stream, 1, false),
+            Route { priority: 0, ..route("urgent", RouteKind::Stream, 1, false) },
         ],
         pools: pools.into_iter().map(pool).collect(),
         keys: Some([("key".to_owned(), owner)].into_iter().collect()),
@@ -101,6 +103,7 @@
         left: Some(ms(4_000)),
         prompt: vec![PromptPart { id: 7, tokens: 500 }, PromptPart { id: 8, tokens: 100 }],
         items: vec![4, 4],
+        tokens: None,
         item_key: Some("input".to_owned()),
     }
 }
