--- a/crates/ferry-gateway/src/body.rs
+++ b/crates/ferry-gateway/src/body.rs
@@ -9,6 +9,10 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::front::CallerGuard;
+use crate::memory::Held;
+
+/// Most bytes that are handed over at a time; the rest counts as held while a caller is slow.
+const MOST_BYTES: usize = 64 * 1024;
 
 /// What a call passes on of a stream.
 #[derive(Debug)]
@@ -26,7 +30,7 @@
 
 #[derive(Debug)]
 pub enum CallerBody {
-    Whole(Bytes),
+    Whole(Bytes, Option<Held>),
     Stream { parts: Receiver<Part>, is_over: bool, _guard: CallerGuard },
 }
 
@@ -39,8 +43,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
-            CallerBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            CallerBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            CallerBody::Whole(bytes, _) if bytes.is_empty() => Poll::Ready(None),
+            CallerBody::Whole(bytes, _) => {
+                let part = bytes.split_to(bytes.len().min(MOST_BYTES));
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
             CallerBody::Stream { is_over: true, .. } => Poll::Ready(None),
             CallerBody::Stream { parts, is_over, .. } => match parts.poll_recv(cx) {
                 Poll::Pending => Poll::Pending,
@@ -59,14 +66,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            CallerBody::Whole(bytes) => bytes.is_empty(),
+            CallerBody::Whole(bytes, _) => bytes.is_empty(),
             CallerBody::Stream { is_over, .. } => *is_over,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            CallerBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            CallerBody::Whole(bytes, _) => SizeHint::with_exact(bytes.len() as u64),
             CallerBody::Stream { .. } => SizeHint::default(),
         }
     }
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -3,10 +3,10 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use ferry_model::Ticket;
 use ferry_platform::headers;
-use ferry_serve::{Arrival, Event, Refusal, Status};
+use ferry_serve::{Arrival, Event, Metric, Refusal, Status};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -18,6 +18,7 @@
 use crate::calls::status_code;
 use crate::connect::Answer;
 use crate::inspect::Inspector;
+use crate::memory::Held;
 use crate::shell::{CallerRequest, Reply, Shell, Stage, Waiter};
 
 /// Largest body that is read while no configuration tells a limit.
@@ -69,12 +70,9 @@
         });
     };
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, config.limits.body.min(BODY_LIMIT)).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return last(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than allowed");
-        }
-        Err(_) => return last(StatusCode::BAD_REQUEST, "could not read the body"),
+    let (body, held) = match read(shell, body, config.limits.body.min(BODY_LIMIT)).await {
+        Ok(read) => read,
+        Err(answer) => return *answer,
     };
     let host = parts
         .uri
@@ -89,7 +87,7 @@
     };
     let ticket = shell.next_ticket();
     let (reply, replied) = oneshot::channel();
-    let request = Rc::new(CallerRequest { parts, body });
+    let request = Rc::new(CallerRequest { parts, body, _held: held });
     let waiter = Waiter { request, reply: Some(reply), stream: None, since };
     shell.callers.borrow_mut().insert(ticket, waiter);
     let guard = CallerGuard { shell: shell.clone(), ticket };
@@ -98,7 +96,7 @@
         Ok(Reply::Refusal(it)) => refusal(&it),
         Ok(Reply::Whole(answer)) => {
             shell.metrics.answered(since.elapsed());
-            whole(answer)
+            whole(shell, answer)
         }
         Ok(Reply::Stream(head, parts)) => {
             let body = CallerBody::Stream { parts, is_over: false, _guard: guard };
@@ -113,8 +111,51 @@
     }
 }
 
-fn whole(mut answer: Answer) -> Response<CallerBody> {
-    let body = CallerBody::Whole(std::mem::take(&mut answer.body));
+/// Reads a body as long as there is memory for it; the error is the answer.
+async fn read(
+    shell: &Shell,
+    body: Incoming,
+    limit: usize,
+) -> Result<(Bytes, Held), Box<Response<CallerBody>>> {
+    let mut body = Limited::new(body, limit);
+    let mut held = shell.memory.hold();
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) if error.is::<LengthLimitError>() => {
+                let reason = "the body is larger than allowed";
+                return Err(Box::new(last(StatusCode::PAYLOAD_TOO_LARGE, reason)));
+            }
+            Err(_) => {
+                return Err(Box::new(last(StatusCode::BAD_REQUEST, "could not read the body")));
+            }
+        };
+        let Some(data) = frame.data_ref() else { continue };
+        if !held.grow(data.len()) {
+            return Err(Box::new(full(shell)));
+        }
+        all.extend_from_slice(data);
+    }
+    Ok((all.freeze(), held))
+}
+
+/// Refuses a request for whose body there is no memory; what is left of it is not read.
+fn full(shell: &Shell) -> Response<CallerBody> {
+    shell.metrics.count(Metric::BodiesRefused);
+    let mut response = refusal(&Refusal {
+        status: Status::NotRun,
+        retry_after: Some(shell.ask(|it| it.context().tuning.retry_after)),
+        reason: "there is no memory for the body",
+    });
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn whole(shell: &Shell, mut answer: Answer) -> Response<CallerBody> {
+    let mut held = shell.memory.hold();
+    held.count(answer.body.len());
+    let body = CallerBody::Whole(std::mem::take(&mut answer.body), Some(held));
     from_endpoint(&answer, body)
 }
 
@@ -144,7 +185,8 @@
 }
 
 fn plain(status: StatusCode, reason: &'static str) -> Response<CallerBody> {
-    let mut response = Response::new(CallerBody::Whole(Bytes::from_static(reason.as_bytes())));
+    let mut response =
+        Response::new(CallerBody::Whole(Bytes::from_static(reason.as_bytes()), None));
     *response.status_mut() = status;
     response
 }
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod inspect;
 pub mod items;
 pub mod logs;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod run;
--- a/crates/ferry-gateway/src/shell.rs
+++ b/crates/ferry-gateway/src/shell.rs
@@ -17,6 +17,7 @@
 
 use crate::body::Part;
 use crate::connect::{Answer, Links};
+use crate::memory::{Held, Memory};
 use crate::metrics::Metrics;
 use crate::{calls, items, peers};
 
@@ -47,6 +48,7 @@
 pub struct CallerRequest {
     pub parts: Parts,
     pub body: Bytes,
+    pub _held: Held,
 }
 
 /// A call to an endpoint in progress.
@@ -76,6 +78,7 @@
     pub log: Logger,
     pub metrics: Metrics,
     pub links: Links,
+    pub memory: Memory,
     pub callers: RefCell<SortedMap<Ticket, Waiter>>,
     pub calls: RefCell<SortedMap<CallId, Slot>>,
     pub stage: watch::Sender<Stage>,
@@ -93,6 +96,7 @@
 impl Shell {
     pub fn new(settings: NodeSettings, node: Gateway, socket: UdpSocket, log: Logger) -> Rc<Shell> {
         Rc::new(Shell {
+            memory: Memory::new(settings.memory),
             settings,
             log,
             metrics: Metrics::new(),
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -4,4 +4,5 @@
 
 mod bytes;
 mod life;
+mod rules;
 mod soak;
--- /dev/null
+++ b/crates/ferry-gateway/tests/process/rules.rs
@@ -0,0 +1,160 @@
+//! Endpoints, callers and the machine at their worst: what must hold of bytes, memory and time.
+
+use std::time::Duration;
+
+use ferry_soak::cluster::{Cluster, Signal};
+use ferry_soak::config::Route;
+use ferry_soak::endpoint::Mood;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::harness::{PATIENCE, exchange, head, read_quiet, wait_ready, with_cluster};
+
+const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+
+fn post(attempt: &str, body: &str) -> Vec<u8> {
+    let head = head("POST", "/post/x?y=1", attempt);
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Makes `listener` the only endpoint of the plain pool.
+async fn replace_plain(cluster: &Cluster, listener: &TcpListener) {
+    let address = listener.local_addr().expect("the listener has an address");
+    for number in 0..3 {
+        cluster.store.remove("servers", &format!("plain-{number}"));
+    }
+    let entry = json!({
+        "Service": "plain", "Address": address.to_string(), "Zone": "zone-0", "Version": "v1",
+        "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1,
+    });
+    cluster.store.put("servers", "raw", entry);
+    sleep(Duration::from_millis(1_500)).await;
+}
+
+/// Answers as soon as it has a head, and reads on; returns what follows the head.
+async fn answer_early(listener: TcpListener, done: oneshot::Sender<Vec<u8>>) {
+    let (mut stream, _) = listener.accept().await.expect("a call comes");
+    let mut all = Vec::new();
+    let mut buffer = vec![0; 64 * 1024];
+    let end = loop {
+        let len = stream.read(&mut buffer).await.expect("the head can be read");
+        all.extend_from_slice(&buffer[..len]);
+        if let Some(at) = all.windows(END_OF_HEAD.len()).position(|it| it == END_OF_HEAD) {
+            break at + END_OF_HEAD.len();
+        }
+    };
+    let answer = "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: early\r\n\
+                  Tarragonferry-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok";
+    stream.write_all(answer.as_bytes()).await.expect("the answer can be written");
+    let mut body = all.split_off(end);
+    while let Ok(Ok(len @ 1..)) = timeout(PATIENCE, stream.read(&mut buffer)).await {
+        body.extend_from_slice(&buffer[..len]);
+        sleep(Duration::from_millis(5)).await;
+    }
+    done.send(body).expect("the test waits");
+}
+
+#[test]
+fn an_endpoint_that_answers_early_gets_nothing_but_the_body() {
+    with_cluster("early", 1, async |cluster| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        replace_plain(&cluster, &listener).await;
+        let (done, read) = oneshot::channel();
+        spawn_local(answer_early(listener, done));
+        let body: String = (0..120_000).map(|it| format!("{it:06} ")).collect();
+        let front = cluster.nodes[0].front();
+        let answer = exchange(front, &post("early", &body)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\nok"), "{answer}");
+        let read = timeout(PATIENCE, read).await.expect("the call ends").expect("it was read");
+        assert!(body.as_bytes().starts_with(&read), "{} other bytes", read.len());
+    });
+}
+
+#[test]
+fn callers_with_large_bodies_do_not_exceed_the_memory() {
+    const LIMIT: u64 = 64_000_000;
+    with_cluster("memory", 1, async |mut cluster| {
+        let settings = cluster.nodes[0].settings().to_owned();
+        let text = std::fs::read_to_string(&settings).expect("the settings can be read");
+        std::fs::write(&settings, text.replace("MemoryMb=260", "MemoryMb=64"))
+            .expect("the settings can be written");
+        cluster.nodes[0].signal(Signal::Kill);
+        while cluster.nodes[0].has_ended().is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        cluster.nodes[0].start().expect("the gateway starts");
+        wait_ready(cluster.nodes[0].ready()).await;
+        for endpoint in &cluster.endpoints {
+            endpoint.mood.set(Mood::Mute);
+        }
+        let body = "x".repeat(900_000);
+        let mut callers = Vec::new();
+        for number in 0..100 {
+            cluster.witness.sent(&format!("large-{number}"), Route::Post, body.as_bytes());
+            let stream = TcpStream::connect(cluster.nodes[0].front()).await;
+            let mut stream = stream.expect("the gateway listens");
+            // One that is refused closes before it has read all.
+            let _ = stream.write_all(&post(&format!("large-{number}"), &body)).await;
+            callers.push(stream);
+        }
+        let mut n_refused = 0;
+        for mut stream in callers.drain(..) {
+            let answer = read_quiet(&mut stream).await;
+            n_refused += usize::from(answer.starts_with("HTTP/1.1 503"));
+            if n_refused == 1 {
+                assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
+            }
+            if 10 < n_refused {
+                break;
+            }
+        }
+        assert!(10 < n_refused, "{n_refused} callers were refused");
+        let peak = cluster.nodes[0].memory_peak().expect("the process runs");
+        assert!(peak < LIMIT, "{peak} bytes at the peak");
+
+        for endpoint in &cluster.endpoints {
+            endpoint.mood.set(Mood::Sound);
+        }
+        let served = async {
+            for number in 0.. {
+                let attempt = format!("small-{number}");
+                cluster.witness.sent(&attempt, Route::Post, b"body");
+                let answer = exchange(cluster.nodes[0].front(), &post(&attempt, "body")).await;
+                if answer.starts_with("HTTP/1.1 200") {
+                    return;
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        timeout(PATIENCE, served).await.expect("memory is free again");
+    });
+}
+
+#[test]
+fn a_process_that_was_suspended_knows_what_has_changed() {
+    with_cluster("suspended", 1, async |mut cluster| {
+        let front = cluster.nodes[0].front();
+        cluster.nodes[0].signal(Signal::Stop);
+        cluster.store.remove("servers", "plain-0");
+        cluster.store.remove("servers", "plain-1");
+        cluster.store.put("servers", "plain-2", cluster.endpoints[2].entry("zone-0", "draining"));
+        cluster.store.put("servers", "plain-0", cluster.endpoints[0].entry("zone-0", "ready"));
+        sleep(Duration::from_secs(4)).await;
+        cluster.nodes[0].signal(Signal::Continue);
+        // Within the time in which a change must be in force.
+        sleep(Duration::from_millis(1_900)).await;
+        for number in 0..12 {
+            let attempt = format!("after-{number}");
+            cluster.witness.sent(&attempt, Route::Post, b"body");
+            let answer = exchange(front, &post(&attempt, "body")).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert_eq!(cluster.witness.runs(&attempt), ["plain-0"], "{attempt}");
+        }
+        assert_eq!(cluster.witness.wrongs(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -218,6 +218,7 @@
     RequestsFailed,
     RequestsDropped,
     AsksUnanswered,
+    BodiesRefused,
     CallsSent,
     CallsRepeated,
     StreamsResumed,
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod budgets;
 mod config;
 mod endpoints;
+mod health;
 mod peers;
 mod requests;
 mod seeds;
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -95,6 +95,15 @@
         Some(status)
     }
 
+    /// Returns the most memory that the process has had, in bytes; none once it has ended.
+    pub fn memory_peak(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = peak.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     pub fn settings(&self) -> &Path {
         &self.settings
     }
