Give what a pass carries a module of its own, and the soak its page and options

Cause: 27 files of ferry-core imported the node for the sake of its Turn and Context, and the node imports each of them; in ferry-serve the same. The soak could not be told a time or more than a few gateways. Also: requests that came back may wait for four fifths of their time, as their callers may not come again (to be measured next).

--- a/crates/ferry-core/src/admin.rs
+++ b/crates/ferry-core/src/admin.rs
@@ -15,7 +15,7 @@
 use crate::admin::document::{Document, Target};
 use crate::config::feed::jitter;
 use crate::member::sweep;
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Decision, DecisionKind, Effect, Owner};
 
 /// Wait before the object API is asked again; it doubles with each failure up to the maximum.
--- a/crates/ferry-core/src/admin/document.rs
+++ b/crates/ferry-core/src/admin/document.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{self, CONFIG_NAME, validate};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::workspaces;
 
 /// Changes kept in an object; a lost answer can be settled while its change is among them.
--- a/crates/ferry-core/src/admit/share.rs
+++ b/crates/ferry-core/src/admit/share.rs
@@ -3,7 +3,7 @@
 use ferry_model::{Moment, SortedMap, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
-use crate::node::{Context, Turn};
+use crate::turn::{Context, Turn};
 
 /// Most workspaces that one heartbeat names.
 const MOST_NAMED: usize = 8;
--- a/crates/ferry-core/src/claim.rs
+++ b/crates/ferry-core/src/claim.rs
@@ -20,7 +20,7 @@
 
 use crate::claim::queue::Ended;
 use crate::claim::shard::Shard;
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Effect};
 
 /// Number of journals; the same for every instance and release, as a key's journal rests on it.
--- a/crates/ferry-core/src/claim/shard.rs
+++ b/crates/ferry-core/src/claim/shard.rs
@@ -14,7 +14,7 @@
 use crate::claim::chain::{Index, Phase, Sealed, print_of};
 use crate::claim::queue::{Ended, Queue, Queued};
 use crate::claim::segment::{MOST_BYTES, Segment, Step, decide, record_bytes};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Owner};
 
 /// Wait before a shard is tried again after the store failed.
--- a/crates/ferry-core/src/config.rs
+++ b/crates/ferry-core/src/config.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::feed::{Feed, Scope};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Decision, DecisionKind, Effect, Metric, Owner};
 
 /// Name of the one configuration object.
--- a/crates/ferry-core/src/config/feed.rs
+++ b/crates/ferry-core/src/config/feed.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Owner};
 
 /// Share of the fleet's size that stretches the time between polls.
--- a/crates/ferry-core/src/drain.rs
+++ b/crates/ferry-core/src/drain.rs
@@ -4,7 +4,7 @@
 use ferry_model::Moment;
 use serde::{Deserialize, Serialize};
 
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect};
 
 /// How far a shutdown has come; the phases follow each other and none is skipped.
--- a/crates/ferry-core/src/lib.rs
+++ b/crates/ferry-core/src/lib.rs
@@ -19,13 +19,15 @@
 pub mod route;
 pub mod settings;
 pub mod store;
+pub mod turn;
 pub mod workspaces;
 
 pub use effect::{
     Connection, Decision, DecisionKind, Effect, InstanceChoice, InstancesAnswer, Metric, StageCall,
 };
 pub use event::{Arrival, CallEvent, Echo, Event};
-pub use node::{Identity, InstanceRole, Node};
+pub use node::Node;
 pub use place::PlaceTuning;
 pub use settings::Tuning;
 pub use store::{CallId, Owner};
+pub use turn::{Identity, InstanceRole};
--- a/crates/ferry-core/src/member/beat.rs
+++ b/crates/ferry-core/src/member/beat.rs
@@ -6,7 +6,7 @@
 
 use super::{Heard, Members, NEWS_LIFE};
 use crate::config::feed::jitter;
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect};
 
 /// Least time between two heartbeats out of turn.
--- a/crates/ferry-core/src/member/choose.rs
+++ b/crates/ferry-core/src/member/choose.rs
@@ -4,7 +4,7 @@
 use rand::RngExt;
 
 use crate::member::Member;
-use crate::node::{InstanceRole, Turn};
+use crate::turn::{InstanceRole, Turn};
 use crate::{InstanceChoice, InstancesAnswer};
 
 /// Most addresses in an answer.
--- a/crates/ferry-core/src/member/sweep.rs
+++ b/crates/ferry-core/src/member/sweep.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Members;
-use crate::node::Turn;
+use crate::turn::Turn;
 
 /// How long after an operator's look the asking goes on.
 const INTEREST: Moment = Moment::from_secs(30);
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use ferry_model::{
-    Config, Digest, Incarnation, InstanceId, Moment, PeerMessage, RegionId, Revision, ZoneId,
-};
+use ferry_model::{Config, Digest, InstanceId, Moment, PeerMessage, Revision};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -18,65 +16,10 @@
 use crate::place::Placement;
 use crate::request::Requests;
 use crate::store::StoreCalls;
+use crate::turn::{Context, Identity, Turn};
 use crate::workspaces::{self, Workspaces, WorkspacesState};
 use crate::{Effect, Event, Owner, Tuning};
 
-/// Who this process is, from its settings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Identity {
-    pub instance: InstanceId,
-    pub incarnation: Incarnation,
-    pub zone: ZoneId,
-    pub region: RegionId,
-    pub role: InstanceRole,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum InstanceRole {
-    /// Serves callers.
-    Entry,
-    /// Serves operators and places capacity.
-    Control,
-}
-
-/// What every part of the node shares.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Context {
-    pub identity: Identity,
-    pub tuning: Tuning,
-    pub rng: Pcg64Mcg,
-    pub calls: StoreCalls,
-    /// The configuration in force; none until the first one was read.
-    pub config: Option<Arc<Config>>,
-    pub fleet: Fleet,
-    pub members: Members,
-    pub workspaces: Arc<Workspaces>,
-}
-
-impl Context {
-    /// Returns the revision in force, zero before the first.
-    pub fn revision(&self) -> Revision {
-        self.config.as_ref().map_or(0, |it| it.revision)
-    }
-}
-
-/// One pass through the reducer: the time, the shared state and the effects so far.
-#[derive(Debug)]
-pub struct Turn<'a> {
-    pub now: Moment,
-    pub ctx: &'a mut Context,
-    pub out: &'a mut Vec<Effect>,
-}
-
-impl Turn<'_> {
-    /// Sends a message to a peer; one that is not in the list cannot be reached.
-    pub fn send(&mut self, to: &str, message: PeerMessage) {
-        let Some(address) = self.ctx.members.address(to) else { return };
-        let (to, message) = (to.to_owned(), Box::new(message));
-        self.out.push(Effect::Send { to, address, message });
-    }
-}
-
 /// The whole state of a process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Node {
--- a/crates/ferry-core/src/place.rs
+++ b/crates/ferry-core/src/place.rs
@@ -24,7 +24,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::node::{Context, Turn};
+use crate::turn::{Context, Turn};
 use crate::{InstanceRole, Owner};
 
 pub use tuning::PlaceTuning;
--- a/crates/ferry-core/src/place/decide.rs
+++ b/crates/ferry-core/src/place/decide.rs
@@ -10,7 +10,7 @@
 use super::Placement;
 use super::engines::{Purpose, Standing};
 use super::scale::{self, Candidate};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Metric};
 
 /// Calls an endpoint is taken to serve at once before one has reported.
--- a/crates/ferry-core/src/place/engines.rs
+++ b/crates/ferry-core/src/place/engines.rs
@@ -10,7 +10,7 @@
 
 use super::PlaceTuning;
 use crate::Effect;
-use crate::node::Turn;
+use crate::turn::Turn;
 
 /// Where an endpoint stands for placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/ferry-core/src/place/forecast.rs
+++ b/crates/ferry-core/src/place/forecast.rs
@@ -10,7 +10,7 @@
 
 use super::PlaceTuning;
 use crate::Owner;
-use crate::node::Turn;
+use crate::turn::Turn;
 
 /// Parts of a day that are kept apart.
 const N_PARTS: usize = 48;
--- a/crates/ferry-core/src/place/lease.rs
+++ b/crates/ferry-core/src/place/lease.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Owner};
 
 /// Name of the one lease object.
--- a/crates/ferry-core/src/place/plan.rs
+++ b/crates/ferry-core/src/place/plan.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Owner};
 
 /// Name of the one plan object.
--- a/crates/ferry-core/src/place/publish.rs
+++ b/crates/ferry-core/src/place/publish.rs
@@ -10,7 +10,7 @@
 
 use super::plan;
 use crate::Owner;
-use crate::node::Turn;
+use crate::turn::Turn;
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 enum Step {
--- a/crates/ferry-core/src/request.rs
+++ b/crates/ferry-core/src/request.rs
@@ -21,11 +21,11 @@
 use crate::CallId;
 use crate::admit::{Pools, Shares};
 use crate::claim::Claims;
-use crate::node::Turn;
 use crate::request::flight::{Flight, Phase};
 use crate::request::recent::Recent;
 use crate::request::timers::Timers;
 use crate::route::Turns;
+use crate::turn::Turn;
 
 /// How long a leaving process waits for its journals once its requests have ended.
 const JOURNAL_GRACE: Duration = Duration::from_secs(10);
--- a/crates/ferry-core/src/request/arrive.rs
+++ b/crates/ferry-core/src/request/arrive.rs
@@ -5,10 +5,10 @@
 use ferry_model::{Answer, FailReason, RefusalReason, RequestId, Ticket, claim::short_digest};
 
 use crate::claim::claim_key;
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::{Caller, Flight, Phase};
 use crate::request::settle::{answer, refuse};
+use crate::turn::Turn;
 use crate::{Arrival, Decision, DecisionKind, Effect, Metric};
 
 impl Requests {
--- a/crates/ferry-core/src/request/claimed.rs
+++ b/crates/ferry-core/src/request/claimed.rs
@@ -5,10 +5,10 @@
     RefusalReason, RequestId, claim::short_digest,
 };
 
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::{Flight, Phase};
 use crate::request::settle::refuse;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect};
 
 /// How many times a silent holder is asked before it is taken for gone.
--- a/crates/ferry-core/src/request/dispatch.rs
+++ b/crates/ferry-core/src/request/dispatch.rs
@@ -5,10 +5,10 @@
 use ferry_model::{AttemptId, EndpointId, FailReason, Moment, PoolId, RequestId, StageKind};
 
 use crate::admit::Waiting;
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::{Attempt, Flight, NextCall, Phase};
 use crate::route::{self, Choice, Pick, Query};
+use crate::turn::Turn;
 use crate::{Connection, Decision, DecisionKind, Effect, Metric, StageCall};
 
 /// Factor of the usual slowest first answer after which silence means a silent connection.
--- a/crates/ferry-core/src/request/lookup.rs
+++ b/crates/ferry-core/src/request/lookup.rs
@@ -4,9 +4,9 @@
 
 use crate::Effect;
 use crate::claim::claim_key;
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::Phase;
+use crate::turn::Turn;
 
 impl Requests {
     /// Tells a caller what became of a key.
--- a/crates/ferry-core/src/request/reply.rs
+++ b/crates/ferry-core/src/request/reply.rs
@@ -7,10 +7,10 @@
 };
 use rand::RngExt;
 
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::{Attempt, NextCall, TokenStep};
 use crate::request::settle::drop_reply;
+use crate::turn::Turn;
 use crate::{CallEvent, Connection, Decision, DecisionKind, Echo, Effect, Metric};
 
 impl Requests {
--- a/crates/ferry-core/src/request/settle.rs
+++ b/crates/ferry-core/src/request/settle.rs
@@ -4,9 +4,9 @@
     Answer, AttemptId, FailReason, Outcome, RefusalReason, RequestId, Ticket, claim::short_digest,
 };
 
-use crate::node::Turn;
 use crate::request::Requests;
 use crate::request::flight::{Attempt, Flight, Phase};
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Metric};
 
 impl Requests {
--- a/crates/ferry-core/src/workspaces.rs
+++ b/crates/ferry-core/src/workspaces.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::feed::{Feed, Scope};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Decision, DecisionKind, Effect, Owner};
 
 /// How long a peer's shards may differ before they are compared.
--- a/crates/ferry-serve/src/admission.rs
+++ b/crates/ferry-serve/src/admission.rs
@@ -37,6 +37,8 @@
     pub attempt: CallerAttempt,
     pub part: Part,
     pub class: u8,
+    /// Whether the caller has come back after an earlier attempt.
+    pub is_back: bool,
     /// Worth for the work, one for the usual request of its route.
     pub worth: f64,
     /// Items by pool.
--- a/crates/ferry-serve/src/admission/account.rs
+++ b/crates/ferry-serve/src/admission/account.rs
@@ -14,6 +14,8 @@
 const MOST_WAIT: Duration = Duration::from_millis(600);
 /// Part of its time left for which a request that will be late may wait.
 const LATE_PART: f64 = 0.4;
+/// The same for one that came back, as its caller may not come again.
+const BACK_PART: f64 = 0.8;
 /// Time over which the load of requests in time is averaged: bursts are some seconds long.
 const LOAD_SPAN: Duration = Duration::from_millis(1_500);
 /// Least part of the rate that is taken to be left for requests that will be late.
@@ -130,6 +132,7 @@
 
 fn allowed(ask: &Ask, class: u8) -> Duration {
     let usual = match class {
+        LATE_CLASS.. if ask.is_back => ask.left.mul_f64(BACK_PART),
         LATE_CLASS.. => ask.left.mul_f64(LATE_PART),
         _ => ask.slack.mul_f64(WAIT_PART).clamp(LEAST_WAIT, MOST_WAIT),
     };
--- a/crates/ferry-serve/src/admission/capacity.rs
+++ b/crates/ferry-serve/src/admission/capacity.rs
@@ -6,7 +6,7 @@
 
 use super::{N_CLASSES, Part};
 use crate::batch::{Batcher, batch_limits, full_call};
-use crate::node::Context;
+use crate::turn::Context;
 use crate::{Backlog, Group, groups};
 
 /// Part of the rate that is given out: the closer to all of it, the longer the queues.
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -15,7 +15,7 @@
 
 use ferry_model::{BatchLimits, EndpointId, Moment, PoolId, PoolKind, ResultHandle, SortedMap};
 
-use crate::node::{Context, Turn, free};
+use crate::turn::{Context, Turn, free};
 use crate::{
     BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, Endpoints, Group,
     ItemResult, LoadReport, Metric,
--- a/crates/ferry-serve/src/batch/backlog.rs
+++ b/crates/ferry-serve/src/batch/backlog.rs
@@ -7,7 +7,7 @@
 use super::lanes::FASTEST;
 use super::{Batcher, batch_limits, call_time, full_call, usable};
 use crate::admission::{LATE_CLASS, N_CLASSES};
-use crate::node::Context;
+use crate::turn::Context;
 use crate::{Backlog, Group};
 
 impl Batcher {
--- a/crates/ferry-serve/src/batch/lanes.rs
+++ b/crates/ferry-serve/src/batch/lanes.rs
@@ -6,7 +6,7 @@
 use ferry_model::{BatchLimits, EndpointId, SortedMap, ZoneId};
 
 use super::{Job, Sent};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{CallId, Group};
 
 /// Part of the time by which waiting for a busy endpoint must win over a free, slow one.
--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -5,7 +5,7 @@
 use ferry_model::ResultHandle;
 
 use super::{Batcher, Job, JobKey, Outcome, Owner, Sent, TRANSIT};
-use crate::node::{Turn, free};
+use crate::turn::{Turn, free};
 use crate::{
     BatchFailure, Decision, DecisionKind, Effect, ItemReason, ItemResult, Metric, PeerMessage,
 };
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod request;
 mod strain;
 mod tuning;
+mod turn;
 
 pub use admission::{Ask, Part};
 pub use batch::{Batcher, Job, JobKey, Outcome};
@@ -33,9 +34,10 @@
     PromptPart, StoreNews, TokenCounts,
 };
 pub use group::{Group, groups};
-pub use node::{Context, Gateway, Identity, Snapshot, Turn};
+pub use node::Gateway;
 pub use peers::{Backlog, Heartbeat, PeerMessage, PeerView, Peers, Submit};
 pub use tuning::Tuning;
+pub use turn::{Context, Identity, Snapshot, Turn};
 
 /// One call of this process to an endpoint, unique within its life.
 pub type CallId = u64;
--- a/crates/ferry-serve/src/node.rs
+++ b/crates/ferry-serve/src/node.rs
@@ -1,8 +1,5 @@
 //! The one reducer of a gateway: every event passes through [`Gateway::reduce`].
 
-mod context;
-mod usual;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +10,7 @@
 use crate::batch::{Batcher, Job, JobKey, Outcome, Owner};
 use crate::request::{Requests, judge};
 use crate::strain::Strain;
+use crate::turn::{Context, Identity, Snapshot, Turn};
 use crate::{
     Backlog, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group, Heartbeat,
     Observation, Observations, PeerMessage, Peers, StoreNews, Submit, Tuning,
@@ -21,10 +19,6 @@
 /// Time that a peer may be ahead before its state is read; the store usually is as fast.
 const PULL_AFTER: Duration = Duration::from_millis(250);
 
-pub(crate) use context::free;
-pub use context::{Context, Identity, Snapshot, Turn};
-pub use usual::Standing;
-
 /// The whole state of a process.
 #[derive(Debug)]
 pub struct Gateway {
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::Verdict;
 use crate::batch::{Batcher, JobKey, Outcome};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Arrival, CallEvent, CallId, CallerAttempt, Tuning};
 
 pub use ask::judge;
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -10,7 +10,7 @@
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Admitted, Rejection};
-use crate::node::{Standing, Turn};
+use crate::turn::{Standing, Turn};
 use crate::{Arrival, Decision, DecisionKind, Effect, Metric, Refusal, Status, groups};
 
 /// Returns the request if it is taken; it is answered otherwise.
@@ -76,6 +76,7 @@
         class,
         worth,
         priority: admitted.priority,
+        is_back: Duration::ZERO < standing.elapsed,
         arrived: now.saturating_sub(standing.elapsed),
         limit: now + left,
         phase: Phase::Staging,
--- a/crates/ferry-serve/src/request/ask.rs
+++ b/crates/ferry-serve/src/request/ask.rs
@@ -9,7 +9,7 @@
 use super::{call, times};
 use crate::admission::{Ask, Capacity, Judgement, LATE_CLASS, Part, Verdict};
 use crate::batch::Batcher;
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage, Status};
 
 /// Time for an answer, after which the request is begun: several round trips between instances
@@ -32,6 +32,7 @@
         attempt: flight.head.attempt.clone(),
         part,
         class: flight.class,
+        is_back: flight.is_back,
         worth: flight.worth,
         items,
         slack: slack.unwrap_or_default(),
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -9,7 +9,7 @@
 use super::{end, stages};
 use crate::batch::Batcher;
 use crate::choose::{Need, chain, choose, likely_read};
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{
     Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, NotRunReason,
     Observation, Status,
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -4,7 +4,7 @@
 use super::flight::{Flight, Phase};
 use super::stages;
 use crate::batch::Batcher;
-use crate::node::Turn;
+use crate::turn::Turn;
 use crate::{Decision, DecisionKind, Effect, Metric, Refusal, Status};
 
 /// Part of its time left after which a caller should come back at the latest.
--- a/crates/ferry-serve/src/request/flight.rs
+++ b/crates/ferry-serve/src/request/flight.rs
@@ -24,6 +24,8 @@
     pub class: u8,
     /// Worth for the work of its stages, one for the usual request of its route.
     pub worth: f64,
+    /// Whether an earlier attempt of the caller was refused or failed.
+    pub is_back: bool,
     /// When the caller sent its first attempt, as far as its time left tells.
     pub arrived: Moment,
     /// When the caller, or the operator, wants no answer any more.
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -9,7 +9,7 @@
 use super::flight::{Flight, Phase, StageState, Submitted};
 use super::{call, end, times};
 use crate::batch::{Batcher, Job, JobKey, Outcome, Owner};
-use crate::node::{Turn, free};
+use crate::turn::{Turn, free};
 use crate::{
     Decision, DecisionKind, Effect, Group, ItemInput, Metric, PeerMessage, Submit, groups,
 };
--- a/crates/ferry-serve/src/request/times.rs
+++ b/crates/ferry-serve/src/request/times.rs
@@ -7,7 +7,7 @@
 use super::call;
 use super::flight::{Flight, StageState};
 use crate::batch::batch_limits;
-use crate::node::Turn;
+use crate::turn::Turn;
 
 /// Time between the results of a stage and the start of the next, with a wait for an endpoint.
 const HANDOVER: Duration = Duration::from_millis(60);
--- a/crates/ferry-serve/src/node/context.rs
+++ b/crates/ferry-serve/src/turn.rs
@@ -1,4 +1,6 @@
-//! What every part of the gateway shares.
+//! What a pass through the reducer carries: the parts import this, and the gateway joins them.
+
+mod usual;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -10,7 +12,6 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::usual::{Standing, Usual};
 use crate::admission::{Account, Part};
 use crate::batch::{JobKey, Outcome};
 use crate::strain::Strain;
@@ -19,6 +20,9 @@
     Tuning,
 };
 
+pub use usual::Standing;
+use usual::Usual;
+
 /// Draws the instances that keep account apart from other roles.
 const ACCOUNTS_KEY: &str = "accounts";
 
@@ -49,9 +53,9 @@
     /// Requests that have been begun, if this instance keeps account of them.
     pub account: Account,
     /// What requests are usually like, by route.
-    pub(super) usual: SortedMap<String, Usual>,
-    pub(super) budgets: SortedMap<PoolId, Budget>,
-    pub(super) last_call: CallId,
+    pub(crate) usual: SortedMap<String, Usual>,
+    pub(crate) budgets: SortedMap<PoolId, Budget>,
+    pub(crate) last_call: CallId,
 }
 
 impl Context {
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -21,6 +21,10 @@
 const PEER: u16 = 7_740;
 const STORE: u16 = 8_624;
 const ENDPOINT: u16 = 8_080;
+/// Gateways whose addresses are in the network of the run.
+const FIRST_NODES: usize = 90;
+/// Second number of the addresses of the others, and the 49 above it.
+const MORE_NODES: u8 = 200;
 /// Endpoints of each pool.
 const N_ENDPOINTS: usize = 3;
 
@@ -152,6 +156,15 @@
     served: Vec<Served>,
 }
 
+/// Returns the address of a gateway: the network of the run holds the first ones, the others have
+/// one of their own.
+fn node_ip(net: (u8, u8), number: usize) -> Ipv4Addr {
+    match number {
+        ..FIRST_NODES => Ipv4Addr::new(127, net.0, net.1, 10 + number as u8),
+        _ => Ipv4Addr::new(127, MORE_NODES + net.0 % 50, net.1, (number - FIRST_NODES + 1) as u8),
+    }
+}
+
 impl Cluster {
     /// Starts everything on addresses of `net`, a network of 256 addresses below 127.0.0.0/8.
     pub async fn start(
@@ -187,7 +200,7 @@
         let mut nodes = Vec::new();
         for number in 0..n_nodes {
             let node = Node {
-                ip: ip(10 + number),
+                ip: node_ip(net, number),
                 settings: directory.join(format!("node-{number}.conf")),
                 log: directory.join(format!("node-{number}.log")),
                 gateway: gateway.to_owned(),
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -2,28 +2,37 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use argh::FromArgs;
 use ferry_soak::{SoakOptions, run};
 use tokio::task::LocalSet;
 
+/// Gateways that the loopback addresses of a run hold.
+const MOST_PROCESSES: usize = 240;
+
 /// Runs real gateways with random faults and checks what callers and endpoints see.
 #[derive(Debug, FromArgs)]
-#[argh(example = "ferry-soak --seed 1 --runs 5 --seconds 20")]
+#[argh(
+    example = "ferry-soak --from 1 --seeds 5 --seconds 20",
+    example = "ferry-soak --from 100 --minutes 10 --processes 40"
+)]
 struct Args {
     /// first seed (1)
     #[argh(option, default = "1")]
-    seed: u64,
+    from: u64,
     /// number of runs, each with the next seed (1)
     #[argh(option, default = "1")]
-    runs: u64,
-    /// seconds in which faults come (20)
+    seeds: u64,
+    /// goes on with the next seeds for this many minutes, whatever their number
+    #[argh(option)]
+    minutes: Option<u64>,
+    /// seconds of each run in which faults come (20)
     #[argh(option, default = "20")]
     seconds: u64,
-    /// number of gateways (4)
-    #[argh(option, default = "4")]
-    nodes: usize,
+    /// number of gateways, 2 to 240 (4)
+    #[argh(option, default = "4", from_str_fn(n_processes))]
+    processes: usize,
     /// program of the gateway; by default the one beside this program
     #[argh(option)]
     gateway: Option<PathBuf>,
@@ -32,12 +41,19 @@
     directory: PathBuf,
 }
 
+fn n_processes(text: &str) -> Result<usize, String> {
+    match text.parse() {
+        Ok(number @ 2..=MOST_PROCESSES) => Ok(number),
+        _ => Err(format!("allowed is a number from 2 to {MOST_PROCESSES}")),
+    }
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match soak(&args) {
-        Ok(0) => ExitCode::SUCCESS,
-        Ok(n_bad) => {
-            eprintln!("ferry-soak: {n_bad} of {} runs went wrong", args.runs);
+        Ok(bad) if bad.is_empty() => ExitCode::SUCCESS,
+        Ok(bad) => {
+            eprintln!("ferry-soak: went wrong with seeds {bad:?}");
             ExitCode::FAILURE
         }
         Err(error) => {
@@ -47,17 +63,26 @@
     }
 }
 
-fn soak(args: &Args) -> std::io::Result<usize> {
+/// Runs the seeds and returns those that went wrong.
+fn soak(args: &Args) -> std::io::Result<Vec<u64>> {
     let beside = std::env::current_exe()?.with_file_name("ferry-gateway");
     let gateway = args.gateway.clone().unwrap_or(beside);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let mut n_bad = 0;
-    for seed in args.seed..args.seed + args.runs {
+    let until = args.minutes.map(|it| Instant::now() + Duration::from_secs(60 * it));
+    let mut bad = Vec::new();
+    for seed in args.from.. {
+        let is_over = match until {
+            Some(until) => until <= Instant::now(),
+            None => args.from + args.seeds <= seed,
+        };
+        if is_over {
+            break;
+        }
         let process = std::process::id();
         let options = SoakOptions {
             seed,
             length: Duration::from_secs(args.seconds),
-            n_nodes: args.nodes,
+            n_nodes: args.processes,
             gateway: gateway.clone(),
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
@@ -67,7 +92,9 @@
         for wrong in &report.wrongs {
             println!("seed {seed}: {wrong}");
         }
-        n_bad += usize::from(!report.is_good());
+        if !report.is_good() {
+            bad.push(seed);
+        }
     }
-    Ok(n_bad)
+    Ok(bad)
 }
