Share the way from the command line to the running process, and look up capacities less often

Cause: main.rs of entry and control stood twice. The account looked up what each pool can do for each request: at 61 instances and 15 groups about 900 hashes, at 470 and 28 zones about 40,000. Change: process::launch in ferry-edge; a look-up holds for 50 ms, as heartbeats come each 200 ms. The servers of entry and control keep their own close and peer_address: a shared one would need a wrapper around both.

--- a/crates/ferry-edge/src/process.rs
+++ b/crates/ferry-edge/src/process.rs
@@ -1,6 +1,7 @@
 //! What the binaries share: exit statuses, signals and incarnations.
 
 use std::fmt;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -28,6 +29,40 @@
     Print(#[from] serde_json::Error),
 }
 
+/// What the command line of every binary may ask for.
+#[derive(Debug)]
+pub struct Launch {
+    pub name: &'static str,
+    pub settings: Option<String>,
+    /// File to which every event is written.
+    pub record: Option<PathBuf>,
+    /// Only checks the settings.
+    pub check: bool,
+    /// Only prints the version.
+    pub version: bool,
+}
+
+/// Does what the command line asks for, and returns the exit status.
+pub async fn launch<S, E: fmt::Display>(
+    launch: Launch,
+    load: impl FnOnce(&str) -> Result<S, Findings>,
+    run: impl AsyncFnOnce(S, Option<PathBuf>) -> Result<(), E>,
+) -> ExitCode {
+    let name = launch.name;
+    if launch.version {
+        println!("{name} {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let settings = match load_settings(name, launch.settings, load) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if launch.check {
+        return ExitCode::SUCCESS;
+    }
+    finish(name, run(settings, launch.record).await)
+}
+
 /// Loads the settings of the binary `name`, or reports what is wrong and returns its exit status.
 pub fn load_settings<T>(
     name: &str,
--- a/crates/ferry-entry/src/main.rs
+++ b/crates/ferry-entry/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use ferry_edge::process;
+use ferry_edge::process::{self, Launch};
 use ferry_entry::{EntrySettings, run};
 
 const NAME: &str = "ferry-entry";
@@ -35,16 +35,12 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    if args.version {
-        println!("{NAME} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let settings = match process::load_settings(NAME, args.settings, EntrySettings::load) {
-        Ok(settings) => settings,
-        Err(code) => return code,
+    let launch = Launch {
+        name: NAME,
+        settings: args.settings,
+        record: args.record,
+        check: args.check,
+        version: args.version,
     };
-    if args.check {
-        return ExitCode::SUCCESS;
-    }
-    process::finish(NAME, run(settings, args.record).await)
+    process::launch(launch, EntrySettings::load, run).await
 }
--- a/crates/ferry-serve/src/admission/account.rs
+++ b/crates/ferry-serve/src/admission/account.rs
@@ -18,6 +18,8 @@
 const BACK_PART: f64 = 0.8;
 /// Time over which the load of requests in time is averaged: bursts are some seconds long.
 const LOAD_SPAN: Duration = Duration::from_millis(1_500);
+/// Time for which a look-up of what a pool can do holds; heartbeats that tell it come less often.
+const CAPACITY_LIFE: Duration = Duration::from_millis(50);
 /// Least part of the rate that is taken to be left for requests that will be late.
 const LEAST_LEFT: f64 = 0.02;
 
@@ -25,6 +27,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Account {
     levels: SortedMap<(Part, PoolId), Level>,
+    /// What pools can do, and when that was looked up.
+    capacities: SortedMap<(Part, PoolId), (Moment, Capacity)>,
 }
 
 /// What becomes of a request, and why.
@@ -49,6 +53,16 @@
 }
 
 impl Account {
+    /// Returns what a pool can do, if that was looked up a moment ago.
+    pub fn capacity(&self, now: Moment, pool: &PoolId, part: Part) -> Option<Capacity> {
+        let (at, capacity) = self.capacities.get(&(part, pool.clone()))?;
+        (now < *at + CAPACITY_LIFE).then_some(*capacity)
+    }
+
+    pub fn note_capacity(&mut self, now: Moment, pool: &PoolId, part: Part, capacity: Capacity) {
+        self.capacities.insert((part, pool.clone()), (now, capacity));
+    }
+
     /// Notes the request as begun if its stages can be done in time, or else within its time limit.
     pub fn judge(&mut self, now: Moment, ask: &Ask, capacity: &[Capacity]) -> Judgement {
         let class = ask.class.min(LATE_CLASS);
--- a/crates/ferry-serve/src/request/ask.rs
+++ b/crates/ferry-serve/src/request/ask.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use ferry_model::PoolId;
+use ferry_model::{Moment, PoolId};
 
 use super::end::{self, Comeback};
 use super::flight::{Flight, Phase, StageState};
 use super::{call, times};
 use crate::admission::{Ask, Capacity, Judgement, LATE_CLASS, Part, Verdict};
 use crate::batch::Batcher;
-use crate::turn::Turn;
+use crate::turn::{Context, Turn};
 use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage, Status};
 
 /// Time for an answer, after which the request is begun: several round trips between instances
@@ -53,19 +53,31 @@
 
 /// Decides on a request by the account that this instance keeps.
 pub fn judge(cx: &mut Turn<'_>, batcher: &Batcher, ask: &Ask) -> Verdict {
-    let (now, ctx) = (cx.now, &mut *cx.ctx);
-    let capacity: Vec<Capacity> = ask
-        .items
-        .iter()
-        .map(|(pool, _)| Capacity::new(ctx, batcher, now, pool, ask.part))
-        .collect();
-    let judgement = ctx.account.judge(now, ask, &capacity);
+    let pools = ask.items.iter().map(|(pool, _)| pool);
+    let capacity: Vec<Capacity> =
+        pools.map(|it| capacity(cx.now, cx.ctx, batcher, it, ask.part)).collect();
+    let judgement = cx.ctx.account.judge(cx.now, ask, &capacity);
     if judgement.verdict == Verdict::Refuse {
         log_refusal(cx, ask, &judgement);
     }
     judgement.verdict
 }
 
+fn capacity(
+    now: Moment,
+    ctx: &mut Context,
+    batcher: &Batcher,
+    pool: &PoolId,
+    part: Part,
+) -> Capacity {
+    if let Some(known) = ctx.account.capacity(now, pool, part) {
+        return known;
+    }
+    let fresh = Capacity::new(ctx, batcher, now, pool, part);
+    ctx.account.note_capacity(now, pool, part, fresh);
+    fresh
+}
+
 fn log_refusal(cx: &mut Turn<'_>, ask: &Ask, judgement: &Judgement) {
     let reason = format!(
         "class {} worth {:.2} would wait; allowed is {:?} at {:.0} items a second",
