Tell peers only what has changed, and greet those that start

Each list that a close follower read again made its revision newer than that of 297 others, also where no entry had changed; each of them then read the whole list of 3,000 endpoints from the same peer. After a start, heartbeats in turns took 7.5 s to tell all of 300 of each other. Change: instances compare the revision of the last change that they know; a peer tells the entries changed since a revision (512 are remembered) and one of those that have it is asked, after 1.1 s where only endpoints are behind. What an instance reads first is no news. Older changes than a peer has told are ignored. Instances greet each peer that they learn of, and those that start. Ruled out: the store (a call took as long as at 30 instances); more heartbeats at a time, by reckoning (bytes). Tests: six new; the two of the large fleet fail without greetings (40 of 104 known after 0.5 s).

--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ferry_model::ConfigVersion;
 use ferry_serve::{Event, PeerMessage, Snapshot, StoreNews};
 use tokio::task::spawn_local;
 
@@ -45,25 +46,29 @@
     }
 }
 
-/// Reads configuration and endpoints from a peer.
-pub fn pull(shell: &Rc<Shell>, from: SocketAddr) {
+/// Reads from a peer what it knows beyond a version of the configuration and a revision of the store.
+pub fn pull(shell: &Rc<Shell>, from: SocketAddr, version: ConfigVersion, since: u64) {
     let shell = shell.clone();
     spawn_local(async move {
-        match read(&shell, from).await {
+        match read(&shell, from, version, since).await {
             Ok(snapshot) => {
                 if let Some(config) = snapshot.config {
                     shell.dispatch(Event::Config(config));
                 }
-                let (stamp, endpoints) = (snapshot.stamp, snapshot.endpoints);
-                shell.dispatch(Event::Store(StoreNews::List { stamp, endpoints }));
+                shell.dispatch(Event::Store(StoreNews::Peer(snapshot.endpoints)));
             }
             Err(error) => shell.warn("could not read the state of a peer", &error),
         }
     });
 }
 
-async fn read(shell: &Rc<Shell>, from: SocketAddr) -> Result<Snapshot, CallError> {
-    let call = OwnCall::get(SNAPSHOT_PATH.to_owned());
+async fn read(
+    shell: &Rc<Shell>,
+    from: SocketAddr,
+    version: ConfigVersion,
+    since: u64,
+) -> Result<Snapshot, CallError> {
+    let call = OwnCall::get(format!("{SNAPSHOT_PATH}?version={version}&since={since}"));
     let answer = shell.links.call(from, &call, PULL_TIMEOUT).await?;
     serde_json::from_slice(&answer.body).map_err(|it| CallError::Body(it.to_string()))
 }
--- a/crates/ferry-gateway/src/shell.rs
+++ b/crates/ferry-gateway/src/shell.rs
@@ -170,7 +170,7 @@
             Effect::Batch(call) => items::start(self, *call),
             Effect::Free { address, handles } => self.free(address, handles),
             Effect::Send { to, message } => peers::send(self, to, &message),
-            Effect::Pull { from } => peers::pull(self, from),
+            Effect::Pull { from, version, since } => peers::pull(self, from, version, since),
             Effect::Log(decision) => self.log_decision(&decision),
             Effect::Count(metric) => self.metrics.count(metric),
             Effect::Close => self.advance(Stage::Closing),
--- a/crates/ferry-gateway/src/side.rs
+++ b/crates/ferry-gateway/src/side.rs
@@ -26,7 +26,7 @@
     let response = match request.uri().path() {
         directory::READY_PATH => ready(&shell),
         directory::RESOLVE_PATH => resolve(&shell, request.uri().query().unwrap_or_default()),
-        SNAPSHOT_PATH => snapshot(&shell),
+        SNAPSHOT_PATH => snapshot(&shell, request.uri().query().unwrap_or_default()),
         METRICS_PATH => Response::new(Full::new(Bytes::from(shell.metrics.text()))),
         _ => status(StatusCode::NOT_FOUND),
     };
@@ -47,8 +47,14 @@
     json(directory::resolve_body(&addresses, life))
 }
 
-fn snapshot(shell: &Rc<Shell>) -> Response<Full<Bytes>> {
-    match serde_json::to_vec(&shell.ask(ferry_serve::Gateway::snapshot)) {
+/// Tells a peer what it lacks; one that names nothing gets everything.
+fn snapshot(shell: &Rc<Shell>, query: &str) -> Response<Full<Bytes>> {
+    let number = |name: &str| {
+        let fields = query.split('&').filter_map(|it| it.split_once('='));
+        fields.filter(|it| it.0 == name).find_map(|it| it.1.parse().ok()).unwrap_or(0)
+    };
+    let (version, since) = (number("version"), number("since"));
+    match serde_json::to_vec(&shell.ask(|it| it.snapshot(version, since))) {
         Ok(body) => json(Bytes::from(body)),
         Err(error) => {
             shell.warn("could not write the state for a peer", &error);
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
+use ferry_model::{ConfigVersion, EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::{CallId, CallerAttempt, ItemInput, PeerMessage};
@@ -46,9 +46,12 @@
         to: SocketAddr,
         message: PeerMessage,
     },
-    /// Reads configuration and endpoints from a peer.
+    /// Reads from a peer what it knows beyond these.
     Pull {
         from: SocketAddr,
+        version: ConfigVersion,
+        /// Revision of the store that the list of endpoints shows.
+        since: u64,
     },
     /// Writes a line about a decision.
     Log(Box<Decision>),
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! What is known of each endpoint: its entry, its load and how its calls went.
 
+mod delta;
 mod observe;
 
 use std::net::SocketAddr;
@@ -10,6 +11,9 @@
 
 use crate::{StoreNews, Tuning};
 
+use delta::Changes;
+
+pub use delta::Delta;
 pub use observe::{Observation, Observations};
 
 /// Weight of the newest observation in averages.
@@ -146,6 +150,9 @@
     zones: SortedMap<SocketAddr, ZoneId>,
     /// Revision of the store that the entries show.
     stamp: u64,
+    /// Revision of the last change among them, as far as it is known.
+    news: u64,
+    changes: Changes,
     is_lost: bool,
     /// End of the time in which endpoints register again after the store's return.
     rejoin: Option<Moment>,
@@ -193,6 +200,12 @@
         self.stamp
     }
 
+    /// Returns the revision of the last change, which peers compare: the store's own grows with each
+    /// write to it.
+    pub fn news(&self) -> u64 {
+        self.news
+    }
+
     /// Whether the store does not answer this process.
     pub fn is_lost(&self) -> bool {
         self.is_lost
@@ -206,14 +219,21 @@
     pub fn apply(&mut self, now: Moment, tuning: &Tuning, news: StoreNews) -> bool {
         let is_changed = match news {
             StoreNews::List { stamp, endpoints } => self.replace(now, stamp, endpoints),
+            // A peer or a list has told what came after it.
+            StoreNews::Changed { stamp, .. } | StoreNews::Removed { stamp, .. }
+                if stamp < self.stamp =>
+            {
+                false
+            }
             StoreNews::Changed { stamp, endpoint } => {
                 self.stamp = self.stamp.max(stamp);
-                self.put(endpoint)
+                self.put(stamp, endpoint)
             }
             StoreNews::Removed { stamp, id } => {
                 self.stamp = self.stamp.max(stamp);
-                self.remove(now, &id)
+                self.remove(now, stamp, &id)
             }
+            StoreNews::Peer(delta) => self.join(now, delta),
             StoreNews::Lost => {
                 self.is_lost = true;
                 false
@@ -236,7 +256,16 @@
             return;
         }
         self.rejoin = None;
-        self.views.retain(|_, it| !it.is_absent);
+        let gone: Vec<EndpointId> = self
+            .views
+            .values()
+            .filter(|it| it.is_absent)
+            .map(|it| it.endpoint.id.clone())
+            .collect();
+        for id in gone {
+            self.views.remove(&id);
+            self.note(self.stamp, &id);
+        }
         self.index();
     }
 
@@ -249,21 +278,42 @@
         if stamp < self.stamp {
             return false;
         }
+        let is_first = self.stamp == 0;
         self.stamp = stamp;
         let mut ids: Vec<EndpointId> = endpoints.iter().map(|it| it.id.clone()).collect();
         ids.sort();
         let missing: Vec<EndpointId> =
             self.views.keys().filter(|it| ids.binary_search(it).is_err()).cloned().collect();
+        let mut is_changed = false;
         for id in missing {
-            self.remove(now, &id);
+            is_changed |= self.remove(now, stamp, &id);
         }
         for endpoint in endpoints {
-            self.put(endpoint);
+            is_changed |= self.put(stamp, endpoint);
         }
-        true
+        if is_first {
+            // What it read first is no news for those that run already.
+            self.changes.begin(stamp);
+            self.news = 0;
+        }
+        is_changed
+    }
+
+    fn note(&mut self, stamp: u64, id: &str) {
+        self.news = self.news.max(stamp);
+        self.changes.note(stamp, id);
+    }
+
+    fn put(&mut self, stamp: u64, endpoint: GatewayEndpoint) -> bool {
+        let id = endpoint.id.clone();
+        let is_changed = self.put_view(endpoint);
+        if is_changed {
+            self.note(stamp, &id);
+        }
+        is_changed
     }
 
-    fn put(&mut self, endpoint: GatewayEndpoint) -> bool {
+    fn put_view(&mut self, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
         let Some(view) = self.views.get_mut(&id) else {
             self.views.insert(id, EndpointView::new(endpoint));
@@ -282,7 +332,7 @@
         is_changed
     }
 
-    fn remove(&mut self, now: Moment, id: &str) -> bool {
+    fn remove(&mut self, now: Moment, stamp: u64, id: &str) -> bool {
         let may_lapse = self.may_have_lapsed(now);
         let Some(view) = self.views.get_mut(id) else { return false };
         if may_lapse && view.takes_work() {
@@ -290,6 +340,7 @@
             return false;
         }
         self.views.remove(id);
+        self.note(stamp, id);
         true
     }
 
--- /dev/null
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -0,0 +1,107 @@
+//! What has changed of the endpoints since a revision, for a peer that asks.
+//!
+//! Answers the load of a fleet that reads from few instances: the whole list grows with the number of
+//! endpoints, and each change would send it to every instance.
+
+use ferry_model::{EndpointId, GatewayEndpoint, Moment};
+use serde::{Deserialize, Serialize};
+
+use super::Endpoints;
+
+/// Changes that are remembered; a peer that lacks more gets the whole list.
+const MOST_CHANGES: usize = 512;
+
+/// Entries that changed after a revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Revision of the store that the reader has seen; zero if the list is whole.
+    pub since: u64,
+    /// Revision of the store that the entries show.
+    pub stamp: u64,
+    /// Revision of the last change among them.
+    pub news: u64,
+    pub endpoints: Vec<GatewayEndpoint>,
+    pub removed: Vec<EndpointId>,
+}
+
+/// Changes in the order in which they became known.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Changes {
+    recent: Vec<(u64, EndpointId)>,
+    /// Revision after which every change is remembered.
+    start: u64,
+}
+
+impl Changes {
+    /// Notes a change; the list that starts a life is none.
+    pub fn note(&mut self, stamp: u64, id: &str) {
+        if MOST_CHANGES <= self.recent.len() {
+            let dropped = self.recent.drain(..MOST_CHANGES / 2).map(|it| it.0).max();
+            self.start = self.start.max(dropped.unwrap_or_default());
+        }
+        self.recent.push((stamp, id.to_owned()));
+    }
+
+    /// Forgets everything before a list that was read first.
+    pub fn begin(&mut self, stamp: u64) {
+        self.recent.clear();
+        self.start = stamp;
+    }
+
+    /// Returns the ids that changed after `since`, sorted; none if not all are remembered.
+    fn after(&self, since: u64) -> Option<Vec<&EndpointId>> {
+        if since < self.start || since == 0 {
+            return None;
+        }
+        let mut ids: Vec<&EndpointId> =
+            self.recent.iter().filter(|it| since < it.0).map(|it| &it.1).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        Some(ids)
+    }
+}
+
+impl Endpoints {
+    /// Returns what a peer lacks that has seen the store at revision `since`.
+    ///
+    /// Entries that may only have lapsed are not told: a peer would take them for present, or gone.
+    pub fn delta(&self, since: u64) -> Delta {
+        let (stamp, news) = (self.stamp, self.news);
+        let Some(ids) = self.changes.after(since) else {
+            let endpoints = self.listed().cloned().collect();
+            return Delta { since: 0, stamp, news, endpoints, removed: Vec::new() };
+        };
+        let (mut endpoints, mut removed) = (Vec::new(), Vec::new());
+        for id in ids {
+            match self.get(id) {
+                None => removed.push(id.clone()),
+                Some(view) if view.is_absent => (),
+                Some(view) => endpoints.push(view.endpoint.clone()),
+            }
+        }
+        Delta { since, stamp, news, endpoints, removed }
+    }
+
+    /// Takes what a peer has told; returns whether it changed anything.
+    pub(super) fn join(&mut self, now: Moment, delta: Delta) -> bool {
+        let Delta { since, stamp, news, endpoints, removed } = delta;
+        let is_old = stamp < self.stamp || self.stamp < since;
+        let is_changed = match (is_old, since) {
+            (true, _) => false,
+            (false, 0) => self.replace(now, stamp, endpoints),
+            (false, _) => {
+                let mut is_changed = false;
+                for id in removed {
+                    is_changed |= self.remove(now, stamp, &id);
+                }
+                for endpoint in endpoints {
+                    is_changed |= self.put(stamp, endpoint);
+                }
+                self.stamp = stamp;
+                is_changed
+            }
+        };
+        self.news = self.news.max(news);
+        is_changed
+    }
+}
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, LoadReport, PeerMessage, Tuning};
+use crate::{CallId, CallerAttempt, Delta, LoadReport, PeerMessage, Tuning};
 
 /// The one input of [`crate::Gateway::reduce`].
 #[derive(Debug, Clone)]
@@ -56,6 +56,8 @@
 pub enum StoreNews {
     /// The whole list; `stamp` is the store's revision that it shows.
     List { stamp: u64, endpoints: Vec<GatewayEndpoint> },
+    /// What a peer knows of them.
+    Peer(Delta),
     /// One entry was written.
     Changed { stamp: u64, endpoint: GatewayEndpoint },
     /// One entry was removed, or no longer describes an endpoint to use.
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -28,7 +28,7 @@
 pub use effect::{
     BatchCall, BatchItem, Call, Decision, DecisionKind, Effect, Metric, Refusal, Status,
 };
-pub use endpoints::{EndpointView, Endpoints, LoadReport, Observation, Observations};
+pub use endpoints::{Delta, EndpointView, Endpoints, LoadReport, Observation, Observations};
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Head, ItemInput, ItemReason, ItemResult, NotRunReason,
     PromptPart, StoreNews, TokenCounts,
--- a/crates/ferry-serve/src/node.rs
+++ b/crates/ferry-serve/src/node.rs
@@ -1,5 +1,6 @@
 //! The one reducer of a gateway: every event passes through [`Gateway::reduce`].
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,8 +17,11 @@
     Observation, Observations, PeerMessage, Peers, StoreNews, Submit, Tuning,
 };
 
-/// Time that a peer may be ahead before its state is read; the store usually is as fast.
+/// Time that a peer may have a newer configuration before it is read there; the store usually is as
+/// fast.
 const PULL_AFTER: Duration = Duration::from_millis(250);
+/// The same for endpoints, which most instances read from the store in strides of up to a second.
+const PULL_LIST_AFTER: Duration = Duration::from_millis(1_100);
 
 /// The whole state of a process.
 #[derive(Debug)]
@@ -159,13 +163,11 @@
         peers.is_watcher(now, tuning, identity)
     }
 
-    /// Returns what a peer may read.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            config: self.ctx.catalog.config().cloned(),
-            stamp: self.ctx.endpoints.stamp(),
-            endpoints: self.ctx.endpoints.listed().cloned().collect(),
-        }
+    /// Returns what a peer lacks that has a version of the configuration, and has seen the store at
+    /// revision `since`.
+    pub fn snapshot(&self, version: ConfigVersion, since: u64) -> Snapshot {
+        let config = self.ctx.catalog.config().filter(|it| version < it.version);
+        Snapshot { config: config.cloned(), endpoints: self.ctx.endpoints.delta(since) }
     }
 
     /// Does what is due after any event: heartbeats, reading from peers, and the shutdown.
@@ -240,7 +242,7 @@
             is_leaving: self.is_leaving(),
             is_strained: self.ctx.strain.is_strained(now),
             version: self.ctx.catalog.version(),
-            stamp: self.ctx.endpoints.stamp(),
+            stamp: self.ctx.endpoints.news(),
             backlog: self.backlog(now),
             observations,
         }
@@ -255,23 +257,35 @@
     /// Reads the state of a peer that has been ahead of this instance for a while.
     fn catch_up(&mut self, now: Moment, out: &mut Vec<Effect>) {
         let Context { tuning, catalog, endpoints, peers, .. } = &self.ctx;
-        let Some(from) = peers.ahead(now, tuning, catalog.version(), endpoints.stamp()) else {
+        let version = catalog.version();
+        let ahead = peers.ahead(now, tuning, version, endpoints.news());
+        let Some(from) = pick(&ahead, now) else {
             self.behind = None;
             return;
         };
+        let is_old = ahead.iter().any(|it| version < it.1);
         let since = *self.behind.get_or_insert(now);
-        let wait = if endpoints.is_lost() || catalog.config().is_none() {
-            Duration::ZERO
-        } else {
-            PULL_AFTER
+        let wait = match (endpoints.is_lost() || version == 0, is_old) {
+            (true, _) => Duration::ZERO,
+            (false, true) => PULL_AFTER,
+            (false, false) => PULL_LIST_AFTER,
         };
         if since + wait <= now {
             self.behind = Some(now + PULL_AFTER);
-            out.push(Effect::Pull { from });
+            out.push(Effect::Pull { from, version, since: endpoints.stamp() });
         }
     }
 }
 
+/// Returns one of the peers that have what is missing, another one each time.
+fn pick(ahead: &[(SocketAddr, ConfigVersion)], now: Moment) -> Option<SocketAddr> {
+    let newest = ahead.iter().map(|it| it.1).max()?;
+    let fit: Vec<SocketAddr> = ahead.iter().filter(|it| it.1 == newest).map(|it| it.0).collect();
+    let mut hasher = DefaultHasher::new();
+    now.hash(&mut hasher);
+    fit.get((hasher.finish() % fit.len() as u64) as usize).copied()
+}
+
 fn configure(cx: &mut Turn<'_>, config: Arc<GatewayConfig>) {
     if cx.ctx.catalog.offer(config) {
         cx.log(Decision::new(DecisionKind::Configure, "newer version is in force"));
@@ -285,6 +299,10 @@
         StoreNews::List { stamp, endpoints } => {
             format!("list of {} endpoints at {stamp}", endpoints.len())
         }
+        StoreNews::Peer(delta) => {
+            let n_removed = delta.removed.len();
+            format!("peer told of {} and {n_removed} gone", delta.endpoints.len())
+        }
         StoreNews::Changed { stamp, endpoint } => {
             format!("{} is {} at {stamp}", endpoint.id, endpoint.state)
         }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -17,6 +17,10 @@
 
 /// Peers that get each heartbeat of an instance; more get theirs in turns.
 const BEAT_FANOUT: usize = 8;
+/// Most peers greeted with one heartbeat, and the pause before the next ones: the heartbeats in turns
+/// would take seconds to reach all of a large fleet, which has to agree on who does what.
+const MOST_GREETINGS: usize = 48;
+const GREET_GAP: Duration = Duration::from_millis(40);
 /// Instances that follow the store closely, so that two may fail at once.
 const N_WATCHERS: usize = 3;
 /// Draws the watchers apart from other roles.
@@ -42,7 +46,7 @@
     /// Its part of a core.
     pub weight: f64,
     pub version: ConfigVersion,
-    /// Revision of the store that its list of endpoints shows.
+    /// Revision of the last change of an endpoint that it knows.
     pub stamp: u64,
     /// Expected waits at the pools whose items it gathers.
     pub backlog: Vec<Backlog>,
@@ -122,6 +126,8 @@
     views: SortedMap<SocketAddr, PeerView>,
     next_beat: Moment,
     turn: usize,
+    /// Peers that have not heard of this life yet, or are new.
+    greet: Vec<SocketAddr>,
 }
 
 impl Peers {
@@ -136,6 +142,7 @@
                 && *address != own
             {
                 self.known.insert(idx, *address);
+                self.greet.push(*address);
             }
         }
     }
@@ -151,6 +158,10 @@
         }
         let is_new = before.is_none_or(|it| it.heartbeat.life < heartbeat.life);
         self.views.insert(from, PeerView { heartbeat, heard: now });
+        if is_new && !self.greet.contains(&from) {
+            self.greet.push(from);
+            self.next_beat = self.next_beat.min(now + GREET_GAP);
+        }
         is_new
     }
 
@@ -186,13 +197,16 @@
         if now < self.next_beat {
             return Vec::new();
         }
-        self.next_beat = now + tuning.beat;
+        let n_greeted = self.greet.len().min(MOST_GREETINGS);
+        let greeted: Vec<SocketAddr> = self.greet.drain(..n_greeted).collect();
+        self.next_beat = now + if self.greet.is_empty() { tuning.beat } else { GREET_GAP };
         let n_peers = self.known.len();
         let n_sent = n_peers.min(BEAT_FANOUT);
         let first = self.turn;
         self.turn = (self.turn + n_sent) % n_peers.max(1);
         let in_turn = (0..n_sent).map(|it| self.known[(first + it) % n_peers]);
-        let mut due: Vec<SocketAddr> = in_turn.chain(owners.iter().copied()).collect();
+        let mut due: Vec<SocketAddr> =
+            in_turn.chain(owners.iter().copied()).chain(greeted).collect();
         due.sort_unstable();
         due.dedup();
         due
@@ -213,19 +227,17 @@
         ahead.count() < N_WATCHERS
     }
 
-    /// Returns a live peer that has a newer configuration or newer entries, if any.
+    /// Returns the live peers that have a newer configuration or newer entries, with its version.
     pub fn ahead(
         &self,
         now: Moment,
         tuning: &Tuning,
         version: ConfigVersion,
         stamp: u64,
-    ) -> Option<SocketAddr> {
+    ) -> Vec<(SocketAddr, ConfigVersion)> {
         let is_ahead = |it: &PeerView| version < it.heartbeat.version || stamp < it.heartbeat.stamp;
-        self.live(now, tuning)
-            .filter(|(_, it)| is_ahead(it))
-            .max_by_key(|(_, it)| (it.heartbeat.version, it.heartbeat.stamp))
-            .map(|(address, _)| address)
+        let ahead = self.live(now, tuning).filter(|(_, it)| is_ahead(it));
+        ahead.map(|(address, it)| (address, it.heartbeat.version)).collect()
     }
 
     /// Returns the peer that does the work named `key` for all; none if this instance does.
--- a/crates/ferry-serve/src/turn.rs
+++ b/crates/ferry-serve/src/turn.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 
 use ferry_model::{
-    GatewayConfig, GatewayEndpoint, Incarnation, InstanceId, Moment, PoolId, ResultHandle,
-    SortedMap, ZoneId,
+    GatewayConfig, Incarnation, InstanceId, Moment, PoolId, ResultHandle, SortedMap, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -16,8 +15,8 @@
 use crate::batch::{JobKey, Outcome};
 use crate::strain::Strain;
 use crate::{
-    Budget, CallId, Catalog, Decision, Effect, Endpoints, Group, Head, Metric, Observations, Peers,
-    Tuning,
+    Budget, CallId, Catalog, Decision, Delta, Effect, Endpoints, Group, Head, Metric, Observations,
+    Peers, Tuning,
 };
 
 pub use usual::Standing;
@@ -134,7 +133,7 @@
 /// What a peer needs to go on where the store does not answer it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// None if the reader has it.
     pub config: Option<Arc<GatewayConfig>>,
-    pub stamp: u64,
-    pub endpoints: Vec<GatewayEndpoint>,
+    pub endpoints: Delta,
 }
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -73,9 +73,9 @@
     world.give(0, Event::Store(StoreNews::Lost));
     let id = "plain-0".to_owned();
     world.give(0, Event::Store(StoreNews::Removed { stamp: 12, id }));
-    let snapshot = world.instances[0].as_ref().expect("it lives").snapshot();
-    assert!(snapshot.endpoints.iter().all(|it| it.id != "plain-0"));
-    assert!(snapshot.endpoints.iter().any(|it| it.id == "plain-1"));
+    let snapshot = world.instances[0].as_ref().expect("it lives").snapshot(0, 0);
+    assert!(snapshot.endpoints.endpoints.iter().all(|it| it.id != "plain-0"));
+    assert!(snapshot.endpoints.endpoints.iter().any(|it| it.id == "plain-1"));
 }
 
 #[test]
@@ -117,3 +117,69 @@
         (0..300).filter(|it| world.outcome(&format!("load-{it}")).ending == Ending::Answer).count();
     assert_eq!(n_answers, 300);
 }
+
+#[test]
+fn an_older_change_than_a_peer_has_told_changes_nothing() {
+    let mut world = World::new(2);
+    let mut leaving = world.endpoints.get("plain-0").expect("it exists").entry.clone();
+    let before = leaving.clone();
+    leaving.state = EndpointState::Leaving;
+    let news = StoreNews::Changed { stamp: 14, endpoint: leaving };
+    world.give(1, Event::Store(news));
+    world.give(0, Event::Store(StoreNews::Lost));
+    world.run_for(ms(1_000));
+    world.give(0, Event::Store(StoreNews::Changed { stamp: 12, endpoint: before }));
+    let gateway = world.instances[0].as_ref().expect("it lives");
+    let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+    assert!(!view.takes_work(), "an older entry came back");
+}
+
+#[test]
+fn peers_tell_only_what_has_changed() {
+    let mut world = World::new(4);
+    let n_at_start = world.n_told;
+    for number in 0..3 {
+        let mut endpoint = world.endpoints.get("plain-1").expect("it exists").entry.clone();
+        endpoint.slots = 5 + number;
+        let stamp = 11 + u64::from(number);
+        world.give(1, Event::Store(StoreNews::Changed { stamp, endpoint }));
+        world.run_for(ms(2_500));
+    }
+    let id = "plain-0".to_owned();
+    world.give(1, Event::Store(StoreNews::Removed { stamp: 20, id }));
+    world.run_for(ms(2_500));
+    for instance in world.instances.iter().flatten() {
+        let endpoints = &instance.context().endpoints;
+        assert_eq!(endpoints.get("plain-1").map(|it| it.endpoint.slots), Some(7));
+        assert!(endpoints.get("plain-0").is_none());
+    }
+    // Four changes for three instances that had not heard of them.
+    let n_told = world.n_told - n_at_start;
+    assert!(n_told <= 2 * 4 * 3, "{n_told} entries were told");
+}
+
+#[test]
+fn a_list_that_shows_nothing_new_makes_no_peer_read() {
+    let mut world = World::new(4);
+    let n_at_start = world.n_told;
+    for number in 0..10 {
+        let endpoints = world.endpoints.values().map(|it| it.entry.clone()).collect();
+        world.give(1, Event::Store(StoreNews::List { stamp: 100 + number, endpoints }));
+        world.run_for(ms(500));
+    }
+    assert_eq!(world.n_told, n_at_start);
+}
+
+#[test]
+fn an_instance_that_starts_is_not_read_by_all_others() {
+    let mut world = World::new(6);
+    world.kill(2);
+    world.run_for(ms(3_000));
+    let n_at_start = world.n_told;
+    world.start_blind(2);
+    let endpoints = world.endpoints.values().map(|it| it.entry.clone()).collect();
+    world.give(2, Event::Config(world.config.clone()));
+    world.give(2, Event::Store(StoreNews::List { stamp: 500, endpoints }));
+    world.run_for(ms(5_000));
+    assert_eq!(world.n_told, n_at_start);
+}
--- a/crates/ferry-serve/tests/decisions/peers.rs
+++ b/crates/ferry-serve/tests/decisions/peers.rs
@@ -38,3 +38,28 @@
         assert_eq!(world.wrongs, Vec::<String>::new());
     }
 }
+
+#[test]
+fn a_large_fleet_that_starts_at_once_soon_knows_itself() {
+    // Heartbeats in turns would take 2.6 s to reach all.
+    let n_instances = 104;
+    let world = World::new(n_instances);
+    for instance in world.instances.iter().flatten() {
+        let context = instance.context();
+        let n_known = context.peers.n_instances(world.now, &context.tuning);
+        assert_eq!(n_known, n_instances, "{} a second after the start", context.identity.instance);
+    }
+}
+
+#[test]
+fn an_instance_that_starts_anew_soon_knows_a_large_fleet() {
+    let n_instances = 104;
+    let mut world = World::new(n_instances);
+    world.kill(7);
+    world.run_for(ms(2_000));
+    world.start(7);
+    world.run_for(ms(500));
+    let context = world.instances[7].as_ref().expect("it lives").context();
+    let n_known = context.peers.n_instances(world.now, &context.tuning);
+    assert_eq!(n_known, n_instances);
+}
--- a/crates/ferry-serve/tests/decisions/world.rs
+++ b/crates/ferry-serve/tests/decisions/world.rs
@@ -105,6 +105,8 @@
     pub wrongs: Vec<String>,
     pub n_batches: usize,
     pub n_freed: usize,
+    /// Entries that peers told each other.
+    pub n_told: usize,
     pub exited: Vec<usize>,
     /// Instances that close their connections, and since when.
     pub closed: Vec<(usize, Moment)>,
@@ -141,6 +143,7 @@
             wrongs: Vec::new(),
             n_batches: 0,
             n_freed: 0,
+            n_told: 0,
             exited: Vec::new(),
             closed: Vec::new(),
             lag: vec![ms(0); n_instances],
@@ -328,7 +331,7 @@
                 }
             }
             Effect::Send { to, message } => self.send(instance, to, message),
-            Effect::Pull { from } => self.pull(instance, from),
+            Effect::Pull { from, version, since } => self.pull(instance, from, version, since),
             Effect::Exit => self.exited.push(instance),
             Effect::Close => self.closed.push((instance, self.now)),
             Effect::Log(_) | Effect::Count(_) => (),
@@ -385,13 +388,15 @@
         self.rng >> 33
     }
 
-    fn pull(&mut self, instance: usize, from: SocketAddr) {
+    fn pull(&mut self, instance: usize, from: SocketAddr, version: u64, since: u64) {
         let from = usize::from(from.port()) - 7_000;
-        let Some(snapshot) = self.instances[from].as_ref().map(Gateway::snapshot) else { return };
+        let Some(peer) = &self.instances[from] else { return };
+        let snapshot = peer.snapshot(version, since);
+        let endpoints = &snapshot.endpoints;
+        self.n_told += endpoints.endpoints.len() + endpoints.removed.len();
         if let Some(config) = snapshot.config {
             self.later(instance, HOP, Event::Config(config));
         }
-        let (stamp, endpoints) = (snapshot.stamp, snapshot.endpoints);
-        self.later(instance, HOP, Event::Store(StoreNews::List { stamp, endpoints }));
+        self.later(instance, HOP, Event::Store(StoreNews::Peer(snapshot.endpoints)));
     }
 }
