Read large lists to the end, and from their first page on

Cause: at 300 instances a list of 3,000 endpoints takes longer than the 0.9 s that a whole answer had on a store's link that all read from at once: it was given up half-way and asked for again. Watches began at the revision of a list's last page, so that a change made between its pages was never told. A peer with a newer configuration was also asked for its endpoints. Change: an answer to a call of our own must begin in time and not pause for 0.9 s; watches begin at the first page; a newer configuration alone is read without endpoints; the time in which a peer is ahead starts anew when something has come. Every instance lists endpoints again when a watch ended without changes (15 s for most), as close followers did: their lists no longer make others read. Ruled out: the processor (12 in 100 of an instance's part at the middle, 50 at most). Tests: a change between the pages of a list, over a real process (fails before: sent to an endpoint that was leaving).

--- a/crates/ferry-gateway/src/connect.rs
+++ b/crates/ferry-gateway/src/connect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,6 +15,8 @@
 
 /// Time to open a connection; several round trips between distant zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest pause within an answer to a call of our own; a connection may fall silent for good.
+const ANSWER_PAUSE: Duration = Duration::from_millis(900);
 /// Bytes of an answer that is read whole.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
@@ -131,6 +133,9 @@
     }
 
     /// Sends a call and reads the whole answer; a connection that failed is not used again.
+    ///
+    /// The answer must begin within `timeout` and never pause for long. A large one may take longer
+    /// as a whole: given up half-way, it would be asked for again, and load the link even more.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -138,16 +143,17 @@
         timeout: Duration,
     ) -> Result<Answer, CallError> {
         let kept = self.open.borrow_mut().remove(&address).filter(Connection::is_open);
-        let exchange = async {
+        let begin = async {
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => Connection::open(address).await?,
             };
-            let answer = exchange(&mut connection, address, call).await?;
-            Ok::<_, CallError>((connection, answer))
+            let response = connection.send(request(address, call)?).await?;
+            Ok::<_, CallError>((connection, response))
         };
-        let (connection, answer) =
-            tokio::time::timeout(timeout, exchange).await.map_err(|_| CallError::Timeout)??;
+        let (connection, response) =
+            tokio::time::timeout(timeout, begin).await.map_err(|_| CallError::Timeout)??;
+        let answer = read_steady(response).await?;
         self.open.borrow_mut().insert(address, connection);
         Ok(answer)
     }
@@ -156,14 +162,26 @@
 /// Sends a call over a connection of its own and reads the whole answer.
 pub async fn call_once(address: SocketAddr, call: &OwnCall) -> Result<Answer, CallError> {
     let mut connection = Connection::open(address).await?;
-    exchange(&mut connection, address, call).await
+    read_whole(connection.send(request(address, call)?).await?).await
 }
 
-async fn exchange(
-    connection: &mut Connection,
-    address: SocketAddr,
-    call: &OwnCall,
-) -> Result<Answer, CallError> {
+/// Reads an answer to the end as long as it goes on coming.
+async fn read_steady(response: Response<Incoming>) -> Result<Answer, CallError> {
+    let (parts, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_ANSWER);
+    let mut all = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(ANSWER_PAUSE, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| CallError::Timeout)? else { break };
+        let frame = frame.map_err(|it| CallError::Body(it.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            all.extend_from_slice(data);
+        }
+    }
+    Ok(Answer { status: parts.status, headers: parts.headers, body: all.freeze() })
+}
+
+fn request(address: SocketAddr, call: &OwnCall) -> Result<Request<Full<Bytes>>, http::Error> {
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(&call.path)
@@ -174,5 +192,5 @@
         request.headers_mut().insert(http::header::CONTENT_TYPE, json);
     }
     request.headers_mut().extend(call.headers.clone());
-    read_whole(connection.send(request).await?).await
+    Ok(request)
 }
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -66,14 +66,17 @@
 
     async fn list(&self, kind: Kind) -> Result<(Vec<Object>, u64), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
+        let mut first = None;
         loop {
             let after = objects.last().map(|it| it.name.clone());
             let call = OwnCall::get(store::list_path(kind, after.as_deref()));
             let page: Page = store::read_page(&self.call(&call, ANSWER_TIME).await?)?;
             let is_over = !page.is_truncated || page.objects.is_empty();
             objects.extend(page.objects);
+            // What changed while the later pages were read is told again by the watch.
+            let revision = *first.get_or_insert(page.revision);
             if is_over {
-                return Ok((objects, page.revision));
+                return Ok((objects, revision));
             }
         }
     }
@@ -102,8 +105,10 @@
         };
         match news {
             Ok(heard) => {
-                // A watch may hear nothing while changes are made: the list tells.
-                let must_list = heard.is_quiet && is_watcher(&shell);
+                // A watch may hear nothing while changes are made: the list tells. Of configurations
+                // and instances, peers tell those that do not follow closely.
+                let is_told = kind != Kind::Endpoints && !is_watcher(&shell);
+                let must_list = heard.is_quiet && !is_told;
                 from = Some(heard.revision).filter(|_| !must_list);
                 pause = Pause::new();
                 if std::mem::take(&mut is_lost) && kind == Kind::Endpoints {
--- a/crates/ferry-gateway/tests/process/rules.rs
+++ b/crates/ferry-gateway/tests/process/rules.rs
@@ -5,6 +5,7 @@
 use ferry_soak::cluster::{Cluster, Signal};
 use ferry_soak::config::Route;
 use ferry_soak::endpoint::Mood;
+use futures_util::future::join_all;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -158,3 +159,34 @@
         assert_eq!(cluster.witness.wrongs(), Vec::<String>::new());
     });
 }
+
+/// The list of endpoints has three pages; the first ones change while the last is still to come.
+#[test]
+fn a_change_between_the_pages_of_a_list_is_not_missed() {
+    with_cluster("pages", 1, async |mut cluster| {
+        cluster.nodes[0].signal(Signal::Kill);
+        while cluster.nodes[0].has_ended().is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        cluster.store.set_page_time(Duration::from_millis(600));
+        cluster.nodes[0].start().expect("the gateway starts");
+        sleep(Duration::from_millis(900)).await;
+        let (zone, state) = ("zone-0", "draining");
+        cluster.store.put("servers", "engine-0", cluster.endpoints[3].entry(zone, state));
+        cluster.store.put("servers", "engine-1", cluster.endpoints[4].entry(zone, state));
+        cluster.store.set_page_time(Duration::ZERO);
+        wait_ready(cluster.nodes[0].ready()).await;
+        sleep(Duration::from_millis(1_500)).await;
+        // All at once, before the list is read anew.
+        let requests = (0..12).map(async |number| {
+            let attempt = format!("page-{number}");
+            cluster.witness.sent(&attempt, Route::Once, b"body");
+            let head = head("POST", "/once/x?y=1", &attempt);
+            let items = "Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n";
+            let bytes = format!("{head}{items}Content-Length: 4\r\n\r\nbody");
+            exchange(cluster.nodes[0].front(), bytes.as_bytes()).await;
+            assert_eq!(cluster.witness.runs(&attempt), ["engine-2"], "{attempt}");
+        });
+        join_all(requests).await;
+    });
+}
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -62,6 +62,9 @@
 }
 
 impl Endpoints {
+    /// Revision to ask with for nothing of the endpoints.
+    pub const NOTHING: u64 = u64::MAX;
+
     /// Returns what a peer lacks that has seen the store at revision `since`.
     ///
     /// Entries that may only have lapsed are not told: a peer would take them for present, or gone.
@@ -85,23 +88,37 @@
     /// Takes what a peer has told; returns whether it changed anything.
     pub(super) fn join(&mut self, now: Moment, delta: Delta) -> bool {
         let Delta { since, stamp, news, endpoints, removed } = delta;
-        let is_old = stamp < self.stamp || self.stamp < since;
-        let is_changed = match (is_old, since) {
-            (true, _) => false,
-            (false, 0) => self.replace(now, stamp, endpoints),
-            (false, _) => {
-                let mut is_changed = false;
-                for id in removed {
-                    is_changed |= self.remove(now, stamp, &id);
-                }
-                for endpoint in endpoints {
-                    is_changed |= self.put(stamp, endpoint);
-                }
-                self.stamp = stamp;
-                is_changed
-            }
+        if stamp < self.stamp {
+            // Everything that the peer knows has been seen here.
+            self.news = self.news.max(news);
+            return false;
+        }
+        if self.stamp < since {
+            return false;
+        }
+        let is_changed = match since {
+            0 => self.replace(now, stamp, endpoints),
+            _ => self.join_changes(now, stamp, endpoints, &removed),
         };
         self.news = self.news.max(news);
         is_changed
     }
+
+    fn join_changes(
+        &mut self,
+        now: Moment,
+        stamp: u64,
+        endpoints: Vec<GatewayEndpoint>,
+        removed: &[EndpointId],
+    ) -> bool {
+        let mut is_changed = false;
+        for id in removed {
+            is_changed |= self.remove(now, stamp, id);
+        }
+        for endpoint in endpoints {
+            is_changed |= self.put(stamp, endpoint);
+        }
+        self.stamp = stamp;
+        is_changed
+    }
 }
--- a/crates/ferry-serve/src/node.rs
+++ b/crates/ferry-serve/src/node.rs
@@ -23,6 +23,14 @@
 /// The same for endpoints, which most instances read from the store in strides of up to a second.
 const PULL_LIST_AFTER: Duration = Duration::from_millis(1_100);
 
+/// A time in which peers have been ahead, and what was known here meanwhile.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    since: Moment,
+    version: ConfigVersion,
+    news: u64,
+}
+
 /// The whole state of a process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -30,7 +38,7 @@
     batcher: Batcher,
     requests: Requests,
     /// Since when a peer has been ahead, while it is.
-    behind: Option<Moment>,
+    behind: Option<Behind>,
     /// When the shutdown began.
     leaving: Option<Moment>,
     is_closed: bool,
@@ -264,16 +272,24 @@
             return;
         };
         let is_old = ahead.iter().any(|it| version < it.1);
-        let since = *self.behind.get_or_insert(now);
+        let news = endpoints.news();
+        let fresh = Behind { since: now, version, news };
+        let known = self.behind.filter(|it| (it.version, it.news) == (version, news));
+        // What has come meanwhile shows that the store still tells.
+        let since = known.unwrap_or(fresh).since;
         let wait = match (endpoints.is_lost() || version == 0, is_old) {
             (true, _) => Duration::ZERO,
             (false, true) => PULL_AFTER,
             (false, false) => PULL_LIST_AFTER,
         };
-        if since + wait <= now {
-            self.behind = Some(now + PULL_AFTER);
-            out.push(Effect::Pull { from, version, since: endpoints.stamp() });
+        if now < since + wait {
+            self.behind = Some(Behind { since, ..fresh });
+            return;
         }
+        self.behind = Some(Behind { since: now + PULL_AFTER, ..fresh });
+        let is_list_old = endpoints.stamp() == 0 || peers.has_news(now, tuning, news);
+        let seen = if is_list_old { endpoints.stamp() } else { Endpoints::NOTHING };
+        out.push(Effect::Pull { from, version, since: seen });
     }
 }
 
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -240,6 +240,11 @@
         ahead.map(|(address, it)| (address, it.heartbeat.version)).collect()
     }
 
+    /// Whether a live peer knows of a later change of an endpoint.
+    pub fn has_news(&self, now: Moment, tuning: &Tuning, news: u64) -> bool {
+        self.live(now, tuning).any(|(_, it)| news < it.heartbeat.stamp)
+    }
+
     /// Returns the peer that does the work named `key` for all; none if this instance does.
     ///
     /// Strained instances do so only if every one is.
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -32,6 +32,9 @@
     Deaf,
 }
 
+/// Objects in one page of a list.
+const PAGE: usize = 5;
+
 #[derive(Debug)]
 struct Event {
     revision: u64,
@@ -43,6 +46,8 @@
 #[derive(Debug)]
 pub struct Store {
     mood: Cell<StoreMood>,
+    /// Time before each page of a list but the first.
+    page_time: Cell<Duration>,
     revision: Cell<u64>,
     /// Revisions up to this one are forgotten.
     compacted: Cell<u64>,
@@ -55,6 +60,7 @@
     pub fn new() -> Rc<Store> {
         Rc::new(Store {
             mood: Cell::new(StoreMood::Sound),
+            page_time: Cell::new(Duration::ZERO),
             revision: Cell::new(1),
             compacted: Cell::new(0),
             objects: RefCell::default(),
@@ -76,6 +82,10 @@
         self.mood.set(mood);
     }
 
+    pub fn set_page_time(&self, time: Duration) {
+        self.page_time.set(time);
+    }
+
     /// Forgets the history, so that watches must list again.
     pub fn compact(&self) {
         self.compacted.set(self.revision.get());
@@ -126,7 +136,7 @@
         let answer = match (parts.method, path.split_once('/')) {
             (Method::GET, None) => match parameter(&query, "Watch") {
                 Some(from) => self.watch(&path, from, parameter(&query, "WaitMs")?).await,
-                None => self.list(&path),
+                None => self.list(&path, text(&query, "After")).await,
             },
             (Method::POST, None) => self.create(&path, &body)?,
             (Method::PUT, Some((kind, name))) => {
@@ -151,12 +161,19 @@
         Some(whole(StatusCode::OK, body.to_vec()))
     }
 
-    fn list(&self, kind: &str) -> Response<Body> {
+    async fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
+        if after.is_some() {
+            tokio::time::sleep(self.page_time.get()).await;
+        }
         let objects = self.objects.borrow();
-        let items: Vec<&Value> =
-            objects.iter().filter(|(key, _)| key.0 == kind).map(|(_, it)| it).collect();
+        let fits =
+            |key: &(String, String)| key.0 == kind && after.is_none_or(|it| it < key.1.as_str());
+        let mut items: Vec<&Value> =
+            objects.iter().filter(|(key, _)| fits(key)).map(|(_, it)| it).collect();
+        let is_truncated = PAGE < items.len();
+        items.truncate(PAGE);
         let revision = self.revision.get();
-        let page = json!({ "Items": items, "Truncated": false, "StoreRevision": revision });
+        let page = json!({ "Items": items, "Truncated": is_truncated, "StoreRevision": revision });
         whole(StatusCode::OK, page.to_string())
     }
 
@@ -189,6 +206,10 @@
 }
 
 fn parameter(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|it| it.split_once('='));
-    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+    text(query, name).and_then(|it| it.parse().ok())
+}
+
+fn text<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
