Divide large zones among gatherers, and give work for others to wide links

Cause: items of a call name all their inputs, so that a call of 96 items is about 30 KB. On the grown sites links of 10 Mbit/s added 20 ms to each call. Change: a zone's endpoints are divided into groups of at most about eight, their number a power of two; an instance's part of the work for others also counts its link, up to 100 Mbit/s. Tests: a table of pools and their groups, each endpoint in exactly one.

--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -19,6 +19,8 @@
 use crate::shell::{Shell, Stage};
 use crate::{peers, store};
 
+/// Megabits a second from which on a link does not bind: several groups of endpoints take a tenth.
+const WIDE_LINK: f64 = 100.0;
 /// Time between looks at the settings file, which may change without a signal.
 const LOOK_AT_FILE: Duration = Duration::from_secs(2);
 /// Time for the last bytes of answers before the process ends.
@@ -55,13 +57,20 @@
     ended
 }
 
+/// Returns the part of the work for others that an instance is to have: by its processor time, and
+/// less where its link is slow, as calls for others and their answers pass through it.
+fn weight(settings: &NodeSettings) -> f64 {
+    let link = settings.link.unwrap_or(WIDE_LINK) / WIDE_LINK;
+    settings.cores * link.min(1.0)
+}
+
 async fn serve(settings: NodeSettings, sources: Sources, log: Logger) -> Result<(), RunError> {
     let tuning = sources.own.clone().with_node(&settings).tuning;
     let identity = Identity {
         instance: settings.instance.clone(),
         life: process::incarnation(),
         zone: settings.zone.clone(),
-        weight: settings.cores,
+        weight: weight(&settings),
         front: settings.front,
         peer: settings.peer,
     };
--- a/crates/ferry-serve/src/admission.rs
+++ b/crates/ferry-serve/src/admission.rs
@@ -58,7 +58,8 @@
     Refuse,
 }
 
-/// The part of all requests, and of what endpoints can do, that one account is about.
+/// One of several parts into which names are divided by a hash: of requests, so that one account is
+/// about each, or of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part {
     pub number: u16,
@@ -66,13 +67,23 @@
 }
 
 impl Part {
+    pub const WHOLE: Part = Part { number: 0, of: 1 };
+
     /// Returns the part of an attempt, where `n_instances` live.
     pub fn of_attempt(attempt: &str, n_instances: usize) -> Part {
-        let of = Part::count(n_instances);
-        let number = (draw(attempt, 1) % u64::from(of)) as u16;
+        Part::of_name(attempt, Part::count(n_instances))
+    }
+
+    pub fn of_name(name: &str, of: u16) -> Part {
+        let number = (draw(name, 1) % u64::from(of.max(1))) as u16;
         Part { number, of }
     }
 
+    /// Whether a name belongs to the part.
+    pub fn has(self, name: &str) -> bool {
+        Part::of_name(name, self.of) == self
+    }
+
     /// Returns all parts, where `n_instances` live.
     pub fn all(n_instances: usize) -> impl Iterator<Item = Part> {
         let of = Part::count(n_instances);
--- a/crates/ferry-serve/src/group.rs
+++ b/crates/ferry-serve/src/group.rs
@@ -1,47 +1,65 @@
 //! The endpoints of a batch pool whose items one instance gathers.
 //!
-//! A small pool is one group, as fuller calls are what counts there. A large one has a group for
-//! each availability zone: one instance could not gather all of it, and results stay in the zone.
+//! A small pool is one group, as fuller calls are what counts there. A large one is divided by
+//! availability zone, so that results stay in it, and a large zone again: the items of a call name all
+//! their inputs, and the link of one instance does not carry those of many endpoints.
 
 use ferry_model::{PoolId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointView, Endpoints};
+use crate::{EndpointView, Endpoints, Part};
 
 /// Endpoints from which on a pool is divided by zone; more than one instance of a small
 /// deployment gathers for.
 const DIVIDED_FROM: usize = 12;
+/// Endpoints of a zone that are one group: about 25 calls a second of 30 KB each.
+const MOST_IN_GROUP: usize = 8;
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Group {
     pub pool: PoolId,
     /// None for the whole pool.
     pub zone: Option<ZoneId>,
+    /// Part of the zone's endpoints.
+    pub part: Part,
 }
 
 impl Group {
     pub fn whole(pool: &str) -> Group {
-        Group { pool: pool.to_owned(), zone: None }
+        Group { pool: pool.to_owned(), zone: None, part: Part::WHOLE }
     }
 
     /// Whether an endpoint of the pool belongs to the group.
     pub fn has(&self, view: &EndpointView) -> bool {
-        self.zone.as_ref().is_none_or(|it| *it == view.endpoint.zone)
+        let is_near = self.zone.as_ref().is_none_or(|it| *it == view.endpoint.zone);
+        is_near && self.part.has(&view.endpoint.id)
     }
 }
 
-/// Returns the groups of a pool, sorted by zone; none if it has no endpoint that takes work.
+/// Returns the groups of a pool, sorted; none if it has no endpoint that takes work.
 pub fn groups(endpoints: &Endpoints, pool: &str) -> Vec<Group> {
-    let live = || endpoints.pool(pool).filter(|it| it.takes_work());
-    match live().count() {
+    let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.takes_work()).collect();
+    match live.len() {
         0 => Vec::new(),
         n_live if n_live < DIVIDED_FROM => vec![Group::whole(pool)],
         _ => {
-            let mut zones: Vec<ZoneId> = live().map(|it| it.endpoint.zone.clone()).collect();
-            zones.sort();
-            zones.dedup();
-            let group = |zone| Group { pool: pool.to_owned(), zone: Some(zone) };
-            zones.into_iter().map(group).collect()
+            let mut groups: Vec<Group> = live.iter().map(|it| group(it, &live)).collect();
+            groups.sort();
+            groups.dedup();
+            groups
         }
     }
 }
+
+/// Returns the group of an endpoint of a divided pool. The number of parts is a power of two, so
+/// that it seldom changes.
+fn group(view: &EndpointView, live: &[&EndpointView]) -> Group {
+    let endpoint = &view.endpoint;
+    let n_near = live.iter().filter(|it| it.endpoint.zone == endpoint.zone).count();
+    let of = n_near.div_ceil(MOST_IN_GROUP).next_power_of_two().min(usize::from(u16::MAX));
+    Group {
+        pool: endpoint.pool.clone(),
+        zone: Some(endpoint.zone.clone()),
+        part: Part::of_name(&endpoint.id, of as u16),
+    }
+}
--- a/crates/ferry-serve/tests/decisions/batches.rs
+++ b/crates/ferry-serve/tests/decisions/batches.rs
@@ -1,6 +1,6 @@
 //! How items of many requests share calls, under load and when endpoints or instances fail.
 
-use ferry_serve::{ItemReason, Status};
+use ferry_serve::{ItemReason, Status, groups};
 
 use crate::world::{Ending, FIRST, Mood, SECOND, World, head, ms};
 
@@ -159,3 +159,37 @@
     let n_made = attempts.len() * 8;
     assert!(n_made <= world.n_freed, "{} of {n_made} results were freed", world.n_freed);
 }
+
+#[test]
+fn large_pools_are_divided_and_each_endpoint_has_one_group() {
+    struct Case {
+        n_endpoints: usize,
+        n_groups: std::ops::RangeInclusive<usize>,
+        most: usize,
+    }
+    // Endpoints lie in two zones by turns.
+    let cases = [
+        Case { n_endpoints: 3, n_groups: 1..=1, most: 3 },
+        Case { n_endpoints: 11, n_groups: 1..=1, most: 11 },
+        Case { n_endpoints: 16, n_groups: 2..=2, most: 8 },
+        Case { n_endpoints: 80, n_groups: 12..=16, most: 14 },
+    ];
+    for case in cases {
+        let mut world = World::new(1);
+        for number in 3..case.n_endpoints {
+            world.add_endpoint(FIRST, number);
+        }
+        world.start(0);
+        let context = world.instances[0].as_ref().expect("it lives").context();
+        let groups = groups(&context.endpoints, FIRST);
+        assert!(case.n_groups.contains(&groups.len()), "{}: {groups:?}", case.n_endpoints);
+        for view in context.endpoints.pool(FIRST) {
+            let n_own = groups.iter().filter(|it| it.has(view)).count();
+            assert_eq!(n_own, 1, "{} of {}", view.endpoint.id, case.n_endpoints);
+        }
+        for group in groups {
+            let n_members = context.endpoints.pool(FIRST).filter(|it| group.has(it)).count();
+            assert!(n_members <= case.most, "{n_members} endpoints in {group:?}");
+        }
+    }
+}
