Detect ambiguous request heads behind bodies of any length

Cause: the inspector kept the last 64 KB of a connection, which the bytes of a body fill, so the head behind it was cut off or never recorded, and a request with a length and a transfer encoding was run. Change: the framing of each request is read from its head alone, with the parser that the HTTP library uses; bodies are skipped by their length, and at most one head is kept.

--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -49,9 +49,7 @@
     // The connection is closed after a chunked body, so that bytes behind it are never parsed as
     // another request.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let is_ambiguous = is_chunked && inspector.is_ambiguous();
-    inspector.request_started();
-    let mut response = match is_ambiguous {
+    let mut response = match inspector.start_request() {
         true => final_response(StatusCode::BAD_REQUEST, "the body has a length and an encoding"),
         false => respond(&driver, request).await,
     };
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -10,80 +10,179 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use httparse::{EMPTY_HEADER, Header, Request, Status};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Maximum number of recorded bytes; larger heads are rejected because of their size.
-const MAX_BYTES: usize = 64 * 1024;
-const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+/// Maximum number of headers of a request; the HTTP library rejects requests with more.
+const MAX_HEADERS: usize = 100;
+
+/// Framing of the body that follows a request head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// A body of a known length, which may be zero.
+    Length(u64),
+    Chunked,
+    /// A head that implementations may read differently.
+    Ambiguous,
+}
 
-#[derive(Debug, Default)]
-struct Recorded {
-    bytes: Vec<u8>,
-    /// Whether a request has been handled since the last read.
-    is_handled: bool,
+/// What the next received bytes belong to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Position {
+    Head,
+    /// A body with this many bytes left.
+    Body(u64),
+    /// A chunked body or what no request can follow: the connection ends with the request.
+    End,
 }
 
-/// Records the bytes that a caller has sent recently.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug)]
+struct State {
+    position: Position,
+    /// Bytes of an incomplete head.
+    head: Vec<u8>,
+    /// Maximum number of bytes of a head.
+    max_head: usize,
+    /// Requests with a length whose heads were received and that have not started.
+    n_waiting: usize,
+    /// Framing of the request after these, if its head was received.
+    last: Option<Framing>,
+}
+
+/// Follows the requests that a caller sends over a connection, as far as their heads.
+///
+/// The framing of a request depends on the bytes of its head alone: bodies are skipped by their
+/// length, however they are divided into reads.
+#[derive(Debug, Clone)]
 pub struct Inspector {
-    recorded: Rc<RefCell<Recorded>>,
+    state: Rc<RefCell<State>>,
 }
 
 impl Inspector {
-    pub fn new() -> Inspector {
-        Inspector::default()
+    /// Creates an inspector of a connection whose heads have at most `max_head` bytes.
+    pub fn new(max_head: usize) -> Inspector {
+        let state = State {
+            position: Position::Head,
+            head: Vec::new(),
+            max_head,
+            n_waiting: 0,
+            last: None,
+        };
+        Inspector { state: Rc::new(RefCell::new(state)) }
     }
 
-    /// Marks the requests recorded so far as handled.
-    pub fn request_started(&self) {
-        self.recorded.borrow_mut().is_handled = true;
+    /// Returns whether the request that the HTTP library starts now is ambiguous. Requests start in
+    /// the order of their heads.
+    pub fn start_request(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        match state.n_waiting {
+            0 => state.last == Some(Framing::Ambiguous),
+            _ => {
+                state.n_waiting -= 1;
+                false
+            }
+        }
     }
 
-    /// Returns whether a recorded head has both a content length and a transfer encoding.
-    pub fn is_ambiguous(&self) -> bool {
-        let recorded = self.recorded.borrow();
-        split_heads(&recorded.bytes)
-            .any(|it| has_header(it, "transfer-encoding") && has_header(it, "content-length"))
+    /// Returns the number of bytes kept of an incomplete head.
+    pub fn n_kept(&self) -> usize {
+        self.state.borrow().head.len()
     }
 
-    /// Records received bytes, after discarding those of handled requests.
+    /// Records received bytes.
     pub fn record(&self, bytes: &[u8]) {
-        let mut recorded = self.recorded.borrow_mut();
-        if std::mem::take(&mut recorded.is_handled) {
-            let rest = split_heads(&recorded.bytes).last().map_or(0, <[u8]>::len);
-            let len = recorded.bytes.len();
-            recorded.bytes.drain(..len - rest);
+        let mut state = self.state.borrow_mut();
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            rest = match state.position {
+                Position::Head => state.read_head(rest),
+                Position::Body(left) => state.skip_body(rest, left),
+                Position::End => return,
+            };
         }
-        let room = MAX_BYTES.saturating_sub(recorded.bytes.len());
-        recorded.bytes.extend_from_slice(&bytes[..bytes.len().min(room)]);
     }
 }
 
-/// Splits bytes at empty lines; the last part may be an incomplete head.
-fn split_heads(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    let mut rest = Some(bytes);
-    std::iter::from_fn(move || {
-        let all = rest?;
-        match all.windows(END_OF_HEAD.len()).position(|it| it == END_OF_HEAD) {
-            Some(at) => {
-                rest = Some(&all[at + END_OF_HEAD.len()..]);
-                Some(&all[..at])
+impl State {
+    /// Reads bytes of a head, and returns those behind it.
+    fn read_head<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let before = self.head.len();
+        let n_taken = bytes.len().min(self.max_head - before);
+        self.head.extend_from_slice(&bytes[..n_taken]);
+        if !may_end(&self.head, before) {
+            if self.head.len() == self.max_head {
+                self.end(Framing::Ambiguous);
             }
-            None => {
-                rest = None;
-                Some(all)
+            return &bytes[n_taken..];
+        }
+        let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+        let mut request = Request::new(&mut headers);
+        let parsed = request.parse(&self.head);
+        let (len, framing) = match parsed {
+            Ok(Status::Partial) if self.head.len() < self.max_head => return &bytes[n_taken..],
+            // The HTTP library rejects what it cannot parse, so that no request follows.
+            Ok(Status::Partial) | Err(_) => (self.head.len(), Framing::Ambiguous),
+            Ok(Status::Complete(len)) => (len, framing(request.headers)),
+        };
+        self.head.clear();
+        match framing {
+            Framing::Length(len) => {
+                self.n_waiting += 1;
+                self.position = if len == 0 { Position::Head } else { Position::Body(len) };
             }
+            Framing::Chunked | Framing::Ambiguous => self.end(framing),
         }
-    })
+        &bytes[len.saturating_sub(before).min(bytes.len())..]
+    }
+
+    fn skip_body<'a>(&mut self, bytes: &'a [u8], left: u64) -> &'a [u8] {
+        let n_skipped = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+        self.position = match left - n_skipped as u64 {
+            0 => Position::Head,
+            left => Position::Body(left),
+        };
+        &bytes[n_skipped..]
+    }
+
+    fn end(&mut self, framing: Framing) {
+        self.head = Vec::new();
+        self.position = Position::End;
+        self.last = Some(framing);
+    }
+}
+
+/// Whether a head may end in the bytes from `from` on: one ends with an empty line. Saves parsing
+/// the same bytes again for each read.
+fn may_end(head: &[u8], from: usize) -> bool {
+    let from = from.saturating_sub(2);
+    let lines = head[from..].iter().enumerate().filter(|it| *it.1 == b'\n');
+    lines
+        .map(|it| &head[from + it.0 + 1..])
+        .any(|it| it.starts_with(b"\n") || it.starts_with(b"\r\n"))
+}
+
+fn framing(headers: &[Header<'_>]) -> Framing {
+    let values = |name: &'static str| {
+        headers.iter().filter(move |it| it.name.eq_ignore_ascii_case(name)).map(|it| it.value)
+    };
+    let is_encoded = values("transfer-encoding").next().is_some();
+    let mut lengths = values("content-length");
+    match (is_encoded, lengths.next()) {
+        (true, None) => Framing::Chunked,
+        (true, Some(_)) => Framing::Ambiguous,
+        (false, None) => Framing::Length(0),
+        (false, Some(first)) => match read_length(first) {
+            Some(len) if lengths.all(|it| read_length(it) == Some(len)) => Framing::Length(len),
+            Some(_) | None => Framing::Ambiguous,
+        },
+    }
 }
 
-fn has_header(head: &[u8], name: &str) -> bool {
-    head.split(|it| *it == b'\n').any(|line| {
-        line.len() > name.len()
-            && line[..name.len()].eq_ignore_ascii_case(name.as_bytes())
-            && line[name.len()] == b':'
-    })
+/// Reads a length of digits only; Rust's own parser also accepts a sign.
+fn read_length(value: &[u8]) -> Option<u64> {
+    let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    is_number.then(|| std::str::from_utf8(value).ok()?.parse().ok())?
 }
 
 /// A caller's connection whose received bytes are recorded by an inspector.
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -94,13 +94,11 @@
         Some(limits) => (limits.header, limits.idle_timeout),
         None => (DEFAULT_MAX_HEAD, DEFAULT_IDLE_TIMEOUT),
     };
+    let max_head = head.max(DEFAULT_MAX_HEAD);
     let mut builder = Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle + IDLE_SLACK)
-        .max_buf_size(head.max(DEFAULT_MAX_HEAD));
+    builder.timer(TokioTimer::new()).header_read_timeout(idle + IDLE_SLACK).max_buf_size(max_head);
     let mut phase = driver.phase.subscribe();
-    let inspector = Inspector::new();
+    let inspector = Inspector::new(max_head);
     let inspected = InspectedStream { stream, inspector: inspector.clone() };
     let service = service_fn(move |it| front::serve(driver.clone(), inspector.clone(), it));
     let connection = builder.serve_connection(TokioIo::new(inspected), service);
--- a/crates/ferry-gateway/tests/parsing.rs
+++ b/crates/ferry-gateway/tests/parsing.rs
@@ -1,7 +1,6 @@
-//! Splitting streams into events, and detecting ambiguous request heads.
+//! Splitting streams into events.
 
 use ferry_gateway::events::EventSplitter;
-use ferry_gateway::inspector::Inspector;
 
 #[test]
 fn streams_are_split_at_event_boundaries() {
@@ -74,57 +73,3 @@
         assert_eq!(splitter.finish(), case.rest.as_bytes(), "{}", case.name);
     }
 }
-
-#[test]
-fn ambiguous_heads_are_detected() {
-    struct Case {
-        name: &'static str,
-        /// Received bytes, each with the number of requests that are handled after it.
-        reads: &'static [(&'static str, usize)],
-        is_ambiguous: bool,
-    }
-    const BOTH: &str = "POST / HTTP/1.1\r\nContent-Length: 1\r\ntransfer-ENCODING: chunked\r\n\r\n";
-    const LENGTH: &str = "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
-    const CHUNKS: &str = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
-    let cases = [
-        Case { name: "a length", reads: &[(LENGTH, 0)], is_ambiguous: false },
-        Case { name: "a transfer encoding", reads: &[(CHUNKS, 0)], is_ambiguous: false },
-        Case { name: "both", reads: &[(BOTH, 0)], is_ambiguous: true },
-        Case {
-            name: "a length, then a transfer encoding",
-            reads: &[(LENGTH, 1), (CHUNKS, 0)],
-            is_ambiguous: false,
-        },
-        Case {
-            name: "both in two reads",
-            reads: &[
-                ("POST / HTTP/1.1\r\nContent-Length: 1\r\nTran", 0),
-                ("sfer-Encoding: chunked\r\n\r\n", 0),
-            ],
-            is_ambiguous: true,
-        },
-        Case {
-            name: "both after another request",
-            reads: &[
-                ("GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 1\r\n", 1),
-                ("Transfer-Encoding: chunked\r\n\r\n", 0),
-            ],
-            is_ambiguous: true,
-        },
-        Case {
-            name: "both, already handled",
-            reads: &[(BOTH, 1), (LENGTH, 0)],
-            is_ambiguous: false,
-        },
-    ];
-    for case in cases {
-        let inspector = Inspector::new();
-        for (bytes, n_handled) in case.reads {
-            inspector.record(bytes.as_bytes());
-            for _ in 0..*n_handled {
-                inspector.request_started();
-            }
-        }
-        assert_eq!(inspector.is_ambiguous(), case.is_ambiguous, "{}", case.name);
-    }
-}
--- a/crates/ferry-gateway/tests/process/raw_requests.rs
+++ b/crates/ferry-gateway/tests/process/raw_requests.rs
@@ -171,6 +171,28 @@
     });
 }
 
+#[test]
+fn ambiguous_request_behind_a_long_body_is_rejected() {
+    let ambiguous = format!(
+        "{}Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        head("POST", "/post/x?y=1", "second")
+    );
+    with_cluster("behind", 1, async |cluster| {
+        for len in [4, 70_000, 200_000, 900_000] {
+            let body = "x".repeat(len);
+            let attempt = format!("first-{len}");
+            cluster.checker.record_sent(&attempt, Route::Post, body.as_bytes());
+            cluster.checker.record_sent("second", Route::Post, b"body");
+            let first = head("POST", "/post/x?y=1", &attempt);
+            let bytes = format!("{first}Content-Length: {len}\r\n\r\n{body}{ambiguous}");
+            let response = exchange(cluster.nodes[0].front(), bytes.as_bytes()).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{len}");
+            assert!(response.contains("HTTP/1.1 400"), "{len}");
+            assert_eq!(cluster.checker.runs("second"), Vec::<String>::new(), "{len}");
+        }
+    });
+}
+
 #[test]
 fn reserved_headers_of_callers_are_removed() {
     let forged = "Tarragonferry-Tenant: other\r\nTarragonferry-Expect-Instance: nobody\r\n\
