Be ready only once the endpoints are known

Cause: readiness of the entry and the gateway asked for a configuration only. Requests that came before the first list of endpoints were refused (no_endpoint), which made the test of two SIGTERMs fail now and then. Tests: a list that is missing, in the world of the entry and in that of the gateway.

--- a/crates/ferry-core/src/fleet.rs
+++ b/crates/ferry-core/src/fleet.rs
@@ -31,6 +31,8 @@
     plan: Plan,
     /// The last endpoint list received, to skip unchanged ones.
     last_list: Vec<Endpoint>,
+    /// Whether an endpoint list was received.
+    is_known: bool,
 }
 
 impl Fleet {
@@ -38,8 +40,14 @@
         Fleet::default()
     }
 
+    /// Whether an endpoint list was received; until then no request can be served.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
     /// Replaces the endpoint list, keeping what was observed of endpoints at the same address.
     pub fn update(&mut self, endpoints: Vec<Endpoint>, zone: &ZoneId, tuning: &Tuning) {
+        self.is_known = true;
         if endpoints == self.last_list {
             return;
         }
--- a/crates/ferry-core/src/node.rs
+++ b/crates/ferry-core/src/node.rs
@@ -224,9 +224,10 @@
         &self.placement
     }
 
-    /// Whether new requests are accepted: a configuration is in force and the shutdown
-    /// has not closed the instance.
+    /// Whether new requests are accepted: a configuration is in force, the endpoints are known and
+    /// the shutdown has not closed the instance.
     pub fn is_ready(&self) -> bool {
-        self.ctx.config.is_some() && !self.requests.is_leaving()
+        let Context { config, fleet, .. } = &self.ctx;
+        config.is_some() && fleet.is_known() && !self.requests.is_leaving()
     }
 }
--- a/crates/ferry-fakes/src/world.rs
+++ b/crates/ferry-fakes/src/world.rs
@@ -71,6 +71,8 @@
     pub decisions: Vec<(Moment, NodeIdx, Decision)>,
     /// Whether nodes keep getting the endpoints of the last delivered list.
     pub list_frozen: bool,
+    /// Whether nodes get no list at all.
+    pub list_missing: bool,
     /// Sees, and may change, the events and effects of every node.
     pub interceptor: Option<Box<dyn Interceptor>>,
     pub trace: Trace,
@@ -128,6 +130,7 @@
             store_calls: SortedMap::new(),
             decisions: Vec::new(),
             list_frozen: false,
+            list_missing: false,
             interceptor: None,
             trace: Trace::default(),
             nodes: Vec::new(),
@@ -370,6 +373,9 @@
     }
 
     fn deliver_list(&mut self, idx: NodeIdx) {
+        if self.list_missing {
+            return;
+        }
         if !self.list_frozen || self.listed.is_empty() {
             self.listed = self.endpoints.values().map(|it| it.endpoint.clone()).collect();
         }
--- a/crates/ferry-fakes/tests/config_spread.rs
+++ b/crates/ferry-fakes/tests/config_spread.rs
@@ -213,6 +213,20 @@
     assert!(world.node(idx).is_ready());
 }
 
+#[test]
+fn instance_is_ready_once_it_knows_the_endpoints() {
+    let mut world = world(6);
+    world.list_missing = true;
+    let deployment = Deployment::new(DeploymentName::Ikenna);
+    let idx = world.add_node(deployment.entry(6, 7), Tuning::default(), 7);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.node(idx).revision(), 1, "the configuration is known");
+    assert!(!world.node(idx).is_ready());
+    world.list_missing = false;
+    world.run_for(TARGET);
+    assert!(world.node(idx).is_ready());
+}
+
 #[test]
 fn request_keeps_the_revision_it_started_with() {
     let mut world = world(6);
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -201,6 +201,11 @@
         self.revision
     }
 
+    /// Whether a list was received from the store or from a peer.
+    pub fn is_known(&self) -> bool {
+        0 < self.revision
+    }
+
     /// Returns the revision of the last change. Peers compare it instead of the store's revision,
     /// which grows with each write to the store.
     pub fn last_change(&self) -> u64 {
@@ -279,7 +284,7 @@
         if revision < self.revision {
             return false;
         }
-        let is_first = self.revision == 0;
+        let is_first = !self.is_known();
         self.revision = revision;
         let mut ids: Vec<EndpointId> = endpoints.iter().map(|it| it.id.clone()).collect();
         ids.sort();
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -134,9 +134,10 @@
         Some(since + if self.is_closed { tuning.exit_after() } else { tuning.close_after })
     }
 
-    /// Whether callers may be sent to this instance.
+    /// Whether callers may be sent to this instance, which needs a configuration and the endpoints.
     pub fn is_ready(&self) -> bool {
-        self.ctx.catalog.config().is_some() && self.leaving.is_none()
+        let Context { catalog, endpoints, .. } = &self.ctx;
+        catalog.config().is_some() && endpoints.is_known() && self.leaving.is_none()
     }
 
     pub fn is_leaving(&self) -> bool {
--- a/crates/ferry-serve/tests/decisions/config.rs
+++ b/crates/ferry-serve/tests/decisions/config.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ferry_serve::{Event, Status, StoreUpdate};
+use ferry_serve::{Event, Gateway, Status, StoreUpdate};
 
 use crate::simulation::{Ending, Simulation, config, front, head, ms};
 
@@ -33,6 +33,18 @@
     assert!(refusal.retry_after.is_some());
 }
 
+#[test]
+fn instance_is_ready_once_it_knows_the_endpoints() {
+    let mut sim = Simulation::new(1);
+    sim.start_without_store(0);
+    sim.deliver(0, Event::Config(Arc::new(config(1))));
+    let is_ready = |sim: &Simulation| sim.instances[0].as_ref().map(Gateway::is_ready);
+    assert_eq!(is_ready(&sim), Some(false));
+    let list = StoreUpdate::List { revision: 5, endpoints: Vec::new() };
+    sim.deliver(0, Event::Store(list));
+    assert_eq!(is_ready(&sim), Some(true));
+}
+
 #[test]
 fn instance_reads_config_from_peers_without_store() {
     let mut sim = Simulation::new(3);
