Log what each step of a request took, and what it takes at least

Cause: a late request's log lines named its decisions, but not where its time went, and the route stood in the field for the reason. Change: route, slack, time taken, floor and prompt tokens on the lines that exist; fields without a value are left out, so lines got shorter. No decision depends on it.

--- /dev/null
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -0,0 +1,49 @@
+//! Writes a decision as the fields of a log line; docs/OPERATIONS.md lists them.
+
+use std::time::Duration;
+
+use ferry_serve::Decision;
+use slog::{KV, Record, Serializer};
+
+/// The fields that a decision has; the others are left out.
+#[derive(Debug)]
+pub struct DecisionFields<'a>(pub &'a Decision);
+
+impl KV for DecisionFields<'_> {
+    fn serialize(&self, _record: &Record<'_>, out: &mut dyn Serializer) -> slog::Result {
+        let it = self.0;
+        out.emit_str("decision".into(), it.kind.into())?;
+        out.emit_str("reason".into(), &it.reason)?;
+        emit_text(out, "request", it.attempt.as_deref())?;
+        emit_text(out, "route", it.route.as_deref())?;
+        emit_number(out, "stage", it.stage.map(u64::from))?;
+        emit_text(out, "endpoint", it.endpoint.as_deref())?;
+        emit_text(out, "pool", it.pool.as_deref())?;
+        emit_number(out, "considered", it.score.map(|_| u64::from(it.considered)))?;
+        emit_number(out, "score_us", it.score)?;
+        emit_number(out, "budget_ms", it.budget.map(millis))?;
+        emit_number(out, "slack_ms", it.slack.map(millis))?;
+        emit_number(out, "took_us", it.took.map(micros))?;
+        emit_number(out, "floor_us", it.floor.map(micros))?;
+        emit_number(out, "own_tokens", it.prompt.map(|it| u64::from(it.own)))?;
+        emit_number(out, "shared_tokens", it.prompt.map(|it| u64::from(it.shared)))?;
+        emit_number(out, "uncached_tokens", it.prompt.map(|it| u64::from(it.uncached)))?;
+        out.emit_u64("version".into(), it.version)
+    }
+}
+
+fn emit_text(out: &mut dyn Serializer, key: &'static str, value: Option<&str>) -> slog::Result {
+    value.map_or(Ok(()), |it| out.emit_str(key.into(), it))
+}
+
+fn emit_number(out: &mut dyn Serializer, key: &'static str, value: Option<u64>) -> slog::Result {
+    value.map_or(Ok(()), |it| out.emit_u64(key.into(), it))
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+fn micros(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -17,6 +17,7 @@
 
 use crate::body::StreamChunk;
 use crate::client::{BufferedResponse, ConnectionCache};
+use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
 use crate::{calls, items, peers};
@@ -242,18 +243,7 @@
     }
 
     fn log_decision(&self, it: &Decision) {
-        info!(self.log, "decision";
-            "decision" => it.kind.to_string(),
-            "reason" => &it.reason,
-            "request" => it.attempt.as_deref(),
-            "stage" => it.stage,
-            "endpoint" => &it.endpoint,
-            "pool" => &it.pool,
-            "considered" => it.considered,
-            "score_us" => it.score,
-            "budget_ms" => it.budget.map(|it| it.as_millis() as u64),
-            "version" => it.version,
-        );
+        info!(self.log, "decision"; DecisionFields(it));
     }
 
     /// Logs an error that is not part of a decision.
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod calls;
 pub mod client;
+pub mod decision_log;
 pub mod driver;
 pub mod events;
 pub mod front;
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -6,7 +6,7 @@
 
 use ferry_model::{EndpointId, GatewayPool, Moment, PoolKind, ZoneId};
 
-use crate::{EndpointView, Endpoints, PromptPart, Tuning};
+use crate::{EndpointView, Endpoints, PromptPart, PromptTokens, Tuning};
 
 /// Expected time of a call to a plain endpoint.
 const PLAIN_TIME: Duration = Duration::from_millis(60);
@@ -50,6 +50,8 @@
     /// Expected time to the first token or the complete answer, not counting slowdown of the
     /// endpoint.
     pub expected: Duration,
+    /// Tokens of the prompt; none if the endpoint is not an engine.
+    pub prompt: Option<PromptTokens>,
 }
 
 /// Returns the cheapest endpoint; those that failed recently are used only if no other is left.
@@ -85,6 +87,7 @@
         considered: candidates.len() as u32,
         cost: Duration::from_secs_f64(cost / 1e3),
         expected,
+        prompt: (!prefixes.is_empty()).then(|| prompt_tokens(now, view, &prefixes)),
     })
 }
 
@@ -157,6 +160,12 @@
     total - view.cached_tokens(now, shared)
 }
 
+fn prompt_tokens(now: Moment, view: &EndpointView, prefixes: &[(u64, u32)]) -> PromptTokens {
+    let total: u32 = prefixes.iter().map(|(_, tokens)| tokens).sum();
+    let own = prefixes.last().map_or(0, |(_, tokens)| *tokens);
+    PromptTokens { own, shared: total - own, uncached: uncached_shared(now, view, prefixes) }
+}
+
 /// Returns the cost in milliseconds.
 fn cost(
     now: Moment,
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -123,15 +123,34 @@
     pub input: ItemInput,
 }
 
+/// Tokens of a prompt by who needs to read them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptTokens {
+    /// Tokens of the request's own part.
+    pub own: u32,
+    /// Tokens of the parts that other requests share.
+    pub shared: u32,
+    /// Shared tokens that the chosen engine has not cached, as far as known here.
+    pub uncached: u32,
+}
+
 /// A decision to log; docs/OPERATIONS.md lists the fields.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Decision {
     pub kind: DecisionKind,
     pub reason: String,
     pub attempt: Option<CallerAttempt>,
+    pub route: Option<String>,
     pub stage: Option<u8>,
     pub endpoint: Option<EndpointId>,
     pub pool: Option<PoolId>,
+    /// Time that the step took, or the whole request until its first event.
+    pub took: Option<Duration>,
+    /// Time that the step takes if it waits for nothing.
+    pub floor: Option<Duration>,
+    /// Time left until the answer, or its first event, is late.
+    pub slack: Option<Duration>,
+    pub prompt: Option<PromptTokens>,
     /// Number of candidates that were compared.
     pub considered: u32,
     /// Expected cost of the chosen one, in microseconds.
@@ -148,9 +167,14 @@
             kind,
             reason: reason.into(),
             attempt: None,
+            route: None,
             stage: None,
             endpoint: None,
             pool: None,
+            took: None,
+            floor: None,
+            slack: None,
+            prompt: None,
             considered: 0,
             score: None,
             budget: None,
@@ -163,6 +187,27 @@
         self
     }
 
+    pub fn with_route(mut self, route: &str) -> Decision {
+        self.route = Some(route.to_owned());
+        self
+    }
+
+    pub fn with_times(mut self, took: Duration, floor: Duration) -> Decision {
+        self.took = Some(took);
+        self.floor = Some(floor);
+        self
+    }
+
+    pub fn with_slack(mut self, slack: Duration) -> Decision {
+        self.slack = Some(slack);
+        self
+    }
+
+    pub fn with_prompt(mut self, prompt: Option<PromptTokens>) -> Decision {
+        self.prompt = prompt;
+        self
+    }
+
     pub fn with_stage(mut self, stage: u8) -> Decision {
         self.stage = Some(stage);
         self
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -25,7 +25,8 @@
 pub use catalog::{Catalog, Rejection};
 pub use choose::{Choice, Requirements, choose_endpoint, rendezvous_hash};
 pub use effect::{
-    BatchCall, BatchItem, Call, Decision, DecisionKind, Effect, Metric, Refusal, Status,
+    BatchCall, BatchItem, Call, Decision, DecisionKind, Effect, Metric, PromptTokens, Refusal,
+    Status,
 };
 pub use endpoints::{
     EndpointView, Endpoints, EndpointsDelta, LoadReport, Observation, Observations,
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -42,8 +42,8 @@
     pub n_refusals: u32,
     /// Number of times that stages were restarted.
     pub n_restarts: u32,
-    /// Whether the caller has the headers of a stream.
-    pub is_streaming: bool,
+    /// When the caller got the headers of a stream; none before that.
+    pub began_at: Option<Moment>,
     /// Last complete event that the caller has received.
     pub last_event: Option<u64>,
 }
@@ -131,6 +131,11 @@
         self.stages.iter().all(|it| matches!(it, StageState::Done { .. }))
     }
 
+    /// Whether the caller has the headers of a stream.
+    pub fn is_streaming(&self) -> bool {
+        self.began_at.is_some()
+    }
+
     /// Returns when the answer, or the first event, is due.
     pub fn objective(&self) -> Moment {
         self.arrived + self.route.objective
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -36,9 +36,12 @@
         return None;
     }
     cx.log(
-        Decision::new(DecisionKind::Admit, request.route.name.clone())
+        Decision::new(DecisionKind::Admit, "its route and key are known")
             .with_attempt(&request.head.attempt)
+            .with_route(&request.route.name)
             .with_pool(&request.pool)
+            .with_times(comparison.elapsed, times::floor(cx, &request))
+            .with_slack(request.objective().saturating_sub(cx.now))
             .with_budget(request.deadline - cx.now),
     );
     Some(request)
@@ -89,7 +92,7 @@
         n_runs: 0,
         n_refusals: 0,
         n_restarts: 0,
-        is_streaming: false,
+        began_at: None,
         last_event: None,
         head,
         route,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_model::{RouteKind, ZoneId};
+use ferry_model::{PoolKind, RouteKind, ZoneId};
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::end::RetryHint;
@@ -38,9 +38,12 @@
     cx.count(Metric::CallsSent);
     let time_left = request.deadline.saturating_sub(cx.now);
     cx.log(
-        Decision::new(DecisionKind::Route, request.route.name.clone())
+        Decision::new(DecisionKind::Route, "expected to cost least")
             .with_attempt(&request.head.attempt)
+            .with_route(&request.route.name)
             .with_pool(&request.pool)
+            .with_times(cx.now - request.arrived, choice.expected)
+            .with_prompt(choice.prompt)
             .with_endpoint(&choice.endpoint)
             .with_score(choice.considered, choice.cost.as_micros() as u64)
             .with_budget(time_left),
@@ -152,6 +155,16 @@
     cx.ctx.endpoints.get(&choice.endpoint).map(|it| it.endpoint.zone.clone())
 }
 
+/// Returns the time from the end of the stages to the first event if all shared parts are cached.
+pub fn own_engine_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
+    let tuning = &cx.ctx.tuning;
+    let own = request.head.prompt.last().map_or(0.0, |it| f64::from(it.tokens));
+    match cx.ctx.catalog.pool(&request.pool).map(|it| &it.kind) {
+        Some(PoolKind::Engine { .. }) => Duration::from_secs_f64(own / tuning.tokens_per_ms / 1e3),
+        Some(PoolKind::Plain | PoolKind::Batch(_)) | None => Duration::ZERO,
+    }
+}
+
 /// Returns the time from the end of the stages to the first event, with a partly cached prompt.
 pub fn engine_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
     let tuning = &cx.ctx.tuning;
@@ -217,7 +230,7 @@
     }
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     release_results(cx, batcher, request);
-    request.is_streaming = true;
+    request.began_at.get_or_insert(cx.now);
     if let Phase::Calling(current) = &mut request.phase {
         current.last_heard = cx.now;
         current.is_streaming = true;
@@ -332,7 +345,7 @@
         return true;
     }
     cx.count(Metric::CallsRepeated);
-    if request.is_streaming {
+    if request.is_streaming() {
         cx.count(Metric::StreamsResumed);
     }
     restart_released(cx, batcher, request);
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -18,10 +18,14 @@
     endpoint: &str,
 ) {
     cx.count(Metric::RequestsComplete);
+    let first = request.began_at.unwrap_or(cx.now);
     cx.log(
-        Decision::new(DecisionKind::Complete, request.route.name.clone())
+        Decision::new(DecisionKind::Complete, "its answer was forwarded")
             .with_attempt(&request.head.attempt)
+            .with_route(&request.route.name)
             .with_endpoint(endpoint)
+            .with_times(first - request.arrived, cx.now - request.arrived)
+            .with_slack(request.objective().saturating_sub(first))
             .with_budget(request.deadline.saturating_sub(cx.now)),
     );
     release_stages(cx, batcher, request);
@@ -72,7 +76,7 @@
     hint: RetryHint,
     reason: &'static str,
 ) {
-    match request.is_streaming {
+    match request.is_streaming() {
         true => abort(cx, request, reason),
         false => refuse(cx, request, final_status(request), hint, reason),
     }
@@ -88,7 +92,7 @@
             .with_pool(&request.pool)
             .with_budget(request.deadline.saturating_sub(cx.now)),
     );
-    match request.is_streaming {
+    match request.is_streaming() {
         true => cx.effects.push(Effect::Abort { ticket: request.ticket }),
         false => {
             let refusal = Refusal {
@@ -106,7 +110,7 @@
 pub fn expire(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     let was_sent = stop_call(cx, &mut request) || 0 < request.n_runs;
     let status = if was_sent { Status::Expired } else { Status::NotRun };
-    match request.is_streaming {
+    match request.is_streaming() {
         true => abort(cx, &request, "its time is over"),
         false => refuse(cx, &request, status, RetryHint::Soon, "its time is over"),
     }
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -124,10 +124,16 @@
     }
     match outcome {
         JobOutcome::Done(handles) => {
+            let since = match &request.stages[idx] {
+                StageState::Submitted(it) => it.since,
+                StageState::Waiting | StageState::Done { .. } => cx.now,
+            };
             cx.log(
                 Decision::new(DecisionKind::Stage, "results are available")
                     .with_attempt(&request.head.attempt)
+                    .with_pool(&request.route.stages[idx].pool)
                     .with_stage(key.stage)
+                    .with_times(cx.now - since, times::own_call_time(cx, request, idx))
                     .with_budget(request.deadline.saturating_sub(cx.now)),
             );
             let peer = match request.stages[idx] {
--- a/crates/ferry-serve/src/request/times.rs
+++ b/crates/ferry-serve/src/request/times.rs
@@ -16,20 +16,39 @@
 
 /// Returns the shortest time that the remaining stages take.
 pub fn min_path_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
-    longest_path(request, |pool| call_time(cx, pool))
+    longest_path(request, |idx| call_time(cx, &request.route.stages[idx].pool))
+}
+
+/// Returns the time that no decision could save: calls with the request's own items alone, and the
+/// prefill of its own part.
+pub fn floor(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
+    longest_path(request, |idx| own_call_time(cx, request, idx))
+        + call::own_engine_time(cx, request)
+}
+
+/// Returns the time of a stage if its items wait for nothing and share their calls with no others.
+pub fn own_call_time(cx: &Pass<'_>, request: &ActiveRequest, idx: usize) -> Duration {
+    let n_items = request.head.items.get(idx).copied().unwrap_or_default();
+    match batch_limits(cx.ctx, &request.route.stages[idx].pool) {
+        Some(limits) if 0 < n_items => {
+            let n_items = usize::from(n_items).min(limits.max_items) as u32;
+            limits.call_time + limits.item_time * n_items
+        }
+        Some(_) | None => Duration::ZERO,
+    }
 }
 
 /// Returns the time that the remaining stages take in full calls, without a queue.
 pub fn full_path_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
-    longest_path(request, |pool| full_call_time(cx, pool))
+    longest_path(request, |idx| full_call_time(cx, &request.route.stages[idx].pool))
 }
 
-fn longest_path(request: &ActiveRequest, time: impl Fn(&str) -> Duration) -> Duration {
+fn longest_path(request: &ActiveRequest, time: impl Fn(usize) -> Duration) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(request.stages.len());
     for (idx, stage) in request.route.stages.iter().enumerate() {
         let begin = stage.after.iter().filter_map(|it| ends.get(*it)).max().copied();
         let own = match &request.stages[idx] {
-            StageState::Waiting => time(&stage.pool),
+            StageState::Waiting => time(idx),
             StageState::Submitted(_) | StageState::Done { .. } => Duration::ZERO,
         };
         ends.push(begin.unwrap_or_default() + own);
