Tell first attempts from retries by a gap in the time left

Cause: the time since a caller's first attempt was taken as the longest time left seen on the route less that of the request. Ruled out: late arrival itself; first attempts had all of their objective left. Change: requests are counted by the fraction of the limit that is left; those above the first gap are first attempts.

--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -1,13 +1,14 @@
 //! State of one pass through the reducer, shared by the modules that the gateway combines.
 
 mod averages;
+mod times_left;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use ferry_model::{
-    GatewayConfig, Incarnation, InstanceId, Moment, PoolId, ResultHandle, SortedMap, ZoneId,
+    GatewayConfig, Incarnation, InstanceId, Moment, PoolId, ResultHandle, Route, SortedMap, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -76,10 +77,10 @@
     }
 
     /// Records a request of a route and compares it to the route's averages.
-    pub fn compare_to_route(&mut self, route: &str, head: &RequestHead) -> RouteComparison {
+    pub fn compare_to_route(&mut self, route: &Route, head: &RequestHead) -> RouteComparison {
         self.route_averages
-            .get_or_insert_with(route.to_owned(), RouteAverages::default)
-            .record(head)
+            .get_or_insert_with(route.name.clone(), RouteAverages::default)
+            .record(head, route.time_limit)
     }
 
     /// Returns the retry budget of a pool.
--- a/crates/ferry-serve/src/pass/averages.rs
+++ b/crates/ferry-serve/src/pass/averages.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use super::times_left::TimesLeft;
 use crate::RequestHead;
 
 /// Weight of the newest request in averages.
 const NEWEST_WEIGHT: f64 = 0.05;
-/// Largest apparent delay of a first attempt compared to other first attempts.
-const ATTEMPT_TOLERANCE: Duration = Duration::from_millis(50);
 /// Number of tokens read that cost an engine as much as one token written.
 const TOKENS_PER_OUTPUT: f64 = 10.0;
 /// Fraction of a request's value that does not depend on its size.
@@ -24,28 +23,20 @@
 
 #[derive(Debug, Clone, Default)]
 pub struct RouteAverages {
-    /// Longest time left that a caller has sent.
-    longest: Duration,
+    times_left: TimesLeft,
     size: f64,
     items: f64,
 }
 
 impl RouteAverages {
     /// Records a request and returns how it compares to the averages.
-    pub fn record(&mut self, head: &RequestHead) -> RouteComparison {
+    pub fn record(&mut self, head: &RequestHead, limit: Duration) -> RouteComparison {
         let (size, items) = (size(head), head.items.iter().map(|it| f64::from(*it)).sum());
         update_mean(&mut self.size, size);
         update_mean(&mut self.items, items);
-        RouteComparison { elapsed: self.elapsed(head), value: self.value(size, items) }
-    }
-
-    /// Returns the time since the first attempt: callers of a route allow the same time for all
-    /// their attempts together.
-    fn elapsed(&mut self, head: &RequestHead) -> Duration {
-        let Some(time_left) = head.time_left else { return Duration::ZERO };
-        self.longest = self.longest.max(time_left);
-        let elapsed = self.longest - time_left;
-        if elapsed < ATTEMPT_TOLERANCE { Duration::ZERO } else { elapsed }
+        let elapsed =
+            head.time_left.map(|it| self.times_left.record(it, limit)).unwrap_or_default();
+        RouteComparison { elapsed, value: self.value(size, items) }
     }
 
     fn value(&self, size: f64, items: f64) -> f64 {
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -25,7 +25,7 @@
     };
     let (now, tuning) = (cx.now, cx.ctx.tuning.clone());
     cx.ctx.retry_budget(&resolved.pool).record_request(now, &tuning);
-    let comparison = cx.ctx.compare_to_route(&resolved.route.name, &arrival.head);
+    let comparison = cx.ctx.compare_to_route(&resolved.route, &arrival.head);
     let request = new_request(cx.now, comparison, arrival, resolved);
     if request.deadline <= cx.now {
         end::refuse(cx, &request, Status::NotRun, RetryHint::Soon, "no time is left");
--- a/crates/ferry-serve/tests/decisions/admission.rs
+++ b/crates/ferry-serve/tests/decisions/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::{RequestHead, TokenCounts};
+use ferry_serve::{Decision, DecisionKind, RequestHead, TokenCounts};
 
 use crate::simulation::{Ending, Outcome, Simulation, head, ms};
 
@@ -130,6 +130,41 @@
     }
 }
 
+#[test]
+fn callers_that_allow_different_times_are_in_time() {
+    // Callers of a route with a long time limit allow 85 to 100% of it; the objective is shorter
+    // than the difference. One in ten retries after a quarter of its time.
+    let limit = ms(12_000);
+    let mut sim = Simulation::with_time_limit(4, limit);
+    let (mut first, mut retries) = (Vec::new(), Vec::new());
+    for number in 0..600u64 {
+        let attempt = format!("spread-{number}");
+        let allowed = limit.mul_f64(0.85 + 0.15 * ((number * 37) % 100) as f64 / 100.0);
+        let is_retry = number % 10 == 9;
+        let mut head = head("once", &attempt);
+        head.time_left = Some(if is_retry { allowed * 3 / 4 } else { allowed });
+        if is_retry {
+            retries.push(attempt.clone())
+        } else {
+            first.push(attempt.clone())
+        }
+        sim.arrive(number as usize % 4, &attempt, head);
+        sim.run_for(Duration::from_secs_f64(1.0 / (0.95 * CAPACITY)));
+    }
+    sim.run_for(ms(6_000));
+    let share = sim.on_time(&first, OBJECTIVE);
+    assert!(0.97 <= share, "{share} of the first attempts began in time");
+    let elapsed = |attempt: &String| {
+        let of_attempt = |it: &&Decision| it.attempt.as_deref() == Some(attempt.as_str());
+        let mut decisions = sim.decisions.iter().filter(of_attempt);
+        decisions.find(|it| it.kind == DecisionKind::Admit).and_then(|it| it.took)
+    };
+    let is_old = |it: &&String| elapsed(it).is_some_and(|it| limit / 8 < it);
+    let n_old = |attempts: &[String]| attempts.iter().filter(is_old).count();
+    assert!(n_old(&first) * 100 <= first.len(), "{} first attempts count as old", n_old(&first));
+    assert!(retries.len() * 8 <= n_old(&retries) * 10, "{} retries count as old", n_old(&retries));
+}
+
 #[test]
 fn late_retries_take_only_spare_capacity() {
     let mut sim = Simulation::new(4);
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -11,8 +11,8 @@
 
 use ferry_model::{EndpointState, GatewayConfig, GatewayEndpoint, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Effect, Event, Gateway, Identity, ItemFailure, Refusal, RequestHead, Status,
-    StoreUpdate, Tuning,
+    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, ItemFailure, Refusal, RequestHead,
+    Status, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
@@ -108,6 +108,8 @@
     pub n_freed: usize,
     /// Number of entries that peers sent each other.
     pub n_entries_sent: usize,
+    /// Decisions of all instances, in order.
+    pub decisions: Vec<Decision>,
     pub exited: Vec<usize>,
     /// Instances that close their connections, and since when.
     pub closed: Vec<(usize, Moment)>,
@@ -133,10 +135,21 @@
 
 impl Simulation {
     pub fn new(n_instances: usize) -> Simulation {
+        Simulation::with_config(n_instances, config(1))
+    }
+
+    /// Creates a simulation whose routes have another time limit.
+    pub fn with_time_limit(n_instances: usize, limit: Duration) -> Simulation {
+        let mut config = config(1);
+        config.routes.iter_mut().for_each(|it| it.time_limit = limit);
+        Simulation::with_config(n_instances, config)
+    }
+
+    fn with_config(n_instances: usize, config: GatewayConfig) -> Simulation {
         let mut sim = Simulation {
             now: Moment::ZERO,
             tuning: Tuning::default(),
-            config: Arc::new(config(1)),
+            config: Arc::new(config),
             instances: Vec::new(),
             endpoints: SortedMap::new(),
             outcomes: SortedMap::new(),
@@ -146,6 +159,7 @@
             n_batches: 0,
             n_freed: 0,
             n_entries_sent: 0,
+            decisions: Vec::new(),
             exited: Vec::new(),
             closed: Vec::new(),
             timer_lag: vec![ms(0); n_instances],
@@ -338,7 +352,8 @@
             Effect::Pull { from, version, since } => self.pull(instance, from, version, since),
             Effect::Exit => self.exited.push(instance),
             Effect::Close => self.closed.push((instance, self.now)),
-            Effect::Log(_) | Effect::Count(_) => (),
+            Effect::Log(decision) => self.decisions.push(*decision),
+            Effect::Count(_) => (),
         }
     }
 
