Wait for an engine as long as it may read the whole prompt

Change: the timeout is four times the time to read the whole prompt, 1.2 s at least. Test: engine_that_reads_a_long_prompt_is_not_silent; ran twice before.

--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -102,6 +102,8 @@
     pub last_heard: Moment,
     /// Time in which an endpoint of normal speed answers.
     pub expected: Duration,
+    /// Time after which it is silent if it has not begun.
+    pub patience: Duration,
     pub is_streaming: bool,
     /// When the endpoint will have fetched its inputs, so that they may be freed; none afterwards.
     pub fetched_at: Option<Moment>,
@@ -186,7 +188,7 @@
         }
         let silence = match (self.route.kind, current.is_streaming) {
             (RouteKind::Stream, true) => tuning.event_timeout,
-            (RouteKind::Stream, false) => tuning.first_event_timeout.max(current.expected * 4),
+            (RouteKind::Stream, false) => tuning.first_event_timeout.max(current.patience),
             (RouteKind::Idempotent | RouteKind::NonIdempotent, _) => tuning.answer_timeout,
         };
         Some(current.last_heard + silence)
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -22,6 +22,8 @@
 const URGENCY_STEP: u8 = 2;
 const LAST_URGENCY: u8 = 9;
 const MEGABYTE: f64 = 1e6;
+/// Multiple of the time to read the whole prompt after which an endpoint is silent.
+const PATIENCE_FACTOR: u32 = 4;
 
 /// Sends a request whose stages are done; returns whether it has ended instead.
 pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
@@ -55,6 +57,7 @@
         sent_at: cx.now,
         last_heard: cx.now,
         expected: choice.expected,
+        patience: whole_prefill(cx, request) * PATIENCE_FACTOR,
         is_streaming: false,
         fetched_at: (!request.route.stages.is_empty()).then(|| cx.now + cx.ctx.tuning.fetch_time),
     });
@@ -165,6 +168,13 @@
     }
 }
 
+/// Returns the time from the end of the stages to the first event if nothing is cached.
+fn whole_prefill(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
+    let tuning = &cx.ctx.tuning;
+    let tokens: f64 = request.head.prompt.iter().map(|it| f64::from(it.tokens)).sum();
+    tuning.first_token + Duration::from_secs_f64(tokens / tuning.tokens_per_ms / 1e3)
+}
+
 /// Returns the time from the end of the stages to the first event, with a partly cached prompt.
 pub fn engine_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
     let tuning = &cx.ctx.tuning;
--- a/crates/ferry-serve/tests/decisions/requests.rs
+++ b/crates/ferry-serve/tests/decisions/requests.rs
@@ -2,7 +2,7 @@
 
 use ferry_serve::{Event, Status};
 
-use crate::simulation::{Behaviour, Ending, PLAIN, Simulation, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, head, ms};
 
 struct Case {
     name: &'static str,
@@ -199,3 +199,32 @@
         assert_eq!(n_calls, usize::from(case.status.is_none()), "{number}");
     }
 }
+
+#[test]
+fn engine_that_reads_a_long_prompt_is_not_silent() {
+    struct Case {
+        name: &'static str,
+        /// Tokens of the prompt that other requests share.
+        shared: u32,
+        n_runs: usize,
+    }
+    let cases = [
+        Case { name: "a long prompt", shared: 30_000, n_runs: 1 },
+        Case { name: "a short prompt", shared: 500, n_runs: 2 },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(1);
+        let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
+        for id in ids.iter().filter(|it| it.starts_with(ENGINE)) {
+            // The first event takes 1.44 s.
+            sim.set_behaviour(id, Behaviour::Slow(12));
+        }
+        let mut head = head("stream", "probe");
+        head.time_left = Some(ms(4_000));
+        head.prompt[0].tokens = case.shared;
+        sim.arrive(0, "probe", head);
+        sim.run_for(ms(4_000));
+        assert_eq!(sim.runs.get("probe").map(Vec::len), Some(case.n_runs), "{}", case.name);
+        assert_eq!(sim.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
