--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -20,7 +20,7 @@
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
-use crate::{calls, items, peers};
+use crate::{caches, calls, items, peers};
 
 /// Number of chunks of a stream that are buffered for a slow caller.
 const STREAM_QUEUE: usize = 64;
@@ -182,6 +182,7 @@
             Effect::Cancel { call } => self.cancel(call),
             Effect::Batch(call) => items::start(self, *call),
             Effect::Free { address, handles } => self.free(address, handles),
+            Effect::ReadCache { endpoint, address } => caches::read(self, endpoint, address),
             Effect::Send { to, message } => peers::send(self, to, &message),
             Effect::Pull { from, version, since } => peers::pull(self, from, version, since),
             Effect::Log(decision) => self.log_decision(&decision),
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod auxiliary;
 pub mod body;
+pub mod caches;
 pub mod calls;
 pub mod client;
 pub mod decision_log;
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -73,6 +73,7 @@
         incarnation: process::new_incarnation(),
         zone: settings.zone.clone(),
         weight: weight(&settings),
+        is_first_start: settings.is_first_start,
         front: settings.front,
         peer: settings.peer,
     };
--- a/crates/ferry-serve/src/admission.rs
+++ b/crates/ferry-serve/src/admission.rs
@@ -11,10 +11,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use ferry_model::PoolId;
+use ferry_model::{PoolId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::CallerAttempt;
+use crate::{CallerAttempt, ScheduleRequest};
 
 pub use capacity::Capacity;
 pub use controller::{AdmissionController, Evaluation};
@@ -43,12 +43,23 @@
     pub value: f64,
     /// Number of items by pool.
     pub items: Vec<(PoolId, u32)>,
+    /// The engine that it will need; none if it does not go to an engine.
+    pub engine: Option<ScheduleRequest>,
     /// Longest wait for its stages with which the request still meets its objective.
     pub slack: Duration,
     /// Longest such wait with which the request still meets its deadline.
     pub time_left: Duration,
 }
 
+/// The answer to an admission request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionAnswer {
+    pub decision: AdmissionDecision,
+    /// Availability zone of the engine that the request is likely to go to; none if that is not
+    /// known.
+    pub zone: Option<ZoneId>,
+}
+
 /// Result of an admission request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AdmissionDecision {
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -124,12 +124,26 @@
 fn affine_endpoints<'a>(
     usable: Vec<&'a EndpointView>,
     prefixes: &[(u64, u32)],
+) -> Vec<&'a EndpointView> {
+    let shared = prefixes.len().checked_sub(2).and_then(|it| prefixes.get(it));
+    if shared.is_none() {
+        return usable;
+    }
+    let mut endpoints = by_affinity(usable, prefixes);
+    endpoints.truncate(N_AFFINE_ENDPOINTS);
+    endpoints
+}
+
+/// Sorts endpoints by how much requests with the same shared prompt parts prefer them, as all
+/// instances agree without messages.
+pub(crate) fn by_affinity<'a>(
+    usable: Vec<&'a EndpointView>,
+    prefixes: &[(u64, u32)],
 ) -> Vec<&'a EndpointView> {
     let shared = prefixes.len().checked_sub(2).and_then(|it| prefixes.get(it));
     let Some((key, _)) = shared else { return usable };
     let mut endpoints = usable;
     endpoints.sort_by_cached_key(|it| std::cmp::Reverse(rendezvous_hash(*key, &it.endpoint.id)));
-    endpoints.truncate(N_AFFINE_ENDPOINTS);
     endpoints
 }
 
@@ -205,6 +219,6 @@
     rendezvous_hash(hasher.finish(), endpoint) as f64 / u64::MAX as f64
 }
 
-fn millis(time: Duration) -> f64 {
+pub(crate) fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -41,6 +41,11 @@
         address: SocketAddr,
         handles: Vec<ResultHandle>,
     },
+    /// Reads which prompt parts an engine has cached.
+    ReadCache {
+        endpoint: EndpointId,
+        address: SocketAddr,
+    },
     /// Sends a datagram to a peer; it may get lost.
     Send {
         to: SocketAddr,
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -40,6 +40,11 @@
         result: Result<Vec<ItemResult>, BatchFailure>,
         load: Option<LoadReport>,
     },
+    /// The prompt parts that an engine has cached.
+    Cached {
+        endpoint: EndpointId,
+        parts: Vec<PromptPart>,
+    },
     /// A peer sent a message.
     Peer {
         from: SocketAddr,
@@ -100,7 +105,7 @@
 }
 
 /// A part of a prompt that other requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     pub id: u64,
     pub tokens: u32,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -11,10 +11,10 @@
 use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner};
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
-use crate::request::{Requests, evaluate};
+use crate::request::{Requests, evaluate, schedule};
 use crate::{
     Backlog, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group, Heartbeat,
-    JobSubmission, Observation, Observations, PeerMessage, Peers, StoreUpdate, Tuning,
+    JobSubmission, Observation, Observations, PeerMessage, Peers, Scheduler, StoreUpdate, Tuning,
 };
 
 /// Time for which a peer may have a newer configuration before it is read from there; the store is
@@ -47,6 +47,7 @@
 
 impl Gateway {
     pub fn new(identity: Identity, tuning: Tuning) -> Gateway {
+        let scheduler = Scheduler::new(!identity.is_first_start);
         Gateway {
             ctx: Context {
                 identity,
@@ -57,6 +58,7 @@
                 overload: OverloadDetector::new(),
                 observations: Observations::default(),
                 admission: AdmissionController::default(),
+                scheduler,
                 route_averages: SortedMap::new(),
                 retry_budgets: SortedMap::new(),
                 last_call: 0,
@@ -100,6 +102,9 @@
             Event::Batch { call, result, load } => {
                 self.batcher.on_result(cx, call, result, load);
             }
+            Event::Cached { endpoint, parts } => {
+                cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
+            }
             Event::Peer { from, message } => {
                 on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
@@ -358,12 +363,23 @@
         }
         PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
         PeerMessage::AdmissionRequest(request) => {
-            let decision = evaluate(cx, batcher, &request);
-            let message = PeerMessage::AdmissionDecision { attempt: request.attempt, decision };
+            let answer = evaluate(cx, batcher, &request);
+            let message = PeerMessage::AdmissionDecision { attempt: request.attempt, answer };
             cx.effects.push(Effect::Send { to: from, message });
         }
-        PeerMessage::AdmissionDecision { attempt, decision } => {
-            requests.on_admission_decision(cx, batcher, &attempt, decision);
+        PeerMessage::AdmissionDecision { attempt, answer } => {
+            requests.on_admission_answer(cx, batcher, &attempt, answer);
+        }
+        PeerMessage::Schedule(wanted) => {
+            let decision = schedule(cx, &wanted);
+            let message = PeerMessage::Scheduled { attempt: wanted.attempt, decision };
+            cx.effects.push(Effect::Send { to: from, message });
+        }
+        PeerMessage::Scheduled { attempt, decision } => {
+            requests.on_scheduled(cx, batcher, &attempt, decision);
+        }
+        PeerMessage::ScheduleProgress { attempt, progress } => {
+            cx.ctx.scheduler.on_progress(cx.now, &attempt, progress);
         }
         PeerMessage::Accepted(key) => requests.on_accepted(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod request;
 mod retry_budget;
+mod schedule;
 mod tuning;
 
 pub use admission::{AdmissionRequest, Shard};
@@ -40,6 +41,7 @@
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, PeerMessage, PeerView, Peers};
 pub use retry_budget::RetryBudget;
+pub use schedule::{ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduler};
 pub use tuning::Tuning;
 
 /// One call of this process to an endpoint, unique until the process restarts.
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -17,7 +17,7 @@
 use crate::overload::OverloadDetector;
 use crate::{
     CallId, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Metric, Observations,
-    Peers, RequestHead, RetryBudget, Tuning,
+    Peers, RequestHead, RetryBudget, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -34,6 +34,8 @@
     pub zone: ZoneId,
     /// Its share of a CPU core, which weights the work that it is given.
     pub weight: f64,
+    /// Whether it started with the whole system, for the first time.
+    pub is_first_start: bool,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where peers send datagrams.
@@ -52,6 +54,8 @@
     pub observations: Observations,
     /// Admitted requests, if this instance is an admission controller.
     pub admission: AdmissionController,
+    /// Calls to engines, if this instance schedules them.
+    pub scheduler: Scheduler,
     /// Averages of requests, by route.
     pub(crate) route_averages: SortedMap<String, RouteAverages>,
     pub(crate) retry_budgets: SortedMap<PoolId, RetryBudget>,
@@ -69,6 +73,12 @@
         self.coordinator(now, (ADMISSION_KEY, shard))
     }
 
+    /// Returns the peer that schedules the calls to engines; none if this instance does. It is the
+    /// admission controller as well, unless there are several.
+    pub fn scheduler_peer(&self, now: Moment) -> Option<SocketAddr> {
+        self.admission_peer(now, Shard::WHOLE)
+    }
+
     fn coordinator(&self, now: Moment, work: impl Hash) -> Option<SocketAddr> {
         let mut hasher = DefaultHasher::new();
         work.hash(&mut hasher);
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -10,10 +10,10 @@
 use ferry_model::{ConfigVersion, Incarnation, InstanceId, Moment, SortedMap, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::admission::{AdmissionDecision, AdmissionRequest, N_CLASSES};
+use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    CallerAttempt, Group, Identity, ItemInput, JobKey, JobOutcome, Observation, Tuning,
-    rendezvous_hash,
+    CallerAttempt, Group, Identity, ItemInput, JobKey, JobOutcome, Observation, ScheduleDecision,
+    ScheduleProgress, ScheduleRequest, Tuning, rendezvous_hash,
 };
 
 /// Peers to which an instance sends each heartbeat; if there are more, it rotates among them.
@@ -105,7 +105,7 @@
     AdmissionDecision {
         attempt: CallerAttempt,
         #[serde(rename = "verdict")]
-        decision: AdmissionDecision,
+        answer: AdmissionAnswer,
     },
     /// Confirms that the items of a job are being collected.
     #[serde(rename = "Taken")]
@@ -118,6 +118,18 @@
         key: JobKey,
         outcome: JobOutcome,
     },
+    /// Asks which engine a request goes to.
+    Schedule(Box<ScheduleRequest>),
+    /// Answers that; none if no engine is left for it.
+    Scheduled {
+        attempt: CallerAttempt,
+        decision: Option<ScheduleDecision>,
+    },
+    /// Reports what became of a call to the instance that scheduled it.
+    ScheduleProgress {
+        attempt: CallerAttempt,
+        progress: ScheduleProgress,
+    },
 }
 
 #[derive(Debug, Clone)]
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -5,6 +5,8 @@
 mod arrive;
 mod call;
 mod end;
+mod retry;
+mod schedule;
 mod stages;
 mod times;
 
@@ -12,13 +14,14 @@
 
 use ferry_model::{Moment, SortedMap, Ticket};
 
-use crate::admission::AdmissionDecision;
+use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::pass::Pass;
-use crate::{Arrival, CallEvent, CallId, CallerAttempt, Tuning};
+use crate::{Arrival, CallEvent, CallId, CallerAttempt, ScheduleDecision, Tuning};
 
 use active::{ActiveRequest, Phase};
 pub use admit::evaluate;
+pub use schedule::schedule;
 
 /// Requests in progress.
 #[derive(Debug, Default)]
@@ -78,17 +81,34 @@
     }
 
     /// Applies the admission decision of a request.
-    pub fn on_admission_decision(
+    pub fn on_admission_answer(
         &mut self,
         cx: &mut Pass<'_>,
         batcher: &mut Batcher,
         attempt: &CallerAttempt,
-        decision: AdmissionDecision,
+        answer: AdmissionAnswer,
     ) {
         let Some(ticket) = self.attempts.get(attempt).copied() else { return };
         let Some(mut request) = self.active.remove(&ticket) else { return };
         let is_open = matches!(request.phase, Phase::AwaitingAdmission { .. });
-        if is_open && admit::on_decision(cx, &mut request, decision) {
+        if is_open && admit::on_answer(cx, &mut request, answer) {
+            return self.forget(&request);
+        }
+        self.proceed(cx, batcher, request);
+    }
+
+    /// Sends a request to the engine that its scheduler has chosen.
+    pub fn on_scheduled(
+        &mut self,
+        cx: &mut Pass<'_>,
+        batcher: &mut Batcher,
+        attempt: &CallerAttempt,
+        decision: Option<ScheduleDecision>,
+    ) {
+        let Some(ticket) = self.attempts.get(attempt).copied() else { return };
+        let Some(mut request) = self.active.remove(&ticket) else { return };
+        let is_open = matches!(request.phase, Phase::AwaitingEndpoint { .. });
+        if is_open && schedule::on_decision(cx, batcher, &mut request, decision) {
             return self.forget(&request);
         }
         self.proceed(cx, batcher, request);
@@ -142,6 +162,12 @@
             if matches!(request.phase, Phase::AwaitingAdmission { until } if until <= cx.now) {
                 admit::on_timeout(cx, &mut request);
             }
+            if matches!(request.phase, Phase::AwaitingEndpoint { until } if until <= cx.now)
+                && schedule::on_timeout(cx, batcher, &mut request)
+            {
+                self.forget(&request);
+                continue;
+            }
             if request.fetched_at().is_some_and(|it| it <= cx.now) {
                 call::on_fetched(cx, batcher, &mut request);
             }
@@ -172,7 +198,7 @@
             ended = stages::advance(cx, batcher, &mut request);
         }
         if !ended && matches!(request.phase, Phase::RunningStages) && request.stages_done() {
-            ended = call::start(cx, batcher, &mut request);
+            ended = schedule::start(cx, batcher, &mut request);
         }
         if ended {
             return self.forget(&request);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use ferry_model::{
-    EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId,
+    EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId, ZoneId,
 };
 
+use super::schedule::ScheduledBy;
 use crate::batch::JobKey;
 use crate::{CallId, Group, RequestHead, Tuning};
 
@@ -34,6 +35,10 @@
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
+    /// Zone of the engine that it is likely to go to, as the scheduler knows.
+    pub engine_zone: Option<ZoneId>,
+    /// Where the call to an engine is counted, if it is.
+    pub scheduled_by: Option<ScheduledBy>,
     /// Endpoints to which the request was sent.
     pub tried: Vec<EndpointId>,
     /// Number of endpoints that may have run it.
@@ -90,6 +95,10 @@
         until: Moment,
     },
     RunningStages,
+    /// Waits for the engine that the scheduler chooses.
+    AwaitingEndpoint {
+        until: Moment,
+    },
     Calling(ActiveCall),
 }
 
@@ -118,7 +127,9 @@
 impl ActiveRequest {
     pub fn call(&self) -> Option<CallId> {
         match &self.phase {
-            Phase::AwaitingAdmission { .. } | Phase::RunningStages => None,
+            Phase::AwaitingAdmission { .. }
+            | Phase::RunningStages
+            | Phase::AwaitingEndpoint { .. } => None,
             Phase::Calling(current) => Some(current.call),
         }
     }
@@ -162,20 +173,22 @@
         submitted
             .chain(self.timeout_at(tuning))
             .chain(self.fetched_at())
-            .chain(self.admission_timeout())
+            .chain(self.answer_timeout())
             .fold(self.deadline, Moment::min)
     }
 
-    fn admission_timeout(&self) -> Option<Moment> {
+    fn answer_timeout(&self) -> Option<Moment> {
         match &self.phase {
-            Phase::AwaitingAdmission { until } => Some(*until),
+            Phase::AwaitingAdmission { until } | Phase::AwaitingEndpoint { until } => Some(*until),
             Phase::RunningStages | Phase::Calling(_) => None,
         }
     }
 
     pub fn fetched_at(&self) -> Option<Moment> {
         match &self.phase {
-            Phase::AwaitingAdmission { .. } | Phase::RunningStages => None,
+            Phase::AwaitingAdmission { .. }
+            | Phase::RunningStages
+            | Phase::AwaitingEndpoint { .. } => None,
             Phase::Calling(current) => current.fetched_at,
         }
     }
--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -6,9 +6,9 @@
 
 use super::active::{ActiveRequest, Phase, StageState};
 use super::end::{self, RetryHint};
-use super::{call, times};
+use super::{call, schedule, times};
 use crate::admission::{
-    AdmissionDecision, AdmissionRequest, Capacity, Evaluation, LATE_CLASS, Shard,
+    AdmissionAnswer, AdmissionDecision, AdmissionRequest, Capacity, Evaluation, LATE_CLASS, Shard,
 };
 use crate::batch::Batcher;
 use crate::pass::{Context, Pass};
@@ -41,13 +41,14 @@
         is_retry: request.is_retry,
         value: request.value,
         items,
+        engine: schedule::wanted(cx, request),
         slack: slack.unwrap_or_default(),
         time_left: request.deadline.saturating_sub(cx.now + times::full_path_time(cx, request)),
     };
     match cx.ctx.admission_peer(cx.now, shard) {
         None => {
-            let decision = evaluate(cx, batcher, &admission);
-            on_decision(cx, request, decision)
+            let answer = evaluate(cx, batcher, &admission);
+            on_answer(cx, request, answer)
         }
         Some(to) => {
             request.phase = Phase::AwaitingAdmission { until: cx.now + ANSWER_TIMEOUT };
@@ -65,7 +66,7 @@
     cx: &mut Pass<'_>,
     batcher: &Batcher,
     admission: &AdmissionRequest,
-) -> AdmissionDecision {
+) -> AdmissionAnswer {
     let pools = admission.items.iter().map(|(pool, _)| pool);
     let capacity: Vec<Capacity> =
         pools.map(|it| capacity(cx.now, cx.ctx, batcher, it, admission.shard)).collect();
@@ -73,7 +74,9 @@
     if evaluation.decision == AdmissionDecision::Refuse {
         log_refusal(cx, admission, &evaluation);
     }
-    evaluation.decision
+    let engine = admission.engine.as_ref();
+    let zone = engine.and_then(|it| schedule::likely_zone(cx, it));
+    AdmissionAnswer { decision: evaluation.decision, zone }
 }
 
 fn capacity(
@@ -104,13 +107,10 @@
 }
 
 /// Applies the admission decision; returns whether the request has ended.
-pub fn on_decision(
-    cx: &mut Pass<'_>,
-    request: &mut ActiveRequest,
-    decision: AdmissionDecision,
-) -> bool {
+pub fn on_answer(cx: &mut Pass<'_>, request: &mut ActiveRequest, answer: AdmissionAnswer) -> bool {
     request.phase = Phase::RunningStages;
-    match decision {
+    request.engine_zone = answer.zone;
+    match answer.decision {
         AdmissionDecision::Admit => false,
         AdmissionDecision::AdmitLate => {
             request.class = LATE_CLASS;
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -88,6 +88,8 @@
         arrived: now.saturating_sub(comparison.elapsed),
         deadline: now + time_left,
         phase: Phase::RunningStages,
+        engine_zone: None,
+        scheduled_by: None,
         tried: Vec::new(),
         n_runs: 0,
         n_refusals: 0,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -6,17 +6,15 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::end::RetryHint;
-use super::{end, stages};
+use super::{end, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
 use crate::{
-    Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, NotRunReason,
-    Observation, Status,
+    Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, Observation,
+    PromptTokens, ScheduleProgress, Status,
 };
 
-/// Refusals by endpoints after which a request is given up.
-const MAX_REFUSALS: u32 = 4;
 /// Urgency of priority zero, and the increase with each further priority.
 const FIRST_URGENCY: u8 = 2;
 const URGENCY_STEP: u8 = 2;
@@ -25,9 +23,14 @@
 /// Multiple of the time to read the whole prompt after which an endpoint is silent.
 const PATIENCE_FACTOR: u32 = 4;
 
-/// Sends a request whose stages are done; returns whether it has ended instead.
-pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
-    let Some(choice) = pick(cx, request) else {
+/// Sends a request to an endpoint; returns whether it has ended instead, as none is left for it.
+pub fn start(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    choice: Option<Choice>,
+) -> bool {
+    let Some(choice) = choice else {
         end::give_up(cx, batcher, request, RetryHint::Soon, "no endpoint is left for it");
         return true;
     };
@@ -57,7 +60,7 @@
         sent_at: cx.now,
         last_heard: cx.now,
         expected: choice.expected,
-        patience: whole_prefill(cx, request) * PATIENCE_FACTOR,
+        patience: whole_prefill(cx, request).max(choice.expected) * PATIENCE_FACTOR,
         is_streaming: false,
         fetched_at: (!request.route.stages.is_empty()).then(|| cx.now + cx.ctx.tuning.fetch_time),
     });
@@ -88,14 +91,14 @@
         CallEvent::Unsent { error } => {
             release_endpoint(cx, request, &current);
             record_failure(cx, &current);
-            resend(cx, batcher, request, &format!("could not connect: {error}"))
+            retry::resend(cx, batcher, request, &format!("could not connect: {error}"))
         }
         CallEvent::NotRun { reason, load } => {
             release_endpoint(cx, request, &current);
             if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
                 view.record_load(cx.now, load);
             }
-            on_refusal(cx, batcher, request, &current, reason)
+            retry::on_refusal(cx, batcher, request, &current, reason)
         }
         CallEvent::Began { load } => {
             on_began(cx, batcher, request, &current, load);
@@ -121,7 +124,7 @@
             release_endpoint(cx, request, &current);
             record_failure(cx, &current);
             request.n_runs += 1;
-            rerun(cx, batcher, request, &format!("no complete answer: {error}"))
+            retry::rerun(cx, batcher, request, &format!("no complete answer: {error}"))
         }
     }
 }
@@ -133,7 +136,7 @@
     record_failure(cx, &current);
     request.n_runs += 1;
     cx.effects.push(Effect::Cancel { call: current.call });
-    rerun(cx, batcher, request, "endpoint is silent")
+    retry::rerun(cx, batcher, request, "endpoint is silent")
 }
 
 /// Releases the results that the endpoint has fetched by now.
@@ -149,11 +152,15 @@
     if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
         view.outstanding = view.outstanding.saturating_sub(1);
     }
+    schedule::report(cx, request, ScheduleProgress::Ended);
     request.phase = Phase::RunningStages;
 }
 
-/// Returns the zone of the endpoint that would be chosen now.
+/// Returns the zone of the endpoint that the request is likely to go to.
 pub fn likely_zone(cx: &Pass<'_>, request: &ActiveRequest) -> Option<ZoneId> {
+    if request.engine_zone.is_some() {
+        return request.engine_zone.clone();
+    }
     let choice = pick(cx, request)?;
     cx.ctx.endpoints.get(&choice.endpoint).map(|it| it.endpoint.zone.clone())
 }
@@ -182,8 +189,8 @@
         + Duration::from_secs_f64(likely_prefill(&request.head.prompt) / tuning.tokens_per_ms / 1e3)
 }
 
-fn pick(cx: &Pass<'_>, request: &ActiveRequest) -> Option<Choice> {
-    let kind = cx.ctx.catalog.pool(&request.pool)?;
+/// Returns the megabytes of results that the endpoint reads, by zone.
+pub fn results(cx: &Pass<'_>, request: &ActiveRequest) -> Vec<(ZoneId, f64)> {
     let mut results: Vec<(ZoneId, f64)> = Vec::new();
     for (idx, stage) in request.route.stages.iter().enumerate() {
         let StageState::Done { handles, .. } = &request.stages[idx] else { continue };
@@ -192,6 +199,21 @@
             results.push((zone.clone(), stage.result_bytes as f64 / MEGABYTE));
         }
     }
+    results
+}
+
+/// Returns the tokens of a request's prompt, of which the engine has not cached `uncached` shared
+/// ones.
+pub fn prompt_tokens(request: &ActiveRequest, uncached: u32) -> Option<PromptTokens> {
+    let (own, shared) = request.head.prompt.split_last()?;
+    let shared = shared.iter().map(|it| it.tokens).sum();
+    Some(PromptTokens { own: own.tokens, shared, uncached })
+}
+
+/// Returns the endpoint that costs least as far as this instance knows.
+pub fn pick(cx: &Pass<'_>, request: &ActiveRequest) -> Option<Choice> {
+    let kind = cx.ctx.catalog.pool(&request.pool)?;
+    let results = results(cx, request);
     let need = Requirements {
         pool: &request.pool,
         kind,
@@ -238,6 +260,7 @@
         view.record_success(ratio);
         observe(cx, current, load, Some(ratio));
     }
+    schedule::report(cx, request, ScheduleProgress::Began);
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     release_results(cx, batcher, request);
     request.began_at.get_or_insert(cx.now);
@@ -265,12 +288,15 @@
             false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
         }
     }
-    if is_error && request.route.is_repeatable() && request.may_run_again() && has_time(cx, request)
+    if is_error
+        && request.route.is_repeatable()
+        && request.may_run_again()
+        && retry::has_time(cx, request)
     {
         let pool = request.pool.clone();
         if pick(cx, request).is_some() && cx.try_spend(&pool) {
             cx.count(Metric::CallsRepeated);
-            log_retry(cx, request, "endpoint answered with an error");
+            retry::log_retry(cx, request, "endpoint answered with an error");
             return false;
         }
     }
@@ -279,129 +305,12 @@
     true
 }
 
-/// Handles a refusal: the endpoint did not run the request.
-fn on_refusal(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
-    current: &ActiveCall,
-    reason: NotRunReason,
-) -> bool {
-    request.n_refusals += 1;
-    match reason {
-        NotRunReason::Full => {
-            let pause = cx.now + cx.ctx.tuning.base_ejection / 2;
-            if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
-                view.pause_until(pause);
-            }
-        }
-        NotRunReason::Moved => {
-            let pause = cx.now + cx.ctx.tuning.max_ejection;
-            if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
-                view.pause_until(pause);
-            }
-        }
-        NotRunReason::InputsGone => {
-            if request.n_restarts < stages::MAX_RESTARTS {
-                request.tried.pop();
-                restart_all(cx, batcher, request);
-                return false;
-            }
-        }
-        NotRunReason::Malformed => {
-            end::give_up(cx, batcher, request, RetryHint::Soon, "endpoint takes it for malformed");
-            return true;
-        }
-    }
-    let pool = request.pool.clone();
-    if MAX_REFUSALS <= request.n_refusals || !has_time(cx, request) || !cx.try_spend(&pool) {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
-        return true;
-    }
-    cx.count(Metric::CallsRepeated);
-    restart_released(cx, batcher, request);
-    log_retry(cx, request, reason.into());
-    false
-}
-
-/// Sends a request that no endpoint has seen to another one; returns whether it has ended.
-fn resend(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
-    reason: &str,
-) -> bool {
-    if !has_time(cx, request) {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "no time is left");
-        return true;
-    }
-    restart_released(cx, batcher, request);
-    log_retry(cx, request, reason);
-    false
-}
-
-/// Runs a request again that may have run, if that is allowed; returns whether it has ended.
-fn rerun(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
-    reason: &str,
-) -> bool {
-    let pool = request.pool.clone();
-    let is_allowed =
-        request.route.is_repeatable() && request.may_run_again() && has_time(cx, request);
-    if !is_allowed || !cx.try_spend(&pool) {
-        end::fail(cx, batcher, request, reason);
-        return true;
-    }
-    cx.count(Metric::CallsRepeated);
-    if request.is_streaming() {
-        cx.count(Metric::StreamsResumed);
-    }
-    restart_released(cx, batcher, request);
-    log_retry(cx, request, reason);
-    false
-}
-
-fn restart_all(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
-    for idx in 0..request.stages.len() {
-        if matches!(request.stages[idx], StageState::Done { .. }) {
-            stages::restart(cx, batcher, request, idx, "results are needed again");
-        }
-    }
-}
-
-/// Restarts the stages if results that an endpoint reads were released.
-fn restart_released(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
-    let is_released = |idx: &usize| match &request.stages[*idx] {
-        StageState::Done { handles, is_retained, .. } => !handles.is_empty() && !is_retained,
-        StageState::Waiting | StageState::Submitted(_) => false,
-    };
-    if stages::last_stages(request).any(|it| is_released(&it)) {
-        restart_all(cx, batcher, request);
-    }
-}
-
 fn release_results(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
     for idx in 0..request.stages.len() {
         stages::release(cx, batcher, request, idx);
     }
 }
 
-/// Whether another call could still end in time.
-fn has_time(cx: &Pass<'_>, request: &ActiveRequest) -> bool {
-    cx.now + cx.ctx.tuning.first_token < request.deadline
-}
-
-fn log_retry(cx: &mut Pass<'_>, request: &ActiveRequest, reason: &str) {
-    cx.log(
-        Decision::new(DecisionKind::Retry, reason)
-            .with_attempt(&request.head.attempt)
-            .with_pool(&request.pool)
-            .with_budget(request.deadline.saturating_sub(cx.now)),
-    );
-}
-
 /// Returns the status of a request that ends without an answer of an endpoint.
 pub fn final_status(request: &ActiveRequest) -> Status {
     match request.n_runs {
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -2,10 +2,10 @@
 
 use super::active::{ActiveRequest, Phase};
 use super::call::{final_status, release_endpoint};
-use super::stages;
+use super::{schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
-use crate::{Decision, DecisionKind, Effect, Metric, Refusal, Status};
+use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status};
 
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
@@ -144,7 +144,10 @@
 
 /// Cancels the call in progress; returns whether there was one.
 fn stop_call(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
-    let Phase::Calling(current) = request.phase.clone() else { return false };
+    let Phase::Calling(current) = request.phase.clone() else {
+        schedule::report(cx, request, ScheduleProgress::Ended);
+        return false;
+    };
     release_endpoint(cx, request, &current);
     cx.effects.push(Effect::Cancel { call: current.call });
     true
--- /dev/null
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -0,0 +1,128 @@
+//! What happens to a request whose call failed: another call, its stages again, or its end.
+
+use super::active::{ActiveCall, ActiveRequest, StageState};
+use super::end::RetryHint;
+use super::{end, stages};
+use crate::batch::Batcher;
+use crate::pass::Pass;
+use crate::{Decision, DecisionKind, Metric, NotRunReason};
+
+/// Refusals by endpoints after which a request is given up.
+const MAX_REFUSALS: u32 = 4;
+
+/// Handles a refusal: the endpoint did not run the request.
+pub fn on_refusal(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+    reason: NotRunReason,
+) -> bool {
+    request.n_refusals += 1;
+    match reason {
+        NotRunReason::Full => {
+            let pause = cx.now + cx.ctx.tuning.base_ejection / 2;
+            if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
+                view.pause_until(pause);
+            }
+        }
+        NotRunReason::Moved => {
+            let pause = cx.now + cx.ctx.tuning.max_ejection;
+            if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
+                view.pause_until(pause);
+            }
+        }
+        NotRunReason::InputsGone => {
+            if request.n_restarts < stages::MAX_RESTARTS {
+                request.tried.pop();
+                restart_all(cx, batcher, request);
+                return false;
+            }
+        }
+        NotRunReason::Malformed => {
+            end::give_up(cx, batcher, request, RetryHint::Soon, "endpoint takes it for malformed");
+            return true;
+        }
+    }
+    let pool = request.pool.clone();
+    if MAX_REFUSALS <= request.n_refusals || !has_time(cx, request) || !cx.try_spend(&pool) {
+        end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
+        return true;
+    }
+    cx.count(Metric::CallsRepeated);
+    restart_released(cx, batcher, request);
+    log_retry(cx, request, reason.into());
+    false
+}
+
+/// Sends a request that no endpoint has seen to another one; returns whether it has ended.
+pub fn resend(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    reason: &str,
+) -> bool {
+    if !has_time(cx, request) {
+        end::give_up(cx, batcher, request, RetryHint::Soon, "no time is left");
+        return true;
+    }
+    restart_released(cx, batcher, request);
+    log_retry(cx, request, reason);
+    false
+}
+
+/// Runs a request again that may have run, if that is allowed; returns whether it has ended.
+pub fn rerun(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    reason: &str,
+) -> bool {
+    let pool = request.pool.clone();
+    let is_allowed =
+        request.route.is_repeatable() && request.may_run_again() && has_time(cx, request);
+    if !is_allowed || !cx.try_spend(&pool) {
+        end::fail(cx, batcher, request, reason);
+        return true;
+    }
+    cx.count(Metric::CallsRepeated);
+    if request.is_streaming() {
+        cx.count(Metric::StreamsResumed);
+    }
+    restart_released(cx, batcher, request);
+    log_retry(cx, request, reason);
+    false
+}
+
+fn restart_all(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+    for idx in 0..request.stages.len() {
+        if matches!(request.stages[idx], StageState::Done { .. }) {
+            stages::restart(cx, batcher, request, idx, "results are needed again");
+        }
+    }
+}
+
+/// Restarts the stages if results that an endpoint reads were released.
+fn restart_released(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+    let is_released = |idx: &usize| match &request.stages[*idx] {
+        StageState::Done { handles, is_retained, .. } => !handles.is_empty() && !is_retained,
+        StageState::Waiting | StageState::Submitted(_) => false,
+    };
+    if stages::last_stages(request).any(|it| is_released(&it)) {
+        restart_all(cx, batcher, request);
+    }
+}
+
+/// Whether another call could still end in time.
+pub fn has_time(cx: &Pass<'_>, request: &ActiveRequest) -> bool {
+    cx.now + cx.ctx.tuning.first_token < request.deadline
+}
+
+pub fn log_retry(cx: &mut Pass<'_>, request: &ActiveRequest, reason: &str) {
+    cx.log(
+        Decision::new(DecisionKind::Retry, reason)
+            .with_attempt(&request.head.attempt)
+            .with_pool(&request.pool)
+            .with_budget(request.deadline.saturating_sub(cx.now)),
+    );
+}
--- /dev/null
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -0,0 +1,149 @@
+//! Asks the scheduler of a pool of engines for the engine of a request, and tells it what became of
+//! the call.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_model::{PoolKind, ZoneId};
+
+use super::active::{ActiveRequest, Phase};
+use super::call;
+use crate::batch::Batcher;
+use crate::pass::Pass;
+use crate::{
+    Choice, Effect, Metric, PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest,
+};
+
+/// Time to wait for a decision, after which this instance chooses: several round trips between
+/// instances with little CPU time.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Where the call of a request is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ScheduledBy {
+    This,
+    Peer(SocketAddr),
+}
+
+/// Sends a request whose stages are done, or asks where to; returns whether it has ended instead.
+pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
+    let Some(wanted) = wanted(cx, request) else {
+        let choice = call::pick(cx, request);
+        return call::start(cx, batcher, request, choice);
+    };
+    match cx.ctx.scheduler_peer(cx.now) {
+        None => {
+            request.scheduled_by = Some(ScheduledBy::This);
+            let decision = schedule(cx, &wanted);
+            send(cx, batcher, request, decision)
+        }
+        Some(to) => {
+            cx.ctx.scheduler.note_predecessor();
+            request.scheduled_by = Some(ScheduledBy::Peer(to));
+            request.phase = Phase::AwaitingEndpoint { until: cx.now + ANSWER_TIMEOUT };
+            cx.effects.push(Effect::Send { to, message: PeerMessage::Schedule(Box::new(wanted)) });
+            false
+        }
+    }
+}
+
+/// Returns what a request needs from an engine; none if it does not go to one.
+pub fn wanted(cx: &Pass<'_>, request: &ActiveRequest) -> Option<ScheduleRequest> {
+    match cx.ctx.catalog.pool(&request.pool).map(|it| &it.kind) {
+        Some(PoolKind::Engine { .. }) => Some(ScheduleRequest {
+            attempt: request.head.attempt.clone(),
+            pool: request.pool.clone(),
+            prompt: request.head.prompt.clone(),
+            results: call::results(cx, request),
+            tried: request.tried.clone(),
+            zone: cx.ctx.identity.zone.clone(),
+        }),
+        Some(PoolKind::Plain | PoolKind::Batch(_)) | None => None,
+    }
+}
+
+/// Returns the zone of the engine that a request is likely to go to, if this instance is the
+/// scheduler.
+pub fn likely_zone(cx: &Pass<'_>, wanted: &ScheduleRequest) -> Option<ZoneId> {
+    let ctx = &cx.ctx;
+    let is_scheduler = ctx.scheduler_peer(cx.now).is_none();
+    is_scheduler.then(|| ctx.scheduler.likely_zone(cx.now, &ctx.endpoints, &ctx.tuning, wanted))?
+}
+
+/// Decides on a request as the scheduler of its pool.
+pub fn schedule(cx: &mut Pass<'_>, wanted: &ScheduleRequest) -> Option<ScheduleDecision> {
+    if cx.ctx.scheduler.must_read_caches(&wanted.pool) {
+        let Pass { ctx, effects, .. } = &mut *cx;
+        let engines = ctx.endpoints.pool(&wanted.pool).filter(|it| it.accepts_work());
+        effects.extend(engines.map(|it| Effect::ReadCache {
+            endpoint: it.endpoint.id.clone(),
+            address: it.endpoint.address,
+        }));
+    }
+    let (now, ctx) = (cx.now, &mut *cx.ctx);
+    ctx.scheduler.schedule(now, &ctx.endpoints, &ctx.tuning, wanted)
+}
+
+/// Applies the scheduler's decision; returns whether the request has ended.
+pub fn on_decision(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    decision: Option<ScheduleDecision>,
+) -> bool {
+    request.phase = Phase::RunningStages;
+    send(cx, batcher, request, decision)
+}
+
+/// Chooses the engine of a request for which no decision has arrived in time; returns whether the
+/// request has ended.
+pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
+    cx.count(Metric::AsksUnanswered);
+    on_decision(cx, batcher, request, None)
+}
+
+/// Tells the scheduler of a request what became of its call.
+pub fn report(cx: &mut Pass<'_>, request: &mut ActiveRequest, progress: ScheduleProgress) {
+    let Some(by) = request.scheduled_by else { return };
+    if progress == ScheduleProgress::Ended {
+        request.scheduled_by = None;
+    }
+    let attempt = request.head.attempt.clone();
+    match by {
+        ScheduledBy::This => cx.ctx.scheduler.on_progress(cx.now, &attempt, progress),
+        ScheduledBy::Peer(to) => {
+            let message = PeerMessage::ScheduleProgress { attempt, progress };
+            cx.effects.push(Effect::Send { to, message });
+        }
+    }
+}
+
+fn send(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    decision: Option<ScheduleDecision>,
+) -> bool {
+    let scheduled = decision.and_then(|it| choice(cx, request, it));
+    let choice = match scheduled {
+        Some(choice) => Some(choice),
+        None => call::pick(cx, request),
+    };
+    call::start(cx, batcher, request, choice)
+}
+
+/// Returns the decision as a choice, unless the endpoint takes no work as far as known here.
+fn choice(cx: &Pass<'_>, request: &ActiveRequest, it: ScheduleDecision) -> Option<Choice> {
+    let view = cx.ctx.endpoints.get(&it.endpoint).filter(|it| it.is_usable(cx.now))?;
+    if request.tried.contains(&it.endpoint) {
+        return None;
+    }
+    Some(Choice {
+        address: view.endpoint.address,
+        considered: it.considered,
+        cost: it.cost,
+        expected: it.expected,
+        prompt: call::prompt_tokens(request, it.uncached),
+        endpoint: it.endpoint,
+    })
+}
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -10,5 +10,6 @@
 mod health;
 mod peers;
 mod requests;
+mod schedule;
 mod seeds;
 mod shutdown;
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -0,0 +1,122 @@
+//! Which engine a request goes to when prompts are long and share parts.
+
+use std::time::Duration;
+
+use ferry_serve::{PromptPart, RequestHead};
+
+use crate::simulation::{Behaviour, ENGINE, Ending, Simulation, head, ms};
+
+const N_ENGINES: usize = 12;
+/// Tokens that an engine reads per millisecond.
+const RATE: u32 = 50;
+const SHARED_TOKENS: u32 = 12_000;
+const OWN_TOKENS: u32 = 1_000;
+const N_SHARED: u64 = 40;
+/// Reading a whole prompt takes 260 ms.
+const OBJECTIVE: Duration = ms(400);
+const INTERVAL: Duration = ms(33);
+
+/// Creates instances whose engines read prompts.
+fn simulation(n_instances: usize) -> Simulation {
+    let mut sim = Simulation::new(n_instances);
+    for number in 3..N_ENGINES {
+        sim.add_endpoint(ENGINE, number);
+    }
+    let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
+    for id in ids.iter().filter(|it| it.starts_with(ENGINE)) {
+        sim.set_behaviour(id, Behaviour::Reads(RATE));
+    }
+    for instance in 0..n_instances {
+        sim.start(instance);
+    }
+    sim.run_for(ms(1_000));
+    sim
+}
+
+/// Returns a request without stages whose prompt begins with one of the shared parts.
+fn prompt_head(attempt: &str, number: u64) -> RequestHead {
+    let shared = PromptPart { id: 100 + number * 7 % N_SHARED, tokens: SHARED_TOKENS };
+    let own = PromptPart { id: 10_000 + number, tokens: OWN_TOKENS };
+    RequestHead { prompt: vec![shared, own], items: vec![0, 0], ..head("stream", attempt) }
+}
+
+/// Sends requests to all instances that run, and returns their attempts.
+fn load(sim: &mut Simulation, numbers: std::ops::Range<u64>) -> Vec<String> {
+    let mut attempts = Vec::new();
+    for number in numbers {
+        let attempt = format!("prompt-{number}");
+        let running: Vec<usize> =
+            (0..sim.instances.len()).filter(|it| sim.instances[*it].is_some()).collect();
+        let instance = running[number as usize % running.len()];
+        sim.arrive(instance, &attempt, prompt_head(&attempt, number));
+        attempts.push(attempt);
+        sim.run_for(INTERVAL);
+    }
+    sim.run_for(ms(2_000));
+    attempts
+}
+
+#[test]
+fn long_prompts_do_not_wait_for_each_other() {
+    let mut sim = simulation(6);
+    let attempts = load(&mut sim, 0..240);
+    let share = sim.on_time(&attempts, OBJECTIVE);
+    assert!(0.97 <= share, "{share} began in time");
+    assert!(sim.n_read_again <= 3 * u64::from(SHARED_TOKENS), "{} read again", sim.n_read_again);
+
+    // Instances that do not hear of each other choose the same engines.
+    let mut apart = simulation(6);
+    apart.isolated = (0..6).collect();
+    let attempts = load(&mut apart, 0..240);
+    let alone = apart.on_time(&attempts, OBJECTIVE);
+    assert!(alone < share, "{alone} began in time without a scheduler, {share} with it");
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+#[test]
+fn new_scheduler_knows_what_is_cached() {
+    for victim in 0..4 {
+        let mut sim = simulation(4);
+        load(&mut sim, 0..80);
+        let before = sim.n_read_again;
+        sim.kill(victim);
+        sim.run_for(ms(1_500));
+        let attempts = load(&mut sim, 80..160);
+        let again = sim.n_read_again - before;
+        assert!(again <= 3 * u64::from(SHARED_TOKENS), "{victim}: {again} tokens read again");
+        let share = sim.on_time(&attempts, OBJECTIVE);
+        assert!(0.95 <= share, "{victim}: {share} began in time");
+    }
+}
+
+#[test]
+fn requests_are_served_without_a_scheduler() {
+    for fault in ["killed", "cut off", "losing datagrams"] {
+        for victim in 0..4 {
+            let mut sim = simulation(4);
+            match fault {
+                "killed" => sim.kill(victim),
+                "cut off" => sim.isolated = vec![victim],
+                _ => sim.drop_one_in = Some(5),
+            }
+            let attempts = load(&mut sim, 0..60);
+            for attempt in &attempts {
+                assert_eq!(sim.outcome(attempt).ending, Ending::Stream, "{fault} {victim}");
+                assert_eq!(sim.runs.get(attempt).map(Vec::len), Some(1), "{fault} {victim}");
+            }
+            assert_eq!(sim.violations, Vec::<String>::new());
+        }
+    }
+}
+
+#[test]
+fn silent_engine_is_avoided() {
+    let mut sim = simulation(4);
+    load(&mut sim, 0..80);
+    sim.set_behaviour("engine-0", Behaviour::Silent);
+    let attempts = load(&mut sim, 80..200);
+    let share = sim.on_time(&attempts, OBJECTIVE);
+    assert!(0.9 <= share, "{share} began in time");
+    let n_lost = attempts.iter().filter(|it| sim.outcome(it).ending != Ending::Stream).count();
+    assert!(n_lost == 0, "{n_lost} were not served");
+}
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -11,8 +11,8 @@
 
 use ferry_model::{EndpointState, GatewayConfig, GatewayEndpoint, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, ItemFailure, Refusal, RequestHead,
-    Status, StoreUpdate, Tuning,
+    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, ItemFailure, PromptPart, Refusal,
+    RequestHead, Status, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
@@ -46,6 +46,8 @@
     Failing,
     /// Takes this many times longer.
     Slow(u32),
+    /// Reads prompts one after the other, this many tokens per millisecond, and caches their parts.
+    Reads(u32),
     /// Produces no items.
     FailItems(ItemFailure),
 }
@@ -56,6 +58,8 @@
     pub behaviour: Behaviour,
     /// When a batch endpoint is free again.
     busy: Moment,
+    /// Ids of the prompt parts that an engine has cached.
+    pub cached: Vec<u64>,
     pub n_calls: usize,
     pub n_items: usize,
     pub last_call: Moment,
@@ -79,6 +83,7 @@
 #[derive(Debug)]
 struct Caller {
     attempt: String,
+    prompt: Vec<PromptPart>,
     arrived: Moment,
     /// When the first event arrived.
     began: Option<Moment>,
@@ -106,6 +111,8 @@
     pub violations: Vec<String>,
     pub n_batches: usize,
     pub n_freed: usize,
+    /// Tokens of prompt parts that engines read although another one had cached them.
+    pub n_read_again: u64,
     /// Number of entries that peers sent each other.
     pub n_entries_sent: usize,
     /// Decisions of all instances, in order.
@@ -158,6 +165,7 @@
             violations: Vec::new(),
             n_batches: 0,
             n_freed: 0,
+            n_read_again: 0,
             n_entries_sent: 0,
             decisions: Vec::new(),
             exited: Vec::new(),
@@ -205,6 +213,7 @@
             entry,
             behaviour: Behaviour::Healthy,
             busy: Moment::ZERO,
+            cached: Vec::new(),
             n_calls: 0,
             n_items: 0,
             last_call: Moment::ZERO,
@@ -229,6 +238,7 @@
             incarnation: self.incarnations[instance],
             zone: format!("zone-{}", instance % 2),
             weight: 0.25,
+            is_first_start: true,
             front: front(instance),
             peer: peer(instance),
         };
@@ -252,7 +262,12 @@
     pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
         self.n_tickets += 1;
         let ticket = self.n_tickets;
-        let caller = Caller { attempt: attempt.to_owned(), arrived: self.now, began: None };
+        let caller = Caller {
+            attempt: attempt.to_owned(),
+            prompt: head.prompt.clone(),
+            arrived: self.now,
+            began: None,
+        };
         self.callers.insert((instance, ticket), caller);
         self.deliver(instance, Event::Arrive(Box::new(Arrival { ticket, head })));
         ticket
@@ -352,6 +367,7 @@
             Effect::Pull { from, version, since } => self.pull(instance, from, version, since),
             Effect::Exit => self.exited.push(instance),
             Effect::Close => self.closed.push((instance, self.now)),
+            Effect::ReadCache { endpoint, .. } => self.read_cache(instance, endpoint),
             Effect::Log(decision) => self.decisions.push(*decision),
             Effect::Count(_) => (),
         }
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -1,7 +1,11 @@
 //! What endpoints do with calls, by their behaviour.
 
+use std::time::Duration;
+
 use ferry_model::ResultHandle;
-use ferry_serve::{BatchCall, BatchFailure, Call, CallEvent, Event, ItemInput, ItemResult};
+use ferry_serve::{
+    BatchCall, BatchFailure, Call, CallEvent, Event, ItemInput, ItemResult, PromptPart,
+};
 
 use super::{
     Behaviour, EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits,
@@ -21,6 +25,8 @@
                 return self.schedule(instance, NETWORK_DELAY, Event::Call { call: id, event });
             }
         }
+        let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
+        let read_at = self.read_prompt(&call.endpoint, &prompt.unwrap_or_default());
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
         endpoint.n_calls += 1;
         endpoint.last_call = self.now;
@@ -50,9 +56,14 @@
                 let answer = CallEvent::Answer { is_error: true, load: None };
                 self.schedule(instance, PLAIN_TIME, event(answer));
             }
-            Behaviour::Healthy | Behaviour::Slow(_) | Behaviour::FailItems(_) if call.is_stream => {
+            Behaviour::Healthy
+            | Behaviour::Slow(_)
+            | Behaviour::Reads(_)
+            | Behaviour::FailItems(_)
+                if call.is_stream =>
+            {
                 self.calls.insert((instance, id), 2);
-                let begin = FIRST_EVENT * factor;
+                let begin = read_at.unwrap_or(FIRST_EVENT * factor);
                 self.schedule(instance, begin, event(CallEvent::Began { load: None }));
                 let first = call.resume.unwrap_or(0) + 1;
                 for number in first..=N_EVENTS {
@@ -63,7 +74,10 @@
                 let end = begin + EVENT_GAP * factor * N_EVENTS as u32;
                 self.schedule(instance, end, event(CallEvent::Ended));
             }
-            Behaviour::Healthy | Behaviour::Slow(_) | Behaviour::FailItems(_) => {
+            Behaviour::Healthy
+            | Behaviour::Slow(_)
+            | Behaviour::Reads(_)
+            | Behaviour::FailItems(_) => {
                 self.calls.insert((instance, id), 0);
                 let answer = CallEvent::Answer { is_error: false, load: None };
                 self.schedule(instance, PLAIN_TIME * factor, event(answer));
@@ -71,6 +85,33 @@
         }
     }
 
+    /// Reads a prompt at an engine that reads prompts, and returns the time until it is read.
+    fn read_prompt(&mut self, id: &str, prompt: &[PromptPart]) -> Option<Duration> {
+        let is_known = |part: &PromptPart| {
+            self.endpoints.values().any(|it| it.entry.id != id && it.cached.contains(&part.id))
+        };
+        let known: Vec<u64> = prompt.iter().filter(|it| is_known(it)).map(|it| it.id).collect();
+        let now = self.now;
+        let endpoint = self.endpoints.get_mut(id)?;
+        let Behaviour::Reads(rate) = endpoint.behaviour else { return None };
+        let n_cached = prompt.iter().take_while(|it| endpoint.cached.contains(&it.id)).count();
+        let read = &prompt[n_cached..];
+        let tokens: u32 = read.iter().map(|it| it.tokens).sum();
+        let again = read.iter().filter(|it| known.contains(&it.id)).map(|it| it.tokens);
+        self.n_read_again += u64::from(again.sum::<u32>());
+        endpoint.cached.extend(read.iter().map(|it| it.id));
+        endpoint.busy =
+            endpoint.busy.max(now) + Duration::from_micros(u64::from(tokens * 1_000 / rate));
+        Some(endpoint.busy - now)
+    }
+
+    pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
+        let Some(view) = self.endpoints.get(&endpoint) else { return };
+        let part = |id: &u64| PromptPart { id: *id, tokens: 1 };
+        let parts = view.cached.iter().map(part).collect();
+        self.schedule(instance, NETWORK_DELAY, Event::Cached { endpoint, parts });
+    }
+
     pub(super) fn batch(&mut self, instance: usize, call: &BatchCall) {
         self.n_batches += 1;
         let now = self.now;
@@ -106,7 +147,7 @@
                 let failed = call.items.iter().map(|_| ItemResult::Failed(reason)).collect();
                 self.schedule(instance, work, batch(Ok(failed)));
             }
-            Behaviour::Healthy | Behaviour::Slow(_) => {
+            Behaviour::Healthy | Behaviour::Slow(_) | Behaviour::Reads(_) => {
                 let factor =
                     if let Behaviour::Slow(factor) = endpoint.behaviour { factor } else { 1 };
                 endpoint.busy = endpoint.busy.max(now) + work * factor;
