Let requests wait for shared parts that their engine reads already

Change: the scheduler answers such a request once the first token of the reading call is reported, or chooses anew if that call fails; an overdue reader holds nobody, and calls whose reports are lost are forgotten.

--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -13,8 +13,9 @@
 use crate::pass::{Context, Identity, Pass, Snapshot};
 use crate::request::{Requests, evaluate, schedule};
 use crate::{
-    Backlog, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group, Heartbeat,
-    JobSubmission, Observation, Observations, PeerMessage, Peers, Scheduler, StoreUpdate, Tuning,
+    Asker, Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event,
+    Group, Heartbeat, JobSubmission, Observation, Observations, PeerMessage, Peers, Scheduled,
+    Scheduler, StoreUpdate, Tuning,
 };
 
 /// Time for which a peer may have a newer configuration before it is read from there; the store is
@@ -76,8 +77,14 @@
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
-        let cx =
-            &mut Pass { now, ctx: &mut self.ctx, effects: &mut effects, outcomes: &mut outcomes };
+        let mut released = Vec::new();
+        let cx = &mut Pass {
+            now,
+            ctx: &mut self.ctx,
+            effects: &mut effects,
+            outcomes: &mut outcomes,
+            released: &mut released,
+        };
         match event {
             Event::Tick { late } => {
                 cx.ctx.overload.observe(now, late);
@@ -117,7 +124,7 @@
                 }
             }
         }
-        self.settle(now, &mut effects, outcomes);
+        self.settle(now, &mut effects, outcomes, released);
         self.finish(now, &mut effects);
         effects
     }
@@ -207,16 +214,32 @@
         }
     }
 
-    /// Passes the outcomes of jobs to their requests until none is left.
-    fn settle(&mut self, now: Moment, effects: &mut Vec<Effect>, first: Vec<(JobKey, JobOutcome)>) {
-        let mut outcomes = first;
-        while !outcomes.is_empty() {
-            let mut next = Vec::new();
-            let cx = &mut Pass { now, ctx: &mut self.ctx, effects, outcomes: &mut next };
+    /// Passes the outcomes of jobs, and answers of the scheduler here, to their requests until none
+    /// is left.
+    fn settle(
+        &mut self,
+        now: Moment,
+        effects: &mut Vec<Effect>,
+        outcomes: Vec<(JobKey, JobOutcome)>,
+        released: Vec<(CallerAttempt, Scheduled)>,
+    ) {
+        let (mut outcomes, mut released) = (outcomes, released);
+        while !outcomes.is_empty() || !released.is_empty() {
+            let (mut next, mut next_released) = (Vec::new(), Vec::new());
+            let cx = &mut Pass {
+                now,
+                ctx: &mut self.ctx,
+                effects,
+                outcomes: &mut next,
+                released: &mut next_released,
+            };
             for (key, outcome) in outcomes {
                 self.requests.on_job_outcome(cx, &mut self.batcher, &key, outcome);
             }
-            outcomes = next;
+            for (attempt, scheduled) in released {
+                self.requests.on_scheduled(cx, &mut self.batcher, &attempt, scheduled);
+            }
+            (outcomes, released) = (next, next_released);
         }
     }
 
@@ -371,15 +394,16 @@
             requests.on_admission_answer(cx, batcher, &attempt, answer);
         }
         PeerMessage::Schedule(wanted) => {
-            let decision = schedule(cx, &wanted);
-            let message = PeerMessage::Scheduled { attempt: wanted.attempt, decision };
+            let attempt = wanted.attempt.clone();
+            let scheduled = schedule::schedule(cx, Asker::Peer(from), *wanted);
+            let message = PeerMessage::Scheduled { attempt, scheduled };
             cx.effects.push(Effect::Send { to: from, message });
         }
-        PeerMessage::Scheduled { attempt, decision } => {
-            requests.on_scheduled(cx, batcher, &attempt, decision);
+        PeerMessage::Scheduled { attempt, scheduled } => {
+            requests.on_scheduled(cx, batcher, &attempt, scheduled);
         }
         PeerMessage::ScheduleProgress { attempt, progress } => {
-            cx.ctx.scheduler.on_progress(cx.now, &attempt, progress);
+            schedule::on_progress(cx, &attempt, progress);
         }
         PeerMessage::Accepted(key) => requests.on_accepted(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -41,7 +41,9 @@
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, PeerMessage, PeerView, Peers};
 pub use retry_budget::RetryBudget;
-pub use schedule::{ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduler};
+pub use schedule::{
+    Asker, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Scheduler,
+};
 pub use tuning::Tuning;
 
 /// One call of this process to an endpoint, unique until the process restarts.
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -16,8 +16,8 @@
 use crate::batch::{JobKey, JobOutcome};
 use crate::overload::OverloadDetector;
 use crate::{
-    CallId, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Metric, Observations,
-    Peers, RequestHead, RetryBudget, Scheduler, Tuning,
+    CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Metric,
+    Observations, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -107,6 +107,8 @@
     pub ctx: &'a mut Context,
     pub effects: &'a mut Vec<Effect>,
     pub outcomes: &'a mut Vec<(JobKey, JobOutcome)>,
+    /// Answers of the scheduler on this instance to this instance's own requests.
+    pub released: &'a mut Vec<(CallerAttempt, Scheduled)>,
 }
 
 impl Pass<'_> {
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -12,8 +12,8 @@
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    CallerAttempt, Group, Identity, ItemInput, JobKey, JobOutcome, Observation, ScheduleDecision,
-    ScheduleProgress, ScheduleRequest, Tuning, rendezvous_hash,
+    CallerAttempt, Group, Identity, ItemInput, JobKey, JobOutcome, Observation, ScheduleProgress,
+    ScheduleRequest, Scheduled, Tuning, rendezvous_hash,
 };
 
 /// Peers to which an instance sends each heartbeat; if there are more, it rotates among them.
@@ -120,10 +120,10 @@
     },
     /// Asks which engine a request goes to.
     Schedule(Box<ScheduleRequest>),
-    /// Answers that; none if no engine is left for it.
+    /// Answers that.
     Scheduled {
         attempt: CallerAttempt,
-        decision: Option<ScheduleDecision>,
+        scheduled: Scheduled,
     },
     /// Reports what became of a call to the instance that scheduled it.
     ScheduleProgress {
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -6,7 +6,7 @@
 mod call;
 mod end;
 mod retry;
-mod schedule;
+pub mod schedule;
 mod stages;
 mod times;
 
@@ -17,11 +17,10 @@
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::pass::Pass;
-use crate::{Arrival, CallEvent, CallId, CallerAttempt, ScheduleDecision, Tuning};
+use crate::{Arrival, CallEvent, CallId, CallerAttempt, Scheduled, Tuning};
 
 use active::{ActiveRequest, Phase};
 pub use admit::evaluate;
-pub use schedule::schedule;
 
 /// Requests in progress.
 #[derive(Debug, Default)]
@@ -103,12 +102,12 @@
         cx: &mut Pass<'_>,
         batcher: &mut Batcher,
         attempt: &CallerAttempt,
-        decision: Option<ScheduleDecision>,
+        scheduled: Scheduled,
     ) {
         let Some(ticket) = self.attempts.get(attempt).copied() else { return };
         let Some(mut request) = self.active.remove(&ticket) else { return };
         let is_open = matches!(request.phase, Phase::AwaitingEndpoint { .. });
-        if is_open && schedule::on_decision(cx, batcher, &mut request, decision) {
+        if is_open && schedule::on_scheduled(cx, batcher, &mut request, scheduled) {
             return self.forget(&request);
         }
         self.proceed(cx, batcher, request);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -8,9 +8,8 @@
     EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId, ZoneId,
 };
 
-use super::schedule::ScheduledBy;
 use crate::batch::JobKey;
-use crate::{CallId, Group, RequestHead, Tuning};
+use crate::{Asker, CallId, Group, RequestHead, Tuning};
 
 #[derive(Debug, Clone)]
 pub struct ActiveRequest {
@@ -38,7 +37,7 @@
     /// Zone of the engine that it is likely to go to, as the scheduler knows.
     pub engine_zone: Option<ZoneId>,
     /// Where the call to an engine is counted, if it is.
-    pub scheduled_by: Option<ScheduledBy>,
+    pub scheduled_by: Option<Asker>,
     /// Endpoints to which the request was sent.
     pub tried: Vec<EndpointId>,
     /// Number of endpoints that may have run it.
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -1,7 +1,6 @@
 //! Asks the scheduler of a pool of engines for the engine of a request, and tells it what became of
 //! the call.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::{PoolKind, ZoneId};
@@ -9,21 +8,17 @@
 use super::active::{ActiveRequest, Phase};
 use super::call;
 use crate::batch::Batcher;
-use crate::pass::Pass;
+use crate::pass::{Context, Pass};
 use crate::{
-    Choice, Effect, Metric, PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest,
+    Asker, CallerAttempt, Choice, Effect, Metric, PeerMessage, ScheduleDecision, ScheduleProgress,
+    ScheduleRequest, Scheduled,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
 /// instances with little CPU time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
-
-/// Where the call of a request is counted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ScheduledBy {
-    This,
-    Peer(SocketAddr),
-}
+/// Multiple of the expected time after which a request no longer waits for what its engine reads.
+const PATIENCE_FACTOR: u32 = 2;
 
 /// Sends a request whose stages are done, or asks where to; returns whether it has ended instead.
 pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
@@ -33,13 +28,13 @@
     };
     match cx.ctx.scheduler_peer(cx.now) {
         None => {
-            request.scheduled_by = Some(ScheduledBy::This);
-            let decision = schedule(cx, &wanted);
-            send(cx, batcher, request, decision)
+            request.scheduled_by = Some(Asker::This);
+            let scheduled = schedule(cx, Asker::This, wanted);
+            on_scheduled(cx, batcher, request, scheduled)
         }
         Some(to) => {
             cx.ctx.scheduler.note_predecessor();
-            request.scheduled_by = Some(ScheduledBy::Peer(to));
+            request.scheduled_by = Some(Asker::Peer(to));
             request.phase = Phase::AwaitingEndpoint { until: cx.now + ANSWER_TIMEOUT };
             cx.effects.push(Effect::Send { to, message: PeerMessage::Schedule(Box::new(wanted)) });
             false
@@ -71,7 +66,7 @@
 }
 
 /// Decides on a request as the scheduler of its pool.
-pub fn schedule(cx: &mut Pass<'_>, wanted: &ScheduleRequest) -> Option<ScheduleDecision> {
+pub fn schedule(cx: &mut Pass<'_>, asker: Asker, wanted: ScheduleRequest) -> Scheduled {
     if cx.ctx.scheduler.must_read_caches(&wanted.pool) {
         let Pass { ctx, effects, .. } = &mut *cx;
         let engines = ctx.endpoints.pool(&wanted.pool).filter(|it| it.accepts_work());
@@ -81,16 +76,42 @@
         }));
     }
     let (now, ctx) = (cx.now, &mut *cx.ctx);
-    ctx.scheduler.schedule(now, &ctx.endpoints, &ctx.tuning, wanted)
+    ctx.scheduler.schedule(now, &ctx.endpoints, &ctx.tuning, asker, wanted)
+}
+
+/// Records what became of a call that this instance scheduled, and answers those that waited for it.
+pub fn on_progress(cx: &mut Pass<'_>, attempt: &CallerAttempt, progress: ScheduleProgress) {
+    let (now, ctx) = (cx.now, &mut *cx.ctx);
+    let Context { scheduler, endpoints, tuning, .. } = ctx;
+    for (asker, attempt, scheduled) in
+        scheduler.on_progress(now, endpoints, tuning, attempt, progress)
+    {
+        match asker {
+            Asker::This => cx.released.push((attempt, scheduled)),
+            Asker::Peer(to) => {
+                let message = PeerMessage::Scheduled { attempt, scheduled };
+                cx.effects.push(Effect::Send { to, message });
+            }
+        }
+    }
 }
 
-/// Applies the scheduler's decision; returns whether the request has ended.
-pub fn on_decision(
+/// Applies the scheduler's answer; returns whether the request has ended.
+pub fn on_scheduled(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
-    decision: Option<ScheduleDecision>,
+    scheduled: Scheduled,
 ) -> bool {
+    let decision = match scheduled {
+        Scheduled::Now(decision) => Some(decision),
+        Scheduled::Later(time) => {
+            let until = cx.now + time * PATIENCE_FACTOR + ANSWER_TIMEOUT;
+            request.phase = Phase::AwaitingEndpoint { until };
+            return false;
+        }
+        Scheduled::Nowhere => None,
+    };
     request.phase = Phase::RunningStages;
     send(cx, batcher, request, decision)
 }
@@ -99,7 +120,7 @@
 /// request has ended.
 pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
     cx.count(Metric::AsksUnanswered);
-    on_decision(cx, batcher, request, None)
+    on_scheduled(cx, batcher, request, Scheduled::Nowhere)
 }
 
 /// Tells the scheduler of a request what became of its call.
@@ -110,8 +131,8 @@
     }
     let attempt = request.head.attempt.clone();
     match by {
-        ScheduledBy::This => cx.ctx.scheduler.on_progress(cx.now, &attempt, progress),
-        ScheduledBy::Peer(to) => {
+        Asker::This => on_progress(cx, &attempt, progress),
+        Asker::Peer(to) => {
             let message = PeerMessage::ScheduleProgress { attempt, progress };
             cx.effects.push(Effect::Send { to, message });
         }
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap, ZoneId};
@@ -62,6 +63,38 @@
     pub uncached: u32,
 }
 
+/// The answer to a request for an engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Scheduled {
+    /// Goes to this engine now.
+    Now(ScheduleDecision),
+    /// Goes to an engine that is reading parts of its prompt for another request, once they are
+    /// read, in about this time: a call that began before would read them a second time.
+    Later(Duration),
+    /// No engine is left for it.
+    Nowhere,
+}
+
+/// Where a request for an engine came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asker {
+    This,
+    Peer(SocketAddr),
+}
+
+/// An answer that a request waits for.
+pub type Release = (Asker, CallerAttempt, Scheduled);
+
+/// A request that waits until its engine has read parts of its prompt.
+#[derive(Debug, Clone)]
+struct Held {
+    asker: Asker,
+    request: ScheduleRequest,
+    decision: ScheduleDecision,
+    /// The attempt for which the engine reads these parts.
+    reader: CallerAttempt,
+}
+
 /// What became of a call that was scheduled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ScheduleProgress {
@@ -85,6 +118,7 @@
 pub struct Scheduler {
     engines: SortedMap<EndpointId, Engine>,
     calls: SortedMap<CallerAttempt, (Moment, EndpointId)>,
+    held: Vec<Held>,
     next_expiry: Moment,
     /// Whether another scheduler has chosen engines before.
     has_predecessor: bool,
@@ -128,31 +162,43 @@
         engine.record_parts(now, parts);
     }
 
-    /// Returns the engine at which the request costs least, and counts the request there; none if
-    /// no endpoint is left for it.
+    /// Chooses the engine at which the request costs least, and counts the request there.
     pub fn schedule(
         &mut self,
         now: Moment,
         endpoints: &Endpoints,
         tuning: &Tuning,
-        request: &ScheduleRequest,
-    ) -> Option<ScheduleDecision> {
+        asker: Asker,
+        request: ScheduleRequest,
+    ) -> Scheduled {
         self.expire(now, endpoints);
         let prefixes = prefixes(&request.prompt);
-        let (best, view, considered) = self.best(now, endpoints, tuning, request, &prefixes)?;
+        let Some((best, view, considered)) = self.best(now, endpoints, tuning, &request, &prefixes)
+        else {
+            return Scheduled::Nowhere;
+        };
         let id = view.endpoint.id.clone();
         let engine = self.engines.get_or_insert_with(id.clone(), Engine::default);
-        engine.add(now, &request.attempt, best.read, best.wait + best.read);
-        engine.record_parts(now, &request.prompt);
+        let shared = &request.prompt[..request.prompt.len().saturating_sub(1)];
+        let reader = engine.reader(now, shared);
+        engine.add(now, &request.attempt, best.read, best.wait + best.read, &request.prompt);
         self.calls.insert(request.attempt.clone(), (now, id.clone()));
         let expected = best.wait + best.read + millis(tuning.first_token);
-        Some(ScheduleDecision {
+        let decision = ScheduleDecision {
             endpoint: id,
             expected: Duration::from_secs_f64(expected / 1e3),
             cost: Duration::from_secs_f64(best.cost / 1e3),
             considered,
             uncached: best.uncached,
-        })
+        };
+        match reader {
+            Some(reader) => {
+                let time = decision.expected;
+                self.held.push(Held { asker, request, decision, reader });
+                Scheduled::Later(time)
+            }
+            None => Scheduled::Now(decision),
+        }
     }
 
     /// Returns the availability zone of the engine at which the request would cost least now.
@@ -211,16 +257,59 @@
         Some((best, view, candidates.len() as u32))
     }
 
-    pub fn on_progress(&mut self, now: Moment, attempt: &CallerAttempt, it: ScheduleProgress) {
-        let Some((_, id)) = self.calls.get(attempt) else { return };
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        match it {
-            ScheduleProgress::Began => engine.begin(now, attempt),
-            ScheduleProgress::Ended => {
-                engine.end(now, attempt);
-                self.calls.remove(attempt);
+    /// Records what became of a call, and returns the answers of those that waited for it.
+    pub fn on_progress(
+        &mut self,
+        now: Moment,
+        endpoints: &Endpoints,
+        tuning: &Tuning,
+        attempt: &CallerAttempt,
+        progress: ScheduleProgress,
+    ) -> Vec<Release> {
+        self.held.retain(|it| it.request.attempt != *attempt);
+        let Some((_, id)) = self.calls.get(attempt).cloned() else { return Vec::new() };
+        let has_read = match self.engines.get_mut(&id) {
+            None => false,
+            Some(engine) => match progress {
+                ScheduleProgress::Began => {
+                    engine.begin(now, attempt);
+                    true
+                }
+                ScheduleProgress::Ended => engine.end(now, attempt),
+            },
+        };
+        if progress == ScheduleProgress::Ended {
+            self.calls.remove(attempt);
+        }
+        let waiting = |it: &mut Held| it.reader == *attempt;
+        let followers: Vec<Held> = self.held.extract_if(.., waiting).collect();
+        followers.into_iter().map(|it| self.release(now, endpoints, tuning, has_read, it)).collect()
+    }
+
+    /// Answers a request that waited for another one: it goes to the engine if that has read the
+    /// parts, and is scheduled anew otherwise.
+    fn release(
+        &mut self,
+        now: Moment,
+        endpoints: &Endpoints,
+        tuning: &Tuning,
+        has_read: bool,
+        held: Held,
+    ) -> Release {
+        let Held { asker, request, decision, .. } = held;
+        let attempt = request.attempt.clone();
+        let engine = self.engines.get_mut(&decision.endpoint);
+        if has_read {
+            if let Some(engine) = engine {
+                engine.restart(now, &attempt);
             }
+            return (asker, attempt, Scheduled::Now(decision));
+        }
+        if let Some(engine) = engine {
+            engine.end(now, &attempt);
         }
+        let scheduled = self.schedule(now, endpoints, tuning, asker, request);
+        (asker, attempt, scheduled)
     }
 
     /// Forgets engines that are gone, and calls whose end was not reported.
@@ -233,8 +322,12 @@
         let is_old = |it: &&(Moment, EndpointId)| it.0 + MAX_CALL_TIME < now;
         let old = self.calls.iter().filter(|(_, it)| is_old(it)).map(|it| it.0.clone());
         for attempt in old.collect::<Vec<_>>() {
-            self.on_progress(now, &attempt, ScheduleProgress::Ended);
-            self.calls.remove(&attempt);
+            let (_, id) = self.calls.remove(&attempt).unwrap_or_default();
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.end(now, &attempt);
+            }
+            // Those that waited for it have chosen by themselves long ago.
+            self.held.retain(|it| it.reader != attempt && it.request.attempt != attempt);
         }
     }
 
--- a/crates/ferry-serve/src/schedule/engine.rs
+++ b/crates/ferry-serve/src/schedule/engine.rs
@@ -12,6 +12,10 @@
 const MIN_SAMPLE: f64 = 50.0;
 /// Fraction of the prompts that are not known to be read that still counts once they should be.
 const UNREAD_FRACTION: f64 = 0.5;
+/// Multiple of the expected time after which a call is overdue.
+const OVERDUE_FACTOR: f64 = 2.0;
+/// Milliseconds after which an overdue call is forgotten.
+const MAX_OVERDUE: f64 = 3_000.0;
 /// Prompt parts that are tracked for each engine.
 const MAX_PARTS: usize = 4096;
 
@@ -24,6 +28,8 @@
     /// Expected milliseconds to its first token.
     expected: f64,
     since: Moment,
+    /// Ids of the parts that the engine reads for it.
+    parts: Vec<u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -39,6 +45,15 @@
     parts: SortedMap<u64, Moment>,
 }
 
+impl Pending {
+    /// Returns the milliseconds by which its first token is later than an engine that serves others
+    /// explains.
+    fn overdue(&self, now: Moment) -> f64 {
+        let waited = now.saturating_sub(self.since).as_secs_f64() * 1e3;
+        (waited - OVERDUE_FACTOR * self.expected - MIN_SAMPLE).max(0.0)
+    }
+}
+
 impl Default for Engine {
     fn default() -> Self {
         Engine {
@@ -54,10 +69,39 @@
 
 impl Engine {
     /// Counts a call that is sent now.
-    pub(super) fn add(&mut self, now: Moment, attempt: &CallerAttempt, read: f64, expected: f64) {
+    pub(super) fn add(
+        &mut self,
+        now: Moment,
+        attempt: &CallerAttempt,
+        read: f64,
+        expected: f64,
+        prompt: &[PromptPart],
+    ) {
+        // The report of such a call is lost, or another instance has ended it.
+        self.pending.retain(|it| it.overdue(now) < MAX_OVERDUE);
         self.work = self.backlog(now) + read;
         self.at = now;
-        self.pending.push(Pending { attempt: attempt.clone(), read, expected, since: now });
+        let parts = prompt.iter().map(|it| it.id).filter(|it| self.parts.get(it).is_none());
+        let parts = parts.collect();
+        let attempt = attempt.clone();
+        self.pending.push(Pending { attempt, read, expected, since: now, parts });
+        self.record_parts(now, prompt);
+    }
+
+    /// Counts the time of a call that waited from now on.
+    pub(super) fn restart(&mut self, now: Moment, attempt: &CallerAttempt) {
+        if let Some(call) = self.pending.iter_mut().find(|it| it.attempt == *attempt) {
+            call.since = now;
+            call.expected = call.read;
+        }
+    }
+
+    /// Returns the attempt for which the engine is reading one of these parts.
+    pub(super) fn reader(&self, now: Moment, parts: &[PromptPart]) -> Option<CallerAttempt> {
+        let reads = |it: &&Pending| {
+            it.overdue(now) <= 0.0 && parts.iter().any(|part| it.parts.contains(&part.id))
+        };
+        self.pending.iter().find(reads).map(|it| it.attempt.clone())
     }
 
     /// Records the first token of a call.
@@ -74,24 +118,24 @@
         self.n_begun += 1;
     }
 
-    /// Records the end of a call.
-    pub(super) fn end(&mut self, now: Moment, attempt: &CallerAttempt) {
-        match self.take(attempt) {
-            Some(_) => {
-                self.work = self.backlog(now).min(self.unread());
-                self.at = now;
-            }
-            None => self.n_begun = self.n_begun.saturating_sub(1),
+    /// Records the end of a call; returns whether it had begun, so that its prompt was read.
+    pub(super) fn end(&mut self, now: Moment, attempt: &CallerAttempt) -> bool {
+        let Some(call) = self.take(attempt) else {
+            self.n_begun = self.n_begun.saturating_sub(1);
+            return true;
+        };
+        for part in call.parts {
+            self.parts.remove(&part);
         }
+        self.work = self.backlog(now).min(self.unread());
+        self.at = now;
+        false
     }
 
     /// Returns the milliseconds until the prompts of earlier calls are read.
     pub(super) fn backlog(&self, now: Moment) -> f64 {
         let elapsed = now.saturating_sub(self.at).as_secs_f64() * 1e3;
-        let overdue = self.pending.iter().map(|it| {
-            now.saturating_sub(it.since).as_secs_f64() * 1e3 - 2.0 * it.expected - MIN_SAMPLE
-        });
-        let overdue = overdue.fold(0.0, f64::max);
+        let overdue = self.pending.iter().map(|it| it.overdue(now)).fold(0.0, f64::max);
         (self.work - elapsed).max(self.unread() * UNREAD_FRACTION) + overdue
     }
 
--- a/crates/ferry-serve/tests/decisions/schedule.rs
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -73,6 +73,33 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+#[test]
+fn shared_part_is_read_once_by_requests_that_arrive_together() {
+    for has_failed in [false, true] {
+        let mut sim = simulation(6);
+        let attempts: Vec<String> = (0..6).map(|it| format!("together-{it}")).collect();
+        for (instance, attempt) in attempts.iter().enumerate() {
+            sim.arrive(instance, attempt, prompt_head(attempt, N_SHARED * instance as u64));
+            sim.run_for(ms(20));
+        }
+        if has_failed {
+            // The engine that reads for the others stops; they go to another one.
+            let reads = |it: &&String| !sim.endpoints.get(it.as_str()).unwrap().cached.is_empty();
+            let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
+            let reader = ids.iter().find(reads).expect("an engine reads").clone();
+            sim.reset_calls(&reader);
+        }
+        sim.run_for(ms(4_000));
+        for attempt in &attempts {
+            assert_eq!(sim.outcome(attempt).ending, Ending::Stream, "{attempt} {has_failed}");
+        }
+        if !has_failed {
+            assert_eq!(sim.n_read_again, 0);
+            assert!(0.99 <= sim.on_time(&attempts, OBJECTIVE));
+        }
+    }
+}
+
 #[test]
 fn new_scheduler_knows_what_is_cached() {
     for victim in 0..4 {
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -58,8 +58,8 @@
     pub behaviour: Behaviour,
     /// When a batch endpoint is free again.
     busy: Moment,
-    /// Ids of the prompt parts that an engine has cached.
-    pub cached: Vec<u64>,
+    /// Ids of the prompt parts that an engine reads, and since when it has cached each.
+    pub cached: Vec<(u64, Moment)>,
     pub n_calls: usize,
     pub n_items: usize,
     pub last_call: Moment,
@@ -111,7 +111,8 @@
     pub violations: Vec<String>,
     pub n_batches: usize,
     pub n_freed: usize,
-    /// Tokens of prompt parts that engines read although another one had cached them.
+    /// Tokens of prompt parts that engines read although one of them had read them, or was reading
+    /// them.
     pub n_read_again: u64,
     /// Number of entries that peers sent each other.
     pub n_entries_sent: usize,
@@ -132,6 +133,8 @@
     cancelled: Vec<(usize, CallId)>,
     /// Kind of answer of each call: 0 for an answer, 1 for an error, 2 for a stream.
     calls: SortedMap<(usize, CallId), u64>,
+    /// Streams that each endpoint was asked for.
+    streams: SortedMap<String, Vec<(usize, CallId)>>,
     incarnations: Vec<u64>,
     /// When each instance's timer fires.
     timers: Vec<Option<Moment>>,
@@ -178,6 +181,7 @@
             callers: SortedMap::new(),
             cancelled: Vec::new(),
             calls: SortedMap::new(),
+            streams: SortedMap::new(),
             incarnations: vec![0; n_instances],
             timers: vec![None; n_instances],
             queue: BTreeMap::new(),
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use ferry_model::ResultHandle;
+use ferry_model::{Moment, ResultHandle};
 use ferry_serve::{
-    BatchCall, BatchFailure, Call, CallEvent, Event, ItemInput, ItemResult, PromptPart,
+    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, ItemInput, ItemResult, PromptPart,
 };
 
 use super::{
@@ -63,6 +63,8 @@
                 if call.is_stream =>
             {
                 self.calls.insert((instance, id), 2);
+                let streams = self.streams.get_or_insert_with(call.endpoint.clone(), Vec::new);
+                streams.push((instance, id));
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
                 self.schedule(instance, begin, event(CallEvent::Began { load: None }));
                 let first = call.resume.unwrap_or(0) + 1;
@@ -88,26 +90,41 @@
     /// Reads a prompt at an engine that reads prompts, and returns the time until it is read.
     fn read_prompt(&mut self, id: &str, prompt: &[PromptPart]) -> Option<Duration> {
         let is_known = |part: &PromptPart| {
-            self.endpoints.values().any(|it| it.entry.id != id && it.cached.contains(&part.id))
+            let mut cached = self.endpoints.values().flat_map(|it| &it.cached);
+            cached.any(|it| it.0 == part.id)
         };
         let known: Vec<u64> = prompt.iter().filter(|it| is_known(it)).map(|it| it.id).collect();
         let now = self.now;
         let endpoint = self.endpoints.get_mut(id)?;
         let Behaviour::Reads(rate) = endpoint.behaviour else { return None };
-        let n_cached = prompt.iter().take_while(|it| endpoint.cached.contains(&it.id)).count();
+        let has = |part: &&PromptPart| {
+            endpoint.cached.iter().any(|(id, since)| *id == part.id && *since <= now)
+        };
+        let n_cached = prompt.iter().take_while(has).count();
         let read = &prompt[n_cached..];
         let tokens: u32 = read.iter().map(|it| it.tokens).sum();
         let again = read.iter().filter(|it| known.contains(&it.id)).map(|it| it.tokens);
         self.n_read_again += u64::from(again.sum::<u32>());
-        endpoint.cached.extend(read.iter().map(|it| it.id));
         endpoint.busy =
             endpoint.busy.max(now) + Duration::from_micros(u64::from(tokens * 1_000 / rate));
+        let busy = endpoint.busy;
+        endpoint.cached.extend(read.iter().map(|it| (it.id, busy)));
         Some(endpoint.busy - now)
     }
 
+    /// Breaks all calls in progress at an endpoint, which resets those that follow.
+    pub fn reset_calls(&mut self, id: &str) {
+        self.set_behaviour(id, Behaviour::Reset);
+        let calls: Vec<(usize, CallId)> = self.streams.get(id).cloned().unwrap_or_default();
+        for (instance, call) in calls {
+            let event = CallEvent::Broken { error: "reset".to_owned() };
+            self.deliver(instance, Event::Call { call, event });
+        }
+    }
+
     pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
         let Some(view) = self.endpoints.get(&endpoint) else { return };
-        let part = |id: &u64| PromptPart { id: *id, tokens: 1 };
+        let part = |it: &(u64, Moment)| PromptPart { id: it.0, tokens: 1 };
         let parts = view.cached.iter().map(part).collect();
         self.schedule(instance, NETWORK_DELAY, Event::Cached { endpoint, parts });
     }
