--- /dev/null
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -0,0 +1,141 @@
+//! What a request would cost at each engine.
+
+use std::time::Duration;
+
+use ferry_model::Moment;
+
+use super::engine::Engine;
+use super::{ScheduleRequest, Scheduler};
+use crate::choose::{by_affinity, millis};
+use crate::{EndpointView, Endpoints, Tuning};
+
+/// Cost of a call that fails, as time.
+const FAIL_COST: Duration = Duration::from_millis(400);
+/// Cost of sending a request to another availability zone than the instance's own.
+const ZONE_HOP_COST: Duration = Duration::from_millis(3);
+/// Cost of one more request that writes tokens, as time: each makes the steps of an engine longer.
+const RUNNING_COST: Duration = Duration::from_millis(3);
+/// Cost of each rank of an engine among those that a prompt prefers, as time, if none of them is
+/// known to have cached it. A scheduler that has just taken over then finds what others chose.
+const RANK_COST: Duration = Duration::from_millis(100);
+const MAX_RANK: usize = 4;
+/// Fraction of the shared prompt that the first of them is assumed to have cached if another
+/// scheduler has worked before.
+const LIKELY_CACHED_FRACTION: f64 = 0.7;
+
+/// Shared tokens of a prompt that are cached.
+#[derive(Debug, Clone, Copy)]
+struct Cached {
+    /// By the engine.
+    here: u32,
+    /// By the engine that has cached most of them.
+    most: u32,
+}
+
+/// What a request would cost at one engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Estimate {
+    /// Milliseconds until the prompts of earlier calls are read.
+    pub(super) wait: f64,
+    /// Milliseconds to read the prompt.
+    pub(super) read: f64,
+    /// Cost in milliseconds.
+    pub(super) cost: f64,
+    /// Shared tokens that the engine has to read.
+    pub(super) uncached: u32,
+}
+
+impl Scheduler {
+    /// Returns the engine at which a request costs least, and the number of engines compared.
+    pub(super) fn best<'a>(
+        &self,
+        now: Moment,
+        endpoints: &'a Endpoints,
+        tuning: &Tuning,
+        request: &ScheduleRequest,
+        prefixes: &[(u64, u32)],
+    ) -> Option<(Estimate, &'a EndpointView, u32)> {
+        let fits =
+            |it: &&EndpointView| it.accepts_work() && !request.tried.contains(&it.endpoint.id);
+        let candidates: Vec<&EndpointView> = endpoints.pool(&request.pool).filter(fits).collect();
+        let has_usable = candidates.iter().any(|it| it.is_usable(now));
+        let shared = &prefixes[..prefixes.len().saturating_sub(1)];
+        let most_cached = candidates
+            .iter()
+            .map(|it| self.cached(now, it, request, shared))
+            .max()
+            .unwrap_or_default();
+        let usable = candidates.iter().copied().filter(|it| !has_usable || it.is_usable(now));
+        let ranked = by_affinity(usable.collect(), prefixes);
+        let total: u32 = shared.iter().map(|it| it.1).sum();
+        let is_unknown = most_cached < total;
+        // Without knowledge of what an earlier scheduler chose, its first choice is the best guess.
+        let guessed = match is_unknown && self.has_predecessor {
+            true => (f64::from(total) * LIKELY_CACHED_FRACTION) as u32,
+            false => 0,
+        };
+        let estimates = ranked.into_iter().enumerate().map(|(rank, view)| {
+            let cached =
+                self.cached(now, view, request, shared).max(if rank == 0 { guessed } else { 0 });
+            let most_cached = most_cached.max(guessed);
+            let known = Cached { here: cached, most: most_cached };
+            let mut estimate = self.estimate(now, view, tuning, request, prefixes, known);
+            if is_unknown {
+                estimate.cost += millis(RANK_COST) * rank.min(MAX_RANK) as f64;
+            }
+            (estimate, view)
+        });
+        let (best, view) = estimates.min_by(|a, b| a.0.cost.total_cmp(&b.0.cost))?;
+        Some((best, view, candidates.len() as u32))
+    }
+
+    /// Returns how many tokens of the shared parts an engine has cached.
+    fn cached(
+        &self,
+        now: Moment,
+        view: &EndpointView,
+        request: &ScheduleRequest,
+        shared: &[(u64, u32)],
+    ) -> u32 {
+        let engine = self.engines.get(&view.endpoint.id);
+        let parts = &request.prompt[..shared.len()];
+        let scheduled = engine.map_or(0, |it| it.cached_tokens(parts));
+        scheduled.max(view.cached_tokens(now, shared))
+    }
+
+    fn estimate(
+        &self,
+        now: Moment,
+        view: &EndpointView,
+        tuning: &Tuning,
+        request: &ScheduleRequest,
+        prefixes: &[(u64, u32)],
+        cached: Cached,
+    ) -> Estimate {
+        let total: u32 = prefixes.iter().map(|it| it.1).sum();
+        let engine = self.engines.get(&view.endpoint.id);
+        let speed = engine.map_or(1.0, Engine::slowdown);
+        let own = prefixes.last().map_or(0, |it| it.1);
+        let uncached = total - own - cached.here;
+        let read = f64::from(own + uncached) / tuning.tokens_per_ms * speed;
+        let wait = engine.map_or(0.0, |it| it.backlog(now));
+        let n_running = engine.map_or(0, Engine::n_running).max(view.occupancy(now));
+        let slots = f64::from(view.endpoint.slots.max(1));
+        let overflow = (f64::from(n_running) + 1.0 - slots).max(0.0) * 1e3 / slots;
+        // Reading what another engine has cached costs more than its time.
+        let again =
+            f64::from(cached.most.saturating_sub(cached.here)) / 1e3 * millis(tuning.reread_cost);
+        let elsewhere: f64 =
+            request.results.iter().filter(|it| it.0 != view.endpoint.zone).map(|it| it.1).sum();
+        let hop = if view.endpoint.zone == request.zone { 0.0 } else { millis(ZONE_HOP_COST) };
+        let cost = wait
+            + read
+            + overflow
+            + f64::from(n_running) * millis(RUNNING_COST)
+            + again
+            + elsewhere * millis(tuning.transfer_cost)
+            + hop
+            + view.failure_rate * millis(FAIL_COST);
+        Estimate { wait, read, cost, uncached }
+    }
+}
