Let operators switch mechanisms of the policy off

Change: 14 mechanisms are variants of one enum; [policy] disable names those that are off, checked and logged at start and at each reload. Promises to callers do not depend on any. Tests: the guarantees under random faults with any subset switched off; settings with an unknown name. The list of names is read by a parser of its own, and the one for a single name moved beside it.

--- a/crates/ferry-edge/src/settings.rs
+++ b/crates/ferry-edge/src/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! Entry and control share the sections in [`common`]; docs/SETTINGS.md lists every key.
 
+mod choice;
 pub mod common;
 mod reader;
 mod section;
@@ -9,9 +10,10 @@
 
 use ferry_model::Finding;
 
+pub use choice::{Choice, Choices};
 pub use ferry_model::Findings;
 pub use reader::{
-    Address, Addresses, Choice, Hashes, Number, Reader, Secret, Switch, Text, Time, ValueParser,
+    Address, Addresses, Hashes, Number, Reader, Secret, Switch, Text, Time, ValueParser,
 };
 pub use section::Section;
 
--- a/crates/ferry-edge/src/settings/common.rs
+++ b/crates/ferry-edge/src/settings/common.rs
@@ -6,7 +6,8 @@
 use ferry_core::{Identity, InstanceRole, Tuning};
 use ferry_model::{Incarnation, InstanceId, Workspace};
 
-use super::reader::{Address, Addresses, Choice, Hashes, Number, Reader, Secret, Text, Time};
+use super::choice::Choice;
+use super::reader::{Address, Addresses, Hashes, Number, Reader, Secret, Text, Time};
 use crate::certs::CertPair;
 use crate::logs::{LogFormat, LogLevel, LogSettings};
 use crate::{ClientOptions, PeerIdentity, PeerOptions, StoreOptions};
--- a/crates/ferry-edge/src/settings/reader.rs
+++ b/crates/ferry-edge/src/settings/reader.rs
@@ -8,7 +8,6 @@
 
 use ferry_model::{Finding, SortedMap};
 use ini::{Ini, ParseOption};
-use strum::IntoEnumIterator;
 
 use super::Findings;
 
@@ -19,7 +18,7 @@
 const MINUTE: Duration = Duration::from_secs(60);
 const HOUR: Duration = Duration::from_secs(60 * 60);
 
-type Env = Box<dyn Fn(&str) -> Option<String>>;
+pub(super) type Env = Box<dyn Fn(&str) -> Option<String>>;
 
 /// A settings file that is being read.
 pub struct Reader {
@@ -320,35 +319,6 @@
     }
 }
 
-/// The name of one variant of an enum.
-#[derive(Debug, Clone, Copy)]
-pub struct Choice<T>(std::marker::PhantomData<T>);
-
-impl<T> Choice<T> {
-    pub fn new() -> Choice<T> {
-        Choice(std::marker::PhantomData)
-    }
-}
-
-impl<T> Default for Choice<T> {
-    fn default() -> Self {
-        Choice::new()
-    }
-}
-
-impl<T: FromStr + IntoEnumIterator + fmt::Display> ValueParser for Choice<T> {
-    type Value = T;
-
-    fn expected(&self) -> String {
-        let names: Vec<String> = T::iter().map(|it| it.to_string()).collect();
-        format!("one of {}", names.join(", "))
-    }
-
-    fn parse(&self, text: &str, _: &Env) -> Result<T, String> {
-        text.parse().map_err(|_| format!("{text:?} is not a known name"))
-    }
-}
-
 /// On or off.
 #[derive(Debug, Clone, Copy)]
 pub struct Switch;
--- a/crates/ferry-edge/src/settings/tuning.rs
+++ b/crates/ferry-edge/src/settings/tuning.rs
@@ -6,7 +6,8 @@
 use ferry_core::Tuning;
 
 use super::Section;
-use super::reader::{Choice, Reader};
+use super::choice::Choice;
+use super::reader::Reader;
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -6,7 +6,7 @@
 use ferry_edge::process::{self, ProcessError, StopSignals};
 use ferry_platform::settings::NodeSettings;
 use ferry_platform::store::Kind;
-use ferry_serve::{Event, Gateway, Identity};
+use ferry_serve::{Event, Gateway, Identity, Mechanism};
 use slog::{Logger, info};
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -78,7 +78,7 @@
         peer: settings.peer,
     };
     info!(log, "starting"; "life" => identity.incarnation,
-        "zone" => &identity.zone, "version" => env!("CARGO_PKG_VERSION"));
+        "zone" => &identity.zone, "disabled" => names(&tuning.disabled), "version" => env!("CARGO_PKG_VERSION"));
     let socket = UdpSocket::bind(settings.peer).await.map_err(RunError::Peers)?;
     let driver = Driver::new(settings, Gateway::new(identity, tuning), socket, log);
     let signals = StopSignals::new()?;
@@ -103,6 +103,12 @@
     Ok(())
 }
 
+/// Returns the names of mechanisms, separated by commas.
+fn names(mechanisms: &[Mechanism]) -> String {
+    let names: Vec<&str> = mechanisms.iter().map(|it| (*it).into()).collect();
+    names.join(",")
+}
+
 async fn wait_for_stop(driver: &Rc<Driver>, mut signals: StopSignals) {
     let name = signals.next().await;
     info!(driver.log, "received a stop signal; finishing open requests"; "signal" => name);
@@ -136,8 +142,9 @@
     match NodeSettings::parse(text) {
         Ok(settings) => {
             let tuning = own.clone().with_node(&settings).tuning;
+            let disabled = names(&tuning.disabled);
             driver.dispatch(Event::Retune(Box::new(tuning)));
-            info!(driver.log, "settings were read again");
+            info!(driver.log, "settings were read again"; "disabled" => disabled);
         }
         Err(findings) => {
             driver.warn("the settings have findings; keeping the previous ones", &findings)
--- a/crates/ferry-gateway/src/settings.rs
+++ b/crates/ferry-gateway/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ferry_edge::logs::LogLevel;
-use ferry_edge::settings::{self, Choice, Findings, Reader, Section};
+use ferry_edge::settings::{self, Choice, Choices, Findings, Reader, Section};
 use ferry_platform::settings::NodeSettings;
 use ferry_serve::Tuning;
 
@@ -44,6 +44,7 @@
         batches(&mut Section::new(reader, "batches"), it);
         peers(&mut Section::new(reader, "peers"), it);
         shutdown(&mut Section::new(reader, "shutdown"), it);
+        it.disabled = reader.value("policy", "disable", Choices::new(), Vec::new());
         find_contradictions(reader, &settings.tuning);
         settings
     }
--- a/crates/ferry-gateway/tests/settings.rs
+++ b/crates/ferry-gateway/tests/settings.rs
@@ -5,7 +5,7 @@
 
 const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
 const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../etc/ferry-gateway.ini");
-const SECTIONS: [&str; 6] = ["log", "calls", "engines", "batches", "peers", "shutdown"];
+const SECTIONS: [&str; 7] = ["log", "calls", "engines", "batches", "peers", "policy", "shutdown"];
 
 fn parse(text: &str) -> Result<GatewaySettings, settings::Findings> {
     settings::parse("own.ini", text, |_| None, GatewaySettings::read)
@@ -56,6 +56,7 @@
         Case { text: "[calls]\neject = 10s\n", location: "own.ini:calls:eject_max" },
         Case { text: "[calls]\neject = soon\n", location: "own.ini:calls:eject" },
         Case { text: "[batches]\nitem_tries = 0\n", location: "own.ini:batches:item_tries" },
+        Case { text: "[policy]\ndisable = hedging, luck\n", location: "own.ini:policy:disable" },
         Case { text: "[log]\nlevel = loud\n", location: "own.ini:log:level" },
     ];
     for case in cases {
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -19,7 +19,7 @@
 use crate::pass::{Context, Pass, free};
 use crate::{
     BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, Endpoints, Group,
-    ItemResult, LoadReport, Metric,
+    ItemResult, LoadReport, Mechanism, Metric,
 };
 
 use candidates::Candidate;
@@ -123,9 +123,13 @@
 
     pub fn tick(&mut self, cx: &mut Pass<'_>) {
         self.linger = SortedMap::new();
-        self.hedge_late(cx);
+        if cx.ctx.tuning.is_enabled(Mechanism::Hedging) {
+            self.hedge_late(cx);
+        }
         self.expire(cx);
-        self.shed(cx);
+        if cx.ctx.tuning.is_enabled(Mechanism::Shedding) {
+            self.shed(cx);
+        }
         for group in self.groups() {
             self.dispatch(cx, &group);
         }
@@ -230,6 +234,9 @@
         candidates: &[Candidate],
         n_items: usize,
     ) -> bool {
+        if !cx.ctx.tuning.is_enabled(Mechanism::Lingering) {
+            return false;
+        }
         let n_free = candidates.iter().filter(|it| it.is_free).count();
         if limits.max_items <= 2 * n_items || candidates.len() < 2 * n_free {
             return false;
@@ -295,7 +302,7 @@
             items,
             sent_at: cx.now,
             expected,
-            hedge_at: Some(hedge_at),
+            hedge_at: cx.ctx.tuning.is_enabled(Mechanism::Hedging).then_some(hedge_at),
         };
         self.calls.insert(call, sent);
     }
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -6,7 +6,7 @@
 
 use ferry_model::{EndpointId, GatewayPool, Moment, PoolKind, ZoneId};
 
-use crate::{EndpointView, Endpoints, PromptPart, PromptTokens, Tuning};
+use crate::{EndpointView, Endpoints, Mechanism, PromptPart, PromptTokens, Tuning};
 
 /// Expected time of a call to a plain endpoint.
 const PLAIN_TIME: Duration = Duration::from_millis(60);
@@ -69,7 +69,10 @@
         PoolKind::Plain | PoolKind::Batch(_) => Vec::new(),
     };
     let usable = candidates.iter().copied().filter(|it| !has_usable || it.is_usable(now));
-    let choices = affine_endpoints(usable.collect(), &prefixes);
+    let choices = match tuning.is_enabled(Mechanism::Affinity) {
+        true => affine_endpoints(usable.collect(), &prefixes),
+        false => usable.collect(),
+    };
     let first = choices.first().map(|it| it.endpoint.id.clone()).filter(|_| !prefixes.is_empty());
     let mut best: Option<(f64, Duration, &EndpointView)> = None;
     for view in choices {
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -9,7 +9,7 @@
 use ferry_model::{EndpointId, EndpointState, GatewayEndpoint, Moment, PoolId, SortedMap, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{StoreUpdate, Tuning};
+use crate::{Mechanism, StoreUpdate, Tuning};
 
 use delta::Changes;
 
@@ -115,6 +115,9 @@
         self.failure_rate += NEWEST_WEIGHT * (1.0 - self.failure_rate);
         let pause = tuning.base_ejection * (1 << self.failure_streak.min(MAX_DOUBLINGS));
         self.failure_streak += 1;
+        if !tuning.is_enabled(Mechanism::Ejection) {
+            return;
+        }
         self.pause_until(now + pause.min(tuning.max_ejection));
     }
 
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -14,8 +14,8 @@
 use crate::request::{Requests, evaluate, schedule};
 use crate::{
     Asker, Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event,
-    Group, Heartbeat, JobSubmission, Observation, Observations, PeerMessage, Peers, Scheduled,
-    Scheduler, StoreUpdate, Tuning,
+    Group, Heartbeat, JobSubmission, Mechanism, Observation, Observations, PeerMessage, Peers,
+    Scheduled, Scheduler, StoreUpdate, Tuning,
 };
 
 /// Time for which a peer may have a newer configuration before it is read from there; the store is
@@ -182,7 +182,7 @@
     /// Whether this instance is one of the few that watch the store closely.
     pub fn is_watcher(&self, now: Moment) -> bool {
         let Context { identity, tuning, peers, .. } = &self.ctx;
-        peers.is_watcher(now, tuning, identity)
+        !tuning.is_enabled(Mechanism::WatchSharing) || peers.is_watcher(now, tuning, identity)
     }
 
     /// Returns what a peer lacks that has this version of the configuration and has seen the store
@@ -249,8 +249,11 @@
         if due.is_empty() {
             return;
         }
-        let observations =
-            self.ctx.observations.recent(now, self.ctx.peers.round_time(&self.ctx.tuning));
+        let Context { observations, peers, tuning, .. } = &mut self.ctx;
+        let observations = match tuning.is_enabled(Mechanism::Observations) {
+            true => observations.recent(now, peers.round_time(tuning)),
+            false => Vec::new(),
+        };
         let heartbeat = self.heartbeat(now, observations);
         for to in due {
             effects.push(Effect::Send { to, message: PeerMessage::Heartbeat(heartbeat.clone()) });
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod gateway;
 mod group;
+mod mechanism;
 mod overload;
 mod pass;
 mod peers;
@@ -38,6 +39,7 @@
 };
 pub use gateway::Gateway;
 pub use group::{Group, groups};
+pub use mechanism::Mechanism;
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, PeerMessage, PeerView, Peers};
 pub use retry_budget::RetryBudget;
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -16,8 +16,8 @@
 use crate::batch::{JobKey, JobOutcome};
 use crate::overload::OverloadDetector;
 use crate::{
-    CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Metric,
-    Observations, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
+    CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Mechanism,
+    Metric, Observations, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -130,6 +130,9 @@
     pub fn try_spend(&mut self, pool: &str) -> bool {
         let n_instances = self.ctx.peers.n_instances(self.now, &self.ctx.tuning);
         let (now, tuning) = (self.now, self.ctx.tuning.clone());
+        if !tuning.is_enabled(Mechanism::Retries) {
+            return false;
+        }
         self.ctx.retry_budget(pool).try_spend(now, &tuning, n_instances)
     }
 }
--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -12,7 +12,7 @@
 };
 use crate::batch::Batcher;
 use crate::pass::{Context, Pass};
-use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage, Status};
+use crate::{Decision, DecisionKind, Effect, Mechanism, Metric, PeerMessage, Status};
 
 /// Time to wait for a decision, after which the request starts without one: several round trips
 /// between instances with little CPU time.
@@ -25,7 +25,7 @@
     request: &mut ActiveRequest,
 ) -> bool {
     let items = items_by_pool(request);
-    if items.is_empty() {
+    if items.is_empty() || !cx.ctx.tuning.is_enabled(Mechanism::Admission) {
         return false;
     }
     let slack = slack(cx, request);
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -11,7 +11,7 @@
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
 use crate::pass::{Pass, RouteComparison};
-use crate::{Arrival, Decision, DecisionKind, Effect, Metric, Refusal, Status, groups};
+use crate::{Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, Status, groups};
 
 /// Returns the request if it is accepted; otherwise it has been answered.
 pub fn accept(cx: &mut Pass<'_>, batcher: &Batcher, arrival: Arrival) -> Option<ActiveRequest> {
@@ -25,7 +25,10 @@
     };
     let (now, tuning) = (cx.now, cx.ctx.tuning.clone());
     cx.ctx.retry_budget(&resolved.pool).record_request(now, &tuning);
-    let comparison = cx.ctx.compare_to_route(&resolved.route, &arrival.head);
+    let mut comparison = cx.ctx.compare_to_route(&resolved.route, &arrival.head);
+    if !tuning.is_enabled(Mechanism::AttemptAges) {
+        comparison.elapsed = Duration::ZERO;
+    }
     let request = new_request(cx.now, comparison, arrival, resolved);
     if request.deadline <= cx.now {
         end::refuse(cx, &request, Status::NotRun, RetryHint::Soon, "no time is left");
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -10,8 +10,8 @@
 use crate::batch::Batcher;
 use crate::pass::{Context, Pass};
 use crate::{
-    Asker, CallerAttempt, Choice, Effect, Metric, PeerMessage, ScheduleDecision, ScheduleProgress,
-    ScheduleRequest, Scheduled,
+    Asker, CallerAttempt, Choice, Effect, Mechanism, Metric, PeerMessage, ScheduleDecision,
+    ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
@@ -22,7 +22,8 @@
 
 /// Sends a request whose stages are done, or asks where to; returns whether it has ended instead.
 pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
-    let Some(wanted) = wanted(cx, request) else {
+    let is_scheduled = cx.ctx.tuning.is_enabled(Mechanism::Scheduling);
+    let Some(wanted) = wanted(cx, request).filter(|_| is_scheduled) else {
         let choice = call::pick(cx, request);
         return call::start(cx, batcher, request, choice);
     };
@@ -61,13 +62,15 @@
 /// scheduler.
 pub fn likely_zone(cx: &Pass<'_>, wanted: &ScheduleRequest) -> Option<ZoneId> {
     let ctx = &cx.ctx;
-    let is_scheduler = ctx.scheduler_peer(cx.now).is_none();
+    let is_scheduler =
+        ctx.tuning.is_enabled(Mechanism::Scheduling) && ctx.scheduler_peer(cx.now).is_none();
     is_scheduler.then(|| ctx.scheduler.likely_zone(cx.now, &ctx.endpoints, &ctx.tuning, wanted))?
 }
 
 /// Decides on a request as the scheduler of its pool.
 pub fn schedule(cx: &mut Pass<'_>, asker: Asker, wanted: ScheduleRequest) -> Scheduled {
-    if cx.ctx.scheduler.must_read_caches(&wanted.pool) {
+    let may_read = cx.ctx.tuning.is_enabled(Mechanism::CacheReading);
+    if may_read && cx.ctx.scheduler.must_read_caches(&wanted.pool) {
         let Pass { ctx, effects, .. } = &mut *cx;
         let engines = ctx.endpoints.pool(&wanted.pool).filter(|it| it.accepts_work());
         effects.extend(engines.map(|it| Effect::ReadCache {
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -11,7 +11,8 @@
 use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner};
 use crate::pass::{Pass, free};
 use crate::{
-    Decision, DecisionKind, Effect, Group, ItemInput, JobSubmission, Metric, PeerMessage, groups,
+    Decision, DecisionKind, Effect, Group, ItemInput, JobSubmission, Mechanism, Metric,
+    PeerMessage, groups,
 };
 
 /// Cost of running a stage in another zone than its data, as time.
@@ -352,6 +353,9 @@
     idx: usize,
     input: &ItemInput,
 ) -> Option<ZoneId> {
+    if !cx.ctx.tuning.is_enabled(Mechanism::ZonePlacement) {
+        return None;
+    }
     let stage = &request.route.stages[idx];
     let n_items = u64::from(request.head.items.get(idx).copied().unwrap_or_default());
     let is_last = request.route.stages.iter().all(|it| !it.after.contains(&idx));
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::choose::{millis, prefixes};
-use crate::{CallerAttempt, Endpoints, PromptPart, Tuning};
+use crate::{CallerAttempt, Endpoints, Mechanism, PromptPart, Tuning};
 
 use engine::Engine;
 
@@ -150,7 +150,8 @@
         let id = view.endpoint.id.clone();
         let engine = self.engines.get_or_insert_with(id.clone(), Engine::default);
         let shared = &request.prompt[..request.prompt.len().saturating_sub(1)];
-        let reader = engine.reader(now, shared);
+        let reader =
+            engine.reader(now, shared).filter(|_| tuning.is_enabled(Mechanism::SharedReading));
         engine.add(now, &request.attempt, best.read, best.wait + best.read, &request.prompt);
         self.calls.insert(request.attempt.clone(), (now, id.clone()));
         let expected = best.wait + best.read + millis(tuning.first_token);
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -7,7 +7,7 @@
 use super::engine::Engine;
 use super::{ScheduleRequest, Scheduler};
 use crate::choose::{by_affinity, millis};
-use crate::{EndpointView, Endpoints, Tuning};
+use crate::{EndpointView, Endpoints, Mechanism, Tuning};
 
 /// Cost of a call that fails, as time.
 const FAIL_COST: Duration = Duration::from_millis(400);
@@ -80,7 +80,7 @@
             let most_cached = most_cached.max(guessed);
             let known = Cached { here: cached, most: most_cached };
             let mut estimate = self.estimate(now, view, tuning, request, prefixes, known);
-            if is_unknown {
+            if is_unknown && tuning.is_enabled(Mechanism::Affinity) {
                 estimate.cost += millis(RANK_COST) * rank.min(MAX_RANK) as f64;
             }
             (estimate, view)
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::Mechanism;
+
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -64,6 +66,8 @@
     pub close_after: Duration,
     /// Time between the shutdown request and the forced exit.
     pub shutdown_grace: Duration,
+    /// Mechanisms that are switched off, sorted.
+    pub disabled: Vec<Mechanism>,
 }
 
 impl Default for Tuning {
@@ -96,6 +100,7 @@
             job_retention: ms(6_000),
             close_after: ms(2_800),
             shutdown_grace: ms(8_000),
+            disabled: Vec::new(),
         }
     }
 }
@@ -104,6 +109,10 @@
 const EXIT_MARGIN: Duration = ms(300);
 
 impl Tuning {
+    pub fn is_enabled(&self, mechanism: Mechanism) -> bool {
+        self.disabled.binary_search(&mechanism).is_err()
+    }
+
     /// Returns the time after the shutdown request at which the process exits in any case.
     pub fn exit_after(&self) -> Duration {
         self.shutdown_grace.saturating_sub(EXIT_MARGIN)
--- a/crates/ferry-serve/tests/decisions/seeds.rs
+++ b/crates/ferry-serve/tests/decisions/seeds.rs
@@ -1,7 +1,8 @@
 //! The guarantees hold under random loads and faults in any combination.
 
-use ferry_serve::{Event, ItemFailure, Status};
+use ferry_serve::{Event, ItemFailure, Mechanism, Status, Tuning};
 use proptest::prelude::*;
+use strum::IntoEnumIterator;
 
 use crate::simulation::{Behaviour, Ending, FIRST, SECOND, Simulation, head, ms};
 
@@ -20,13 +21,14 @@
 
 const ROUTES: [&str; 4] = ["get", "post", "stream", "once"];
 const POOLS: [&str; 4] = ["plain", "engine", FIRST, SECOND];
-const BEHAVIOURS: [Behaviour; 9] = [
+const BEHAVIOURS: [Behaviour; 10] = [
     Behaviour::Healthy,
     Behaviour::Silent,
     Behaviour::Reset,
     Behaviour::Full,
     Behaviour::Failing,
     Behaviour::Slow(6),
+    Behaviour::Reads(1),
     Behaviour::FailItems(ItemFailure::OutOfMemory),
     Behaviour::FailItems(ItemFailure::Error),
     Behaviour::FailItems(ItemFailure::Gone),
@@ -47,8 +49,8 @@
     ]
 }
 
-fn play(steps: &[Step]) -> (Simulation, Vec<(String, usize)>) {
-    let mut sim = Simulation::new(3);
+fn play(steps: &[Step], tuning: Tuning) -> (Simulation, Vec<(String, usize)>) {
+    let mut sim = Simulation::with_tuning(3, tuning);
     let mut requests = Vec::new();
     for (number, step) in steps.iter().enumerate() {
         match *step {
@@ -91,21 +93,39 @@
 
     #[test]
     fn guarantees_hold_under_random_faults(steps in prop::collection::vec(step(), 5..60)) {
-        let (sim, requests) = play(&steps);
-        prop_assert_eq!(&sim.violations, &Vec::<String>::new());
-        for (attempt, runs) in sim.runs.iter() {
-            let most = if attempt.starts_with("get") || attempt.starts_with("stream") { 2 } else { 1 };
-            prop_assert!(runs.len() <= most, "{} ran at {:?}", attempt, runs);
-        }
-        for (attempt, _) in &requests {
-            let outcome = sim.outcomes.get(attempt);
-            prop_assert!(outcome.is_some(), "{} has no answer", attempt);
-            let outcome = outcome.expect("checked above");
-            // Timers of an overloaded instance are late by its lag.
-            prop_assert!(outcome.took <= ms(4_200), "{}: {:?}", attempt, outcome);
-            let is_error = matches!(&outcome.ending, Ending::Refused(it)
-                if matches!(it.status, Status::NoRoute | Status::UnknownKey | Status::Malformed));
-            prop_assert!(!is_error, "{}: {:?}", attempt, outcome);
-        }
+        check(&steps, Tuning::default())?;
+    }
+
+    #[test]
+    fn guarantees_hold_without_some_mechanisms(
+        steps in prop::collection::vec(step(), 5..60),
+        disabled in prop::sample::subsequence(mechanisms(), 1..=mechanisms().len()),
+    ) {
+        check(&steps, Tuning { disabled, ..Tuning::default() })?;
+    }
+}
+
+/// Returns all mechanisms, sorted.
+fn mechanisms() -> Vec<Mechanism> {
+    Mechanism::iter().collect()
+}
+
+fn check(steps: &[Step], tuning: Tuning) -> Result<(), TestCaseError> {
+    let (sim, requests) = play(steps, tuning);
+    prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+    for (attempt, runs) in sim.runs.iter() {
+        let most = if attempt.starts_with("get") || attempt.starts_with("stream") { 2 } else { 1 };
+        prop_assert!(runs.len() <= most, "{} ran at {:?}", attempt, runs);
+    }
+    for (attempt, _) in &requests {
+        let outcome = sim.outcomes.get(attempt);
+        prop_assert!(outcome.is_some(), "{} has no answer", attempt);
+        let outcome = outcome.expect("checked above");
+        // Timers of an overloaded instance are late by its lag.
+        prop_assert!(outcome.took <= ms(4_200), "{}: {:?}", attempt, outcome);
+        let is_error = matches!(&outcome.ending, Ending::Refused(it)
+            if matches!(it.status, Status::NoRoute | Status::UnknownKey | Status::Malformed));
+        prop_assert!(!is_error, "{}: {:?}", attempt, outcome);
     }
+    Ok(())
 }
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -145,20 +145,24 @@
 
 impl Simulation {
     pub fn new(n_instances: usize) -> Simulation {
-        Simulation::with_config(n_instances, config(1))
+        Simulation::with_tuning(n_instances, Tuning::default())
+    }
+
+    pub fn with_tuning(n_instances: usize, tuning: Tuning) -> Simulation {
+        Simulation::with_config(n_instances, config(1), tuning)
     }
 
     /// Creates a simulation whose routes have another time limit.
     pub fn with_time_limit(n_instances: usize, limit: Duration) -> Simulation {
         let mut config = config(1);
         config.routes.iter_mut().for_each(|it| it.time_limit = limit);
-        Simulation::with_config(n_instances, config)
+        Simulation::with_config(n_instances, config, Tuning::default())
     }
 
-    fn with_config(n_instances: usize, config: GatewayConfig) -> Simulation {
+    fn with_config(n_instances: usize, config: GatewayConfig, tuning: Tuning) -> Simulation {
         let mut sim = Simulation {
             now: Moment::ZERO,
-            tuning: Tuning::default(),
+            tuning,
             config: Arc::new(config),
             instances: Vec::new(),
             endpoints: SortedMap::new(),
