--- a/crates/ferry-bench/src/cmd.rs
+++ b/crates/ferry-bench/src/cmd.rs
@@ -6,6 +6,7 @@
 pub mod decide;
 pub mod demo;
 pub mod list;
+pub mod losses;
 pub mod matrix;
 pub mod overhead;
 pub mod policies;
@@ -39,6 +40,7 @@
     Decide(decide::DecideArgs),
     Demo(demo::DemoArgs),
     List(list::ListArgs),
+    Losses(losses::LossesArgs),
     Matrix(matrix::MatrixArgs),
     Overhead(overhead::OverheadArgs),
     Policies(policies::PoliciesArgs),
@@ -61,6 +63,7 @@
             Command::Decide(args) => args.run(),
             Command::Demo(args) => args.run().await,
             Command::List(args) => args.run(),
+            Command::Losses(args) => args.run(),
             Command::Matrix(args) => args.run(),
             Command::Overhead(args) => args.run().await,
             Command::Policies(args) => args.run(),
--- a/crates/ferry-bench/src/lib.rs
+++ b/crates/ferry-bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod experiment;
 pub mod experiments;
 pub mod load;
+pub mod losses;
 pub mod overhead;
 pub mod slopes;
 pub mod tally;
