Split the reducer of the gateway and the simulation by job

The simulated endpoints moved beside what they do. The line of an admitted request has the tokens of its prompt, which ferry-bench losses takes for its size. No decision changed.

--- a/crates/ferry-bench/src/losses/request.rs
+++ b/crates/ferry-bench/src/losses/request.rs
@@ -48,7 +48,6 @@
     at: Timestamp,
     own: u32,
     uncached: u32,
-    shared: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,6 +69,8 @@
     elapsed: Duration,
     floor: Duration,
     slack: Duration,
+    /// Tokens of its prompt; zero if it has none.
+    size: u32,
     /// The last run of each stage, with its pool.
     stages: BTreeMap<u8, (String, Step)>,
     /// How often it was sent.
@@ -90,6 +91,8 @@
                 self.elapsed = took;
                 self.floor = floor;
                 self.slack = Duration::from_millis(it.slack_ms.unwrap_or_default());
+                self.size =
+                    it.own_tokens.unwrap_or_default() + it.shared_tokens.unwrap_or_default();
             }
             "stage" => {
                 let (Some(stage), Some(pool)) = (it.stage, it.pool) else { return };
@@ -101,7 +104,6 @@
                     at,
                     own: it.own_tokens.unwrap_or_default(),
                     uncached: it.uncached_tokens.unwrap_or_default(),
-                    shared: it.shared_tokens.unwrap_or_default(),
                 });
             }
             "complete" => {
@@ -128,9 +130,8 @@
         self.elapsed + self.slack
     }
 
-    /// Returns the tokens of the prompt; zero if it was not sent to an engine.
     pub(super) fn size(&self) -> f64 {
-        self.sent.as_ref().map_or(0.0, |it| f64::from(it.own) + f64::from(it.shared))
+        f64::from(self.size)
     }
 
     /// Returns why it was not in time; none if it was.
--- a/crates/ferry-bench/tests/losses.rs
+++ b/crates/ferry-bench/tests/losses.rs
@@ -162,8 +162,8 @@
 #[test]
 fn larger_requests_lose_more_and_seconds_are_told_apart() {
     let sized = |tokens: u32, end: Line| {
-        let fields = format!(r#","own_tokens":{tokens},"shared_tokens":0,"uncached_tokens":0"#);
-        vec![ADMIT, (1_255, "route", fields.leak()), end]
+        let fields = format!(r#"{},"own_tokens":{tokens},"shared_tokens":0"#, ADMIT.2);
+        vec![(ADMIT.0, ADMIT.1, fields.leak() as &str), ROUTE, end]
     };
     let late = (4_000, "complete", r#","took_us":1500000,"slack_ms":0"#);
     let mut text = log("small", &sized(1_000, late));
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -1,37 +1,26 @@
 //! The reducer of a gateway: every event passes through [`Gateway::reduce`].
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+mod behind;
+mod updates;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use ferry_model::{ConfigVersion, GatewayConfig, Moment, SortedMap};
 
+use behind::Behind;
+
 use crate::admission::{AdmissionController, Shard};
-use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner};
+use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
-use crate::request::{Requests, evaluate, schedule};
+use crate::request::Requests;
 use crate::{
-    Asker, Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event,
-    Group, Heartbeat, JobSubmission, Mechanism, Observation, Observations, PeerMessage, Peers,
-    Scheduled, Scheduler, StoreUpdate, Tuning,
+    Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group,
+    Heartbeat, Mechanism, Observation, Observations, PeerMessage, Peers, Scheduled, Scheduler,
+    Tuning,
 };
 
-/// Time for which a peer may have a newer configuration before it is read from there; the store is
-/// usually as fast.
-const CONFIG_PULL_DELAY: Duration = Duration::from_millis(250);
-/// The same for endpoints, which most instances read from the store at intervals of up to a second.
-const LIST_PULL_DELAY: Duration = Duration::from_millis(1_100);
-
-/// Since when peers have been ahead, and what was known here at that time.
-#[derive(Debug, Clone, Copy)]
-struct Behind {
-    since: Moment,
-    version: ConfigVersion,
-    last_change: u64,
-}
-
 /// The complete state of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -92,8 +81,8 @@
                 self.batcher.tick(cx);
                 self.requests.tick(cx, &mut self.batcher);
             }
-            Event::Config(config) => configure(cx, config),
-            Event::Store(update) => on_store(cx, update),
+            Event::Config(config) => updates::configure(cx, config),
+            Event::Store(update) => updates::on_store(cx, update),
             Event::Members(addresses) => {
                 let own = cx.ctx.identity.peer;
                 cx.ctx.peers.add_known(&addresses, own);
@@ -113,7 +102,7 @@
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
             Event::Peer { from, message } => {
-                on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
+                updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
             Event::Retune(tuning) => cx.ctx.tuning = *tuning,
             Event::Shutdown => {
@@ -295,127 +284,4 @@
         let backlog = |group: Group| self.batcher.backlog(now, &self.ctx, &group);
         groups.into_iter().filter_map(backlog).collect()
     }
-
-    /// Reads the state of a peer that has been ahead of this instance for a while.
-    fn catch_up(&mut self, now: Moment, effects: &mut Vec<Effect>) {
-        let Context { tuning, catalog, endpoints, peers, .. } = &self.ctx;
-        let version = catalog.version();
-        let ahead = peers.ahead(now, tuning, version, endpoints.last_change());
-        let Some(from) = pick(&ahead, now) else {
-            self.behind = None;
-            return;
-        };
-        let is_old = ahead.iter().any(|it| version < it.1);
-        let last_change = endpoints.last_change();
-        let fresh = Behind { since: now, version, last_change };
-        let known = self.behind.filter(|it| (it.version, it.last_change) == (version, last_change));
-        // Progress made meanwhile shows that the store still sends updates, so it restarts the
-        // delay.
-        let since = known.unwrap_or(fresh).since;
-        let wait = match (endpoints.is_store_down() || version == 0, is_old) {
-            (true, _) => Duration::ZERO,
-            (false, true) => CONFIG_PULL_DELAY,
-            (false, false) => LIST_PULL_DELAY,
-        };
-        if now < since + wait {
-            self.behind = Some(Behind { since, ..fresh });
-            return;
-        }
-        self.behind = Some(Behind { since: now + CONFIG_PULL_DELAY, ..fresh });
-        let is_list_old =
-            endpoints.revision() == 0 || peers.has_newer_endpoints(now, tuning, last_change);
-        let seen = if is_list_old { endpoints.revision() } else { Endpoints::NO_ENDPOINTS };
-        effects.push(Effect::Pull { from, version, since: seen });
-    }
-}
-
-/// Returns one of the peers that have the newest version, a different one each time.
-fn pick(ahead: &[(SocketAddr, ConfigVersion)], now: Moment) -> Option<SocketAddr> {
-    let newest = ahead.iter().map(|it| it.1).max()?;
-    let fit: Vec<SocketAddr> = ahead.iter().filter(|it| it.1 == newest).map(|it| it.0).collect();
-    let mut hasher = DefaultHasher::new();
-    now.hash(&mut hasher);
-    fit.get((hasher.finish() % fit.len() as u64) as usize).copied()
-}
-
-fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
-    if cx.ctx.catalog.update(config) {
-        cx.log(Decision::new(DecisionKind::Configure, "newer configuration applied"));
-        let now = cx.now;
-        cx.ctx.peers.heartbeat_now(now);
-    }
-}
-
-fn on_store(cx: &mut Pass<'_>, update: StoreUpdate) {
-    let reason = match &update {
-        StoreUpdate::List { revision, endpoints } => {
-            format!("list of {} endpoints at {revision}", endpoints.len())
-        }
-        StoreUpdate::Peer(delta) => {
-            let n_removed = delta.removed.len();
-            format!("peer reported {} endpoints and {n_removed} removed", delta.endpoints.len())
-        }
-        StoreUpdate::Changed { revision, endpoint } => {
-            format!("{} is {} at {revision}", endpoint.id, endpoint.state)
-        }
-        StoreUpdate::Removed { revision, id } => format!("{id} was removed at {revision}"),
-        StoreUpdate::Unreachable => "store does not answer".to_owned(),
-        StoreUpdate::Reachable => "store answers again".to_owned(),
-    };
-    let Context { tuning, endpoints, .. } = &mut *cx.ctx;
-    if endpoints.apply(cx.now, tuning, update) || endpoints.is_store_down() {
-        cx.log(Decision::new(DecisionKind::Endpoint, reason));
-    }
-}
-
-fn on_peer(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    requests: &mut Requests,
-    from: SocketAddr,
-    message: PeerMessage,
-) {
-    match message {
-        PeerMessage::Heartbeat(heartbeat) => {
-            let Context { endpoints, tuning, .. } = &mut *cx.ctx;
-            for observation in &heartbeat.observations {
-                endpoints.observe(cx.now, tuning, observation);
-            }
-            let instance = heartbeat.instance.clone();
-            if cx.ctx.peers.on_heartbeat(cx.now, from, heartbeat) {
-                cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
-                requests.batcher_lost(cx, batcher, from);
-            }
-        }
-        PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
-        PeerMessage::AdmissionRequest(request) => {
-            let answer = evaluate(cx, batcher, &request);
-            let message = PeerMessage::AdmissionDecision { attempt: request.attempt, answer };
-            cx.effects.push(Effect::Send { to: from, message });
-        }
-        PeerMessage::AdmissionDecision { attempt, answer } => {
-            requests.on_admission_answer(cx, batcher, &attempt, answer);
-        }
-        PeerMessage::Schedule(wanted) => {
-            let attempt = wanted.attempt.clone();
-            let scheduled = schedule::schedule(cx, Asker::Peer(from), *wanted);
-            let message = PeerMessage::Scheduled { attempt, scheduled };
-            cx.effects.push(Effect::Send { to: from, message });
-        }
-        PeerMessage::Scheduled { attempt, scheduled } => {
-            requests.on_scheduled(cx, batcher, &attempt, scheduled);
-        }
-        PeerMessage::ScheduleProgress { attempt, progress } => {
-            schedule::on_progress(cx, &attempt, progress);
-        }
-        PeerMessage::Accepted(key) => requests.on_accepted(&key),
-        PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
-        PeerMessage::JobOutcome { key, outcome } => cx.outcomes.push((key, outcome)),
-    }
-}
-
-fn on_submit(cx: &mut Pass<'_>, batcher: &mut Batcher, from: SocketAddr, submit: JobSubmission) {
-    let (key, job) = Job::from_submit(JobOwner::Peer(from), submit, cx.now);
-    cx.effects.push(Effect::Send { to: from, message: PeerMessage::Accepted(key.clone()) });
-    batcher.submit(cx, key, job);
 }
--- /dev/null
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -0,0 +1,93 @@
+//! What the store and peers report.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ferry_model::GatewayConfig;
+
+use crate::batch::{Batcher, Job, JobOwner};
+use crate::pass::{Context, Pass};
+use crate::request::{Requests, evaluate, schedule};
+use crate::{Asker, Decision, DecisionKind, Effect, JobSubmission, PeerMessage, StoreUpdate};
+
+pub(super) fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
+    if cx.ctx.catalog.update(config) {
+        cx.log(Decision::new(DecisionKind::Configure, "newer configuration applied"));
+        let now = cx.now;
+        cx.ctx.peers.heartbeat_now(now);
+    }
+}
+
+pub(super) fn on_store(cx: &mut Pass<'_>, update: StoreUpdate) {
+    let reason = match &update {
+        StoreUpdate::List { revision, endpoints } => {
+            format!("list of {} endpoints at {revision}", endpoints.len())
+        }
+        StoreUpdate::Peer(delta) => {
+            let n_removed = delta.removed.len();
+            format!("peer reported {} endpoints and {n_removed} removed", delta.endpoints.len())
+        }
+        StoreUpdate::Changed { revision, endpoint } => {
+            format!("{} is {} at {revision}", endpoint.id, endpoint.state)
+        }
+        StoreUpdate::Removed { revision, id } => format!("{id} was removed at {revision}"),
+        StoreUpdate::Unreachable => "store does not answer".to_owned(),
+        StoreUpdate::Reachable => "store answers again".to_owned(),
+    };
+    let Context { tuning, endpoints, .. } = &mut *cx.ctx;
+    if endpoints.apply(cx.now, tuning, update) || endpoints.is_store_down() {
+        cx.log(Decision::new(DecisionKind::Endpoint, reason));
+    }
+}
+
+pub(super) fn on_peer(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    requests: &mut Requests,
+    from: SocketAddr,
+    message: PeerMessage,
+) {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => {
+            let Context { endpoints, tuning, .. } = &mut *cx.ctx;
+            for observation in &heartbeat.observations {
+                endpoints.observe(cx.now, tuning, observation);
+            }
+            let instance = heartbeat.instance.clone();
+            if cx.ctx.peers.on_heartbeat(cx.now, from, heartbeat) {
+                cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
+                requests.batcher_lost(cx, batcher, from);
+            }
+        }
+        PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
+        PeerMessage::AdmissionRequest(request) => {
+            let answer = evaluate(cx, batcher, &request);
+            let message = PeerMessage::AdmissionDecision { attempt: request.attempt, answer };
+            cx.effects.push(Effect::Send { to: from, message });
+        }
+        PeerMessage::AdmissionDecision { attempt, answer } => {
+            requests.on_admission_answer(cx, batcher, &attempt, answer);
+        }
+        PeerMessage::Schedule(wanted) => {
+            let attempt = wanted.attempt.clone();
+            let scheduled = schedule::schedule(cx, Asker::Peer(from), *wanted);
+            let message = PeerMessage::Scheduled { attempt, scheduled };
+            cx.effects.push(Effect::Send { to: from, message });
+        }
+        PeerMessage::Scheduled { attempt, scheduled } => {
+            requests.on_scheduled(cx, batcher, &attempt, scheduled);
+        }
+        PeerMessage::ScheduleProgress { attempt, progress } => {
+            schedule::on_progress(cx, &attempt, progress);
+        }
+        PeerMessage::Accepted(key) => requests.on_accepted(&key),
+        PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
+        PeerMessage::JobOutcome { key, outcome } => cx.outcomes.push((key, outcome)),
+    }
+}
+
+fn on_submit(cx: &mut Pass<'_>, batcher: &mut Batcher, from: SocketAddr, submit: JobSubmission) {
+    let (key, job) = Job::from_submit(JobOwner::Peer(from), submit, cx.now);
+    cx.effects.push(Effect::Send { to: from, message: PeerMessage::Accepted(key.clone()) });
+    batcher.submit(cx, key, job);
+}
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveRequest, Phase, StageState};
 use super::end::{self, RetryHint};
-use super::{stages, times};
+use super::{call, stages, times};
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
@@ -44,6 +44,7 @@
             .with_route(&request.route.name)
             .with_pool(&request.pool)
             .with_times(comparison.elapsed, times::floor(cx, &request))
+            .with_prompt(call::prompt_tokens(&request, 0))
             .with_slack(request.objective().saturating_sub(cx.now))
             .with_budget(request.deadline - cx.now),
     );
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -5,17 +5,17 @@
 mod network;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_model::{EndpointState, GatewayConfig, GatewayEndpoint, Moment, SortedMap};
+use ferry_model::{GatewayConfig, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, ItemFailure, PromptPart, Refusal,
-    RequestHead, Status, StoreUpdate, Tuning,
+    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, RequestHead,
+    Status, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
+pub use endpoint::{Behaviour, Endpoint};
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -33,38 +33,6 @@
 pub const FIRST: &str = "first";
 pub const SECOND: &str = "second";
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Behaviour {
-    Healthy,
-    /// Accepts calls and never answers.
-    Silent,
-    /// Resets each call.
-    Reset,
-    /// Answers that it did not run the call.
-    Full,
-    /// Answers that the run failed.
-    Failing,
-    /// Takes this many times longer.
-    Slow(u32),
-    /// Reads prompts one after the other, this many tokens per millisecond, and caches their parts.
-    Reads(u32),
-    /// Produces no items.
-    FailItems(ItemFailure),
-}
-
-#[derive(Debug)]
-pub struct Endpoint {
-    pub entry: GatewayEndpoint,
-    pub behaviour: Behaviour,
-    /// When a batch endpoint is free again.
-    busy: Moment,
-    /// Ids of the prompt parts that an engine reads, and since when it has cached each.
-    pub cached: Vec<(u64, Moment)>,
-    pub n_calls: usize,
-    pub n_items: usize,
-    pub last_call: Moment,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub enum Ending {
     Answer,
@@ -205,30 +173,6 @@
         sim
     }
 
-    pub fn add_endpoint(&mut self, pool: &str, number: usize) {
-        let id = format!("{pool}-{number}");
-        let port = 9_000 + self.endpoints.len() as u16;
-        let entry = GatewayEndpoint {
-            id: id.clone(),
-            pool: pool.to_owned(),
-            address: SocketAddr::from(([127, 0, 0, 1], port)),
-            zone: format!("zone-{}", number % 2),
-            slots: 4,
-            state: EndpointState::Live,
-            started: 1,
-        };
-        let endpoint = Endpoint {
-            entry,
-            behaviour: Behaviour::Healthy,
-            busy: Moment::ZERO,
-            cached: Vec::new(),
-            n_calls: 0,
-            n_items: 0,
-            last_call: Moment::ZERO,
-        };
-        self.endpoints.insert(id, endpoint);
-    }
-
     /// Starts an instance, which reads the configuration and the endpoints from the store.
     pub fn start(&mut self, instance: usize) {
         self.start_without_store(instance);
@@ -262,10 +206,6 @@
         self.callers.retain(|(it, _), _| *it != instance);
     }
 
-    pub fn set_behaviour(&mut self, id: &str, behaviour: Behaviour) {
-        self.endpoints.get_mut(id).expect("the endpoint exists").behaviour = behaviour;
-    }
-
     /// Sends a request to an instance and returns its ticket.
     pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
         self.n_tickets += 1;
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -1,17 +1,77 @@
 //! What endpoints do with calls, by their behaviour.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{Moment, ResultHandle};
+use ferry_model::{EndpointState, GatewayEndpoint, Moment, ResultHandle};
 use ferry_serve::{
-    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, ItemInput, ItemResult, PromptPart,
+    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, ItemFailure, ItemInput, ItemResult,
+    PromptPart,
 };
 
-use super::{
-    Behaviour, EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits,
-};
+use super::{EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    Healthy,
+    /// Accepts calls and never answers.
+    Silent,
+    /// Resets each call.
+    Reset,
+    /// Answers that it did not run the call.
+    Full,
+    /// Answers that the run failed.
+    Failing,
+    /// Takes this many times longer.
+    Slow(u32),
+    /// Reads prompts one after the other, this many tokens per millisecond, and caches their parts.
+    Reads(u32),
+    /// Produces no items.
+    FailItems(ItemFailure),
+}
+
+#[derive(Debug)]
+pub struct Endpoint {
+    pub entry: GatewayEndpoint,
+    pub behaviour: Behaviour,
+    /// When a batch endpoint is free again.
+    busy: Moment,
+    /// Ids of the prompt parts that an engine reads, and since when it has cached each.
+    pub cached: Vec<(u64, Moment)>,
+    pub n_calls: usize,
+    pub n_items: usize,
+    pub last_call: Moment,
+}
 
 impl Simulation {
+    pub fn add_endpoint(&mut self, pool: &str, number: usize) {
+        let id = format!("{pool}-{number}");
+        let port = 9_000 + self.endpoints.len() as u16;
+        let entry = GatewayEndpoint {
+            id: id.clone(),
+            pool: pool.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: format!("zone-{}", number % 2),
+            slots: 4,
+            state: EndpointState::Live,
+            started: 1,
+        };
+        let endpoint = Endpoint {
+            entry,
+            behaviour: Behaviour::Healthy,
+            busy: Moment::ZERO,
+            cached: Vec::new(),
+            n_calls: 0,
+            n_items: 0,
+            last_call: Moment::ZERO,
+        };
+        self.endpoints.insert(id, endpoint);
+    }
+
+    pub fn set_behaviour(&mut self, id: &str, behaviour: Behaviour) {
+        self.endpoints.get_mut(id).expect("the endpoint exists").behaviour = behaviour;
+    }
+
     pub(super) fn call(&mut self, instance: usize, call: &Call) {
         let attempt = self.callers.get(&(instance, call.ticket)).map(|it| it.attempt.clone());
         let Some(attempt) = attempt else {
