--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -21,6 +21,8 @@
 
 /// Time after which a call is forgotten whose end was not reported.
 const MAX_CALL_TIME: Duration = Duration::from_secs(30);
+/// Calls that are counted at a time; beyond it, instances choose by themselves.
+const MAX_CALLS: usize = 20_000;
 /// Interval at which such calls are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -142,6 +144,9 @@
         request: ScheduleRequest,
     ) -> Scheduled {
         self.expire(now, endpoints);
+        if MAX_CALLS <= self.calls.len() {
+            return Scheduled::Nowhere;
+        }
         let prefixes = prefixes(&request.prompt);
         let Some((best, view, considered)) = self.best(now, endpoints, tuning, &request, &prefixes)
         else {
