--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -68,6 +68,8 @@
     n_results: Cell<u64>,
     n_calls: Cell<u32>,
     results: RefCell<Vec<String>>,
+    /// Prompt parts that an engine has read, as callers name them.
+    parts: RefCell<Vec<String>>,
 }
 
 impl Endpoint {
@@ -81,6 +83,7 @@
             n_results: Cell::new(0),
             n_calls: Cell::new(0),
             results: RefCell::default(),
+            parts: RefCell::default(),
         })
     }
 
@@ -131,10 +134,28 @@
                     .for_each(|it| self.checker.remove_result(it));
                 Some(full_response(StatusCode::OK, ""))
             }
+            ferry_platform::cache::LIST_PATH => self.list_cache().await,
             _ => self.run_request(&parts, &body).await,
         }
     }
 
+    /// Lists the cached prompt parts; a faulty engine does not, or responds with something else.
+    async fn list_cache(&self) -> Option<Response<Body>> {
+        tokio::time::sleep(self.time(PLAIN_TIME)).await;
+        self.apply_fault().await?;
+        let response = match self.behaviour.get() {
+            Behaviour::Failing => full_response(StatusCode::INTERNAL_SERVER_ERROR, ""),
+            Behaviour::WrongAttempt => full_response(StatusCode::OK, "no list"),
+            _ => {
+                let part = |it: &String| json!(["", it, 100, "m"]);
+                let held: Vec<Value> = self.parts.borrow().iter().map(part).collect();
+                let body = json!({ "epoch": 1, "Next": 1, "held": held });
+                full_response(StatusCode::OK, body.to_string())
+            }
+        };
+        Some(response)
+    }
+
     async fn run_items(&self, body: &[u8]) -> Option<Response<Body>> {
         if self.behaviour.get() == Behaviour::Full || 2 < self.n_calls.get() {
             return Some(not_run(StatusCode::SERVICE_UNAVAILABLE));
@@ -199,6 +220,13 @@
             if !inputs.split(',').all(|it| self.checker.has_result(it, attempt)) {
                 return Some(not_run(StatusCode::CONFLICT));
             }
+            let prompt = header("tarragonferry-prompt-prefix").unwrap_or_default();
+            let mut read = self.parts.borrow_mut();
+            for (id, _) in prompt.split(',').filter_map(|it| it.split_once(':')) {
+                if read.iter().all(|it| it != id) {
+                    read.push(id.to_owned());
+                }
+            }
         }
         let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
         self.checker.record_run(attempt, &self.id, path, body);
