Log that a request waits for what its engine reads

Cause: the scheduler's answer to wait touches a request and had no line. Change: a line of kind wait, with the expected time; ferry-bench losses counts the wait as the engine's. No decision changed.

--- a/crates/ferry-bench/src/losses/request.rs
+++ b/crates/ferry-bench/src/losses/request.rs
@@ -156,7 +156,10 @@
         }));
         waits.extend(self.admission().map(|it| (Cause::Admission, it)));
         if let (Some(sent), Some(arrived)) = (&self.sent, self.arrived) {
-            let before = duration(arrived, sent.at) + self.elapsed;
+            // A request may wait for its engine before it is sent.
+            let staged = self.stages.values().map(|it| it.1.at).max();
+            let ready = staged.filter(|it| *it <= sent.at && self.n_sent == 1).unwrap_or(sent.at);
+            let before = duration(arrived, ready) + self.elapsed;
             let engine = first.saturating_sub(before);
             let own_share = f64::from(sent.own) / f64::from((sent.own + sent.uncached).max(1));
             // The floor of the request is that of its stages and of its own part.
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -248,6 +248,7 @@
     Stage,
     Batch,
     Route,
+    Wait,
     Retry,
     Resume,
     Complete,
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -10,8 +10,8 @@
 use crate::batch::Batcher;
 use crate::pass::{Context, Pass};
 use crate::{
-    Asker, CallerAttempt, Choice, Effect, Mechanism, Metric, PeerMessage, ScheduleDecision,
-    ScheduleProgress, ScheduleRequest, Scheduled,
+    Asker, CallerAttempt, Choice, Decision, DecisionKind, Effect, Mechanism, Metric, PeerMessage,
+    ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
@@ -111,6 +111,14 @@
         Scheduled::Later(time) => {
             let until = cx.now + time * PATIENCE_FACTOR + ANSWER_TIMEOUT;
             request.phase = Phase::AwaitingEndpoint { until };
+            cx.log(
+                Decision::new(DecisionKind::Wait, "its engine reads the shared parts for another")
+                    .with_attempt(&request.head.attempt)
+                    .with_route(&request.route.name)
+                    .with_pool(&request.pool)
+                    .with_times(cx.now - request.arrived, time)
+                    .with_budget(request.deadline.saturating_sub(cx.now)),
+            );
             return false;
         }
         Scheduled::Nowhere => None,
