Divide the scheduling of engines among instances of a large fleet

Change: above 128 instances one scheduler for each 128, which has a shard of the engines and of the shared parts; engines are ranked by affinity only if that matters, what each has cached is looked up once, and 16 caches are read at a time, over connections that are closed. Test: schedulers_of_a_large_fleet_have_engines_of_their_own.

--- a/crates/ferry-gateway/src/caches.rs
+++ b/crates/ferry-gateway/src/caches.rs
@@ -9,29 +9,30 @@
 use ferry_serve::{Event, PromptPart};
 use tokio::task::spawn_local;
 
-use crate::client::{CallError, InternalCall};
+use crate::client::{CallError, InternalCall, call_once};
 use crate::driver::Driver;
 
+/// Caches that are read at a time: a pool may have a thousand engines.
+pub const MAX_READS: usize = 16;
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Reads the cache of an engine and reports it to the reducer, which does without it otherwise.
 pub fn read(driver: &Rc<Driver>, endpoint: EndpointId, address: SocketAddr) {
     let driver = driver.clone();
     spawn_local(async move {
-        match try_read(&driver, &endpoint, address).await {
+        // Closed only with the process.
+        let Ok(_permit) = driver.cache_reads.acquire().await else { return };
+        match try_read(&endpoint, address).await {
             Ok(parts) => driver.dispatch(Event::Cached { endpoint, parts }),
             Err(error) => driver.warn("could not read the cache of an engine", &error),
         }
     });
 }
 
-async fn try_read(
-    driver: &Driver,
-    endpoint: &str,
-    address: SocketAddr,
-) -> Result<Vec<PromptPart>, CallError> {
+async fn try_read(endpoint: &str, address: SocketAddr) -> Result<Vec<PromptPart>, CallError> {
     let mut call = InternalCall::get(cache::LIST_PATH.to_owned());
     headers::set_expected(&mut call.headers, endpoint);
-    let response = driver.connections.call(address, &call, READ_TIMEOUT).await?;
+    let read = tokio::time::timeout(READ_TIMEOUT, call_once(address, &call));
+    let response = read.await.map_err(|_| CallError::Timeout)??;
     cache::read_list(&response.body).map_err(|it| CallError::Body(it.to_string()))
 }
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -11,7 +11,7 @@
 use http::request::Parts;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::Instant;
 
@@ -85,6 +85,8 @@
     pub metrics: Metrics,
     pub connections: ConnectionCache,
     pub memory: BodyMemory,
+    /// Permits to read the cache of an engine.
+    pub cache_reads: Semaphore,
     pub callers: RefCell<SortedMap<Ticket, PendingCaller>>,
     pub calls: RefCell<SortedMap<CallId, ActiveCall>>,
     pub phase: watch::Sender<Phase>,
@@ -109,6 +111,7 @@
     ) -> Rc<Driver> {
         Rc::new(Driver {
             memory: BodyMemory::new(settings.memory_limit),
+            cache_reads: Semaphore::new(caches::MAX_READS),
             settings,
             log,
             metrics: Metrics::new(),
--- a/crates/ferry-serve/src/admission.rs
+++ b/crates/ferry-serve/src/admission.rs
@@ -94,7 +94,7 @@
 
     /// Whether a name belongs to the shard.
     pub fn contains(self, name: &str) -> bool {
-        Shard::for_name(name, self.count) == self
+        self.count <= 1 || Shard::for_name(name, self.count) == self
     }
 
     /// Returns all shards for `n_instances` live instances.
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -128,26 +128,24 @@
     usable: Vec<&'a EndpointView>,
     prefixes: &[(u64, u32)],
 ) -> Vec<&'a EndpointView> {
-    let shared = prefixes.len().checked_sub(2).and_then(|it| prefixes.get(it));
-    if shared.is_none() {
+    if shared_key(prefixes).is_none() {
         return usable;
     }
-    let mut endpoints = by_affinity(usable, prefixes);
-    endpoints.truncate(N_AFFINE_ENDPOINTS);
-    endpoints
+    let mut endpoints: Vec<(&EndpointView, ())> = usable.into_iter().map(|it| (it, ())).collect();
+    sort_by_affinity(&mut endpoints, prefixes);
+    endpoints.into_iter().take(N_AFFINE_ENDPOINTS).map(|it| it.0).collect()
+}
+
+/// Returns the hash of the parts of a prompt that other requests share; none if there are none.
+pub(crate) fn shared_key(prefixes: &[(u64, u32)]) -> Option<u64> {
+    prefixes.len().checked_sub(2).and_then(|it| prefixes.get(it)).map(|it| it.0)
 }
 
 /// Sorts endpoints by how much requests with the same shared prompt parts prefer them, as all
 /// instances agree without messages.
-pub(crate) fn by_affinity<'a>(
-    usable: Vec<&'a EndpointView>,
-    prefixes: &[(u64, u32)],
-) -> Vec<&'a EndpointView> {
-    let shared = prefixes.len().checked_sub(2).and_then(|it| prefixes.get(it));
-    let Some((key, _)) = shared else { return usable };
-    let mut endpoints = usable;
-    endpoints.sort_by_cached_key(|it| std::cmp::Reverse(rendezvous_hash(*key, &it.endpoint.id)));
-    endpoints
+pub(crate) fn sort_by_affinity<T>(endpoints: &mut [(&EndpointView, T)], prefixes: &[(u64, u32)]) {
+    let Some(key) = shared_key(prefixes) else { return };
+    endpoints.sort_by_cached_key(|it| std::cmp::Reverse(rendezvous_hash(key, &it.0.endpoint.id)));
 }
 
 fn expected(
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -73,10 +73,10 @@
         self.coordinator(now, (ADMISSION_KEY, shard))
     }
 
-    /// Returns the peer that schedules the calls to engines; none if this instance does. It is the
-    /// admission controller as well, unless there are several.
-    pub fn scheduler_peer(&self, now: Moment) -> Option<SocketAddr> {
-        self.admission_peer(now, Shard::WHOLE)
+    /// Returns the peer that schedules the calls to a shard of the engines; none if this instance
+    /// does. It is an admission controller as well.
+    pub fn scheduler_peer(&self, now: Moment, shard: Shard) -> Option<SocketAddr> {
+        self.admission_peer(now, shard)
     }
 
     fn coordinator(&self, now: Moment, work: impl Hash) -> Option<SocketAddr> {
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -8,10 +8,11 @@
 use super::active::{ActiveRequest, Phase};
 use super::call;
 use crate::batch::Batcher;
+use crate::choose::{prefixes, shared_key};
 use crate::pass::{Context, Pass};
 use crate::{
-    Asker, CallerAttempt, Choice, Decision, DecisionKind, Effect, Mechanism, Metric, PeerMessage,
-    ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled,
+    Asker, CallerAttempt, Choice, Decision, DecisionKind, Effect, EndpointView, Mechanism, Metric,
+    PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Shard,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
@@ -27,7 +28,7 @@
         let choice = call::pick(cx, request);
         return call::start(cx, batcher, request, choice);
     };
-    match cx.ctx.scheduler_peer(cx.now) {
+    match cx.ctx.scheduler_peer(cx.now, wanted.shard) {
         None => {
             request.scheduled_by = Some(Asker::This);
             let scheduled = schedule(cx, Asker::This, wanted);
@@ -48,6 +49,7 @@
     match cx.ctx.catalog.pool(&request.pool).map(|it| &it.kind) {
         Some(PoolKind::Engine { .. }) => Some(ScheduleRequest {
             attempt: request.head.attempt.clone(),
+            shard: shard(cx, request),
             pool: request.pool.clone(),
             prompt: request.head.prompt.clone(),
             results: call::results(cx, request),
@@ -58,21 +60,33 @@
     }
 }
 
+/// Returns the shard of the engines of a request: that of the parts of its prompt that others share,
+/// so that they meet at the same engines.
+fn shard(cx: &Pass<'_>, request: &ActiveRequest) -> Shard {
+    let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
+    match shared_key(&prefixes(&request.head.prompt)) {
+        Some(key) => Shard::for_attempt(&key.to_string(), n_instances),
+        None => Shard::for_attempt(&request.head.attempt, n_instances),
+    }
+}
+
 /// Returns the zone of the engine that a request is likely to go to, if this instance is the
 /// scheduler.
 pub fn likely_zone(cx: &Pass<'_>, wanted: &ScheduleRequest) -> Option<ZoneId> {
     let ctx = &cx.ctx;
-    let is_scheduler =
-        ctx.tuning.is_enabled(Mechanism::Scheduling) && ctx.scheduler_peer(cx.now).is_none();
+    let is_scheduler = ctx.tuning.is_enabled(Mechanism::Scheduling)
+        && ctx.scheduler_peer(cx.now, wanted.shard).is_none();
     is_scheduler.then(|| ctx.scheduler.likely_zone(cx.now, &ctx.endpoints, &ctx.tuning, wanted))?
 }
 
 /// Decides on a request as the scheduler of its pool.
 pub fn schedule(cx: &mut Pass<'_>, asker: Asker, wanted: ScheduleRequest) -> Scheduled {
     let may_read = cx.ctx.tuning.is_enabled(Mechanism::CacheReading);
-    if may_read && cx.ctx.scheduler.must_read_caches(&wanted.pool) {
+    if may_read && cx.ctx.scheduler.must_read_caches(&wanted.pool, wanted.shard) {
         let Pass { ctx, effects, .. } = &mut *cx;
-        let engines = ctx.endpoints.pool(&wanted.pool).filter(|it| it.accepts_work());
+        let is_own =
+            |it: &&EndpointView| it.accepts_work() && wanted.shard.contains(&it.endpoint.id);
+        let engines = ctx.endpoints.pool(&wanted.pool).filter(is_own);
         effects.extend(engines.map(|it| Effect::ReadCache {
             endpoint: it.endpoint.id.clone(),
             address: it.endpoint.address,
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::choose::{millis, prefixes};
-use crate::{CallerAttempt, Endpoints, Mechanism, PromptPart, Tuning};
+use crate::{CallerAttempt, Endpoints, Mechanism, PromptPart, Shard, Tuning};
 
 use engine::Engine;
 
@@ -30,6 +30,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ScheduleRequest {
     pub attempt: CallerAttempt,
+    /// Shard of the engines that it may go to; requests that share parts have the same.
+    pub shard: Shard,
     pub pool: PoolId,
     pub prompt: Vec<PromptPart>,
     /// Megabytes of results to read, by zone.
@@ -103,8 +105,8 @@
     next_expiry: Moment,
     /// Whether another scheduler has chosen engines before.
     has_predecessor: bool,
-    /// Pools whose caches were read since.
-    read_pools: Vec<PoolId>,
+    /// Pools, and shards of them, whose caches were read since.
+    read_pools: Vec<(PoolId, Shard)>,
 }
 
 impl Scheduler {
@@ -119,12 +121,13 @@
     }
 
     /// Returns whether the caches of a pool have to be read, as another scheduler has filled them;
-    /// true once for each pool.
-    pub fn must_read_caches(&mut self, pool: &str) -> bool {
-        if !self.has_predecessor || self.read_pools.iter().any(|it| it == pool) {
+    /// true once for each pool and shard.
+    pub fn must_read_caches(&mut self, pool: &str, shard: Shard) -> bool {
+        let is_read = |it: &(PoolId, Shard)| it.0 == pool && it.1 == shard;
+        if !self.has_predecessor || self.read_pools.iter().any(is_read) {
             return false;
         }
-        self.read_pools.push(pool.to_owned());
+        self.read_pools.push((pool.to_owned(), shard));
         true
     }
 
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -6,7 +6,7 @@
 
 use super::engine::Engine;
 use super::{ScheduleRequest, Scheduler};
-use crate::choose::{by_affinity, millis};
+use crate::choose::{millis, sort_by_affinity};
 use crate::{EndpointView, Endpoints, Mechanism, Tuning};
 
 /// Cost of a call that fails, as time.
@@ -55,18 +55,19 @@
         request: &ScheduleRequest,
         prefixes: &[(u64, u32)],
     ) -> Option<(Estimate, &'a EndpointView, u32)> {
-        let fits =
-            |it: &&EndpointView| it.accepts_work() && !request.tried.contains(&it.endpoint.id);
+        let fits = |it: &&EndpointView| {
+            it.accepts_work()
+                && request.shard.contains(&it.endpoint.id)
+                && !request.tried.contains(&it.endpoint.id)
+        };
         let candidates: Vec<&EndpointView> = endpoints.pool(&request.pool).filter(fits).collect();
         let has_usable = candidates.iter().any(|it| it.is_usable(now));
         let shared = &prefixes[..prefixes.len().saturating_sub(1)];
-        let most_cached = candidates
-            .iter()
-            .map(|it| self.cached(now, it, request, shared))
-            .max()
-            .unwrap_or_default();
-        let usable = candidates.iter().copied().filter(|it| !has_usable || it.is_usable(now));
-        let ranked = by_affinity(usable.collect(), prefixes);
+        let known: Vec<(&EndpointView, u32)> =
+            candidates.iter().map(|it| (*it, self.cached(now, it, request, shared))).collect();
+        let most_cached = known.iter().map(|it| it.1).max().unwrap_or_default();
+        let mut usable = known;
+        usable.retain(|it| !has_usable || it.0.is_usable(now));
         let total: u32 = shared.iter().map(|it| it.1).sum();
         let is_unknown = most_cached < total;
         // Without knowledge of what an earlier scheduler chose, its first choice is the best guess.
@@ -74,11 +75,12 @@
             true => (f64::from(total) * LIKELY_CACHED_FRACTION) as u32,
             false => 0,
         };
-        let estimates = ranked.into_iter().enumerate().map(|(rank, view)| {
-            let cached =
-                self.cached(now, view, request, shared).max(if rank == 0 { guessed } else { 0 });
-            let most_cached = most_cached.max(guessed);
-            let known = Cached { here: cached, most: most_cached };
+        if is_unknown {
+            sort_by_affinity(&mut usable, prefixes);
+        }
+        let estimates = usable.into_iter().enumerate().map(|(rank, (view, cached))| {
+            let here = cached.max(if rank == 0 { guessed } else { 0 });
+            let known = Cached { here, most: most_cached.max(guessed) };
             let mut estimate = self.estimate(now, view, tuning, request, prefixes, known);
             if is_unknown && tuning.is_enabled(Mechanism::Affinity) {
                 estimate.cost += millis(RANK_COST) * rank.min(MAX_RANK) as f64;
--- a/crates/ferry-serve/tests/decisions/schedule.rs
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -1,8 +1,13 @@
 //! Which engine a request goes to when prompts are long and share parts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_serve::{PromptPart, RequestHead};
+use ferry_model::{EndpointState, GatewayEndpoint};
+use ferry_serve::{
+    Asker, Endpoints, PromptPart, RequestHead, ScheduleRequest, Scheduled, Scheduler, Shard,
+    StoreUpdate, Tuning,
+};
 
 use crate::simulation::{Behaviour, ENGINE, Ending, Simulation, head, ms};
 
@@ -147,3 +152,55 @@
     let n_lost = attempts.iter().filter(|it| sim.outcome(it).ending != Ending::Stream).count();
     assert!(n_lost == 0, "{n_lost} were not served");
 }
+
+#[test]
+fn schedulers_of_a_large_fleet_have_engines_of_their_own() {
+    let engine = |number: usize| GatewayEndpoint {
+        id: format!("{ENGINE}-{number}"),
+        pool: ENGINE.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 10_000 + number as u16)),
+        zone: format!("zone-{}", number % 3),
+        slots: 64,
+        state: EndpointState::Live,
+        started: 1,
+    };
+    let endpoints: Vec<GatewayEndpoint> = (0..900).map(engine).collect();
+    let mut view = Endpoints::new();
+    let tuning = Tuning::default();
+    view.apply(ms(0), &tuning, StoreUpdate::List { revision: 1, endpoints });
+    let shards: Vec<Shard> = Shard::all(300).collect();
+    assert_eq!(shards.len(), 3);
+    let mut chosen: Vec<Vec<String>> = Vec::new();
+    for shard in &shards {
+        let mut scheduler = Scheduler::new(false);
+        let mut ids = Vec::new();
+        for number in 0..200 {
+            let attempt = format!("large-{number}");
+            let request = ScheduleRequest {
+                attempt: attempt.as_str().into(),
+                shard: *shard,
+                pool: ENGINE.to_owned(),
+                prompt: prompt_head(&attempt, number).prompt,
+                results: Vec::new(),
+                tried: Vec::new(),
+                zone: "zone-0".to_owned(),
+            };
+            match scheduler.schedule(ms(number), &view, &tuning, Asker::This, request) {
+                Scheduled::Now(decision) => ids.push(decision.endpoint),
+                // It waits for the engine that reads its part.
+                Scheduled::Later(_) => (),
+                Scheduled::Nowhere => panic!("{attempt} has no engine"),
+            }
+        }
+        ids.sort();
+        ids.dedup();
+        assert!(ids.iter().all(|it| shard.contains(it)), "{shard:?}");
+        assert!(N_SHARED as usize / 2 <= ids.len(), "{} engines are used", ids.len());
+        chosen.push(ids);
+    }
+    let all: usize = chosen.iter().map(Vec::len).sum();
+    let mut distinct = chosen.concat();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!(distinct.len(), all, "no engine has two schedulers");
+}
