Keep one copy of the costs that both choices of an engine use

Two costs and a fraction stood in choose.rs and in the scheduler with the same values. No behaviour changed.

--- a/crates/ferry-gateway/src/caches.rs
+++ b/crates/ferry-gateway/src/caches.rs
@@ -20,7 +20,7 @@
 pub fn read(driver: &Rc<Driver>, endpoint: EndpointId, address: SocketAddr) {
     let driver = driver.clone();
     spawn_local(async move {
-        // Closed only with the process.
+        // The semaphore is never closed.
         let Ok(_permit) = driver.cache_reads.acquire().await else { return };
         match try_read(&endpoint, address).await {
             Ok(parts) => driver.dispatch(Event::Cached { endpoint, parts }),
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -11,11 +11,11 @@
 /// Expected time of a call to a plain endpoint.
 const PLAIN_TIME: Duration = Duration::from_millis(60);
 /// Cost of a call that fails, as time.
-const FAIL_COST: Duration = Duration::from_millis(400);
+pub(crate) const FAIL_COST: Duration = Duration::from_millis(400);
 /// Cost of sending a request to another availability zone than the instance's own.
-const ZONE_HOP_COST: Duration = Duration::from_millis(3);
+pub(crate) const ZONE_HOP_COST: Duration = Duration::from_millis(3);
 /// Fraction of the shared prompt that the first of the affine endpoints is assumed to have cached.
-const LIKELY_CACHED_FRACTION: f64 = 0.7;
+pub(crate) const LIKELY_CACHED_FRACTION: f64 = 0.7;
 /// Number of endpoints that serve requests with the same shared prompt parts.
 const N_AFFINE_ENDPOINTS: usize = 3;
 /// Cost of an answer that is late, as time.
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -21,10 +21,10 @@
 
 /// Time after which a call is forgotten whose end was not reported.
 const MAX_CALL_TIME: Duration = Duration::from_secs(30);
-/// Calls that are counted at a time; beyond it, instances choose by themselves.
-const MAX_CALLS: usize = 20_000;
 /// Interval at which such calls are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Calls that are counted at a time; beyond it, instances choose by themselves.
+const MAX_CALLS: usize = 20_000;
 
 /// Asks for the engine of a request whose stages are done.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -6,22 +6,15 @@
 
 use super::engine::Engine;
 use super::{ScheduleRequest, Scheduler};
-use crate::choose::{millis, sort_by_affinity};
+use crate::choose::{FAIL_COST, LIKELY_CACHED_FRACTION, ZONE_HOP_COST, millis, sort_by_affinity};
 use crate::{EndpointView, Endpoints, Mechanism, Tuning};
 
-/// Cost of a call that fails, as time.
-const FAIL_COST: Duration = Duration::from_millis(400);
-/// Cost of sending a request to another availability zone than the instance's own.
-const ZONE_HOP_COST: Duration = Duration::from_millis(3);
 /// Cost of one more request that writes tokens, as time: each makes the steps of an engine longer.
 const RUNNING_COST: Duration = Duration::from_millis(3);
 /// Cost of each rank of an engine among those that a prompt prefers, as time, if none of them is
 /// known to have cached it. A scheduler that has just taken over then finds what others chose.
 const RANK_COST: Duration = Duration::from_millis(100);
 const MAX_RANK: usize = 4;
-/// Fraction of the shared prompt that the first of them is assumed to have cached if another
-/// scheduler has worked before.
-const LIKELY_CACHED_FRACTION: f64 = 0.7;
 
 /// Shared tokens of a prompt that are cached.
 #[derive(Debug, Clone, Copy)]
