Log how the endpoint ended each stream

Cause: the lines of a request did not say what marked the end of its endpoint's answer, nor whether the answer ended inside an event, so the three hypotheses of docs/incidents/truncated-stream.md looked the same in them. No decision is changed.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use ferry_platform::headers::{self, AddedHeaders, ResponseKind};
-use ferry_serve::{Call, CallEvent, CallId, Event, LoadReport};
-use http::{Request, Response, StatusCode};
+use ferry_serve::{Call, CallEvent, CallId, Event, Framing, LoadReport, StreamEnd};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -54,7 +55,7 @@
 /// Reports the end of a call, and completes the caller's stream if the call's stream is complete.
 async fn finish(driver: &Rc<Driver>, call: CallId, event: CallEvent) {
     let relay = driver.calls.borrow().get(&call).and_then(|it| it.relay.clone());
-    let is_ended = event == CallEvent::Ended;
+    let is_ended = matches!(event, CallEvent::Ended(_));
     driver.dispatch(Event::Call { call, event });
     driver.calls.borrow_mut().remove(&call);
     if let Some(relay) = relay.filter(|_| is_ended) {
@@ -155,6 +156,7 @@
     load: Option<LoadReport>,
 ) -> CallEvent {
     let (parts, mut body) = response.into_parts();
+    let framing = framing(&parts.headers);
     let head =
         BufferedResponse { status: parts.status, headers: parts.headers, body: Bytes::new() };
     if let Some(active) = driver.calls.borrow_mut().get_mut(&call.call) {
@@ -178,11 +180,23 @@
             return broken("the caller has disconnected");
         }
     }
+    let partial = splitter.n_buffered();
     let rest = splitter.finish();
     if !rest.is_empty() && !forward(driver, call, &relay, rest, splitter.last_id()).await {
         return broken("the caller has disconnected");
     }
-    CallEvent::Ended
+    CallEvent::Ended(StreamEnd { framing, partial })
+}
+
+/// Returns what marks the end of the body behind these headers.
+fn framing(headers: &HeaderMap) -> Framing {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else if headers.contains_key(CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
+    }
 }
 
 /// Forwards events; returns whether the caller is still connected.
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -6,7 +6,7 @@
 use ferry_model::{ConfigVersion, EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, ItemInput, PeerMessage};
+use crate::{CallId, CallerAttempt, ItemInput, PeerMessage, StreamEnd};
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -156,6 +156,8 @@
     /// Time left until the answer, or its first event, is late.
     pub slack: Option<Duration>,
     pub prompt: Option<PromptTokens>,
+    /// How the endpoint ended its stream.
+    pub end: Option<StreamEnd>,
     /// Number of candidates that were compared.
     pub considered: u32,
     /// Expected cost of the chosen one, in microseconds.
@@ -180,6 +182,7 @@
             floor: None,
             slack: None,
             prompt: None,
+            end: None,
             considered: 0,
             score: None,
             budget: None,
@@ -213,6 +216,11 @@
         self
     }
 
+    pub fn with_end(mut self, end: Option<StreamEnd>) -> Decision {
+        self.end = end;
+        self
+    }
+
     pub fn with_stage(mut self, stage: u8) -> Decision {
         self.stage = Some(stage);
         self
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -121,14 +121,32 @@
     Began { load: Option<LoadReport> },
     /// Complete events up to this one were forwarded.
     Progress { last_event: Option<u64> },
-    /// The stream is complete.
-    Ended,
+    /// The endpoint ended the stream.
+    Ended(StreamEnd),
     /// A complete answer arrived and waits to be forwarded.
     Answer { is_error: bool, load: Option<LoadReport> },
     /// Bytes were written, and no complete answer will arrive.
     Broken { error: String },
 }
 
+/// How an endpoint ended a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamEnd {
+    pub framing: Framing,
+    /// Bytes of an incomplete event at the end.
+    pub partial: usize,
+}
+
+/// What marks the end of a response's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Framing {
+    Length,
+    Chunked,
+    /// The end of the connection, also if the endpoint crashes.
+    Connection,
+}
+
 /// Why an endpoint did not run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -34,8 +34,8 @@
     EndpointView, Endpoints, EndpointsDelta, LoadReport, Observation, Observations,
 };
 pub use event::{
-    Arrival, BatchFailure, CallEvent, Event, ItemFailure, ItemInput, ItemResult, NotRunReason,
-    PromptPart, RequestHead, StoreUpdate, TokenCounts,
+    Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
+    NotRunReason, PromptPart, RequestHead, StoreUpdate, StreamEnd, TokenCounts,
 };
 pub use gateway::Gateway;
 pub use group::{Group, groups};
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -111,10 +111,10 @@
             }
             false
         }
-        CallEvent::Ended => {
+        CallEvent::Ended(end) => {
             release_endpoint(cx, request, &current);
             cx.effects.push(Effect::Finish { ticket: request.ticket });
-            end::complete(cx, batcher, request, &current.endpoint);
+            end::complete(cx, batcher, request, &current.endpoint, Some(end));
             true
         }
         CallEvent::Answer { is_error, load } => {
@@ -301,7 +301,7 @@
         }
     }
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
-    end::complete(cx, batcher, request, &current.endpoint);
+    end::complete(cx, batcher, request, &current.endpoint, None);
     true
 }
 
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -5,7 +5,7 @@
 use super::{schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
-use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status};
+use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status, StreamEnd};
 
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
@@ -16,6 +16,7 @@
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
     endpoint: &str,
+    end: Option<StreamEnd>,
 ) {
     cx.count(Metric::RequestsComplete);
     let first = request.began_at.unwrap_or(cx.now);
@@ -24,6 +25,7 @@
             .with_attempt(&request.head.attempt)
             .with_route(&request.route.name)
             .with_endpoint(endpoint)
+            .with_end(end)
             .with_times(first - request.arrived, cx.now - request.arrived)
             .with_slack(request.objective().saturating_sub(first))
             .with_budget(request.deadline.saturating_sub(cx.now)),
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -5,12 +5,15 @@
 
 use ferry_model::{EndpointState, GatewayEndpoint, Moment, ResultHandle};
 use ferry_serve::{
-    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, ItemFailure, ItemInput, ItemResult,
-    PromptPart,
+    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, Framing, ItemFailure, ItemInput,
+    ItemResult, PromptPart, StreamEnd,
 };
 
 use super::{EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits};
 
+/// The end of a stream that misses nothing.
+const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, partial: 0 };
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
     Healthy,
@@ -134,7 +137,7 @@
                     self.schedule(instance, at, event(progress));
                 }
                 let end = begin + EVENT_GAP * factor * N_EVENTS as u32;
-                self.schedule(instance, end, event(CallEvent::Ended));
+                self.schedule(instance, end, event(CallEvent::Ended(WHOLE)));
             }
             Behaviour::Healthy
             | Behaviour::Slow(_)
