Add a failing test of streams that end inside an event

The test engines can answer without a length or chunks, and end a stream inside an event, chunked or with the connection. A caller gets three events, 8 bytes of a fourth and the last chunk; the instance's line reads `complete`, framing connection, partial_bytes 8.

--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -6,3 +6,4 @@
 mod raw_requests;
 mod robustness;
 mod soak;
+mod streams;
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -15,7 +15,7 @@
 
 use crate::checker::Checker;
 use crate::config::WORKSPACE;
-use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve};
+use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve, without_framing};
 
 /// Time to run a plain request.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
@@ -52,6 +52,12 @@
     Failing,
     /// Closes the connection in the middle of a stream.
     Truncates,
+    /// Ends streams inside an event, as if they were complete.
+    EndsInEvent {
+        is_chunked: bool,
+    },
+    /// Responds with neither a length nor chunks; the body ends with the connection.
+    Unframed,
     /// Responds with the id of another attempt.
     WrongAttempt,
     /// Takes longer by this factor.
@@ -245,7 +251,10 @@
             _ => full_response(StatusCode::OK, response_body(attempt, body)),
         };
         self.add_headers(&mut response, attempt);
-        Some(response)
+        match self.behaviour.get() {
+            Behaviour::Unframed => Some(without_framing(response)),
+            _ => Some(response),
+        }
     }
 
     async fn stream(&self, attempt: &str, from: u64) -> Option<Response<Body>> {
@@ -254,7 +263,7 @@
             self.apply_fault().await?;
         }
         let gap = self.time(EVENT_GAP);
-        let is_torn = self.behaviour.get() == Behaviour::Truncates;
+        let behaviour = self.behaviour.get();
         let attempt_id = attempt.to_owned();
         let events = stream::unfold(from + 1, move |number| {
             let attempt = attempt_id.clone();
@@ -264,11 +273,13 @@
                 }
                 tokio::time::sleep(gap).await;
                 let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
-                let is_cut = is_torn && from + 3 < number;
-                let chunk = match is_cut {
-                    true if number == from + 4 => Ok(Bytes::from(event[..8].to_owned())),
-                    true => Err(Disconnect),
-                    false => Ok(Bytes::from(event)),
+                let chunk = match behaviour {
+                    Behaviour::Truncates | Behaviour::EndsInEvent { .. } if number == from + 4 => {
+                        Ok(Bytes::from(event[..8].to_owned()))
+                    }
+                    Behaviour::Truncates if from + 4 < number => Err(Disconnect),
+                    Behaviour::EndsInEvent { .. } if from + 4 < number => return None,
+                    _ => Ok(Bytes::from(event)),
                 };
                 Some((chunk, number + 1))
             }
@@ -277,7 +288,12 @@
         let kind = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
         self.add_headers(&mut response, attempt);
-        Some(response)
+        match behaviour {
+            Behaviour::Unframed | Behaviour::EndsInEvent { is_chunked: false } => {
+                Some(without_framing(response))
+            }
+            _ => Some(response),
+        }
     }
 
     /// Applies behaviours that prevent a response; none closes the connection.
@@ -289,6 +305,8 @@
             | Behaviour::Full
             | Behaviour::Failing
             | Behaviour::WrongAttempt
+            | Behaviour::EndsInEvent { .. }
+            | Behaviour::Unframed
             | Behaviour::Slow(_) => Some(()),
         }
     }
--- a/crates/ferry-soak/src/server.rs
+++ b/crates/ferry-soak/src/server.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use futures_util::Stream;
-use http::{Request, Response, StatusCode};
+use futures_util::{Stream, TryStreamExt};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -68,6 +68,17 @@
     response
 }
 
+/// Returns a response whose body ends with the connection.
+pub fn without_framing(response: Response<Body>) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    // The server cannot send chunks in this version, and does not know the length of a stream.
+    parts.version = Version::HTTP_10;
+    Response::from_parts(
+        parts,
+        StreamBody::new(body.into_data_stream().map_ok(Frame::data)).boxed_unsync(),
+    )
+}
+
 /// Returns a response whose body is a stream.
 pub fn stream_response<S>(chunks: S) -> Response<Body>
 where
