Pass on a stream as complete only if it ends between events

Cause: an answer with neither a length nor chunks ends with its connection. When the endpoint crashed inside an event, the gateway forwarded the bytes of the unfinished event (EventSplitter::finish returned whatever was left) and completed the caller's answer: the end of the connection was taken for the end of the message. Class: the end of a channel read as evidence that a message is whole.

Change: the call reports how the stream ended, and the reducer decides. A stream that ends inside an event, however it is framed, or one that ends with its connection before any event, was broken off: it is resumed where the route allows that, and otherwise the caller's channel is closed without the last chunk. The rest of an event is never forwarded; empty lines at the end are.

Test changed: parsing.rs expected the bytes of an unfinished event from finish(), which is the fault. It now expects the same count of bytes to stay buffered, and the number of events.

Conclusion: fixed for every end inside an event.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -55,10 +55,10 @@
 /// Reports the end of a call, and completes the caller's stream if the call's stream is complete.
 async fn finish(driver: &Rc<Driver>, call: CallId, event: CallEvent) {
     let relay = driver.calls.borrow().get(&call).and_then(|it| it.relay.clone());
-    let is_ended = matches!(event, CallEvent::Ended(_));
+    let is_complete = matches!(&event, CallEvent::Ended(end) if end.is_complete());
     driver.dispatch(Event::Call { call, event });
     driver.calls.borrow_mut().remove(&call);
-    if let Some(relay) = relay.filter(|_| is_ended) {
+    if let Some(relay) = relay.filter(|_| is_complete) {
         // Fails if the caller has disconnected.
         let _ = relay.send(StreamChunk::End).await;
     }
@@ -180,12 +180,12 @@
             return broken("the caller has disconnected");
         }
     }
-    let partial = splitter.n_buffered();
     let rest = splitter.finish();
     if !rest.is_empty() && !forward(driver, call, &relay, rest, splitter.last_id()).await {
         return broken("the caller has disconnected");
     }
-    CallEvent::Ended(StreamEnd { framing, partial })
+    let (n_events, partial) = (splitter.n_events(), splitter.n_buffered());
+    CallEvent::Ended(StreamEnd { framing, n_events, partial })
 }
 
 /// Returns what marks the end of the body behind these headers.
--- a/crates/ferry-gateway/src/decision_log.rs
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -29,7 +29,6 @@
         emit_number(out, "shared_tokens", it.prompt.map(|it| u64::from(it.shared)))?;
         emit_number(out, "uncached_tokens", it.prompt.map(|it| u64::from(it.uncached)))?;
         emit_text(out, "framing", it.end.map(|it| it.framing.into()))?;
-        emit_number(out, "partial_bytes", it.end.map(|it| it.partial as u64))?;
         out.emit_u64("version".into(), it.version)
     }
 }
--- a/crates/ferry-gateway/src/events.rs
+++ b/crates/ferry-gateway/src/events.rs
@@ -6,6 +6,7 @@
 #[derive(Debug)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    n_events: usize,
     /// Id of the last event that was returned.
     last_id: Option<u64>,
     /// Events up to this id were forwarded by an earlier call.
@@ -15,7 +16,7 @@
 impl EventSplitter {
     /// Creates a splitter that drops events up to the id `skip`, which the caller already has.
     pub fn new(skip: Option<u64>) -> EventSplitter {
-        EventSplitter { buffer: BytesMut::new(), last_id: skip, skip }
+        EventSplitter { buffer: BytesMut::new(), n_events: 0, last_id: skip, skip }
     }
 
     /// Adds received bytes and returns the events that are now complete.
@@ -30,14 +31,23 @@
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.n_events += 1;
             out.extend_from_slice(&event);
         }
         out.freeze()
     }
 
-    /// Returns the remaining bytes after the endpoint has completed the stream.
+    /// Returns the empty lines at the end of a stream; bytes of an incomplete event stay buffered.
     pub fn finish(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+        match self.buffer.iter().all(|it| matches!(it, b'\r' | b'\n')) {
+            true => self.buffer.split().freeze(),
+            false => Bytes::new(),
+        }
+    }
+
+    /// Returns the number of events that were returned.
+    pub fn n_events(&self) -> usize {
+        self.n_events
     }
 
     /// Returns the number of buffered bytes, which belong to an incomplete event.
--- a/crates/ferry-gateway/tests/parsing.rs
+++ b/crates/ferry-gateway/tests/parsing.rs
@@ -10,8 +10,11 @@
         chunks: &'static [&'static str],
         /// Events returned for each chunk.
         events: &'static [&'static str],
-        /// Bytes that remain at the end.
+        /// Empty lines that remain at the end.
         rest: &'static str,
+        /// Bytes of an incomplete event at the end.
+        partial: usize,
+        n_events: usize,
         last_id: Option<u64>,
     }
     let cases = [
@@ -21,6 +24,8 @@
             chunks: &["id: 1\nda", "ta: x\n\n"],
             events: &["", "id: 1\ndata: x\n\n"],
             rest: "",
+            partial: 0,
+            n_events: 1,
             last_id: Some(1),
         },
         Case {
@@ -28,7 +33,9 @@
             skip: None,
             chunks: &["id:1\n\nid:2\n\nid:3\nda"],
             events: &["id:1\n\nid:2\n\n"],
-            rest: "id:3\nda",
+            rest: "",
+            partial: 7,
+            n_events: 2,
             last_id: Some(2),
         },
         Case {
@@ -37,6 +44,8 @@
             chunks: &["id: 7\r\ndata: x\r", "\n\r\n"],
             events: &["", "id: 7\r\ndata: x\r\n\r\n"],
             rest: "",
+            partial: 0,
+            n_events: 1,
             last_id: Some(7),
         },
         Case {
@@ -45,6 +54,8 @@
             chunks: &["id: 1\n\nid: 2\n\nid: 3\n\n"],
             events: &["id: 3\n\n"],
             rest: "",
+            partial: 0,
+            n_events: 1,
             last_id: Some(3),
         },
         Case {
@@ -53,6 +64,8 @@
             chunks: &["data: x\n\n"],
             events: &["data: x\n\n"],
             rest: "",
+            partial: 0,
+            n_events: 1,
             last_id: Some(2),
         },
         Case {
@@ -61,8 +74,30 @@
             chunks: &["\n\nid: 1\n\n"],
             events: &["\n\nid: 1\n\n"],
             rest: "",
+            partial: 0,
+            n_events: 1,
+            last_id: Some(1),
+        },
+        Case {
+            name: "an empty line after the last event",
+            skip: None,
+            chunks: &["id: 1\n\n\r\n"],
+            events: &["id: 1\n\n"],
+            rest: "\r\n",
+            partial: 0,
+            n_events: 1,
             last_id: Some(1),
         },
+        Case {
+            name: "an event without the empty line that ends it",
+            skip: None,
+            chunks: &["id: 1\ndata: x\n"],
+            events: &[""],
+            rest: "",
+            partial: 14,
+            n_events: 0,
+            last_id: None,
+        },
     ];
     for case in cases {
         let mut splitter = EventSplitter::new(case.skip);
@@ -71,5 +106,7 @@
         }
         assert_eq!(splitter.last_id(), case.last_id, "{}", case.name);
         assert_eq!(splitter.finish(), case.rest.as_bytes(), "{}", case.name);
+        assert_eq!(splitter.n_buffered(), case.partial, "{}", case.name);
+        assert_eq!(splitter.n_events(), case.n_events, "{}", case.name);
     }
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -133,10 +133,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamEnd {
     pub framing: Framing,
+    /// Events that the call brought.
+    pub n_events: usize,
     /// Bytes of an incomplete event at the end.
     pub partial: usize,
 }
 
+impl StreamEnd {
+    /// Returns whether the stream was not broken off; the end of a connection alone does not tell.
+    pub fn is_complete(&self) -> bool {
+        let has_events = match self.framing {
+            Framing::Length | Framing::Chunked => true,
+            Framing::Connection => 0 < self.n_events,
+        };
+        has_events && self.partial == 0
+    }
+}
+
 /// What marks the end of a response's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -12,7 +12,7 @@
 use crate::pass::Pass;
 use crate::{
     Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, Observation,
-    PromptTokens, ScheduleProgress, Status,
+    PromptTokens, ScheduleProgress, Status, StreamEnd,
 };
 
 /// Urgency of priority zero, and the increase with each further priority.
@@ -111,6 +111,13 @@
             }
             false
         }
+        CallEvent::Ended(end) if !end.is_complete() => {
+            let StreamEnd { framing, n_events, partial } = end;
+            let error = format!(
+                "the stream ended ({framing}) after {n_events} events and {partial} bytes of another"
+            );
+            on_broken(cx, batcher, request, &current, &error)
+        }
         CallEvent::Ended(end) => {
             release_endpoint(cx, request, &current);
             cx.effects.push(Effect::Finish { ticket: request.ticket });
@@ -120,15 +127,24 @@
         CallEvent::Answer { is_error, load } => {
             on_answer(cx, batcher, request, &current, is_error, load)
         }
-        CallEvent::Broken { error } => {
-            release_endpoint(cx, request, &current);
-            record_failure(cx, &current);
-            request.n_runs += 1;
-            retry::rerun(cx, batcher, request, &format!("no complete answer: {error}"))
-        }
+        CallEvent::Broken { error } => on_broken(cx, batcher, request, &current, &error),
     }
 }
 
+/// Handles a run whose complete answer will not arrive; returns whether the request has ended.
+fn on_broken(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+    error: &str,
+) -> bool {
+    release_endpoint(cx, request, current);
+    record_failure(cx, current);
+    request.n_runs += 1;
+    retry::rerun(cx, batcher, request, &format!("no complete answer: {error}"))
+}
+
 /// Cancels the call to a silent endpoint; returns whether the request has ended.
 pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
     let Phase::Calling(current) = request.phase.clone() else { return false };
--- a/crates/ferry-serve/tests/decisions/requests.rs
+++ b/crates/ferry-serve/tests/decisions/requests.rs
@@ -1,6 +1,6 @@
 //! What a caller gets for each kind of request when its endpoint fails.
 
-use ferry_serve::{Event, Status};
+use ferry_serve::{CallEvent, Event, Framing, Status, StreamEnd};
 
 use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, head, ms};
 
@@ -228,3 +228,35 @@
         assert_eq!(sim.violations, Vec::<String>::new(), "{}", case.name);
     }
 }
+
+#[test]
+fn stream_that_was_broken_off_is_not_complete() {
+    struct EndCase {
+        route: &'static str,
+        end: StreamEnd,
+        ending: Ending,
+        runs: usize,
+    }
+    let end = |framing, n_events, partial| StreamEnd { framing, n_events, partial };
+    let (chunked, connection) = (Framing::Chunked, Framing::Connection);
+    let cases = [
+        EndCase { route: "once", end: end(chunked, 2, 0), ending: Ending::Stream, runs: 1 },
+        EndCase { route: "once", end: end(connection, 2, 0), ending: Ending::Stream, runs: 1 },
+        EndCase { route: "once", end: end(connection, 0, 0), ending: Ending::Aborted, runs: 1 },
+        EndCase { route: "once", end: end(connection, 2, 9), ending: Ending::Aborted, runs: 1 },
+        EndCase { route: "once", end: end(chunked, 2, 9), ending: Ending::Aborted, runs: 1 },
+        EndCase { route: "stream", end: end(connection, 2, 9), ending: Ending::Stream, runs: 2 },
+        EndCase { route: "stream", end: end(connection, 0, 0), ending: Ending::Stream, runs: 2 },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(1);
+        sim.arrive(0, "probe", head(case.route, "probe"));
+        sim.run_for(ms(470));
+        let call = 3; // Two batches precede it.
+        sim.deliver(0, Event::Call { call, event: CallEvent::Ended(case.end) });
+        sim.run_for(ms(3_000));
+        assert_eq!(sim.outcome("probe").ending, case.ending, "{} {:?}", case.route, case.end);
+        let runs = sim.runs.get("probe").map(Vec::len);
+        assert_eq!(runs, Some(case.runs), "{} {:?}", case.route, case.end);
+    }
+}
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -12,7 +12,7 @@
 use super::{EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits};
 
 /// The end of a stream that misses nothing.
-const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, partial: 0 };
+const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, n_events: 1, partial: 0 };
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
