Forward streams and answers by their route, not by their content type

What callers got: 200 with the endpoint's seal and a complete, empty body, if an engine left the content type out of a stream's head.

Cause: the call decided by its route that it forwards a stream, the driver decided by the content type that the head is a whole answer and sent it with the body it had, none. A stream's type on an answer of another route was as bad: its body was dropped.

Change: what waits for the reducer says itself whether it is an answer or the head of a stream.

Before: stream_without_a_content_type_is_forwarded_whole failed (content-length: 0). After: it passes, as do the other process tests of streams.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -15,7 +15,7 @@
 
 use crate::body::StreamChunk;
 use crate::client::{BufferedResponse, Connection, read_buffered};
-use crate::driver::{ActiveCall, CallerRequest, Driver};
+use crate::driver::{ActiveCall, CallerRequest, Driver, Pending};
 use crate::events::EventSplitter;
 
 /// Maximum size of an event in bytes; a stream with a larger one is treated as invalid.
@@ -45,13 +45,6 @@
     driver.calls.borrow_mut().insert(id, active);
 }
 
-/// Returns whether a response is the head of a stream, whose body is forwarded as it arrives.
-pub fn is_stream_head(response: &BufferedResponse) -> bool {
-    response.headers.get(http::header::CONTENT_TYPE).is_some_and(|it| {
-        it.as_bytes().starts_with(b"text/event-stream") && response.status.is_success()
-    })
-}
-
 /// Reports the end of a call, and completes the caller's stream if the call's stream is complete.
 async fn finish(driver: &Rc<Driver>, call: CallId, event: CallEvent) {
     let relay = driver.calls.borrow().get(&call).and_then(|it| it.relay.clone());
@@ -140,7 +133,7 @@
         Ok(response) => {
             let is_error = response.status.is_server_error();
             if let Some(active) = driver.calls.borrow_mut().get_mut(&call.call) {
-                active.pending = Some(response);
+                active.pending = Some(Pending::Answer(response));
             }
             CallEvent::Answer { is_error, load }
         }
@@ -160,7 +153,7 @@
     let head =
         BufferedResponse { status: parts.status, headers: parts.headers, body: Bytes::new() };
     if let Some(active) = driver.calls.borrow_mut().get_mut(&call.call) {
-        active.pending = Some(head);
+        active.pending = Some(Pending::StreamHead(head));
     }
     driver.dispatch(Event::Call { call: call.call, event: CallEvent::Began { load } });
     let relay = driver.calls.borrow().get(&call.call).and_then(|it| it.relay.clone());
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -55,12 +55,20 @@
     pub _reservation: MemoryReservation,
 }
 
+/// What a call has received for its caller so far.
+#[derive(Debug)]
+pub enum Pending {
+    Answer(BufferedResponse),
+    /// The head of a stream, whose body is forwarded as it arrives.
+    StreamHead(BufferedResponse),
+}
+
 /// A call to an endpoint in progress.
 #[derive(Debug)]
 pub struct ActiveCall {
     pub task: AbortHandle,
-    /// Response, or head of a stream, that waits for [`Effect::Relay`].
-    pub pending: Option<BufferedResponse>,
+    /// What waits for [`Effect::Relay`].
+    pub pending: Option<Pending>,
     /// Receives the chunks of the stream; set by [`Effect::Relay`].
     pub relay: Option<mpsc::Sender<StreamChunk>>,
 }
@@ -209,20 +217,24 @@
         let (Some(active), Some(caller)) = (calls.get_mut(&call), callers.get_mut(&ticket)) else {
             return;
         };
-        let Some(pending) = active.pending.take() else { return };
-        if !calls::is_stream_head(&pending) {
-            if let Some(reply) = callers.remove(&ticket).and_then(|it| it.reply) {
-                let _ = reply.send(Reply::Buffered(pending));
+        match active.pending.take() {
+            None => (),
+            Some(Pending::Answer(response)) => {
+                if let Some(reply) = callers.remove(&ticket).and_then(|it| it.reply) {
+                    // Fails if the caller has disconnected.
+                    let _ = reply.send(Reply::Buffered(response));
+                }
+            }
+            Some(Pending::StreamHead(head)) => {
+                if let Some(reply) = caller.reply.take() {
+                    let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+                    caller.stream = Some(sender);
+                    self.metrics.record_first_event(caller.since.elapsed());
+                    let _ = reply.send(Reply::Stream(head, receiver));
+                }
+                active.relay = caller.stream.clone();
             }
-            return;
-        }
-        if let Some(reply) = caller.reply.take() {
-            let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-            caller.stream = Some(sender);
-            self.metrics.record_first_event(caller.since.elapsed());
-            let _ = reply.send(Reply::Stream(pending, receiver));
         }
-        active.relay = caller.stream.clone();
     }
 
     fn remove_caller(&self, ticket: Ticket) {
--- a/crates/ferry-gateway/tests/process/streams.rs
+++ b/crates/ferry-gateway/tests/process/streams.rs
@@ -97,3 +97,16 @@
         });
     }
 }
+
+#[test]
+fn stream_without_a_content_type_is_forwarded_whole() {
+    with_cluster("untyped", 1, async |cluster| {
+        cluster.endpoints.iter().for_each(|it| it.behaviour.set(Behaviour::Untyped));
+        cluster.checker.record_sent("untyped", Route::Once, b"body");
+        let request = stream(Route::Once, "untyped");
+        let response = exchange(cluster.nodes[0].front(), request.as_bytes()).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+        assert!((1..=N_EVENTS).all(|it| has_event(&response, "untyped", it)), "{response}");
+    });
+}
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -58,6 +58,8 @@
     },
     /// Responds with neither a length nor chunks; the body ends with the connection.
     Unframed,
+    /// Responds without the type of the content.
+    Untyped,
     /// Responds with the id of another attempt.
     WrongAttempt,
     /// Takes longer by this factor.
@@ -285,8 +287,10 @@
             }
         });
         let mut response = crate::server::stream_response(events);
-        let kind = HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        if behaviour != Behaviour::Untyped {
+            let kind = HeaderValue::from_static("text/event-stream");
+            response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        }
         self.add_headers(&mut response, attempt);
         match behaviour {
             Behaviour::Unframed | Behaviour::EndsInEvent { is_chunked: false } => {
@@ -307,6 +311,7 @@
             | Behaviour::WrongAttempt
             | Behaviour::EndsInEvent { .. }
             | Behaviour::Unframed
+            | Behaviour::Untyped
             | Behaviour::Slow(_) => Some(()),
         }
     }
