Let endpoints of the soak end streams early and answer without a length

The soak had no answer without a length and no stream that ended inside an event in the framing of a complete one, so it could not meet the fault of the truncated streams. Three behaviours join its faults.

The gateway before the fix: 17 callers of seed 9004 got three events and a part of the fourth as a complete answer. Seed 9004 is a case of the short soak now.

--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -13,8 +13,11 @@
     reason: &'static str,
 }
 
-const CASES: [Case; 2] =
-    [Case { seed: 1, reason: "random seed" }, Case { seed: 2, reason: "random seed" }];
+const CASES: [Case; 3] = [
+    Case { seed: 1, reason: "random seed" },
+    Case { seed: 2, reason: "random seed" },
+    Case { seed: 9004, reason: "streams that ended inside an event looked complete" },
+];
 
 #[test]
 fn guarantees_hold_under_random_faults() {
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -103,7 +103,7 @@
     };
     let store_link =
         |link| vec![(now, Step::StoreLink(link)), (duration, Step::StoreLink(Link::Open))];
-    match rng.random_range(0..26) {
+    match rng.random_range(0..29) {
         0 => vec![(now, signal(Signal::Kill)), (duration, Step::Start { node })],
         1 => vec![(now, signal(Signal::Stop)), (duration, signal(Signal::Continue))],
         2 => {
@@ -132,6 +132,9 @@
         22 => vec![(now, Step::Reset { endpoint }), (now, Step::DropResults { endpoint })],
         23 => vec![(now, Step::Drain { endpoint }), (duration, Step::Undrain { endpoint })],
         24 => store(StoreBehaviour::MissesChanges),
+        25 => behaviour(Behaviour::EndsInEvent { is_chunked: false }),
+        26 => behaviour(Behaviour::EndsInEvent { is_chunked: true }),
+        27 => behaviour(Behaviour::Unframed),
         _ => vec![(now, Step::Configure { version, has_extra: rng.random_range(0..2) == 0 })],
     }
 }
