--- a/crates/ferry-gateway/src/decision_log.rs
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::Decision;
+use ferry_serve::{Decision, ResumedStream};
 use slog::{KV, Record, Serializer};
 
 /// The fields that a decision has; the others are left out.
@@ -18,6 +18,8 @@
         emit_text(out, "route", it.route.as_deref())?;
         emit_number(out, "stage", it.stage.map(u64::from))?;
         emit_text(out, "endpoint", it.endpoint.as_deref())?;
+        emit_text(out, "build", it.build.as_deref())?;
+        emit_text(out, "resumes", it.resumed.as_ref().map(resumed_attempt))?;
         emit_text(out, "pool", it.pool.as_deref())?;
         emit_number(out, "considered", it.score.map(|_| u64::from(it.considered)))?;
         emit_number(out, "score_us", it.score)?;
@@ -33,6 +35,11 @@
     }
 }
 
+/// Returns the attempt that brought the first event, or that the caller did not name it.
+fn resumed_attempt(stream: &ResumedStream) -> &str {
+    stream.first_attempt.as_deref().unwrap_or("unnamed")
+}
+
 fn emit_text(out: &mut dyn Serializer, key: &'static str, value: Option<&str>) -> slog::Result {
     value.map_or(Ok(()), |it| out.emit_str(key.into(), it))
 }
--- a/crates/ferry-model/src/gateway.rs
+++ b/crates/ferry-model/src/gateway.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, EndpointState, PoolId, SortedMap, WorkspaceId, ZoneId};
+use crate::{BuildId, EndpointId, EndpointState, PoolId, SortedMap, WorkspaceId, ZoneId};
 
 /// Version of a gateway's configuration, which never decreases within a process.
 pub type ConfigVersion = u64;
@@ -176,6 +176,9 @@
     pub zone: ZoneId,
     pub slots: u32,
     pub state: EndpointState,
+    /// Endpoints of a pool may have several; no stream goes on at another one.
+    #[serde(default)]
+    pub build: BuildId,
     /// Start of the endpoint's process in milliseconds since the Unix epoch. A restarted process
     /// has lost all earlier state.
     #[serde(rename = "born")]
--- a/crates/ferry-model/src/ids.rs
+++ b/crates/ferry-model/src/ids.rs
@@ -9,6 +9,8 @@
 
 pub type InstanceId = String;
 pub type EndpointId = String;
+/// Version of an endpoint's software, as opposed to that of its model.
+pub type BuildId = String;
 pub type PoolId = String;
 pub type PipelineId = String;
 pub type StageId = String;
--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -27,8 +27,9 @@
     GatewayPool, KeyOwner, PoolKind, ResultHandle, Route, RouteKind, RouteStage, Target,
 };
 pub use ids::{
-    AttemptId, Digest, EndpointId, Fence, Incarnation, InstanceId, ModelId, Moment, PipelineId,
-    PoolId, RegionId, RequestId, Revision, StageId, Ticket, Version, WorkspaceId, ZoneId,
+    AttemptId, BuildId, Digest, EndpointId, Fence, Incarnation, InstanceId, ModelId, Moment,
+    PipelineId, PoolId, RegionId, RequestId, Revision, StageId, Ticket, Version, WorkspaceId,
+    ZoneId,
 };
 pub use object::{ObjectKey, ObjectKind, StoreError, StoreOp, StoreReply, StoredObject};
 pub use outcome::{Answer, FailureReason, Outcome, RefusalReason, StageReport};
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{ConfigVersion, EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
+use ferry_model::{BuildId, ConfigVersion, EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, ItemInput, PeerMessage, StreamEnd};
+use crate::{CallId, CallerAttempt, ItemInput, PeerMessage, ResumedStream, StreamEnd};
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -148,6 +148,10 @@
     pub route: Option<String>,
     pub stage: Option<u8>,
     pub endpoint: Option<EndpointId>,
+    /// Software version of the endpoint, or the one that a stream needs.
+    pub build: Option<BuildId>,
+    /// The stream that the request continues.
+    pub resumed: Option<ResumedStream>,
     pub pool: Option<PoolId>,
     /// Time that the step took, or the whole request until its first event.
     pub took: Option<Duration>,
@@ -177,6 +181,8 @@
             route: None,
             stage: None,
             endpoint: None,
+            build: None,
+            resumed: None,
             pool: None,
             took: None,
             floor: None,
@@ -231,6 +237,16 @@
         self
     }
 
+    pub fn with_build(mut self, build: Option<&BuildId>) -> Decision {
+        self.build = build.cloned();
+        self
+    }
+
+    pub fn with_resumed(mut self, resumed: Option<&ResumedStream>) -> Decision {
+        self.resumed = resumed.cloned();
+        self
+    }
+
     pub fn with_pool(mut self, pool: &str) -> Decision {
         self.pool = Some(pool.to_owned());
         self
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -95,6 +95,15 @@
     pub items: Vec<u16>,
     /// Input of the stages that read no other stage.
     pub item_key: Option<String>,
+    /// The stream that the request continues; none if it begins one.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// A stream that a caller has received in part, in an earlier attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The attempt that brought its first event, if the caller names it.
+    pub first_attempt: Option<CallerAttempt>,
 }
 
 /// How many tokens a request reads, and how many it may write.
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -35,7 +35,7 @@
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
-    NotRunReason, PromptPart, RequestHead, StoreUpdate, StreamEnd, TokenCounts,
+    NotRunReason, PromptPart, RequestHead, ResumedStream, StoreUpdate, StreamEnd, TokenCounts,
 };
 pub use gateway::Gateway;
 pub use group::{Group, groups};
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -43,6 +43,7 @@
             .with_attempt(&request.head.attempt)
             .with_route(&request.route.name)
             .with_pool(&request.pool)
+            .with_resumed(request.head.resumed.as_ref())
             .with_times(comparison.elapsed, times::floor(cx, &request))
             .with_prompt(call::prompt_tokens(&request, 0))
             .with_slack(request.objective().saturating_sub(cx.now))
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -36,9 +36,11 @@
     };
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
+    let mut build = None;
     if let Some(view) = cx.ctx.endpoints.get_mut(&choice.endpoint) {
         view.outstanding += 1;
         view.record_prompt(cx.now, &tokens);
+        build = Some(view.endpoint.build.clone());
     }
     cx.count(Metric::CallsSent);
     let time_left = request.deadline.saturating_sub(cx.now);
@@ -50,6 +52,7 @@
             .with_times(cx.now - request.arrived, choice.expected)
             .with_prompt(choice.prompt)
             .with_endpoint(&choice.endpoint)
+            .with_build(build.as_ref())
             .with_score(choice.considered, choice.cost.as_micros() as u64)
             .with_budget(time_left),
     );
--- a/crates/ferry-serve/tests/decisions/schedule.rs
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -162,6 +162,7 @@
         zone: format!("zone-{}", number % 3),
         slots: 64,
         state: EndpointState::Live,
+        build: "v1".to_owned(),
         started: 1,
     };
     let endpoints: Vec<GatewayEndpoint> = (0..900).map(engine).collect();
--- a/crates/ferry-serve/tests/decisions/simulation/config.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/config.rs
@@ -105,5 +105,6 @@
         items: vec![4, 4],
         tokens: None,
         item_key: Some("input".to_owned()),
+        resumed: None,
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -57,6 +57,7 @@
             zone: format!("zone-{}", number % 2),
             slots: 4,
             state: EndpointState::Live,
+            build: "v1".to_owned(),
             started: 1,
         };
         let endpoint = Endpoint {
