Add failing tests of streams that go on at another build

Three tests on virtual time: an instance resumes a stream, a caller takes one up at another instance (also after kills and with lost datagrams), and no endpoint of its build is left.

--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod batches;
 mod budgets;
+mod builds;
 mod config;
 mod endpoints;
 mod health;
