Let streams go on only at the build that began them

Cause: nothing that chooses an endpoint knew its build. An instance that resumes a stream, and one at which a caller takes its stream up, sent it to the engine that cost least. Class: state that a message depends on (who made its first part) was kept nowhere, so whoever continues it treats all replicas as equal.

Change: the first event of a stream fixes its build; choice, scheduler and resumption look only at endpoints of it. A caller's later attempt may reach any instance, and the first one may be gone with its memory: each instance tells three peers, chosen by a hash of the attempt, which build began a resumable stream; an instance that gets the continuation asks six, while the stages run. If nobody knows, the build is certain only where the pool has had a single one for as long as a request may last (seen here, or no endpoint has started since); else the request is refused as not run. If no endpoint of the build is left, it is refused at once.

Weighed: an object in the store for each stream (a priced call each, 400 writes a second); the heartbeats (late by 200 ms, and too large for 470 instances); this, one datagram to three peers per resumable stream.

--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_model::{ApiKey, ConfigVersion, GatewayConfig, GatewayPool, PoolId, Route, WorkspaceId};
 
@@ -63,6 +64,11 @@
         self.config.as_ref().map_or(0, |it| it.version)
     }
 
+    /// Returns the longest time limit of the routes.
+    pub fn longest_request(&self) -> Option<Duration> {
+        self.config.as_ref()?.routes.iter().map(|it| it.time_limit).max()
+    }
+
     pub fn pool(&self, pool: &str) -> Option<&GatewayPool> {
         self.config.as_ref()?.pools.get(pool)
     }
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -34,6 +34,8 @@
     pub salt: &'a str,
     /// Endpoints to which the request was already sent.
     pub tried: &'a [EndpointId],
+    /// Build that the endpoint must have.
+    pub build: Option<&'a str>,
     /// Time until the first event, or the answer, is late.
     pub slack: Duration,
     /// Zone of this instance.
@@ -61,7 +63,9 @@
     tuning: &Tuning,
     need: Requirements<'_>,
 ) -> Option<Choice> {
-    let fits = |it: &&EndpointView| it.accepts_work() && !need.tried.contains(&it.endpoint.id);
+    let fits = |it: &&EndpointView| {
+        it.accepts_work() && it.has_build(need.build) && !need.tried.contains(&it.endpoint.id)
+    };
     let candidates: Vec<&EndpointView> = endpoints.pool(need.pool).filter(fits).collect();
     let has_usable = candidates.iter().any(|it| it.is_usable(now));
     let prefixes = match need.kind.kind {
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -300,6 +300,8 @@
     CallsSent,
     CallsRepeated,
     StreamsResumed,
+    StreamsTakenUp,
+    BuildsUnknown,
     BatchesSent,
     BatchesFailed,
     ItemsRepeated,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! What is known of each endpoint: its entry, its load and the results of its calls.
 
+mod builds;
 mod delta;
 mod observe;
 
@@ -11,6 +12,7 @@
 
 use crate::{Mechanism, StoreUpdate, Tuning};
 
+use builds::OnlyBuild;
 use delta::Changes;
 
 pub use delta::EndpointsDelta;
@@ -77,6 +79,11 @@
         self.endpoint.state == EndpointState::Live
     }
 
+    /// Whether it has the build, if one is needed.
+    pub fn has_build(&self, build: Option<&str>) -> bool {
+        build.is_none_or(|it| it == self.endpoint.build)
+    }
+
     pub fn paused_until(&self) -> Moment {
         self.paused
     }
@@ -152,6 +159,10 @@
     views: SortedMap<EndpointId, EndpointView>,
     pools: SortedMap<PoolId, Vec<EndpointId>>,
     zones: SortedMap<SocketAddr, ZoneId>,
+    /// Pools whose endpoints all have the same build.
+    only_builds: SortedMap<PoolId, OnlyBuild>,
+    /// Start of the process as time since the Unix epoch.
+    start: Duration,
     /// Store revision of the entries.
     revision: u64,
     /// Revision of the last known change among them.
@@ -167,6 +178,12 @@
         Endpoints::default()
     }
 
+    /// Sets the start of the process as time since the Unix epoch, by which the age of endpoints is
+    /// known.
+    pub fn with_start(self, start: Duration) -> Endpoints {
+        Endpoints { start, ..self }
+    }
+
     pub fn get(&self, id: &str) -> Option<&EndpointView> {
         self.views.get(id)
     }
@@ -226,6 +243,7 @@
 
     /// Applies an update of the store; returns whether it changed anything.
     pub fn apply(&mut self, now: Moment, tuning: &Tuning, update: StoreUpdate) -> bool {
+        let is_first = !self.is_known();
         let is_changed = match update {
             StoreUpdate::List { revision, endpoints } => self.replace(now, revision, endpoints),
             // A peer or a list already contained a later state.
@@ -254,7 +272,7 @@
             }
         };
         if is_changed {
-            self.index();
+            self.index(now, is_first);
         }
         is_changed
     }
@@ -275,7 +293,7 @@
             self.views.remove(&id);
             self.record_change(self.revision, &id);
         }
-        self.index();
+        self.index(now, false);
     }
 
     /// Whether a missing entry may only have expired while the store was unreachable.
@@ -331,7 +349,8 @@
         view.is_missing = false;
         let is_restarted = view.endpoint.started != endpoint.started
             || view.endpoint.address != endpoint.address
-            || view.endpoint.pool != endpoint.pool;
+            || view.endpoint.pool != endpoint.pool
+            || view.endpoint.build != endpoint.build;
         if is_restarted {
             *view = EndpointView::new(endpoint);
             return true;
@@ -353,7 +372,7 @@
         true
     }
 
-    fn index(&mut self) {
+    fn index(&mut self, now: Moment, is_first: bool) {
         self.pools = SortedMap::new();
         self.zones = SortedMap::new();
         for (id, view) in self.views.iter() {
@@ -361,5 +380,6 @@
             self.pools.get_or_insert_with(endpoint.pool.clone(), Vec::new).push(id.clone());
             self.zones.insert(endpoint.address, endpoint.zone.clone());
         }
+        self.compare_builds(now, is_first);
     }
 }
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -17,8 +17,8 @@
 use crate::request::Requests;
 use crate::{
     Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group,
-    Heartbeat, Mechanism, Observation, Observations, PeerMessage, Peers, Scheduled, Scheduler,
-    Tuning,
+    Heartbeat, Mechanism, Observation, Observations, Origins, PeerMessage, Peers, Scheduled,
+    Scheduler, Tuning,
 };
 
 /// The complete state of a gateway process.
@@ -38,12 +38,14 @@
 impl Gateway {
     pub fn new(identity: Identity, tuning: Tuning) -> Gateway {
         let scheduler = Scheduler::new(!identity.is_first_start);
+        let endpoints = Endpoints::new().with_start(identity.started);
         Gateway {
             ctx: Context {
                 identity,
                 tuning,
                 catalog: Catalog::new(),
-                endpoints: Endpoints::new(),
+                endpoints,
+                origins: Origins::new(),
                 peers: Peers::new(),
                 overload: OverloadDetector::new(),
                 observations: Observations::default(),
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -7,7 +7,7 @@
 
 use crate::batch::{Batcher, Job, JobOwner};
 use crate::pass::{Context, Pass};
-use crate::request::{Requests, evaluate, schedule};
+use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{Asker, Decision, DecisionKind, Effect, JobSubmission, PeerMessage, StoreUpdate};
 
 pub(super) fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
@@ -80,6 +80,13 @@
         PeerMessage::ScheduleProgress { attempt, progress } => {
             schedule::on_progress(cx, &attempt, progress);
         }
+        PeerMessage::Began { attempt, build, time_left } => {
+            cx.ctx.origins.record(cx.now, attempt, build, time_left);
+        }
+        PeerMessage::OriginRequest(request) => origin::on_request(cx, from, request),
+        PeerMessage::Origin { attempt, build } => {
+            requests.on_origin(cx, batcher, &attempt, build);
+        }
         PeerMessage::Accepted(key) => requests.on_accepted(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
         PeerMessage::JobOutcome { key, outcome } => cx.outcomes.push((key, outcome)),
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod group;
 mod mechanism;
+mod origins;
 mod overload;
 mod pass;
 mod peers;
@@ -40,8 +41,9 @@
 pub use gateway::Gateway;
 pub use group::{Group, groups};
 pub use mechanism::Mechanism;
+pub use origins::Origins;
 pub use pass::{Context, Identity, Pass, Snapshot};
-pub use peers::{Backlog, Heartbeat, JobSubmission, PeerMessage, PeerView, Peers};
+pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
 pub use retry_budget::RetryBudget;
 pub use schedule::{
     Asker, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Scheduler,
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -6,6 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_model::{
     GatewayConfig, Incarnation, InstanceId, Moment, PoolId, ResultHandle, Route, SortedMap, ZoneId,
@@ -17,7 +18,7 @@
 use crate::overload::OverloadDetector;
 use crate::{
     CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Mechanism,
-    Metric, Observations, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
+    Metric, Observations, Origins, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -36,6 +37,8 @@
     pub weight: f64,
     /// Whether it started with the whole system, for the first time.
     pub is_first_start: bool,
+    /// Start of the process as time since the Unix epoch.
+    pub started: Duration,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where peers send datagrams.
@@ -49,6 +52,7 @@
     pub tuning: Tuning,
     pub catalog: Catalog,
     pub endpoints: Endpoints,
+    pub origins: Origins,
     pub peers: Peers,
     pub overload: OverloadDetector,
     pub observations: Observations,
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{ConfigVersion, Incarnation, InstanceId, Moment, SortedMap, ZoneId};
+use ferry_model::{
+    BuildId, ConfigVersion, Incarnation, InstanceId, Moment, PoolId, SortedMap, ZoneId,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
@@ -130,6 +132,30 @@
         attempt: CallerAttempt,
         progress: ScheduleProgress,
     },
+    /// Reports the build that brought the first event of a stream.
+    Began {
+        attempt: CallerAttempt,
+        build: BuildId,
+        /// Time left for its request.
+        time_left: Duration,
+    },
+    /// Asks which build began a stream.
+    OriginRequest(OriginRequest),
+    /// Answers that, if it is known.
+    Origin {
+        attempt: CallerAttempt,
+        build: BuildId,
+    },
+}
+
+/// Asks which build began a stream that a request continues.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OriginRequest {
+    /// The attempt that asks.
+    pub attempt: CallerAttempt,
+    /// The attempt that brought the first event, if the caller names it.
+    pub first_attempt: Option<CallerAttempt>,
+    pub pool: PoolId,
 }
 
 #[derive(Debug, Clone)]
@@ -300,6 +326,27 @@
         best.and_then(|it| it.2)
     }
 
+    /// Returns the live peers that keep what belongs to `key`, best first. The choice changes little as
+    /// peers come and go.
+    pub fn ranked(
+        &self,
+        now: Moment,
+        tuning: &Tuning,
+        key: impl Hash,
+        n_peers: usize,
+    ) -> Vec<SocketAddr> {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let key = hasher.finish();
+        let live = self.live(now, tuning).filter(|(_, it)| !it.heartbeat.is_leaving);
+        let rank = |(address, it): (SocketAddr, &PeerView)| {
+            (rendezvous_hash(key, &it.heartbeat.instance), address)
+        };
+        let mut ranked: Vec<(u64, SocketAddr)> = live.map(rank).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|it| it.1).take(n_peers).collect()
+    }
+
     /// Whether a peer that got a job at `since` still works on it: it sends each of its heartbeats
     /// to the owners of its jobs. An overloaded peer keeps its jobs, as moving them would repeat
     /// work in progress.
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -5,6 +5,7 @@
 mod arrive;
 mod call;
 mod end;
+pub mod origin;
 mod retry;
 pub mod schedule;
 mod stages;
@@ -12,7 +13,7 @@
 
 use std::net::SocketAddr;
 
-use ferry_model::{Moment, SortedMap, Ticket};
+use ferry_model::{BuildId, Moment, SortedMap, Ticket};
 
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
@@ -46,6 +47,7 @@
 
     pub fn arrive(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, arrival: Arrival) {
         let Some(mut request) = arrive::accept(cx, batcher, arrival) else { return };
+        origin::ask(cx, &mut request);
         if admit::request_admission(cx, batcher, &mut request) {
             return;
         }
@@ -96,6 +98,22 @@
         self.proceed(cx, batcher, request);
     }
 
+    /// Applies the answer of a peer that knows the build of a stream.
+    pub fn on_origin(
+        &mut self,
+        cx: &mut Pass<'_>,
+        batcher: &mut Batcher,
+        attempt: &CallerAttempt,
+        build: BuildId,
+    ) {
+        let Some(ticket) = self.attempts.get(attempt).copied() else { return };
+        let Some(mut request) = self.active.remove(&ticket) else { return };
+        match origin::on_answer(cx, batcher, &mut request, build) {
+            true => self.forget(&request),
+            false => self.proceed(cx, batcher, request),
+        }
+    }
+
     /// Sends a request to the engine that its scheduler has chosen.
     pub fn on_scheduled(
         &mut self,
@@ -167,6 +185,9 @@
                 self.forget(&request);
                 continue;
             }
+            if matches!(request.phase, Phase::AwaitingBuild { until } if until <= cx.now) {
+                request.phase = Phase::RunningStages;
+            }
             if request.fetched_at().is_some_and(|it| it <= cx.now) {
                 call::on_fetched(cx, batcher, &mut request);
             }
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use ferry_model::{
-    EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId, ZoneId,
+    BuildId, EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId,
+    ZoneId,
 };
 
 use crate::batch::JobKey;
@@ -50,6 +51,19 @@
     pub began_at: Option<Moment>,
     /// Last complete event that the caller has received.
     pub last_event: Option<u64>,
+    /// The build at which its stream goes on.
+    pub build: StreamBuild,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamBuild {
+    /// No event of the stream has arrived yet.
+    Any,
+    /// Peers were asked; without an answer by `until`, this instance decides.
+    Asked {
+        until: Moment,
+    },
+    Known(BuildId),
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -94,6 +108,10 @@
         until: Moment,
     },
     RunningStages,
+    /// Waits for a peer that knows the build of its stream.
+    AwaitingBuild {
+        until: Moment,
+    },
     /// Waits for the engine that the scheduler chooses.
     AwaitingEndpoint {
         until: Moment,
@@ -105,6 +123,7 @@
 pub struct ActiveCall {
     pub call: CallId,
     pub endpoint: EndpointId,
+    pub build: BuildId,
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
@@ -128,11 +147,20 @@
         match &self.phase {
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
+            | Phase::AwaitingBuild { .. }
             | Phase::AwaitingEndpoint { .. } => None,
             Phase::Calling(current) => Some(current.call),
         }
     }
 
+    /// Returns the build that an endpoint must have to go on with its stream.
+    pub fn needed_build(&self) -> Option<&str> {
+        match &self.build {
+            StreamBuild::Known(build) => Some(build),
+            StreamBuild::Any | StreamBuild::Asked { .. } => None,
+        }
+    }
+
     pub fn job_key(&self, stage: usize) -> JobKey {
         let restart = self.restarts.get(stage).copied().unwrap_or_default();
         JobKey { attempt: self.head.attempt.clone(), stage: stage as u8, restart }
@@ -178,7 +206,9 @@
 
     fn answer_timeout(&self) -> Option<Moment> {
         match &self.phase {
-            Phase::AwaitingAdmission { until } | Phase::AwaitingEndpoint { until } => Some(*until),
+            Phase::AwaitingAdmission { until }
+            | Phase::AwaitingBuild { until }
+            | Phase::AwaitingEndpoint { until } => Some(*until),
             Phase::RunningStages | Phase::Calling(_) => None,
         }
     }
@@ -187,6 +217,7 @@
         match &self.phase {
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
+            | Phase::AwaitingBuild { .. }
             | Phase::AwaitingEndpoint { .. } => None,
             Phase::Calling(current) => current.fetched_at,
         }
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -4,9 +4,9 @@
 
 use ferry_model::Moment;
 
-use super::active::{ActiveRequest, Phase, StageState};
+use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
-use super::{call, stages, times};
+use super::{call, origin, stages, times};
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
@@ -29,7 +29,8 @@
     if !tuning.is_enabled(Mechanism::AttemptAges) {
         comparison.elapsed = Duration::ZERO;
     }
-    let request = new_request(cx.now, comparison, arrival, resolved);
+    let mut request = new_request(cx.now, comparison, arrival, resolved);
+    request.build = origin::known(cx, &request);
     if request.deadline <= cx.now {
         end::refuse(cx, &request, Status::NotRun, RetryHint::Soon, "no time is left");
         return None;
@@ -101,6 +102,7 @@
         n_restarts: 0,
         began_at: None,
         last_event: None,
+        build: StreamBuild::Any,
         head,
         route,
     }
@@ -115,6 +117,9 @@
     if cx.ctx.endpoints.pool(&request.pool).all(|it| !it.accepts_work()) {
         return Some((RetryHint::Soon, "its pool has no endpoint"));
     }
+    if !origin::has_endpoint(cx, request) {
+        return Some((RetryHint::Late, "no endpoint of its build is left"));
+    }
     let mut wait = Duration::ZERO;
     for (idx, stage) in request.route.stages.iter().enumerate() {
         if request.stages[idx] != StageState::Waiting {
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use ferry_model::{PoolKind, RouteKind, ZoneId};
+use ferry_model::{BuildId, PoolKind, RouteKind, ZoneId};
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::end::RetryHint;
-use super::{end, retry, schedule, stages};
+use super::{end, origin, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
@@ -36,11 +36,11 @@
     };
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
-    let mut build = None;
+    let mut build = BuildId::new();
     if let Some(view) = cx.ctx.endpoints.get_mut(&choice.endpoint) {
         view.outstanding += 1;
         view.record_prompt(cx.now, &tokens);
-        build = Some(view.endpoint.build.clone());
+        build = view.endpoint.build.clone();
     }
     cx.count(Metric::CallsSent);
     let time_left = request.deadline.saturating_sub(cx.now);
@@ -52,7 +52,7 @@
             .with_times(cx.now - request.arrived, choice.expected)
             .with_prompt(choice.prompt)
             .with_endpoint(&choice.endpoint)
-            .with_build(build.as_ref())
+            .with_build(Some(&build))
             .with_score(choice.considered, choice.cost.as_micros() as u64)
             .with_budget(time_left),
     );
@@ -60,6 +60,7 @@
     request.phase = Phase::Calling(ActiveCall {
         call,
         endpoint: choice.endpoint.clone(),
+        build,
         sent_at: cx.now,
         last_heard: cx.now,
         expected: choice.expected,
@@ -109,6 +110,7 @@
         }
         CallEvent::Progress { last_event } => {
             request.last_event = last_event.or(request.last_event);
+            origin::on_event(cx, request, &current.build);
             if let Phase::Calling(current) = &mut request.phase {
                 current.last_heard = cx.now;
             }
@@ -240,6 +242,7 @@
         results: &results,
         salt: &request.head.attempt,
         tried: &request.tried,
+        build: request.needed_build(),
         slack: request.objective().saturating_sub(cx.now),
         zone: &cx.ctx.identity.zone,
     };
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -2,7 +2,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, StageState};
 use super::end::RetryHint;
-use super::{end, stages};
+use super::{end, origin, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Metric, NotRunReason};
@@ -81,6 +81,10 @@
     let pool = request.pool.clone();
     let is_allowed =
         request.route.is_repeatable() && request.may_run_again() && has_time(cx, request);
+    if !origin::has_endpoint(cx, request) && request.needed_build().is_some() {
+        end::fail(cx, batcher, request, &format!("{reason}; no endpoint of its build is left"));
+        return true;
+    }
     if !is_allowed || !cx.try_spend(&pool) {
         end::fail(cx, batcher, request, reason);
         return true;
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -5,8 +5,8 @@
 
 use ferry_model::{PoolKind, ZoneId};
 
-use super::active::{ActiveRequest, Phase};
-use super::call;
+use super::active::{ActiveRequest, Phase, StreamBuild};
+use super::{call, origin};
 use crate::batch::Batcher;
 use crate::choose::{prefixes, shared_key};
 use crate::pass::{Context, Pass};
@@ -23,6 +23,15 @@
 
 /// Sends a request whose stages are done, or asks where to; returns whether it has ended instead.
 pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
+    if let StreamBuild::Asked { until } = request.build {
+        if cx.now < until {
+            request.phase = Phase::AwaitingBuild { until };
+            return false;
+        }
+        if origin::on_timeout(cx, batcher, request) {
+            return true;
+        }
+    }
     let is_scheduled = cx.ctx.tuning.is_enabled(Mechanism::Scheduling);
     let Some(wanted) = wanted(cx, request).filter(|_| is_scheduled) else {
         let choice = call::pick(cx, request);
@@ -55,6 +64,7 @@
             results: call::results(cx, request),
             tried: request.tried.clone(),
             zone: cx.ctx.identity.zone.clone(),
+            build: request.needed_build().map(str::to_owned),
         }),
         Some(PoolKind::Plain | PoolKind::Batch(_)) | None => None,
     }
@@ -181,7 +191,7 @@
 /// Returns the decision as a choice, unless the endpoint takes no work as far as known here.
 fn choice(cx: &Pass<'_>, request: &ActiveRequest, it: ScheduleDecision) -> Option<Choice> {
     let view = cx.ctx.endpoints.get(&it.endpoint).filter(|it| it.is_usable(cx.now))?;
-    if request.tried.contains(&it.endpoint) {
+    if request.tried.contains(&it.endpoint) || !view.has_build(request.needed_build()) {
         return None;
     }
     Some(Choice {
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{EndpointId, Moment, PoolId, SortedMap, ZoneId};
+use ferry_model::{BuildId, EndpointId, Moment, PoolId, SortedMap, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::choose::{millis, prefixes};
@@ -40,6 +40,8 @@
     pub tried: Vec<EndpointId>,
     /// Zone of the instance that asks.
     pub zone: ZoneId,
+    /// Build that the engine must have.
+    pub build: Option<BuildId>,
 }
 
 /// The engine that a request goes to.
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -50,6 +50,7 @@
     ) -> Option<(Estimate, &'a EndpointView, u32)> {
         let fits = |it: &&EndpointView| {
             it.accepts_work()
+                && it.has_build(request.build.as_deref())
                 && request.shard.contains(&it.endpoint.id)
                 && !request.tried.contains(&it.endpoint.id)
         };
--- a/crates/ferry-serve/tests/decisions/builds.rs
+++ b/crates/ferry-serve/tests/decisions/builds.rs
@@ -21,7 +21,7 @@
         endpoint.entry.build = (*build).to_owned();
         let endpoint = endpoint.entry.clone();
         for instance in 0..sim.instances.len() {
-            let revision = 20 + number as u64;
+            let revision = 20 + sim.now.as_millis() as u64 + number as u64;
             let update = StoreUpdate::Changed { revision, endpoint: endpoint.clone() };
             sim.deliver(instance, Event::Store(update));
         }
--- a/crates/ferry-serve/tests/decisions/schedule.rs
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -185,6 +185,7 @@
                 results: Vec::new(),
                 tried: Vec::new(),
                 zone: "zone-0".to_owned(),
+                build: None,
             };
             match scheduler.schedule(ms(number), &view, &tuning, Asker::This, request) {
                 Scheduled::Now(decision) => ids.push(decision.endpoint),
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -28,6 +28,9 @@
 const EVENT_GAP: Duration = ms(20);
 const N_EVENTS: u64 = 5;
 
+/// Start of the simulation as time since the Unix epoch; the endpoints started long before.
+const UNIX_START: Duration = Duration::from_secs(1_000);
+
 pub const PLAIN: &str = "plain";
 pub const ENGINE: &str = "engine";
 pub const FIRST: &str = "first";
@@ -191,6 +194,7 @@
             zone: format!("zone-{}", instance % 2),
             weight: 0.25,
             is_first_start: true,
+            started: UNIX_START + self.now,
             front: front(instance),
             peer: peer(instance),
         };
