Keep a stream that its caller takes up in the pool that began it

Cause: where a route divides its traffic among pools, the pool was drawn by the attempt's own id. A take-up has a new id, so its stream could go on in another pool, where neither the build that the first one recorded nor the engine's state means anything. Found while looking for the cause of the streams with two builds elsewhere; not seen in the users' record. Change: the pool is drawn by the attempt that brought the first event, if the caller names it. Before: stream_that_its_caller_takes_up_goes_on_in_its_pool failed at the first of 24 attempts. After: it passes, as do all 66 tests of the decisions. Left: a configuration that moves the route to another pool in the meantime moves the stream as well.

--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -86,7 +86,7 @@
         }
         let priority = owner.and_then(|it| it.priority).unwrap_or(route.priority);
         Ok(ResolvedRequest {
-            pool: target(route, &head.attempt),
+            pool: target(route, head.first_attempt()),
             workspace: owner.map(|it| it.workspace.clone()),
             priority,
             rank: self.ranks.binary_search(&(priority, route.priority)).unwrap_or_else(|it| it),
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -99,6 +99,14 @@
     pub resumed: Option<ResumedStream>,
 }
 
+impl RequestHead {
+    /// Returns the attempt that began the stream which the request continues, or its own.
+    pub fn first_attempt(&self) -> &CallerAttempt {
+        let first = self.resumed.as_ref().and_then(|it| it.first_attempt.as_ref());
+        first.unwrap_or(&self.attempt)
+    }
+}
+
 /// A stream that a caller has received in part, in an earlier attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResumedStream {
--- a/crates/ferry-serve/src/request/origin.rs
+++ b/crates/ferry-serve/src/request/origin.rs
@@ -18,8 +18,7 @@
 
 /// Returns the build of the stream that a request continues, if this instance knows it.
 pub fn known(cx: &Pass<'_>, request: &ActiveRequest) -> StreamBuild {
-    let first = request.head.resumed.as_ref().and_then(|it| it.first_attempt.as_ref());
-    match first.and_then(|it| cx.ctx.origins.build(it)) {
+    match cx.ctx.origins.build(request.head.first_attempt()) {
         Some(build) => StreamBuild::Known(build.clone()),
         None => StreamBuild::Any,
     }
@@ -36,7 +35,7 @@
         return;
     }
     let first_attempt = resumed.first_attempt.clone();
-    let peers = peers(cx, first_attempt.as_ref().unwrap_or(&request.head.attempt), N_ASKED);
+    let peers = peers(cx, request.head.first_attempt(), N_ASKED);
     let until = if peers.is_empty() { cx.now } else { cx.now + ANSWER_TIMEOUT };
     request.build = StreamBuild::Asked { until };
     let attempt = request.head.attempt.clone();
--- a/crates/ferry-serve/tests/decisions/builds.rs
+++ b/crates/ferry-serve/tests/decisions/builds.rs
@@ -1,10 +1,12 @@
 //! Streams go on at the build that began them, whoever continues them.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
-use ferry_serve::{Event, RequestHead, ResumedStream, Status, StoreUpdate};
+use ferry_model::Target;
+use ferry_serve::{Catalog, Event, RequestHead, ResumedStream, Status, StoreUpdate};
 
-use crate::simulation::{ENGINE, Ending, Simulation, head, ms};
+use crate::simulation::{ENGINE, Ending, PLAIN, Simulation, config, head, ms};
 
 /// Streams that each case begins.
 const N_STREAMS: usize = 24;
@@ -224,3 +226,20 @@
     assert_eq!(sim.outcome("probe").ending, Ending::Stream);
     assert_eq!(builds(&sim, &["probe"]).len(), 2);
 }
+
+#[test]
+fn stream_that_its_caller_takes_up_goes_on_in_its_pool() {
+    let mut config = config(1);
+    for route in &mut config.routes {
+        let target = |pool: &str| Target { pool: pool.to_owned(), weight: 1 };
+        route.targets = vec![target(ENGINE), target(PLAIN)];
+    }
+    let mut catalog = Catalog::new();
+    catalog.update(Arc::new(config));
+    let pool = |head: RequestHead| catalog.resolve(&head).expect("the route exists").pool;
+    for number in 0..N_STREAMS {
+        let (first, second) = (format!("first-{number}"), format!("second-{number}"));
+        let begun = pool(head("stream", &first));
+        assert_eq!(pool(resumed_head(&second, Some(&first))), begun, "{first}");
+    }
+}
