Let the soak's engines have two builds, and its callers take up broken streams

An event of the soak's engines names their build; one of three engines has another one. A caller whose resumable stream breaks off takes it up once, at any instance, naming its first attempt. The soak checks that the events of both attempts continue and are of one build, and counts the streams that went on.

--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -19,7 +19,7 @@
 
 use crate::checker::{Checker, Outcome};
 use crate::config::{API_KEY, DEADLINE_MS, HOST, Route};
-use crate::endpoint::{N_EVENTS, response_body};
+use crate::endpoint::{N_EVENTS, event_text, response_body};
 
 /// Time limit for opening a connection, and for a lookup in the directory.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -49,15 +49,34 @@
         Caller { rng, name, directories, checker, connection: None, n_sent: 0 }
     }
 
-    /// Sends a request and records its outcome.
+    /// Sends a request and records its outcome; a resumable stream that breaks off is taken up once.
     pub async fn send(&mut self, route: Route) {
         self.n_sent += 1;
         let attempt = format!("{}-{}", self.name, self.n_sent);
         let body = format!("body of {attempt}");
-        self.checker.record_sent(&attempt, route, body.as_bytes());
+        let mut stream = Stream::default();
+        self.try_send(route, &attempt, &body, &mut stream).await;
+        if route == Route::Stream && stream.is_broken() {
+            self.checker.count_take_up();
+            let next = format!("{attempt}-again");
+            stream.first_attempt = Some(attempt);
+            if self.try_send(route, &next, &body, &mut stream).await == Outcome::Success {
+                self.checker.count_continued();
+            }
+        }
+    }
+
+    async fn try_send(
+        &mut self,
+        route: Route,
+        attempt: &str,
+        body: &str,
+        stream: &mut Stream,
+    ) -> Outcome {
+        self.checker.record_sent(attempt, route, body.as_bytes());
         let limit = Duration::from_millis(DEADLINE_MS) + GRACE;
-        let outcome = match tokio::time::timeout(limit, self.exchange(route, &attempt, &body)).await
-        {
+        let exchange = self.exchange(route, attempt, body, stream);
+        let outcome = match tokio::time::timeout(limit, exchange).await {
             Ok(Some(outcome)) => outcome,
             Ok(None) => Outcome::Disconnected,
             Err(_) => {
@@ -65,15 +84,22 @@
                 Outcome::Disconnected
             }
         };
-        self.checker.record_outcome(&attempt, outcome);
+        self.checker.record_outcome(attempt, outcome.clone());
+        outcome
     }
 
-    async fn exchange(&mut self, route: Route, attempt: &str, body: &str) -> Option<Outcome> {
+    async fn exchange(
+        &mut self,
+        route: Route,
+        attempt: &str,
+        body: &str,
+        stream: &mut Stream,
+    ) -> Option<Outcome> {
         let (address, mut sender) = self.connection().await?;
-        let request = request(route, attempt, body)?;
+        let request = request(route, attempt, body, stream)?;
         let response = sender.send_request(request).await.ok()?;
         let is_closing = response.headers().get(http::header::CONNECTION).is_some();
-        let outcome = self.check(route, attempt, body, response).await;
+        let outcome = self.check(route, attempt, body, response, stream).await;
         if !is_closing && outcome.is_some() {
             self.connection = Some((address, sender));
         }
@@ -104,40 +130,92 @@
         None
     }
 
-    /// Reads a response and checks that it belongs to the attempt.
+    /// Reads a response and checks that it belongs to the attempt, and continues the stream.
     async fn check(
         &self,
         route: Route,
         attempt: &str,
         body: &str,
         response: Response<Incoming>,
+        stream: &mut Stream,
     ) -> Option<Outcome> {
         let status = response.status();
         let is_sealed = response.headers().contains_key("tarragonferry-response-seal");
-        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        let (bytes, is_whole) = read(response.into_body()).await;
+        let text = String::from_utf8_lossy(&bytes);
         if !status.is_success() {
             let code = status.as_u16();
-            return Some(if is_sealed { Outcome::Failed(code) } else { Outcome::Refused(code) });
+            let outcome = if is_sealed { Outcome::Failed(code) } else { Outcome::Refused(code) };
+            return is_whole.then_some(outcome);
         }
-        let expected = match route.is_stream() {
-            true => events(attempt),
-            false => response_body(attempt, body.as_bytes()),
+        let is_right = match route.is_stream() {
+            true => stream.add(attempt, &text, is_whole),
+            false => !is_whole || text == response_body(attempt, body.as_bytes()),
         };
-        if !is_sealed || bytes != expected.as_bytes() {
-            let text = String::from_utf8_lossy(&bytes);
-            self.checker
-                .add_violation(format!("{attempt} got a response that is not its own: {text:?}"));
+        if !is_sealed || !is_right {
+            self.checker.add_violation(format!(
+                "{attempt} got a response that is not its own: {text:?} after {stream:?}"
+            ));
         }
-        Some(Outcome::Success)
+        is_whole.then_some(Outcome::Success)
     }
 }
 
-fn events(attempt: &str) -> String {
-    (1..=N_EVENTS).map(|it| format!("id: {it}\ndata: {attempt} {it}\n\n")).collect()
+/// What a caller has received of a stream, in one attempt or several.
+#[derive(Debug, Default)]
+struct Stream {
+    n_events: u64,
+    /// Build of the engine that made the events.
+    build: String,
+    /// The attempt that brought the first event, once the stream is taken up.
+    first_attempt: Option<String>,
 }
 
-fn request(route: Route, attempt: &str, body: &str) -> Option<Request<Full<Bytes>>> {
-    Request::builder()
+impl Stream {
+    /// Adds what an attempt received; returns whether it continues what the caller has.
+    fn add(&mut self, attempt: &str, text: &str, is_whole: bool) -> bool {
+        let mut rest = text;
+        while let Some((event, next)) = rest.split_once("\n\n") {
+            let build = event.rsplit(' ').next().unwrap_or_default();
+            if self.n_events == 0 {
+                build.clone_into(&mut self.build);
+            }
+            let expected = event_text(attempt, self.n_events + 1, &self.build);
+            if format!("{event}\n\n") != expected {
+                return false;
+            }
+            self.n_events += 1;
+            rest = next;
+        }
+        !is_whole || (rest.is_empty() && self.n_events == N_EVENTS)
+    }
+
+    /// Whether only a part of its events arrived.
+    fn is_broken(&self) -> bool {
+        0 < self.n_events && self.n_events < N_EVENTS
+    }
+}
+
+/// Reads a body as far as it arrives; returns whether it is whole.
+async fn read(mut body: Incoming) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => bytes.extend_from_slice(&data),
+            Ok(Err(_)) => (),
+            Err(_) => return (bytes, false),
+        }
+    }
+    (bytes, true)
+}
+
+fn request(
+    route: Route,
+    attempt: &str,
+    body: &str,
+    stream: &Stream,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
         .method(Method::POST)
         .uri(route.path())
         .header(http::header::HOST, HOST)
@@ -148,9 +226,11 @@
         .header("tarragonferry-prompt-prefix", "a1:100,b2:50,c3:10")
         // Only the gateway may set this header; it must drop a caller's value.
         .header("tarragonferry-tenant", "forged")
-        .header("api-key", API_KEY)
-        .body(Full::new(Bytes::from(body.to_owned())))
-        .ok()
+        .header("api-key", API_KEY);
+    if let Some(first) = &stream.first_attempt {
+        request = request.header("last-event-id", stream.n_events).header("resumes", first);
+    }
+    request.body(Full::new(Bytes::from(body.to_owned()))).ok()
 }
 
 /// Looks up the addresses of gateways in a directory.
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -1,6 +1,6 @@
 //! Records what callers send and endpoints run, and checks that the guarantees hold.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use ferry_model::SortedMap;
 use tokio::time::Instant;
@@ -37,6 +37,8 @@
     /// The attempt of each stage result, by handle.
     results: RefCell<SortedMap<String, String>>,
     violations: RefCell<Vec<String>>,
+    n_taken_up: Cell<usize>,
+    n_continued: Cell<usize>,
 }
 
 impl Checker {
@@ -112,6 +114,21 @@
         self.results.borrow_mut().remove(handle);
     }
 
+    /// Counts a stream that its caller takes up.
+    pub fn count_take_up(&self) {
+        self.n_taken_up.set(self.n_taken_up.get() + 1);
+    }
+
+    /// Counts a stream that was taken up and came to its end.
+    pub fn count_continued(&self) {
+        self.n_continued.set(self.n_continued.get() + 1);
+    }
+
+    /// Returns the number of streams that callers took up, and that of those which came to their end.
+    pub fn take_ups(&self) -> (usize, usize) {
+        (self.n_taken_up.get(), self.n_continued.get())
+    }
+
     /// Records a violated guarantee.
     pub fn add_violation(&self, text: String) {
         self.violations.borrow_mut().push(text);
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -194,8 +194,7 @@
             for number in 0..N_ENDPOINTS {
                 let last = 100 + endpoints.len();
                 let (public, internal) = (at(last, ENDPOINT_PORT), at(last + 50, ENDPOINT_PORT));
-                let name: &str = pool.into();
-                let endpoint = Endpoint::new(&format!("{name}-{number}"), pool, public, &checker);
+                let endpoint = Endpoint::new(pool, number, public, &checker);
                 listeners.push(endpoint.listen(internal).await?);
                 proxies.push(Proxy::start(public, internal).await?);
                 let zone = format!("zone-{}", number % 2);
@@ -225,6 +224,16 @@
         Ok(Cluster { nodes, store, store_proxy, endpoints, proxies, checker, listeners })
     }
 
+    /// Gives one endpoint of each pool another build than the others have.
+    pub fn mix_builds(&self) {
+        for (number, endpoint) in self.endpoints.iter().enumerate() {
+            if number % N_ENDPOINTS == 1 {
+                endpoint.build.set("v2");
+                self.store.put("servers", &endpoint.id, endpoint.entry("zone-1", "ready"));
+            }
+        }
+    }
+
     /// Returns the number of listeners of simulated services.
     pub fn n_listeners(&self) -> usize {
         self.listeners.len()
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -71,6 +71,8 @@
     pub id: String,
     pub pool: Pool,
     pub behaviour: Cell<Behaviour>,
+    /// Version of the endpoint's software, which its events contain.
+    pub build: Cell<&'static str>,
     address: SocketAddr,
     checker: Rc<Checker>,
     n_results: Cell<u64>,
@@ -81,9 +83,16 @@
 }
 
 impl Endpoint {
-    pub fn new(id: &str, pool: Pool, address: SocketAddr, checker: &Rc<Checker>) -> Rc<Endpoint> {
+    pub fn new(
+        pool: Pool,
+        number: usize,
+        address: SocketAddr,
+        checker: &Rc<Checker>,
+    ) -> Rc<Endpoint> {
+        let name: &str = pool.into();
         Rc::new(Endpoint {
-            id: id.to_owned(),
+            id: format!("{name}-{number}"),
+            build: Cell::new("v1"),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
             address,
@@ -112,7 +121,7 @@
     pub fn entry(&self, zone: &str, state: &str) -> Value {
         let pool: &str = self.pool.into();
         json!({
-            "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": "v1",
+            "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": self.build.get(),
             "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": 1,
         })
     }
@@ -266,7 +275,7 @@
         }
         let gap = self.time(EVENT_GAP);
         let behaviour = self.behaviour.get();
-        let attempt_id = attempt.to_owned();
+        let (attempt_id, build) = (attempt.to_owned(), self.build.get());
         let events = stream::unfold(from + 1, move |number| {
             let attempt = attempt_id.clone();
             async move {
@@ -274,7 +283,7 @@
                     return None;
                 }
                 tokio::time::sleep(gap).await;
-                let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
+                let event = event_text(&attempt, number, build);
                 let chunk = match behaviour {
                     Behaviour::Truncates | Behaviour::EndsInEvent { .. } if number == from + 4 => {
                         Ok(Bytes::from(event[..8].to_owned()))
@@ -338,6 +347,11 @@
     }
 }
 
+/// Returns an event of a stream.
+pub fn event_text(attempt: &str, number: u64, build: &str) -> String {
+    format!("id: {number}\ndata: {attempt} {number} {build}\n\n")
+}
+
 /// Returns the only correct body of a response to an attempt.
 pub fn response_body(attempt: &str, body: &[u8]) -> String {
     format!("{attempt}:{}", String::from_utf8_lossy(body))
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -89,8 +89,8 @@
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
-            "seed {seed}: {:?}; after recovery: {:?}",
-            report.under_faults, report.after_recovery
+            "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on",
+            report.under_faults, report.after_recovery, report.n_continued, report.n_taken_up
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -53,6 +53,10 @@
     pub violations: Vec<String>,
     pub under_faults: OutcomeCounts,
     pub after_recovery: OutcomeCounts,
+    /// Streams that callers took up.
+    pub n_taken_up: usize,
+    /// Those of them that came to their end.
+    pub n_continued: usize,
 }
 
 impl Report {
@@ -67,6 +71,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
     let mut cluster =
         Cluster::start(&options.gateway, &options.directory, options.net, options.n_nodes).await?;
+    cluster.mix_builds();
     sleep(START_TIME).await;
     let is_over = start_callers(&cluster, &mut rng);
     let start = Instant::now();
@@ -96,7 +101,8 @@
             "only a share of {share:.3} was served after the recovery: {after_recovery:?}"
         ));
     }
-    Ok(Report { violations, under_faults, after_recovery })
+    let (n_taken_up, n_continued) = cluster.checker.take_ups();
+    Ok(Report { violations, under_faults, after_recovery, n_taken_up, n_continued })
 }
 
 /// Starts callers that send requests until the returned flag is set.
