--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -13,10 +13,11 @@
     reason: &'static str,
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 4] = [
     Case { seed: 1, reason: "random seed" },
     Case { seed: 2, reason: "random seed" },
     Case { seed: 9004, reason: "streams that ended inside an event looked complete" },
+    Case { seed: 9104, reason: "streams went on at another build" },
 ];
 
 #[test]
