--- a/crates/ferry-gateway/tests/process/robustness.rs
+++ b/crates/ferry-gateway/tests/process/robustness.rs
@@ -193,3 +193,33 @@
         join_all(requests).await;
     });
 }
+
+/// Responds with neither a length nor chunks, and ends the connection with or without a reset.
+async fn respond_unframed(listener: TcpListener, attempt: &str, is_reset: bool) {
+    let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
+    let mut buffer = vec![0; 64 * 1024];
+    let _ = stream.read(&mut buffer).await.expect("the request is readable");
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: {attempt}\r\n\
+         Tarragonferry-Response-Seal: sealed\r\nConnection: close\r\n\r\nhalf"
+    );
+    stream.write_all(response.as_bytes()).await.expect("the response is written");
+    sleep(Duration::from_millis(100)).await;
+    if is_reset {
+        stream.set_zero_linger().expect("the option is set");
+    }
+}
+
+#[test]
+fn unframed_answer_that_is_reset_does_not_look_complete() {
+    for (attempt, is_reset, status) in [("closed", false, 200), ("reset", true, 502)] {
+        with_cluster(&format!("unframed-{attempt}"), 1, async |cluster| {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            replace_plain_pool(&cluster, &listener).await;
+            spawn_local(respond_unframed(listener, attempt, is_reset));
+            let response = exchange(cluster.nodes[0].front(), &post(attempt, "body")).await;
+            assert!(response.starts_with(&format!("HTTP/1.1 {status} ")), "{response}");
+            assert_eq!(response.ends_with("half"), !is_reset, "{response}");
+        });
+    }
+}
