Split the messages of peers from what is known of them, and share the way of answers

Three functions that find the request an answer belongs to had the same body; they pass what differs. A time left that a peer sends can no longer overflow the expiry of a record. No decision is changed.

--- a/crates/ferry-serve/src/origins.rs
+++ b/crates/ferry-serve/src/origins.rs
@@ -52,7 +52,8 @@
             self.records.retain(|_, it| now < it.expires);
         }
         if self.records.len() < MAX_RECORDS {
-            let expires = now + time_left + RETENTION;
+            // A peer sends the time left, which may be any.
+            let expires = now.saturating_add(time_left).saturating_add(RETENTION);
             self.records.insert(attempt, Record { build, expires });
         }
     }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -1,22 +1,16 @@
-//! The other instances: which ones are alive, what they know, and the messages between them.
-//!
-//! Peers exchange datagrams that may be lost, duplicated or late; each message can safely be
-//! repeated. docs/design/platform.md explains why no connection is kept between instances.
+//! The other instances: which ones are alive, and what they know.
+
+mod message;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{
-    BuildId, ConfigVersion, Incarnation, InstanceId, Moment, PoolId, SortedMap, ZoneId,
-};
-use serde::{Deserialize, Serialize};
+use ferry_model::{ConfigVersion, Moment, SortedMap};
+
+use crate::{Identity, Tuning, rendezvous_hash};
 
-use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
-use crate::{
-    CallerAttempt, Group, Identity, ItemInput, JobKey, JobOutcome, Observation, ScheduleProgress,
-    ScheduleRequest, Scheduled, Tuning, rendezvous_hash,
-};
+pub use message::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage};
 
 /// Peers to which an instance sends each heartbeat; if there are more, it rotates among them.
 const HEARTBEAT_FANOUT: usize = 8;
@@ -34,130 +28,6 @@
 /// Most addresses that a caller gets.
 const MAX_ADDRESSES: usize = 64;
 
-/// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    pub instance: InstanceId,
-    pub incarnation: Incarnation,
-    pub zone: ZoneId,
-    /// Where callers connect.
-    pub front: SocketAddr,
-    /// Whether it has a configuration and accepts requests.
-    pub is_ready: bool,
-    pub is_leaving: bool,
-    /// Whether it gets too little CPU time to work for others.
-    pub is_overloaded: bool,
-    /// Its share of a CPU core.
-    pub weight: f64,
-    pub version: ConfigVersion,
-    /// Revision of the last endpoint change that it knows.
-    pub last_change: u64,
-    /// Backlogs of the groups whose items it collects.
-    pub backlog: Vec<Backlog>,
-    /// Results of its latest calls.
-    pub observations: Vec<Observation>,
-}
-
-impl Heartbeat {
-    /// Whether it accepts requests, and work of peers.
-    pub fn accepts_work(&self) -> bool {
-        self.is_ready && !self.is_leaving
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Backlog {
-    pub group: Group,
-    /// Time until a new item is started.
-    pub wait: Duration,
-    /// Items per second that its endpoints can do in full calls.
-    pub rate: f64,
-    /// Waiting items by class.
-    pub queued: [u32; N_CLASSES],
-}
-
-/// Items of one stage of one request, for the instance that collects the items of their group.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct JobSubmission {
-    pub key: JobKey,
-    pub group: Group,
-    pub n_items: u16,
-    /// Approximate size of one result.
-    pub result_bytes: u64,
-    /// Zero is served first.
-    pub class: u8,
-    /// Availability zone in which the items should preferably run, if that matters.
-    pub zone: Option<ZoneId>,
-    pub input: ItemInput,
-    /// Time until the results are needed for the request to meet its objective.
-    pub due: Duration,
-    /// Time until the results are useless.
-    pub time_left: Duration,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PeerMessage {
-    Heartbeat(Heartbeat),
-    Submit(Box<JobSubmission>),
-    /// Asks whether a request may start.
-    #[serde(rename = "Ask")]
-    AdmissionRequest(Box<AdmissionRequest>),
-    /// Answers an admission request.
-    #[serde(rename = "Verdict")]
-    AdmissionDecision {
-        attempt: CallerAttempt,
-        #[serde(rename = "verdict")]
-        answer: AdmissionAnswer,
-    },
-    /// Confirms that the items of a job are being collected.
-    #[serde(rename = "Taken")]
-    Accepted(JobKey),
-    /// The results of a job are not needed, or no longer needed.
-    Withdraw(JobKey),
-    /// Reports the outcome of a job to the instance that owns it.
-    #[serde(rename = "Settled")]
-    JobOutcome {
-        key: JobKey,
-        outcome: JobOutcome,
-    },
-    /// Asks which engine a request goes to.
-    Schedule(Box<ScheduleRequest>),
-    /// Answers that.
-    Scheduled {
-        attempt: CallerAttempt,
-        scheduled: Scheduled,
-    },
-    /// Reports what became of a call to the instance that scheduled it.
-    ScheduleProgress {
-        attempt: CallerAttempt,
-        progress: ScheduleProgress,
-    },
-    /// Reports the build that brought the first event of a stream.
-    Began {
-        attempt: CallerAttempt,
-        build: BuildId,
-        /// Time left for its request.
-        time_left: Duration,
-    },
-    /// Asks which build began a stream.
-    OriginRequest(OriginRequest),
-    /// Answers that, if it is known.
-    Origin {
-        attempt: CallerAttempt,
-        build: BuildId,
-    },
-}
-
-/// Asks which build began a stream that a request continues.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct OriginRequest {
-    /// The attempt that asks.
-    pub attempt: CallerAttempt,
-    /// The attempt that brought the first event, if the caller names it.
-    pub first_attempt: Option<CallerAttempt>,
-    pub pool: PoolId,
-}
-
 #[derive(Debug, Clone)]
 pub struct PeerView {
     pub heartbeat: Heartbeat,
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -89,13 +89,10 @@
         attempt: &CallerAttempt,
         answer: AdmissionAnswer,
     ) {
-        let Some(ticket) = self.attempts.get(attempt).copied() else { return };
-        let Some(mut request) = self.active.remove(&ticket) else { return };
-        let is_open = matches!(request.phase, Phase::AwaitingAdmission { .. });
-        if is_open && admit::on_answer(cx, &mut request, answer) {
-            return self.forget(&request);
-        }
-        self.proceed(cx, batcher, request);
+        self.on_answer(cx, batcher, attempt, |cx, _, request| {
+            let is_open = matches!(request.phase, Phase::AwaitingAdmission { .. });
+            is_open && admit::on_answer(cx, request, answer)
+        });
     }
 
     /// Applies the answer of a peer that knows the build of a stream.
@@ -106,12 +103,9 @@
         attempt: &CallerAttempt,
         build: BuildId,
     ) {
-        let Some(ticket) = self.attempts.get(attempt).copied() else { return };
-        let Some(mut request) = self.active.remove(&ticket) else { return };
-        match origin::on_answer(cx, batcher, &mut request, build) {
-            true => self.forget(&request),
-            false => self.proceed(cx, batcher, request),
-        }
+        self.on_answer(cx, batcher, attempt, |cx, batcher, request| {
+            origin::on_answer(cx, batcher, request, build)
+        });
     }
 
     /// Sends a request to the engine that its scheduler has chosen.
@@ -121,14 +115,28 @@
         batcher: &mut Batcher,
         attempt: &CallerAttempt,
         scheduled: Scheduled,
+    ) {
+        self.on_answer(cx, batcher, attempt, |cx, batcher, request| {
+            let is_open = matches!(request.phase, Phase::AwaitingEndpoint { .. });
+            is_open && schedule::on_scheduled(cx, batcher, request, scheduled)
+        });
+    }
+
+    /// Applies a peer's answer, if the request is still in progress; `apply` returns whether that
+    /// ends it.
+    fn on_answer(
+        &mut self,
+        cx: &mut Pass<'_>,
+        batcher: &mut Batcher,
+        attempt: &CallerAttempt,
+        apply: impl FnOnce(&mut Pass<'_>, &mut Batcher, &mut ActiveRequest) -> bool,
     ) {
         let Some(ticket) = self.attempts.get(attempt).copied() else { return };
         let Some(mut request) = self.active.remove(&ticket) else { return };
-        let is_open = matches!(request.phase, Phase::AwaitingEndpoint { .. });
-        if is_open && schedule::on_scheduled(cx, batcher, &mut request, scheduled) {
-            return self.forget(&request);
+        match apply(cx, batcher, &mut request) {
+            true => self.forget(&request),
+            false => self.proceed(cx, batcher, request),
         }
-        self.proceed(cx, batcher, request);
     }
 
     /// Applies the results of a stage.
