Test that no stream has events of two builds under random kills, partitions and rollouts

Sequences of arrivals, take-ups, broken engines that come back with either build, kills, starts and isolated instances, on virtual time; the builds of all attempts of a stream are compared.

--- a/crates/ferry-serve/tests/decisions/builds.rs
+++ b/crates/ferry-serve/tests/decisions/builds.rs
@@ -5,8 +5,9 @@
 
 use ferry_model::Target;
 use ferry_serve::{Catalog, Event, RequestHead, ResumedStream, Status, StoreUpdate};
+use proptest::prelude::*;
 
-use crate::simulation::{ENGINE, Ending, PLAIN, Simulation, config, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, config, head, ms};
 
 /// Streams that each case begins.
 const N_STREAMS: usize = 24;
@@ -22,8 +23,10 @@
         let endpoint = sim.endpoints.get_mut(&id).expect("the engine exists");
         endpoint.entry.build = (*build).to_owned();
         let endpoint = endpoint.entry.clone();
+        let running = sim.instances.iter().flatten();
+        let last = running.map(|it| it.context().endpoints.revision()).max().unwrap_or_default();
         for instance in 0..sim.instances.len() {
-            let revision = 20 + sim.now.as_millis() as u64 + number as u64;
+            let revision = last + 1;
             let update = StoreUpdate::Changed { revision, endpoint: endpoint.clone() };
             sim.deliver(instance, Event::Store(update));
         }
@@ -194,6 +197,90 @@
     }
 }
 
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive(usize),
+    /// Takes up the latest stream at an instance.
+    TakeUp(usize),
+    /// Breaks the calls at an engine, which starts again with a build.
+    Replace {
+        engine: usize,
+        build: usize,
+    },
+    Kill(usize),
+    Start(usize),
+    Isolate(usize),
+    Reconnect,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3_usize).prop_map(Step::Arrive),
+        4 => (0..3_usize).prop_map(Step::TakeUp),
+        3 => (0..4_usize, 0..2_usize).prop_map(|(engine, build)| Step::Replace { engine, build }),
+        1 => (0..3_usize).prop_map(Step::Kill),
+        2 => (0..3_usize).prop_map(Step::Start),
+        1 => (0..3_usize).prop_map(Step::Isolate),
+        1 => Just(Step::Reconnect),
+        8 => (1..300_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// Plays steps and returns the attempts of each stream.
+fn play(sim: &mut Simulation, steps: &[Step]) -> Vec<Vec<String>> {
+    let mut builds = vec!["v1", "v1", "v2", "v2"];
+    set_builds(sim, &builds);
+    let mut streams: Vec<Vec<String>> = Vec::new();
+    for (number, step) in steps.iter().enumerate() {
+        let attempt = format!("attempt-{number}");
+        match *step {
+            Step::Arrive(instance) if sim.instances[instance].is_some() => {
+                sim.arrive(instance, &attempt, head("stream", &attempt));
+                streams.push(vec![attempt]);
+            }
+            Step::TakeUp(instance) if sim.instances[instance].is_some() => {
+                let has_events = |it: &Vec<String>| sim.event_builds.contains_key(&it[0]);
+                let Some(stream) = streams.iter_mut().rfind(|it| has_events(it)) else { continue };
+                let head = resumed_head(&attempt, Some(&stream[0]));
+                stream.push(attempt.clone());
+                sim.arrive(instance, &attempt, head);
+            }
+            Step::Arrive(_) | Step::TakeUp(_) => (),
+            Step::Replace { engine, build } => {
+                let id = format!("{ENGINE}-{engine}");
+                sim.reset_calls(&id);
+                sim.set_behaviour(&id, Behaviour::Healthy);
+                builds[engine] = ["v1", "v2"][build];
+                set_builds(sim, &builds);
+            }
+            Step::Kill(instance) => sim.kill(instance),
+            Step::Start(instance) if sim.instances[instance].is_none() => sim.start(instance),
+            Step::Start(_) => (),
+            Step::Isolate(instance) => sim.isolated = vec![instance],
+            Step::Reconnect => sim.isolated = Vec::new(),
+            Step::Wait(time) => sim.run_for(ms(time)),
+        }
+    }
+    sim.run_for(ms(6_000));
+    streams
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_stream_has_events_of_two_builds(steps in prop::collection::vec(step(), 5..60)) {
+        let mut sim = Simulation::new(3);
+        for stream in play(&mut sim, &steps) {
+            let builds: BTreeSet<&String> =
+                stream.iter().filter_map(|it| sim.event_builds.get(it)).flatten().collect();
+            prop_assert!(builds.len() <= 1, "{:?} has events of {:?}", stream, builds);
+        }
+        prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+    }
+}
+
 #[test]
 fn stream_without_endpoints_of_its_build_is_refused_at_once() {
     let mut sim = Simulation::new(2);
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -106,6 +106,10 @@
     calls: SortedMap<(usize, CallId), u64>,
     /// Streams that each endpoint was asked for.
     streams: SortedMap<String, Vec<(usize, CallId)>>,
+    /// Attempt and build of each stream in progress.
+    sources: SortedMap<(usize, CallId), (String, String)>,
+    /// Builds that brought events, by attempt.
+    pub event_builds: SortedMap<String, Vec<String>>,
     incarnations: Vec<u64>,
     /// When each instance's timer fires.
     timers: Vec<Option<Moment>>,
@@ -157,6 +161,8 @@
             cancelled: Vec::new(),
             calls: SortedMap::new(),
             streams: SortedMap::new(),
+            sources: SortedMap::new(),
+            event_builds: SortedMap::new(),
             incarnations: vec![0; n_instances],
             timers: vec![None; n_instances],
             queue: BTreeMap::new(),
@@ -228,6 +234,7 @@
     /// Delivers an event to an instance at once.
     pub fn deliver(&mut self, instance: usize, event: Event) {
         let now = self.now;
+        self.record_event(instance, &event);
         let Some(gateway) = &mut self.instances[instance] else { return };
         let effects = gateway.reduce(now, event);
         for effect in effects {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -95,6 +95,7 @@
         endpoint.n_calls += 1;
         endpoint.last_call = self.now;
         let (behaviour, id) = (endpoint.behaviour, call.call);
+        let source = (attempt.clone(), endpoint.entry.build.clone());
         let event = |event| Event::Call { call: id, event };
         if !matches!(behaviour, Behaviour::Full) {
             let runs = self.runs.get_or_insert_with(attempt, Vec::new);
@@ -127,6 +128,7 @@
                 if call.is_stream =>
             {
                 self.calls.insert((instance, id), 2);
+                self.sources.insert((instance, id), source);
                 let streams = self.streams.get_or_insert_with(call.endpoint.clone(), Vec::new);
                 streams.push((instance, id));
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
@@ -176,6 +178,25 @@
         Some(endpoint.busy - now)
     }
 
+    /// Records the build that brings an event of a stream.
+    pub(super) fn record_event(&mut self, instance: usize, event: &Event) {
+        let Event::Call { call, event } = event else { return };
+        let key = (instance, *call);
+        match event {
+            CallEvent::Progress { .. } if !self.cancelled.contains(&key) => {
+                let Some((attempt, build)) = self.sources.get(&key).cloned() else { return };
+                let builds = self.event_builds.get_or_insert_with(attempt, Vec::new);
+                if !builds.contains(&build) {
+                    builds.push(build);
+                }
+            }
+            CallEvent::Broken { .. } | CallEvent::Ended(_) => {
+                self.sources.remove(&key);
+            }
+            _ => (),
+        }
+    }
+
     /// Breaks all calls in progress at an endpoint, which resets those that follow.
     pub fn reset_calls(&mut self, id: &str) {
         self.set_behaviour(id, Behaviour::Reset);
