Let simulated endpoints that come back with another build have a new start time

The random test of builds failed once, on the code of the product as it is: an instance that has just started and has no peer yet takes a pool for one of a single build, as no endpoint of it has started for long.

Conclusion: a fault of the simulation.

--- a/crates/ferry-serve/tests/decisions/builds.rs
+++ b/crates/ferry-serve/tests/decisions/builds.rs
@@ -20,9 +20,8 @@
     }
     for (number, build) in builds.iter().enumerate() {
         let id = format!("{ENGINE}-{number}");
-        let endpoint = sim.endpoints.get_mut(&id).expect("the engine exists");
-        endpoint.entry.build = (*build).to_owned();
-        let endpoint = endpoint.entry.clone();
+        sim.set_build(&id, build);
+        let endpoint = sim.endpoints.get(&id).expect("the engine exists").entry.clone();
         let running = sim.instances.iter().flatten();
         let last = running.map(|it| it.context().endpoints.revision()).max().unwrap_or_default();
         for instance in 0..sim.instances.len() {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -9,7 +9,9 @@
     ItemResult, PromptPart, StreamEnd,
 };
 
-use super::{EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, limits};
+use super::{
+    EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, UNIX_START, limits,
+};
 
 /// The end of a stream that misses nothing.
 const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, n_events: 1, partial: 0 };
@@ -76,6 +78,16 @@
         self.endpoints.get_mut(id).expect("the endpoint exists").behaviour = behaviour;
     }
 
+    /// Starts an endpoint again with another build, unless it has that build already.
+    pub fn set_build(&mut self, id: &str, build: &str) {
+        let started = UNIX_START + self.now;
+        let entry = &mut self.endpoints.get_mut(id).expect("the endpoint exists").entry;
+        if entry.build != build {
+            entry.build = build.to_owned();
+            entry.started = started.as_millis() as u64;
+        }
+    }
+
     pub(super) fn call(&mut self, instance: usize, call: &Call) {
         let attempt = self.callers.get(&(instance, call.ticket)).map(|it| it.attempt.clone());
         let Some(attempt) = attempt else {
