Read the rate limits that endpoints name, and log them and who chose an endpoint

Change: the header is decoded once in platform/ into a rate that is positive and finite; anything else, zero included, is counted and logged and says nothing. A response of a run without it withdraws the limit; one that refused the call does not. A limit line for each change, the chooser in the reason of route lines, three counters. No choice is changed.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use ferry_platform::headers::{self, AddedHeaders, ResponseKind};
-use ferry_serve::{Call, CallEvent, CallId, Event, Framing, LoadReport, StreamEnd};
+use ferry_serve::{
+    Call, CallEvent, CallId, Event, Framing, LimitReport, LoadReport, NotRunReason, StreamEnd,
+};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -73,7 +75,9 @@
     };
     let load = headers::load(response.headers());
     let attempt = attempt(request);
-    match headers::response_kind(response.status(), response.headers(), attempt) {
+    let kind = headers::response_kind(response.status(), response.headers(), attempt);
+    report_limit(driver, &call.endpoint, &kind, response.headers());
+    match kind {
         ResponseKind::NotRun(reason) => CallEvent::NotRun { reason, load },
         ResponseKind::Mismatched => broken("the response belongs to another request"),
         ResponseKind::Matching { is_sealed } => {
@@ -89,6 +93,17 @@
     }
 }
 
+/// Reports the rate limit in a response of the endpoint. Only a run tells that there is none any longer.
+fn report_limit(driver: &Rc<Driver>, endpoint: &str, kind: &ResponseKind, headers: &HeaderMap) {
+    match (kind, headers::rate_limit(headers)) {
+        (ResponseKind::Mismatched | ResponseKind::NotRun(NotRunReason::Moved), _) => (),
+        (ResponseKind::NotRun(_), LimitReport::Unlimited) => (),
+        (ResponseKind::NotRun(_) | ResponseKind::Matching { .. }, limit) => {
+            driver.report_limit(endpoint, limit);
+        }
+    }
+}
+
 fn outgoing(request: &CallerRequest, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
     let added = AddedHeaders {
         endpoint: &call.endpoint,
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
 use ferry_platform::settings::NodeSettings;
-use ferry_serve::{CallId, Decision, Effect, Event, Gateway, Refusal};
+use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Refusal};
 use http::request::Parts;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Reports the rate limit that a response of an endpoint names. Most endpoints name none, which
+    /// is reported only if one was known.
+    pub fn report_limit(self: &Rc<Self>, endpoint: &str, limit: LimitReport) {
+        let is_limited =
+            |it: &Gateway| it.context().endpoints.get(endpoint).and_then(|it| it.rate_limit());
+        if limit != LimitReport::Unlimited || self.query(is_limited).is_some() {
+            self.dispatch(Event::Limit { endpoint: endpoint.to_owned(), limit });
+        }
+    }
+
     /// Dispatches a tick whenever the reducer needs one.
     pub async fn run_timer(self: Rc<Self>) {
         loop {
--- a/crates/ferry-gateway/src/items.rs
+++ b/crates/ferry-gateway/src/items.rs
@@ -6,7 +6,7 @@
 
 use ferry_model::ResultHandle;
 use ferry_platform::{headers, items};
-use ferry_serve::{BatchCall, BatchFailure, Event, ItemResult, LoadReport};
+use ferry_serve::{BatchCall, BatchFailure, Event, ItemResult, LimitReport, LoadReport};
 use http::{Method, StatusCode};
 use tokio::task::spawn_local;
 
@@ -19,7 +19,7 @@
 pub fn start(driver: &Rc<Driver>, call: BatchCall) {
     let driver = driver.clone();
     spawn_local(async move {
-        let (result, load) = run(&call).await;
+        let (result, load) = run(&driver, &call).await;
         driver.dispatch(Event::Batch { call: call.call, result, load });
     });
 }
@@ -36,12 +36,15 @@
 
 /// Sends a call over a new connection, because the response has no id by which it could be matched
 /// to the call.
-async fn run(call: &BatchCall) -> Outcome {
+async fn run(driver: &Rc<Driver>, call: &BatchCall) -> Outcome {
     let mut request =
         InternalCall::json(Method::POST, items::RUN_PATH, items::run_body(&call.items));
     headers::set_expected(&mut request.headers, &call.endpoint);
     match tokio::time::timeout(call.timeout, call_once(call.address, &request)).await {
-        Ok(Ok(response)) => read(&response),
+        Ok(Ok(response)) => {
+            report_limit(driver, call, &response);
+            read(&response)
+        }
         Ok(Err(error @ CallError::Connect(_))) => {
             (Err(BatchFailure::Unsent(error.to_string())), None)
         }
@@ -50,6 +53,16 @@
     }
 }
 
+/// Reports the rate limit in a response of the endpoint. Only a run tells that there is none any longer.
+fn report_limit(driver: &Rc<Driver>, call: &BatchCall, response: &BufferedResponse) {
+    match (response.status, headers::rate_limit(&response.headers)) {
+        (StatusCode::MISDIRECTED_REQUEST, _) => (),
+        (StatusCode::OK, limit) => driver.report_limit(&call.endpoint, limit),
+        (_, LimitReport::Unlimited) => (),
+        (_, limit) => driver.report_limit(&call.endpoint, limit),
+    }
+}
+
 fn read(response: &BufferedResponse) -> Outcome {
     let load = headers::load(&response.headers);
     let is_not_run = headers::is_not_run(&response.headers)
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ferry_model::{EndpointId, GatewayPool, Moment, PoolKind, ZoneId};
+use strum::{Display, IntoStaticStr};
 
 use crate::{EndpointView, Endpoints, Mechanism, PromptPart, PromptTokens, Tuning};
 
@@ -54,6 +55,16 @@
     pub expected: Duration,
     /// Tokens of the prompt; none if the endpoint is not an engine.
     pub prompt: Option<PromptTokens>,
+    pub chooser: Chooser,
+}
+
+/// Who has chosen an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+pub enum Chooser {
+    #[strum(serialize = "expected to cost least")]
+    Instance,
+    #[strum(serialize = "chosen by the scheduler")]
+    Scheduler,
 }
 
 /// Returns the cheapest endpoint; those that failed recently are used only if no other is left.
@@ -95,6 +106,7 @@
         cost: Duration::from_secs_f64(cost / 1e3),
         expected,
         prompt: (!prefixes.is_empty()).then(|| prompt_tokens(now, view, &prefixes)),
+        chooser: Chooser::Instance,
     })
 }
 
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod delta;
 mod observe;
+mod rate_limit;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,9 +15,11 @@
 
 use builds::OnlyBuild;
 use delta::Changes;
+use rate_limit::RateLimit;
 
 pub use delta::EndpointsDelta;
 pub use observe::{Observation, Observations};
+pub use rate_limit::{LimitChange, LimitReport, RequestRate};
 
 /// Weight of the newest observation in averages.
 const NEWEST_WEIGHT: f64 = 0.3;
@@ -49,6 +52,7 @@
     report: Option<(Moment, LoadReport)>,
     failure_streak: u32,
     paused: Moment,
+    rate_limit: RateLimit,
     /// Whether it is missing from the list since the store became reachable again.
     is_missing: bool,
     /// Hashes of prompt prefixes, and when each was last used.
@@ -65,6 +69,7 @@
             report: None,
             failure_streak: 0,
             paused: Moment::ZERO,
+            rate_limit: RateLimit::default(),
             is_missing: false,
             parts: SortedMap::new(),
         }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, EndpointsDelta, LoadReport, PeerMessage, Tuning};
+use crate::{CallId, CallerAttempt, EndpointsDelta, LimitReport, LoadReport, PeerMessage, Tuning};
 
 /// Input of [`crate::Gateway::reduce`].
 #[derive(Debug, Clone)]
@@ -40,6 +40,11 @@
         result: Result<Vec<ItemResult>, BatchFailure>,
         load: Option<LoadReport>,
     },
+    /// A response says whether its endpoint limits the rate of requests.
+    Limit {
+        endpoint: EndpointId,
+        limit: LimitReport,
+    },
     /// The prompt parts that an engine has cached.
     Cached {
         endpoint: EndpointId,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -100,6 +100,7 @@
             Event::Batch { call, result, load } => {
                 self.batcher.on_result(cx, call, result, load);
             }
+            Event::Limit { endpoint, limit } => updates::on_limit(cx, &endpoint, limit),
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ferry_model::GatewayConfig;
+use ferry_model::{EndpointId, GatewayConfig};
 
 use crate::batch::{Batcher, Job, JobOwner};
 use crate::pass::{Context, Pass};
 use crate::request::{Requests, evaluate, origin, schedule};
-use crate::{Asker, Decision, DecisionKind, Effect, JobSubmission, PeerMessage, StoreUpdate};
+use crate::{
+    Asker, Decision, DecisionKind, Effect, JobSubmission, LimitReport, Metric, PeerMessage,
+    StoreUpdate,
+};
 
 pub(super) fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
     if cx.ctx.catalog.update(config) {
@@ -40,6 +43,23 @@
     }
 }
 
+pub(super) fn on_limit(cx: &mut Pass<'_>, endpoint: &EndpointId, limit: LimitReport) {
+    let rate = match limit {
+        LimitReport::Unlimited => None,
+        LimitReport::Limited(rate) => Some(rate),
+        LimitReport::Invalid(text) => {
+            cx.count(Metric::LimitsInvalid);
+            let reason = format!("ignored {text:?}, which is not a positive rate");
+            return cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(endpoint));
+        }
+    };
+    if let Some(change) = cx.ctx.endpoints.record_limit(endpoint, cx.now, rate) {
+        cx.count(Metric::LimitsNamed);
+        let decision = Decision::new(DecisionKind::Limit, change.to_string());
+        cx.log(decision.with_endpoint(endpoint));
+    }
+}
+
 pub(super) fn on_peer(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -26,13 +26,14 @@
 pub use admission::{AdmissionRequest, Shard};
 pub use batch::{Batcher, Job, JobKey, JobOutcome};
 pub use catalog::{Catalog, Rejection};
-pub use choose::{Choice, Requirements, choose_endpoint, rendezvous_hash};
+pub use choose::{Choice, Chooser, Requirements, choose_endpoint, rendezvous_hash};
 pub use effect::{
     BatchCall, BatchItem, Call, Decision, DecisionKind, Effect, Metric, PromptTokens, Refusal,
     Status,
 };
 pub use endpoints::{
-    EndpointView, Endpoints, EndpointsDelta, LoadReport, Observation, Observations,
+    EndpointView, Endpoints, EndpointsDelta, LimitChange, LimitReport, LoadReport, Observation,
+    Observations, RequestRate,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -41,11 +41,14 @@
         view.outstanding += 1;
         view.record_prompt(cx.now, &tokens);
         build = view.endpoint.build.clone();
+        if view.rate_limit().is_some() {
+            cx.count(Metric::LimitedCalls);
+        }
     }
     cx.count(Metric::CallsSent);
     let time_left = request.deadline.saturating_sub(cx.now);
     cx.log(
-        Decision::new(DecisionKind::Route, "expected to cost least")
+        Decision::new(DecisionKind::Route, choice.chooser.to_string())
             .with_attempt(&request.head.attempt)
             .with_route(&request.route.name)
             .with_pool(&request.pool)
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -11,8 +11,8 @@
 use crate::choose::{prefixes, shared_key};
 use crate::pass::{Context, Pass};
 use crate::{
-    Asker, CallerAttempt, Choice, Decision, DecisionKind, Effect, EndpointView, Mechanism, Metric,
-    PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Shard,
+    Asker, CallerAttempt, Choice, Chooser, Decision, DecisionKind, Effect, EndpointView, Mechanism,
+    Metric, PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Shard,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
@@ -201,5 +201,6 @@
         expected: it.expected,
         prompt: call::prompt_tokens(request, it.uncached),
         endpoint: it.endpoint,
+        chooser: Chooser::Scheduler,
     })
 }
