Add a failing test of endpoints that get more requests than the limit they name

Ten cases on virtual time, each counted over all instances: engines by the scheduler's choice and by instances' own, all engines of a pool, resumed streams, plain requests, requests that are sent again, calls with items, hedges, 76 and 300 instances. The bound is the platform's rule, one and a half times the rate, + 5, in any 4 s from 3 s after the limit was first named.

--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod health;
 mod peers;
+mod rate_limits;
 mod requests;
 mod schedule;
 mod seeds;
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -62,8 +62,21 @@
 
 #[derive(Debug)]
 enum QueuedEvent {
-    Tick { instance: usize, late: Duration },
-    Deliver { instance: usize, incarnation: u64, event: Event },
+    Tick {
+        instance: usize,
+        late: Duration,
+    },
+    Deliver {
+        instance: usize,
+        incarnation: u64,
+        event: Event,
+    },
+    /// A response says whether its endpoint has a rate limit when it arrives.
+    Limit {
+        instance: usize,
+        incarnation: u64,
+        endpoint: String,
+    },
 }
 
 pub struct Simulation {
@@ -99,6 +112,10 @@
     rng: u64,
     /// Instances that cannot reach any peer.
     pub isolated: Vec<usize>,
+    /// Instances that reach only each other.
+    pub island: Vec<usize>,
+    /// Instances that do nothing, and what has happened to them meanwhile.
+    frozen: SortedMap<usize, Vec<QueuedEvent>>,
     results: SortedMap<String, (String, u8)>,
     callers: SortedMap<(usize, u64), Caller>,
     cancelled: Vec<(usize, CallId)>,
@@ -156,6 +173,8 @@
             drop_one_in: None,
             rng: 1,
             isolated: Vec::new(),
+            island: Vec::new(),
+            frozen: SortedMap::new(),
             results: SortedMap::new(),
             callers: SortedMap::new(),
             cancelled: Vec::new(),
@@ -210,7 +229,21 @@
         self.arm(instance);
     }
 
+    /// Stops an instance, which still gets everything that is sent to it.
+    pub fn freeze(&mut self, instance: usize) {
+        self.frozen.get_or_insert_with(instance, Vec::new);
+    }
+
+    /// Lets a frozen instance go on with what has happened meanwhile.
+    pub fn thaw(&mut self, instance: usize) {
+        for item in self.frozen.remove(&instance).into_iter().flatten() {
+            self.process(item);
+        }
+        self.arm(instance);
+    }
+
     pub fn kill(&mut self, instance: usize) {
+        self.frozen.remove(&instance);
         self.instances[instance] = None;
         self.incarnations[instance] += 1;
         self.callers.retain(|(it, _), _| *it != instance);
@@ -252,19 +285,34 @@
             }
             let item = entry.remove();
             self.now = self.now.max(at);
-            match item {
-                QueuedEvent::Tick { instance, late } => self.tick(instance, late),
-                QueuedEvent::Deliver { instance, incarnation, event }
-                    if incarnation == self.incarnations[instance] =>
-                {
-                    self.deliver(instance, event);
-                }
-                QueuedEvent::Deliver { .. } => (),
-            }
+            self.process(item);
         }
         self.now = until;
     }
 
+    fn process(&mut self, item: QueuedEvent) {
+        let (QueuedEvent::Tick { instance, .. }
+        | QueuedEvent::Deliver { instance, .. }
+        | QueuedEvent::Limit { instance, .. }) = item;
+        if let Some(missed) = self.frozen.get_mut(&instance) {
+            return missed.push(item);
+        }
+        match item {
+            QueuedEvent::Tick { instance, late } => self.tick(instance, late),
+            QueuedEvent::Deliver { instance, incarnation, event }
+                if incarnation == self.incarnations[instance] =>
+            {
+                self.deliver(instance, event);
+            }
+            QueuedEvent::Limit { instance, incarnation, endpoint }
+                if incarnation == self.incarnations[instance] =>
+            {
+                self.report_limit(instance, endpoint);
+            }
+            QueuedEvent::Deliver { .. } | QueuedEvent::Limit { .. } => (),
+        }
+    }
+
     pub fn outcome(&self, attempt: &str) -> &Outcome {
         self.outcomes.get(attempt).unwrap_or_else(|| panic!("{attempt} has not ended"))
     }
@@ -278,7 +326,8 @@
     }
 
     fn tick(&mut self, instance: usize, late: Duration) {
-        if self.timers[instance] == Some(self.now) {
+        if self.timers[instance].is_some_and(|it| it <= self.now) {
+            let late = late.max(self.now - self.timers[instance].unwrap_or_default());
             self.timers[instance] = None;
             self.deliver(instance, Event::Tick { late });
         }
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -6,11 +6,12 @@
 use ferry_model::{EndpointState, GatewayEndpoint, Moment, ResultHandle};
 use ferry_serve::{
     BatchCall, BatchFailure, Call, CallEvent, CallId, Event, Framing, ItemFailure, ItemInput,
-    ItemResult, PromptPart, StreamEnd,
+    ItemResult, LimitReport, PromptPart, RequestRate, StreamEnd,
 };
 
 use super::{
-    EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, Simulation, UNIX_START, limits,
+    EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, QueuedEvent, Simulation,
+    UNIX_START, limits,
 };
 
 /// The end of a stream that misses nothing.
@@ -46,6 +47,10 @@
     pub n_calls: usize,
     pub n_items: usize,
     pub last_call: Moment,
+    /// The rate limit that it names in its responses.
+    pub rate_limit: Option<RequestRate>,
+    /// When each request reached it.
+    pub arrivals: Vec<Moment>,
 }
 
 impl Simulation {
@@ -70,6 +75,8 @@
             n_calls: 0,
             n_items: 0,
             last_call: Moment::ZERO,
+            rate_limit: None,
+            arrivals: Vec::new(),
         };
         self.endpoints.insert(id, endpoint);
     }
@@ -78,6 +85,25 @@
         self.endpoints.get_mut(id).expect("the endpoint exists").behaviour = behaviour;
     }
 
+    /// Lets an endpoint name a rate limit from now on, or none any longer.
+    pub fn set_rate_limit(&mut self, id: &str, per_second: Option<f64>) {
+        let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
+        endpoint.rate_limit = per_second.and_then(RequestRate::new);
+    }
+
+    /// Delivers what an endpoint says of its rate limit in a response that arrives now.
+    pub(super) fn report_limit(&mut self, instance: usize, endpoint: String) {
+        let rate = self.endpoints.get(&endpoint).and_then(|it| it.rate_limit);
+        let limit = rate.map_or(LimitReport::Unlimited, LimitReport::Limited);
+        self.deliver(instance, Event::Limit { endpoint, limit });
+    }
+
+    fn schedule_limit(&mut self, instance: usize, after: Duration, endpoint: &str) {
+        let incarnation = self.incarnations[instance];
+        let endpoint = endpoint.to_owned();
+        self.push(self.now + after, QueuedEvent::Limit { instance, incarnation, endpoint });
+    }
+
     /// Starts an endpoint again with another build, unless it has that build already.
     pub fn set_build(&mut self, id: &str, build: &str) {
         let started = UNIX_START + self.now;
@@ -106,6 +132,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
         endpoint.n_calls += 1;
         endpoint.last_call = self.now;
+        endpoint.arrivals.push(self.now);
         let (behaviour, id) = (endpoint.behaviour, call.call);
         let source = (attempt.clone(), endpoint.entry.build.clone());
         let event = |event| Event::Call { call: id, event };
@@ -130,6 +157,7 @@
             }
             Behaviour::Failing => {
                 self.calls.insert((instance, id), 1);
+                self.schedule_limit(instance, PLAIN_TIME, &call.endpoint);
                 let answer = CallEvent::Answer { is_error: true, load: None };
                 self.schedule(instance, PLAIN_TIME, event(answer));
             }
@@ -144,6 +172,7 @@
                 let streams = self.streams.get_or_insert_with(call.endpoint.clone(), Vec::new);
                 streams.push((instance, id));
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
+                self.schedule_limit(instance, begin, &call.endpoint);
                 self.schedule(instance, begin, event(CallEvent::Began { load: None }));
                 let first = call.resume.unwrap_or(0) + 1;
                 for number in first..=N_EVENTS {
@@ -159,6 +188,7 @@
             | Behaviour::Reads(_)
             | Behaviour::FailItems(_) => {
                 self.calls.insert((instance, id), 0);
+                self.schedule_limit(instance, PLAIN_TIME * factor, &call.endpoint);
                 let answer = CallEvent::Answer { is_error: false, load: None };
                 self.schedule(instance, PLAIN_TIME * factor, event(answer));
             }
@@ -241,6 +271,7 @@
         endpoint.n_calls += 1;
         endpoint.n_items += call.items.len();
         endpoint.last_call = now;
+        endpoint.arrivals.push(now);
         let work = limits.call_time + limits.item_time * call.items.len() as u32;
         let id = call.call;
         let batch = |result| Event::Batch { call: id, result, load: None };
@@ -266,6 +297,7 @@
                     if let Behaviour::Slow(factor) = endpoint.behaviour { factor } else { 1 };
                 endpoint.busy = endpoint.busy.max(now) + work * factor;
                 let after = endpoint.busy - now;
+                self.schedule_limit(instance, after, &call.endpoint);
                 self.schedule(instance, after, batch(Ok(results)));
             }
         }
--- a/crates/ferry-serve/tests/decisions/simulation/network.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/network.rs
@@ -10,12 +10,18 @@
     pub(super) fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
         let is_lost = self.drop_one_in.is_some_and(|it| self.next_random().is_multiple_of(it));
         let to = usize::from(to.port()) - 7_000;
-        if is_lost || self.isolated.contains(&from) || self.isolated.contains(&to) {
+        if is_lost || self.is_cut(from, to) {
             return;
         }
         self.schedule(to, NETWORK_DELAY, Event::Peer { from: peer(from), message });
     }
 
+    /// Whether two instances do not reach each other.
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
+        is_isolated || self.island.contains(&from) != self.island.contains(&to)
+    }
+
     /// Returns the next number of a fixed pseudo-random sequence.
     fn next_random(&mut self) -> u64 {
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
