--- a/crates/ferry-serve/src/admission.rs
+++ b/crates/ferry-serve/src/admission.rs
@@ -41,7 +41,7 @@
     pub is_retry: bool,
     /// Value relative to the work, 1.0 for the average request of its route.
     pub value: f64,
-    /// Number of items by pool.
+    /// Number of items by pool; one for a pool whose endpoints all limit their requests.
     pub items: Vec<(PoolId, u32)>,
     /// The engine that it will need; none if it does not go to an engine.
     pub engine: Option<ScheduleRequest>,
@@ -55,6 +55,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionAnswer {
     pub decision: AdmissionDecision,
+    /// Time after which the endpoints of a pool that limits its requests take it.
+    pub retry_after: Option<Duration>,
     /// Availability zone of the engine that the request is likely to go to; none if that is not
     /// known.
     pub zone: Option<ZoneId>,
--- a/crates/ferry-serve/src/admission/capacity.rs
+++ b/crates/ferry-serve/src/admission/capacity.rs
@@ -7,15 +7,18 @@
 use super::{N_CLASSES, Shard};
 use crate::batch::{Batcher, batch_limits, full_call};
 use crate::pass::Context;
-use crate::{Backlog, Group, groups};
+use crate::{Backlog, EndpointView, Group, groups};
 
 /// Fraction of the rate that is granted: the closer to 1.0, the longer the queues.
 const USABLE_FRACTION: f64 = 0.9;
 
+/// Requests per second of a pool that is not known to limit them.
+const UNLIMITED: f64 = 1e9;
+
 /// Capacity of a pool that one admission shard may grant.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Capacity {
-    /// Items per second, in full calls.
+    /// Items per second, in full calls; requests per second of a pool that limits them.
     pub rate: f64,
     /// Items that wait at the batchers, by class.
     pub queued: [f64; N_CLASSES],
@@ -31,8 +34,11 @@
         shard: Shard,
     ) -> Capacity {
         let mut total = Capacity::default();
-        let Some(limits) = batch_limits(ctx, pool) else { return total };
         let share = 1.0 / f64::from(shard.count.max(1));
+        let Some(limits) = batch_limits(ctx, pool) else {
+            let rate = ctx.endpoints.pool_rate(pool).unwrap_or(UNLIMITED);
+            return Capacity { rate: rate * share, ..total };
+        };
         for group in groups(&ctx.endpoints, pool) {
             let reported = reported_backlog(ctx, batcher, now, &group);
             let rate = reported
@@ -69,5 +75,9 @@
     let members =
         ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it) && it.accepts_work());
     let full: Duration = full_call(limits);
-    members.count() as f64 * limits.max_items as f64 / full.as_secs_f64().max(1e-3)
+    let full_rate = 1.0 / full.as_secs_f64().max(1e-3);
+    let calls = |it: &EndpointView| {
+        it.rate_limit().map_or(full_rate, |limit| limit.per_second().min(full_rate))
+    };
+    members.map(calls).sum::<f64>() * limits.max_items as f64
 }
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod job;
 mod outcomes;
+mod permits;
 mod plan;
 
 use std::net::SocketAddr;
@@ -18,13 +19,14 @@
 
 use crate::pass::{Context, Pass, free};
 use crate::{
-    BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, Endpoints, Group,
-    ItemResult, LoadReport, Mechanism, Metric,
+    BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, EndpointView,
+    Endpoints, Group, ItemResult, LoadReport, Mechanism, Metric,
 };
 
 use candidates::Candidate;
 pub use job::{Job, JobKey, JobOutcome, JobOwner};
 use outcomes::{finish, notify_owner};
+use permits::BatchPermits;
 pub(crate) use plan::full_call;
 
 /// Time that a call spends on the network, in addition to the endpoint's work.
@@ -61,6 +63,7 @@
     calls: SortedMap<CallId, SentCall>,
     /// When batches that wait for more items are sent as they are.
     linger: SortedMap<Group, Moment>,
+    permits: BatchPermits,
 }
 
 impl Batcher {
@@ -127,6 +130,7 @@
             self.hedge_late(cx);
         }
         self.expire(cx);
+        self.renew_permits(cx);
         if cx.ctx.tuning.is_enabled(Mechanism::Shedding) {
             self.shed(cx);
         }
@@ -143,11 +147,12 @@
             .waiting_pools()
             .iter()
             .flat_map(|it| endpoints.pool(it))
-            .map(|it| it.paused_until())
+            .flat_map(|it| [it.paused_until(), now + it.permit_pause(now)])
             .filter(|it| now < *it)
             .min();
         let linger = self.linger.values().min().copied();
-        [hedge, deadline, paused, linger].into_iter().flatten().min()
+        let permits = self.permits.next_wake();
+        [hedge, deadline, paused, linger, permits].into_iter().flatten().min()
     }
 
     /// Returns the groups whose items this instance currently collects.
@@ -187,12 +192,17 @@
             }
             let result_memory = self.result_memory(group);
             let candidates =
-                candidates::candidates(cx, group, &limits, &self.calls, &result_memory);
+                candidates::candidates(cx, group, &limits, &self.calls, &result_memory, |it| {
+                    self.permits.is_granted(cx.now, it)
+                });
             let Some(plan) = plan::next(cx.now, &waiting, &candidates, &limits) else {
                 if !waiting.is_empty() && candidates.iter().any(|it| it.is_free) {
                     self.linger.insert(group.clone(), cx.now + RECHECK_INTERVAL);
                 }
-                return;
+                if !self.want_permits(cx, group, limits.slots) {
+                    return;
+                }
+                continue;
             };
             if self.should_linger(cx, group, &limits, &candidates, plan.items.len()) {
                 return;
@@ -276,6 +286,7 @@
         if let Some(view) = cx.ctx.endpoints.get_mut(&candidate.endpoint) {
             view.outstanding += 1;
         }
+        self.permits.spend(&candidate.endpoint);
         let timeout = expected * TIMEOUT_FACTOR;
         let hedge_at =
             cx.now + expected.mul_f64(candidate.slowdown.max(1.0) * HEDGE_FACTOR) + HEDGE_SLACK;
@@ -343,7 +354,7 @@
     fn shed(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
             let Some(limits) = batch_limits(cx.ctx, &group.pool) else { continue };
-            let n_endpoints = count_usable(cx.ctx, cx.now, &group);
+            let n_endpoints = usable_endpoints(cx.ctx, cx.now, &group, &limits);
             let waiting = self.waiting(&group);
             for key in plan::too_late(cx.now, &waiting, n_endpoints, &limits) {
                 let Some(job) = self.jobs.get_mut(&key) else { continue };
@@ -369,10 +380,17 @@
     }
 }
 
-/// Counts the endpoints of a group that may get new work.
-fn count_usable(ctx: &Context, now: Moment, group: &Group) -> usize {
+/// Counts the endpoints of a group that may get new work; one that limits its requests counts as the
+/// part of its time that they take.
+fn usable_endpoints(ctx: &Context, now: Moment, group: &Group, limits: &BatchLimits) -> f64 {
     let members = ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
-    members.filter(|it| it.is_usable(now)).count()
+    members.filter(|it| it.is_usable(now)).map(|it| usable_share(it, limits)).sum()
+}
+
+/// Returns the share of its time for which an endpoint may work on full calls.
+fn usable_share(view: &EndpointView, limits: &BatchLimits) -> f64 {
+    let full = full_call(limits).as_secs_f64();
+    view.rate_limit().map_or(1.0, |it| (it.per_second() * full).min(1.0))
 }
 
 /// Returns the limits of a batch pool; none for a pool of another kind.
--- a/crates/ferry-serve/src/batch/backlog.rs
+++ b/crates/ferry-serve/src/batch/backlog.rs
@@ -5,10 +5,13 @@
 use ferry_model::{BatchLimits, Moment};
 
 use super::candidates::MIN_SLOWDOWN;
-use super::{Batcher, batch_limits, call_time, count_usable, full_call};
+use super::{Batcher, batch_limits, call_time, full_call, usable_endpoints};
 use crate::admission::{LATE_CLASS, N_CLASSES};
 use crate::pass::Context;
-use crate::{Backlog, Group};
+use crate::{Backlog, EndpointView, Group};
+
+/// Fewest endpoints that a group is taken to have, as a part of one that limits its requests.
+const MIN_ENDPOINTS: f64 = 0.01;
 
 impl Batcher {
     /// Returns the time until a new item of `group` would start; none if it is not a batch pool's.
@@ -20,7 +23,8 @@
         let call = call_time(&limits, limits.max_items);
         let calls = self.calls.values().filter(|it| it.group == *group);
         let rest: Duration = calls.map(|it| (it.sent_at + it.expected).saturating_sub(now)).sum();
-        Some((call * n_calls as u32 + rest) / count_usable(ctx, now, group).max(1) as u32)
+        let n_endpoints = usable_endpoints(ctx, now, group, &limits);
+        Some((call * n_calls as u32 + rest).div_f64(n_endpoints.max(MIN_ENDPOINTS)))
     }
 
     /// Returns the backlog of a group to report to peers; none if it is not a batch pool's.
@@ -30,8 +34,12 @@
         let members = ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
         let usable = members.filter(|it| it.is_usable(now));
         let full = full_call(&limits).as_secs_f64().max(1e-3);
-        let rate =
-            usable.map(|it| limits.max_items as f64 / (full * it.slowdown.max(MIN_SLOWDOWN))).sum();
+        let full_rate =
+            |it: &EndpointView| limits.max_items as f64 / (full * it.slowdown.max(MIN_SLOWDOWN));
+        let limited_rate = |it: &EndpointView| {
+            it.rate_limit().map_or(f64::INFINITY, |it| it.per_second() * limits.max_items as f64)
+        };
+        let rate = usable.map(|it| full_rate(it).min(limited_rate(it))).sum();
         Some(Backlog { group: group.clone(), wait, rate, queued: self.queued(now, group, &limits) })
     }
 
--- a/crates/ferry-serve/src/batch/candidates.rs
+++ b/crates/ferry-serve/src/batch/candidates.rs
@@ -7,7 +7,7 @@
 
 use super::{Job, SentCall};
 use crate::pass::Pass;
-use crate::{CallId, Group};
+use crate::{CallId, EndpointView, Group};
 
 /// A call waits for a busy endpoint only if it would end within this fraction of the time on a
 /// free, slower one.
@@ -30,18 +30,22 @@
     pub free_bytes: u64,
 }
 
-/// Returns the usable endpoints of a group, with the time until each is free.
+/// Returns the usable endpoints of a group that take a call, with the time until each is free.
 pub fn candidates(
     cx: &Pass<'_>,
     group: &Group,
     limits: &BatchLimits,
     calls: &SortedMap<CallId, SentCall>,
     result_memory: &SortedMap<SocketAddr, u64>,
+    has_permit: impl Fn(&str) -> bool,
 ) -> Vec<Candidate> {
     let members = cx.ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
-    let usable: Vec<_> = members.filter(|it| it.is_usable(cx.now)).collect();
+    let may_be_called = |it: &&EndpointView| {
+        it.is_usable(cx.now) && (it.rate_limit().is_none() || has_permit(&it.endpoint.id))
+    };
+    let usable: Vec<_> = members.filter(may_be_called).collect();
     let considered = usable.len() as u32;
-    let candidate = |view: &&crate::EndpointView| {
+    let candidate = |view: &&EndpointView| {
         let own = calls.values().filter(|it| it.endpoint == view.endpoint.id);
         let ends = own.map(|it| it.sent_at + it.expected.mul_f64(view.slowdown.max(1.0))).max();
         Candidate {
--- a/crates/ferry-serve/src/batch/plan.rs
+++ b/crates/ferry-serve/src/batch/plan.rs
@@ -55,7 +55,7 @@
 pub fn too_late(
     now: Moment,
     waiting: &[(&JobKey, &Job)],
-    n_endpoints: usize,
+    n_endpoints: f64,
     limits: &BatchLimits,
 ) -> Vec<JobKey> {
     let full = full_call(limits);
@@ -64,7 +64,7 @@
     let mut n_before = 0;
     let mut late = Vec::new();
     for (key, job) in waiting {
-        let n_rounds = n_before / (limits.max_items * n_endpoints).max(1);
+        let n_rounds = n_before / ((limits.max_items as f64 * n_endpoints) as usize).max(1);
         // The first round may start at any moment, so it is never dropped here.
         let start = now + full * n_rounds as u32;
         if 0 < n_rounds && job.deadline < start + limits.call_time {
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -15,6 +15,8 @@
 pub(crate) const FAIL_COST: Duration = Duration::from_millis(400);
 /// Cost of sending a request to another availability zone than the instance's own.
 pub(crate) const ZONE_HOP_COST: Duration = Duration::from_millis(3);
+/// Cost of asking for a permit, as time.
+pub(crate) const PERMIT_COST: Duration = Duration::from_millis(5);
 /// Fraction of the shared prompt that the first of the affine endpoints is assumed to have cached.
 pub(crate) const LIKELY_CACHED_FRACTION: f64 = 0.7;
 /// Number of endpoints that serve requests with the same shared prompt parts.
@@ -39,6 +41,8 @@
     pub build: Option<&'a str>,
     /// Time until the first event, or the answer, is late.
     pub slack: Duration,
+    /// Longest useful wait for an endpoint that limits its requests.
+    pub max_wait: Duration,
     /// Zone of this instance.
     pub zone: &'a str,
 }
@@ -84,9 +88,10 @@
         PoolKind::Plain | PoolKind::Batch(_) => Vec::new(),
     };
     let usable = candidates.iter().copied().filter(|it| !has_usable || it.is_usable(now));
+    let open = with_permits(now, usable.collect(), need.max_wait);
     let choices = match tuning.is_enabled(Mechanism::Affinity) {
-        true => affine_endpoints(usable.collect(), &prefixes),
-        false => usable.collect(),
+        true => affine_endpoints(open, &prefixes),
+        false => open,
     };
     let first = choices.first().map(|it| it.endpoint.id.clone()).filter(|_| !prefixes.is_empty());
     let mut best: Option<(f64, Duration, &EndpointView)> = None;
@@ -110,6 +115,16 @@
     })
 }
 
+/// Returns the endpoints that take a request now, as far as known here; if there is none, the one
+/// that does first, within `max_wait`.
+fn with_permits(now: Moment, usable: Vec<&EndpointView>, max_wait: Duration) -> Vec<&EndpointView> {
+    if usable.iter().all(|it| !it.may_have_permit(now)) {
+        let first = usable.into_iter().min_by_key(|it| it.permit_wait(now));
+        return first.into_iter().filter(|it| it.permit_wait(now) <= max_wait).collect();
+    }
+    usable.into_iter().filter(|it| it.may_have_permit(now)).collect()
+}
+
 /// Returns a hash of each prefix of a prompt, with the tokens of its last part.
 pub fn prefixes(prompt: &[PromptPart]) -> Vec<(u64, u32)> {
     let mut hasher = DefaultHasher::new();
@@ -219,6 +234,7 @@
         need.results.iter().filter(|it| it.0 != view.endpoint.zone).map(|it| it.1).sum();
     let transfer = elsewhere * millis(tuning.transfer_cost);
     let hop = if view.endpoint.zone == need.zone { 0.0 } else { millis(ZONE_HOP_COST) };
+    let permit = view.rate_limit().map_or(0.0, |_| millis(PERMIT_COST));
     let time = work + queue + overflow;
     let late = if millis(need.slack) < time { millis(LATE_COST) } else { 0.0 };
     let reread = match is_first {
@@ -226,7 +242,7 @@
         false => f64::from(uncached_shared(now, view, prefixes)) / 1e3 * millis(tuning.reread_cost),
     };
     let jitter = jitter(need.salt, &view.endpoint.id) * millis(tuning.max_jitter);
-    time + late + reread + transfer + hop + jitter + view.failure_rate * millis(FAIL_COST)
+    time + late + reread + transfer + hop + permit + jitter + view.failure_rate * millis(FAIL_COST)
 }
 
 /// Returns a number between zero and one that is fixed for a request and an endpoint.
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -306,6 +306,8 @@
     LimitsNamed,
     LimitsInvalid,
     LimitedCalls,
+    PermitsGranted,
+    RequestsHeldBack,
     BatchesSent,
     BatchesFailed,
     ItemsRepeated,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -19,7 +19,7 @@
 
 pub use delta::EndpointsDelta;
 pub use observe::{Observation, Observations};
-pub use rate_limit::{LimitChange, LimitReport, RequestRate};
+pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
 
 /// Weight of the newest observation in averages.
 const NEWEST_WEIGHT: f64 = 0.3;
@@ -259,7 +259,7 @@
             }
             StoreUpdate::Changed { revision, endpoint } => {
                 self.revision = self.revision.max(revision);
-                self.put(revision, endpoint)
+                self.put(now, revision, endpoint)
             }
             StoreUpdate::Removed { revision, id } => {
                 self.revision = self.revision.max(revision);
@@ -321,7 +321,7 @@
             is_changed |= self.remove(now, revision, &id);
         }
         for endpoint in endpoints {
-            is_changed |= self.put(revision, endpoint);
+            is_changed |= self.put(now, revision, endpoint);
         }
         if is_first {
             // The first list is not a change for instances that already run.
@@ -336,16 +336,16 @@
         self.changes.record_change(revision, id);
     }
 
-    fn put(&mut self, revision: u64, endpoint: GatewayEndpoint) -> bool {
+    fn put(&mut self, now: Moment, revision: u64, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
-        let is_changed = self.put_view(endpoint);
+        let is_changed = self.put_view(now, endpoint);
         if is_changed {
             self.record_change(revision, &id);
         }
         is_changed
     }
 
-    fn put_view(&mut self, endpoint: GatewayEndpoint) -> bool {
+    fn put_view(&mut self, now: Moment, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
         let Some(view) = self.views.get_mut(&id) else {
             self.views.insert(id, EndpointView::new(endpoint));
@@ -358,6 +358,7 @@
             || view.endpoint.build != endpoint.build;
         if is_restarted {
             *view = EndpointView::new(endpoint);
+            view.rate_limit = RateLimit::new(now);
             return true;
         }
         let is_changed = view.endpoint != endpoint;
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -125,7 +125,7 @@
             is_changed |= self.remove(now, revision, id);
         }
         for endpoint in endpoints {
-            is_changed |= self.put(revision, endpoint);
+            is_changed |= self.put(now, revision, endpoint);
         }
         self.revision = revision;
         is_changed
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -1,13 +1,16 @@
 //! The rate limits that endpoints name in their responses, for all instances together.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::Moment;
+use ferry_model::{EndpointId, Moment};
 use serde::{Deserialize, Serialize};
 
 use super::{EndpointView, Endpoints};
 
+/// Change of a rate below which peers are not told at once, as a share of the rate.
+const SMALL_CHANGE: f64 = 0.05;
 /// Longest time between two requests that a rate stands for; a lower rate is taken for this one.
 const MAX_INTERVAL: Duration = Duration::from_secs(600);
 
@@ -64,12 +67,36 @@
     Invalid(String),
 }
 
+/// What an instance tells its peers of an endpoint's rate limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    pub endpoint: EndpointId,
+    /// None if the endpoint has no limit any longer.
+    pub rate: Option<RequestRate>,
+    /// Time since the endpoint said so.
+    pub age: Duration,
+}
+
 /// What is known of an endpoint's rate limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct RateLimit {
     rate: Option<RequestRate>,
-    /// When the endpoint said so.
+    /// When the endpoint said so, or when it started.
     at: Moment,
+    /// Since when it has had a limit, if it has one.
+    since: Moment,
+    /// When a permit is expected to be free.
+    free_at: Moment,
+    /// When it is worth asking for a permit if there are other endpoints.
+    ask_at: Moment,
+}
+
+impl RateLimit {
+    /// Returns the state of an endpoint that has started again; what was said before `now` is of no
+    /// account.
+    pub(super) fn new(now: Moment) -> RateLimit {
+        RateLimit { at: now, ..RateLimit::default() }
+    }
 }
 
 /// How an endpoint's rate limit has changed.
@@ -80,6 +107,16 @@
     Withdrawn(RequestRate),
 }
 
+impl LimitChange {
+    /// Whether peers have to know at once.
+    pub fn is_urgent(self) -> bool {
+        match self {
+            LimitChange::Named(_) | LimitChange::Withdrawn(_) => true,
+            LimitChange::Changed { from, to } => SMALL_CHANGE < (to.0 / from.0 - 1.0).abs(),
+        }
+    }
+}
+
 impl fmt::Display for LimitChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -99,6 +136,45 @@
     pub fn rate_limit(&self) -> Option<RequestRate> {
         self.rate_limit.rate
     }
+
+    /// Returns since when the endpoint has had a rate limit.
+    pub fn limited_since(&self) -> Option<Moment> {
+        self.rate_limit.rate.map(|_| self.rate_limit.since)
+    }
+
+    /// Whether a request may be sent, or it is worth asking for a permit.
+    pub fn may_have_permit(&self, now: Moment) -> bool {
+        self.permit_pause(now).is_zero()
+    }
+
+    /// Returns the time for which it is not worth asking for a permit.
+    pub fn permit_pause(&self, now: Moment) -> Duration {
+        match self.rate_limit.rate {
+            Some(_) => self.rate_limit.ask_at.saturating_sub(now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns the expected time until a permit is free.
+    pub fn permit_wait(&self, now: Moment) -> Duration {
+        match self.rate_limit.rate {
+            Some(_) => self.rate_limit.free_at.saturating_sub(now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Records that a permit is free after `wait`, and when to ask again.
+    pub fn defer_permits(&mut self, now: Moment, wait: Duration, pause: Duration) {
+        self.rate_limit.free_at = now.saturating_add(wait);
+        self.rate_limit.ask_at = now.saturating_add(pause);
+    }
+
+    /// Counts a permit that another instance is about to ask for.
+    pub fn expect_request(&mut self, now: Moment) {
+        let Some(rate) = self.rate_limit.rate else { return };
+        let wait = self.permit_wait(now).saturating_add(rate.interval());
+        self.defer_permits(now, wait, wait);
+    }
 }
 
 impl Endpoints {
@@ -115,12 +191,39 @@
         if at < known.at {
             return None;
         }
-        view.rate_limit = RateLimit { rate, at };
+        view.rate_limit = RateLimit { rate, at, ..known };
         match (known.rate, rate) {
-            (None, Some(rate)) => Some(LimitChange::Named(rate)),
+            (None, Some(rate)) => {
+                view.rate_limit = RateLimit { rate: Some(rate), since: at, ..RateLimit::new(at) };
+                Some(LimitChange::Named(rate))
+            }
             (Some(from), Some(to)) if from != to => Some(LimitChange::Changed { from, to }),
             (Some(rate), None) => Some(LimitChange::Withdrawn(rate)),
             (Some(_), Some(_)) | (None, None) => None,
         }
     }
+    /// Returns what this instance knows of an endpoint's rate limit.
+    pub fn limit_notice(&self, now: Moment, id: &str) -> Option<LimitNotice> {
+        let RateLimit { rate, at, .. } = self.get(id)?.rate_limit;
+        Some(LimitNotice { endpoint: id.to_owned(), rate, age: now.saturating_sub(at) })
+    }
+
+    /// Returns what this instance knows of the endpoints that have a rate limit.
+    pub fn limit_notices(&self, now: Moment) -> Vec<LimitNotice> {
+        let limited = self.views.iter().filter(|(_, it)| it.rate_limit().is_some());
+        limited.filter_map(|(id, _)| self.limit_notice(now, id)).collect()
+    }
+
+    /// Whether the endpoint with this address has a rate limit.
+    pub fn is_limited_at(&self, address: SocketAddr) -> bool {
+        let mut limited = self.views.values().filter(|it| it.rate_limit().is_some());
+        limited.any(|it| it.endpoint.address == address)
+    }
+
+    /// Returns the rate of all endpoints of a pool that accept work; none if one has no limit.
+    pub fn pool_rate(&self, pool: &str) -> Option<f64> {
+        let mut live = self.pool(pool).filter(|it| it.accepts_work()).peekable();
+        live.peek()?;
+        live.map(|it| it.rate_limit().map(RequestRate::per_second)).sum()
+    }
 }
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -12,15 +12,33 @@
 
 use crate::admission::{AdmissionController, Shard};
 use crate::batch::{Batcher, JobKey, JobOutcome};
+use crate::limits::exchange;
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
 use crate::request::Requests;
 use crate::{
     Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group,
-    Heartbeat, Mechanism, Observation, Observations, Origins, PeerMessage, Peers, Scheduled,
-    Scheduler, Tuning,
+    Heartbeat, Limiter, Mechanism, Observation, Observations, Origins, PeerMessage, Peers,
+    PermitAnswer, PermitId, Scheduled, Scheduler, Tuning,
 };
 
+/// Bits of a permit's id below those of the process.
+const PERMIT_BITS: u32 = 24;
+
+/// What one pass leaves for those on this instance that wait for it.
+#[derive(Debug, Default)]
+struct Settlement {
+    outcomes: Vec<(JobKey, JobOutcome)>,
+    released: Vec<(CallerAttempt, Scheduled)>,
+    permits: Vec<(PermitId, PermitAnswer)>,
+}
+
+impl Settlement {
+    fn is_empty(&self) -> bool {
+        self.outcomes.is_empty() && self.released.is_empty() && self.permits.is_empty()
+    }
+}
+
 /// The complete state of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -39,6 +57,8 @@
     pub fn new(identity: Identity, tuning: Tuning) -> Gateway {
         let scheduler = Scheduler::new(!identity.is_first_start);
         let endpoints = Endpoints::new().with_start(identity.started);
+        // A limiter may still know the permits that a former process here has asked for.
+        let last_permit = identity.incarnation << PERMIT_BITS;
         Gateway {
             ctx: Context {
                 identity,
@@ -54,6 +74,9 @@
                 route_averages: SortedMap::new(),
                 retry_budgets: SortedMap::new(),
                 last_call: 0,
+                last_permit,
+                limiter: Limiter::new(),
+                is_leaving: false,
             },
             batcher: Batcher::new(),
             requests: Requests::new(),
@@ -69,17 +92,20 @@
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
         let mut released = Vec::new();
+        let mut permits = Vec::new();
         let cx = &mut Pass {
             now,
             ctx: &mut self.ctx,
             effects: &mut effects,
             outcomes: &mut outcomes,
             released: &mut released,
+            permits: &mut permits,
         };
         match event {
             Event::Tick { late } => {
                 cx.ctx.overload.observe(now, late);
                 cx.ctx.endpoints.tick(now);
+                exchange::tick(cx);
                 self.batcher.tick(cx);
                 self.requests.tick(cx, &mut self.batcher);
             }
@@ -111,12 +137,13 @@
             Event::Shutdown => {
                 if self.leaving.is_none() {
                     self.leaving = Some(now);
+                    cx.ctx.is_leaving = true;
                     cx.log(Decision::new(DecisionKind::Drain, "asked to stop"));
                     cx.ctx.peers.heartbeat_now(now);
                 }
             }
         }
-        self.settle(now, &mut effects, outcomes, released);
+        self.settle(now, &mut effects, Settlement { outcomes, released, permits });
         self.finish(now, &mut effects);
         effects
     }
@@ -127,6 +154,7 @@
             self.requests.next_wake(&self.ctx.tuning),
             self.batcher.next_wake(now, &self.ctx.endpoints),
             self.ctx.endpoints.next_wake(),
+            self.ctx.limiter.next_wake(),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
@@ -206,32 +234,30 @@
         }
     }
 
-    /// Passes the outcomes of jobs, and answers of the scheduler here, to their requests until none
-    /// is left.
-    fn settle(
-        &mut self,
-        now: Moment,
-        effects: &mut Vec<Effect>,
-        outcomes: Vec<(JobKey, JobOutcome)>,
-        released: Vec<(CallerAttempt, Scheduled)>,
-    ) {
-        let (mut outcomes, mut released) = (outcomes, released);
-        while !outcomes.is_empty() || !released.is_empty() {
-            let (mut next, mut next_released) = (Vec::new(), Vec::new());
+    /// Passes the outcomes of jobs, and answers of the scheduler and the limiter here, to those that
+    /// wait for them until none is left.
+    fn settle(&mut self, now: Moment, effects: &mut Vec<Effect>, settlement: Settlement) {
+        let mut settlement = settlement;
+        while !settlement.is_empty() {
+            let mut next = Settlement::default();
             let cx = &mut Pass {
                 now,
                 ctx: &mut self.ctx,
                 effects,
-                outcomes: &mut next,
-                released: &mut next_released,
+                outcomes: &mut next.outcomes,
+                released: &mut next.released,
+                permits: &mut next.permits,
             };
-            for (key, outcome) in outcomes {
+            for (key, outcome) in settlement.outcomes {
                 self.requests.on_job_outcome(cx, &mut self.batcher, &key, outcome);
             }
-            for (attempt, scheduled) in released {
+            for (attempt, scheduled) in settlement.released {
                 self.requests.on_scheduled(cx, &mut self.batcher, &attempt, scheduled);
             }
-            (outcomes, released) = (next, next_released);
+            for (id, answer) in settlement.permits {
+                updates::on_permit(cx, &mut self.batcher, &mut self.requests, id, None, &answer);
+            }
+            settlement = next;
         }
     }
 
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -2,15 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_model::{EndpointId, GatewayConfig};
 
 use crate::batch::{Batcher, Job, JobOwner};
+use crate::limits::exchange;
 use crate::pass::{Context, Pass};
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
-    Asker, Decision, DecisionKind, Effect, JobSubmission, LimitReport, Metric, PeerMessage,
-    StoreUpdate,
+    Asker, Decision, DecisionKind, Effect, JobSubmission, LimitNotice, LimitReport, Metric,
+    PeerMessage, PermitAnswer, PermitId, StoreUpdate,
 };
 
 pub(super) fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
@@ -53,10 +55,21 @@
             return cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(endpoint));
         }
     };
-    if let Some(change) = cx.ctx.endpoints.record_limit(endpoint, cx.now, rate) {
-        cx.count(Metric::LimitsNamed);
-        let decision = Decision::new(DecisionKind::Limit, change.to_string());
-        cx.log(decision.with_endpoint(endpoint));
+    let notice = LimitNotice { endpoint: endpoint.clone(), rate, age: Duration::ZERO };
+    exchange::record(cx, &notice, "by its response");
+}
+
+/// Passes the answer of a limiter to the request, or the batch, that waits for it.
+pub(super) fn on_permit(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    requests: &mut Requests,
+    id: PermitId,
+    n_asks: Option<u8>,
+    answer: &PermitAnswer,
+) {
+    if !requests.on_permit(cx, batcher, id, n_asks, answer) {
+        batcher.on_permit(cx, id, n_asks, answer);
     }
 }
 
@@ -77,6 +90,7 @@
             if cx.ctx.peers.on_heartbeat(cx.now, from, heartbeat) {
                 cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
                 requests.batcher_lost(cx, batcher, from);
+                exchange::introduce(cx, from);
             }
         }
         PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
@@ -110,6 +124,18 @@
         PeerMessage::Accepted(key) => requests.on_accepted(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
         PeerMessage::JobOutcome { key, outcome } => cx.outcomes.push((key, outcome)),
+        PeerMessage::Limits(notices) => {
+            notices.iter().for_each(|it| exchange::on_notice(cx, it));
+        }
+        PeerMessage::PermitRequest(request) => exchange::on_request(cx, from, &request),
+        PeerMessage::Permit { id, n_asks, answer } => {
+            on_permit(cx, batcher, requests, id, Some(n_asks), &answer);
+        }
+        PeerMessage::PermitWithdraw { endpoint, id } => {
+            cx.ctx.limiter.withdraw(&endpoint, Asker::Peer(from), id);
+        }
+        PeerMessage::Ping { id } => exchange::on_ping(cx, from, id),
+        PeerMessage::Pong { id, is_willing } => exchange::on_pong(cx, from, id, is_willing),
     }
 }
 
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod gateway;
 mod group;
+mod limits;
 mod mechanism;
 mod origins;
 mod overload;
@@ -32,8 +33,8 @@
     Status,
 };
 pub use endpoints::{
-    EndpointView, Endpoints, EndpointsDelta, LimitChange, LimitReport, LoadReport, Observation,
-    Observations, RequestRate,
+    EndpointView, Endpoints, EndpointsDelta, LimitChange, LimitNotice, LimitReport, LoadReport,
+    Observation, Observations, RequestRate,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
@@ -41,6 +42,7 @@
 };
 pub use gateway::Gateway;
 pub use group::{Group, groups};
+pub use limits::{Limiter, PermitAnswer, PermitId, PermitReply, PermitRequest};
 pub use mechanism::Mechanism;
 pub use origins::Origins;
 pub use pass::{Context, Identity, Pass, Snapshot};
--- /dev/null
+++ b/crates/ferry-serve/src/limits.rs
@@ -0,0 +1,15 @@
+//! Holds the rate limits that endpoints name, over all instances together.
+//!
+//! A limit may be lower than one request per second and instance, so no instance can have a share
+//! of it. One instance, the limiter of the endpoint, grants a permit for each request; without one,
+//! no instance sends the endpoint a request. docs/design/platform.md weighs the alternatives.
+
+mod bucket;
+pub(crate) mod exchange;
+mod limiter;
+mod message;
+mod reach;
+
+pub use bucket::PermitReply;
+pub use limiter::Limiter;
+pub use message::{PermitAnswer, PermitId, PermitRequest};
--- /dev/null
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -0,0 +1,198 @@
+//! The messages about rate limits and permits, as an instance that asks and as a limiter.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_model::EndpointId;
+
+use super::{PermitAnswer, PermitId, PermitReply, PermitRequest};
+use crate::pass::{Context, Pass};
+use crate::{
+    Asker, Decision, DecisionKind, Effect, EndpointView, LimitNotice, Metric, PeerMessage,
+};
+
+/// Peers that are told of a change; each of them tells as many others.
+const N_TOLD: usize = 8;
+/// Time for which a silent peer is not asked for permits.
+const SILENT_PAUSE: Duration = Duration::from_secs(2);
+/// The same for one that is not the limiter by its own account.
+const UNWILLING_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a request for a permit was sent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Asked {
+    /// To the limiter on this instance, which has answered.
+    Here(PermitAnswer),
+    Peer(SocketAddr),
+}
+
+/// Asks the limiter of an endpoint for a permit; none if the endpoint has no limit.
+pub fn ask(
+    cx: &mut Pass<'_>,
+    endpoint: &EndpointId,
+    (id, n_asks): (PermitId, u8),
+    class: u8,
+    max_wait: Duration,
+) -> Option<Asked> {
+    let limit = cx.ctx.endpoints.limit_notice(cx.now, endpoint).filter(|it| it.rate.is_some())?;
+    let request = PermitRequest { id, n_asks, limit, class, max_wait };
+    match cx.ctx.limiter_peer(cx.now, endpoint) {
+        None => Some(Asked::Here(grant(cx, Asker::This, &request))),
+        Some(to) => {
+            let message = PeerMessage::PermitRequest(Box::new(request));
+            cx.effects.push(Effect::Send { to, message });
+            Some(Asked::Peer(to))
+        }
+    }
+}
+
+/// Answers a peer that asks for a permit.
+pub fn on_request(cx: &mut Pass<'_>, from: SocketAddr, request: &PermitRequest) {
+    on_notice(cx, &request.limit);
+    let endpoint = &request.limit.endpoint;
+    let answer = match cx.ctx.limiter_peer(cx.now, endpoint) {
+        None => grant(cx, Asker::Peer(from), request),
+        Some(better) => {
+            // The peer may have found the better one silent.
+            if let Some(id) = cx.ctx.limiter.ping(cx.now, better) {
+                cx.effects.push(Effect::Send { to: better, message: PeerMessage::Ping { id } });
+            }
+            PermitAnswer::Elsewhere
+        }
+    };
+    let PermitRequest { id, n_asks, .. } = *request;
+    reply(cx, PermitReply { asker: Asker::Peer(from), id, n_asks, answer });
+}
+
+/// Tells the limiter of an endpoint that a permit is not needed any longer.
+pub fn withdraw(cx: &mut Pass<'_>, endpoint: &EndpointId, limiter: Asker, id: PermitId) {
+    match limiter {
+        Asker::This => cx.ctx.limiter.withdraw(endpoint, Asker::This, id),
+        Asker::Peer(to) => {
+            let message = PeerMessage::PermitWithdraw { endpoint: endpoint.clone(), id };
+            cx.effects.push(Effect::Send { to, message });
+        }
+    }
+}
+
+/// Avoids a limiter for a while that has not answered.
+pub fn on_silence(cx: &mut Pass<'_>, limiter: SocketAddr) {
+    let until = cx.now + SILENT_PAUSE;
+    cx.ctx.peers.avoid(limiter, until);
+    let reason = format!("{limiter} does not answer for permits");
+    cx.log(Decision::new(DecisionKind::Peer, reason));
+}
+
+/// Looks for another limiter than one that is none by its own account. It may know better that an
+/// avoided peer lives.
+pub fn on_elsewhere(cx: &mut Pass<'_>, limiter: SocketAddr) {
+    if !cx.ctx.peers.stop_avoiding() {
+        let until = cx.now + UNWILLING_PAUSE;
+        cx.ctx.peers.avoid(limiter, until);
+    }
+}
+
+pub fn on_ping(cx: &mut Pass<'_>, from: SocketAddr, id: u64) {
+    let is_willing = cx.ctx.is_willing(cx.now);
+    cx.effects.push(Effect::Send { to: from, message: PeerMessage::Pong { id, is_willing } });
+}
+
+pub fn on_pong(cx: &mut Pass<'_>, from: SocketAddr, id: u64, is_willing: bool) {
+    cx.ctx.limiter.on_pong(from, id);
+    match is_willing {
+        true => cx.ctx.peers.stop_avoiding_one(from),
+        false => cx.ctx.peers.avoid(from, cx.now + UNWILLING_PAUSE * 2),
+    }
+}
+
+/// Applies what a peer knows of a limit.
+pub fn on_notice(cx: &mut Pass<'_>, notice: &LimitNotice) {
+    record(cx, notice, "as a peer knows");
+}
+
+/// Applies what an endpoint says of its limit, or a peer, and tells other peers what is new.
+pub fn record(cx: &mut Pass<'_>, notice: &LimitNotice, source: &str) {
+    let LimitNotice { endpoint, rate, age } = notice;
+    let at = cx.now.saturating_sub(*age);
+    let Some(change) = cx.ctx.endpoints.record_limit(endpoint, at, *rate) else { return };
+    cx.count(Metric::LimitsNamed);
+    let reason = format!("{change}, {source}");
+    cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(endpoint));
+    if change.is_urgent() {
+        let key = (endpoint, &cx.ctx.identity.instance);
+        for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, N_TOLD) {
+            let message = PeerMessage::Limits(vec![notice.clone()]);
+            cx.effects.push(Effect::Send { to, message });
+        }
+    }
+}
+
+/// Tells a peer that has just started which endpoints have a limit.
+pub fn introduce(cx: &mut Pass<'_>, to: SocketAddr) {
+    let notices = cx.ctx.endpoints.limit_notices(cx.now);
+    for notices in notices.chunks(MAX_NOTICES) {
+        let message = PeerMessage::Limits(notices.to_vec());
+        cx.effects.push(Effect::Send { to, message });
+    }
+}
+
+/// Notices in one datagram.
+const MAX_NOTICES: usize = 64;
+
+/// Grants the permits that are due, and asks peers whether this instance still reaches them.
+pub fn tick(cx: &mut Pass<'_>) {
+    for silent in cx.ctx.limiter.take_silent(cx.now) {
+        cx.ctx.peers.avoid(silent, cx.now + SILENT_PAUSE);
+    }
+    if cx.ctx.limiter.is_round_due(cx.now) {
+        start_round(cx);
+    }
+    for granted in cx.ctx.limiter.serve(cx.now) {
+        reply(cx, granted);
+    }
+}
+
+fn start_round(cx: &mut Pass<'_>) {
+    let now = cx.now;
+    let mut limiter = std::mem::take(&mut cx.ctx.limiter);
+    let ctx = &*cx.ctx;
+    let is_limiter = |it: &str| ctx.limiter_peer(now, it).is_none();
+    let replies = limiter.retire(now, &ctx.endpoints, is_limiter);
+    if limiter.is_round_due(now) {
+        let Context { peers, .. } = ctx;
+        let pings = limiter.pings(now, peers.recent(now), &peers.avoided(now));
+        let send = |(to, id)| Effect::Send { to, message: PeerMessage::Ping { id } };
+        cx.effects.extend(pings.into_iter().map(send));
+    }
+    cx.ctx.limiter = limiter;
+    for ended in replies {
+        reply(cx, ended);
+    }
+}
+
+fn grant(cx: &mut Pass<'_>, asker: Asker, request: &PermitRequest) -> PermitAnswer {
+    let Context { endpoints, limiter, .. } = &mut *cx.ctx;
+    let view = endpoints.get(&request.limit.endpoint);
+    let limited = view.and_then(|view| Some((view, EndpointView::rate_limit(view)?)));
+    match limited {
+        Some((view, rate)) => {
+            let answer = limiter.ask(cx.now, view, rate, asker, request);
+            if matches!(answer, PermitAnswer::Granted { .. }) {
+                cx.count(Metric::PermitsGranted);
+            }
+            answer
+        }
+        None => PermitAnswer::NotNeeded(endpoints.limit_notice(cx.now, &request.limit.endpoint)),
+    }
+}
+
+fn reply(cx: &mut Pass<'_>, reply: PermitReply) {
+    let PermitReply { asker, id, n_asks, answer } = reply;
+    match asker {
+        Asker::This => cx.permits.push((id, answer)),
+        Asker::Peer(to) => {
+            let message = PeerMessage::Permit { id, n_asks, answer };
+            cx.effects.push(Effect::Send { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/ferry-serve/src/limits/reach.rs
@@ -0,0 +1,148 @@
+//! Which peers answer a limiter.
+//!
+//! Heartbeats reach each peer of a large fleet once in several seconds. A limiter has to know sooner
+//! whether it is cut off with few others, as those elsewhere have a limiter of their own then.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_model::Moment;
+
+use crate::rendezvous_hash;
+
+/// Interval at which peers are asked.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Delay of a round from which on this process has not run meanwhile.
+const MAX_DELAY: Duration = Duration::from_millis(300);
+/// Time to wait for an answer: several round trips between instances with little CPU time.
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Peers that are asked in a round.
+const N_ASKED: usize = 16;
+/// Rounds whose answers are counted.
+const N_ROUNDS: usize = 2;
+/// Share of the peers that answer from which on this side is the larger one, also if the others
+/// that were asked differ.
+const MAJORITY: f64 = 2.0 / 3.0;
+
+#[derive(Debug, Clone, Copy)]
+struct Ping {
+    peer: SocketAddr,
+    id: u64,
+    at: Moment,
+    /// Whether it belongs to the current round.
+    is_counted: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Round {
+    n_asked: usize,
+    n_answers: usize,
+    /// Whether all peers were asked, so that this instance counts as one of them.
+    is_whole: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Reach {
+    /// Pings that have not been answered.
+    pending: Vec<Ping>,
+    rounds: Vec<Round>,
+    /// When the next round is due; none while nothing is limited.
+    next_round: Option<Moment>,
+    last_id: u64,
+}
+
+impl Reach {
+    /// Begins to ask peers, if that is not done already.
+    pub(super) fn activate(&mut self, now: Moment) {
+        if self.next_round.is_none() {
+            self.rounds.clear();
+            self.next_round = Some(now);
+        }
+    }
+
+    /// Makes a round due now, as the former one was missed.
+    pub(super) fn restart(&mut self, now: Moment) {
+        self.next_round = Some(now);
+    }
+
+    pub(super) fn deactivate(&mut self) {
+        self.next_round = None;
+    }
+
+    /// Whether a round is so late that this process was stopped, and others may act in its place.
+    pub(super) fn is_late(&self, now: Moment) -> bool {
+        self.next_round.is_some_and(|it| it + MAX_DELAY < now)
+    }
+
+    pub(super) fn is_due(&self, now: Moment) -> bool {
+        self.next_round.is_some_and(|it| it <= now)
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Moment> {
+        let answers = self.pending.iter().map(|it| it.at + ANSWER_TIMEOUT);
+        answers.chain(self.next_round).min()
+    }
+
+    /// Starts a round, and returns the pings to send.
+    pub(super) fn start_round(
+        &mut self,
+        now: Moment,
+        mut peers: Vec<SocketAddr>,
+    ) -> Vec<(SocketAddr, u64)> {
+        let is_whole = peers.len() <= N_ASKED;
+        let round = self.last_id;
+        peers.sort_by_cached_key(|it| rendezvous_hash(round, &it.to_string()));
+        peers.truncate(N_ASKED);
+        self.next_round = Some(now + INTERVAL);
+        self.rounds.push(Round { n_asked: peers.len(), n_answers: 0, is_whole });
+        if N_ROUNDS < self.rounds.len() {
+            self.rounds.remove(0);
+        }
+        self.pending.iter_mut().for_each(|it| it.is_counted = false);
+        peers.into_iter().map(|it| (it, self.add_ping(now, it, true))).collect()
+    }
+
+    /// Returns the id of a ping to a peer, unless one is open already.
+    pub(super) fn ping(&mut self, now: Moment, peer: SocketAddr) -> Option<u64> {
+        let is_open = self.pending.iter().any(|it| it.peer == peer);
+        (!is_open).then(|| self.add_ping(now, peer, false))
+    }
+
+    fn add_ping(&mut self, now: Moment, peer: SocketAddr, is_counted: bool) -> u64 {
+        self.last_id += 1;
+        self.pending.push(Ping { peer, id: self.last_id, at: now, is_counted });
+        self.last_id
+    }
+
+    pub(super) fn on_pong(&mut self, peer: SocketAddr, id: u64) {
+        let Some(idx) = self.pending.iter().position(|it| (it.peer, it.id) == (peer, id)) else {
+            return;
+        };
+        let is_counted = self.pending.remove(idx).is_counted;
+        if let Some(round) = self.rounds.last_mut().filter(|_| is_counted) {
+            round.n_answers += 1;
+        }
+    }
+
+    /// Returns the peers that have not answered in time.
+    pub(super) fn take_silent(&mut self, now: Moment) -> Vec<SocketAddr> {
+        let silent = self.pending.extract_if(.., |it| it.at + ANSWER_TIMEOUT <= now);
+        silent.map(|it| it.peer).collect()
+    }
+
+    /// Returns the share of a limit that this side may grant. It is the share of the peers that
+    /// answer, or all of it on a side that is clearly the larger one.
+    pub(super) fn share(&self, now: Moment) -> f64 {
+        let is_open = |it: &Ping| it.is_counted && now < it.at + ANSWER_TIMEOUT;
+        let n_open = usize::from(self.pending.iter().any(is_open));
+        let counted = &self.rounds[..self.rounds.len().saturating_sub(n_open)];
+        let n_own = counted.iter().filter(|it| it.is_whole).count();
+        let n_asked: usize = counted.iter().map(|it| it.n_asked).sum();
+        let n_answers: usize = counted.iter().map(|it| it.n_answers).sum();
+        match (n_answers + n_own) as f64 / (n_asked + n_own).max(1) as f64 {
+            _ if n_asked == 0 => 1.0,
+            share if MAJORITY <= share => 1.0,
+            share => share,
+        }
+    }
+}
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -17,8 +17,9 @@
 use crate::batch::{JobKey, JobOutcome};
 use crate::overload::OverloadDetector;
 use crate::{
-    CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Mechanism,
-    Metric, Observations, Origins, Peers, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
+    CallId, CallerAttempt, Catalog, Decision, Effect, Endpoints, EndpointsDelta, Group, Limiter,
+    Mechanism, Metric, Observations, Origins, Peers, PermitAnswer, PermitId, RequestHead,
+    RetryBudget, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -26,6 +27,8 @@
 
 /// Hash input that separates the choice of admission controllers from other roles.
 const ADMISSION_KEY: &str = "accounts";
+/// The same for limiters.
+const LIMITER_KEY: &str = "limiter";
 
 /// Identity of this process, from its settings.
 #[derive(Debug, Clone, PartialEq)]
@@ -64,6 +67,11 @@
     pub(crate) route_averages: SortedMap<String, RouteAverages>,
     pub(crate) retry_budgets: SortedMap<PoolId, RetryBudget>,
     pub(crate) last_call: CallId,
+    pub(crate) last_permit: PermitId,
+    /// Permits that this instance grants.
+    pub limiter: Limiter,
+    /// Whether the shutdown has started.
+    pub is_leaving: bool,
 }
 
 impl Context {
@@ -83,6 +91,19 @@
         self.admission_peer(now, shard)
     }
 
+    /// Returns the peer that grants the permits for an endpoint; none if this instance does.
+    pub fn limiter_peer(&self, now: Moment, endpoint: &str) -> Option<SocketAddr> {
+        let mut hasher = DefaultHasher::new();
+        (LIMITER_KEY, endpoint).hash(&mut hasher);
+        let is_willing = self.is_willing(now);
+        self.peers.limiter(now, &self.tuning, &self.identity, is_willing, hasher.finish())
+    }
+
+    /// Whether this instance works for others.
+    pub fn is_willing(&self, now: Moment) -> bool {
+        !self.is_leaving && self.endpoints.is_known() && !self.overload.is_overloaded(now)
+    }
+
     fn coordinator(&self, now: Moment, work: impl Hash) -> Option<SocketAddr> {
         let mut hasher = DefaultHasher::new();
         work.hash(&mut hasher);
@@ -113,6 +134,8 @@
     pub outcomes: &'a mut Vec<(JobKey, JobOutcome)>,
     /// Answers of the scheduler on this instance to this instance's own requests.
     pub released: &'a mut Vec<(CallerAttempt, Scheduled)>,
+    /// Answers of the limiter on this instance to this instance itself.
+    pub permits: &'a mut Vec<(PermitId, PermitAnswer)>,
 }
 
 impl Pass<'_> {
@@ -121,6 +144,11 @@
         self.ctx.last_call
     }
 
+    pub fn next_permit(&mut self) -> PermitId {
+        self.ctx.last_permit += 1;
+        self.ctx.last_permit
+    }
+
     pub fn count(&mut self, metric: Metric) {
         self.effects.push(Effect::Count(metric));
     }
@@ -141,13 +169,17 @@
     }
 }
 
-/// Notifies the endpoints that hold results that these are no longer needed.
+/// Notifies the endpoints that hold results that these are no longer needed. One that limits its
+/// requests discards them by itself: each call would take the place of a caller's request.
 pub(crate) fn free(cx: &mut Pass<'_>, handles: Vec<ResultHandle>) {
     let mut by_address: SortedMap<SocketAddr, Vec<ResultHandle>> = SortedMap::new();
     for handle in handles {
         by_address.get_or_insert_with(handle.address, Vec::new).push(handle);
     }
     for (address, handles) in by_address.iter() {
+        if cx.ctx.endpoints.is_limited_at(*address) {
+            continue;
+        }
         cx.effects.push(Effect::Free { address: *address, handles: handles.clone() });
     }
 }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -19,6 +19,8 @@
 /// have to agree on the role of each.
 const MAX_NEW_PEERS: usize = 48;
 const NEW_PEERS_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a silent peer counts as gone for good, not as cut off.
+const MEMORY: Duration = Duration::from_secs(60);
 /// Instances that watch the store closely, so that two may fail at once.
 const N_WATCHERS: usize = 3;
 /// Hash key that separates the choice of watchers from other roles.
@@ -32,6 +34,8 @@
 pub struct PeerView {
     pub heartbeat: Heartbeat,
     pub last_heard: Moment,
+    /// Whether it counts as dead until its next message.
+    is_suspect: bool,
 }
 
 /// Peers by the address at which they receive datagrams.
@@ -44,6 +48,8 @@
     cursor: usize,
     /// Peers that are new or restarted, and have not yet been sent a heartbeat.
     unannounced: Vec<SocketAddr>,
+    /// Peers that are not asked for permits, and until when.
+    avoided: SortedMap<SocketAddr, Moment>,
 }
 
 impl Peers {
@@ -73,7 +79,7 @@
             return false;
         }
         let is_new = before.is_none_or(|it| it.heartbeat.incarnation < heartbeat.incarnation);
-        self.views.insert(from, PeerView { heartbeat, last_heard: now });
+        self.views.insert(from, PeerView { heartbeat, last_heard: now, is_suspect: false });
         if is_new && !self.unannounced.contains(&from) {
             self.unannounced.push(from);
             self.next_heartbeat = self.next_heartbeat.min(now + NEW_PEERS_INTERVAL);
@@ -94,7 +100,7 @@
         let timeout = self.timeout(tuning);
         self.views
             .iter()
-            .filter(move |(_, it)| now < it.last_heard + timeout)
+            .filter(move |(_, it)| !it.is_suspect && now < it.last_heard + timeout)
             .map(|(address, it)| (*address, it))
     }
 
@@ -181,7 +187,35 @@
         is_overloaded: bool,
         key: u64,
     ) -> Option<SocketAddr> {
-        let peers = self.live(now, tuning).filter(|(_, it)| it.heartbeat.accepts_work()).map(
+        let me = (!is_overloaded, weighted_score(key, &own.instance, own.weight), None);
+        self.best(now, tuning, key, Some(me), |_| true)
+    }
+
+    /// Returns the peer that grants the permits identified by `key`; none if this instance does, which
+    /// does not unless it `is_willing` or is alone.
+    pub fn limiter(
+        &self,
+        now: Moment,
+        tuning: &Tuning,
+        own: &Identity,
+        is_willing: bool,
+        key: u64,
+    ) -> Option<SocketAddr> {
+        let me = (true, weighted_score(key, &own.instance, own.weight), None);
+        let me = Some(me).filter(|_| is_willing);
+        self.best(now, tuning, key, me, |it| !self.is_avoided(now, it))
+    }
+
+    fn best(
+        &self,
+        now: Moment,
+        tuning: &Tuning,
+        key: u64,
+        me: Option<(bool, f64, Option<SocketAddr>)>,
+        may_be: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let peers = self.live(now, tuning);
+        let peers = peers.filter(|(at, it)| it.heartbeat.accepts_work() && may_be(*at)).map(
             |(address, PeerView { heartbeat, .. })| {
                 (
                     !heartbeat.is_overloaded,
@@ -190,8 +224,6 @@
                 )
             },
         );
-        let me =
-            std::iter::once((!is_overloaded, weighted_score(key, &own.instance, own.weight), None));
         let best = peers.chain(me).max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.and_then(|it| it.2)
     }
@@ -228,16 +260,46 @@
         since: Moment,
     ) -> bool {
         let Some(view) = self.views.get(&address) else { return false };
-        now < view.last_heard.max(since) + tuning.peer_timeout
+        let last_heard = if view.is_suspect { Moment::ZERO } else { view.last_heard };
+        now < last_heard.max(since) + tuning.peer_timeout
     }
 
     /// Treats a peer as dead until its next message.
     pub fn suspect(&mut self, address: SocketAddr) {
         if let Some(view) = self.views.get_mut(&address) {
-            view.last_heard = Moment::ZERO;
+            view.is_suspect = true;
         }
     }
 
+    /// Asks a peer for no permits until then.
+    pub fn avoid(&mut self, address: SocketAddr, until: Moment) {
+        self.avoided.insert(address, until);
+    }
+
+    pub fn stop_avoiding_one(&mut self, address: SocketAddr) {
+        self.avoided.remove(&address);
+    }
+
+    /// Lets all peers be asked for permits again; returns whether one was avoided.
+    pub fn stop_avoiding(&mut self) -> bool {
+        !std::mem::take(&mut self.avoided).is_empty()
+    }
+
+    /// Returns the peers that are not asked for permits.
+    pub fn avoided(&self, now: Moment) -> Vec<SocketAddr> {
+        self.avoided.iter().filter(|it| now < *it.1).map(|it| *it.0).collect()
+    }
+
+    fn is_avoided(&self, now: Moment, address: SocketAddr) -> bool {
+        self.avoided.get(&address).is_some_and(|it| now < *it)
+    }
+
+    /// Returns the peers that were alive lately; those that are silent may be cut off.
+    pub fn recent(&self, now: Moment) -> Vec<SocketAddr> {
+        let is_recent = |it: &PeerView| now < it.last_heard + MEMORY && !it.heartbeat.is_leaving;
+        self.views.iter().filter(|(_, it)| is_recent(it)).map(|it| *it.0).collect()
+    }
+
     /// Returns addresses for a caller: those of its zone, and others if there are too few.
     pub fn directory(
         &self,
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{BuildId, ConfigVersion, Incarnation, InstanceId, PoolId, ZoneId};
+use ferry_model::{BuildId, ConfigVersion, EndpointId, Incarnation, InstanceId, PoolId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    CallerAttempt, Group, ItemInput, JobKey, JobOutcome, Observation, ScheduleProgress,
-    ScheduleRequest, Scheduled,
+    CallerAttempt, Group, ItemInput, JobKey, JobOutcome, LimitNotice, Observation, PermitAnswer,
+    PermitId, PermitRequest, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -127,6 +127,32 @@
         attempt: CallerAttempt,
         build: BuildId,
     },
+    /// Reports the rate limits of endpoints.
+    Limits(Vec<LimitNotice>),
+    /// Asks for a permit to send a request to an endpoint with a rate limit.
+    PermitRequest(Box<PermitRequest>),
+    /// Answers that.
+    Permit {
+        id: PermitId,
+        /// Number of the request that it answers.
+        n_asks: u8,
+        answer: PermitAnswer,
+    },
+    /// A permit is not needed any longer.
+    PermitWithdraw {
+        endpoint: EndpointId,
+        id: PermitId,
+    },
+    /// Asks whether the peer is alive.
+    Ping {
+        id: u64,
+    },
+    /// Answers that.
+    Pong {
+        id: u64,
+        /// Whether it works for others.
+        is_willing: bool,
+    },
 }
 
 /// Asks which build began a stream that a request continues.
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -6,6 +6,7 @@
 mod call;
 mod end;
 pub mod origin;
+pub mod permit;
 mod retry;
 pub mod schedule;
 mod stages;
@@ -18,7 +19,7 @@
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::pass::Pass;
-use crate::{Arrival, CallEvent, CallId, CallerAttempt, Scheduled, Tuning};
+use crate::{Arrival, CallEvent, CallId, CallerAttempt, PermitAnswer, PermitId, Scheduled, Tuning};
 
 use active::{ActiveRequest, Phase};
 pub use admit::evaluate;
@@ -29,6 +30,8 @@
     active: SortedMap<Ticket, ActiveRequest>,
     /// Ticket of the request that a call serves.
     calls: SortedMap<CallId, Ticket>,
+    /// Ticket of the request that waits for a permit.
+    permits: SortedMap<PermitId, Ticket>,
     attempts: SortedMap<CallerAttempt, Ticket>,
 }
 
@@ -122,6 +125,25 @@
         });
     }
 
+    /// Applies the answer of a limiter to the request with this number, if it has one; returns
+    /// whether a request waits for this permit.
+    pub fn on_permit(
+        &mut self,
+        cx: &mut Pass<'_>,
+        batcher: &mut Batcher,
+        id: PermitId,
+        n_asks: Option<u8>,
+        answer: &PermitAnswer,
+    ) -> bool {
+        let request = self.permits.remove(&id).and_then(|it| self.active.remove(&it));
+        let Some(mut request) = request else { return false };
+        match permit::on_answer(cx, batcher, &mut request, n_asks, answer) {
+            true => self.forget(&request),
+            false => self.proceed(cx, batcher, request),
+        }
+        true
+    }
+
     /// Applies a peer's answer, if the request is still in progress; `apply` returns whether that
     /// ends it.
     fn on_answer(
@@ -193,6 +215,14 @@
                 self.forget(&request);
                 continue;
             }
+            if let Some(id) = request.permit().filter(|_| request.is_permit_overdue(cx.now)) {
+                let ended = permit::on_timeout(cx, batcher, &mut request);
+                self.permits.remove(&id);
+                if ended {
+                    self.forget(&request);
+                    continue;
+                }
+            }
             if matches!(request.phase, Phase::AwaitingBuild { until } if until <= cx.now) {
                 request.phase = Phase::RunningStages;
             }
@@ -234,6 +264,9 @@
         if let Some(call) = request.call() {
             self.calls.insert(call, request.ticket);
         }
+        if let Some(id) = request.permit() {
+            self.permits.insert(id, request.ticket);
+        }
         self.active.insert(request.ticket, request);
     }
 
@@ -242,5 +275,8 @@
         if let Some(call) = request.call() {
             self.calls.remove(&call);
         }
+        if let Some(id) = request.permit() {
+            self.permits.remove(&id);
+        }
     }
 }
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -9,8 +9,9 @@
     ZoneId,
 };
 
+use super::permit::AwaitedPermit;
 use crate::batch::JobKey;
-use crate::{Asker, CallId, Group, RequestHead, Tuning};
+use crate::{Asker, CallId, Group, PermitId, RequestHead, Tuning};
 
 #[derive(Debug, Clone)]
 pub struct ActiveRequest {
@@ -45,6 +46,8 @@
     pub n_runs: u32,
     /// Number of endpoints that answered that they had not run it.
     pub n_refusals: u32,
+    /// Number of times that limiters had no permit for it.
+    pub n_denials: u8,
     /// Number of times that stages were restarted.
     pub n_restarts: u32,
     /// When the caller got the headers of a stream; none before that.
@@ -116,6 +119,8 @@
     AwaitingEndpoint {
         until: Moment,
     },
+    /// Waits until its endpoint takes another request.
+    AwaitingPermit(Box<AwaitedPermit>),
     Calling(ActiveCall),
 }
 
@@ -148,11 +153,25 @@
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
             | Phase::AwaitingBuild { .. }
-            | Phase::AwaitingEndpoint { .. } => None,
+            | Phase::AwaitingEndpoint { .. }
+            | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current.call),
         }
     }
 
+    /// Whether nothing was heard of the permit that it waits for.
+    pub fn is_permit_overdue(&self, now: Moment) -> bool {
+        matches!(&self.phase, Phase::AwaitingPermit(it) if it.until <= now)
+    }
+
+    /// Returns the permit that it waits for.
+    pub fn permit(&self) -> Option<PermitId> {
+        match &self.phase {
+            Phase::AwaitingPermit(awaited) => Some(awaited.id),
+            _ => None,
+        }
+    }
+
     /// Returns the build that an endpoint must have to go on with its stream.
     pub fn needed_build(&self) -> Option<&str> {
         match &self.build {
@@ -209,6 +228,7 @@
             Phase::AwaitingAdmission { until }
             | Phase::AwaitingBuild { until }
             | Phase::AwaitingEndpoint { until } => Some(*until),
+            Phase::AwaitingPermit(awaited) => Some(awaited.until),
             Phase::RunningStages | Phase::Calling(_) => None,
         }
     }
@@ -218,7 +238,8 @@
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
             | Phase::AwaitingBuild { .. }
-            | Phase::AwaitingEndpoint { .. } => None,
+            | Phase::AwaitingEndpoint { .. }
+            | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => current.fetched_at,
         }
     }
--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -10,7 +10,7 @@
 use crate::admission::{
     AdmissionAnswer, AdmissionDecision, AdmissionRequest, Capacity, Evaluation, LATE_CLASS, Shard,
 };
-use crate::batch::Batcher;
+use crate::batch::{Batcher, batch_limits};
 use crate::pass::{Context, Pass};
 use crate::{Decision, DecisionKind, Effect, Mechanism, Metric, PeerMessage, Status};
 
@@ -24,7 +24,7 @@
     batcher: &Batcher,
     request: &mut ActiveRequest,
 ) -> bool {
-    let items = items_by_pool(request);
+    let items = items_by_pool(cx, request);
     if items.is_empty() || !cx.ctx.tuning.is_enabled(Mechanism::Admission) {
         return false;
     }
@@ -76,7 +76,10 @@
     }
     let engine = admission.engine.as_ref();
     let zone = engine.and_then(|it| schedule::likely_zone(cx, it));
-    AdmissionAnswer { decision: evaluation.decision, zone }
+    let is_limited = |it: &&PoolId| batch_limits(cx.ctx, it).is_none();
+    let bottleneck = evaluation.bottleneck.as_ref().filter(is_limited);
+    let retry_after = bottleneck.map(|_| evaluation.wait);
+    AdmissionAnswer { decision: evaluation.decision, retry_after, zone }
 }
 
 fn capacity(
@@ -117,8 +120,14 @@
             false
         }
         AdmissionDecision::Refuse => {
-            let reason = "the endpoints of its stages are taken";
-            end::refuse(cx, request, Status::NotRun, RetryHint::Late, reason);
+            let (hint, reason) = match answer.retry_after {
+                Some(wait) => {
+                    cx.count(Metric::RequestsHeldBack);
+                    (RetryHint::After(wait), "its endpoints take no more requests in time")
+                }
+                None => (RetryHint::Late, "the endpoints of its stages are taken"),
+            };
+            end::refuse(cx, request, Status::NotRun, hint, reason);
             true
         }
     }
@@ -130,9 +139,14 @@
     cx.count(Metric::AsksUnanswered);
 }
 
-/// Returns the number of items of the request by pool, sorted.
-fn items_by_pool(request: &ActiveRequest) -> Vec<(PoolId, u32)> {
+/// Returns the number of items of the request by pool, sorted. The request itself counts as one if all
+/// endpoints of its pool limit their requests.
+fn items_by_pool(cx: &Pass<'_>, request: &ActiveRequest) -> Vec<(PoolId, u32)> {
     let mut items_by_pool: Vec<(PoolId, u32)> = Vec::new();
+    let is_limited = cx.ctx.endpoints.pool_rate(&request.pool).is_some();
+    if is_limited && request.needed_build().is_none() {
+        items_by_pool.push((request.pool.clone(), 1));
+    }
     for (idx, stage) in request.route.stages.iter().enumerate() {
         let n_items = u32::from(request.head.items.get(idx).copied().unwrap_or_default());
         if request.stages[idx] != StageState::Waiting || n_items == 0 {
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
-use super::{call, origin, stages, times};
+use super::{call, origin, permit, stages, times};
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
@@ -36,6 +36,9 @@
         return None;
     }
     if let Some((hint, reason)) = refusal_reason(cx, batcher, &request) {
+        if let RetryHint::After(_) = hint {
+            cx.count(Metric::RequestsHeldBack);
+        }
         end::refuse(cx, &request, Status::NotRun, hint, reason);
         return None;
     }
@@ -99,6 +102,7 @@
         tried: Vec::new(),
         n_runs: 0,
         n_refusals: 0,
+        n_denials: 0,
         n_restarts: 0,
         began_at: None,
         last_event: None,
@@ -120,6 +124,11 @@
     if !origin::has_endpoint(cx, request) {
         return Some((RetryHint::Late, "no endpoint of its build is left"));
     }
+    let permit_wait = permit::expected_wait(cx, request);
+    if permit::patience(cx, request) < permit_wait {
+        let reason = "its endpoints take no more requests in time";
+        return Some((RetryHint::After(permit_wait), reason));
+    }
     let mut wait = Duration::ZERO;
     for (idx, stage) in request.route.stages.iter().enumerate() {
         if request.stages[idx] != StageState::Waiting {
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -5,7 +5,7 @@
 use ferry_model::{BuildId, PoolKind, RouteKind, ZoneId};
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
-use super::end::RetryHint;
+use super::permit::{self, Gate};
 use super::{end, origin, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
@@ -23,17 +23,32 @@
 /// Multiple of the time to read the whole prompt after which an endpoint is silent.
 const PATIENCE_FACTOR: u32 = 4;
 
-/// Sends a request to an endpoint; returns whether it has ended instead, as none is left for it.
+/// Sends a request to an endpoint once that takes it, or to another one that does; returns whether
+/// it has ended instead, as none is left for it.
 pub fn start(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
     choice: Option<Choice>,
 ) -> bool {
-    let Some(choice) = choice else {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "no endpoint is left for it");
-        return true;
-    };
+    let mut next = choice;
+    while let Some(choice) = next.filter(|_| !permit::is_hopeless(request)) {
+        match permit::request(cx, request, &choice) {
+            Gate::Open => {
+                send(cx, request, choice);
+                return false;
+            }
+            Gate::Waits => return false,
+            Gate::Closed => next = pick(cx, request),
+        }
+    }
+    let (hint, reason) = permit::retry_hint(cx, request);
+    end::give_up(cx, batcher, request, hint, reason);
+    true
+}
+
+/// Sends a request to an endpoint that takes it.
+pub fn send(cx: &mut Pass<'_>, request: &mut ActiveRequest, choice: Choice) {
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
     let mut build = BuildId::new();
@@ -83,7 +98,6 @@
         resume: request.last_event,
         is_stream: request.route.kind == RouteKind::Stream,
     })));
-    false
 }
 
 /// Processes an event of the call in progress; returns whether the request has ended.
@@ -247,6 +261,7 @@
         tried: &request.tried,
         build: request.needed_build(),
         slack: request.objective().saturating_sub(cx.now),
+        max_wait: permit::patience(cx, request),
         zone: &cx.ctx.identity.zone,
     };
     choose_endpoint(cx.now, &cx.ctx.endpoints, &cx.ctx.tuning, need)
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -1,8 +1,10 @@
 //! Ends each request exactly once.
 
+use std::time::Duration;
+
 use super::active::{ActiveRequest, Phase};
 use super::call::{final_status, release_endpoint};
-use super::{schedule, stages};
+use super::{permit, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status, StreamEnd};
@@ -42,6 +44,8 @@
     Soon,
     /// As late as it can still be served.
     Late,
+    /// Once an endpoint is expected to take it.
+    After(Duration),
 }
 
 /// Refuses a request that is not sent anywhere else.
@@ -57,6 +61,7 @@
     let pause = match hint {
         RetryHint::Soon => cx.ctx.tuning.retry_after.min(latest),
         RetryHint::Late => latest,
+        RetryHint::After(wait) => wait.max(cx.ctx.tuning.retry_after.min(latest)),
     };
     let retry_after = (status == Status::NotRun).then_some(pause);
     cx.count(Metric::RequestsRefused);
@@ -147,6 +152,7 @@
 /// Cancels the call in progress; returns whether there was one.
 fn stop_call(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
     let Phase::Calling(current) = request.phase.clone() else {
+        permit::withdraw(cx, request);
         schedule::report(cx, request, ScheduleProgress::Ended);
         return false;
     };
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -94,8 +94,9 @@
     let may_read = cx.ctx.tuning.is_enabled(Mechanism::CacheReading);
     if may_read && cx.ctx.scheduler.must_read_caches(&wanted.pool, wanted.shard) {
         let Pass { ctx, effects, .. } = &mut *cx;
-        let is_own =
-            |it: &&EndpointView| it.accepts_work() && wanted.shard.contains(&it.endpoint.id);
+        let is_own = |it: &&EndpointView| {
+            it.accepts_work() && it.rate_limit().is_none() && wanted.shard.contains(&it.endpoint.id)
+        };
         let engines = ctx.endpoints.pool(&wanted.pool).filter(is_own);
         effects.extend(engines.map(|it| Effect::ReadCache {
             endpoint: it.endpoint.id.clone(),
@@ -103,7 +104,13 @@
         }));
     }
     let (now, ctx) = (cx.now, &mut *cx.ctx);
-    ctx.scheduler.schedule(now, &ctx.endpoints, &ctx.tuning, asker, wanted)
+    let scheduled = ctx.scheduler.schedule(now, &ctx.endpoints, &ctx.tuning, asker, wanted);
+    if let Scheduled::Now(decision) = &scheduled
+        && let Some(view) = ctx.endpoints.get_mut(&decision.endpoint)
+    {
+        view.expect_request(now);
+    }
+    scheduled
 }
 
 /// Records what became of a call that this instance scheduled, and answers those that waited for it.
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -6,7 +6,9 @@
 
 use super::engine::Engine;
 use super::{ScheduleRequest, Scheduler};
-use crate::choose::{FAIL_COST, LIKELY_CACHED_FRACTION, ZONE_HOP_COST, millis, sort_by_affinity};
+use crate::choose::{
+    FAIL_COST, LIKELY_CACHED_FRACTION, PERMIT_COST, ZONE_HOP_COST, millis, sort_by_affinity,
+};
 use crate::{EndpointView, Endpoints, Mechanism, Tuning};
 
 /// Cost of one more request that writes tokens, as time: each makes the steps of an engine longer.
@@ -15,6 +17,8 @@
 /// known to have cached it. A scheduler that has just taken over then finds what others chose.
 const RANK_COST: Duration = Duration::from_millis(100);
 const MAX_RANK: usize = 4;
+/// Longest wait for a permit that makes a difference.
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(60);
 
 /// Shared tokens of a prompt that are cached.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +66,8 @@
         let most_cached = known.iter().map(|it| it.1).max().unwrap_or_default();
         let mut usable = known;
         usable.retain(|it| !has_usable || it.0.is_usable(now));
+        let has_permits = usable.iter().any(|it| it.0.may_have_permit(now));
+        usable.retain(|it| !has_permits || it.0.may_have_permit(now));
         let total: u32 = shared.iter().map(|it| it.1).sum();
         let is_unknown = most_cached < total;
         // Without knowledge of what an earlier scheduler chose, its first choice is the best guess.
@@ -124,8 +130,12 @@
         let elsewhere: f64 =
             request.results.iter().filter(|it| it.0 != view.endpoint.zone).map(|it| it.1).sum();
         let hop = if view.endpoint.zone == request.zone { 0.0 } else { millis(ZONE_HOP_COST) };
+        let permit = view.rate_limit().map_or(0.0, |_| {
+            millis(PERMIT_COST) + millis(view.permit_wait(now).min(MAX_PERMIT_WAIT))
+        });
         let cost = wait
             + read
+            + permit
             + overflow
             + f64::from(n_running) * millis(RUNNING_COST)
             + again
--- a/crates/ferry-serve/tests/decisions/rate_limits.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits.rs
@@ -1,72 +1,13 @@
 //! Endpoints get no more requests than the rate limit that they name for all instances together.
 
-use std::time::Duration;
+mod faults;
+mod load;
 
-use ferry_model::Moment;
-use ferry_serve::{Mechanism, RequestHead, Tuning};
+use ferry_serve::{Mechanism, Tuning};
 
-use crate::simulation::{Behaviour, Simulation, head, ms};
+use crate::simulation::{Behaviour, Simulation, ms};
 
-/// Span in which requests are counted.
-const WINDOW: Duration = ms(4_000);
-/// Time after an endpoint first named its limit from which it holds.
-const LEARNING_TIME: Duration = ms(3_000);
-
-/// Requests that arrive at a steady pace, at one instance after the other.
-struct Load {
-    routes: &'static [&'static str],
-    per_second: u64,
-    n_sent: u64,
-}
-
-impl Load {
-    fn new(routes: &'static [&'static str], per_second: u64) -> Load {
-        Load { routes, per_second, n_sent: 0 }
-    }
-
-    /// Sends requests for a while and returns their attempts.
-    fn send(&mut self, sim: &mut Simulation, time: Duration) -> Vec<String> {
-        let until = sim.now + time;
-        let mut attempts = Vec::new();
-        while sim.now < until {
-            let number = self.n_sent;
-            self.n_sent += 1;
-            let route = self.routes[number as usize % self.routes.len()];
-            let attempt = format!("{route}-{number}");
-            // Neighbours in the order of arrival have no prompt parts and no instance in common.
-            let instance = (number * 7 % sim.instances.len() as u64) as usize;
-            if sim.instances[instance].is_some() {
-                sim.arrive(instance, &attempt, head_of(route, &attempt, number));
-                attempts.push(attempt);
-            }
-            sim.run_for(Duration::from_secs(1) / self.per_second as u32);
-        }
-        attempts
-    }
-}
-
-fn head_of(route: &str, attempt: &str, number: u64) -> RequestHead {
-    let mut head = head(route, attempt);
-    head.prompt[0].id = 100 + number % 12;
-    head.prompt[1].id = 1_000 + number;
-    head
-}
-
-/// Returns the largest number of requests that reached an endpoint within the window, from a moment
-/// on.
-fn most_in_window(sim: &Simulation, id: &str, from: Moment) -> usize {
-    let arrivals = &sim.endpoints.get(id).expect("the endpoint exists").arrivals;
-    let counted: Vec<Moment> = arrivals.iter().copied().filter(|it| from <= *it).collect();
-    let in_window = |first: &Moment| {
-        counted.iter().filter(|it| *first <= **it && **it < *first + WINDOW).count()
-    };
-    counted.iter().map(in_window).max().unwrap_or_default()
-}
-
-/// Returns the requests that an endpoint may get within the window by the platform's rule.
-fn allowed(rate: f64) -> usize {
-    (1.5 * rate * WINDOW.as_secs_f64() + 5.0) as usize
-}
+use load::{LEARNING_TIME, Load, allowed, most_in_window};
 
 struct Case {
     name: &'static str,
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -231,7 +231,9 @@
 
     /// Stops an instance, which still gets everything that is sent to it.
     pub fn freeze(&mut self, instance: usize) {
-        self.frozen.get_or_insert_with(instance, Vec::new);
+        if self.instances[instance].is_some() {
+            self.frozen.get_or_insert_with(instance, Vec::new);
+        }
     }
 
     /// Lets a frozen instance go on with what has happened meanwhile.
@@ -260,7 +262,9 @@
             began: None,
         };
         self.callers.insert((instance, ticket), caller);
-        self.deliver(instance, Event::Arrive(Box::new(Arrival { ticket, head })));
+        let event = Event::Arrive(Box::new(Arrival { ticket, head }));
+        let incarnation = self.incarnations[instance];
+        self.process(QueuedEvent::Deliver { instance, incarnation, event });
         ticket
     }
 
