Tell refused callers when the endpoints of a limited pool take them, and do not wait until it is too late

The time to come back was the wait that admission expects of late requests, which counts on others that may come before them (43 s at a pool that serves 4 a second); and a request waited for its permit until so little time was left that its run could not end, and was answered as expired. Change: a refused caller is told the time in which the pool serves what was admitted before. A request waits for a permit until its first event would be late, or for 0.4 of the time that its answer leaves.

--- a/crates/ferry-serve/src/admission/controller.rs
+++ b/crates/ferry-serve/src/admission/controller.rs
@@ -41,6 +41,8 @@
     /// Expected wait, and the longest one with which the request is admitted.
     pub wait: Duration,
     pub max_wait: Duration,
+    /// Time in which that pool serves the requests that were admitted before.
+    pub queue: Duration,
     /// The pool with the longest wait.
     pub bottleneck: Option<PoolId>,
     /// Rate of that pool, in items per second.
@@ -93,6 +95,7 @@
         capacity: &[Capacity],
     ) -> Evaluation {
         let mut bottleneck = (0.0, None, 0.0);
+        let mut queue_time = 0.0;
         for ((pool, _), capacity) in request.items.iter().zip(capacity) {
             let queue =
                 self.queues.get_or_insert_with((request.shard, pool.clone()), PoolQueue::default);
@@ -103,6 +106,7 @@
             let own = queue.wait(class, capacity);
             if bottleneck.0 < own {
                 bottleneck = (own, Some(pool.clone()), capacity.rate);
+                queue_time = queue.ahead(usize::from(class), capacity) / capacity.rate;
             }
         }
         // A request waits at the pool with the longest queue; pools of later stages get no more
@@ -122,7 +126,14 @@
                 queue.push(class, f64::from(*n_items));
             }
         }
-        Evaluation { decision, wait: Duration::from_secs_f64(wait), max_wait, bottleneck, rate }
+        Evaluation {
+            decision,
+            wait: Duration::from_secs_f64(wait),
+            max_wait,
+            queue: Duration::from_secs_f64(queue_time),
+            bottleneck,
+            rate,
+        }
     }
 }
 
--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -78,7 +78,7 @@
     let zone = engine.and_then(|it| schedule::likely_zone(cx, it));
     let is_limited = |it: &&PoolId| batch_limits(cx.ctx, it).is_none();
     let bottleneck = evaluation.bottleneck.as_ref().filter(is_limited);
-    let retry_after = bottleneck.map(|_| evaluation.wait);
+    let retry_after = bottleneck.map(|_| evaluation.queue);
     AdmissionAnswer { decision: evaluation.decision, retry_after, zone }
 }
 
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -21,6 +21,8 @@
 pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Answers that a limiter may fail to give before it is taken for dead.
 pub const MAX_SILENCE: u8 = 3;
+/// Fraction of its time left for which a request may wait; the rest is for its answer.
+const MAX_WAIT_FRACTION: f64 = 0.4;
 /// Denials after which a request is given up.
 const MAX_DENIALS: u8 = 8;
 
@@ -101,9 +103,12 @@
     }
 }
 
-/// Returns the longest useful wait for a permit.
+/// Returns the longest useful wait for a permit: until its first event is late, or longer if much time
+/// is left for the rest of its answer.
 pub fn patience(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
-    request.deadline.saturating_sub(cx.now + cx.ctx.tuning.first_token)
+    let begin = cx.now + call::engine_time(cx, request);
+    let slack = request.objective().min(request.deadline).saturating_sub(begin);
+    slack.max(request.deadline.saturating_sub(begin).mul_f64(MAX_WAIT_FRACTION))
 }
 
 /// Returns the time until an endpoint takes the request, as far as known here; zero if one has no
--- a/crates/ferry-serve/tests/decisions/rate_limits.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits.rs
@@ -1,5 +1,7 @@
 //! Endpoints get no more requests than the rate limit that they name for all instances together.
 
+mod callers;
+mod changes;
 mod faults;
 mod load;
 
--- a/crates/ferry-serve/tests/decisions/rate_limits/load.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/load.rs
@@ -17,11 +17,22 @@
     routes: &'static [&'static str],
     per_second: u64,
     n_sent: u64,
+    /// Number of keys of different workspaces; none for the common key.
+    n_keys: Option<u64>,
 }
 
 impl Load {
     pub fn new(routes: &'static [&'static str], per_second: u64) -> Load {
-        Load { routes, per_second, n_sent: 0 }
+        Load { routes, per_second, n_sent: 0, n_keys: None }
+    }
+
+    pub fn with_keys(self, n_keys: u64) -> Load {
+        Load { n_keys: Some(n_keys), ..self }
+    }
+
+    /// Returns the number of the key of a request.
+    pub fn key_of(number: u64, n_keys: u64) -> u64 {
+        number / 2 % n_keys
     }
 
     /// Sends requests for a while and returns their attempts.
@@ -36,7 +47,11 @@
             // Neighbours in the order of arrival have no prompt parts and no instance in common.
             let instance = (number * 7 % sim.instances.len() as u64) as usize;
             if sim.instances[instance].is_some() {
-                sim.arrive(instance, &attempt, head_of(route, &attempt, number));
+                let mut head = head_of(route, &attempt, number);
+                if let Some(n_keys) = self.n_keys {
+                    head.key = Some(format!("key-{}", Load::key_of(number, n_keys)));
+                }
+                sim.arrive(instance, &attempt, head);
                 attempts.push(attempt);
             }
             sim.run_for(Duration::from_secs(1) / self.per_second as u32);
