Count the instances that peers know of, so that a new limiter on a cut-off side grants its part only

Change: who answers a ping also says how many instances it has heard of lately; the share of a limit is that of those.

--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -135,7 +135,9 @@
             cx.ctx.limiter.withdraw(&endpoint, Asker::Peer(from), id);
         }
         PeerMessage::Ping { id } => exchange::on_ping(cx, from, id),
-        PeerMessage::Pong { id, is_willing } => exchange::on_pong(cx, from, id, is_willing),
+        PeerMessage::Pong { id, is_willing, n_instances } => {
+            exchange::on_pong(cx, from, (id, is_willing, n_instances));
+        }
     }
 }
 
--- a/crates/ferry-serve/src/limits/exchange.rs
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -93,11 +93,17 @@
 
 pub fn on_ping(cx: &mut Pass<'_>, from: SocketAddr, id: u64) {
     let is_willing = cx.ctx.is_willing(cx.now);
-    cx.effects.push(Effect::Send { to: from, message: PeerMessage::Pong { id, is_willing } });
+    let n_instances = cx.ctx.peers.recent(cx.now).len() as u32 + 1;
+    let message = PeerMessage::Pong { id, is_willing, n_instances };
+    cx.effects.push(Effect::Send { to: from, message });
 }
 
-pub fn on_pong(cx: &mut Pass<'_>, from: SocketAddr, id: u64, is_willing: bool) {
-    cx.ctx.limiter.on_pong(from, id);
+pub fn on_pong(
+    cx: &mut Pass<'_>,
+    from: SocketAddr,
+    (id, is_willing, n_instances): (u64, bool, u32),
+) {
+    cx.ctx.limiter.on_pong(from, id, n_instances as usize);
     match is_willing {
         true => cx.ctx.peers.stop_avoiding_one(from),
         false => cx.ctx.peers.avoid(from, cx.now + UNWILLING_PAUSE * 2),
@@ -161,7 +167,8 @@
     let replies = limiter.retire(now, &ctx.endpoints, is_limiter);
     if limiter.is_round_due(now) {
         let Context { peers, .. } = ctx;
-        let pings = limiter.pings(now, peers.recent(now), &peers.avoided(now));
+        let pings =
+            limiter.pings(now, peers.recent(now), &peers.avoided(now), peers.n_expected(now));
         cx.ctx.limiter = limiter;
         send_pings(cx, pings);
     } else {
--- a/crates/ferry-serve/src/limits/limiter.rs
+++ b/crates/ferry-serve/src/limits/limiter.rs
@@ -99,14 +99,16 @@
         replies
     }
 
-    /// Returns the pings to send to `peers` if a round is due, and in any case to `avoided` ones.
+    /// Starts a round and returns the pings to send, to some of `peers` and to all `avoided` ones;
+    /// `n_expected` instances are assumed if none answers.
     pub fn pings(
         &mut self,
         now: Moment,
         peers: Vec<SocketAddr>,
         avoided: &[SocketAddr],
+        n_expected: usize,
     ) -> Vec<(SocketAddr, u64)> {
-        let mut pings = self.reach.start_round(now, peers);
+        let mut pings = self.reach.start_round(now, peers, n_expected);
         for peer in avoided {
             pings.extend(self.reach.ping(now, *peer).map(|id| (*peer, id)));
         }
@@ -122,8 +124,9 @@
         self.reach.is_due(now)
     }
 
-    pub fn on_pong(&mut self, peer: SocketAddr, id: u64) {
-        self.reach.on_pong(peer, id);
+    /// Records the answer of a peer that knows of `n_instances`.
+    pub fn on_pong(&mut self, peer: SocketAddr, id: u64, n_instances: usize) {
+        self.reach.on_pong(peer, id, n_instances);
     }
 
     /// Returns the pings to send once more, and the peers that have answered none.
--- a/crates/ferry-serve/src/limits/reach.rs
+++ b/crates/ferry-serve/src/limits/reach.rs
@@ -43,6 +43,11 @@
     n_answers: usize,
     /// Whether all peers were asked, so that this instance counts as one of them.
     is_whole: bool,
+    /// Instances that were alive lately, as far as known here.
+    n_known: usize,
+    /// The same as far as known to any peer that answers. An instance that has just started knows
+    /// few.
+    n_reported: usize,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -87,18 +92,23 @@
         answers.chain(self.next_round).min()
     }
 
-    /// Starts a round, and returns the pings to send.
+    /// Starts a round, and returns the pings to send; `n_expected` instances are assumed if no peer
+    /// answers.
     pub(super) fn start_round(
         &mut self,
         now: Moment,
         mut peers: Vec<SocketAddr>,
+        n_expected: usize,
     ) -> Vec<(SocketAddr, u64)> {
         let is_whole = peers.len() <= N_ASKED;
+        let n_known = peers.len() + 1;
+        let n_reported = if peers.is_empty() { n_expected } else { n_known };
         let round = self.last_id;
         peers.sort_by_cached_key(|it| rendezvous_hash(round, &it.to_string()));
         peers.truncate(N_ASKED);
         self.next_round = Some(now + INTERVAL);
-        self.rounds.push(Round { n_asked: peers.len(), n_answers: 0, is_whole });
+        let n_asked = peers.len();
+        self.rounds.push(Round { n_asked, n_answers: 0, is_whole, n_known, n_reported });
         if N_ROUNDS < self.rounds.len() {
             self.rounds.remove(0);
         }
@@ -118,13 +128,15 @@
         self.last_id
     }
 
-    pub(super) fn on_pong(&mut self, peer: SocketAddr, id: u64) {
+    /// Records the answer of a peer that knows of `n_instances` which were alive lately.
+    pub(super) fn on_pong(&mut self, peer: SocketAddr, id: u64, n_instances: usize) {
         let Some(idx) = self.pending.iter().position(|it| (it.peer, it.id) == (peer, id)) else {
             return;
         };
         let is_counted = self.pending.remove(idx).is_counted;
         if let Some(round) = self.rounds.last_mut().filter(|_| is_counted) {
             round.n_answers += 1;
+            round.n_reported = round.n_reported.max(n_instances);
         }
     }
 
@@ -141,7 +153,7 @@
         (pings, silent)
     }
 
-    /// Returns the share of a limit that this side may grant. It is the share of the peers that
+    /// Returns the share of a limit that this side may grant. It is the share of the instances that
     /// answer, or all of it on a side that is clearly the larger one.
     pub(super) fn share(&self) -> f64 {
         let n_open = usize::from(self.pending.iter().any(|it| it.is_counted));
@@ -149,8 +161,10 @@
         let n_own = counted.iter().filter(|it| it.is_whole).count();
         let n_asked: usize = counted.iter().map(|it| it.n_asked).sum();
         let n_answers: usize = counted.iter().map(|it| it.n_answers).sum();
-        match (n_answers + n_own) as f64 / (n_asked + n_own).max(1) as f64 {
-            _ if n_asked == 0 => 1.0,
+        let Some(last) = counted.last() else { return 1.0 };
+        let n_reported = counted.iter().map(|it| it.n_reported).max().unwrap_or(1);
+        let known = last.n_known as f64 / n_reported.max(last.n_known) as f64;
+        match known * (n_answers + n_own) as f64 / (n_asked + n_own).max(1) as f64 {
             share if MAJORITY <= share => 1.0,
             share => share,
         }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -294,6 +294,11 @@
         self.avoided.get(&address).is_some_and(|it| now < *it)
     }
 
+    /// Returns the number of instances that may be alive although none of them is heard.
+    pub fn n_expected(&self, now: Moment) -> usize {
+        1 + if now < MEMORY { self.known.len() } else { 0 }
+    }
+
     /// Returns the peers that were alive lately; those that are silent may be cut off.
     pub fn recent(&self, now: Moment) -> Vec<SocketAddr> {
         let is_recent = |it: &PeerView| now < it.last_heard + MEMORY && !it.heartbeat.is_leaving;
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -152,6 +152,8 @@
         id: u64,
         /// Whether it works for others.
         is_willing: bool,
+        /// Instances that were alive lately, as far as it knows.
+        n_instances: u32,
     },
 }
 
