Let endpoints of the soak name rate limits, and count what they get

All requests count, of all gateways: also reads of caches, freed results and those of gateways that have just started. The limits have a generator of their own, so that known seeds draw the other faults as before.

--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -39,6 +39,7 @@
     violations: RefCell<Vec<String>>,
     n_taken_up: Cell<usize>,
     n_continued: Cell<usize>,
+    n_limited: Cell<usize>,
 }
 
 impl Checker {
@@ -114,6 +115,16 @@
         self.results.borrow_mut().remove(handle);
     }
 
+    /// Counts a request to an endpoint whose rate limit holds.
+    pub fn count_limited(&self) {
+        self.n_limited.set(self.n_limited.get() + 1);
+    }
+
+    /// Returns the number of requests to endpoints whose rate limit held.
+    pub fn n_limited(&self) -> usize {
+        self.n_limited.get()
+    }
+
     /// Counts a stream that its caller takes up.
     pub fn count_take_up(&self) {
         self.n_taken_up.set(self.n_taken_up.get() + 1);
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -26,7 +26,7 @@
 /// Lowest second octet of the addresses of the other gateways, which use a range of 50.
 const EXTRA_OCTET: u8 = 200;
 /// Number of endpoints in each pool.
-const N_ENDPOINTS: usize = 3;
+pub const N_ENDPOINTS: usize = 3;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Signal {
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -15,6 +15,7 @@
 
 use crate::checker::Checker;
 use crate::config::WORKSPACE;
+use crate::rate_limit::RateLimit;
 use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve, without_framing};
 
 /// Time to run a plain request.
@@ -73,6 +74,7 @@
     pub behaviour: Cell<Behaviour>,
     /// Version of the endpoint's software, which its events contain.
     pub build: Cell<&'static str>,
+    pub rate_limit: RateLimit,
     address: SocketAddr,
     checker: Rc<Checker>,
     n_results: Cell<u64>,
@@ -93,6 +95,7 @@
         Rc::new(Endpoint {
             id: format!("{name}-{number}"),
             build: Cell::new("v1"),
+            rate_limit: RateLimit::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
             address,
@@ -140,10 +143,21 @@
         if expected.is_some_and(|it| it.as_bytes() != self.id.as_bytes()) {
             return Some(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
         }
+        match self.rate_limit.record() {
+            None => (),
+            Some(Ok(())) => self.checker.count_limited(),
+            Some(Err(text)) => self.checker.add_violation(format!("{} {text}", self.id)),
+        }
+        let mut response = self.run(&parts, &body).await?;
+        self.rate_limit.add_header(response.headers_mut());
+        Some(response)
+    }
+
+    async fn run(&self, parts: &http::request::Parts, body: &Bytes) -> Option<Response<Body>> {
         match parts.uri.path() {
-            ferry_platform::items::RUN_PATH => self.run_items(&body).await,
+            ferry_platform::items::RUN_PATH => self.run_items(body).await,
             ferry_platform::items::FREE_PATH => {
-                let freed: Value = serde_json::from_slice(&body).ok()?;
+                let freed: Value = serde_json::from_slice(body).ok()?;
                 let handles = freed["Handles"].as_array()?;
                 handles
                     .iter()
@@ -152,7 +166,7 @@
                 Some(full_response(StatusCode::OK, ""))
             }
             ferry_platform::cache::LIST_PATH => self.list_cache().await,
-            _ => self.run_request(&parts, &body).await,
+            _ => self.run_request(parts, body).await,
         }
     }
 
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint;
 pub mod plan;
 pub mod proxy;
+mod rate_limit;
 pub mod server;
 pub mod soak;
 pub mod store;
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -89,8 +89,13 @@
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
-            "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on",
-            report.under_faults, report.after_recovery, report.n_continued, report.n_taken_up
+            "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
+             limited endpoints",
+            report.under_faults,
+            report.after_recovery,
+            report.n_continued,
+            report.n_taken_up,
+            report.n_limited
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -5,14 +5,14 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::cluster::{Cluster, Signal};
+use crate::cluster::{Cluster, N_ENDPOINTS, Signal};
 use crate::config::desired_state;
 use crate::endpoint::Behaviour;
 use crate::proxy::Link;
 use crate::store::StoreBehaviour;
 
 /// A fault, or the end of one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Step {
     Signal {
         node: usize,
@@ -52,6 +52,11 @@
         version: u64,
         has_extra: bool,
     },
+    /// Makes an endpoint name a rate limit, which may be no valid one, or none any longer.
+    RateLimit {
+        endpoint: usize,
+        per_second: Option<f64>,
+    },
 }
 
 /// Steps in order, each with its time since the start.
@@ -79,6 +84,29 @@
     plan
 }
 
+/// Generates rate limits of endpoints, or of whole pools, at random times.
+pub fn generate_limits(rng: &mut Pcg64Mcg, duration: Duration, n_pools: usize) -> Plan {
+    let rates = [0.5, 1.2, 2.0, 5.0, 10.0, 0.0, -1.0, f64::NAN, f64::INFINITY];
+    let mut plan = Vec::new();
+    for pool in 0..n_pools {
+        let mut at = Duration::from_millis(rng.random_range(0..800));
+        while at < duration {
+            let endpoints = pool * N_ENDPOINTS..(pool + 1) * N_ENDPOINTS;
+            let is_whole = rng.random_range(0..4) == 0;
+            let only = rng.random_range(endpoints.clone());
+            let end = at + Duration::from_millis(rng.random_range(4_500..9_000));
+            for endpoint in endpoints.filter(|it| is_whole || *it == only) {
+                let per_second = Some(rates[rng.random_range(0..rates.len())]);
+                plan.push((at, Step::RateLimit { endpoint, per_second }));
+                plan.push((end, Step::RateLimit { endpoint, per_second: None }));
+            }
+            at = end + Duration::from_millis(rng.random_range(0..2_000));
+        }
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
+
 /// Generates a fault and the step that ends it, with their delays.
 fn fault(
     rng: &mut Pcg64Mcg,
@@ -163,6 +191,9 @@
         Step::Configure { version, has_extra } => {
             cluster.store.put("config", "main", desired_state(version, has_extra));
         }
+        Step::RateLimit { endpoint, per_second } => {
+            cluster.endpoints[endpoint].rate_limit.set(per_second);
+        }
     }
     Ok(())
 }
@@ -178,6 +209,7 @@
     cluster.store_proxy.set(Link::Open);
     for idx in 0..cluster.endpoints.len() {
         cluster.endpoints[idx].behaviour.set(Behaviour::Healthy);
+        cluster.endpoints[idx].rate_limit.set(None);
         cluster.proxies[idx].set(Link::Open);
         register(cluster, idx, "ready");
     }
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -16,7 +16,8 @@
 use crate::checker::OutcomeCounts;
 use crate::cluster::Cluster;
 use crate::config::Route;
-use crate::plan::{apply, generate, restore};
+use crate::endpoint::Pool;
+use crate::plan::{apply, generate, generate_limits, restore};
 
 const N_CALLERS: usize = 12;
 /// Pause of a caller between requests, in milliseconds.
@@ -57,6 +58,8 @@
     pub n_taken_up: usize,
     /// Those of them that came to their end.
     pub n_continued: usize,
+    /// Requests to endpoints whose rate limit held.
+    pub n_limited: usize,
 }
 
 impl Report {
@@ -75,7 +78,11 @@
     sleep(START_TIME).await;
     let is_over = start_callers(&cluster, &mut rng);
     let start = Instant::now();
-    let plan = generate(&mut rng, options.duration, options.n_nodes, cluster.endpoints.len());
+    let mut plan = generate(&mut rng, options.duration, options.n_nodes, cluster.endpoints.len());
+    // A generator of their own, so that seeds draw the other faults as before.
+    let mut rng = Pcg64Mcg::seed_from_u64(!options.seed);
+    plan.extend(generate_limits(&mut rng, options.duration, Pool::iter().count()));
+    plan.sort_by_key(|it| it.0);
     for (at, step) in plan.into_iter().filter(|(at, _)| *at <= options.duration) {
         sleep_until(start + at).await;
         apply(&mut cluster, step)?;
@@ -102,7 +109,8 @@
         ));
     }
     let (n_taken_up, n_continued) = cluster.checker.take_ups();
-    Ok(Report { violations, under_faults, after_recovery, n_taken_up, n_continued })
+    let n_limited = cluster.checker.n_limited();
+    Ok(Report { violations, under_faults, after_recovery, n_taken_up, n_continued, n_limited })
 }
 
 /// Starts callers that send requests until the returned flag is set.
