Share the wait for a permit between requests and batches, and bound its log lines

Cause: read again as a newcomer would: requests and batches each had a copy of the wait for a permit; a limiter that does not know an endpoint answered that it has no limit; avoided peers of long ago let an unwilling limiter be asked again and again; an endpoint that names something else than a rate wrote a line for each response. Change: one type for the wait; a limiter denies permits for what it does not know; a line when an instance begins and ends to grant the permits of an endpoint, one in ten seconds for an invalid limit; grants from the queue are counted.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -19,10 +19,11 @@
 
 use crate::pass::{Context, Pass, free};
 use crate::{
-    BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, EndpointView,
-    Endpoints, Group, ItemResult, LoadReport, Mechanism, Metric,
+    BatchCall, BatchFailure, BatchItem, CallId, Decision, DecisionKind, Effect, Endpoints, Group,
+    ItemResult, LoadReport, Mechanism, Metric,
 };
 
+use backlog::usable_endpoints;
 use candidates::Candidate;
 pub use job::{Job, JobKey, JobOutcome, JobOwner};
 use outcomes::{finish, notify_owner};
@@ -380,19 +381,6 @@
     }
 }
 
-/// Counts the endpoints of a group that may get new work; one that limits its requests counts as the
-/// part of its time that they take.
-fn usable_endpoints(ctx: &Context, now: Moment, group: &Group, limits: &BatchLimits) -> f64 {
-    let members = ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
-    members.filter(|it| it.is_usable(now)).map(|it| usable_share(it, limits)).sum()
-}
-
-/// Returns the share of its time for which an endpoint may work on full calls.
-fn usable_share(view: &EndpointView, limits: &BatchLimits) -> f64 {
-    let full = full_call(limits).as_secs_f64();
-    view.rate_limit().map_or(1.0, |it| (it.per_second() * full).min(1.0))
-}
-
 /// Returns the limits of a batch pool; none for a pool of another kind.
 pub(crate) fn batch_limits(ctx: &Context, pool: &str) -> Option<BatchLimits> {
     match &ctx.catalog.pool(pool)?.kind {
--- a/crates/ferry-serve/src/batch/backlog.rs
+++ b/crates/ferry-serve/src/batch/backlog.rs
@@ -5,7 +5,7 @@
 use ferry_model::{BatchLimits, Moment};
 
 use super::candidates::MIN_SLOWDOWN;
-use super::{Batcher, batch_limits, call_time, full_call, usable_endpoints};
+use super::{Batcher, batch_limits, call_time, full_call};
 use crate::admission::{LATE_CLASS, N_CLASSES};
 use crate::pass::Context;
 use crate::{Backlog, EndpointView, Group};
@@ -63,3 +63,21 @@
         queued
     }
 }
+
+/// Counts the endpoints of a group that may get new work; one that limits its requests counts as the
+/// part of its time that they take.
+pub(super) fn usable_endpoints(
+    ctx: &Context,
+    now: Moment,
+    group: &Group,
+    limits: &BatchLimits,
+) -> f64 {
+    let members = ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
+    members.filter(|it| it.is_usable(now)).map(|it| usable_share(it, limits)).sum()
+}
+
+/// Returns the share of its time for which an endpoint may work on full calls.
+fn usable_share(view: &EndpointView, limits: &BatchLimits) -> f64 {
+    let full = full_call(limits).as_secs_f64();
+    view.rate_limit().map_or(1.0, |it| (it.per_second() * full).min(1.0))
+}
--- a/crates/ferry-serve/src/batch/permits.rs
+++ b/crates/ferry-serve/src/batch/permits.rs
@@ -5,32 +5,27 @@
 use ferry_model::{EndpointId, Moment, SortedMap};
 
 use super::Batcher;
-use crate::limits::exchange::{self, Asked};
+use crate::limits::{Asked, AwaitedPermit, PERMIT_TTL, exchange};
 use crate::pass::Pass;
-use crate::request::permit::{ANSWER_TIMEOUT, MAX_SILENCE, PERMIT_TTL, RETRY_PAUSE};
-use crate::{Asker, Group, PermitAnswer, PermitId};
+use crate::request::permit::RETRY_PAUSE;
+use crate::{Group, PermitAnswer, PermitId};
 
 /// Longest time to wait for a permit, after which the items may go elsewhere.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Class of calls with items among the requests for permits.
 const CLASS: u8 = 0;
 
+/// A batch's wait for a permit.
 #[derive(Debug, Clone)]
-struct Awaited {
-    id: PermitId,
+struct PermitWait {
+    permit: AwaitedPermit,
     group: Group,
-    limiter: Asker,
-    n_asks: u8,
-    asked_at: Moment,
-    /// When it is asked for again.
-    until: Moment,
-    n_silent: u8,
 }
 
 /// The permits of a batcher, at most one for each endpoint.
 #[derive(Debug, Clone, Default)]
 pub(super) struct BatchPermits {
-    awaited: SortedMap<EndpointId, Awaited>,
+    awaited: SortedMap<EndpointId, PermitWait>,
     /// When each permit that was granted expires.
     granted: SortedMap<EndpointId, Moment>,
 }
@@ -47,7 +42,7 @@
     }
 
     pub(super) fn next_wake(&self) -> Option<Moment> {
-        self.awaited.values().map(|it| it.until).min()
+        self.awaited.values().map(|it| it.permit.until).min()
     }
 }
 
@@ -68,16 +63,9 @@
         let wanted: Vec<EndpointId> = wanted.map(|it| it.endpoint.id.clone()).collect();
         let mut is_ready = false;
         for endpoint in wanted {
-            let awaited = Awaited {
-                id: cx.next_permit(),
-                group: group.clone(),
-                limiter: Asker::This,
-                n_asks: 0,
-                asked_at: now,
-                until: now,
-                n_silent: 0,
-            };
-            self.ask(cx, endpoint.clone(), awaited);
+            let permit = AwaitedPermit::new(now, cx.next_permit());
+            let wait = PermitWait { permit, group: group.clone() };
+            self.ask(cx, endpoint.clone(), wait);
             let view = cx.ctx.endpoints.get(&endpoint);
             let is_unlimited = view.is_some_and(|it| it.rate_limit().is_none());
             is_ready |= is_unlimited || self.permits.is_granted(now, &endpoint);
@@ -93,16 +81,14 @@
         n_asks: Option<u8>,
         answer: &PermitAnswer,
     ) {
-        let found = self.permits.awaited.iter().find(|it| it.1.id == id);
-        let Some((endpoint, awaited)) = found.map(|it| (it.0.clone(), it.1.clone())) else {
-            return;
-        };
-        if n_asks.is_some_and(|it| it != awaited.n_asks) {
+        let found = self.permits.awaited.iter().find(|it| it.1.permit.id == id);
+        let Some((endpoint, wait)) = found.map(|it| (it.0.clone(), it.1.clone())) else { return };
+        if !wait.permit.is_answered(n_asks) {
             return;
         }
         self.permits.awaited.remove(&endpoint);
-        let group = awaited.group.clone();
-        self.apply(cx, endpoint, awaited, answer);
+        let group = wait.group.clone();
+        self.apply(cx, endpoint, wait, answer);
         self.dispatch(cx, &group);
     }
 
@@ -110,40 +96,25 @@
     pub(super) fn renew_permits(&mut self, cx: &mut Pass<'_>) {
         let now = cx.now;
         self.permits.granted.retain(|_, expires| now < *expires);
-        let due = self.permits.awaited.iter().filter(|it| it.1.until <= now);
+        let due = self.permits.awaited.iter().filter(|it| it.1.permit.until <= now);
         let due: Vec<EndpointId> = due.map(|it| it.0.clone()).collect();
         for endpoint in due {
-            let Some(mut awaited) = self.permits.awaited.remove(&endpoint) else { continue };
-            if self.waiting(&awaited.group).is_empty() {
-                exchange::withdraw(cx, &endpoint, awaited.limiter, awaited.id);
+            let Some(mut wait) = self.permits.awaited.remove(&endpoint) else { continue };
+            if self.waiting(&wait.group).is_empty() {
+                wait.permit.withdraw(cx, &endpoint);
                 continue;
             }
-            awaited.n_silent += 1;
-            if let Asker::Peer(limiter) = awaited.limiter
-                && MAX_SILENCE <= awaited.n_silent
-            {
-                awaited.n_silent = 0;
-                exchange::on_silence(cx, limiter);
-            }
-            self.ask(cx, endpoint, awaited);
+            wait.permit.on_silence(cx);
+            self.ask(cx, endpoint, wait);
         }
     }
 
-    fn ask(&mut self, cx: &mut Pass<'_>, endpoint: EndpointId, mut awaited: Awaited) {
-        awaited.n_asks = awaited.n_asks.wrapping_add(1);
-        awaited.asked_at = cx.now;
-        let key = (awaited.id, awaited.n_asks);
-        match exchange::ask(cx, &endpoint, key, CLASS, MAX_WAIT) {
-            // The endpoint has no limit any longer.
-            None => (),
-            Some(Asked::Here(answer)) => {
-                awaited.limiter = Asker::This;
-                self.apply(cx, endpoint, awaited, &answer);
-            }
-            Some(Asked::Peer(to)) => {
-                awaited.limiter = Asker::Peer(to);
-                awaited.until = cx.now + ANSWER_TIMEOUT;
-                self.permits.awaited.insert(endpoint, awaited);
+    fn ask(&mut self, cx: &mut Pass<'_>, endpoint: EndpointId, mut wait: PermitWait) {
+        match wait.permit.ask(cx, &endpoint, CLASS, MAX_WAIT) {
+            Asked::NotNeeded => (),
+            Asked::Answered(answer) => self.apply(cx, endpoint, wait, &answer),
+            Asked::Waits => {
+                self.permits.awaited.insert(endpoint, wait);
             }
         }
     }
@@ -152,7 +123,7 @@
         &mut self,
         cx: &mut Pass<'_>,
         endpoint: EndpointId,
-        mut awaited: Awaited,
+        mut wait: PermitWait,
         answer: &PermitAnswer,
     ) {
         let defer = |cx: &mut Pass<'_>, wait, pause| {
@@ -162,28 +133,20 @@
         };
         match answer {
             PermitAnswer::Granted { waited } => {
-                let age = (cx.now - awaited.asked_at).saturating_sub(*waited);
-                if age <= PERMIT_TTL {
+                if wait.permit.is_fresh(cx.now, *waited) {
                     self.permits.granted.insert(endpoint, cx.now + PERMIT_TTL);
                 }
             }
-            PermitAnswer::Queued { wait } => {
-                awaited.n_silent = 0;
-                awaited.until = cx.now.saturating_add(*wait * 2).saturating_add(ANSWER_TIMEOUT);
-                self.permits.awaited.insert(endpoint, awaited);
+            PermitAnswer::Queued { wait: expected } => {
+                wait.permit.on_queued(cx.now, *expected);
+                self.permits.awaited.insert(endpoint, wait);
             }
             PermitAnswer::Denied { wait, pause } => defer(cx, *wait, *pause),
             PermitAnswer::Elsewhere => {
-                if let Asker::Peer(limiter) = awaited.limiter {
-                    exchange::on_elsewhere(cx, limiter);
-                }
+                wait.permit.on_elsewhere(cx);
                 defer(cx, RETRY_PAUSE, RETRY_PAUSE);
             }
-            PermitAnswer::NotNeeded(notice) => {
-                if let Some(notice) = notice {
-                    exchange::on_notice(cx, notice);
-                }
-            }
+            PermitAnswer::NotNeeded(notice) => exchange::on_notice(cx, notice),
         }
     }
 }
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -11,6 +11,8 @@
 
 /// Change of a rate below which peers are not told at once, as a share of the rate.
 const SMALL_CHANGE: f64 = 0.05;
+/// Interval at which an invalid limit of an endpoint is logged.
+const INVALID_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time between two requests that a rate stands for; a lower rate is taken for this one.
 const MAX_INTERVAL: Duration = Duration::from_secs(600);
 
@@ -89,6 +91,8 @@
     free_at: Moment,
     /// When it is worth asking for a permit if there are other endpoints.
     ask_at: Moment,
+    /// When an invalid limit may be logged again.
+    invalid_until: Moment,
 }
 
 impl RateLimit {
@@ -163,6 +167,15 @@
         }
     }
 
+    /// Records that the endpoint has named an invalid limit; returns whether to log it.
+    pub fn note_invalid_limit(&mut self, now: Moment) -> bool {
+        let is_due = self.rate_limit.invalid_until <= now;
+        if is_due {
+            self.rate_limit.invalid_until = now + INVALID_INTERVAL;
+        }
+        is_due
+    }
+
     /// Records that a permit is free after `wait`, and when to ask again.
     pub fn defer_permits(&mut self, now: Moment, wait: Duration, pause: Duration) {
         self.rate_limit.free_at = now.saturating_add(wait);
@@ -194,7 +207,12 @@
         view.rate_limit = RateLimit { rate, at, ..known };
         match (known.rate, rate) {
             (None, Some(rate)) => {
-                view.rate_limit = RateLimit { rate: Some(rate), since: at, ..RateLimit::new(at) };
+                view.rate_limit = RateLimit {
+                    since: at,
+                    free_at: Moment::ZERO,
+                    ask_at: Moment::ZERO,
+                    ..view.rate_limit
+                };
                 Some(LimitChange::Named(rate))
             }
             (Some(from), Some(to)) if from != to => Some(LimitChange::Changed { from, to }),
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -51,6 +51,10 @@
         LimitReport::Limited(rate) => Some(rate),
         LimitReport::Invalid(text) => {
             cx.count(Metric::LimitsInvalid);
+            let view = cx.ctx.endpoints.get_mut(endpoint);
+            if !view.is_some_and(|it| it.note_invalid_limit(cx.now)) {
+                return;
+            }
             let reason = format!("ignored {text:?}, which is not a positive rate");
             return cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(endpoint));
         }
--- a/crates/ferry-serve/src/limits/bucket.rs
+++ b/crates/ferry-serve/src/limits/bucket.rs
@@ -155,8 +155,8 @@
     }
 
     /// Ends all waits with the same answer.
-    pub(super) fn close(self, answer: &PermitAnswer) -> Vec<PermitReply> {
-        self.queue.into_iter().map(|it| it.reply(answer.clone())).collect()
+    pub(super) fn close(&mut self, answer: &PermitAnswer) -> Vec<PermitReply> {
+        self.queue.drain(..).map(|it| it.reply(answer.clone())).collect()
     }
 
     /// Returns when [`Bucket::serve`] is due, if a request waits.
--- a/crates/ferry-serve/src/limits/exchange.rs
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -1,15 +1,11 @@
-//! The messages about rate limits and permits, as an instance that asks and as a limiter.
+//! The messages about rate limits and permits.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::EndpointId;
-
-use super::{PermitAnswer, PermitId, PermitReply, PermitRequest};
+use super::{PermitAnswer, PermitReply, PermitRequest};
 use crate::pass::{Context, Pass};
-use crate::{
-    Asker, Decision, DecisionKind, Effect, EndpointView, LimitNotice, Metric, PeerMessage,
-};
+use crate::{Asker, Decision, DecisionKind, Effect, LimitNotice, Metric, PeerMessage};
 
 /// Peers that are told of a change; each of them tells as many others.
 const N_TOLD: usize = 8;
@@ -17,34 +13,10 @@
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
 /// The same for one that is not the limiter by its own account.
 const UNWILLING_PAUSE: Duration = Duration::from_millis(300);
-
-/// How a request for a permit was sent.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Asked {
-    /// To the limiter on this instance, which has answered.
-    Here(PermitAnswer),
-    Peer(SocketAddr),
-}
-
-/// Asks the limiter of an endpoint for a permit; none if the endpoint has no limit.
-pub fn ask(
-    cx: &mut Pass<'_>,
-    endpoint: &EndpointId,
-    (id, n_asks): (PermitId, u8),
-    class: u8,
-    max_wait: Duration,
-) -> Option<Asked> {
-    let limit = cx.ctx.endpoints.limit_notice(cx.now, endpoint).filter(|it| it.rate.is_some())?;
-    let request = PermitRequest { id, n_asks, limit, class, max_wait };
-    match cx.ctx.limiter_peer(cx.now, endpoint) {
-        None => Some(Asked::Here(grant(cx, Asker::This, &request))),
-        Some(to) => {
-            let message = PeerMessage::PermitRequest(Box::new(request));
-            cx.effects.push(Effect::Send { to, message });
-            Some(Asked::Peer(to))
-        }
-    }
-}
+/// Pause of an instance that asks for permits for an endpoint that its limiter does not know yet.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(100);
+/// Notices in one datagram.
+const MAX_NOTICES: usize = 64;
 
 /// Answers a peer that asks for a permit.
 pub fn on_request(cx: &mut Pass<'_>, from: SocketAddr, request: &PermitRequest) {
@@ -63,31 +35,19 @@
     reply(cx, PermitReply { asker: Asker::Peer(from), id, n_asks, answer });
 }
 
-/// Tells the limiter of an endpoint that a permit is not needed any longer.
-pub fn withdraw(cx: &mut Pass<'_>, endpoint: &EndpointId, limiter: Asker, id: PermitId) {
-    match limiter {
-        Asker::This => cx.ctx.limiter.withdraw(endpoint, Asker::This, id),
-        Asker::Peer(to) => {
-            let message = PeerMessage::PermitWithdraw { endpoint: endpoint.clone(), id };
-            cx.effects.push(Effect::Send { to, message });
-        }
-    }
-}
-
 /// Avoids a limiter for a while that has not answered.
 pub fn on_silence(cx: &mut Pass<'_>, limiter: SocketAddr) {
-    let until = cx.now + SILENT_PAUSE;
-    cx.ctx.peers.avoid(limiter, until);
-    let reason = format!("{limiter} does not answer for permits");
-    cx.log(Decision::new(DecisionKind::Peer, reason));
+    if cx.ctx.peers.avoid(cx.now, limiter, SILENT_PAUSE) {
+        let reason = format!("{limiter} does not answer for permits");
+        cx.log(Decision::new(DecisionKind::Peer, reason));
+    }
 }
 
 /// Looks for another limiter than one that is none by its own account. It may know better that an
 /// avoided peer lives.
 pub fn on_elsewhere(cx: &mut Pass<'_>, limiter: SocketAddr) {
-    if !cx.ctx.peers.stop_avoiding() {
-        let until = cx.now + UNWILLING_PAUSE;
-        cx.ctx.peers.avoid(limiter, until);
+    if !cx.ctx.peers.stop_avoiding(cx.now) {
+        cx.ctx.peers.avoid(cx.now, limiter, UNWILLING_PAUSE);
     }
 }
 
@@ -106,7 +66,9 @@
     cx.ctx.limiter.on_pong(from, id, n_instances as usize);
     match is_willing {
         true => cx.ctx.peers.stop_avoiding_one(from),
-        false => cx.ctx.peers.avoid(from, cx.now + UNWILLING_PAUSE * 2),
+        false => {
+            cx.ctx.peers.avoid(cx.now, from, UNWILLING_PAUSE * 2);
+        }
     }
 }
 
@@ -141,21 +103,21 @@
     }
 }
 
-/// Notices in one datagram.
-const MAX_NOTICES: usize = 64;
-
 /// Grants the permits that are due, and asks peers whether this instance still reaches them.
 pub fn tick(cx: &mut Pass<'_>) {
     let (pings, silent) = cx.ctx.limiter.retry_pings(cx.now);
     send_pings(cx, pings);
     for peer in silent {
-        cx.ctx.peers.avoid(peer, cx.now + SILENT_PAUSE);
+        cx.ctx.peers.avoid(cx.now, peer, SILENT_PAUSE);
     }
     if cx.ctx.limiter.is_round_due(cx.now) {
         start_round(cx);
     }
-    for granted in cx.ctx.limiter.serve(cx.now) {
-        reply(cx, granted);
+    for served in cx.ctx.limiter.serve(cx.now) {
+        if matches!(served.answer, PermitAnswer::Granted { .. }) {
+            cx.count(Metric::PermitsGranted);
+        }
+        reply(cx, served);
     }
 }
 
@@ -164,7 +126,7 @@
     let mut limiter = std::mem::take(&mut cx.ctx.limiter);
     let ctx = &*cx.ctx;
     let is_limiter = |it: &str| ctx.limiter_peer(now, it).is_none();
-    let replies = limiter.retire(now, &ctx.endpoints, is_limiter);
+    let (retired, replies) = limiter.retire(now, &ctx.endpoints, is_limiter);
     if limiter.is_round_due(now) {
         let Context { peers, .. } = ctx;
         let pings =
@@ -174,6 +136,10 @@
     } else {
         cx.ctx.limiter = limiter;
     }
+    for endpoint in retired {
+        let decision = Decision::new(DecisionKind::Limit, "no longer grants its permits");
+        cx.log(decision.with_endpoint(&endpoint));
+    }
     for ended in replies {
         reply(cx, ended);
     }
@@ -184,20 +150,27 @@
     cx.effects.extend(pings.into_iter().map(send));
 }
 
-fn grant(cx: &mut Pass<'_>, asker: Asker, request: &PermitRequest) -> PermitAnswer {
+/// Answers as the limiter of an endpoint.
+pub fn grant(cx: &mut Pass<'_>, asker: Asker, request: &PermitRequest) -> PermitAnswer {
     let Context { endpoints, limiter, .. } = &mut *cx.ctx;
-    let view = endpoints.get(&request.limit.endpoint);
-    let limited = view.and_then(|view| Some((view, EndpointView::rate_limit(view)?)));
-    match limited {
-        Some((view, rate)) => {
-            let answer = limiter.ask(cx.now, view, rate, asker, request);
-            if matches!(answer, PermitAnswer::Granted { .. }) {
-                cx.count(Metric::PermitsGranted);
-            }
-            answer
-        }
-        None => PermitAnswer::NotNeeded(endpoints.limit_notice(cx.now, &request.limit.endpoint)),
+    let endpoint = &request.limit.endpoint;
+    let Some(view) = endpoints.get(endpoint) else {
+        return PermitAnswer::Denied { wait: UNKNOWN_PAUSE, pause: UNKNOWN_PAUSE };
+    };
+    let Some(rate) = view.rate_limit() else {
+        let limit = LimitNotice { rate: None, ..request.limit.clone() };
+        return PermitAnswer::NotNeeded(endpoints.limit_notice(cx.now, endpoint).unwrap_or(limit));
+    };
+    let is_new = !limiter.is_active(endpoint);
+    let answer = limiter.ask(cx.now, view, rate, asker, request);
+    if is_new {
+        let decision = Decision::new(DecisionKind::Limit, "grants its permits from now on");
+        cx.log(decision.with_endpoint(endpoint));
+    }
+    if matches!(answer, PermitAnswer::Granted { .. }) {
+        cx.count(Metric::PermitsGranted);
     }
+    answer
 }
 
 fn reply(cx: &mut Pass<'_>, reply: PermitReply) {
--- a/crates/ferry-serve/src/limits/limiter.rs
+++ b/crates/ferry-serve/src/limits/limiter.rs
@@ -64,39 +64,38 @@
         self.buckets.values_mut().flat_map(|it| it.serve(now)).collect()
     }
 
+    /// Whether this instance grants permits for an endpoint.
+    pub fn is_active(&self, endpoint: &str) -> bool {
+        self.buckets.contains_key(endpoint)
+    }
+
     /// Ends the role for endpoints that have another limiter or no limit, and for those that nobody
-    /// asks for.
+    /// asks for; returns them, with the answers to those that wait.
     pub fn retire(
         &mut self,
         now: Moment,
         endpoints: &Endpoints,
         is_limiter: impl Fn(&str) -> bool,
-    ) -> Vec<PermitReply> {
-        let mut replies = Vec::new();
-        let ids: Vec<EndpointId> = self.buckets.keys().cloned().collect();
-        for id in ids {
-            let rate = endpoints.get(&id).and_then(EndpointView::rate_limit);
-            let answer = match rate {
-                None => PermitAnswer::NotNeeded(endpoints.limit_notice(now, &id)),
-                Some(_) if !is_limiter(&id) => PermitAnswer::Elsewhere,
-                Some(rate) => {
-                    let rate = scaled(rate, self.reach.share());
-                    let Some(bucket) = self.buckets.get_mut(&id) else { continue };
-                    bucket.set_rate(now, rate);
-                    if now < bucket.asked_at() + IDLE_TIME {
-                        continue;
-                    }
-                    PermitAnswer::Elsewhere
+    ) -> (Vec<EndpointId>, Vec<PermitReply>) {
+        let share = self.reach.share();
+        let (mut retired, mut replies) = (Vec::new(), Vec::new());
+        for (id, bucket) in self.buckets.iter_mut() {
+            let rate = endpoints.get(id).and_then(EndpointView::rate_limit);
+            let is_idle = bucket.asked_at() + IDLE_TIME <= now;
+            match rate.filter(|_| !is_idle && is_limiter(id)) {
+                Some(rate) => bucket.set_rate(now, scaled(rate, share)),
+                None => {
+                    retired.push(id.clone());
+                    // Those that wait ask again, and hear if there is no limit any longer.
+                    replies.extend(bucket.close(&PermitAnswer::Elsewhere));
                 }
-            };
-            if let Some(bucket) = self.buckets.remove(&id) {
-                replies.extend(bucket.close(&answer));
             }
         }
+        self.buckets.retain(|it, _| retired.binary_search(it).is_err());
         if self.buckets.is_empty() {
             self.reach.deactivate();
         }
-        replies
+        (retired, replies)
     }
 
     /// Starts a round and returns the pings to send, to some of `peers` and to all `avoided` ones;
--- a/crates/ferry-serve/src/limits/message.rs
+++ b/crates/ferry-serve/src/limits/message.rs
@@ -38,6 +38,6 @@
     },
     /// The instance is not the limiter of the endpoint.
     Elsewhere,
-    /// The endpoint has no limit any longer, or is gone.
-    NotNeeded(Option<LimitNotice>),
+    /// The endpoint has no limit any longer.
+    NotNeeded(LimitNotice),
 }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -271,9 +271,11 @@
         }
     }
 
-    /// Asks a peer for no permits until then.
-    pub fn avoid(&mut self, address: SocketAddr, until: Moment) {
-        self.avoided.insert(address, until);
+    /// Asks a peer for no permits until then; returns whether it was asked so far.
+    pub fn avoid(&mut self, now: Moment, address: SocketAddr, time: Duration) -> bool {
+        let was_asked = !self.is_avoided(now, address);
+        self.avoided.insert(address, now + time);
+        was_asked
     }
 
     pub fn stop_avoiding_one(&mut self, address: SocketAddr) {
@@ -281,8 +283,8 @@
     }
 
     /// Lets all peers be asked for permits again; returns whether one was avoided.
-    pub fn stop_avoiding(&mut self) -> bool {
-        !std::mem::take(&mut self.avoided).is_empty()
+    pub fn stop_avoiding(&mut self, now: Moment) -> bool {
+        std::mem::take(&mut self.avoided).values().any(|it| now < *it)
     }
 
     /// Returns the peers that are not asked for permits.
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -9,7 +9,7 @@
     ZoneId,
 };
 
-use super::permit::AwaitedPermit;
+use super::permit::PermitWait;
 use crate::batch::JobKey;
 use crate::{Asker, CallId, Group, PermitId, RequestHead, Tuning};
 
@@ -120,7 +120,7 @@
         until: Moment,
     },
     /// Waits until its endpoint takes another request.
-    AwaitingPermit(Box<AwaitedPermit>),
+    AwaitingPermit(Box<PermitWait>),
     Calling(ActiveCall),
 }
 
@@ -161,13 +161,13 @@
 
     /// Whether nothing was heard of the permit that it waits for.
     pub fn is_permit_overdue(&self, now: Moment) -> bool {
-        matches!(&self.phase, Phase::AwaitingPermit(it) if it.until <= now)
+        matches!(&self.phase, Phase::AwaitingPermit(it) if it.permit.until <= now)
     }
 
     /// Returns the permit that it waits for.
     pub fn permit(&self) -> Option<PermitId> {
         match &self.phase {
-            Phase::AwaitingPermit(awaited) => Some(awaited.id),
+            Phase::AwaitingPermit(wait) => Some(wait.permit.id),
             _ => None,
         }
     }
@@ -228,7 +228,7 @@
             Phase::AwaitingAdmission { until }
             | Phase::AwaitingBuild { until }
             | Phase::AwaitingEndpoint { until } => Some(*until),
-            Phase::AwaitingPermit(awaited) => Some(awaited.until),
+            Phase::AwaitingPermit(wait) => Some(wait.permit.until),
             Phase::RunningStages | Phase::Calling(_) => None,
         }
     }
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -2,43 +2,27 @@
 
 use std::time::Duration;
 
-use ferry_model::Moment;
-
 use super::active::{ActiveRequest, Phase};
 use super::end::RetryHint;
 use super::{call, schedule};
 use crate::batch::Batcher;
-use crate::limits::exchange::{self, Asked};
+use crate::limits::{Asked, AwaitedPermit, exchange};
 use crate::pass::Pass;
-use crate::{Asker, Choice, Decision, DecisionKind, EndpointView, Metric, PermitAnswer, PermitId};
+use crate::{Choice, Decision, DecisionKind, EndpointView, Metric, PermitAnswer};
 
-/// Time to wait for an answer of the limiter: several round trips between instances with little CPU
-/// time.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
-/// Time after which a permit that was granted is too old to be used.
-pub const PERMIT_TTL: Duration = Duration::from_millis(250);
 /// Pause before a limiter is looked for again.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Answers that a limiter may fail to give before it is taken for dead.
-pub const MAX_SILENCE: u8 = 3;
 /// Fraction of its time left for which a request may wait; the rest is for its answer.
 const MAX_WAIT_FRACTION: f64 = 0.4;
 /// Denials after which a request is given up.
 const MAX_DENIALS: u8 = 8;
 
-/// A permit that a request waits for.
+/// A request's wait for a permit.
 #[derive(Debug, Clone, PartialEq)]
-pub struct AwaitedPermit {
-    pub id: PermitId,
-    pub choice: Choice,
-    /// Where it was asked for.
-    pub limiter: Asker,
-    pub n_asks: u8,
-    pub asked_at: Moment,
-    /// When it is asked for again.
-    pub until: Moment,
-    /// Number of times in a row that the limiter has not answered.
-    pub n_silent: u8,
+pub struct PermitWait {
+    pub permit: AwaitedPermit,
+    /// Where the request goes then.
+    choice: Choice,
 }
 
 /// Whether a request may be sent to the endpoint that was chosen for it.
@@ -52,16 +36,8 @@
 
 /// Asks for a permit, if the endpoint limits its requests.
 pub fn request(cx: &mut Pass<'_>, request: &mut ActiveRequest, choice: &Choice) -> Gate {
-    let awaited = AwaitedPermit {
-        id: cx.next_permit(),
-        choice: choice.clone(),
-        limiter: Asker::This,
-        n_asks: 0,
-        asked_at: cx.now,
-        until: cx.now,
-        n_silent: 0,
-    };
-    ask(cx, request, awaited)
+    let permit = AwaitedPermit::new(cx.now, cx.next_permit());
+    ask(cx, request, PermitWait { permit, choice: choice.clone() })
 }
 
 /// Applies the answer of a limiter; returns whether the request has ended.
@@ -72,34 +48,28 @@
     n_asks: Option<u8>,
     answer: &PermitAnswer,
 ) -> bool {
-    let Phase::AwaitingPermit(awaited) = request.phase.clone() else { return false };
-    // The answer to an earlier question may be from before this process was stopped.
-    if n_asks.is_some_and(|it| it != awaited.n_asks) {
+    let Phase::AwaitingPermit(wait) = request.phase.clone() else { return false };
+    if !wait.permit.is_answered(n_asks) {
         return false;
     }
-    let gate = apply(cx, request, *awaited.clone(), answer);
-    go_on(cx, batcher, request, awaited.choice, gate)
+    let choice = wait.choice.clone();
+    let gate = apply(cx, request, *wait, answer);
+    go_on(cx, batcher, request, choice, gate)
 }
 
 /// Asks again for a permit of which nothing was heard; returns whether the request has ended.
 pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
-    let Phase::AwaitingPermit(mut awaited) = request.phase.clone() else { return false };
-    let choice = awaited.choice.clone();
-    awaited.n_silent += 1;
-    if let Asker::Peer(limiter) = awaited.limiter
-        && MAX_SILENCE <= awaited.n_silent
-    {
-        awaited.n_silent = 0;
-        exchange::on_silence(cx, limiter);
-    }
-    let gate = ask(cx, request, *awaited);
+    let Phase::AwaitingPermit(mut wait) = request.phase.clone() else { return false };
+    let choice = wait.choice.clone();
+    wait.permit.on_silence(cx);
+    let gate = ask(cx, request, *wait);
     go_on(cx, batcher, request, choice, gate)
 }
 
 /// Withdraws the request for a permit, if there is one.
 pub fn withdraw(cx: &mut Pass<'_>, request: &ActiveRequest) {
-    if let Phase::AwaitingPermit(awaited) = &request.phase {
-        exchange::withdraw(cx, &awaited.choice.endpoint, awaited.limiter, awaited.id);
+    if let Phase::AwaitingPermit(wait) = &request.phase {
+        wait.permit.withdraw(cx, &wait.choice.endpoint);
     }
 }
 
@@ -168,25 +138,17 @@
     MAX_DENIALS <= request.n_denials
 }
 
-fn ask(cx: &mut Pass<'_>, request: &mut ActiveRequest, mut awaited: AwaitedPermit) -> Gate {
-    let endpoint = awaited.choice.endpoint.clone();
-    let max_wait = match has_alternative(cx, request, &endpoint) {
+fn ask(cx: &mut Pass<'_>, request: &mut ActiveRequest, mut wait: PermitWait) -> Gate {
+    let endpoint = &wait.choice.endpoint;
+    let max_wait = match has_alternative(cx, request, endpoint) {
         true => Duration::ZERO,
         false => patience(cx, request),
     };
-    awaited.n_asks = awaited.n_asks.wrapping_add(1);
-    awaited.asked_at = cx.now;
-    let key = (awaited.id, awaited.n_asks);
-    match exchange::ask(cx, &endpoint, key, request.class, max_wait) {
-        None => Gate::Open,
-        Some(Asked::Here(answer)) => {
-            awaited.limiter = Asker::This;
-            apply(cx, request, awaited, &answer)
-        }
-        Some(Asked::Peer(to)) => {
-            awaited.limiter = Asker::Peer(to);
-            awaited.until = cx.now + ANSWER_TIMEOUT;
-            request.phase = Phase::AwaitingPermit(Box::new(awaited));
+    match wait.permit.ask(cx, endpoint, request.class, max_wait) {
+        Asked::NotNeeded => Gate::Open,
+        Asked::Answered(answer) => apply(cx, request, wait, &answer),
+        Asked::Waits => {
+            request.phase = Phase::AwaitingPermit(Box::new(wait));
             Gate::Waits
         }
     }
@@ -195,58 +157,48 @@
 fn apply(
     cx: &mut Pass<'_>,
     request: &mut ActiveRequest,
-    mut awaited: AwaitedPermit,
+    mut wait: PermitWait,
     answer: &PermitAnswer,
 ) -> Gate {
-    let endpoint = awaited.choice.endpoint.clone();
+    let endpoint = wait.choice.endpoint.clone();
     match answer {
-        PermitAnswer::Granted { waited } => {
-            let age = (cx.now - awaited.asked_at).saturating_sub(*waited);
-            match age <= PERMIT_TTL {
-                true => Gate::Open,
-                false => ask(cx, request, awaited),
-            }
+        PermitAnswer::Granted { waited } if wait.permit.is_fresh(cx.now, *waited) => {
+            return Gate::Open;
         }
-        PermitAnswer::Queued { wait } => {
-            log_wait(cx, request, &endpoint, *wait);
-            awaited.n_silent = 0;
-            awaited.until = cx.now.saturating_add(*wait * 2).saturating_add(ANSWER_TIMEOUT);
-            request.phase = Phase::AwaitingPermit(Box::new(awaited));
-            Gate::Waits
+        PermitAnswer::Granted { .. } => return ask(cx, request, wait),
+        PermitAnswer::NotNeeded(notice) => {
+            exchange::on_notice(cx, notice);
+            return Gate::Open;
+        }
+        PermitAnswer::Denied { wait, pause } => {
+            return close(cx, request, &endpoint, *wait, *pause);
+        }
+        PermitAnswer::Queued { wait: expected } => {
+            log_wait(cx, request, &endpoint, *expected);
+            wait.permit.on_queued(cx.now, *expected);
         }
-        PermitAnswer::Denied { wait, pause } => close(cx, request, &awaited, *wait, *pause),
         PermitAnswer::Elsewhere => {
-            if let Asker::Peer(limiter) = awaited.limiter {
-                exchange::on_elsewhere(cx, limiter);
-            }
+            wait.permit.on_elsewhere(cx);
             if has_alternative(cx, request, &endpoint) {
-                return close(cx, request, &awaited, RETRY_PAUSE, RETRY_PAUSE);
-            }
-            awaited.n_silent = 0;
-            awaited.until = cx.now + ANSWER_TIMEOUT;
-            request.phase = Phase::AwaitingPermit(Box::new(awaited));
-            Gate::Waits
-        }
-        PermitAnswer::NotNeeded(notice) => {
-            if let Some(notice) = notice {
-                exchange::on_notice(cx, notice);
+                return close(cx, request, &endpoint, RETRY_PAUSE, RETRY_PAUSE);
             }
-            Gate::Open
         }
     }
+    request.phase = Phase::AwaitingPermit(Box::new(wait));
+    Gate::Waits
 }
 
 /// Records that an endpoint takes no more requests for a while.
 fn close(
     cx: &mut Pass<'_>,
     request: &mut ActiveRequest,
-    awaited: &AwaitedPermit,
+    endpoint: &str,
     wait: Duration,
     pause: Duration,
 ) -> Gate {
     cx.count(Metric::RequestsHeldBack);
     request.n_denials += 1;
-    if let Some(view) = cx.ctx.endpoints.get_mut(&awaited.choice.endpoint) {
+    if let Some(view) = cx.ctx.endpoints.get_mut(endpoint) {
         view.defer_permits(cx.now, wait, pause);
     }
     Gate::Closed
--- a/crates/ferry-serve/tests/decisions/rate_limits/changes.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/changes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::{Event, StoreUpdate};
+use ferry_serve::{DecisionKind, Event, LimitReport, RequestRate, StoreUpdate};
 
 use super::load::{LEARNING_TIME, Load, allowed, most_in_window, used_share};
 use crate::simulation::{Simulation, ms};
@@ -70,3 +70,40 @@
     let rate = used_share(&sim, "plain-0", 1.0, from, sim.now);
     assert!(15.0 <= rate, "{rate} per second");
 }
+
+#[test]
+fn what_an_endpoint_says_of_its_limit_is_logged_and_only_rates_count() {
+    struct Said {
+        limit: LimitReport,
+        line: Option<&'static str>,
+        rate: Option<f64>,
+    }
+    let rate = |it: f64| LimitReport::Limited(RequestRate::new(it).expect("it is positive"));
+    let invalid = || LimitReport::Invalid("0".to_owned());
+    let ignored = "ignored \"0\", which is not a positive rate";
+    let named = "takes 1.5 requests per second from now on, by its response";
+    let changed = "takes 3 requests per second instead of 1.5, by its response";
+    let withdrawn = "no longer limits its requests to 3 per second, by its response";
+    let steps = [
+        Said { limit: LimitReport::Unlimited, line: None, rate: None },
+        Said { limit: invalid(), line: Some(ignored), rate: None },
+        Said { limit: invalid(), line: None, rate: None },
+        Said { limit: rate(1.5), line: Some(named), rate: Some(1.5) },
+        Said { limit: rate(1.5), line: None, rate: Some(1.5) },
+        Said { limit: invalid(), line: None, rate: Some(1.5) },
+        Said { limit: rate(3.0), line: Some(changed), rate: Some(3.0) },
+        Said { limit: LimitReport::Unlimited, line: Some(withdrawn), rate: None },
+    ];
+    let mut sim = Simulation::new(1);
+    for Said { limit, line, rate } in steps {
+        sim.decisions.clear();
+        let endpoint = "plain-0".to_owned();
+        sim.deliver(0, Event::Limit { endpoint, limit: limit.clone() });
+        let lines = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Limit);
+        let lines: Vec<&str> = lines.map(|it| it.reason.as_str()).collect();
+        assert_eq!(lines, Vec::from_iter(line), "{limit:?}");
+        let gateway = sim.instances[0].as_ref().expect("it runs");
+        let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+        assert_eq!(view.rate_limit().map(RequestRate::per_second), rate, "{limit:?}");
+    }
+}
