Keep granting permits for an endpoint whose limit is very low

Cause: a limiter forgot an endpoint for which nobody asked for 10 s. At 0.05 requests a second, denied instances ask again after 20 s and more, so that the bucket began anew each time, without a permit: the endpoint got nothing for two minutes. Found by reading. A scheduler also counted each choice of a limited endpoint as a wait, without an end. Change: a limiter forgets an endpoint when nobody has asked for as long as two permits take; the scheduler counts four at most.

--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -11,6 +11,8 @@
 
 /// Change of a rate below which peers are not told at once, as a share of the rate.
 const SMALL_CHANGE: f64 = 0.05;
+/// Requests of other instances that are taken to wait for permits; limiters know how many do.
+const MAX_EXPECTED: u32 = 4;
 /// Interval at which an invalid limit of an endpoint is logged.
 const INVALID_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time between two requests that a rate stands for; a lower rate is taken for this one.
@@ -185,7 +187,8 @@
     /// Counts a permit that another instance is about to ask for.
     pub fn expect_request(&mut self, now: Moment) {
         let Some(rate) = self.rate_limit.rate else { return };
-        let wait = self.permit_wait(now).saturating_add(rate.interval());
+        let interval = rate.interval();
+        let wait = self.permit_wait(now).saturating_add(interval).min(interval * MAX_EXPECTED);
         self.defer_permits(now, wait, wait);
     }
 }
--- a/crates/ferry-serve/src/limits/bucket.rs
+++ b/crates/ferry-serve/src/limits/bucket.rs
@@ -88,8 +88,10 @@
         self.tokens = self.tokens.min(self.depth());
     }
 
-    pub(super) fn asked_at(&self) -> Moment {
-        self.asked_at
+    /// Whether nobody has asked for this time, nor for two permits.
+    pub(super) fn is_idle(&self, now: Moment, time: Duration) -> bool {
+        let time = time.max(self.rate.interval() * 2);
+        self.queue.is_empty() && self.asked_at + time <= now
     }
 
     /// Answers a request for a permit, which may have been asked for before.
--- a/crates/ferry-serve/src/limits/limiter.rs
+++ b/crates/ferry-serve/src/limits/limiter.rs
@@ -15,7 +15,8 @@
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// Time after an endpoint named its limit in which it can have had no limiter before.
 const FIRST_TIME: Duration = Duration::from_millis(500);
-/// Time without requests after which a limiter forgets an endpoint.
+/// Time without requests after which a limiter forgets an endpoint, if its next permit is free by
+/// then.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// The permits that this instance grants.
@@ -79,7 +80,7 @@
         let (mut retired, mut replies) = (Vec::new(), Vec::new());
         for (id, bucket) in self.buckets.iter_mut() {
             let rate = endpoints.get(id).and_then(EndpointView::rate_limit);
-            let is_idle = bucket.asked_at() + IDLE_TIME <= now;
+            let is_idle = bucket.is_idle(now, IDLE_TIME);
             match rate.filter(|_| !is_idle && is_limiter(id)) {
                 Some(rate) => bucket.set_rate(now, scaled(rate, share)),
                 None => {
--- a/crates/ferry-serve/tests/decisions/rate_limits/changes.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/changes.rs
@@ -107,3 +107,19 @@
         assert_eq!(view.rate_limit().map(RequestRate::per_second), rate, "{limit:?}");
     }
 }
+
+#[test]
+fn endpoint_with_a_very_low_limit_is_not_forgotten() {
+    for (n_instances, rate) in [(6, 0.05), (6, 0.2), (76, 0.05)] {
+        let mut sim = Simulation::new(n_instances);
+        let mut load = Load::new(&["get", "post"], 20);
+        load.send(&mut sim, ms(2_000));
+        sim.set_rate_limit("plain-0", Some(rate));
+        load.send(&mut sim, LEARNING_TIME);
+        let from = sim.now;
+        load.send(&mut sim, ms(120_000));
+        let share = used_share(&sim, "plain-0", rate, from, sim.now);
+        println!("{rate} per second at {n_instances} instances: used {share:.2}");
+        assert!((0.5..=1.2).contains(&share), "{rate} at {n_instances} instances: used {share:.2}");
+    }
+}
