--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod endpoint;
+mod faults;
 mod network;
 
 use std::collections::BTreeMap;
@@ -229,28 +230,6 @@
         self.arm(instance);
     }
 
-    /// Stops an instance, which still gets everything that is sent to it.
-    pub fn freeze(&mut self, instance: usize) {
-        if self.instances[instance].is_some() {
-            self.frozen.get_or_insert_with(instance, Vec::new);
-        }
-    }
-
-    /// Lets a frozen instance go on with what has happened meanwhile.
-    pub fn thaw(&mut self, instance: usize) {
-        for item in self.frozen.remove(&instance).into_iter().flatten() {
-            self.process(item);
-        }
-        self.arm(instance);
-    }
-
-    pub fn kill(&mut self, instance: usize) {
-        self.frozen.remove(&instance);
-        self.instances[instance] = None;
-        self.incarnations[instance] += 1;
-        self.callers.retain(|(it, _), _| *it != instance);
-    }
-
     /// Sends a request to an instance and returns its ticket.
     pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
         self.n_tickets += 1;
