--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -24,10 +24,6 @@
 
 /// Time that a datagram between instances takes.
 const NETWORK_DELAY: Duration = ms(1);
-const PLAIN_TIME: Duration = ms(50);
-const FIRST_EVENT: Duration = ms(120);
-const EVENT_GAP: Duration = ms(20);
-const N_EVENTS: u64 = 5;
 
 /// Start of the simulation as time since the Unix epoch; the endpoints started long before.
 const UNIX_START: Duration = Duration::from_secs(1_000);
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -9,10 +9,12 @@
     ItemResult, LimitReport, PromptPart, RequestRate, StreamEnd,
 };
 
-use super::{
-    EVENT_GAP, FIRST_EVENT, N_EVENTS, NETWORK_DELAY, PLAIN_TIME, QueuedEvent, Simulation,
-    UNIX_START, limits,
-};
+use super::{NETWORK_DELAY, QueuedEvent, Simulation, UNIX_START, limits, ms};
+
+const PLAIN_TIME: Duration = ms(50);
+const FIRST_EVENT: Duration = ms(120);
+const EVENT_GAP: Duration = ms(20);
+const N_EVENTS: u64 = 5;
 
 /// The end of a stream that misses nothing.
 const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, n_events: 1, partial: 0 };
