Log how long an endpoint was silent, and how late the timer was that noticed it

Cause: a line `endpoint is silent` does not tell a silent endpoint from a process that stood still. Change: a `silence` line with `silence_ms` and `late_ms`, and a counter of calls to silent endpoints.

--- a/crates/ferry-gateway/src/decision_log.rs
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -30,6 +30,8 @@
         emit_number(out, "own_tokens", it.prompt.map(|it| u64::from(it.own)))?;
         emit_number(out, "shared_tokens", it.prompt.map(|it| u64::from(it.shared)))?;
         emit_number(out, "uncached_tokens", it.prompt.map(|it| u64::from(it.uncached)))?;
+        emit_number(out, "silence_ms", it.silence.map(millis))?;
+        emit_number(out, "late_ms", it.late.map(millis))?;
         emit_text(out, "framing", it.end.map(|it| it.framing.into()))?;
         out.emit_u64("version".into(), it.version)
     }
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -162,6 +162,10 @@
     pub prompt: Option<PromptTokens>,
     /// How the endpoint ended its stream.
     pub end: Option<StreamEnd>,
+    /// Time since its endpoint was last heard.
+    pub silence: Option<Duration>,
+    /// Delay of the timer that noticed it.
+    pub late: Option<Duration>,
     /// Number of candidates that were compared.
     pub considered: u32,
     /// Expected cost of the chosen one, in microseconds.
@@ -189,6 +193,8 @@
             slack: None,
             prompt: None,
             end: None,
+            silence: None,
+            late: None,
             considered: 0,
             score: None,
             budget: None,
@@ -227,6 +233,12 @@
         self
     }
 
+    pub fn with_silence(mut self, silence: Duration, late: Duration) -> Decision {
+        self.silence = Some(silence);
+        self.late = Some(late);
+        self
+    }
+
     pub fn with_stage(mut self, stage: u8) -> Decision {
         self.stage = Some(stage);
         self
@@ -273,6 +285,7 @@
     Batch,
     Route,
     Wait,
+    Silence,
     Retry,
     Resume,
     Complete,
@@ -300,6 +313,7 @@
     BodiesRefused,
     CallsSent,
     CallsRepeated,
+    CallsSilent,
     StreamsResumed,
     StreamsTakenUp,
     BuildsUnknown,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -107,7 +107,7 @@
                 cx.ctx.endpoints.tick(now);
                 exchange::tick(cx);
                 self.batcher.tick(cx);
-                self.requests.tick(cx, &mut self.batcher);
+                self.requests.tick(cx, &mut self.batcher, late);
             }
             Event::Config(config) => updates::configure(cx, config),
             Event::Store(update) => updates::on_store(cx, update),
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -13,6 +13,7 @@
 mod times;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_model::{BuildId, Moment, SortedMap, Ticket};
 
@@ -196,8 +197,9 @@
         }
     }
 
-    /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
-    pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+    /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs. The
+    /// timer was `late`.
+    pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, late: Duration) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
@@ -231,7 +233,7 @@
             }
             if request.is_timed_out(cx.now, &cx.ctx.tuning) {
                 let call = request.call();
-                let ended = call::on_timeout(cx, batcher, &mut request);
+                let ended = call::on_timeout(cx, batcher, &mut request, late);
                 if let Some(call) = call {
                     self.calls.remove(&call);
                 }
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -168,8 +168,21 @@
 }
 
 /// Cancels the call to a silent endpoint; returns whether the request has ended.
-pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
+pub fn on_timeout(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    late: Duration,
+) -> bool {
     let Phase::Calling(current) = request.phase.clone() else { return false };
+    cx.count(Metric::CallsSilent);
+    cx.log(
+        Decision::new(DecisionKind::Silence, "endpoint is silent")
+            .with_attempt(&request.head.attempt)
+            .with_endpoint(&current.endpoint)
+            .with_silence(cx.now.saturating_sub(current.last_heard), late)
+            .with_budget(request.deadline.saturating_sub(cx.now)),
+    );
     release_endpoint(cx, request, &current);
     record_failure(cx, &current);
     request.n_runs += 1;
