Add failing tests of answers that end because their endpoint is silent for a moment

Cause: a call to a silent endpoint is cancelled before it is known whether the request may run again. Change: endpoints of the simulation fall silent and go on; checks that each caller gets every event once, that one call brings an answer, and that none goes on after its end.

--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -15,3 +15,4 @@
 mod schedule;
 mod seeds;
 mod shutdown;
+mod silence;
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod faults;
 mod network;
+mod stream_check;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +19,8 @@
 pub use config::{config, front, head, limits, peer};
 pub use endpoint::{Behaviour, Endpoint, Received};
 
+use stream_check::OpenCall;
+
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -116,6 +119,10 @@
     results: SortedMap<String, (String, u8)>,
     callers: SortedMap<(usize, u64), Caller>,
     cancelled: Vec<(usize, CallId)>,
+    /// Calls of requests that have neither ended nor been cancelled.
+    open_calls: SortedMap<(usize, CallId), OpenCall>,
+    /// Events that each attempt's caller got.
+    pub events: SortedMap<String, Vec<u64>>,
     /// Kind of answer of each call: 0 for an answer, 1 for an error, 2 for a stream.
     calls: SortedMap<(usize, CallId), u64>,
     /// Streams that each endpoint was asked for.
@@ -175,6 +182,8 @@
             results: SortedMap::new(),
             callers: SortedMap::new(),
             cancelled: Vec::new(),
+            open_calls: SortedMap::new(),
+            events: SortedMap::new(),
             calls: SortedMap::new(),
             streams: SortedMap::new(),
             sources: SortedMap::new(),
@@ -247,6 +256,7 @@
     pub fn deliver(&mut self, instance: usize, event: Event) {
         let now = self.now;
         self.record_event(instance, &event);
+        self.check_event(instance, &event);
         let Some(gateway) = &mut self.instances[instance] else { return };
         let effects = gateway.reduce(now, event);
         for effect in effects {
@@ -342,7 +352,10 @@
             Effect::Abort { ticket } => self.end(instance, ticket, Ending::Aborted),
             Effect::Relay { call, ticket } => self.relay(instance, call, ticket),
             Effect::Call(call) => self.call(instance, &call),
-            Effect::Cancel { call } => self.cancelled.push((instance, call)),
+            Effect::Cancel { call } => {
+                self.cancelled.push((instance, call));
+                self.open_calls.remove(&(instance, call));
+            }
             Effect::Batch(call) => self.batch(instance, &call),
             Effect::Free { handles, .. } => {
                 self.n_freed += handles.len();
@@ -364,6 +377,7 @@
         let Some(caller) = self.callers.remove(&(instance, ticket)) else {
             return self.violations.push(format!("ticket {ticket} was answered twice"));
         };
+        self.check_end(instance, ticket, &caller.attempt);
         let took = self.now - caller.arrived;
         self.outcomes.insert(caller.attempt, Outcome { ending, took });
     }
@@ -380,6 +394,7 @@
     }
 
     fn relay(&mut self, instance: usize, call: CallId, ticket: u64) {
+        self.check_relay(instance, call, ticket);
         let kind = self.calls.get(&(instance, call)).copied().unwrap_or_default();
         let now = self.now;
         match kind {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -42,6 +42,8 @@
 pub struct Endpoint {
     pub entry: GatewayEndpoint,
     pub behaviour: Behaviour,
+    /// It says nothing until then, and goes on with what it has done meanwhile.
+    pub(super) silent_until: Moment,
     /// When a batch endpoint is free again.
     busy: Moment,
     /// Ids of the prompt parts that an engine reads, and since when it has cached each.
@@ -80,6 +82,7 @@
         let endpoint = Endpoint {
             entry,
             behaviour: Behaviour::Healthy,
+            silent_until: Moment::ZERO,
             busy: Moment::ZERO,
             cached: Vec::new(),
             n_calls: 0,
@@ -146,7 +149,9 @@
         let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
         let read_at = self.read_prompt(&call.endpoint, &prompt.unwrap_or_default());
         let is_informed = self.is_informed(instance, &call.endpoint);
+        self.open_call(instance, call);
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
+        let silence = endpoint.silent_until.saturating_sub(self.now);
         endpoint.n_calls += 1;
         endpoint.last_call = self.now;
         endpoint.arrivals.push(Received { at: self.now, is_informed });
@@ -210,6 +215,7 @@
                 self.schedule(instance, PLAIN_TIME * factor, event(answer));
             }
         }
+        self.delay_events(silence, |at, it| at == instance && it == id);
     }
 
     /// Reads a prompt at an engine that reads prompts, and returns the time until it is read.
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -0,0 +1,111 @@
+//! Endpoints that fall silent and go on, and checks of what their callers get meanwhile.
+
+use std::time::Duration;
+
+use ferry_serve::{Call, CallEvent, CallId, Event};
+
+use super::{QueuedEvent, Simulation};
+
+/// A call of a request in progress.
+#[derive(Debug)]
+pub(super) struct OpenCall {
+    ticket: u64,
+    endpoint: String,
+    /// Whether its answer is forwarded.
+    is_relayed: bool,
+}
+
+impl Simulation {
+    /// Lets an endpoint say nothing for a while, and then go on.
+    pub fn silence(&mut self, id: &str, time: Duration) {
+        let until = self.now + time;
+        let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
+        let added = until.saturating_sub(endpoint.silent_until.max(self.now));
+        endpoint.silent_until = endpoint.silent_until.max(until);
+        let open = self.open_calls.iter().filter(|it| it.1.endpoint == id);
+        let calls: Vec<(usize, CallId)> = open.map(|it| *it.0).collect();
+        self.delay_events(added, |instance, call| calls.contains(&(instance, call)));
+    }
+
+    /// Delays what is to come of calls.
+    pub(super) fn delay_events(
+        &mut self,
+        time: Duration,
+        is_delayed: impl Fn(usize, CallId) -> bool,
+    ) {
+        if time.is_zero() {
+            return;
+        }
+        let fits = |it: &QueuedEvent| match it {
+            QueuedEvent::Deliver { instance, event: Event::Call { call, .. }, .. } => {
+                is_delayed(*instance, *call)
+            }
+            _ => false,
+        };
+        let keys: Vec<_> = self.queue.iter().filter(|it| fits(it.1)).map(|it| *it.0).collect();
+        for key in keys {
+            let Some(item) = self.queue.remove(&key) else { continue };
+            self.queue.insert((key.0 + time, key.1), item);
+        }
+    }
+
+    pub(super) fn open_call(&mut self, instance: usize, call: &Call) {
+        let open =
+            OpenCall { ticket: call.ticket, endpoint: call.endpoint.clone(), is_relayed: false };
+        self.open_calls.insert((instance, call.call), open);
+    }
+
+    /// Checks that callers get each event once and in order, and records the end of calls.
+    pub(super) fn check_event(&mut self, instance: usize, event: &Event) {
+        let Event::Call { call, event } = event else { return };
+        let key = (instance, *call);
+        match event {
+            CallEvent::Progress { last_event: Some(number) } => {
+                let Some(open) = self.open_calls.get(&key).filter(|it| it.is_relayed) else {
+                    return;
+                };
+                let Some(caller) = self.callers.get(&(instance, open.ticket)) else { return };
+                let events = self.events.get_or_insert_with(caller.attempt.clone(), Vec::new);
+                let last = events.last().copied().unwrap_or_default();
+                if *number != last + 1 {
+                    let attempt = &caller.attempt;
+                    self.violations.push(format!("{attempt} got event {number} after {last}"));
+                }
+                events.push(*number);
+            }
+            CallEvent::Progress { last_event: None } | CallEvent::Began { .. } => (),
+            CallEvent::Unsent { .. }
+            | CallEvent::NotRun { .. }
+            | CallEvent::Ended(_)
+            | CallEvent::Answer { .. }
+            | CallEvent::Broken { .. } => {
+                self.open_calls.remove(&key);
+            }
+        }
+    }
+
+    /// Checks that only one call of a request brings its answer.
+    pub(super) fn check_relay(&mut self, instance: usize, call: CallId, ticket: u64) {
+        let is_other = |it: &(&(usize, CallId), &OpenCall)| {
+            it.0.0 == instance && it.0.1 != call && it.1.ticket == ticket
+        };
+        let others: Vec<CallId> =
+            self.open_calls.iter().filter(is_other).map(|it| it.0.1).collect();
+        for other in others {
+            self.violations
+                .push(format!("call {other} goes on beside {call}, whose answer is forwarded"));
+        }
+        if let Some(open) = self.open_calls.get_mut(&(instance, call)) {
+            open.is_relayed = true;
+        }
+    }
+
+    /// Checks that no call of a request goes on after its end.
+    pub(super) fn check_end(&mut self, instance: usize, ticket: u64, attempt: &str) {
+        let is_own =
+            |it: &(&(usize, CallId), &OpenCall)| it.0.0 == instance && it.1.ticket == ticket;
+        if self.open_calls.iter().any(|it| is_own(&it)) {
+            self.violations.push(format!("a call of {attempt} goes on after its end"));
+        }
+    }
+}
