Keep the call to a silent endpoint until another one brings the answer

Cause: what callers saw were streams that ended without an answer. A call whose endpoint was silent for 0.45 to 1.2 s was cancelled first, and only then was it asked whether the request may run again. With a spent budget, no endpoint of the build, a refusal by the next endpoint or failed stages, nothing was left, although the endpoint was sound and would have gone on. A pause of a second meets all requests of an endpoint at once, which is when the budget is spent. Change: the call goes on while a second run is looked for. The first to be heard brings the answer, the other is cancelled in the same pass; if the second run fails, the request goes back to the first. Ruled out: longer time limits (any is too short for some pause, and dark endpoints cost more); waiting for the event behind the head of the second run (two engines would work on one stream).

--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -164,7 +164,7 @@
     pub end: Option<StreamEnd>,
     /// Time since its endpoint was last heard.
     pub silence: Option<Duration>,
-    /// Delay of the timer that noticed it.
+    /// How long this process stood still before it noticed that.
     pub late: Option<Duration>,
     /// Number of candidates that were compared.
     pub considered: u32,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_model::{ConfigVersion, GatewayConfig, Moment, SortedMap};
 
@@ -89,6 +90,8 @@
 
     /// Processes one event at `now` and returns what the process has to do, in order.
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        // A heartbeat is due several times a second, whatever else happens.
+        let late = now.saturating_sub(self.ctx.peers.next_wake());
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
         let mut released = Vec::new();
@@ -100,6 +103,7 @@
             outcomes: &mut outcomes,
             released: &mut released,
             permits: &mut permits,
+            late,
         };
         match event {
             Event::Tick { late } => {
@@ -107,7 +111,7 @@
                 cx.ctx.endpoints.tick(now);
                 exchange::tick(cx);
                 self.batcher.tick(cx);
-                self.requests.tick(cx, &mut self.batcher, late);
+                self.requests.tick(cx, &mut self.batcher);
             }
             Event::Config(config) => updates::configure(cx, config),
             Event::Store(update) => updates::on_store(cx, update),
@@ -247,6 +251,7 @@
                 outcomes: &mut next.outcomes,
                 released: &mut next.released,
                 permits: &mut next.permits,
+                late: Duration::ZERO,
             };
             for (key, outcome) in settlement.outcomes {
                 self.requests.on_job_outcome(cx, &mut self.batcher, &key, outcome);
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -136,6 +136,8 @@
     pub released: &'a mut Vec<(CallerAttempt, Scheduled)>,
     /// Answers of the limiter on this instance to this instance itself.
     pub permits: &'a mut Vec<(PermitId, PermitAnswer)>,
+    /// Delay of this pass, if this process stood still before it.
+    pub late: Duration,
 }
 
 impl Pass<'_> {
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -9,11 +9,11 @@
 pub mod permit;
 mod retry;
 pub mod schedule;
+mod silent;
 mod stages;
 mod times;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use ferry_model::{BuildId, Moment, SortedMap, Ticket};
 
@@ -75,9 +75,10 @@
     ) {
         let Some(ticket) = self.calls.get(&call) else { return };
         let Some(mut request) = self.active.remove(ticket) else { return };
-        let ended = call::on_event(cx, batcher, &mut request, event);
-        if request.call() != Some(call) {
-            self.calls.remove(&call);
+        let before: Vec<CallId> = request.calls().collect();
+        let ended = call::on_event(cx, batcher, &mut request, call, event);
+        for call in before.iter().filter(|it| request.calls().all(|call| call != **it)) {
+            self.calls.remove(call);
         }
         match ended {
             true => self.forget(&request),
@@ -197,9 +198,8 @@
         }
     }
 
-    /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs. The
-    /// timer was `late`.
-    pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, late: Duration) {
+    /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
+    pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
@@ -232,15 +232,7 @@
                 call::on_fetched(cx, batcher, &mut request);
             }
             if request.is_timed_out(cx.now, &cx.ctx.tuning) {
-                let call = request.call();
-                let ended = call::on_timeout(cx, batcher, &mut request, late);
-                if let Some(call) = call {
-                    self.calls.remove(&call);
-                }
-                if ended {
-                    self.forget(&request);
-                    continue;
-                }
+                silent::on_timeout(cx, batcher, &mut request);
             }
             stages::resubmit(cx, batcher, &mut request, None);
             self.proceed(cx, batcher, request);
@@ -274,7 +266,7 @@
 
     fn forget(&mut self, request: &ActiveRequest) {
         self.attempts.remove(&request.head.attempt);
-        if let Some(call) = request.call() {
+        for call in request.calls() {
             self.calls.remove(&call);
         }
         if let Some(id) = request.permit() {
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -36,13 +36,15 @@
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
+    /// Calls to silent endpoints, which go on until another one brings the answer.
+    pub silent: Vec<ActiveCall>,
     /// Zone of the engine that it is likely to go to, as the scheduler knows.
     pub engine_zone: Option<ZoneId>,
     /// Where the call to an engine is counted, if it is.
     pub scheduled_by: Option<Asker>,
     /// Endpoints to which the request was sent.
     pub tried: Vec<EndpointId>,
-    /// Number of endpoints that may have run it.
+    /// Number of ended calls that may have run it.
     pub n_runs: u32,
     /// Number of endpoints that answered that they had not run it.
     pub n_refusals: u32,
@@ -132,6 +134,8 @@
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
+    /// When another run beside it was last looked for; zero before that.
+    pub checked_at: Moment,
     /// Time in which an endpoint of normal speed answers.
     pub expected: Duration,
     /// Time after which it is silent if it has not begun.
@@ -159,6 +163,11 @@
         }
     }
 
+    /// Returns the calls in progress.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> {
+        self.call().into_iter().chain(self.silent.iter().map(|it| it.call))
+    }
+
     /// Whether nothing was heard of the permit that it waits for.
     pub fn is_permit_overdue(&self, now: Moment) -> bool {
         matches!(&self.phase, Phase::AwaitingPermit(it) if it.permit.until <= now)
@@ -202,11 +211,17 @@
 
     /// Whether the kind of the request and the number of its runs allow another run.
     pub fn may_run_again(&self) -> bool {
-        let is_first = self.n_runs == 0;
-        is_first || (self.route.is_repeatable() && self.n_runs < self.route.max_tries)
+        let n_runs = self.n_runs + self.silent.len() as u32;
+        n_runs == 0 || (self.route.is_repeatable() && n_runs < self.route.max_tries)
+    }
+
+    /// Whether another run may be started beside the call in progress.
+    pub fn may_run_beside(&self) -> bool {
+        let n_runs = self.n_runs + self.silent.len() as u32 + 1;
+        self.route.is_repeatable() && n_runs < self.route.max_tries
     }
 
-    /// Whether its endpoint has been silent for so long that another one should take over.
+    /// Whether its endpoint has been silent for so long that another run is looked for.
     pub fn is_timed_out(&self, now: Moment, tuning: &Tuning) -> bool {
         self.timeout_at(tuning).is_some_and(|it| it <= now)
     }
@@ -244,10 +259,10 @@
         }
     }
 
-    /// Returns when the call times out; none if the request may not run again.
+    /// Returns when another run is looked for; none if the request may not run again.
     fn timeout_at(&self, tuning: &Tuning) -> Option<Moment> {
         let Phase::Calling(current) = &self.phase else { return None };
-        if !self.route.is_repeatable() || self.route.max_tries <= self.n_runs + 1 {
+        if !self.may_run_beside() {
             return None;
         }
         let silence = match (self.route.kind, current.is_streaming) {
@@ -255,6 +270,6 @@
             (RouteKind::Stream, false) => tuning.first_event_timeout.max(current.patience),
             (RouteKind::Idempotent | RouteKind::NonIdempotent, _) => tuning.answer_timeout,
         };
-        Some(current.last_heard + silence)
+        Some(current.last_heard.max(current.checked_at) + silence)
     }
 }
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -97,6 +97,7 @@
         arrived: now.saturating_sub(comparison.elapsed),
         deadline: now + time_left,
         phase: Phase::RunningStages,
+        silent: Vec::new(),
         engine_zone: None,
         scheduled_by: None,
         tried: Vec::new(),
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use ferry_model::{BuildId, PoolKind, RouteKind, ZoneId};
+use ferry_model::{BuildId, Moment, PoolKind, RouteKind, ZoneId};
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::permit::{self, Gate};
-use super::{end, origin, retry, schedule, stages};
+use super::{end, origin, retry, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
 use crate::{
-    Call, CallEvent, Choice, Decision, DecisionKind, Effect, LoadReport, Metric, Observation,
-    PromptTokens, ScheduleProgress, Status, StreamEnd,
+    Call, CallEvent, CallId, Choice, Decision, DecisionKind, Effect, LoadReport, Metric,
+    Observation, PromptTokens, ScheduleProgress, Status, StreamEnd,
 };
 
 /// Urgency of priority zero, and the increase with each further priority.
@@ -43,8 +43,7 @@
         }
     }
     let (hint, reason) = permit::retry_hint(cx, request);
-    end::give_up(cx, batcher, request, hint, reason);
-    true
+    end::give_up(cx, batcher, request, hint, reason)
 }
 
 /// Sends a request to an endpoint that takes it.
@@ -81,6 +80,7 @@
         build,
         sent_at: cx.now,
         last_heard: cx.now,
+        checked_at: Moment::ZERO,
         expected: choice.expected,
         patience: whole_prefill(cx, request).max(choice.expected) * PATIENCE_FACTOR,
         is_streaming: false,
@@ -100,22 +100,26 @@
     })));
 }
 
-/// Processes an event of the call in progress; returns whether the request has ended.
+/// Processes an event of a call in progress; returns whether the request has ended.
 pub fn on_event(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
+    call: CallId,
     event: CallEvent,
 ) -> bool {
+    if request.call() != Some(call) && !silent::on_event(cx, batcher, request, call, &event) {
+        return false;
+    }
     let Phase::Calling(current) = request.phase.clone() else { return false };
     match event {
         CallEvent::Unsent { error } => {
-            release_endpoint(cx, request, &current);
+            leave_endpoint(cx, request, &current);
             record_failure(cx, &current);
             retry::resend(cx, batcher, request, &format!("could not connect: {error}"))
         }
         CallEvent::NotRun { reason, load } => {
-            release_endpoint(cx, request, &current);
+            leave_endpoint(cx, request, &current);
             if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
                 view.record_load(cx.now, load);
             }
@@ -141,7 +145,7 @@
             on_broken(cx, batcher, request, &current, &error)
         }
         CallEvent::Ended(end) => {
-            release_endpoint(cx, request, &current);
+            leave_endpoint(cx, request, &current);
             cx.effects.push(Effect::Finish { ticket: request.ticket });
             end::complete(cx, batcher, request, &current.endpoint, Some(end));
             true
@@ -161,35 +165,12 @@
     current: &ActiveCall,
     error: &str,
 ) -> bool {
-    release_endpoint(cx, request, current);
+    leave_endpoint(cx, request, current);
     record_failure(cx, current);
     request.n_runs += 1;
     retry::rerun(cx, batcher, request, &format!("no complete answer: {error}"))
 }
 
-/// Cancels the call to a silent endpoint; returns whether the request has ended.
-pub fn on_timeout(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
-    late: Duration,
-) -> bool {
-    let Phase::Calling(current) = request.phase.clone() else { return false };
-    cx.count(Metric::CallsSilent);
-    cx.log(
-        Decision::new(DecisionKind::Silence, "endpoint is silent")
-            .with_attempt(&request.head.attempt)
-            .with_endpoint(&current.endpoint)
-            .with_silence(cx.now.saturating_sub(current.last_heard), late)
-            .with_budget(request.deadline.saturating_sub(cx.now)),
-    );
-    release_endpoint(cx, request, &current);
-    record_failure(cx, &current);
-    request.n_runs += 1;
-    cx.effects.push(Effect::Cancel { call: current.call });
-    retry::rerun(cx, batcher, request, "endpoint is silent")
-}
-
 /// Releases the results that the endpoint has fetched by now.
 pub fn on_fetched(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
     if let Phase::Calling(current) = &mut request.phase {
@@ -198,11 +179,16 @@
     release_results(cx, batcher, request);
 }
 
-/// Removes the call from the endpoint's outstanding calls.
-pub fn release_endpoint(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
-    if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
+/// Removes a call from the endpoint's outstanding calls.
+pub fn release_endpoint(cx: &mut Pass<'_>, call: &ActiveCall) {
+    if let Some(view) = cx.ctx.endpoints.get_mut(&call.endpoint) {
         view.outstanding = view.outstanding.saturating_sub(1);
     }
+}
+
+/// Ends the call in progress as far as its endpoint and its scheduler are concerned.
+pub fn leave_endpoint(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
+    release_endpoint(cx, current);
     schedule::report(cx, request, ScheduleProgress::Ended);
     request.phase = Phase::RunningStages;
 }
@@ -285,7 +271,8 @@
     rank.min(LAST_URGENCY)
 }
 
-fn record_failure(cx: &mut Pass<'_>, current: &ActiveCall) {
+/// Records a call without an answer, here and for peers.
+pub fn record_failure(cx: &mut Pass<'_>, current: &ActiveCall) {
     let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) else { return };
     view.record_failure(cx.now, &cx.ctx.tuning);
     observe(cx, current, None, None);
@@ -314,6 +301,7 @@
         observe(cx, current, load, Some(ratio));
     }
     schedule::report(cx, request, ScheduleProgress::Began);
+    silent::abandon(cx, request);
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     release_results(cx, batcher, request);
     request.began_at.get_or_insert(cx.now);
@@ -331,7 +319,7 @@
     is_error: bool,
     load: Option<LoadReport>,
 ) -> bool {
-    release_endpoint(cx, request, current);
+    leave_endpoint(cx, request, current);
     request.n_runs += 1;
     let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
     if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
@@ -341,6 +329,11 @@
             false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
         }
     }
+    if is_error
+        && silent::fall_back(cx, batcher, request, "another endpoint answered with an error")
+    {
+        return false;
+    }
     if is_error
         && request.route.is_repeatable()
         && request.may_run_again()
@@ -353,6 +346,7 @@
             return false;
         }
     }
+    silent::abandon(cx, request);
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     end::complete(cx, batcher, request, &current.endpoint, None);
     true
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::active::{ActiveRequest, Phase};
-use super::call::{final_status, release_endpoint};
-use super::{permit, schedule, stages};
+use super::call::{final_status, leave_endpoint};
+use super::{permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status, StreamEnd};
@@ -75,23 +75,37 @@
     cx.effects.push(Effect::Refuse { ticket: request.ticket, refusal });
 }
 
-/// Ends a request that is not sent anywhere else, by a refusal or by aborting its stream.
+/// Ends a request that is not sent anywhere else, by a refusal or by aborting its stream; returns
+/// whether it has ended, as it goes on if a silent endpoint may still answer.
 pub fn give_up(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
     hint: RetryHint,
     reason: &'static str,
-) {
+) -> bool {
+    if silent::fall_back(cx, batcher, request, reason) {
+        return false;
+    }
     match request.is_streaming() {
         true => abort(cx, request, reason),
         false => refuse(cx, request, final_status(request), hint, reason),
     }
     release_stages(cx, batcher, request);
+    true
 }
 
-/// Ends a request that may have run and has no answer.
-pub fn fail(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest, reason: &str) {
+/// Ends a request that may have run and has no answer; returns whether it has ended, as it goes on if
+/// a silent endpoint may still answer.
+pub fn fail(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    reason: &str,
+) -> bool {
+    if silent::fall_back(cx, batcher, request, reason) {
+        return false;
+    }
     cx.count(Metric::RequestsFailed);
     cx.log(
         Decision::new(DecisionKind::Fail, reason)
@@ -111,6 +125,7 @@
         }
     }
     release_stages(cx, batcher, request);
+    true
 }
 
 /// Ends a request whose deadline has passed.
@@ -149,14 +164,15 @@
     cx.effects.push(Effect::Abort { ticket: request.ticket });
 }
 
-/// Cancels the call in progress; returns whether there was one.
+/// Cancels the calls in progress; returns whether there were any.
 fn stop_call(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
+    let was_silent = silent::abandon(cx, request);
     let Phase::Calling(current) = request.phase.clone() else {
         permit::withdraw(cx, request);
         schedule::report(cx, request, ScheduleProgress::Ended);
-        return false;
+        return was_silent;
     };
-    release_endpoint(cx, request, &current);
+    leave_endpoint(cx, request, &current);
     cx.effects.push(Effect::Cancel { call: current.call });
     true
 }
--- a/crates/ferry-serve/src/request/origin.rs
+++ b/crates/ferry-serve/src/request/origin.rs
@@ -73,8 +73,7 @@
     if has_endpoint(cx, request) {
         return false;
     }
-    end::give_up(cx, batcher, request, RetryHint::Late, "no endpoint of its build is left");
-    true
+    end::give_up(cx, batcher, request, RetryHint::Late, "no endpoint of its build is left")
 }
 
 /// Decides on a stream of which no peer knows the build; returns whether the request has ended.
@@ -87,8 +86,7 @@
         None => {
             cx.count(Metric::BuildsUnknown);
             let reason = "the build that began it is unknown";
-            end::give_up(cx, batcher, request, RetryHint::Soon, reason);
-            true
+            end::give_up(cx, batcher, request, RetryHint::Soon, reason)
         }
     }
 }
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -40,14 +40,13 @@
             }
         }
         NotRunReason::Malformed => {
-            end::give_up(cx, batcher, request, RetryHint::Soon, "endpoint takes it for malformed");
-            return true;
+            let reason = "endpoint takes it for malformed";
+            return end::give_up(cx, batcher, request, RetryHint::Soon, reason);
         }
     }
     let pool = request.pool.clone();
     if MAX_REFUSALS <= request.n_refusals || !has_time(cx, request) || !cx.try_spend(&pool) {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
-        return true;
+        return end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
     }
     cx.count(Metric::CallsRepeated);
     restart_released(cx, batcher, request);
@@ -63,8 +62,7 @@
     reason: &str,
 ) -> bool {
     if !has_time(cx, request) {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "no time is left");
-        return true;
+        return end::give_up(cx, batcher, request, RetryHint::Soon, "no time is left");
     }
     restart_released(cx, batcher, request);
     log_retry(cx, request, reason);
@@ -82,12 +80,11 @@
     let is_allowed =
         request.route.is_repeatable() && request.may_run_again() && has_time(cx, request);
     if !origin::has_endpoint(cx, request) && request.needed_build().is_some() {
-        end::fail(cx, batcher, request, &format!("{reason}; no endpoint of its build is left"));
-        return true;
+        let reason = format!("{reason}; no endpoint of its build is left");
+        return end::fail(cx, batcher, request, &reason);
     }
     if !is_allowed || !cx.try_spend(&pool) {
-        end::fail(cx, batcher, request, reason);
-        return true;
+        return end::fail(cx, batcher, request, reason);
     }
     cx.count(Metric::CallsRepeated);
     if request.is_streaming() {
@@ -107,7 +104,7 @@
 }
 
 /// Restarts the stages if results that an endpoint reads were released.
-fn restart_released(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+pub fn restart_released(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
     let is_released = |idx: &usize| match &request.stages[*idx] {
         StageState::Done { handles, is_retained, .. } => !handles.is_empty() && !is_retained,
         StageState::Waiting | StageState::Submitted(_) => false,
--- /dev/null
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -0,0 +1,135 @@
+//! Calls whose endpoints are silent: another run is looked for beside each, and what answers first
+//! is forwarded. docs/design/platform.md weighs that.
+
+use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
+use super::call::{record_failure, release_endpoint};
+use super::{origin, permit, retry, schedule, stages};
+use crate::batch::Batcher;
+use crate::pass::Pass;
+use crate::{CallEvent, CallId, Decision, DecisionKind, Effect, Metric, ScheduleProgress};
+
+/// Looks for another run beside the call in progress, whose endpoint is silent. The call goes on.
+pub fn on_timeout(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+    let Phase::Calling(current) = &mut request.phase else { return };
+    let silence = cx.now.saturating_sub(current.last_heard);
+    current.checked_at = cx.now;
+    let current = current.clone();
+    cx.count(Metric::CallsSilent);
+    cx.log(
+        Decision::new(DecisionKind::Silence, "endpoint is silent")
+            .with_attempt(&request.head.attempt)
+            .with_endpoint(&current.endpoint)
+            .with_silence(silence, cx.late)
+            .with_budget(request.deadline.saturating_sub(cx.now)),
+    );
+    record_failure(cx, &current);
+    let pool = request.pool.clone();
+    let is_possible = request.may_run_beside()
+        && retry::has_time(cx, request)
+        && origin::has_endpoint(cx, request);
+    if !is_possible || !cx.try_spend(&pool) {
+        return;
+    }
+    cx.count(Metric::CallsRepeated);
+    schedule::report(cx, request, ScheduleProgress::Ended);
+    request.silent.push(current);
+    request.phase = Phase::RunningStages;
+    retry::restart_released(cx, batcher, request);
+    retry::log_retry(cx, request, "endpoint is silent");
+}
+
+/// Handles an event of a silent call; returns whether its answer goes on, so that it is the
+/// request's call again.
+pub fn on_event(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    call: CallId,
+    event: &CallEvent,
+) -> bool {
+    let Some(idx) = request.silent.iter().position(|it| it.call == call) else { return false };
+    let (goes_on, has_run) = match event {
+        CallEvent::Began { .. } | CallEvent::Progress { .. } => (true, true),
+        CallEvent::Ended(end) => (end.is_complete(), true),
+        CallEvent::Answer { is_error, .. } => (!is_error, true),
+        CallEvent::Broken { .. } => (false, true),
+        CallEvent::NotRun { .. } | CallEvent::Unsent { .. } => (false, false),
+    };
+    if goes_on {
+        go_back(cx, batcher, request, idx, "its endpoint is heard again");
+        abandon(cx, request);
+        return true;
+    }
+    let lost = request.silent.remove(idx);
+    release_endpoint(cx, &lost);
+    request.n_runs += u32::from(has_run);
+    cx.log(
+        Decision::new(DecisionKind::Silence, "its silent endpoint gave no answer")
+            .with_attempt(&request.head.attempt)
+            .with_endpoint(&lost.endpoint),
+    );
+    false
+}
+
+/// Goes back to a silent call, as there is no other run; returns whether there is such a call.
+pub fn fall_back(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    reason: &str,
+) -> bool {
+    let Some(last) = request.silent.len().checked_sub(1) else { return false };
+    go_back(cx, batcher, request, last, reason);
+    true
+}
+
+/// Cancels the silent calls, as another one brings the answer; returns whether there were any.
+pub fn abandon(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
+    let silent = std::mem::take(&mut request.silent);
+    for call in &silent {
+        cancel(cx, request, call);
+    }
+    !silent.is_empty()
+}
+
+/// Cancels a call that may have run.
+fn cancel(cx: &mut Pass<'_>, request: &mut ActiveRequest, call: &ActiveCall) {
+    release_endpoint(cx, call);
+    request.n_runs += 1;
+    cx.effects.push(Effect::Cancel { call: call.call });
+}
+
+/// Makes a silent call the request's call again, and withdraws what was to take its place.
+fn go_back(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    idx: usize,
+    reason: &str,
+) {
+    let call = request.silent.remove(idx);
+    match request.phase.clone() {
+        Phase::Calling(other) => cancel(cx, request, &other),
+        Phase::AwaitingPermit(_) => permit::withdraw(cx, request),
+        Phase::AwaitingAdmission { .. }
+        | Phase::RunningStages
+        | Phase::AwaitingBuild { .. }
+        | Phase::AwaitingEndpoint { .. } => (),
+    }
+    schedule::report(cx, request, ScheduleProgress::Ended);
+    for idx in 0..request.stages.len() {
+        stages::release(cx, batcher, request, idx);
+        if let StageState::Submitted(_) = request.stages[idx] {
+            request.restarts[idx] = request.restarts[idx].wrapping_add(1);
+            request.stages[idx] = StageState::Waiting;
+        }
+    }
+    cx.log(
+        Decision::new(DecisionKind::Silence, reason)
+            .with_attempt(&request.head.attempt)
+            .with_endpoint(&call.endpoint)
+            .with_silence(cx.now.saturating_sub(call.last_heard), cx.late)
+            .with_budget(request.deadline.saturating_sub(cx.now)),
+    );
+    request.phase = Phase::Calling(ActiveCall { checked_at: cx.now, ..call });
+}
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -25,19 +25,12 @@
 /// Submits the stages whose inputs are available; returns whether the request has ended.
 pub fn advance(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
     if MAX_RESTARTS < request.n_restarts {
-        end::give_up(cx, batcher, request, RetryHint::Soon, "its stages failed too often");
-        return true;
+        return end::give_up(cx, batcher, request, RetryHint::Soon, "its stages failed too often");
     }
     let needed = times::min_path_time(cx, request);
     if request.deadline < cx.now + needed {
-        end::give_up(
-            cx,
-            batcher,
-            request,
-            RetryHint::Late,
-            "the rest of its stages takes too long",
-        );
-        return true;
+        let reason = "the rest of its stages takes too long";
+        return end::give_up(cx, batcher, request, RetryHint::Late, reason);
     }
     for idx in 0..request.stages.len() {
         let is_ready =
@@ -148,8 +141,7 @@
         JobOutcome::Failed => restart(cx, batcher, request, idx, "the stage failed"),
         JobOutcome::Late => {
             let reason = "its stages would get their turn too late";
-            end::give_up(cx, batcher, request, RetryHint::Late, reason);
-            return true;
+            return end::give_up(cx, batcher, request, RetryHint::Late, reason);
         }
     }
     false
--- a/crates/ferry-serve/tests/decisions/requests.rs
+++ b/crates/ferry-serve/tests/decisions/requests.rs
@@ -206,18 +206,20 @@
         name: &'static str,
         /// Tokens of the prompt that other requests share.
         shared: u32,
+        /// Slowness of the engines, of which the first event usually takes 120 ms.
+        factor: u32,
         n_runs: usize,
     }
     let cases = [
-        Case { name: "a long prompt", shared: 30_000, n_runs: 1 },
-        Case { name: "a short prompt", shared: 500, n_runs: 2 },
+        Case { name: "a long prompt", shared: 30_000, factor: 12, n_runs: 1 },
+        Case { name: "a short prompt", shared: 500, factor: 20, n_runs: 2 },
+        Case { name: "it begins before the other run", shared: 500, factor: 12, n_runs: 1 },
     ];
     for case in cases {
         let mut sim = Simulation::new(1);
         let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
         for id in ids.iter().filter(|it| it.starts_with(ENGINE)) {
-            // The first event takes 1.44 s.
-            sim.set_behaviour(id, Behaviour::Slow(12));
+            sim.set_behaviour(id, Behaviour::Slow(case.factor));
         }
         let mut head = head("stream", "probe");
         head.time_left = Some(ms(4_000));
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -121,6 +121,8 @@
     cancelled: Vec<(usize, CallId)>,
     /// Calls of requests that have neither ended nor been cancelled.
     open_calls: SortedMap<(usize, CallId), OpenCall>,
+    /// Endpoints of the calls for items in progress.
+    batches: SortedMap<(usize, CallId), String>,
     /// Events that each attempt's caller got.
     pub events: SortedMap<String, Vec<u64>>,
     /// Kind of answer of each call: 0 for an answer, 1 for an error, 2 for a stream.
@@ -183,6 +185,7 @@
             callers: SortedMap::new(),
             cancelled: Vec::new(),
             open_calls: SortedMap::new(),
+            batches: SortedMap::new(),
             events: SortedMap::new(),
             calls: SortedMap::new(),
             streams: SortedMap::new(),
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -298,6 +298,8 @@
         endpoint.arrivals.push(Received { at: now, is_informed });
         let work = limits.call_time + limits.item_time * call.items.len() as u32;
         let id = call.call;
+        self.batches.insert((instance, id), call.endpoint.clone());
+        let silence = endpoint.silent_until.saturating_sub(now);
         let batch = |result| Event::Batch { call: id, result, load: None };
         match endpoint.behaviour {
             Behaviour::Silent => {
@@ -323,8 +325,11 @@
                 let after = endpoint.busy - now;
                 self.schedule_limit(instance, after, &call.endpoint);
                 self.schedule(instance, after, batch(Ok(results)));
+                let failure = BatchFailure::Broken("no answer in time".to_owned());
+                self.schedule(instance, call.timeout, batch(Err(failure)));
             }
         }
+        self.delay_events(silence, |at, it| at == instance && it == id);
     }
 
     /// Checks that an item gets every result of the preceding stage, and only those of its request.
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -23,7 +23,8 @@
         let added = until.saturating_sub(endpoint.silent_until.max(self.now));
         endpoint.silent_until = endpoint.silent_until.max(until);
         let open = self.open_calls.iter().filter(|it| it.1.endpoint == id);
-        let calls: Vec<(usize, CallId)> = open.map(|it| *it.0).collect();
+        let batches = self.batches.iter().filter(|it| it.1 == id).map(|it| *it.0);
+        let calls: Vec<(usize, CallId)> = open.map(|it| *it.0).chain(batches).collect();
         self.delay_events(added, |instance, call| calls.contains(&(instance, call)));
     }
 
@@ -37,9 +38,11 @@
             return;
         }
         let fits = |it: &QueuedEvent| match it {
-            QueuedEvent::Deliver { instance, event: Event::Call { call, .. }, .. } => {
-                is_delayed(*instance, *call)
-            }
+            QueuedEvent::Deliver {
+                instance,
+                event: Event::Call { call, .. } | Event::Batch { call, result: Ok(_), .. },
+                ..
+            } => is_delayed(*instance, *call),
             _ => false,
         };
         let keys: Vec<_> = self.queue.iter().filter(|it| fits(it.1)).map(|it| *it.0).collect();
@@ -49,6 +52,11 @@
         }
     }
 
+    /// Returns the number of calls that have neither ended nor been cancelled.
+    pub fn n_open_calls(&self) -> usize {
+        self.open_calls.len()
+    }
+
     pub(super) fn open_call(&mut self, instance: usize, call: &Call) {
         let open =
             OpenCall { ticket: call.ticket, endpoint: call.endpoint.clone(), is_relayed: false };
