Excuse the silence of endpoints while this process stood still

Cause: silence is measured by this process's clock. After a pause of the process (a signal, a slow instance, a large configuration) a pass may look at the silence before the bytes that wait in the sockets are read, and every call in progress looks silent at once; that spends the retry budget and pauses sound endpoints. Change: each pass knows how overdue the heartbeat is, whatever event comes first, and moves the time at which calls were last heard by that much. Ruled out: the lateness of the timer alone; an event that is handled before it sends the heartbeat, and the timer is then on time. Evidence: cargo test -p ferry-serve process_that_stood_still: before, one or more calls of eight were taken for silent after a stop of 2 s; after, none in 16 cases.

--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -23,6 +23,8 @@
     PermitAnswer, PermitId, Scheduled, Scheduler, Tuning,
 };
 
+/// Lateness of a pass from which on this process stood still, so that it heard no endpoint.
+const MAX_LATENESS: Duration = Duration::from_millis(50);
 /// Bits of a permit's id below those of the process.
 const PERMIT_BITS: u32 = 24;
 
@@ -92,6 +94,9 @@
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         // A heartbeat is due several times a second, whatever else happens.
         let late = now.saturating_sub(self.ctx.peers.next_wake());
+        if MAX_LATENESS < late {
+            self.requests.excuse_silence(now, late);
+        }
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
         let mut released = Vec::new();
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -14,6 +14,7 @@
 mod times;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_model::{BuildId, Moment, SortedMap, Ticket};
 
@@ -198,6 +199,11 @@
         }
     }
 
+    /// Excuses the silence of endpoints while this process stood still for `time`.
+    pub fn excuse_silence(&mut self, now: Moment, time: Duration) {
+        self.active.values_mut().for_each(|it| it.excuse_silence(now, time));
+    }
+
     /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
     pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -259,6 +259,13 @@
         }
     }
 
+    /// Excuses the silence of its endpoint while this process stood still.
+    pub fn excuse_silence(&mut self, now: Moment, time: Duration) {
+        if let Phase::Calling(current) = &mut self.phase {
+            current.last_heard = (current.last_heard + time).min(now);
+        }
+    }
+
     /// Returns when another run is looked for; none if the request may not run again.
     fn timeout_at(&self, tuning: &Tuning) -> Option<Moment> {
         let Phase::Calling(current) = &self.phase else { return None };
--- a/crates/ferry-serve/tests/decisions/silence.rs
+++ b/crates/ferry-serve/tests/decisions/silence.rs
@@ -123,6 +123,11 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+fn n_silences(sim: &Simulation) -> usize {
+    let silences = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Silence);
+    silences.filter(|it| it.reason == "endpoint is silent").count()
+}
+
 /// Lets the endpoint that runs an attempt fall silent, and returns it.
 fn silence_first(sim: &mut Simulation, attempt: &str, time: Duration) -> String {
     let endpoint = sim.runs.get(attempt).expect("it runs by now")[0].clone();
@@ -283,6 +288,28 @@
     }
 }
 
+#[test]
+fn process_that_stood_still_takes_no_endpoint_for_silent() {
+    for stop in [1_000, 2_000] {
+        for case in CASES {
+            let mut sim = Simulation::new(1);
+            let attempts: Vec<String> = (0..8).map(|it| format!("{}-{it}", case.route)).collect();
+            for attempt in &attempts {
+                sim.arrive(0, attempt, head(case.route, attempt));
+            }
+            sim.run_for(ms(case.at));
+            sim.freeze(0);
+            sim.run_for(ms(stop));
+            sim.thaw(0);
+            sim.run_for(ms(5_000));
+            let name = format!("{} {}, stopped for {stop} ms", case.route, case.phase);
+            let failures = failures(&sim, &attempts, &name);
+            assert!(failures.is_empty(), "{failures:#?}");
+            assert_eq!(n_silences(&sim), 0, "{name}");
+        }
+    }
+}
+
 #[test]
 fn answers_are_whole_while_endpoints_of_stages_are_silent_for_a_moment() {
     for stage in [FIRST, SECOND] {
