Add failing tests of requests that end because a newer configuration is applied

Cause: Hypothesis 3 of docs/incidents/silent-endpoint.md: a request in progress looks up its pools, and a batcher the limits of its jobs, in the configuration of the moment. Change: Two tables on virtual time. The first takes one request of each kind (get, post, stream, once) at each phase (admission, stages, waiting for an endpoint or a permit, calling, between events, before a break) at 1 and 3 instances, and applies each of 24 changes, which reach the instances 40 ms apart; the second takes 16 requests of all kinds on 3 instances, at 14 moments. Endpoints are sound and stay registered, so each request must end whole within its time limit, as it does without a change. A third test has items for a pool that the batcher does not know yet.

--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod budgets;
 mod builds;
 mod config;
+mod config_changes;
 mod endpoints;
 mod health;
 mod peers;
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -1,5 +1,6 @@
 //! Gateways, endpoints and callers on virtual time, with injected faults.
 
+mod changes;
 mod config;
 mod endpoint;
 mod faults;
