Let requests keep the pools of the configuration under which they came

Cause: A request looked up its own pool and those of its stages in the configuration of the moment whenever it chose an endpoint, asked the scheduler or computed what time its stages need; a batcher looked up the limits of its jobs there. So a newer configuration that dropped a pool, changed its kind or its limits refused requests, aborted streams that were to go on elsewhere, and held items until their time was over. Change: A request holds the pools of its configuration, shared by all requests and by versions whose pools are equal, and not the whole configuration, which would keep all keys of several versions while streams run. The catalog keeps the limits of batch pools that a newer configuration has dropped until the last request ends that came under a former one, for the batcher and the admission controller, who also work for requests of peers. Items that came before the configuration of their pool are sent when that is applied.

--- a/crates/ferry-model/src/gateway.rs
+++ b/crates/ferry-model/src/gateway.rs
@@ -137,6 +137,16 @@
     pub kind: PoolKind,
 }
 
+impl GatewayPool {
+    /// Returns the limits of a batch pool; none for a pool of another kind.
+    pub fn batch_limits(&self) -> Option<&BatchLimits> {
+        match &self.kind {
+            PoolKind::Batch(limits) => Some(limits),
+            PoolKind::Plain | PoolKind::Engine { .. } => None,
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PoolKind {
     /// Serves one request per slot.
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{BatchLimits, EndpointId, Moment, PoolId, PoolKind, ResultHandle, SortedMap};
+use ferry_model::{BatchLimits, EndpointId, Moment, PoolId, ResultHandle, SortedMap};
 
 use crate::pass::{Context, Pass, free};
 use crate::{
@@ -135,6 +135,11 @@
         if cx.ctx.tuning.is_enabled(Mechanism::Shedding) {
             self.shed(cx);
         }
+        self.dispatch_all(cx);
+    }
+
+    /// Sends what waits for a pool that this instance did not know before.
+    pub fn dispatch_all(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
             self.dispatch(cx, &group);
         }
@@ -381,12 +386,10 @@
     }
 }
 
-/// Returns the limits of a batch pool; none for a pool of another kind.
+/// Returns the limits of a batch pool, also of one that a newer configuration has dropped; none for a
+/// pool of another kind.
 pub(crate) fn batch_limits(ctx: &Context, pool: &str) -> Option<BatchLimits> {
-    match &ctx.catalog.pool(pool)?.kind {
-        PoolKind::Batch(limits) => Some(limits.clone()),
-        PoolKind::Plain | PoolKind::Engine { .. } => None,
-    }
+    ctx.catalog.batch_limits(pool).cloned()
 }
 
 fn call_time(limits: &BatchLimits, n_items: usize) -> Duration {
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -4,14 +4,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_model::{ApiKey, ConfigVersion, GatewayConfig, GatewayPool, PoolId, Route, WorkspaceId};
+use ferry_model::{
+    ApiKey, BatchLimits, ConfigVersion, GatewayConfig, GatewayPool, Moment, PoolId, Route,
+    SortedMap, WorkspaceId,
+};
 
 use crate::RequestHead;
 
-/// The current configuration; none until the first one is known.
+/// Longest time until a newer configuration is known to all instances that reach each other.
+const SPREAD_TIME: Duration = Duration::from_secs(10);
+
+pub type Pools = SortedMap<PoolId, GatewayPool>;
+
+/// The current configuration, none until the first one is known, and what requests still need of
+/// former ones.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     config: Option<Arc<GatewayConfig>>,
+    /// The pools of the configuration. Requests share them, as they must not keep all of its keys.
+    pools: Arc<Pools>,
+    former_times: Vec<FormerTime>,
+    /// Limits of batch pools that the configuration no longer has, and until when items may come
+    /// for them.
+    former_limits: SortedMap<PoolId, (Moment, BatchLimits)>,
     /// Priorities of requests, sorted.
     ranks: Vec<Rank>,
 }
@@ -20,11 +35,20 @@
 /// the route's decides among requests of equal priority.
 type Rank = (u8, u8);
 
+/// A time limit of former configurations.
+#[derive(Debug, Clone, Copy)]
+struct FormerTime {
+    /// When the last request ends that came under it, at any instance.
+    until: Moment,
+    limit: Duration,
+}
+
 /// The settings that the configuration has for a request that it allows.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResolvedRequest {
     pub route: Arc<Route>,
     pub pool: PoolId,
+    pub pools: Arc<Pools>,
     pub workspace: Option<WorkspaceId>,
     pub priority: u8,
     /// Index of its priorities among all that the configuration has.
@@ -46,15 +70,38 @@
     }
 
     /// Replaces the configuration by a newer one; returns whether it is newer.
-    pub fn update(&mut self, config: Arc<GatewayConfig>) -> bool {
+    pub fn update(&mut self, now: Moment, config: Arc<GatewayConfig>) -> bool {
         let is_newer = self.config.as_ref().is_none_or(|it| it.version < config.version);
         if is_newer {
+            self.keep_former(now, &config.pools);
+            if *self.pools != config.pools {
+                self.pools = Arc::new(config.pools.clone());
+            }
             self.ranks = ranks(&config);
             self.config = Some(config);
         }
         is_newer
     }
 
+    /// Keeps what requests that came under the current configuration still need under the next one.
+    fn keep_former(&mut self, now: Moment, next: &Pools) {
+        if let Some(limit) = self.longest_request() {
+            let until = now + limit + SPREAD_TIME;
+            let is_longer = |it: &FormerTime| limit < it.limit && now <= it.until;
+            self.former_times.retain(is_longer);
+            self.former_times.push(FormerTime { until, limit });
+        }
+        self.former_limits.retain(|_, (until, _)| now <= *until);
+        let Some(until) = self.former_times.iter().map(|it| it.until).max() else { return };
+        for (id, pool) in self.pools.iter() {
+            if let Some(limits) = pool.batch_limits()
+                && next.get(id).and_then(GatewayPool::batch_limits).is_none()
+            {
+                self.former_limits.insert(id.clone(), (until, limits.clone()));
+            }
+        }
+    }
+
     pub fn config(&self) -> Option<&Arc<GatewayConfig>> {
         self.config.as_ref()
     }
@@ -69,8 +116,11 @@
         self.config.as_ref()?.routes.iter().map(|it| it.time_limit).max()
     }
 
-    pub fn pool(&self, pool: &str) -> Option<&GatewayPool> {
-        self.config.as_ref()?.pools.get(pool)
+    /// Returns the limits of a batch pool, for items of any instance: those that came under a former
+    /// configuration may be for a pool that the current one no longer has.
+    pub fn batch_limits(&self, pool: &str) -> Option<&BatchLimits> {
+        let current = self.pools.get(pool).and_then(GatewayPool::batch_limits);
+        current.or_else(|| self.former_limits.get(pool).map(|it| &it.1))
     }
 
     pub fn resolve(&self, head: &RequestHead) -> Result<ResolvedRequest, Rejection> {
@@ -87,6 +137,7 @@
         let priority = owner.and_then(|it| it.priority).unwrap_or(route.priority);
         Ok(ResolvedRequest {
             pool: target(route, head.first_attempt()),
+            pools: self.pools.clone(),
             workspace: owner.map(|it| it.workspace.clone()),
             priority,
             rank: self.ranks.binary_search(&(priority, route.priority)).unwrap_or_else(|it| it),
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -109,7 +109,7 @@
                 self.batcher.tick(cx);
                 self.requests.tick(cx, &mut self.batcher);
             }
-            Event::Config(config) => updates::configure(cx, config),
+            Event::Config(config) => updates::configure(cx, &mut self.batcher, config),
             Event::Store(update) => updates::on_store(cx, update),
             Event::Members(addresses) => {
                 let own = cx.ctx.identity.peer;
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -15,11 +15,12 @@
     PeerMessage, PermitAnswer, PermitId, StoreUpdate,
 };
 
-pub(super) fn configure(cx: &mut Pass<'_>, config: Arc<GatewayConfig>) {
-    if cx.ctx.catalog.update(config) {
+pub(super) fn configure(cx: &mut Pass<'_>, batcher: &mut Batcher, config: Arc<GatewayConfig>) {
+    if cx.ctx.catalog.update(cx.now, config) {
         cx.log(Decision::new(DecisionKind::Configure, "newer configuration applied"));
         let now = cx.now;
         cx.ctx.peers.heartbeat_now(now);
+        batcher.dispatch_all(cx);
     }
 }
 
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use ferry_model::{
-    BuildId, EndpointId, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket, WorkspaceId,
-    ZoneId,
+    BuildId, EndpointId, GatewayPool, Moment, PoolId, ResultHandle, Route, RouteKind, Ticket,
+    WorkspaceId, ZoneId,
 };
 
 use super::permit::PermitWait;
 use crate::batch::JobKey;
+use crate::catalog::Pools;
 use crate::{Asker, CallId, Group, PermitId, RequestHead, Tuning};
 
 #[derive(Debug, Clone)]
@@ -19,6 +20,8 @@
     pub head: RequestHead,
     pub route: Arc<Route>,
     pub pool: PoolId,
+    /// The pools of the configuration under which it came; a newer one may have others.
+    pub pools: Arc<Pools>,
     pub workspace: Option<WorkspaceId>,
     /// Zero is served first.
     pub priority: u8,
@@ -180,6 +183,11 @@
         }
     }
 
+    /// Returns the pool of its endpoints.
+    pub fn own_pool(&self) -> Option<&GatewayPool> {
+        self.pools.get(&self.pool)
+    }
+
     pub fn job_key(&self, stage: usize) -> JobKey {
         let restart = self.restarts.get(stage).copied().unwrap_or_default();
         JobKey { attempt: self.head.attempt.clone(), stage: stage as u8, restart }
--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -43,7 +43,7 @@
         items,
         engine: schedule::wanted(cx, request),
         slack: slack.unwrap_or_default(),
-        time_left: request.deadline.saturating_sub(cx.now + times::full_path_time(cx, request)),
+        time_left: request.deadline.saturating_sub(cx.now + times::full_path_time(request)),
     };
     match cx.ctx.admission_peer(cx.now, shard) {
         None => {
@@ -163,10 +163,10 @@
 /// Returns how long a request may wait for its stages and still be in time; none if it will be late
 /// anyway.
 fn slack(cx: &Pass<'_>, request: &ActiveRequest) -> Option<Duration> {
-    let least = times::min_path_time(cx, request) + cx.ctx.tuning.first_token;
+    let least = times::min_path_time(request) + cx.ctx.tuning.first_token;
     if request.objective() < cx.now + least {
         return None;
     }
-    let expected = times::full_path_time(cx, request) + call::engine_time(cx, request);
+    let expected = times::full_path_time(request) + call::engine_time(cx, request);
     Some(request.objective().saturating_sub(cx.now + expected))
 }
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -89,6 +89,7 @@
         stages: (0..route.stages.len()).map(stage).collect(),
         restarts: vec![0; route.stages.len()],
         pool: resolved.pool,
+        pools: resolved.pools,
         workspace: resolved.workspace,
         class,
         value,
@@ -141,7 +142,7 @@
         let waits = waits.iter().map(|it| stages::expected_wait(cx, batcher, it));
         wait += waits.min().unwrap_or_default();
     }
-    let needed = wait + times::min_path_time(cx, request);
+    let needed = wait + times::min_path_time(request);
     let time_left = request.deadline.saturating_sub(cx.now);
     (time_left < needed).then_some((RetryHint::Late, "its stages would take longer than its time"))
 }
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -207,7 +207,7 @@
 pub fn own_engine_time(cx: &Pass<'_>, request: &ActiveRequest) -> Duration {
     let tuning = &cx.ctx.tuning;
     let own = request.head.prompt.last().map_or(0.0, |it| f64::from(it.tokens));
-    match cx.ctx.catalog.pool(&request.pool).map(|it| &it.kind) {
+    match request.own_pool().map(|it| &it.kind) {
         Some(PoolKind::Engine { .. }) => Duration::from_secs_f64(own / tuning.tokens_per_ms / 1e3),
         Some(PoolKind::Plain | PoolKind::Batch(_)) | None => Duration::ZERO,
     }
@@ -250,7 +250,7 @@
 
 /// Returns the endpoint that costs least as far as this instance knows.
 pub fn pick(cx: &Pass<'_>, request: &ActiveRequest) -> Option<Choice> {
-    let kind = cx.ctx.catalog.pool(&request.pool)?;
+    let kind = request.own_pool()?;
     let results = results(cx, request);
     let need = Requirements {
         pool: &request.pool,
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -55,7 +55,7 @@
 
 /// Returns what a request needs from an engine; none if it does not go to one.
 pub fn wanted(cx: &Pass<'_>, request: &ActiveRequest) -> Option<ScheduleRequest> {
-    match cx.ctx.catalog.pool(&request.pool).map(|it| &it.kind) {
+    match request.own_pool().map(|it| &it.kind) {
         Some(PoolKind::Engine { .. }) => Some(ScheduleRequest {
             attempt: request.head.attempt.clone(),
             shard: shard(cx, request),
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -28,7 +28,7 @@
         end::give_up(cx, batcher, request, RetryHint::Soon, "its stages failed too often");
         return true;
     }
-    let needed = times::min_path_time(cx, request);
+    let needed = times::min_path_time(request);
     if request.deadline < cx.now + needed {
         end::give_up(
             cx,
@@ -134,7 +134,7 @@
                     .with_attempt(&request.head.attempt)
                     .with_pool(&request.route.stages[idx].pool)
                     .with_stage(key.stage)
-                    .with_times(cx.now - since, times::own_call_time(cx, request, idx))
+                    .with_times(cx.now - since, times::own_call_time(request, idx))
                     .with_budget(request.deadline.saturating_sub(cx.now)),
             );
             let peer = match request.stages[idx] {
--- a/crates/ferry-serve/tests/decisions/builds.rs
+++ b/crates/ferry-serve/tests/decisions/builds.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use ferry_model::Target;
+use ferry_model::{Moment, Target};
 use ferry_serve::{Catalog, Event, RequestHead, ResumedStream, Status, StoreUpdate};
 use proptest::prelude::*;
 
@@ -321,7 +321,7 @@
         route.targets = vec![target(ENGINE), target(PLAIN)];
     }
     let mut catalog = Catalog::new();
-    catalog.update(Arc::new(config));
+    catalog.update(Moment::ZERO, Arc::new(config));
     let pool = |head: RequestHead| catalog.resolve(&head).expect("the route exists").pool;
     for number in 0..N_STREAMS {
         let (first, second) = (format!("first-{number}"), format!("second-{number}"));
