Add a failing test of streams that go on at another build after their time limit became shorter

Cause: If no peer knows the build of a stream that its caller takes up, it goes on where the pool has had one build only for as long as a stream may last. That time is the longest time limit of the newest configuration, also for streams that began under a former one with a longer limit.

--- a/crates/ferry-serve/tests/decisions/config_changes.rs
+++ b/crates/ferry-serve/tests/decisions/config_changes.rs
@@ -1,5 +1,7 @@
 //! Requests in progress while a newer configuration is applied.
 
+mod builds;
+
 use std::sync::Arc;
 
 use ferry_model::{BatchLimits, GatewayConfig, PoolKind, Route, RouteKind, Target};
@@ -346,7 +348,8 @@
             it.stages.iter_mut().skip(1).for_each(|it| it.pool = THIRD.to_owned());
         });
         for id in sim.ids(SECOND) {
-            sim.move_endpoint(&id, THIRD);
+            sim.endpoints.get_mut(&id).expect("it exists").entry.pool = THIRD.to_owned();
+            sim.register(&id);
         }
         let newer = Arc::new(newer);
         sim.deliver(instance, Event::Config(newer.clone()));
--- a/crates/ferry-serve/tests/decisions/simulation/changes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/changes.rs
@@ -65,11 +65,9 @@
         members.map(|it| it.entry.id.clone()).collect()
     }
 
-    /// Registers an endpoint again in another pool, as all instances know.
-    pub fn move_endpoint(&mut self, id: &str, pool: &str) {
-        let entry = &mut self.endpoints.get_mut(id).expect("the endpoint exists").entry;
-        entry.pool = pool.to_owned();
-        let endpoint = entry.clone();
+    /// Registers the present entry of an endpoint again, as all instances know.
+    pub fn register(&mut self, id: &str) {
+        let endpoint = self.endpoints.get(id).expect("the endpoint exists").entry.clone();
         for instance in 0..self.instances.len() {
             let endpoint = endpoint.clone();
             let update = StoreUpdate::Changed { revision: 11, endpoint };
