Count the time limits of former configurations when the build of a stream is derived

Cause: The time for which a pool must have had one build only, so that a stream of unknown build may go on there, was the longest time limit of the newest configuration. Change: The catalog keeps the longest time limits of former configurations until the last request under them has ended, and counts them too.

--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -85,7 +85,7 @@
 
     /// Keeps what requests that came under the current configuration still need under the next one.
     fn keep_former(&mut self, now: Moment, next: &Pools) {
-        if let Some(limit) = self.longest_request() {
+        if let Some(limit) = self.longest_time_limit() {
             let until = now + limit + SPREAD_TIME;
             let is_longer = |it: &FormerTime| limit < it.limit && now <= it.until;
             self.former_times.retain(is_longer);
@@ -111,8 +111,13 @@
         self.config.as_ref().map_or(0, |it| it.version)
     }
 
-    /// Returns the longest time limit of the routes.
-    pub fn longest_request(&self) -> Option<Duration> {
+    /// Returns the longest time limit of requests that may be in progress at any instance.
+    pub fn longest_request(&self, now: Moment) -> Option<Duration> {
+        let former = self.former_times.iter().filter(|it| now <= it.until).map(|it| it.limit);
+        former.chain(self.longest_time_limit()).max()
+    }
+
+    fn longest_time_limit(&self) -> Option<Duration> {
         self.config.as_ref()?.routes.iter().map(|it| it.time_limit).max()
     }
 
--- a/crates/ferry-serve/src/request/origin.rs
+++ b/crates/ferry-serve/src/request/origin.rs
@@ -135,7 +135,7 @@
 /// Returns the build that every stream of a pool has begun with, if there has been one only for as
 /// long as a stream may last.
 fn only_build(cx: &Pass<'_>, pool: &str) -> Option<BuildId> {
-    let longest = cx.ctx.catalog.longest_request()?;
+    let longest = cx.ctx.catalog.longest_request(cx.now)?;
     cx.ctx.endpoints.only_build(cx.now, pool, longest).cloned()
 }
 
