Add a failing test of queued items that are dropped as a newer configuration expects longer calls

Cause: A batcher drops items that would be served too late by the limits of the newest configuration, also those of requests that came under a former one.

--- a/crates/ferry-serve/tests/decisions/config_changes.rs
+++ b/crates/ferry-serve/tests/decisions/config_changes.rs
@@ -1,6 +1,7 @@
 //! Requests in progress while a newer configuration is applied.
 
 mod builds;
+mod queues;
 
 use std::sync::Arc;
 
