Drop no waiting items because a newer configuration expects longer calls

Cause: A batcher dropped items that would be served too late by the newest limits. A longer call time in the configuration ended queued requests at once, although their endpoints were as fast as before. Change: The catalog keeps the limits that a batch pool had before also where it is not dropped. While requests of a former configuration may be in progress, the batcher decides by the shortest times of both whether items are too late. The numbers of items and slots, and the memory for results, are the newest ones at once, as endpoints take no more.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -359,7 +359,8 @@
     /// Ends jobs that would be served too late, so that their callers get a refusal at once.
     fn shed(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
-            let Some(limits) = batch_limits(cx.ctx, &group.pool) else { continue };
+            let limits = cx.ctx.catalog.shortest_limits(cx.now, &group.pool);
+            let Some(limits) = limits else { continue };
             let n_endpoints = usable_endpoints(cx.ctx, cx.now, &group, &limits);
             let waiting = self.waiting(&group);
             for key in plan::too_late(cx.now, &waiting, n_endpoints, &limits) {
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -24,8 +24,7 @@
     /// The pools of the configuration. Requests share them, as they must not keep all of its keys.
     pools: Arc<Pools>,
     former_times: Vec<FormerTime>,
-    /// Limits of batch pools that the configuration no longer has, and until when items may come
-    /// for them.
+    /// Limits that batch pools had before, and until when items may come under them.
     former_limits: SortedMap<PoolId, (Moment, BatchLimits)>,
     /// Priorities of requests, sorted.
     ranks: Vec<Rank>,
@@ -94,10 +93,10 @@
         self.former_limits.retain(|_, (until, _)| now <= *until);
         let Some(until) = self.former_times.iter().map(|it| it.until).max() else { return };
         for (id, pool) in self.pools.iter() {
-            if let Some(limits) = pool.batch_limits()
-                && next.get(id).and_then(GatewayPool::batch_limits).is_none()
-            {
-                self.former_limits.insert(id.clone(), (until, limits.clone()));
+            let Some(limits) = pool.batch_limits() else { continue };
+            if next.get(id).and_then(GatewayPool::batch_limits) != Some(limits) {
+                let limits = self.with_shortest_times(id, limits.clone());
+                self.former_limits.insert(id.clone(), (until, limits));
             }
         }
     }
@@ -128,6 +127,23 @@
         current.or_else(|| self.former_limits.get(pool).map(|it| &it.1))
     }
 
+    /// Returns the limits of a batch pool with the shortest times that any request in progress came
+    /// under, so that none is dropped for what a newer configuration expects.
+    pub fn shortest_limits(&self, now: Moment, pool: &str) -> Option<BatchLimits> {
+        let limits = self.batch_limits(pool)?.clone();
+        let is_in_use = self.former_limits.get(pool).is_some_and(|(until, _)| now <= *until);
+        Some(if is_in_use { self.with_shortest_times(pool, limits) } else { limits })
+    }
+
+    fn with_shortest_times(&self, pool: &str, limits: BatchLimits) -> BatchLimits {
+        let Some((_, former)) = self.former_limits.get(pool) else { return limits };
+        BatchLimits {
+            call_time: limits.call_time.min(former.call_time),
+            item_time: limits.item_time.min(former.item_time),
+            ..limits
+        }
+    }
+
     pub fn resolve(&self, head: &RequestHead) -> Result<ResolvedRequest, Rejection> {
         let config = self.config.as_ref().ok_or(Rejection::Unconfigured)?;
         let route = config.route(&head.host, &head.path).ok_or(Rejection::NoRoute)?;
