--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{BatchLimits, EndpointId, Moment, PoolId, PoolKind, ResultHandle, SortedMap};
+use ferry_model::{BatchLimits, EndpointId, Moment, PoolId, ResultHandle, SortedMap};
 
 use crate::pass::{Context, Pass, free};
 use crate::{
@@ -135,6 +135,11 @@
         if cx.ctx.tuning.is_enabled(Mechanism::Shedding) {
             self.shed(cx);
         }
+        self.dispatch_all(cx);
+    }
+
+    /// Sends what waits for a pool that this instance did not know before.
+    pub fn dispatch_all(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
             self.dispatch(cx, &group);
         }
@@ -354,7 +359,8 @@
     /// Ends jobs that would be served too late, so that their callers get a refusal at once.
     fn shed(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
-            let Some(limits) = batch_limits(cx.ctx, &group.pool) else { continue };
+            let limits = cx.ctx.catalog.shortest_limits(cx.now, &group.pool);
+            let Some(limits) = limits else { continue };
             let n_endpoints = usable_endpoints(cx.ctx, cx.now, &group, &limits);
             let waiting = self.waiting(&group);
             for key in plan::too_late(cx.now, &waiting, n_endpoints, &limits) {
@@ -381,12 +387,10 @@
     }
 }
 
-/// Returns the limits of a batch pool; none for a pool of another kind.
+/// Returns the limits of a batch pool, also of one that a newer configuration has dropped; none for a
+/// pool of another kind.
 pub(crate) fn batch_limits(ctx: &Context, pool: &str) -> Option<BatchLimits> {
-    match &ctx.catalog.pool(pool)?.kind {
-        PoolKind::Batch(limits) => Some(limits.clone()),
-        PoolKind::Plain | PoolKind::Engine { .. } => None,
-    }
+    ctx.catalog.batch_limits(pool).cloned()
 }
 
 fn call_time(limits: &BatchLimits, n_items: usize) -> Duration {
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -27,7 +27,7 @@
     if MAX_RESTARTS < request.n_restarts {
         return end::give_up(cx, batcher, request, RetryHint::Soon, "its stages failed too often");
     }
-    let needed = times::min_path_time(cx, request);
+    let needed = times::min_path_time(request);
     if request.deadline < cx.now + needed {
         let reason = "the rest of its stages takes too long";
         return end::give_up(cx, batcher, request, RetryHint::Late, reason);
@@ -127,7 +127,7 @@
                     .with_attempt(&request.head.attempt)
                     .with_pool(&request.route.stages[idx].pool)
                     .with_stage(key.stage)
-                    .with_times(cx.now - since, times::own_call_time(cx, request, idx))
+                    .with_times(cx.now - since, times::own_call_time(request, idx))
                     .with_budget(request.deadline.saturating_sub(cx.now)),
             );
             let peer = match request.stages[idx] {
