Give calls for items a second, whatever time the configuration expects

Cause: a call for items times out after eight times what the limits of its pool expect. Where a newer configuration expects far less than endpoints take, every call timed out, and a stream whose stages ran again was aborted. Change: a call for items gets a second at least, which a sound endpoint may be silent for. With 1.5 or 2 s instead, two of four requests behind a stage whose endpoints are all silent for 2 s are refused, as the batcher then takes them for slow: ruled out.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -38,6 +38,8 @@
 const HEDGE_SLACK: Duration = Duration::from_millis(60);
 /// Multiple of the expected time after which a call times out.
 const TIMEOUT_FACTOR: u32 = 8;
+/// Shortest time after which a call times out; a sound endpoint may be silent for most of it.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval at which items that wait for an endpoint in their zone are checked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which a withdrawn job is kept, longer than messages arrive out of order.
@@ -293,7 +295,7 @@
             view.outstanding += 1;
         }
         self.permits.spend(&candidate.endpoint);
-        let timeout = expected * TIMEOUT_FACTOR;
+        let timeout = (expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
         let hedge_at =
             cx.now + expected.mul_f64(candidate.slowdown.max(1.0) * HEDGE_FACTOR) + HEDGE_SLACK;
         cx.count(Metric::BatchesSent);
