--- a/crates/ferry-serve/tests/decisions/config_changes.rs
+++ b/crates/ferry-serve/tests/decisions/config_changes.rs
@@ -1,6 +1,7 @@
 //! Requests in progress while a newer configuration is applied.
 
 mod builds;
+mod catalog;
 mod queues;
 
 use std::sync::Arc;
@@ -355,6 +356,11 @@
         let newer = Arc::new(newer);
         sim.deliver(instance, Event::Config(newer.clone()));
         sim.arrive(instance, PROBE, head("once", PROBE));
+        let is_applied =
+            sim.run_until(|it| it.instances.iter().flatten().all(|it| it.version() == 2));
+        assert!(is_applied, "{instance}");
+        sim.run_for(ms(1));
+        assert_eq!(sim.n_batches, 2, "{instance}: the items are not sent at once");
         sim.run_for(ms(4_000));
         assert_eq!(sim.outcome(PROBE).ending, Ending::Stream, "{instance}");
         assert!(sim.outcome(PROBE).took <= ms(1_500), "{instance}: {:?}", sim.outcome(PROBE));
