Add silent moments, configurations in series and a check of lost answers to the soak

Cause: no endpoint of the soak fell silent and went on, configurations came one by one, and a request whose connection ended without an answer was counted and excused whatever had happened.

Change: sound endpoints fall silent for 0.5, 1 or 2 s, or send in pieces with pauses, drawn by a generator of its own, so that seeds draw the other faults as before. Configurations come in series with other time limits, weights and connection limits, beside SIGHUP and SIGTERM. A request that an endpoint ran and that ended without an answer is a violation unless one of the reasons in losses.rs excuses it. `--only pauses` keeps just silence, slow bytes, configurations and SIGHUP; there only the time limit excuses.

--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -20,20 +20,16 @@
     Case { seed: 9104, reason: "streams went on at another build" },
 ];
 
+/// Seeds with which streams ended because their endpoint was silent for a moment.
+const CALM_SEEDS: [u64; 2] = [40, 42];
+
 #[test]
 fn guarantees_hold_under_random_faults() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("a runtime starts");
     let mut n_limited = 0;
     for case in CASES {
-        let options = SoakOptions {
-            seed: case.seed,
-            duration: Duration::from_secs(6),
-            n_nodes: 3,
-            gateway: gateway(),
-            directory: directory(&format!("soak-{}", case.seed)),
-            net: net(),
-        };
+        let options = options(case.seed, 6, false);
         let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
         let report = report.expect("the soak runs");
         assert!(report.is_ok(), "seed {} ({}): {report:#?}", case.seed, case.reason);
@@ -42,3 +38,30 @@
     }
     assert!(0 < n_limited, "no endpoint with a rate limit got a request");
 }
+
+#[test]
+fn no_answer_is_lost_while_endpoints_are_silent_for_a_moment() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime starts");
+    let [first, second] = CALM_SEEDS.map(|seed| options(seed, 4, true));
+    let runs = async { tokio::join!(ferry_soak::run(&first), ferry_soak::run(&second)) };
+    let (first, second) = LocalSet::new().block_on(&runtime, runs);
+    for (seed, report) in CALM_SEEDS.into_iter().zip([first, second]) {
+        let report = report.expect("the soak runs");
+        assert!(report.is_ok(), "seed {seed}: {report:#?}");
+        assert!(100 <= report.under_faults.served, "seed {seed}: {report:#?}");
+    }
+}
+
+fn options(seed: u64, seconds: u64, is_calm: bool) -> SoakOptions {
+    let kind = if is_calm { "calm" } else { "soak" };
+    SoakOptions {
+        seed,
+        duration: Duration::from_secs(seconds),
+        n_nodes: 3,
+        gateway: gateway(),
+        directory: directory(&format!("{kind}-{seed}")),
+        net: net(),
+        is_calm,
+    }
+}
--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -97,6 +97,7 @@
     ) -> Option<Outcome> {
         let (address, mut sender) = self.connection().await?;
         let request = request(route, attempt, body, stream)?;
+        self.checker.record_node(attempt, &address.ip().to_string());
         let response = sender.send_request(request).await.ok()?;
         let is_closing = response.headers().get(http::header::CONNECTION).is_some();
         let outcome = self.check(route, attempt, body, response, stream).await;
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::config::Route;
+use crate::losses::{Ended, Trouble, Troubles};
 
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,8 +27,13 @@
     body: Vec<u8>,
     /// Endpoints that have run the attempt.
     runs: Vec<String>,
+    /// Endpoints that have run items of its stages.
+    stages: Vec<String>,
+    /// Gateway that the caller's connection leads to.
+    node: Option<String>,
     outcome: Option<Outcome>,
     sent: Instant,
+    end: Option<Instant>,
 }
 
 /// Checks the guarantees; shared by the callers and endpoints of a run.
@@ -37,6 +43,7 @@
     /// The attempt of each stage result, by handle.
     results: RefCell<SortedMap<String, String>>,
     violations: RefCell<Vec<String>>,
+    troubles: RefCell<Troubles>,
     n_taken_up: Cell<usize>,
     n_continued: Cell<usize>,
     n_limited: Cell<usize>,
@@ -49,8 +56,11 @@
             route,
             body: body.to_vec(),
             runs: Vec::new(),
+            stages: Vec::new(),
+            node: None,
             outcome: None,
             sent: Instant::now(),
+            end: None,
         };
         self.attempts.borrow_mut().insert(id.to_owned(), attempt);
     }
@@ -86,6 +96,48 @@
             self.add_violation(format!("{id} got {outcome:?} and ran at {:?}", attempt.runs));
         }
         attempt.outcome = Some(outcome);
+        attempt.end = Some(Instant::now());
+    }
+
+    /// Records the gateway that a caller sends an attempt to.
+    pub fn record_node(&self, id: &str, node: &str) {
+        if let Some(attempt) = self.attempts.borrow_mut().get_mut(id) {
+            attempt.node = Some(node.to_owned());
+        }
+    }
+
+    /// Records that an endpoint starts to run an item of an attempt.
+    pub fn record_item(&self, id: &str, endpoint: &str) {
+        if let Some(attempt) = self.attempts.borrow_mut().get_mut(id) {
+            attempt.stages.push(endpoint.to_owned());
+        }
+    }
+
+    /// Records that a trouble of a gateway or an endpoint begins or has ended.
+    pub fn set_trouble(&self, subject: &str, trouble: Trouble, is_on: bool) {
+        self.troubles.borrow_mut().set(subject, trouble, is_on);
+    }
+
+    /// Describes the requests that ended without an answer and without an excuse.
+    pub fn lost(&self, is_strict: bool) -> Vec<String> {
+        let troubles = self.troubles.borrow();
+        let mut lost = Vec::new();
+        for (id, it) in self.attempts.borrow().iter() {
+            let (Some(Outcome::Disconnected), Some(end)) = (&it.outcome, it.end) else { continue };
+            let (node, sent) = (it.node.as_deref(), it.sent);
+            let ended = Ended { node, runs: &it.runs, stages: &it.stages, sent, end };
+            if troubles.excuse(&ended, is_strict).is_none() {
+                lost.push(format!(
+                    "{id} ({:?}) ended without an answer after {:?} at {}, runs at {:?}, items at {:?}",
+                    it.route,
+                    end - sent,
+                    node.unwrap_or_default(),
+                    it.runs,
+                    it.stages
+                ));
+            }
+        }
+        lost
     }
 
     /// Records a stage result of an attempt.
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -122,6 +122,11 @@
         SocketAddr::from((self.ip, port))
     }
 
+    /// Name of the gateway in the checker's records.
+    pub fn subject(&self) -> String {
+        self.ip.to_string()
+    }
+
     /// Address of the directory.
     pub fn directory(&self) -> SocketAddr {
         self.address(DIRECTORY_PORT)
@@ -159,6 +164,8 @@
     pub endpoints: Vec<Rc<Endpoint>>,
     pub proxies: Vec<Proxy>,
     pub checker: Rc<Checker>,
+    /// Version of the desired state.
+    pub version: u64,
     listeners: Vec<ListenerHandle>,
 }
 
@@ -188,7 +195,8 @@
         let store = Store::new();
         let mut listeners = vec![store.listen(at(2, STORE_PORT)).await?];
         let store_proxy = Proxy::start(at(1, STORE_PORT), at(2, STORE_PORT)).await?;
-        store.put("config", "main", desired_state(1, true));
+        let version = 1;
+        store.put("config", "main", desired_state(version, true));
         let (mut endpoints, mut proxies) = (Vec::new(), Vec::new());
         for pool in Pool::iter() {
             for number in 0..N_ENDPOINTS {
@@ -221,7 +229,7 @@
         for node in &mut nodes {
             node.start()?;
         }
-        Ok(Cluster { nodes, store, store_proxy, endpoints, proxies, checker, listeners })
+        Ok(Cluster { nodes, store, store_proxy, endpoints, proxies, checker, version, listeners })
     }
 
     /// Gives one endpoint of each pool another build than the others have.
--- a/crates/ferry-soak/src/config.rs
+++ b/crates/ferry-soak/src/config.rs
@@ -1,5 +1,9 @@
 //! The desired state used by the soak, in the operator's format.
 
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
 pub const HOST: &str = "soak.example";
@@ -7,6 +11,8 @@
 pub const WORKSPACE: &str = "soak-workspace";
 /// Deadline of each request, in milliseconds.
 pub const DEADLINE_MS: u64 = 4_000;
+/// Shortest time limit of any route in any version of the desired state.
+pub const SHORTEST_LIMIT: Duration = Duration::from_millis(3_500);
 
 /// Routes to which callers send requests; the name is the path prefix.
 #[derive(
@@ -70,6 +76,51 @@
     })
 }
 
+/// What versions of the desired state differ in, apart from their routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Variation {
+    limit_ms: u64,
+    /// Part of the traffic of a plain route that goes to another pool, in percent.
+    weight: u32,
+    connections: u32,
+    header_ms: u64,
+    idle_ms: u64,
+}
+
+impl Variation {
+    pub fn random(rng: &mut Pcg64Mcg) -> Variation {
+        let shortest = SHORTEST_LIMIT.as_millis() as u64;
+        Variation {
+            limit_ms: [shortest, DEADLINE_MS, 2 * DEADLINE_MS][rng.random_range(0..3)],
+            weight: [0, 10, 50][rng.random_range(0..3)],
+            connections: [20, 100][rng.random_range(0..2)],
+            header_ms: [1_000, 3_000][rng.random_range(0..2)],
+            idle_ms: [1_000, 5_000, 15_000][rng.random_range(0..3)],
+        }
+    }
+
+    /// Returns a version of the desired state that differs in this.
+    pub fn desired_state(self, version: u64, has_extra: bool) -> Value {
+        let mut state = desired_state(version, has_extra);
+        for route in state["Routes"].as_array_mut().into_iter().flatten() {
+            route["TimeoutMs"] = json!(self.limit_ms);
+            if route["Name"] == "get" {
+                route["Service"] = Value::Null;
+                route["TrafficSplit"] = json!([
+                    { "Service": "plain", "Weight": 100 - self.weight },
+                    { "Service": "first", "Weight": self.weight },
+                ]);
+            }
+        }
+        for service in state["Services"].as_array_mut().into_iter().flatten() {
+            service["MaxConnections"] = json!(self.connections);
+        }
+        state["Limits"]["HeaderTimeoutMs"] = json!(self.header_ms);
+        state["Limits"]["IdleTimeoutMs"] = json!(self.idle_ms);
+        state
+    }
+}
+
 fn plain(name: &str, kind: &str, tries: u32) -> Value {
     json!({
         "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -67,6 +67,23 @@
     Slow(u32),
 }
 
+impl Behaviour {
+    /// Whether requests that the endpoint runs come to a right and whole answer.
+    pub fn is_sound(self) -> bool {
+        match self {
+            Behaviour::Healthy | Behaviour::Full | Behaviour::Slow(_) => true,
+            Behaviour::NeverResponds
+            | Behaviour::Disconnects
+            | Behaviour::Failing
+            | Behaviour::Truncates
+            | Behaviour::EndsInEvent { .. }
+            | Behaviour::Unframed
+            | Behaviour::Untyped
+            | Behaviour::WrongAttempt => false,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Endpoint {
     pub id: String,
@@ -219,6 +236,7 @@
         if !inputs.all(|it| self.checker.has_result(it, attempt)) {
             return json!({ "Reason": "gone" });
         }
+        self.checker.record_item(attempt, &self.id);
         self.n_results.set(self.n_results.get() + 1);
         let handle = format!("{}/{:x}", self.address, self.n_results.get());
         self.checker.add_result(&handle, attempt);
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cluster;
 pub mod config;
 pub mod endpoint;
+pub mod losses;
 pub mod plan;
 pub mod proxy;
 mod rate_limit;
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -33,6 +33,9 @@
     /// number of gateways, 2 to 240 (4)
     #[argh(option, default = "4", from_str_fn(n_processes))]
     processes: usize,
+    /// only these faults: pauses (moments of silence, configurations and SIGHUP); all by default
+    #[argh(option)]
+    only: Option<Only>,
     /// path of the gateway binary; by default ferry-gateway in the directory of this program
     #[argh(option)]
     gateway: Option<PathBuf>,
@@ -41,6 +44,13 @@
     directory: PathBuf,
 }
 
+/// A part of the faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+enum Only {
+    Pauses,
+}
+
 fn n_processes(text: &str) -> Result<usize, String> {
     match text.parse() {
         Ok(number @ 2..=MAX_PROCESSES) => Ok(number),
@@ -86,16 +96,18 @@
             gateway: gateway.clone(),
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
+            is_calm: args.only == Some(Only::Pauses),
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
-             limited endpoints",
+             limited endpoints; {} lost",
             report.under_faults,
             report.after_recovery,
             report.n_continued,
             report.n_taken_up,
-            report.n_limited
+            report.n_limited,
+            report.n_lost
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -6,11 +6,15 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cluster::{Cluster, N_ENDPOINTS, Signal};
-use crate::config::desired_state;
+use crate::config::{Variation, desired_state};
 use crate::endpoint::Behaviour;
-use crate::proxy::Link;
+use crate::losses::Trouble;
+use crate::proxy::{Answers, Link};
 use crate::store::StoreBehaviour;
 
+/// Time from SIGTERM to the start of the next process.
+const RESTART_TIME: Duration = Duration::from_millis(9_000);
+
 /// A fault, or the end of one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Step {
@@ -49,8 +53,13 @@
         endpoint: usize,
     },
     Configure {
-        version: u64,
         has_extra: bool,
+        variation: Option<Variation>,
+    },
+    /// Makes a sound endpoint answer at once again, not at all for a moment, or slowly.
+    Answers {
+        endpoint: usize,
+        answers: Answers,
     },
     /// Makes an endpoint name a rate limit, which may be no valid one, or none any longer.
     RateLimit {
@@ -71,11 +80,9 @@
 ) -> Plan {
     let mut plan = Vec::new();
     let mut at = Duration::from_millis(500);
-    let mut version = 1;
     while at < duration {
-        version += 1;
         let length = Duration::from_millis(rng.random_range(200..2_500));
-        for (delay, step) in fault(rng, n_nodes, n_endpoints, version, length) {
+        for (delay, step) in fault(rng, n_nodes, n_endpoints, length) {
             plan.push((at + delay, step));
         }
         at += Duration::from_millis(rng.random_range(100..900));
@@ -107,12 +114,57 @@
     plan
 }
 
+/// Generates moments in which endpoints are silent or slow but sound, series of configurations and
+/// signals beside them; none but SIGHUP if `is_calm`.
+pub fn generate_pauses(
+    rng: &mut Pcg64Mcg,
+    duration: Duration,
+    n_nodes: usize,
+    n_endpoints: usize,
+    is_calm: bool,
+) -> Plan {
+    let mut plan = Vec::new();
+    let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
+    let gap = if is_calm { 800..5_000 } else { 2_000..12_000 };
+    for endpoint in 0..n_endpoints {
+        let mut at = millis(rng, 0..gap.end / 2);
+        while at < duration {
+            let answers = match rng.random_range(0..3) {
+                0 => Answers::Pieces(millis(rng, 50..600)),
+                _ => Answers::Paused,
+            };
+            plan.push((at, Step::Answers { endpoint, answers }));
+            at += Duration::from_millis([500, 1_000, 2_000][rng.random_range(0..3)]);
+            plan.push((at, Step::Answers { endpoint, answers: Answers::Prompt }));
+            at += millis(rng, gap.clone());
+        }
+    }
+    let mut at = millis(rng, 0..1_500);
+    while at < duration {
+        let end = at + millis(rng, 1_000..2_000);
+        while at < end {
+            let (has_extra, variation) = (rng.random_range(0..2) == 0, Variation::random(rng));
+            plan.push((at, Step::Configure { has_extra, variation: Some(variation) }));
+            let node = rng.random_range(0..n_nodes);
+            plan.push((at + millis(rng, 0..400), Step::Signal { node, signal: Signal::HangUp }));
+            at += millis(rng, 100..400);
+        }
+        let node = rng.random_range(0..n_nodes);
+        if !is_calm && rng.random_range(0..4) == 0 {
+            plan.push((at, Step::Signal { node, signal: Signal::Terminate }));
+            plan.push((at + RESTART_TIME, Step::Start { node }));
+        }
+        at += millis(rng, 500..3_000);
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
+
 /// Generates a fault and the step that ends it, with their delays.
 fn fault(
     rng: &mut Pcg64Mcg,
     n_nodes: usize,
     n_endpoints: usize,
-    version: u64,
     duration: Duration,
 ) -> Vec<(Duration, Step)> {
     let now = Duration::ZERO;
@@ -135,8 +187,7 @@
         0 => vec![(now, signal(Signal::Kill)), (duration, Step::Start { node })],
         1 => vec![(now, signal(Signal::Stop)), (duration, signal(Signal::Continue))],
         2 => {
-            let restart = Duration::from_millis(9_000);
-            vec![(now, signal(Signal::Terminate)), (restart, Step::Start { node })]
+            vec![(now, signal(Signal::Terminate)), (RESTART_TIME, Step::Start { node })]
         }
         3 => vec![(now, signal(Signal::HangUp))],
         4 => store(StoreBehaviour::Unavailable),
@@ -163,7 +214,9 @@
         25 => behaviour(Behaviour::EndsInEvent { is_chunked: false }),
         26 => behaviour(Behaviour::EndsInEvent { is_chunked: true }),
         27 => behaviour(Behaviour::Unframed),
-        _ => vec![(now, Step::Configure { version, has_extra: rng.random_range(0..2) == 0 })],
+        _ => {
+            vec![(now, Step::Configure { has_extra: rng.random_range(0..2) == 0, variation: None })]
+        }
     }
 }
 
@@ -174,22 +227,50 @@
 /// Executes a step.
 pub fn apply(cluster: &mut Cluster, step: Step) -> std::io::Result<()> {
     match step {
-        Step::Signal { node, signal } => cluster.nodes[node].signal(signal),
-        Step::Start { node } => cluster.nodes[node].start()?,
+        Step::Signal { node, signal } => {
+            let subject = cluster.nodes[node].subject();
+            match signal {
+                Signal::Kill => cluster.checker.set_trouble(&subject, Trouble::Killed, true),
+                Signal::Terminate => {
+                    cluster.checker.set_trouble(&subject, Trouble::Terminated, true);
+                }
+                Signal::Stop | Signal::Continue | Signal::HangUp => (),
+            }
+            cluster.nodes[node].signal(signal);
+        }
+        Step::Start { node } => start(cluster, node)?,
         Step::Store(behaviour) => cluster.store.set_behaviour(behaviour),
         Step::StoreLink(link) => cluster.store_proxy.set(link),
         Step::StoreReset => cluster.store_proxy.reset(),
         Step::Compact => cluster.store.compact(),
         Step::Behaviour { endpoint, behaviour } => {
-            cluster.endpoints[endpoint].behaviour.set(behaviour)
+            cluster.endpoints[endpoint].behaviour.set(behaviour);
+            note(cluster, endpoint);
+        }
+        Step::Link { endpoint, link } => {
+            cluster.proxies[endpoint].set(link);
+            note(cluster, endpoint);
+        }
+        Step::Reset { endpoint } => {
+            cluster.checker.set_trouble(&cluster.endpoints[endpoint].id, Trouble::Broken, true);
+            cluster.proxies[endpoint].reset();
+            note(cluster, endpoint);
         }
-        Step::Link { endpoint, link } => cluster.proxies[endpoint].set(link),
-        Step::Reset { endpoint } => cluster.proxies[endpoint].reset(),
         Step::DropResults { endpoint } => cluster.endpoints[endpoint].drop_results(),
         Step::Drain { endpoint } => register(cluster, endpoint, "draining"),
         Step::Undrain { endpoint } => register(cluster, endpoint, "ready"),
-        Step::Configure { version, has_extra } => {
-            cluster.store.put("config", "main", desired_state(version, has_extra));
+        Step::Configure { has_extra, variation } => {
+            cluster.version += 1;
+            let state = match variation {
+                Some(it) => it.desired_state(cluster.version, has_extra),
+                None => desired_state(cluster.version, has_extra),
+            };
+            cluster.store.put("config", "main", state);
+        }
+        Step::Answers { endpoint, answers } => {
+            cluster.proxies[endpoint].set_answers(answers);
+            let is_on = answers != Answers::Prompt;
+            cluster.checker.set_trouble(&cluster.endpoints[endpoint].id, Trouble::Silent, is_on);
         }
         Step::RateLimit { endpoint, per_second } => {
             cluster.endpoints[endpoint].rate_limit.set(per_second);
@@ -198,6 +279,22 @@
     Ok(())
 }
 
+fn start(cluster: &mut Cluster, node: usize) -> std::io::Result<()> {
+    cluster.nodes[node].start()?;
+    let subject = cluster.nodes[node].subject();
+    for trouble in [Trouble::Killed, Trouble::Terminated] {
+        cluster.checker.set_trouble(&subject, trouble, false);
+    }
+    Ok(())
+}
+
+/// Records whether an endpoint and its link are sound.
+fn note(cluster: &Cluster, endpoint: usize) {
+    let (it, link) = (&cluster.endpoints[endpoint], cluster.proxies[endpoint].link());
+    let is_sound = it.behaviour.get().is_sound() && link.is_sound();
+    cluster.checker.set_trouble(&it.id, Trouble::Broken, !is_sound);
+}
+
 fn register(cluster: &Cluster, endpoint: usize, state: &str) {
     let endpoint = &cluster.endpoints[endpoint];
     cluster.store.put("servers", &endpoint.id, endpoint.entry("zone-0", state));
@@ -211,11 +308,13 @@
         cluster.endpoints[idx].behaviour.set(Behaviour::Healthy);
         cluster.endpoints[idx].rate_limit.set(None);
         cluster.proxies[idx].set(Link::Open);
+        note(cluster, idx);
+        apply(cluster, Step::Answers { endpoint: idx, answers: Answers::Prompt })?;
         register(cluster, idx, "ready");
     }
-    for node in &mut cluster.nodes {
-        node.signal(Signal::Continue);
-        node.start()?;
+    for idx in 0..cluster.nodes.len() {
+        cluster.nodes[idx].signal(Signal::Continue);
+        start(cluster, idx)?;
     }
     Ok(())
 }
--- a/crates/ferry-soak/src/proxy.rs
+++ b/crates/ferry-soak/src/proxy.rs
@@ -27,10 +27,39 @@
     Refusing,
 }
 
+impl Link {
+    /// Whether everything arrives in the end, on the same connection.
+    pub fn is_sound(self) -> bool {
+        match self {
+            Link::Open | Link::Slow(_) => true,
+            Link::Silent | Link::OneWay | Link::Refusing => false,
+        }
+    }
+}
+
+/// How the answers of a target that stays sound arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answers {
+    Prompt,
+    /// They wait, and so does the rest of answers that have begun.
+    Paused,
+    /// They come in pieces with pauses, so that events are not whole at once.
+    Pieces(Duration),
+}
+
+/// Number of pieces of what would arrive at once.
+const N_PIECES: usize = 3;
+
+#[derive(Debug, Clone)]
+struct State {
+    link: Rc<Cell<Link>>,
+    answers: Rc<Cell<Answers>>,
+}
+
 #[derive(Debug)]
 pub struct Proxy {
     pub address: SocketAddr,
-    link: Rc<Cell<Link>>,
+    state: State,
     reset: Rc<Notify>,
     task: AbortHandle,
 }
@@ -45,39 +74,52 @@
     pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let link = Rc::new(Cell::new(Link::Open));
+        let state = State {
+            link: Rc::new(Cell::new(Link::Open)),
+            answers: Rc::new(Cell::new(Answers::Prompt)),
+        };
         let reset = Rc::new(Notify::new());
-        let (state, resets) = (link.clone(), reset.clone());
+        let (states, resets) = (state.clone(), reset.clone());
         let task = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if state.get() != Link::Refusing {
-                    spawn_local(forward(stream, target, state.clone(), resets.clone()));
+                if states.link.get() != Link::Refusing {
+                    spawn_local(forward(stream, target, states.clone(), resets.clone()));
                 }
             }
         });
-        Ok(Proxy { address, link, reset, task: task.abort_handle() })
+        Ok(Proxy { address, state, reset, task: task.abort_handle() })
     }
 
     pub fn set(&self, link: Link) {
-        self.link.set(link);
+        self.state.link.set(link);
         if link == Link::Refusing {
             self.reset();
         }
     }
 
+    pub fn link(&self) -> Link {
+        self.state.link.get()
+    }
+
+    /// Sets how answers arrive, whatever the link does.
+    pub fn set_answers(&self, answers: Answers) {
+        self.state.answers.set(answers);
+    }
+
     /// Closes every open connection.
     pub fn reset(&self) {
         self.reset.notify_waiters();
     }
 }
 
-async fn forward(caller: TcpStream, target: SocketAddr, link: Rc<Cell<Link>>, reset: Rc<Notify>) {
+async fn forward(caller: TcpStream, target: SocketAddr, state: State, reset: Rc<Notify>) {
     let reset = reset.notified();
     let Ok(callee) = TcpStream::connect(target).await else { return };
     let (mut caller_in, mut caller_out) = caller.into_split();
     let (mut callee_in, mut callee_out) = callee.into_split();
-    let forward = copy(&mut caller_in, &mut callee_out, &link, Link::Silent);
-    let backward = copy(&mut callee_in, &mut caller_out, &link, Link::OneWay);
+    let forward = copy(&mut caller_in, &mut callee_out, &state.link, Link::Silent, None);
+    let backward =
+        copy(&mut callee_in, &mut caller_out, &state.link, Link::OneWay, Some(&state.answers));
     tokio::select! {
         () = forward => (),
         () = backward => (),
@@ -91,18 +133,30 @@
     to: &mut (impl AsyncWriteExt + Unpin),
     link: &Cell<Link>,
     blocked: Link,
+    answers: Option<&Cell<Answers>>,
 ) {
+    let answers = || answers.map_or(Answers::Prompt, Cell::get);
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let Ok(len @ 1..) = from.read(&mut buffer).await else { return };
-        while link.get() == Link::Silent || link.get() == blocked {
+        let is_blocked = || link.get() == Link::Silent || link.get() == blocked;
+        while is_blocked() || answers() == Answers::Paused {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         if let Link::Slow(time) = link.get() {
             tokio::time::sleep(time).await;
         }
-        if to.write_all(&buffer[..len]).await.is_err() {
-            return;
+        let (size, pause) = match answers() {
+            Answers::Pieces(pause) => (len.div_ceil(N_PIECES), pause),
+            Answers::Prompt | Answers::Paused => (len, Duration::ZERO),
+        };
+        for (number, piece) in buffer[..len].chunks(size).enumerate() {
+            if number != 0 {
+                tokio::time::sleep(pause).await;
+            }
+            if to.write_all(piece).await.is_err() {
+                return;
+            }
         }
     }
 }
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -17,9 +17,11 @@
 use crate::cluster::Cluster;
 use crate::config::Route;
 use crate::endpoint::Pool;
-use crate::plan::{apply, generate, generate_limits, restore};
+use crate::plan::{Plan, apply, generate, generate_limits, generate_pauses, restore};
 
 const N_CALLERS: usize = 12;
+/// The same if nothing else fails, so that moments of silence meet more streams that have begun.
+const N_CALM_CALLERS: usize = 40;
 /// Pause of a caller between requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 /// Time for the gateways to start.
@@ -27,6 +29,8 @@
 /// Time for the system to recover; covers the detection of silent peers, the shutdown of a process
 /// and the ejection of endpoints.
 const RECOVERY_TIME: Duration = Duration::from_millis(12_000);
+/// The same if no process and no endpoint has failed.
+const CALM_RECOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time after the recovery over which the share of served requests is checked, and added time for
 /// the last responses.
 const CHECK_TIME: Duration = Duration::from_millis(2_000);
@@ -46,6 +50,8 @@
     pub directory: PathBuf,
     /// Second and third octet of the loopback addresses, so that concurrent runs do not collide.
     pub net: (u8, u8),
+    /// Whether there are only silent moments of sound endpoints, configurations and SIGHUP.
+    pub is_calm: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -60,6 +66,8 @@
     pub n_continued: usize,
     /// Requests to endpoints whose rate limit held.
     pub n_limited: usize,
+    /// Requests that ended without an answer and without an excuse.
+    pub n_lost: usize,
 }
 
 impl Report {
@@ -76,19 +84,16 @@
         Cluster::start(&options.gateway, &options.directory, options.net, options.n_nodes).await?;
     cluster.mix_builds();
     sleep(START_TIME).await;
-    let is_over = start_callers(&cluster, &mut rng);
+    let n_callers = if options.is_calm { N_CALM_CALLERS } else { N_CALLERS };
+    let is_over = start_callers(&cluster, &mut rng, n_callers);
     let start = Instant::now();
-    let mut plan = generate(&mut rng, options.duration, options.n_nodes, cluster.endpoints.len());
-    // A generator of their own, so that seeds draw the other faults as before.
-    let mut rng = Pcg64Mcg::seed_from_u64(!options.seed);
-    plan.extend(generate_limits(&mut rng, options.duration, Pool::iter().count()));
-    plan.sort_by_key(|it| it.0);
-    for (at, step) in plan.into_iter().filter(|(at, _)| *at <= options.duration) {
+    for (at, step) in plan(options, &mut rng, cluster.endpoints.len()) {
         sleep_until(start + at).await;
         apply(&mut cluster, step)?;
     }
     restore(&mut cluster)?;
-    let recovered = Instant::now() + RECOVERY_TIME;
+    let recovery = if options.is_calm { CALM_RECOVERY_TIME } else { RECOVERY_TIME };
+    let recovered = Instant::now() + recovery;
     while Instant::now() < recovered {
         sleep(Duration::from_millis(200)).await;
         for node in &mut cluster.nodes {
@@ -102,6 +107,9 @@
     let under_faults = cluster.checker.count_outcomes(start, from);
     let after_recovery = cluster.checker.count_outcomes(from, until);
     let mut violations = cluster.checker.violations();
+    let lost = cluster.checker.lost(options.is_calm);
+    let n_lost = lost.len();
+    violations.extend(lost);
     let share = after_recovery.served as f64 / after_recovery.sent.max(1) as f64;
     if share < MIN_SERVED {
         violations.push(format!(
@@ -110,14 +118,38 @@
     }
     let (n_taken_up, n_continued) = cluster.checker.take_ups();
     let n_limited = cluster.checker.n_limited();
-    Ok(Report { violations, under_faults, after_recovery, n_taken_up, n_continued, n_limited })
+    Ok(Report {
+        violations,
+        under_faults,
+        after_recovery,
+        n_taken_up,
+        n_continued,
+        n_limited,
+        n_lost,
+    })
+}
+
+/// Generates the faults of a run.
+fn plan(options: &SoakOptions, rng: &mut Pcg64Mcg, n_endpoints: usize) -> Plan {
+    let SoakOptions { seed, duration, n_nodes, is_calm, .. } = *options;
+    // Generators of their own, so that seeds draw the other faults as before.
+    let mut limits_rng = Pcg64Mcg::seed_from_u64(!seed);
+    let mut pauses_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
+    let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, is_calm);
+    if !is_calm {
+        plan.extend(generate(rng, duration, n_nodes, n_endpoints));
+        plan.extend(generate_limits(&mut limits_rng, duration, Pool::iter().count()));
+    }
+    plan.retain(|(at, _)| *at <= duration);
+    plan.sort_by_key(|it| it.0);
+    plan
 }
 
 /// Starts callers that send requests until the returned flag is set.
-fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg) -> Rc<RefCell<bool>> {
+fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg, n_callers: usize) -> Rc<RefCell<bool>> {
     let is_over = Rc::new(RefCell::new(false));
     let routes: Vec<Route> = Route::iter().filter(|it| *it != Route::Extra).collect();
-    for number in 0..N_CALLERS {
+    for number in 0..n_callers {
         let seed = rng.random_range(0..u64::MAX);
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let checker = cluster.checker.clone();
