--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_model::{ConfigVersion, GatewayConfig, Moment, SortedMap};
 
@@ -22,6 +23,8 @@
     PermitAnswer, PermitId, Scheduled, Scheduler, Tuning,
 };
 
+/// Lateness of a pass from which on this process stood still, so that it heard no endpoint.
+const MAX_LATENESS: Duration = Duration::from_millis(50);
 /// Bits of a permit's id below those of the process.
 const PERMIT_BITS: u32 = 24;
 
@@ -89,6 +92,11 @@
 
     /// Processes one event at `now` and returns what the process has to do, in order.
     pub fn reduce(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        // A heartbeat is due several times a second, whatever else happens.
+        let late = now.saturating_sub(self.ctx.peers.next_wake());
+        if MAX_LATENESS < late {
+            self.requests.excuse_silence(now, late);
+        }
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
         let mut released = Vec::new();
@@ -100,6 +108,7 @@
             outcomes: &mut outcomes,
             released: &mut released,
             permits: &mut permits,
+            late,
         };
         match event {
             Event::Tick { late } => {
@@ -247,6 +256,7 @@
                 outcomes: &mut next.outcomes,
                 released: &mut next.released,
                 permits: &mut next.permits,
+                late: Duration::ZERO,
             };
             for (key, outcome) in settlement.outcomes {
                 self.requests.on_job_outcome(cx, &mut self.batcher, &key, outcome);
