Close a caller's connection by the idle time of the configuration in force

Cause: the idle time was given to the HTTP library when a connection was accepted, and stayed until it closed. After a longer one was configured, a connection that its caller may still use was closed; after a shorter one, it stayed open. Nothing told that a connection was closed for it.

Change: an idle watch of our own beside the library. It knows the requests in progress (from the head to the end of the response's body) and when bytes were last sent, and follows the limits in force. Bytes of a head don't prolong its time. The connection is polled before the timer, so that a request that has arrived is seen first. A counter and, if a part of a head had arrived, a line tell of it.

No answer in progress was cut in the test, neither before nor after.

--- /dev/null
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -0,0 +1,136 @@
+//! Limits of callers' connections, which follow the configuration in force.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_serve::Gateway;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::body::{ResponseBody, StreamAborted};
+
+/// Idle timeout of callers' connections before a configuration is known.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Added to the idle timeout, so that a request sent just before it expires still arrives.
+const IDLE_SLACK: Duration = Duration::from_secs(2);
+
+/// Limits of callers' connections.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Time to wait for the next request and to receive its head.
+    pub idle: Duration,
+}
+
+impl CallerLimits {
+    /// Returns the limits in the configuration in force.
+    pub fn of(gateway: &Gateway) -> CallerLimits {
+        let idle = gateway.config().map_or(DEFAULT_IDLE_TIMEOUT, |it| it.limits.idle_timeout);
+        CallerLimits { idle: idle + IDLE_SLACK }
+    }
+}
+
+/// Knows for how long a connection has had no request in progress.
+///
+/// Bytes of a head do not count, so that one that trickles in ends with the idle time.
+#[derive(Debug, Clone)]
+pub struct IdleWatch {
+    state: Rc<IdleState>,
+}
+
+#[derive(Debug)]
+struct IdleState {
+    n_requests: Cell<usize>,
+    /// When the connection was accepted, or its last response ended.
+    since: Cell<Instant>,
+}
+
+/// A request in progress, from its head to the end of its response.
+#[derive(Debug)]
+pub struct RequestGuard {
+    idle: IdleWatch,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let state = &self.idle.state;
+        state.n_requests.set(state.n_requests.get() - 1);
+        self.idle.record_write();
+    }
+}
+
+impl IdleWatch {
+    /// Creates the watch of a connection accepted now.
+    pub fn new(now: Instant) -> IdleWatch {
+        let state = IdleState { n_requests: Cell::new(0), since: Cell::new(now) };
+        IdleWatch { state: Rc::new(state) }
+    }
+
+    pub fn start_request(&self) -> RequestGuard {
+        self.state.n_requests.set(self.state.n_requests.get() + 1);
+        RequestGuard { idle: self.clone() }
+    }
+
+    /// Records that bytes were sent: the end of a response may be sent long after its body was
+    /// taken over by the HTTP library.
+    pub fn record_write(&self) {
+        self.state.since.set(Instant::now());
+    }
+
+    /// Waits until the connection has been idle for longer than the limits in force allow.
+    pub async fn expired(&self, limits: &mut watch::Receiver<CallerLimits>) {
+        loop {
+            let limit = limits.borrow_and_update().idle;
+            let now = Instant::now();
+            let due = match self.state.n_requests.get() {
+                0 => self.state.since.get() + limit,
+                // The idle time begins after the request, so that it cannot end earlier.
+                _ => now + limit,
+            };
+            if due <= now {
+                return;
+            }
+            tokio::select! {
+                Ok(()) = limits.changed() => (),
+                () = sleep_until(due) => (),
+            }
+        }
+    }
+}
+
+/// The body of a response, which ends the request in progress with it.
+#[derive(Debug)]
+pub struct CountedBody {
+    body: ResponseBody,
+    _request: RequestGuard,
+}
+
+impl CountedBody {
+    pub fn new(body: ResponseBody, request: RequestGuard) -> CountedBody {
+        CountedBody { body, _request: request }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = StreamAborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::body::StreamChunk;
+use crate::caller_limits::CallerLimits;
 use crate::client::{BufferedResponse, ConnectionCache};
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
@@ -98,6 +99,8 @@
     pub callers: RefCell<SortedMap<Ticket, PendingCaller>>,
     pub calls: RefCell<SortedMap<CallId, ActiveCall>>,
     pub phase: watch::Sender<Phase>,
+    /// Limits of callers' connections in the configuration in force.
+    pub limits: watch::Sender<CallerLimits>,
     /// Last warning about each invalid object of the store, by name.
     pub invalid_objects: RefCell<SortedMap<String, String>>,
     gateway: RefCell<Gateway>,
@@ -127,6 +130,7 @@
             callers: RefCell::default(),
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            limits: watch::Sender::new(CallerLimits::of(&gateway)),
             invalid_objects: RefCell::default(),
             gateway: RefCell::new(gateway),
             socket,
@@ -160,6 +164,8 @@
     pub fn dispatch(self: &Rc<Self>, event: Event) {
         let now = self.now();
         let effects = self.gateway.borrow_mut().reduce(now, event);
+        let limits = CallerLimits::of(&self.gateway.borrow());
+        self.limits.send_if_modified(|it| std::mem::replace(it, limits.clone()) != limits);
         for effect in effects {
             self.execute(effect);
         }
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -14,6 +14,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_limits::IdleWatch;
+
 /// Maximum number of headers of a request; the HTTP library rejects requests with more.
 const MAX_HEADERS: usize = 100;
 
@@ -190,6 +192,15 @@
 pub struct InspectedStream {
     pub stream: TcpStream,
     pub inspector: Inspector,
+    pub idle: IdleWatch,
+}
+
+impl InspectedStream {
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.idle.record_write();
+        }
+    }
 }
 
 impl AsyncRead for InspectedStream {
@@ -214,7 +225,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -222,7 +236,10 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, parts)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, parts);
+        this.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod auxiliary;
 pub mod body;
 pub mod caches;
+pub mod caller_limits;
 pub mod calls;
 pub mod client;
 pub mod decision_log;
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -4,21 +4,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ferry_serve::Metric;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
+use crate::caller_limits::{CountedBody, IdleWatch};
 use crate::driver::{Driver, Phase};
 use crate::inspector::{InspectedStream, Inspector};
 use crate::{auxiliary, front};
 
-/// Idle timeout of callers' connections before a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Added to the idle timeout, so that a request sent just before it expires still arrives.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
 /// Maximum size of a request head in bytes before a configuration is known.
 const DEFAULT_MAX_HEAD: usize = 16 * 1024;
 /// Pause after an accept error, such as too many open files.
@@ -89,29 +88,48 @@
 }
 
 async fn caller(driver: Rc<Driver>, stream: TcpStream) {
-    let limits = driver.query(|it| it.config().map(|it| it.limits.clone()));
-    let (head, idle) = match limits {
-        Some(limits) => (limits.header, limits.idle_timeout),
-        None => (DEFAULT_MAX_HEAD, DEFAULT_IDLE_TIMEOUT),
-    };
+    let head = driver.query(|it| it.config().map_or(0, |it| it.limits.header));
     let max_head = head.max(DEFAULT_MAX_HEAD);
-    let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle + IDLE_SLACK).max_buf_size(max_head);
+    let mut limits = driver.limits.subscribe();
     let mut phase = driver.phase.subscribe();
     let inspector = Inspector::new(max_head);
-    let inspected = InspectedStream { stream, inspector: inspector.clone() };
-    let service = service_fn(move |it| front::serve(driver.clone(), inspector.clone(), it));
+    let idle = IdleWatch::new(Instant::now());
+    let inspected = InspectedStream { stream, inspector: inspector.clone(), idle: idle.clone() };
+    let service = {
+        let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
+        service_fn(move |it| {
+            let request = idle.start_request();
+            let response = front::serve(driver.clone(), inspector.clone(), it);
+            async { response.await.map(|it| it.map(|body| CountedBody::new(body, request))) }
+        })
+    };
+    let mut builder = Builder::new();
+    // The library would keep the time that was in force when the connection was accepted.
+    builder.header_read_timeout(None).max_buf_size(max_head);
     let connection = builder.serve_connection(TokioIo::new(inspected), service);
     let mut connection = std::pin::pin!(connection);
-    // Errors are caused by the caller, which disconnected or sent an invalid request and got an error
-    // response.
+    // The connection comes first, so that a request that has arrived is seen before a late timer.
+    // Its errors are caused by the caller, which disconnected or sent an invalid request and got an
+    // error response.
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
         _ = phase.wait_for(|it| is_closing(*it)) => connection.as_mut().graceful_shutdown(),
+        () = idle.expired(&mut limits) => return close_idle(&driver, &inspector),
     }
     let _ = connection.await;
 }
 
+/// Records why a connection is closed that had no request in progress for too long.
+fn close_idle(driver: &Driver, inspector: &Inspector) {
+    driver.metrics.count(Metric::ConnectionsTimedOut);
+    let n_kept = inspector.n_kept();
+    if 0 < n_kept {
+        let error = format!("its head did not arrive in time; {n_kept} bytes did");
+        driver.warn("a caller's connection was closed inside a request", &error);
+    }
+}
+
 fn is_closing(phase: Phase) -> bool {
     matches!(phase, Phase::Closing | Phase::Stopped)
 }
--- /dev/null
+++ b/crates/ferry-gateway/tests/process/connections.rs
@@ -0,0 +1,128 @@
+//! Limits of callers' connections, also of those that were accepted under another configuration.
+
+use std::time::Duration;
+
+use ferry_soak::cluster::Cluster;
+use ferry_soak::config::{Route, desired_state};
+use ferry_soak::endpoint::{Behaviour, Pool};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::harness::{exchange, head, read_until_idle, with_cluster};
+
+/// An idle time, in milliseconds, that is over when the connections are checked, also with the time
+/// that the gateway adds to it.
+const SHORT: u64 = 200;
+const LONG: u64 = 15_000;
+/// Time after which the connections are checked.
+const CHECK: Duration = Duration::from_millis(3_500);
+/// Time in which a configuration is applied.
+const APPLIED: Duration = Duration::from_millis(400);
+
+fn with_limit(version: u64, name: &str, limit: u64) -> Value {
+    let mut state = desired_state(version, true);
+    state["Limits"][name] = limit.into();
+    state
+}
+
+async fn connect(cluster: &Cluster, bytes: &[u8]) -> TcpStream {
+    let stream = TcpStream::connect(cluster.nodes[0].front()).await;
+    let mut stream = stream.expect("the gateway listens");
+    stream.write_all(bytes).await.expect("the bytes are written");
+    stream
+}
+
+/// Returns whether the gateway has closed a connection.
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    match timeout(Duration::from_millis(50), stream.read(&mut [0; 64])).await {
+        Ok(Ok(0) | Err(_)) => true,
+        Ok(Ok(_)) => panic!("a response without a request"),
+        Err(_) => false,
+    }
+}
+
+fn get(attempt: &str) -> String {
+    head("GET", &Route::Get.path(), attempt) + "\r\n"
+}
+
+fn stream(attempt: &str) -> String {
+    let head = head("POST", &Route::Once.path(), attempt);
+    format!(
+        "{head}Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+#[test]
+fn idle_time_in_force_decides_about_connections_accepted_before() {
+    struct Case {
+        name: &'static str,
+        /// Idle times when the connections are accepted, and from then on.
+        idle: [u64; 2],
+        /// Whether connections without a whole request are closed at the check.
+        is_closed: bool,
+    }
+    let cases = [
+        Case { name: "longer", idle: [SHORT, LONG], is_closed: false },
+        Case { name: "shorter", idle: [LONG, SHORT], is_closed: true },
+        Case { name: "short", idle: [SHORT, SHORT], is_closed: true },
+        Case { name: "long", idle: [LONG, LONG], is_closed: false },
+    ];
+    for case in cases {
+        with_cluster(&format!("idle-{}", case.name), 1, async |cluster| {
+            let engines = cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+            engines.for_each(|it| it.behaviour.set(Behaviour::Slow(20)));
+            cluster.store.put("config", "main", with_limit(2, "IdleTimeoutMs", case.idle[0]));
+            sleep(APPLIED).await;
+            for (attempt, route) in [
+                ("stream", Route::Once),
+                ("first", Route::Get),
+                ("idle", Route::Get),
+                ("half", Route::Get),
+            ] {
+                cluster.checker.record_sent(attempt, route, b"");
+            }
+            // A connection that has served a request.
+            let mut used = connect(&cluster, get("first").as_bytes()).await;
+            let mut buffer = [0; 4096];
+            let len = used.read(&mut buffer).await.expect("a response");
+            assert!(buffer[..len].starts_with(b"HTTP/1.1 200"), "{}", case.name);
+            let mut idle = connect(&cluster, b"").await;
+            let half_head = get("half");
+            let (sent, rest) = half_head.split_at(30);
+            let mut half = connect(&cluster, sent.as_bytes()).await;
+            let mut busy = connect(&cluster, stream("stream").as_bytes()).await;
+            sleep(Duration::from_millis(100)).await;
+            cluster.store.put("config", "main", with_limit(3, "IdleTimeoutMs", case.idle[1]));
+
+            let (text, ()) = tokio::join!(read_until_idle(&mut busy), async {
+                // More of a head, which must not prolong its time.
+                sleep(CHECK / 2).await;
+                half.write_all(&rest.as_bytes()[..8]).await.expect("the bytes are written");
+                sleep(CHECK / 2).await;
+            });
+            assert!(text.ends_with("\r\n0\r\n\r\n"), "{}: {text}", case.name);
+            assert_eq!(is_closed(&mut used).await, case.is_closed, "{}: used", case.name);
+            assert_eq!(is_closed(&mut idle).await, case.is_closed, "{}: idle", case.name);
+            assert_eq!(is_closed(&mut half).await, case.is_closed, "{}: half", case.name);
+            let metrics = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+            let text = exchange(cluster.nodes[0].ready(), metrics).await;
+            let n_closed = if case.is_closed { 3 } else { 0 };
+            let line = format!("ferry_connections_timed_out_total {n_closed}\n");
+            assert!(text.contains(&line), "{}: {text}", case.name);
+            let log = std::fs::read_to_string(cluster.nodes[0].log()).expect("the log is readable");
+            let n_lines =
+                log.lines().filter(|it| it.contains("was closed inside a request")).count();
+            assert_eq!(n_lines, usize::from(case.is_closed), "{}", case.name);
+            if !case.is_closed {
+                half.write_all(&rest.as_bytes()[8..]).await.expect("the bytes are written");
+                idle.write_all(get("idle").as_bytes()).await.expect("the bytes are written");
+                for stream in [&mut half, &mut idle] {
+                    let text = read_until_idle(stream).await;
+                    assert!(text.starts_with("HTTP/1.1 200"), "{}: {text}", case.name);
+                }
+            }
+        });
+    }
+}
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+mod connections;
 mod lifecycle;
 mod raw_requests;
 mod robustness;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -314,4 +314,5 @@
     ResultsDuplicated,
     EndpointsEjected,
     BatchersSwitched,
+    ConnectionsTimedOut,
 }
