Take request heads by the head limit of the configuration in force

Cause: the size of the HTTP library's buffer and the inspector's limit were set when a connection was accepted. After a larger head limit was configured, connections accepted before answered larger heads with 431; after a smaller one, they still took larger heads.

Change: the library's buffer has room for 64 KB, and the inspector rejects a head of more bytes than the limit in force with 431. A head whose first bytes were received keeps the larger limit of the two. A connection whose buffer is smaller than the limit in force closes with its next response. Reads are at most 16 KB, so that the library's buffer for bodies stays as small as before; for responses to slow callers it is 64 KB in place of 16 KB.

Conclusion: a limit above 64 KB that is configured later is not held on connections accepted before for the request that is sent next; these close with that response.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -14,6 +14,8 @@
 
 use crate::body::{ResponseBody, StreamAborted};
 
+/// Maximum size of a request head in bytes, unless a configuration allows more.
+const DEFAULT_MAX_HEAD: usize = 16 * 1024;
 /// Idle timeout of callers' connections before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the idle timeout, so that a request sent just before it expires still arrives.
@@ -24,13 +26,18 @@
 pub struct CallerLimits {
     /// Time to wait for the next request and to receive its head.
     pub idle: Duration,
+    /// Maximum size of a request head in bytes.
+    pub max_head: usize,
 }
 
 impl CallerLimits {
     /// Returns the limits in the configuration in force.
     pub fn of(gateway: &Gateway) -> CallerLimits {
-        let idle = gateway.config().map_or(DEFAULT_IDLE_TIMEOUT, |it| it.limits.idle_timeout);
-        CallerLimits { idle: idle + IDLE_SLACK }
+        let (idle, max_head) = match gateway.config().map(|it| &it.limits) {
+            Some(limits) => (limits.idle_timeout, limits.header.max(DEFAULT_MAX_HEAD)),
+            None => (DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_HEAD),
+        };
+        CallerLimits { idle: idle + IDLE_SLACK, max_head }
     }
 }
 
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -50,6 +50,10 @@
     // another request.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = match inspector.start_request() {
+        true if inspector.is_too_large() => final_response(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the head is larger than allowed",
+        ),
         true => final_response(StatusCode::BAD_REQUEST, "the body has a length and an encoding"),
         false => respond(&driver, request).await,
     };
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -13,11 +13,14 @@
 use httparse::{EMPTY_HEADER, Header, Request, Status};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
-use crate::caller_limits::IdleWatch;
+use crate::caller_limits::{CallerLimits, IdleWatch};
 
 /// Maximum number of headers of a request; the HTTP library rejects requests with more.
 const MAX_HEADERS: usize = 100;
+/// Maximum number of bytes of a read; the HTTP library's buffer grows with the size of reads.
+const MAX_READ: usize = 16 * 1024;
 
 /// Framing of the body that follows a request head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +30,8 @@
     Chunked,
     /// A head that implementations may read differently.
     Ambiguous,
+    /// A head of more bytes than allowed.
+    TooLarge,
 }
 
 /// What the next received bytes belong to.
@@ -74,12 +79,12 @@
         Inspector { state: Rc::new(RefCell::new(state)) }
     }
 
-    /// Returns whether the request that the HTTP library starts now is ambiguous. Requests start in
-    /// the order of their heads.
+    /// Returns whether the request that the HTTP library starts now must be rejected. Requests start
+    /// in the order of their heads.
     pub fn start_request(&self) -> bool {
         let mut state = self.state.borrow_mut();
         match state.n_waiting {
-            0 => state.last == Some(Framing::Ambiguous),
+            0 => matches!(state.last, Some(Framing::Ambiguous | Framing::TooLarge)),
             _ => {
                 state.n_waiting -= 1;
                 false
@@ -87,6 +92,21 @@
         }
     }
 
+    /// Returns whether the request that was started last has a head of more bytes than allowed.
+    pub fn is_too_large(&self) -> bool {
+        let state = self.state.borrow();
+        state.n_waiting == 0 && state.last == Some(Framing::TooLarge)
+    }
+
+    /// Changes the maximum size of heads; one whose first bytes were received keeps a larger one.
+    pub fn set_max_head(&self, max_head: usize) {
+        let mut state = self.state.borrow_mut();
+        state.max_head = match state.head.is_empty() {
+            true => max_head,
+            false => max_head.max(state.max_head),
+        };
+    }
+
     /// Returns the number of bytes kept of an incomplete head.
     pub fn n_kept(&self) -> usize {
         self.state.borrow().head.len()
@@ -114,7 +134,7 @@
         self.head.extend_from_slice(&bytes[..n_taken]);
         if !may_end(&self.head, before) {
             if self.head.len() == self.max_head {
-                self.end(Framing::Ambiguous);
+                self.end(Framing::TooLarge);
             }
             return &bytes[n_taken..];
         }
@@ -123,8 +143,9 @@
         let parsed = request.parse(&self.head);
         let (len, framing) = match parsed {
             Ok(Status::Partial) if self.head.len() < self.max_head => return &bytes[n_taken..],
+            Ok(Status::Partial) => (self.head.len(), Framing::TooLarge),
             // The HTTP library rejects what it cannot parse, so that no request follows.
-            Ok(Status::Partial) | Err(_) => (self.head.len(), Framing::Ambiguous),
+            Err(_) => (self.head.len(), Framing::Ambiguous),
             Ok(Status::Complete(len)) => (len, framing(request.headers)),
         };
         self.head.clear();
@@ -133,7 +154,7 @@
                 self.n_waiting += 1;
                 self.position = if len == 0 { Position::Head } else { Position::Body(len) };
             }
-            Framing::Chunked | Framing::Ambiguous => self.end(framing),
+            Framing::Chunked | Framing::Ambiguous | Framing::TooLarge => self.end(framing),
         }
         &bytes[len.saturating_sub(before).min(bytes.len())..]
     }
@@ -193,6 +214,7 @@
     pub stream: TcpStream,
     pub inspector: Inspector,
     pub idle: IdleWatch,
+    pub limits: watch::Receiver<CallerLimits>,
 }
 
 impl InspectedStream {
@@ -210,11 +232,15 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buffer);
+        let len = buffer.remaining().min(MAX_READ);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(len));
+        let polled = Pin::new(&mut this.stream).poll_read(cx, &mut part);
         if polled.is_ready() {
-            this.inspector.record(&buffer.filled()[before..]);
+            this.inspector.set_max_head(this.limits.borrow().max_head);
+            this.inspector.record(part.filled());
         }
+        let len = part.filled().len();
+        buffer.advance(len);
         polled
     }
 }
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -1,10 +1,13 @@
 //! Listens for connections, and serves each until it or the process ends.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ferry_serve::Metric;
+use http::HeaderValue;
+use http::header::CONNECTION;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -18,8 +21,9 @@
 use crate::inspector::{InspectedStream, Inspector};
 use crate::{auxiliary, front};
 
-/// Maximum size of a request head in bytes before a configuration is known.
-const DEFAULT_MAX_HEAD: usize = 16 * 1024;
+/// Maximum size of a request head in bytes that a connection can take, unless the configuration
+/// allowed more when it was accepted.
+const HEAD_CAPACITY: usize = 64 * 1024;
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,24 +92,37 @@
 }
 
 async fn caller(driver: Rc<Driver>, stream: TcpStream) {
-    let head = driver.query(|it| it.config().map_or(0, |it| it.limits.header));
-    let max_head = head.max(DEFAULT_MAX_HEAD);
     let mut limits = driver.limits.subscribe();
+    let max_head = limits.borrow().max_head;
+    let capacity = max_head.max(HEAD_CAPACITY);
     let mut phase = driver.phase.subscribe();
     let inspector = Inspector::new(max_head);
     let idle = IdleWatch::new(Instant::now());
-    let inspected = InspectedStream { stream, inspector: inspector.clone(), idle: idle.clone() };
+    let inspected = InspectedStream {
+        stream,
+        inspector: inspector.clone(),
+        idle: idle.clone(),
+        limits: limits.clone(),
+    };
     let service = {
         let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
         service_fn(move |it| {
             let request = idle.start_request();
             let response = front::serve(driver.clone(), inspector.clone(), it);
-            async { response.await.map(|it| it.map(|body| CountedBody::new(body, request))) }
+            let driver = driver.clone();
+            async move {
+                let mut response = response.await?;
+                // A larger head would be refused here, and is taken on a new connection.
+                if capacity < driver.limits.borrow().max_head {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, request)))
+            }
         })
     };
     let mut builder = Builder::new();
     // The library would keep the time that was in force when the connection was accepted.
-    builder.header_read_timeout(None).max_buf_size(max_head);
+    builder.header_read_timeout(None).max_buf_size(capacity);
     let connection = builder.serve_connection(TokioIo::new(inspected), service);
     let mut connection = std::pin::pin!(connection);
     // The connection comes first, so that a request that has arrived is seen before a late timer.
--- a/crates/ferry-gateway/tests/process/connections.rs
+++ b/crates/ferry-gateway/tests/process/connections.rs
@@ -126,3 +126,51 @@
         });
     }
 }
+
+#[test]
+fn head_limit_in_force_decides_about_connections_accepted_before() {
+    struct Case {
+        name: &'static str,
+        /// Limits in bytes when the connection is accepted, and from then on.
+        limit: [u64; 2],
+        /// Whether half of the head is sent before the change.
+        is_half: bool,
+        status: &'static str,
+    }
+    const SMALL: u64 = 16_384;
+    const LARGE: u64 = 49_152;
+    const PADDING: usize = 30_000;
+    let cases = [
+        Case { name: "larger", limit: [SMALL, LARGE], is_half: false, status: "200" },
+        Case { name: "larger-half", limit: [SMALL, LARGE], is_half: true, status: "200" },
+        Case { name: "smaller", limit: [LARGE, SMALL], is_half: false, status: "431" },
+        Case { name: "smaller-half", limit: [LARGE, SMALL], is_half: true, status: "200" },
+        Case { name: "small", limit: [SMALL, SMALL], is_half: false, status: "431" },
+        Case { name: "large", limit: [LARGE, LARGE], is_half: false, status: "200" },
+    ];
+    with_cluster("heads", 1, async |cluster| {
+        for (number, case) in cases.iter().enumerate() {
+            let version = 10 + 2 * number as u64;
+            let put = async |version: u64, limit: u64| {
+                cluster.store.put("config", "main", with_limit(version, "MaxHeaderBytes", limit));
+                sleep(APPLIED).await;
+            };
+            put(version, case.limit[0]).await;
+            cluster.checker.record_sent(case.name, Route::Get, b"");
+            let head = head("GET", &Route::Get.path(), case.name);
+            let bytes = format!("{head}Padding: {}\r\n\r\n", "x".repeat(PADDING));
+            let (first, rest) = bytes.split_at(if case.is_half { 10_000 } else { 0 });
+            let mut stream = connect(&cluster, first.as_bytes()).await;
+            sleep(Duration::from_millis(50)).await;
+            put(version + 1, case.limit[1]).await;
+            // The gateway may respond and close before all is written.
+            let _ = stream.write_all(rest.as_bytes()).await;
+            let response = read_until_idle(&mut stream).await;
+            let status = format!("HTTP/1.1 {}", case.status);
+            assert!(response.starts_with(&status), "{}: {response}", case.name);
+        }
+        let metrics = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let text = exchange(cluster.nodes[0].ready(), metrics).await;
+        assert!(text.contains("ferry_connections_timed_out_total 0"), "{text}");
+    });
+}
