--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
@@ -12,16 +13,21 @@
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::Instant;
 
 use crate::body::StreamChunk;
+use crate::caller_limits::CallerLimits;
 use crate::client::{BufferedResponse, ConnectionCache};
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
 use crate::{caches, calls, items, peers};
 
+/// Lateness of the timer after which the process is taken to have stood still.
+const STALL: Duration = Duration::from_millis(50);
+/// Turns of the event loop after a stall before the timer is handled; each runs some tens of tasks.
+const CATCH_UP_TURNS: usize = 32;
 /// Number of chunks of a stream that are buffered for a slow caller.
 const STREAM_QUEUE: usize = 64;
 
@@ -98,6 +104,8 @@
     pub callers: RefCell<SortedMap<Ticket, PendingCaller>>,
     pub calls: RefCell<SortedMap<CallId, ActiveCall>>,
     pub phase: watch::Sender<Phase>,
+    /// Limits of callers' connections in the configuration in force.
+    pub limits: watch::Sender<CallerLimits>,
     /// Last warning about each invalid object of the store, by name.
     pub invalid_objects: RefCell<SortedMap<String, String>>,
     gateway: RefCell<Gateway>,
@@ -127,6 +135,7 @@
             callers: RefCell::default(),
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            limits: watch::Sender::new(CallerLimits::of(&gateway)),
             invalid_objects: RefCell::default(),
             gateway: RefCell::new(gateway),
             socket,
@@ -160,6 +169,8 @@
     pub fn dispatch(self: &Rc<Self>, event: Event) {
         let now = self.now();
         let effects = self.gateway.borrow_mut().reduce(now, event);
+        let limits = CallerLimits::of(&self.gateway.borrow());
+        self.limits.send_if_modified(|it| std::mem::replace(it, limits.clone()) != limits);
         for effect in effects {
             self.execute(effect);
         }
@@ -187,6 +198,9 @@
             tokio::select! {
                 () = tokio::time::sleep_until(self.start + due) => {
                     let late = self.now().saturating_sub(due);
+                    if STALL <= late {
+                        catch_up().await;
+                    }
                     self.dispatch(Event::Tick { late });
                 }
                 () = self.timer_changed.notified() => (),
@@ -277,3 +291,11 @@
         warn!(self.log, "{}", message; "error" => error.to_string());
     }
 }
+
+/// Handles what has arrived while the process stood still. Otherwise a timer would find endpoints
+/// silent whose bytes wait in the sockets.
+async fn catch_up() {
+    for _ in 0..CATCH_UP_TURNS {
+        yield_now().await;
+    }
+}
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -2,8 +2,10 @@
 
 mod harness;
 
+mod connections;
 mod lifecycle;
 mod raw_requests;
 mod robustness;
 mod soak;
+mod stalls;
 mod streams;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -328,4 +328,5 @@
     ResultsDuplicated,
     EndpointsEjected,
     BatchersSwitched,
+    ConnectionsTimedOut,
 }
