--- a/crates/ferry-model/src/sorted.rs
+++ b/crates/ferry-model/src/sorted.rs
@@ -116,12 +116,17 @@
 }
 
 impl<K: Ord, V> FromIterator<(K, V)> for SortedMap<K, V> {
+    /// Keeps the last value of each key.
     fn from_iter<I: IntoIterator<Item = (K, V)>>(iter: I) -> Self {
-        let iter = iter.into_iter();
-        let mut map = SortedMap { entries: Vec::with_capacity(iter.size_hint().0) };
-        for (key, value) in iter {
-            map.insert(key, value);
-        }
-        map
+        let mut entries: Vec<(K, V)> = iter.into_iter().collect();
+        entries.sort_by(|a, b| a.0.cmp(&b.0));
+        entries.dedup_by(|later, kept| {
+            let is_same = later.0 == kept.0;
+            if is_same {
+                std::mem::swap(&mut later.1, &mut kept.1);
+            }
+            is_same
+        });
+        SortedMap { entries }
     }
 }
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -171,13 +171,19 @@
 /// Returns the priorities that requests with stages may have, sorted.
 fn ranks(config: &GatewayConfig) -> Vec<Rank> {
     let owners = config.keys.iter().flat_map(|it| it.values());
-    let own: Vec<Option<u8>> = owners.map(|it| it.priority).collect();
+    let mut own: Vec<Option<u8>> = owners.map(|it| it.priority).collect();
+    own.sort_unstable();
+    own.dedup();
+    let staged = config.routes.iter().filter(|it| !it.stages.is_empty());
+    let mut routes: Vec<(u8, bool)> = staged.map(|it| (it.priority, it.anonymous)).collect();
+    routes.sort_unstable();
+    routes.dedup();
     let mut ranks: Vec<Rank> = Vec::new();
-    for route in config.routes.iter().filter(|it| !it.stages.is_empty()) {
-        if config.keys.is_none() || route.anonymous {
-            ranks.push((route.priority, route.priority));
+    for (priority, is_anonymous) in routes {
+        if config.keys.is_none() || is_anonymous {
+            ranks.push((priority, priority));
         }
-        ranks.extend(own.iter().map(|it| (it.unwrap_or(route.priority), route.priority)));
+        ranks.extend(own.iter().map(|it| (it.unwrap_or(priority), priority)));
     }
     ranks.sort_unstable();
     ranks.dedup();
