Read what has arrived before a late timer finds endpoints silent

Cause: after the process stood still (paused, short of processor time, or held by a large configuration), the event loop handled the timer before the bytes that waited in the sockets. All calls in progress looked silent at once, although their endpoints had gone on: they were cancelled, and those for which nothing was left of the retry budget ended with 502 or as an aborted stream.

Change: a timer that is 50 ms late or more first lets the event loop turn 32 times, which handles what has arrived. Its lateness is reported as before.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
@@ -12,7 +13,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::Instant;
 
 use crate::body::StreamChunk;
@@ -23,6 +24,10 @@
 use crate::metrics::Metrics;
 use crate::{caches, calls, items, peers};
 
+/// Lateness of the timer after which the process is taken to have stood still.
+const STALL: Duration = Duration::from_millis(50);
+/// Turns of the event loop after a stall before the timer is handled; each runs some tens of tasks.
+const CATCH_UP_TURNS: usize = 32;
 /// Number of chunks of a stream that are buffered for a slow caller.
 const STREAM_QUEUE: usize = 64;
 
@@ -193,6 +198,9 @@
             tokio::select! {
                 () = tokio::time::sleep_until(self.start + due) => {
                     let late = self.now().saturating_sub(due);
+                    if STALL <= late {
+                        catch_up().await;
+                    }
                     self.dispatch(Event::Tick { late });
                 }
                 () = self.timer_changed.notified() => (),
@@ -283,3 +291,11 @@
         warn!(self.log, "{}", message; "error" => error.to_string());
     }
 }
+
+/// Handles what has arrived while the process stood still. Otherwise a timer would find endpoints
+/// silent whose bytes wait in the sockets.
+async fn catch_up() {
+    for _ in 0..CATCH_UP_TURNS {
+        yield_now().await;
+    }
+}
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -7,4 +7,5 @@
 mod raw_requests;
 mod robustness;
 mod soak;
+mod stalls;
 mod streams;
