Don't take an endpoint for silent while its caller reads nothing

Cause: a call that forwards a stream waits while the queue for its caller is full, and the reducer hears nothing meanwhile. After 0.9 s a sound endpoint counted as silent: its call was cancelled and the stream ran once more elsewhere, or was aborted if it could not.

Change: the gateway reports `CallEvent::Blocked` when the queue is full. Until the next progress, the call has no time limit but the deadline of its request. The stand-in endpoint can stream large events.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::spawn_local;
 
 use crate::body::StreamChunk;
@@ -215,8 +216,15 @@
     events: Bytes,
     last_event: Option<u64>,
 ) -> bool {
-    if relay.send(StreamChunk::Data(events)).await.is_err() {
-        return false;
+    match relay.try_send(StreamChunk::Data(events)) {
+        Ok(()) => (),
+        Err(TrySendError::Closed(_)) => return false,
+        Err(TrySendError::Full(chunk)) => {
+            driver.dispatch(Event::Call { call: call.call, event: CallEvent::Blocked });
+            if relay.send(chunk).await.is_err() {
+                return false;
+            }
+        }
     }
     let event = CallEvent::Progress { last_event };
     driver.dispatch(Event::Call { call: call.call, event });
--- a/crates/ferry-gateway/tests/process/streams.rs
+++ b/crates/ferry-gateway/tests/process/streams.rs
@@ -4,11 +4,11 @@
 
 use ferry_soak::cluster::Signal;
 use ferry_soak::config::Route;
-use ferry_soak::endpoint::{Behaviour, N_EVENTS, Pool, event_text};
+use ferry_soak::endpoint::{Behaviour, N_EVENTS, N_LARGE_EVENTS, Pool, event_text};
 
 use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::harness::{TIMEOUT, exchange, head, with_cluster};
@@ -172,3 +172,33 @@
         assert_eq!(cluster.checker.violations(), Vec::<String>::new());
     });
 }
+
+#[test]
+fn caller_that_reads_nothing_for_a_while_does_not_make_its_endpoint_silent() {
+    /// Small, so that the gateway soon has nowhere to write.
+    const RECEIVE_BUFFER: u32 = 16 * 1024;
+    const PAUSE: Duration = Duration::from_secs(2);
+    with_cluster("slow-caller", 1, async |cluster| {
+        let engines = cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+        engines.for_each(|it| it.behaviour.set(Behaviour::Large));
+        cluster.checker.record_sent("large", Route::Stream, b"body");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(RECEIVE_BUFFER).expect("the size is set");
+        let mut connection =
+            socket.connect(cluster.nodes[0].front()).await.expect("the gateway listens");
+        let request =
+            stream(Route::Stream, "large").replace("Content-L", "Connection: close\r\nContent-L");
+        connection.write_all(request.as_bytes()).await.expect("the request is written");
+        sleep(PAUSE).await;
+        let mut bytes = Vec::new();
+        let read = timeout(TIMEOUT, connection.read_to_end(&mut bytes)).await;
+        let is_read = read.expect("the connection ends").is_ok();
+        let text = String::from_utf8_lossy(&bytes);
+        let events: Vec<&str> = text.lines().filter(|it| it.starts_with("data: ")).collect();
+        let sent = (1..=N_LARGE_EVENTS).map(|it| format!("data: large {it} v1"));
+        assert!(is_read && text.ends_with(LAST_CHUNK), "{} events", events.len());
+        assert_eq!(events, sent.collect::<Vec<String>>());
+        assert_eq!(cluster.checker.runs("large").len(), 1);
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -143,6 +143,8 @@
     Began { load: Option<LoadReport> },
     /// Complete events up to this one were forwarded.
     Progress { last_event: Option<u64> },
+    /// The caller takes no more of the stream for now.
+    Blocked,
     /// The endpoint ended the stream.
     Ended(StreamEnd),
     /// A complete answer arrived and waits to be forwarded.
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -137,6 +137,9 @@
     /// Time after which it is silent if it has not begun.
     pub patience: Duration,
     pub is_streaming: bool,
+    /// Whether its caller takes no more of the stream for now, so that nothing is read from the
+    /// endpoint.
+    pub is_blocked: bool,
     /// When the endpoint will have fetched its inputs, so that they may be freed; none afterwards.
     pub fetched_at: Option<Moment>,
 }
@@ -244,10 +247,14 @@
         }
     }
 
-    /// Returns when the call times out; none if the request may not run again.
+    /// Returns when the call times out; none if the request may not run again, or its caller is what
+    /// it waits for.
     fn timeout_at(&self, tuning: &Tuning) -> Option<Moment> {
         let Phase::Calling(current) = &self.phase else { return None };
-        if !self.route.is_repeatable() || self.route.max_tries <= self.n_runs + 1 {
+        if current.is_blocked
+            || !self.route.is_repeatable()
+            || self.route.max_tries <= self.n_runs + 1
+        {
             return None;
         }
         let silence = match (self.route.kind, current.is_streaming) {
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -84,6 +84,7 @@
         expected: choice.expected,
         patience: whole_prefill(cx, request).max(choice.expected) * PATIENCE_FACTOR,
         is_streaming: false,
+        is_blocked: false,
         fetched_at: (!request.route.stages.is_empty()).then(|| cx.now + cx.ctx.tuning.fetch_time),
     });
     cx.effects.push(Effect::Call(Box::new(Call {
@@ -130,6 +131,13 @@
             origin::on_event(cx, request, &current.build);
             if let Phase::Calling(current) = &mut request.phase {
                 current.last_heard = cx.now;
+                current.is_blocked = false;
+            }
+            false
+        }
+        CallEvent::Blocked => {
+            if let Phase::Calling(current) = &mut request.phase {
+                current.is_blocked = true;
             }
             false
         }
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -28,6 +28,12 @@
 const EVENT_GAP: Duration = Duration::from_millis(15);
 /// Number of events in a stream.
 pub const N_EVENTS: u64 = 8;
+/// Number of events in a stream of large ones: more than a gateway and its sockets buffer.
+pub const N_LARGE_EVENTS: u64 = 200;
+/// Bytes in a large event beside its text.
+const LARGE_EVENT: usize = 64 * 1024;
+/// Time between large events.
+const LARGE_GAP: Duration = Duration::from_millis(2);
 
 /// Pools of endpoints; the name is that of the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
@@ -63,6 +69,8 @@
     Untyped,
     /// Responds with the id of another attempt.
     WrongAttempt,
+    /// Streams many large events, without pauses.
+    Large,
     /// Takes longer by this factor.
     Slow(u32),
 }
@@ -287,13 +295,16 @@
         if self.behaviour.get() != Behaviour::Truncates {
             self.apply_fault().await?;
         }
-        let gap = self.time(EVENT_GAP);
         let behaviour = self.behaviour.get();
+        let (gap, n_events) = match behaviour {
+            Behaviour::Large => (LARGE_GAP, N_LARGE_EVENTS),
+            _ => (self.time(EVENT_GAP), N_EVENTS),
+        };
         let (attempt_id, build) = (attempt.to_owned(), self.build.get());
         let events = stream::unfold(from + 1, move |number| {
             let attempt = attempt_id.clone();
             async move {
-                if N_EVENTS < number {
+                if n_events < number {
                     return None;
                 }
                 tokio::time::sleep(gap).await;
@@ -304,6 +315,7 @@
                     }
                     Behaviour::Truncates if from + 4 < number => Err(Disconnect),
                     Behaviour::EndsInEvent { .. } if from + 4 < number => return None,
+                    Behaviour::Large => Ok(Bytes::from(large_event(&event))),
                     _ => Ok(Bytes::from(event)),
                 };
                 Some((chunk, number + 1))
@@ -335,6 +347,7 @@
             | Behaviour::EndsInEvent { .. }
             | Behaviour::Unframed
             | Behaviour::Untyped
+            | Behaviour::Large
             | Behaviour::Slow(_) => Some(()),
         }
     }
@@ -366,6 +379,11 @@
     format!("id: {number}\ndata: {attempt} {number} {build}\n\n")
 }
 
+/// Returns an event with a long comment.
+fn large_event(event: &str) -> String {
+    format!(":{}\n{event}", "x".repeat(LARGE_EVENT))
+}
+
 /// Returns the only correct body of a response to an attempt.
 pub fn response_body(attempt: &str, body: &[u8]) -> String {
     format!("{attempt}:{}", String::from_utf8_lossy(body))
