--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -144,6 +144,9 @@
     /// Time after which it is silent if it has not begun.
     pub patience: Duration,
     pub is_streaming: bool,
+    /// Whether its caller takes no more of the stream for now, so that nothing is read from the
+    /// endpoint.
+    pub is_blocked: bool,
     /// When the endpoint will have fetched its inputs, so that they may be freed; none afterwards.
     pub fetched_at: Option<Moment>,
 }
@@ -274,10 +277,11 @@
         }
     }
 
-    /// Returns when another run is looked for; none if the request may not run again.
+    /// Returns when another run is looked for; none if the request may not run again, or its caller is
+    /// what it waits for.
     fn timeout_at(&self, tuning: &Tuning) -> Option<Moment> {
         let Phase::Calling(current) = &self.phase else { return None };
-        if !self.may_run_beside() {
+        if current.is_blocked || !self.may_run_beside() {
             return None;
         }
         let silence = match (self.route.kind, current.is_streaming) {
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -49,7 +49,7 @@
 ) -> bool {
     let Some(idx) = request.silent.iter().position(|it| it.call == call) else { return false };
     let (goes_on, has_run) = match event {
-        CallEvent::Began { .. } | CallEvent::Progress { .. } => (true, true),
+        CallEvent::Began { .. } | CallEvent::Progress { .. } | CallEvent::Blocked => (true, true),
         CallEvent::Ended(end) => (end.is_complete(), true),
         CallEvent::Answer { is_error, .. } => (!is_error, true),
         CallEvent::Broken { .. } => (false, true),
