Wait at a stop for callers that have not read their responses (not verified)

Cause: the process exits 100 ms after the last request has ended for the decisions. Then a response that its endpoint has ended may still wait in the process for a caller that reads slowly, and is cut.

Change: the exit waits for callers' connections that have a response in progress, within the grace period.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -82,6 +82,11 @@
         RequestGuard { idle: self.clone() }
     }
 
+    /// Whether a request is in progress.
+    pub fn is_busy(&self) -> bool {
+        0 < self.state.n_requests.get()
+    }
+
     /// Records that bytes were sent: the end of a response may be sent long after its body was
     /// taken over by the HTTP library.
     pub fn record_write(&self) {
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -106,6 +106,8 @@
     pub phase: watch::Sender<Phase>,
     /// Limits of callers' connections in the configuration in force.
     pub limits: watch::Sender<CallerLimits>,
+    /// Number of callers' connections that close once a response has been sent.
+    pub n_closing: watch::Sender<usize>,
     /// Last warning about each invalid object of the store, by name.
     pub invalid_objects: RefCell<SortedMap<String, String>>,
     gateway: RefCell<Gateway>,
@@ -136,6 +138,7 @@
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
+            n_closing: watch::Sender::new(0),
             invalid_objects: RefCell::default(),
             gateway: RefCell::new(gateway),
             socket,
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::GatewaySettings;
 use crate::driver::{Driver, Phase};
@@ -95,11 +96,12 @@
     spawn_local(store::follow(driver.clone(), Kind::Endpoints));
     spawn_local(driver.clone().run_timer());
     spawn_local(watch_settings(driver.clone(), hangup, sources));
-    wait_for_stop(&driver, signals).await;
+    let stopping = wait_for_stop(&driver, signals).await;
     let mut phase = driver.phase.subscribe();
     // The driver owns the sender, so the wait can only end with the phase.
     let _ = phase.wait_for(|it| *it == Phase::Stopped).await;
     tokio::time::sleep(EXIT_DELAY).await;
+    wait_for_callers(&driver, stopping).await;
     info!(driver.log, "stopped");
     Ok(())
 }
@@ -110,11 +112,24 @@
     names.join(",")
 }
 
-async fn wait_for_stop(driver: &Rc<Driver>, mut signals: StopSignals) {
+/// Waits for the signal to stop, and returns when it arrived.
+async fn wait_for_stop(driver: &Rc<Driver>, mut signals: StopSignals) -> Instant {
     let name = signals.next().await;
     info!(driver.log, "received a stop signal; finishing open requests"; "signal" => name);
     driver.set_phase(Phase::Leaving);
     driver.dispatch(Event::Shutdown);
+    Instant::now()
+}
+
+/// Waits until callers have got the responses that endpoints have ended, within the grace period.
+async fn wait_for_callers(driver: &Rc<Driver>, stopping: Instant) {
+    let latest = stopping + driver.query(|it| it.context().tuning.exit_after());
+    let mut n_closing = driver.n_closing.subscribe();
+    let sent = n_closing.wait_for(|it| *it == 0);
+    if tokio::time::timeout_at(latest, sent).await.is_err() {
+        let n_closing = *driver.n_closing.borrow();
+        driver.warn("callers have not read their responses in time; closing them", &n_closing);
+    }
 }
 
 /// Reloads the platform's settings file on a signal or after a change.
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -134,7 +134,14 @@
         _ = phase.wait_for(|it| is_closing(*it)) => connection.as_mut().graceful_shutdown(),
         () = idle.expired(&mut limits) => return close_idle(&driver, &inspector),
     }
+    if !idle.is_busy() {
+        let _ = connection.await;
+        return;
+    }
+    // The process waits for it, as a caller may read a response long after its endpoint has ended it.
+    driver.n_closing.send_modify(|it| *it += 1);
     let _ = connection.await;
+    driver.n_closing.send_modify(|it| *it -= 1);
 }
 
 /// Records why a connection is closed that had no request in progress for too long.
--- a/crates/ferry-gateway/tests/process/lifecycle.rs
+++ b/crates/ferry-gateway/tests/process/lifecycle.rs
@@ -5,10 +5,10 @@
 
 use ferry_soak::cluster::Signal;
 use ferry_soak::config::{Route, desired_state};
-use ferry_soak::endpoint::Behaviour;
+use ferry_soak::endpoint::{Behaviour, Pool};
 use ferry_soak::store::StoreBehaviour;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::harness::{
@@ -87,6 +87,44 @@
     });
 }
 
+#[test]
+fn shutdown_does_not_cut_an_answer_that_its_caller_reads_late() {
+    /// Bytes read before the stop, so that the endpoint's stream has ended, and not all was sent.
+    const FIRST: usize = 8_000_000;
+    /// Longer than the gateway serves on, shorter than it may take to exit.
+    const PAUSE: Duration = Duration::from_millis(3_500);
+    with_cluster("late-reader", 1, async |mut cluster| {
+        let engines = cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+        engines.for_each(|it| it.behaviour.set(Behaviour::Large));
+        cluster.checker.record_sent("late", Route::Stream, b"body");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(16 * 1024).expect("the size is set");
+        let mut open = socket.connect(cluster.nodes[0].front()).await.expect("the gateway listens");
+        let head = head("POST", &Route::Stream.path(), "late");
+        let request = format!(
+            "{head}Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n\
+             Content-Length: 4\r\n\r\nbody"
+        );
+        open.write_all(request.as_bytes()).await.expect("the request is written");
+        let mut first = vec![0; FIRST];
+        open.read_exact(&mut first).await.expect("the stream is open");
+        let start = Instant::now();
+        cluster.nodes[0].signal(Signal::Terminate);
+        sleep(PAUSE).await;
+        let mut rest = Vec::new();
+        let read = timeout(TIMEOUT, open.read_to_end(&mut rest)).await;
+        let is_read = read.expect("the connection ends").is_ok();
+        assert!(is_read && rest.ends_with(b"\r\n0\r\n\r\n"), "{} bytes of the rest", rest.len());
+        let ended = async {
+            while cluster.nodes[0].exit_status().is_none() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(TIMEOUT, ended).await.expect("the gateway ends");
+        assert!(start.elapsed() < Duration::from_secs(8), "it took {:?}", start.elapsed());
+    });
+}
+
 #[test]
 fn gateway_serves_requests_while_the_store_is_unreachable() {
     with_cluster("away", 2, async |mut cluster| {
