Test silence of endpoints together with other trouble

Cause: the tests of silence drew nothing beside it but stops of the process and shutdowns, and the simulation took a plain answer for whole that came after the head of a stream.

The simulation notes items that name freed results, and aborts a stream whose caller would need a second head.

--- a/crates/ferry-serve/tests/decisions/silence.rs
+++ b/crates/ferry-serve/tests/decisions/silence.rs
@@ -1,5 +1,7 @@
 //! Silence alone ends no answer: endpoints that fall silent and go on.
 
+mod review;
+
 use std::time::Duration;
 
 use ferry_serve::{DecisionKind, Event, StoreUpdate, Tuning};
@@ -36,13 +38,15 @@
     Case { route: "once", pool: ENGINE, at: STAGES + 180, phase: "before the last event" },
 ];
 
-/// Returns a tuning and the ids of the endpoints of a pool.
-fn start(budget: Budget) -> Simulation {
-    let tuning = match budget {
+fn tuning(budget: Budget) -> Tuning {
+    match budget {
         Budget::Full => Tuning::default(),
         Budget::Spent => Tuning { retry_ratio: 0.0, retry_extra: 0.0, ..Tuning::default() },
-    };
-    Simulation::with_tuning(1, tuning)
+    }
+}
+
+fn start(budget: Budget) -> Simulation {
+    Simulation::with_tuning(1, tuning(budget))
 }
 
 fn pool(sim: &Simulation, name: &str) -> Vec<String> {
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -96,6 +96,8 @@
     pub violations: Vec<String>,
     pub n_batches: usize,
     pub n_freed: usize,
+    /// Attempts with items for which results were named that had been freed.
+    pub reads_of_freed: Vec<String>,
     /// Tokens of prompt parts that engines read although one of them had read them, or was reading
     /// them.
     pub n_read_again: u64,
@@ -118,12 +120,16 @@
     /// Instances that do nothing, and what has happened to them meanwhile.
     frozen: SortedMap<usize, Vec<QueuedEvent>>,
     results: SortedMap<String, (String, u8)>,
+    /// Results that were freed.
+    freed: Vec<String>,
     callers: SortedMap<(usize, u64), Caller>,
     cancelled: Vec<(usize, CallId)>,
     /// Calls of requests that have neither ended nor been cancelled.
     open_calls: SortedMap<(usize, CallId), OpenCall>,
     /// Endpoints of the calls for items in progress.
     batches: SortedMap<(usize, CallId), String>,
+    /// Attempts of which a call was broken off, or answered with an error.
+    pub broken: Vec<String>,
     /// Events that each attempt's caller got.
     pub events: SortedMap<String, Vec<u64>>,
     /// Kind of answer of each call: 0 for an answer, 1 for an error, 2 for a stream.
@@ -171,6 +177,7 @@
             violations: Vec::new(),
             n_batches: 0,
             n_freed: 0,
+            reads_of_freed: Vec::new(),
             n_read_again: 0,
             n_entries_sent: 0,
             decisions: Vec::new(),
@@ -183,10 +190,12 @@
             island: Vec::new(),
             frozen: SortedMap::new(),
             results: SortedMap::new(),
+            freed: Vec::new(),
             callers: SortedMap::new(),
             cancelled: Vec::new(),
             open_calls: SortedMap::new(),
             batches: SortedMap::new(),
+            broken: Vec::new(),
             events: SortedMap::new(),
             calls: SortedMap::new(),
             streams: SortedMap::new(),
@@ -365,6 +374,7 @@
                 self.n_freed += handles.len();
                 for handle in handles {
                     self.results.remove(&handle.id);
+                    self.freed.push(handle.id);
                 }
             }
             Effect::Send { to, message } => self.send(instance, to, message),
@@ -401,7 +411,10 @@
         self.check_relay(instance, call, ticket);
         let kind = self.calls.get(&(instance, call)).copied().unwrap_or_default();
         let now = self.now;
+        let began = self.callers.get(&(instance, ticket)).and_then(|it| it.began);
         match kind {
+            // A caller that has the head of a stream gets no other head.
+            0 | 1 if began.is_some() => self.end(instance, ticket, Ending::Aborted),
             0 => self.end(instance, ticket, Ending::Answer),
             1 => self.end(instance, ticket, Ending::Error),
             _ => {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -344,6 +344,9 @@
                 Some((owner, _)) => {
                     self.violations.push(format!("{attempt} was given results of {owner}"));
                 }
+                None if self.freed.contains(&handle.id) => {
+                    self.reads_of_freed.push(attempt.to_owned());
+                }
                 // A restarted endpoint has forgotten it and would report it as gone.
                 None => (),
             }
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -28,6 +28,20 @@
         self.delay_events(added, |instance, call| calls.contains(&(instance, call)));
     }
 
+    /// Lets a silent endpoint answer new calls again.
+    pub fn end_silence(&mut self, id: &str) {
+        self.endpoints.get_mut(id).expect("the endpoint exists").silent_until = self.now;
+    }
+
+    /// Returns the latest call of an attempt that is in progress.
+    pub fn last_call(&self, attempt: &str) -> Option<CallId> {
+        let is_own = |instance: usize, ticket: u64| {
+            self.callers.get(&(instance, ticket)).is_some_and(|it| it.attempt == attempt)
+        };
+        let own = self.open_calls.iter().filter(|it| is_own(it.0.0, it.1.ticket));
+        own.map(|it| it.0.1).max()
+    }
+
     /// Delays what is to come of calls.
     pub(super) fn delay_events(
         &mut self,
@@ -67,6 +81,11 @@
     pub(super) fn check_event(&mut self, instance: usize, event: &Event) {
         let Event::Call { call, event } = event else { return };
         let key = (instance, *call);
+        if let CallEvent::Broken { .. } | CallEvent::Answer { is_error: true, .. } = event {
+            let ticket = self.open_calls.get(&key).map(|it| it.ticket);
+            let caller = ticket.and_then(|it| self.callers.get(&(instance, it)));
+            self.broken.extend(caller.map(|it| it.attempt.clone()));
+        }
         match event {
             CallEvent::Progress { last_event: Some(number) } => {
                 let Some(open) = self.open_calls.get(&key).filter(|it| it.is_relayed) else {
