Begin with all stages anew after a second run was withdrawn

Cause: going back to a silent call freed the results of done stages but kept them as done beside the one in progress. The next run sent the second stage with results that had been freed, which costs a call and one of four restarts.

Change: each stage with items is reset, so that the next run begins with the first.

Conclusion: no item names results that its own request has freed.

--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -1,7 +1,7 @@
 //! Calls whose endpoints are silent: another run is looked for beside each, and what answers first
 //! is forwarded. docs/design/platform.md weighs that.
 
-use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
+use super::active::{ActiveCall, ActiveRequest, Phase};
 use super::call::{record_failure, release_endpoint};
 use super::{origin, permit, retry, schedule, stages};
 use crate::batch::Batcher;
@@ -118,11 +118,7 @@
     }
     schedule::report(cx, request, ScheduleProgress::Ended);
     for idx in 0..request.stages.len() {
-        stages::release(cx, batcher, request, idx);
-        if let StageState::Submitted(_) = request.stages[idx] {
-            request.restarts[idx] = request.restarts[idx].wrapping_add(1);
-            request.stages[idx] = StageState::Waiting;
-        }
+        stages::reset(cx, batcher, request, idx);
     }
     cx.log(
         Decision::new(DecisionKind::Silence, reason)
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -199,16 +199,26 @@
     );
     let mut pending = vec![idx];
     while let Some(idx) = pending.pop() {
-        let has_items = request.head.items.get(idx).is_some_and(|it| 0 < *it);
-        if !has_items {
+        if !has_items(request, idx) {
             continue;
         }
+        reset(cx, batcher, request, idx);
+        pending.extend(request.route.stages[idx].after.iter().filter(|it| **it < idx));
+    }
+    request.n_restarts += 1;
+}
+
+/// Withdraws a stage with items and its results, so that the next run begins with it anew.
+pub fn reset(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest, idx: usize) {
+    if has_items(request, idx) {
         release(cx, batcher, request, idx);
         request.restarts[idx] = request.restarts[idx].wrapping_add(1);
         request.stages[idx] = StageState::Waiting;
-        pending.extend(request.route.stages[idx].after.iter().filter(|it| **it < idx));
     }
-    request.n_restarts += 1;
+}
+
+fn has_items(request: &ActiveRequest, idx: usize) -> bool {
+    request.head.items.get(idx).is_some_and(|it| 0 < *it)
 }
 
 /// Frees results of a request that is no longer in progress.
