Keep endpoints for later runs whose call was withdrawn unheard

Cause: a call that was cancelled as the silent endpoint went on left its endpoint among those tried. After a real break no engine was left for a stream that might still run, though nothing was known against the others.

Change: going back takes the endpoint of the withdrawn call off the list. The number of runs counts it as before.

Conclusion: silence uses up no endpoint that is sound.

--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -109,7 +109,11 @@
 ) {
     let call = request.silent.remove(idx);
     match request.phase.clone() {
-        Phase::Calling(other) => cancel(cx, request, &other),
+        Phase::Calling(other) => {
+            cancel(cx, request, &other);
+            // Nothing is known against its endpoint, which a later run may need.
+            request.tried.retain(|it| *it != other.endpoint);
+        }
         Phase::AwaitingPermit(_) => permit::withdraw(cx, request),
         Phase::AwaitingAdmission { .. }
         | Phase::RunningStages
