Ask the endpoint again whose inputs were gone, whichever was tried last

Cause: the last endpoint tried was taken off the list. After going back to a silent call that is the one which refused, so a sound engine that had lost its inputs was not asked again, and the request was refused.

Change: the endpoint that answered is taken off.

Conclusion: the list is right with more than one call.

--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -34,7 +34,7 @@
         }
         NotRunReason::InputsGone => {
             if request.n_restarts < stages::MAX_RESTARTS {
-                request.tried.pop();
+                request.tried.retain(|it| *it != current.endpoint);
                 restart_all(cx, batcher, request);
                 return false;
             }
