Forget the permit of a run that is withdrawn

Cause: a silent call that goes on withdraws the wait for a permit, but its number stayed in the table for good. A late answer to it counted for the next wait of the request, at whatever endpoint.

Change: the number is removed with the wait.

Conclusion: no run is sent on another run's permit, and the table does not grow.

--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -77,10 +77,14 @@
         let Some(ticket) = self.calls.get(&call) else { return };
         let Some(mut request) = self.active.remove(ticket) else { return };
         let before: Vec<CallId> = request.calls().collect();
+        let permit = request.permit();
         let ended = call::on_event(cx, batcher, &mut request, call, event);
         for call in before.iter().filter(|it| request.calls().all(|call| call != **it)) {
             self.calls.remove(call);
         }
+        if let Some(id) = permit.filter(|it| request.permit() != Some(*it)) {
+            self.permits.remove(&id);
+        }
         match ended {
             true => self.forget(&request),
             false => self.proceed(cx, batcher, request),
