Do not forward a plain answer to a caller that has the head of a stream

Cause: an answer that is no server error counted as better than a silent engine, whose call was cancelled. The caller had the head of a stream, so its connection was aborted, and the request was logged as complete.

Change: an answer without a stream is a failed run of a stream that has begun: back to the silent call, another run, or the end as for a break.

Conclusion: only a stream goes on with a stream.

--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -329,6 +329,10 @@
             false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
         }
     }
+    if request.is_streaming() {
+        let reason = "an endpoint answered without a stream, which has begun";
+        return retry::rerun(cx, batcher, request, reason);
+    }
     if is_error
         && silent::fall_back(cx, batcher, request, "another endpoint answered with an error")
     {
