Count the restart of all stages as one

Cause: each stage that began anew counted. A stream of six stages reached the limit of four with its first repeat, so it was aborted after a break although budget and engines were left.

Change: restarting all stages counts once.

Conclusion: the limit no longer depends on the number of stages.

--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -96,11 +96,14 @@
 }
 
 fn restart_all(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+    let n_restarts = request.n_restarts;
     for idx in 0..request.stages.len() {
         if matches!(request.stages[idx], StageState::Done { .. }) {
             stages::restart(cx, batcher, request, idx, "results are needed again");
         }
     }
+    // All of them together are one restart.
+    request.n_restarts = request.n_restarts.min(n_restarts + 1);
 }
 
 /// Restarts the stages if results that an endpoint reads were released.
