Excuse a stop of the process also after a look at the silence

Cause: only the time at which an endpoint was last heard was moved by the time in which the process stood still. After a first look the time of that look counts, so the next one came at once, before anything could be heard.

Change: both times are moved.

--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -271,6 +271,7 @@
     pub fn excuse_silence(&mut self, now: Moment, time: Duration) {
         if let Phase::Calling(current) = &mut self.phase {
             current.last_heard = (current.last_heard + time).min(now);
+            current.checked_at = (current.checked_at + time).min(now);
         }
     }
 
