--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -1,7 +1,7 @@
 //! Calls whose endpoints are silent: another run is looked for beside each, and what answers first
 //! is forwarded. docs/design/platform.md weighs that.
 
-use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
+use super::active::{ActiveCall, ActiveRequest, Phase};
 use super::call::{record_failure, release_endpoint};
 use super::{origin, permit, retry, schedule, stages};
 use crate::batch::Batcher;
@@ -51,7 +51,7 @@
     let (goes_on, has_run) = match event {
         CallEvent::Began { .. } | CallEvent::Progress { .. } | CallEvent::Blocked => (true, true),
         CallEvent::Ended(end) => (end.is_complete(), true),
-        CallEvent::Answer { is_error, .. } => (!is_error, true),
+        CallEvent::Answer { is_error, .. } => (!is_error && !request.is_streaming(), true),
         CallEvent::Broken { .. } => (false, true),
         CallEvent::NotRun { .. } | CallEvent::Unsent { .. } => (false, false),
     };
@@ -109,7 +109,11 @@
 ) {
     let call = request.silent.remove(idx);
     match request.phase.clone() {
-        Phase::Calling(other) => cancel(cx, request, &other),
+        Phase::Calling(other) => {
+            cancel(cx, request, &other);
+            // Nothing is known against its endpoint, which a later run may need.
+            request.tried.retain(|it| *it != other.endpoint);
+        }
         Phase::AwaitingPermit(_) => permit::withdraw(cx, request),
         Phase::AwaitingAdmission { .. }
         | Phase::RunningStages
@@ -118,11 +122,7 @@
     }
     schedule::report(cx, request, ScheduleProgress::Ended);
     for idx in 0..request.stages.len() {
-        stages::release(cx, batcher, request, idx);
-        if let StageState::Submitted(_) = request.stages[idx] {
-            request.restarts[idx] = request.restarts[idx].wrapping_add(1);
-            request.stages[idx] = StageState::Waiting;
-        }
+        stages::reset(cx, batcher, request, idx);
     }
     cx.log(
         Decision::new(DecisionKind::Silence, reason)
