Let engines of the soak crash on a prompt part

Cause: the soak has no endpoint that a request brings down, so that nothing showed on processes how requests with such a part go on from engine to engine and from instance to instance. Change: engines of the soak crash when they begin to respond to a prompt that names the part before its last place: up to two events, all connections closed, none accepted for 2 to 4 s, the entry gone after one, a new start time. Every second engine responds without framing. Callers name the part at a drawn share of streams and place, from a generator of their own. The checker counts crashes, the requests that reach engines later than 3 s after the fifth, and other streams before and after. `--crashes` adds this to the other faults of a run; a test runs it alone. In such a run, a stream whose engine crashed may look complete to its caller; it counts as not served.

--- a/crates/ferry-gateway/tests/process/harness.rs
+++ b/crates/ferry-gateway/tests/process/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use ferry_soak::cluster::Cluster;
+use ferry_soak::cluster::{Cluster, N_ENDPOINTS};
 use ferry_soak::config::{API_KEY, HOST};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -36,10 +36,20 @@
 
 /// Runs a test with a cluster whose gateways are all ready.
 pub fn with_cluster<F: AsyncFnOnce(Cluster)>(name: &str, n_nodes: usize, test: F) {
+    with_engines(name, n_nodes, N_ENDPOINTS, test);
+}
+
+/// Runs a test with a cluster that has this number of engines.
+pub fn with_engines<F: AsyncFnOnce(Cluster)>(
+    name: &str,
+    n_nodes: usize,
+    n_engines: usize,
+    test: F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("a runtime starts");
     LocalSet::new().block_on(&runtime, async {
-        let cluster = Cluster::start(&gateway(), &directory(name), net(), n_nodes).await;
+        let cluster = Cluster::start(&gateway(), &directory(name), net(), n_nodes, n_engines).await;
         let cluster = cluster.expect("the cluster starts");
         for node in &cluster.nodes {
             wait_ready(node.ready()).await;
--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -3,9 +3,14 @@
 use std::time::Duration;
 
 use ferry_soak::SoakOptions;
+use ferry_soak::checker::crashes::MAX_LATE;
+use ferry_soak::soak::start_callers;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
 
-use crate::harness::{directory, gateway, net};
+use crate::harness::{directory, gateway, net, with_engines};
 
 /// A seed, and the reason for testing it.
 struct Case {
@@ -33,6 +38,7 @@
             gateway: gateway(),
             directory: directory(&format!("soak-{}", case.seed)),
             net: net(),
+            has_crashes: false,
         };
         let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
         let report = report.expect("the soak runs");
@@ -42,3 +48,33 @@
     }
     assert!(0 < n_limited, "no endpoint with a rate limit got a request");
 }
+
+/// Time for which no prompt crashes engines, so that the usual share is known.
+const SOUND_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which some prompts do; long enough for the limits that follow the fifth crash.
+const CRASH_TIME: Duration = Duration::from_millis(8_800);
+/// Time to receive the last responses.
+const END_TIME: Duration = Duration::from_millis(800);
+/// Number of engines; with a few only, none would be up for long enough.
+const N_ENGINES: usize = 6;
+
+#[test]
+fn part_that_crashes_engines_stops_reaching_them() {
+    with_engines("soak-crashes", 3, N_ENGINES, async |cluster| {
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let is_over = start_callers(&cluster, &mut rng);
+        sleep(SOUND_TIME).await;
+        cluster.start_crashes(1);
+        sleep(CRASH_TIME).await;
+        let until = Instant::now();
+        sleep(END_TIME).await;
+        is_over.replace(true);
+        let counts = cluster.checker.count_crashes(until);
+        assert!(0 < counts.n_crashes, "{counts:?}");
+        let (before, after) = (counts.before, counts.after);
+        assert!(20 <= before.sent && 20 <= after.sent, "{counts:?}");
+        assert!(counts.n_late <= MAX_LATE, "{counts:?}");
+        assert!(before.served * after.sent <= 2 * after.served * before.sent, "{counts:?}");
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -19,6 +19,7 @@
 
 use crate::checker::{Checker, Outcome};
 use crate::config::{API_KEY, DEADLINE_MS, HOST, Route};
+use crate::crash::{Prompts, names_part};
 use crate::endpoint::{N_EVENTS, event_text, response_body};
 
 /// Time limit for opening a connection, and for a lookup in the directory.
@@ -36,6 +37,7 @@
     checker: Rc<Checker>,
     /// Open connection to reuse for the next request.
     connection: Option<(SocketAddr, Sender)>,
+    prompts: Prompts,
     n_sent: u64,
 }
 
@@ -45,8 +47,9 @@
         directories: Vec<SocketAddr>,
         checker: Rc<Checker>,
         rng: Pcg64Mcg,
+        prompts: Prompts,
     ) -> Caller {
-        Caller { rng, name, directories, checker, connection: None, n_sent: 0 }
+        Caller { rng, name, directories, checker, connection: None, prompts, n_sent: 0 }
     }
 
     /// Sends a request and records its outcome; a resumable stream that breaks off is taken up once.
@@ -54,7 +57,7 @@
         self.n_sent += 1;
         let attempt = format!("{}-{}", self.name, self.n_sent);
         let body = format!("body of {attempt}");
-        let mut stream = Stream::default();
+        let mut stream = Stream { prompt: self.prompts.draw(), ..Stream::default() };
         self.try_send(route, &attempt, &body, &mut stream).await;
         if route == Route::Stream && stream.is_broken() {
             self.checker.count_take_up();
@@ -96,6 +99,8 @@
         stream: &mut Stream,
     ) -> Option<Outcome> {
         let (address, mut sender) = self.connection().await?;
+        let has_part = route.is_stream() && names_part(&stream.prompt);
+        self.checker.record_gateway(attempt, address, has_part);
         let request = request(route, attempt, body, stream)?;
         let response = sender.send_request(request).await.ok()?;
         let is_closing = response.headers().get(http::header::CONNECTION).is_some();
@@ -149,7 +154,7 @@
             return is_whole.then_some(outcome);
         }
         let is_right = match route.is_stream() {
-            true => stream.add(attempt, &text, is_whole),
+            true => stream.add(attempt, &text, is_whole && !self.checker.is_cut(attempt)),
             false => !is_whole || text == response_body(attempt, body.as_bytes()),
         };
         if !is_sealed || !is_right {
@@ -157,13 +162,15 @@
                 "{attempt} got a response that is not its own: {text:?} after {stream:?}"
             ));
         }
-        is_whole.then_some(Outcome::Success)
+        let has_all = !route.is_stream() || stream.n_events == N_EVENTS;
+        (is_whole && has_all).then_some(Outcome::Success)
     }
 }
 
 /// What a caller has received of a stream, in one attempt or several.
 #[derive(Debug, Default)]
 struct Stream {
+    prompt: String,
     n_events: u64,
     /// Build of the engine that made the events.
     build: String,
@@ -223,7 +230,7 @@
         .header("tarragonferry-deadline-remaining", DEADLINE_MS)
         .header("tarragonferry-pieces", "3,5")
         .header("tarragonferry-piece-key", "input")
-        .header("tarragonferry-prompt-prefix", "a1:100,b2:50,c3:10")
+        .header("tarragonferry-prompt-prefix", &stream.prompt)
         // Only the gateway may set this header; it must drop a caller's value.
         .header("tarragonferry-tenant", "forged")
         .header("api-key", API_KEY);
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -1,11 +1,15 @@
 //! Records what callers send and endpoints run, and checks that the guarantees hold.
 
+pub mod crashes;
+
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 
 use ferry_model::SortedMap;
 use tokio::time::Instant;
 
 use crate::config::Route;
+use crashes::CrashLog;
 
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,6 +32,12 @@
     runs: Vec<String>,
     outcome: Option<Outcome>,
     sent: Instant,
+    /// The gateway to which it was sent.
+    gateway: Option<SocketAddr>,
+    /// Whether its prompt names the part on which engines crash.
+    has_part: bool,
+    /// Whether an engine crashed while it responded.
+    is_cut: bool,
 }
 
 /// Checks the guarantees; shared by the callers and endpoints of a run.
@@ -40,6 +50,7 @@
     n_taken_up: Cell<usize>,
     n_continued: Cell<usize>,
     n_limited: Cell<usize>,
+    crash_log: RefCell<CrashLog>,
 }
 
 impl Checker {
@@ -51,6 +62,9 @@
             runs: Vec::new(),
             outcome: None,
             sent: Instant::now(),
+            gateway: None,
+            has_part: false,
+            is_cut: false,
         };
         self.attempts.borrow_mut().insert(id.to_owned(), attempt);
     }
@@ -149,12 +163,15 @@
         self.violations.borrow().clone()
     }
 
-    /// Counts the outcomes of the requests sent between two points in time.
+    /// Counts the outcomes of the requests sent between two points in time, except those with the part
+    /// on which engines crash.
     pub fn count_outcomes(&self, from: Instant, until: Instant) -> OutcomeCounts {
+        self.count(|it| from <= it.sent && it.sent < until && !it.has_part)
+    }
+
+    fn count(&self, is_counted: impl Fn(&Attempt) -> bool) -> OutcomeCounts {
         let mut counts = OutcomeCounts::default();
-        for attempt in
-            self.attempts.borrow().values().filter(|it| from <= it.sent && it.sent < until)
-        {
+        for attempt in self.attempts.borrow().values().filter(|it| is_counted(it)) {
             counts.sent += 1;
             match attempt.outcome {
                 Some(Outcome::Success) => counts.served += 1,
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -1,5 +1,6 @@
 //! Gateway processes on separate loopback addresses, with a simulated store and endpoints.
 
+use std::cell::Cell;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -7,9 +8,11 @@
 use std::rc::Rc;
 
 use strum::IntoEnumIterator;
+use tokio::task::spawn_local;
 
 use crate::checker::Checker;
 use crate::config::desired_state;
+use crate::crash::run_crashes;
 use crate::endpoint::{Endpoint, Pool};
 use crate::proxy::Proxy;
 use crate::server::ListenerHandle;
@@ -44,6 +47,7 @@
     settings: PathBuf,
     log: PathBuf,
     gateway: PathBuf,
+    checker: Rc<Checker>,
     child: Option<Child>,
 }
 
@@ -72,12 +76,16 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
+        self.checker.record_fault(self.front());
         Ok(())
     }
 
     /// Sends a signal to the process.
     pub fn signal(&mut self, signal: Signal) {
         let Some(child) = &self.child else { return };
+        if signal != Signal::HangUp {
+            self.checker.record_fault(self.front());
+        }
         let name = match signal {
             Signal::Kill => "-KILL",
             Signal::Terminate => "-TERM",
@@ -157,8 +165,10 @@
     pub store: Rc<Store>,
     pub store_proxy: Proxy,
     pub endpoints: Vec<Rc<Endpoint>>,
-    pub proxies: Vec<Proxy>,
+    pub proxies: Vec<Rc<Proxy>>,
     pub checker: Rc<Checker>,
+    /// Whether callers send prompts on which engines crash.
+    pub has_crashes: Rc<Cell<bool>>,
     listeners: Vec<ListenerHandle>,
 }
 
@@ -180,6 +190,7 @@
         directory: &Path,
         net: (u8, u8),
         n_nodes: usize,
+        n_engines: usize,
     ) -> std::io::Result<Cluster> {
         fs::create_dir_all(directory)?;
         let ip = |last: usize| Ipv4Addr::new(127, net.0, net.1, last as u8);
@@ -191,15 +202,18 @@
         store.put("config", "main", desired_state(1, true));
         let (mut endpoints, mut proxies) = (Vec::new(), Vec::new());
         for pool in Pool::iter() {
-            for number in 0..N_ENDPOINTS {
+            let n_endpoints = if pool == Pool::Engine { n_engines } else { N_ENDPOINTS };
+            for number in 0..n_endpoints {
                 let last = 100 + endpoints.len();
                 let (public, internal) = (at(last, ENDPOINT_PORT), at(last + 50, ENDPOINT_PORT));
                 let endpoint = Endpoint::new(pool, number, public, &checker);
                 listeners.push(endpoint.listen(internal).await?);
-                proxies.push(Proxy::start(public, internal).await?);
+                let proxy = Rc::new(Proxy::start(public, internal).await?);
                 let zone = format!("zone-{}", number % 2);
                 store.put("servers", &endpoint.id, endpoint.entry(&zone, "ready"));
+                spawn_local(run_crashes(endpoint.clone(), proxy.clone(), store.clone(), zone));
                 endpoints.push(endpoint);
+                proxies.push(proxy);
             }
         }
         // An entry in another format must be ignored.
@@ -211,6 +225,7 @@
                 settings: directory.join(format!("node-{number}.conf")),
                 log: directory.join(format!("node-{number}.log")),
                 gateway: gateway.to_owned(),
+                checker: checker.clone(),
                 child: None,
             };
             fs::write(&node.settings, node.settings_text(number, store_proxy.address))?;
@@ -221,7 +236,17 @@
         for node in &mut nodes {
             node.start()?;
         }
-        Ok(Cluster { nodes, store, store_proxy, endpoints, proxies, checker, listeners })
+        let has_crashes = Rc::default();
+        Ok(Cluster {
+            nodes,
+            store,
+            store_proxy,
+            endpoints,
+            proxies,
+            checker,
+            has_crashes,
+            listeners,
+        })
     }
 
     /// Gives one endpoint of each pool another build than the others have.
@@ -234,6 +259,15 @@
         }
     }
 
+    /// Makes callers send prompts on which engines crash; every second engine responds without framing.
+    pub fn start_crashes(&self, seed: u64) {
+        self.has_crashes.set(true);
+        for (number, endpoint) in (0..).zip(&self.endpoints) {
+            endpoint.crashes.seed.set(seed.wrapping_add(number * 1_000));
+            endpoint.crashes.is_unframed.set(number % 2 == 1);
+        }
+    }
+
     /// Returns the number of listeners of simulated services.
     pub fn n_listeners(&self) -> usize {
         self.listeners.len()
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -15,6 +15,7 @@
 
 use crate::checker::Checker;
 use crate::config::WORKSPACE;
+use crate::crash::{Crashes, PendingCrash};
 use crate::rate_limit::RateLimit;
 use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve, without_framing};
 
@@ -75,13 +76,14 @@
     /// Version of the endpoint's software, which its events contain.
     pub build: Cell<&'static str>,
     pub rate_limit: RateLimit,
+    pub crashes: Crashes,
     address: SocketAddr,
-    checker: Rc<Checker>,
+    pub checker: Rc<Checker>,
     n_results: Cell<u64>,
     n_calls: Cell<u32>,
     results: RefCell<Vec<String>>,
     /// Prompt parts that an engine has read, as callers name them.
-    parts: RefCell<Vec<String>>,
+    pub parts: RefCell<Vec<String>>,
 }
 
 impl Endpoint {
@@ -96,6 +98,7 @@
             id: format!("{name}-{number}"),
             build: Cell::new("v1"),
             rate_limit: RateLimit::default(),
+            crashes: Crashes::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
             address,
@@ -125,7 +128,7 @@
         let pool: &str = self.pool.into();
         json!({
             "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": self.build.get(),
-            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": 1,
+            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": 1 + self.crashes.n_crashes.get(),
         })
     }
 
@@ -235,6 +238,11 @@
         let Some(attempt) = header(headers::ATTEMPT_ID.as_str()) else {
             return Some(not_run(StatusCode::BAD_REQUEST));
         };
+        let prompt = header("tarragonferry-prompt-prefix").unwrap_or_default();
+        let crash = self.crashes.pending(prompt).filter(|_| self.pool == Pool::Engine);
+        if crash.is_some() {
+            self.checker.record_arrival(attempt);
+        }
         if self.behaviour.get() == Behaviour::Full {
             return Some(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
@@ -251,7 +259,6 @@
             if !inputs.split(',').all(|it| self.checker.has_result(it, attempt)) {
                 return Some(not_run(StatusCode::CONFLICT));
             }
-            let prompt = header("tarragonferry-prompt-prefix").unwrap_or_default();
             let mut read = self.parts.borrow_mut();
             for (id, _) in prompt.split(',').filter_map(|it| it.split_once(':')) {
                 if read.iter().all(|it| it != id) {
@@ -263,7 +270,7 @@
         self.checker.record_run(attempt, &self.id, path, body);
         let from = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         match self.pool {
-            Pool::Engine => self.stream(attempt, from).await,
+            Pool::Engine => self.stream(attempt, from, crash).await,
             Pool::Plain | Pool::First | Pool::Second => self.plain(attempt, body).await,
         }
     }
@@ -282,7 +289,12 @@
         }
     }
 
-    async fn stream(&self, attempt: &str, from: u64) -> Option<Response<Body>> {
+    async fn stream(
+        &self,
+        attempt: &str,
+        from: u64,
+        crash: Option<PendingCrash>,
+    ) -> Option<Response<Body>> {
         tokio::time::sleep(self.time(FIRST_EVENT)).await;
         if self.behaviour.get() != Behaviour::Truncates {
             self.apply_fault().await?;
@@ -291,8 +303,11 @@
         let behaviour = self.behaviour.get();
         let (attempt_id, build) = (attempt.to_owned(), self.build.get());
         let events = stream::unfold(from + 1, move |number| {
-            let attempt = attempt_id.clone();
+            let (attempt, crash) = (attempt_id.clone(), crash.clone());
             async move {
+                if let Some(crash) = crash.filter(|it| from + it.n_events < number) {
+                    crash.crash().await;
+                }
                 if N_EVENTS < number {
                     return None;
                 }
@@ -319,6 +334,7 @@
             Behaviour::Unframed | Behaviour::EndsInEvent { is_chunked: false } => {
                 Some(without_framing(response))
             }
+            Behaviour::Healthy if self.crashes.is_unframed.get() => Some(without_framing(response)),
             _ => Some(response),
         }
     }
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod checker;
 pub mod cluster;
 pub mod config;
+pub mod crash;
 pub mod endpoint;
 pub mod plan;
 pub mod proxy;
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -33,6 +33,9 @@
     /// number of gateways, 2 to 240 (4)
     #[argh(option, default = "4", from_str_fn(n_processes))]
     processes: usize,
+    /// sends prompts on which engines crash
+    #[argh(switch)]
+    crashes: bool,
     /// path of the gateway binary; by default ferry-gateway in the directory of this program
     #[argh(option)]
     gateway: Option<PathBuf>,
@@ -86,16 +89,18 @@
             gateway: gateway.clone(),
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
+            has_crashes: args.crashes,
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
-             limited endpoints",
+             limited endpoints; {:?}",
             report.under_faults,
             report.after_recovery,
             report.n_continued,
             report.n_taken_up,
-            report.n_limited
+            report.n_limited,
+            report.crashes
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -200,7 +200,9 @@
 
 fn register(cluster: &Cluster, endpoint: usize, state: &str) {
     let endpoint = &cluster.endpoints[endpoint];
-    cluster.store.put("servers", &endpoint.id, endpoint.entry("zone-0", state));
+    if !endpoint.crashes.is_down.get() {
+        cluster.store.put("servers", &endpoint.id, endpoint.entry("zone-0", state));
+    }
 }
 
 /// Ends all faults, so that the system can recover.
--- a/crates/ferry-soak/src/proxy.rs
+++ b/crates/ferry-soak/src/proxy.rs
@@ -1,6 +1,6 @@
 //! A proxy that forwards loopback connections and injects faults into them.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,32 +30,47 @@
 #[derive(Debug)]
 pub struct Proxy {
     pub address: SocketAddr,
+    target: SocketAddr,
     link: Rc<Cell<Link>>,
     reset: Rc<Notify>,
-    task: AbortHandle,
+    task: RefCell<Option<AbortHandle>>,
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        self.task.abort();
+        self.stop();
     }
 }
 
 impl Proxy {
     pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
         let link = Rc::new(Cell::new(Link::Open));
-        let reset = Rc::new(Notify::new());
-        let (state, resets) = (link.clone(), reset.clone());
+        let proxy = Proxy { address, target, link, reset: Rc::default(), task: RefCell::default() };
+        proxy.listen().await?;
+        Ok(proxy)
+    }
+
+    /// Listens, also again after a stop.
+    pub async fn listen(&self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        let (target, link, reset) = (self.target, self.link.clone(), self.reset.clone());
         let task = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if state.get() != Link::Refusing {
-                    spawn_local(forward(stream, target, state.clone(), resets.clone()));
+                if link.get() != Link::Refusing {
+                    spawn_local(forward(stream, target, link.clone(), reset.clone()));
                 }
             }
         });
-        Ok(Proxy { address, link, reset, task: task.abort_handle() })
+        self.task.replace(Some(task.abort_handle()));
+        Ok(())
+    }
+
+    /// Closes every open connection and refuses new ones.
+    pub fn stop(&self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        self.reset();
     }
 
     pub fn set(&self, link: Link) {
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -14,8 +14,10 @@
 
 use crate::callers::Caller;
 use crate::checker::OutcomeCounts;
-use crate::cluster::Cluster;
+use crate::checker::crashes::{CrashCounts, MAX_LATE};
+use crate::cluster::{Cluster, N_ENDPOINTS};
 use crate::config::Route;
+use crate::crash::Prompts;
 use crate::endpoint::Pool;
 use crate::plan::{apply, generate, generate_limits, restore};
 
@@ -46,6 +48,8 @@
     pub directory: PathBuf,
     /// Second and third octet of the loopback addresses, so that concurrent runs do not collide.
     pub net: (u8, u8),
+    /// Whether some prompts crash engines.
+    pub has_crashes: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -60,6 +64,7 @@
     pub n_continued: usize,
     /// Requests to endpoints whose rate limit held.
     pub n_limited: usize,
+    pub crashes: CrashCounts,
 }
 
 impl Report {
@@ -72,10 +77,13 @@
 /// Runs the soak; must be called within a local task set.
 pub async fn run(options: &SoakOptions) -> std::io::Result<Report> {
     let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
-    let mut cluster =
-        Cluster::start(&options.gateway, &options.directory, options.net, options.n_nodes).await?;
+    let SoakOptions { gateway, directory, net, n_nodes, .. } = options;
+    let mut cluster = Cluster::start(gateway, directory, *net, *n_nodes, N_ENDPOINTS).await?;
     cluster.mix_builds();
     sleep(START_TIME).await;
+    if options.has_crashes {
+        cluster.start_crashes(options.seed);
+    }
     let is_over = start_callers(&cluster, &mut rng);
     let start = Instant::now();
     let mut plan = generate(&mut rng, options.duration, options.n_nodes, cluster.endpoints.len());
@@ -87,6 +95,7 @@
         sleep_until(start + at).await;
         apply(&mut cluster, step)?;
     }
+    cluster.has_crashes.set(false);
     restore(&mut cluster)?;
     let recovered = Instant::now() + RECOVERY_TIME;
     while Instant::now() < recovered {
@@ -110,11 +119,23 @@
     }
     let (n_taken_up, n_continued) = cluster.checker.take_ups();
     let n_limited = cluster.checker.n_limited();
-    Ok(Report { violations, under_faults, after_recovery, n_taken_up, n_continued, n_limited })
+    let crashes = cluster.checker.count_crashes(from);
+    if MAX_LATE < crashes.n_late {
+        violations.push(format!("requests that crash engines went on: {crashes:?}"));
+    }
+    Ok(Report {
+        violations,
+        under_faults,
+        after_recovery,
+        n_taken_up,
+        n_continued,
+        n_limited,
+        crashes,
+    })
 }
 
 /// Starts callers that send requests until the returned flag is set.
-fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg) -> Rc<RefCell<bool>> {
+pub fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg) -> Rc<RefCell<bool>> {
     let is_over = Rc::new(RefCell::new(false));
     let routes: Vec<Route> = Route::iter().filter(|it| *it != Route::Extra).collect();
     for number in 0..N_CALLERS {
@@ -122,7 +143,8 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let checker = cluster.checker.clone();
         let name = format!("caller{number}");
-        let mut caller = Caller::new(name, cluster.directories(), checker, rng);
+        let prompts = Prompts::new(seed ^ 2, &cluster.has_crashes);
+        let mut caller = Caller::new(name, cluster.directories(), checker, rng, prompts);
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 1);
         let (is_over, routes) = (is_over.clone(), routes.clone());
         spawn_local(async move {
