Show that requests with a part that crashes engines keep reaching them

Cause: a request whose engine crashed is retried on the next one, and each instance learns alone. Change: the simulation gets engines that crash on a prompt part; two tests ask that at most three requests with the part reach engines later than 3 s after the fifth crash, and that others go on.

--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod health;
 mod peers;
+mod quarantine;
 mod rate_limits;
 mod requests;
 mod schedule;
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/quarantine/traffic.rs
@@ -0,0 +1,202 @@
+//! Requests that share parts of their prompts, and those with a part that crashes engines.
+
+use std::time::Duration;
+
+use ferry_model::Moment;
+use ferry_serve::{PromptPart, RequestHead};
+
+use crate::simulation::{Simulation, head, ms};
+
+/// The part that all prompts of the traffic share, and those that some of them share.
+const FIRST_PART: u64 = 1;
+const MIDDLE_PARTS: [u64; 3] = [10, 11, 12];
+const N_RARE: u64 = 40;
+const RARE_PARTS: u64 = 1_000;
+/// The part that crashes engines.
+pub const GUILTY: u64 = 666;
+const STEP: Duration = ms(10);
+/// Requests with the part that may reach endpoints later than `STABLE_TIME` after the crash with
+/// the number `N_LEARNING`.
+const MAX_RECEIVED: usize = 3;
+const N_LEARNING: usize = 5;
+const STABLE_TIME: Duration = ms(3_000);
+/// Fraction of the usual share of sound requests that begin.
+const MIN_SOUND: f64 = 0.5;
+
+/// Where the guilty part stands among the parts that other requests share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    First,
+    Middle,
+    NextToLast,
+}
+
+/// A request that was sent: whether it is guilty, and when.
+#[derive(Debug)]
+struct Sent {
+    attempt: String,
+    at: Moment,
+    is_guilty: bool,
+}
+
+#[derive(Debug)]
+pub struct Traffic {
+    /// Sound requests per second.
+    sound_rate: f64,
+    guilty_rate: f64,
+    /// Further parts of guilty requests that are in no other request.
+    pub n_distinct: u64,
+    guilty: Vec<u64>,
+    place: Place,
+    turned: Moment,
+    sent: Vec<Sent>,
+    rng: u64,
+}
+
+impl Traffic {
+    pub fn new(sound_rate: f64) -> Traffic {
+        Traffic {
+            sound_rate,
+            guilty_rate: 0.0,
+            n_distinct: 0,
+            guilty: vec![GUILTY],
+            place: Place::First,
+            turned: Moment::ZERO,
+            sent: Vec::new(),
+            rng: 7,
+        }
+    }
+
+    /// Lets engines crash on the guilty part, and sends requests with it from now on.
+    pub fn turn_guilty(&mut self, sim: &mut Simulation, place: Place, rate: f64) {
+        sim.crashes.parts.clone_from(&self.guilty);
+        self.place = place;
+        self.guilty_rate = rate;
+        self.turned = sim.now;
+    }
+
+    pub fn with_guilty(mut self, parts: &[u64]) -> Traffic {
+        self.guilty = parts.to_vec();
+        self
+    }
+
+    /// Sends requests with the part that are sound so far.
+    pub fn with_sound_part(mut self, place: Place, rate: f64) -> Traffic {
+        self.place = place;
+        self.guilty_rate = rate;
+        self
+    }
+
+    pub fn with_distinct(mut self, n_distinct: u64) -> Traffic {
+        self.n_distinct = n_distinct;
+        self
+    }
+
+    pub fn run(&mut self, sim: &mut Simulation, time: Duration) {
+        let until = sim.now + time;
+        while sim.now < until {
+            let step = STEP.as_secs_f64();
+            if self.chance(self.sound_rate * step) {
+                let prompt = self.sound_prompt();
+                self.send(sim, prompt, false);
+            }
+            if self.chance(self.guilty_rate * step) {
+                let prompt = self.guilty_prompt();
+                self.send(sim, prompt, true);
+            }
+            sim.run_for(STEP);
+        }
+    }
+
+    /// Checks both rules: few requests with the part reach endpoints, and the others are served.
+    pub fn check(&self, sim: &Simulation, name: &str) {
+        let n_crashes = sim.crashes.crashed.len();
+        let n_received = sim.crashes.n_received_after(N_LEARNING, STABLE_TIME);
+        let (before, after) = (self.sound_before(sim), self.sound_after(sim));
+        println!(
+            "{name}: {n_crashes} crashes, {n_received} received late, sound {before:.2} -> {after:.2}"
+        );
+        assert!(n_received <= MAX_RECEIVED, "{name}: {n_received} of {n_crashes}");
+        assert!(before * MIN_SOUND <= after, "{name}: {before:.2} -> {after:.2}");
+        assert_eq!(sim.violations, Vec::<String>::new(), "{name}");
+    }
+
+    /// Returns the share of sound requests that began before the part turned guilty.
+    pub fn sound_before(&self, sim: &Simulation) -> f64 {
+        self.sound_share(sim, Moment::ZERO, self.turned.saturating_sub(STABLE_TIME / 2))
+    }
+
+    /// The same later than twice the stable time after the fifth crash.
+    fn sound_after(&self, sim: &Simulation) -> f64 {
+        let learnt = sim.crashes.crashed.get(N_LEARNING - 1).or(sim.crashes.crashed.last());
+        let from = learnt.map_or(self.turned, |it| *it) + STABLE_TIME * 2;
+        self.sound_share(sim, from, sim.now.saturating_sub(ms(2_000)))
+    }
+
+    pub fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
+        let is_asked = |it: &&Sent| !it.is_guilty && from <= it.at && it.at < until;
+        let asked: Vec<&Sent> = self.sent.iter().filter(is_asked).collect();
+        let n_begun = asked.iter().filter(|it| sim.first_events.contains_key(&it.attempt)).count();
+        n_begun as f64 / asked.len().max(1) as f64
+    }
+
+    fn send(&mut self, sim: &mut Simulation, prompt: Vec<PromptPart>, is_guilty: bool) {
+        let attempt = format!("probe-{}", self.sent.len());
+        let live: Vec<usize> =
+            (0..sim.instances.len()).filter(|it| sim.instances[*it].is_some()).collect();
+        self.sent.push(Sent { attempt: attempt.clone(), at: sim.now, is_guilty });
+        if live.is_empty() {
+            return;
+        }
+        let instance = live[self.next_random() as usize % live.len()];
+        let head = RequestHead { prompt, items: Vec::new(), ..head("stream", &attempt) };
+        sim.arrive(instance, &attempt, head);
+    }
+
+    fn sound_prompt(&mut self) -> Vec<PromptPart> {
+        let shared = self.shared();
+        self.prompt(shared)
+    }
+
+    fn guilty_prompt(&mut self) -> Vec<PromptPart> {
+        let mut shared = self.shared();
+        let idx = match self.place {
+            Place::First => 0,
+            Place::Middle => 1,
+            Place::NextToLast => shared.len(),
+        };
+        let choice = self.next_random() as usize % self.guilty.len();
+        shared.insert(idx, self.guilty[choice]);
+        for _ in 0..self.n_distinct {
+            let distinct = 1_000_000 + self.next_random() % 1_000_000_000;
+            let idx = self.next_random() as usize % (shared.len() + 1);
+            shared.insert(idx, distinct);
+        }
+        self.prompt(shared)
+    }
+
+    /// Returns the first part, one of the popular parts, and sometimes a rare one.
+    fn shared(&mut self) -> Vec<u64> {
+        let middle = MIDDLE_PARTS[self.next_random() as usize % MIDDLE_PARTS.len()];
+        let mut shared = vec![FIRST_PART, middle];
+        if self.next_random().is_multiple_of(3) {
+            shared.push(RARE_PARTS + self.next_random() % N_RARE);
+        }
+        shared
+    }
+
+    fn prompt(&mut self, shared: Vec<u64>) -> Vec<PromptPart> {
+        let own = self.next_random();
+        let part = |id: u64| PromptPart { id, tokens: 100 };
+        shared.into_iter().chain([own]).map(part).collect()
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        (self.next_random() % 1_000_000) as f64 / 1e6 < probability
+    }
+
+    fn next_random(&mut self) -> u64 {
+        self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.rng >> 33
+    }
+}
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -1,11 +1,12 @@
 //! Gateways, endpoints and callers on virtual time, with injected faults.
 
 mod config;
+mod crashes;
 mod endpoint;
 mod faults;
 mod network;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 };
 
 pub use config::{config, front, head, limits, peer};
+use crashes::{Crashes, EndpointStep};
 pub use endpoint::{Behaviour, Endpoint, Received};
 
 pub const fn ms(n: u64) -> Duration {
@@ -74,6 +76,10 @@
         incarnation: u64,
         endpoint: String,
     },
+    Endpoint {
+        endpoint: String,
+        step: EndpointStep,
+    },
 }
 
 pub struct Simulation {
@@ -124,6 +130,9 @@
     sources: SortedMap<(usize, CallId), (String, String)>,
     /// Builds that brought events, by attempt.
     pub event_builds: SortedMap<String, Vec<String>>,
+    pub crashes: Crashes,
+    /// Streams that have brought an event.
+    begun: BTreeSet<(usize, CallId)>,
     incarnations: Vec<u64>,
     /// When each instance's timer fires.
     timers: Vec<Option<Moment>>,
@@ -179,6 +188,8 @@
             streams: SortedMap::new(),
             sources: SortedMap::new(),
             event_builds: SortedMap::new(),
+            crashes: Crashes::new(),
+            begun: BTreeSet::new(),
             incarnations: vec![0; n_instances],
             timers: vec![None; n_instances],
             queue: BTreeMap::new(),
@@ -270,9 +281,15 @@
     }
 
     fn process(&mut self, item: QueuedEvent) {
+        if let QueuedEvent::Endpoint { endpoint, step } = item {
+            return self.step_endpoint(&endpoint, step);
+        }
         let (QueuedEvent::Tick { instance, .. }
         | QueuedEvent::Deliver { instance, .. }
-        | QueuedEvent::Limit { instance, .. }) = item;
+        | QueuedEvent::Limit { instance, .. }) = item
+        else {
+            return;
+        };
         if let Some(missed) = self.frozen.get_mut(&instance) {
             return missed.push(item);
         }
@@ -288,7 +305,9 @@
             {
                 self.report_limit(instance, endpoint);
             }
-            QueuedEvent::Deliver { .. } | QueuedEvent::Limit { .. } => (),
+            QueuedEvent::Deliver { .. }
+            | QueuedEvent::Limit { .. }
+            | QueuedEvent::Endpoint { .. } => (),
         }
     }
 
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -14,7 +14,6 @@
 const PLAIN_TIME: Duration = ms(50);
 const FIRST_EVENT: Duration = ms(120);
 const EVENT_GAP: Duration = ms(20);
-const N_EVENTS: u64 = 5;
 
 /// The end of a stream that misses nothing.
 const WHOLE: StreamEnd = StreamEnd { framing: Framing::Chunked, n_events: 1, partial: 0 };
@@ -131,6 +130,9 @@
     }
 
     pub(super) fn call(&mut self, instance: usize, call: &Call) {
+        if self.refuse_connection(instance, call) {
+            return;
+        }
         let attempt = self.callers.get(&(instance, call.ticket)).map(|it| it.attempt.clone());
         let Some(attempt) = attempt else {
             return self.violations.push("a call without a caller".to_owned());
@@ -144,7 +146,8 @@
             }
         }
         let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
-        let read_at = self.read_prompt(&call.endpoint, &prompt.unwrap_or_default());
+        let prompt = prompt.unwrap_or_default();
+        let read_at = self.read_prompt(&call.endpoint, &prompt);
         let is_informed = self.is_informed(instance, &call.endpoint);
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
         endpoint.n_calls += 1;
@@ -189,16 +192,24 @@
                 let streams = self.streams.get_or_insert_with(call.endpoint.clone(), Vec::new);
                 streams.push((instance, id));
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
+                self.plan_crash(call, &prompt, begin);
+                let is_broken = self.is_stream_broken();
+                let n_events = self.crashes.n_events;
+                let whole = StreamEnd { framing: self.crashes.framing, ..WHOLE };
                 self.schedule_limit(instance, begin, &call.endpoint);
                 self.schedule(instance, begin, event(CallEvent::Began { load: None }));
                 let first = call.resume.unwrap_or(0) + 1;
-                for number in first..=N_EVENTS {
+                for number in first..=n_events {
                     let at = begin + EVENT_GAP * factor * (number - first) as u32;
                     let progress = CallEvent::Progress { last_event: Some(number) };
                     self.schedule(instance, at, event(progress));
                 }
-                let end = begin + EVENT_GAP * factor * N_EVENTS as u32;
-                self.schedule(instance, end, event(CallEvent::Ended(WHOLE)));
+                let end = begin + EVENT_GAP * factor * n_events as u32;
+                if is_broken {
+                    let error = "broken off".to_owned();
+                    self.schedule(instance, end / 2, event(CallEvent::Broken { error }));
+                }
+                self.schedule(instance, end, event(CallEvent::Ended(whole)));
             }
             Behaviour::Healthy
             | Behaviour::Slow(_)
@@ -241,6 +252,9 @@
     pub(super) fn record_event(&mut self, instance: usize, event: &Event) {
         let Event::Call { call, event } = event else { return };
         let key = (instance, *call);
+        if matches!(event, CallEvent::Progress { .. }) {
+            self.begun.insert(key);
+        }
         match event {
             CallEvent::Progress { .. } if !self.cancelled.contains(&key) => {
                 let Some((attempt, build)) = self.sources.get(&key).cloned() else { return };
--- a/crates/ferry-serve/tests/decisions/simulation/faults.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/faults.rs
@@ -22,6 +22,8 @@
         self.frozen.remove(&instance);
         self.instances[instance] = None;
         self.incarnations[instance] += 1;
+        self.streams.values_mut().for_each(|it| it.retain(|it| it.0 != instance));
+        self.begun.retain(|it| it.0 != instance);
         self.callers.retain(|(it, _), _| *it != instance);
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/network.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/network.rs
@@ -23,7 +23,7 @@
     }
 
     /// Returns the next number of a fixed pseudo-random sequence.
-    fn next_random(&mut self) -> u64 {
+    pub(super) fn next_random(&mut self) -> u64 {
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         self.rng >> 33
     }
