Quarantine prompt parts that crash the endpoints of a pool

Cause: a request whose engine crashed is retried on the next one, and each instance learns alone. Change: each instance watches for breaks after which an endpoint is silent, and reports them to the two judges of the pool. A judge looks for a part that stood in three separate incidents of two attempts and in no sound answer since, asks all instances what speaks for it, and after 300 ms without an objection quarantines it. Records spread from instance to instance, and a digest in the heartbeat finds those who missed them. A request with such a part is refused at once, without a time to retry, and at each later step before it is sent. A request on whose parts endpoints crashed twice is not sent again. The judges belong to a pool, not to a part: only one that sees all parts of a crash can choose among those that fit. Not yet tested: other trouble, and what it costs in messages.

--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -285,6 +285,7 @@
     Peer,
     Store,
     Drain,
+    Quarantine,
 }
 
 /// Counters; docs/METRICS.md lists each.
@@ -314,4 +315,7 @@
     ResultsDuplicated,
     EndpointsEjected,
     BatchersSwitched,
+    CrashesSeen,
+    PartsQuarantined,
+    RequestsQuarantined,
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -4,11 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_model::{ApiKey, EndpointId, GatewayConfig, GatewayEndpoint, ResultHandle, Ticket};
+use ferry_model::{
+    ApiKey, EndpointId, GatewayConfig, GatewayEndpoint, PoolId, ResultHandle, Ticket,
+};
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, EndpointsDelta, LimitReport, LoadReport, PeerMessage, Tuning};
+use crate::{
+    CallId, CallerAttempt, EndpointsDelta, LimitReport, LoadReport, PartId, PeerMessage,
+    QuarantineAction, Tuning,
+};
 
 /// Input of [`crate::Gateway::reduce`].
 #[derive(Debug, Clone)]
@@ -55,6 +60,12 @@
         from: SocketAddr,
         message: PeerMessage,
     },
+    /// An operator puts a prompt part into quarantine, or lifts that.
+    Quarantine {
+        pool: PoolId,
+        part: PartId,
+        action: QuarantineAction,
+    },
     /// The settings of the decisions have changed.
     Retune(Box<Tuning>),
     /// The process was asked to shut down.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -15,11 +15,12 @@
 use crate::limits::exchange;
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
+use crate::quarantine;
 use crate::request::Requests;
 use crate::{
-    Backlog, CallerAttempt, Catalog, Decision, DecisionKind, Effect, Endpoints, Event, Group,
-    Heartbeat, Limiter, Mechanism, Observation, Observations, Origins, PeerMessage, Peers,
-    PermitAnswer, PermitId, Scheduled, Scheduler, Tuning,
+    Backlog, CallerAttempt, Catalog, CrashWatch, Decision, DecisionKind, Effect, Endpoints, Event,
+    Group, Heartbeat, Judge, Limiter, Mechanism, Observation, Observations, Origins, PeerMessage,
+    Peers, PermitAnswer, PermitId, Quarantine, Scheduled, Scheduler, Tuning,
 };
 
 /// Bits of a permit's id below those of the process.
@@ -76,6 +77,9 @@
                 last_call: 0,
                 last_permit,
                 limiter: Limiter::new(),
+                quarantine: Quarantine::new(),
+                crash_watch: CrashWatch::default(),
+                judge: Judge::new(),
                 is_leaving: false,
             },
             batcher: Batcher::new(),
@@ -106,6 +110,7 @@
                 cx.ctx.overload.observe(now, late);
                 cx.ctx.endpoints.tick(now);
                 exchange::tick(cx);
+                quarantine::exchange::tick(cx);
                 self.batcher.tick(cx);
                 self.requests.tick(cx, &mut self.batcher);
             }
@@ -133,6 +138,9 @@
             Event::Peer { from, message } => {
                 updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
+            Event::Quarantine { pool, part, action } => {
+                quarantine::exchange::on_operator(cx, &pool, part, action);
+            }
             Event::Retune(tuning) => cx.ctx.tuning = *tuning,
             Event::Shutdown => {
                 if self.leaving.is_none() {
@@ -143,6 +151,7 @@
                 }
             }
         }
+        self.requests.enforce_quarantine(cx, &mut self.batcher);
         self.settle(now, &mut effects, Settlement { outcomes, released, permits });
         self.finish(now, &mut effects);
         effects
@@ -155,6 +164,8 @@
             self.batcher.next_wake(now, &self.ctx.endpoints),
             self.ctx.endpoints.next_wake(),
             self.ctx.limiter.next_wake(),
+            self.ctx.crash_watch.next_wake(),
+            self.ctx.judge.next_wake(),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
@@ -188,6 +199,11 @@
         self.ctx.catalog.config()
     }
 
+    /// Returns the prompt parts in quarantine, and those that were lifted.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.ctx.quarantine
+    }
+
     pub fn context(&self) -> &Context {
         &self.ctx
     }
@@ -305,6 +321,7 @@
             last_change: self.ctx.endpoints.last_change(),
             backlog: self.backlog(now),
             observations,
+            quarantine: self.ctx.quarantine.digest(),
         }
     }
 
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -9,6 +9,7 @@
 use crate::batch::{Batcher, Job, JobOwner};
 use crate::limits::exchange;
 use crate::pass::{Context, Pass};
+use crate::quarantine;
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
     Asker, Decision, DecisionKind, Effect, JobSubmission, LimitNotice, LimitReport, Metric,
@@ -90,12 +91,13 @@
             for observation in &heartbeat.observations {
                 endpoints.observe(cx.now, tuning, observation);
             }
-            let instance = heartbeat.instance.clone();
+            let (instance, digest) = (heartbeat.instance.clone(), heartbeat.quarantine);
             if cx.ctx.peers.on_heartbeat(cx.now, from, heartbeat) {
                 cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
                 requests.batcher_lost(cx, batcher, from);
                 exchange::introduce(cx, from);
             }
+            quarantine::exchange::on_digest(cx, from, digest);
         }
         PeerMessage::Submit(submit) => on_submit(cx, batcher, from, *submit),
         PeerMessage::AdmissionRequest(request) => {
@@ -142,6 +144,10 @@
         PeerMessage::Pong { id, is_willing, n_instances } => {
             exchange::on_pong(cx, from, (id, is_willing, n_instances));
         }
+        PeerMessage::Quarantine(notices) => quarantine::exchange::on_notices(cx, &notices),
+        PeerMessage::CrashReport(report) => quarantine::exchange::on_report(cx, *report),
+        PeerMessage::Accusation(it) => quarantine::exchange::on_accusation(cx, &it),
+        PeerMessage::Objection(it) => quarantine::exchange::on_objection(cx, &it),
     }
 }
 
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -19,6 +19,7 @@
 mod overload;
 mod pass;
 mod peers;
+mod quarantine;
 mod request;
 mod retry_budget;
 mod schedule;
@@ -47,6 +48,10 @@
 pub use origins::Origins;
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
+pub use quarantine::{
+    Accusation, CrashReport, CrashWatch, Crashed, Exposure, Judge, Objection, PartId, Quarantine,
+    QuarantineAction, QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineState,
+};
 pub use retry_budget::RetryBudget;
 pub use schedule::{
     Asker, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Scheduler,
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -247,6 +247,29 @@
         ranked.into_iter().map(|it| it.1).take(n_peers).collect()
     }
 
+    /// Returns the first of this instance, which none stands for, and the live peers in the order of
+    /// [`Peers::ranked`].
+    pub fn ranked_with(
+        &self,
+        now: Moment,
+        tuning: &Tuning,
+        own: &Identity,
+        key: impl Hash,
+        n_instances: usize,
+    ) -> Vec<Option<SocketAddr>> {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let key = hasher.finish();
+        let live = self.live(now, tuning).filter(|(_, it)| !it.heartbeat.is_leaving);
+        let rank = |(address, it): (SocketAddr, &PeerView)| {
+            (rendezvous_hash(key, &it.heartbeat.instance), Some(address))
+        };
+        let me = (rendezvous_hash(key, &own.instance), None);
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = live.map(rank).chain([me]).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|it| it.1).take(n_instances).collect()
+    }
+
     /// Whether a peer that got a job at `since` still works on it: it sends each of its heartbeats
     /// to the owners of its jobs. An overloaded peer keeps its jobs, as moving them would repeat
     /// work in progress.
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -11,8 +11,9 @@
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    CallerAttempt, Group, ItemInput, JobKey, JobOutcome, LimitNotice, Observation, PermitAnswer,
-    PermitId, PermitRequest, ScheduleProgress, ScheduleRequest, Scheduled,
+    Accusation, CallerAttempt, CrashReport, Group, ItemInput, JobKey, JobOutcome, LimitNotice,
+    Objection, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
+    ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -37,6 +38,9 @@
     pub backlog: Vec<Backlog>,
     /// Results of its latest calls.
     pub observations: Vec<Observation>,
+    /// Hash of the quarantine records that it knows.
+    #[serde(default)]
+    pub quarantine: u64,
 }
 
 impl Heartbeat {
@@ -155,6 +159,14 @@
         /// Instances that were alive lately, as far as it knows.
         n_instances: u32,
     },
+    /// Reports the quarantine of prompt parts.
+    Quarantine(Vec<QuarantineNotice>),
+    /// Reports a crash to a judge of its pool.
+    CrashReport(Box<CrashReport>),
+    /// Asks what speaks for parts that are about to be quarantined.
+    Accusation(Box<Accusation>),
+    /// Answers that.
+    Objection(Box<Objection>),
 }
 
 /// Asks which build began a stream that a request continues.
--- /dev/null
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -0,0 +1,273 @@
+//! Prompt parts that crash the endpoints of a pool, whose requests are no longer sent there.
+//!
+//! [`CrashWatch`] notices crashes at each instance, a [`Judge`] compares those of all instances,
+//! and [`Quarantine`] is what each instance knows of the result. docs/design/platform.md has the
+//! reasons.
+
+pub mod exchange;
+mod judge;
+mod message;
+mod watch;
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use ferry_model::{Moment, PoolId, SortedMap};
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+use crate::PromptPart;
+
+pub use judge::Judge;
+pub use message::{Accusation, CrashReport, Crashed, Exposure, Objection, QuarantineNotice};
+pub use watch::{CallTrace, CrashWatch};
+
+/// Identifier of a prompt part.
+pub type PartId = u64;
+
+/// Largest number of records; the oldest that were lifted go first.
+const MAX_RECORDS: usize = 256;
+/// Time without any request after which a quarantine ends.
+const MAX_IDLE: Duration = Duration::from_secs(24 * 3_600);
+/// Age of what peers know of the last refused request at which they are told again.
+const IDLE_NOTICE: Duration = Duration::from_secs(3_600);
+/// Records that a peer is sent at a time, and the pause before any peer is sent more.
+const MAX_NOTICES: usize = 32;
+const SYNC_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What all instances agree on: the parts in quarantine, and those that were lifted.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    pools: SortedMap<PoolId, SortedMap<PartId, QuarantineRecord>>,
+    /// Parts whose requests in progress are still to be ended.
+    fresh: Vec<(PoolId, PartId)>,
+    next_sync: Moment,
+    /// Number of the next record that a peer is sent whose records differ.
+    cursor: usize,
+    next_expiry: Moment,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct QuarantineRecord {
+    pub state: QuarantineState,
+    pub reason: QuarantineReason,
+    /// Rises with each change; the newest record counts.
+    pub version: u32,
+    pub since: Moment,
+    /// When a request with the part was last refused, as far as known here.
+    pub last_refused: Moment,
+    /// What peers were told of that.
+    told_refused: Moment,
+}
+
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum QuarantineState {
+    Lifted,
+    Quarantined,
+}
+
+/// Why a record has its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum QuarantineReason {
+    Crashes,
+    Operator,
+    /// No request came with the part for long; one crash is enough to convict it again.
+    Expired,
+    /// Another part explains all its crashes.
+    Explained,
+}
+
+/// What an operator does with a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum QuarantineAction {
+    Set,
+    Lift,
+}
+
+impl Quarantine {
+    pub fn new() -> Quarantine {
+        Quarantine::default()
+    }
+
+    /// Returns all records with their pool and part.
+    pub fn iter(&self) -> impl Iterator<Item = (&PoolId, PartId, &QuarantineRecord)> {
+        let records = self.pools.iter();
+        records.flat_map(|(pool, parts)| parts.iter().map(move |(id, it)| (pool, *id, it)))
+    }
+
+    pub fn get(&self, pool: &str, part: PartId) -> Option<&QuarantineRecord> {
+        self.pools.get(pool)?.get(&part)
+    }
+
+    pub fn is_quarantined(&self, pool: &str, part: PartId) -> bool {
+        self.get(pool, part).is_some_and(|it| it.state == QuarantineState::Quarantined)
+    }
+
+    /// Returns the first part of a prompt that is in quarantine. The last part belongs to the request
+    /// itself, so that no quarantine of it could protect anything.
+    pub fn find(&self, pool: &str, prompt: &[PromptPart]) -> Option<PartId> {
+        let parts = self.pools.get(pool)?;
+        let (_, shared) = prompt.split_last()?;
+        let is_quarantined = |it: &&PromptPart| {
+            parts.get(&it.id).is_some_and(|it| it.state == QuarantineState::Quarantined)
+        };
+        shared.iter().find(is_quarantined).map(|it| it.id)
+    }
+
+    /// Changes the state of a part; returns the notice for peers, none if nothing changes.
+    pub fn set(
+        &mut self,
+        now: Moment,
+        (pool, part): (&str, PartId),
+        state: QuarantineState,
+        reason: QuarantineReason,
+    ) -> Option<QuarantineNotice> {
+        let before = self.get(pool, part);
+        if before.map_or(QuarantineState::Lifted, |it| it.state) == state {
+            return None;
+        }
+        let version = before.map_or(0, |it| it.version) + 1;
+        let last_refused = now;
+        let record = QuarantineRecord {
+            state,
+            reason,
+            version,
+            since: now,
+            last_refused,
+            told_refused: last_refused,
+        };
+        let notice = notice(now, pool, part, &record);
+        self.insert(pool, part, record);
+        Some(notice)
+    }
+
+    /// Applies what a peer knows; returns whether it is new.
+    pub fn merge(&mut self, now: Moment, notice: &QuarantineNotice) -> bool {
+        let QuarantineNotice { pool, part, state, reason, version, age, idle } = notice;
+        let last_refused = now.saturating_sub(*idle);
+        if let Some(before) = self.pools.get_mut(pool).and_then(|it| it.get_mut(part)) {
+            before.last_refused = before.last_refused.max(last_refused);
+            before.told_refused = before.told_refused.max(last_refused);
+            if (*version, *state) <= (before.version, before.state) {
+                return false;
+            }
+        }
+        let record = QuarantineRecord {
+            state: *state,
+            reason: *reason,
+            version: *version,
+            since: now.saturating_sub(*age),
+            last_refused,
+            told_refused: last_refused,
+        };
+        self.insert(pool, *part, record);
+        true
+    }
+
+    /// Records that a request was refused; returns a notice if peers should know.
+    pub fn on_refused(
+        &mut self,
+        now: Moment,
+        pool: &str,
+        part: PartId,
+    ) -> Option<QuarantineNotice> {
+        let record = self.pools.get_mut(pool)?.get_mut(&part)?;
+        record.last_refused = now;
+        if now < record.told_refused + IDLE_NOTICE {
+            return None;
+        }
+        record.told_refused = now;
+        Some(notice(now, pool, part, record))
+    }
+
+    /// Ends the quarantine of parts with which no request came for a day. Each instance does so by
+    /// itself, with the same result.
+    pub fn expire(&mut self, now: Moment) -> Vec<QuarantineNotice> {
+        if now < self.next_expiry {
+            return Vec::new();
+        }
+        self.next_expiry = now + SYNC_INTERVAL;
+        let is_idle = |it: &QuarantineRecord| {
+            it.state == QuarantineState::Quarantined && it.last_refused + MAX_IDLE <= now
+        };
+        let idle = self.iter().filter(|it| is_idle(it.2));
+        let idle: Vec<(PoolId, PartId)> = idle.map(|it| (it.0.clone(), it.1)).collect();
+        let lift = |(pool, part): (PoolId, PartId)| {
+            self.set(now, (&pool, part), QuarantineState::Lifted, QuarantineReason::Expired)
+        };
+        idle.into_iter().filter_map(lift).collect()
+    }
+
+    /// Returns a hash of all records, which is equal at instances that know the same.
+    pub fn digest(&self) -> u64 {
+        let hash = |(pool, part, record): (&PoolId, PartId, &QuarantineRecord)| {
+            let mut hasher = DefaultHasher::new();
+            (pool, part, record.version, record.state).hash(&mut hasher);
+            hasher.finish()
+        };
+        self.iter().map(hash).fold(0, |all, it| all ^ it)
+    }
+
+    /// Returns records for a peer that does not know the same, some at a time; none if peers were
+    /// sent others just now.
+    pub fn sync(&mut self, now: Moment) -> Vec<QuarantineNotice> {
+        let n_records = self.iter().count();
+        if now < self.next_sync || n_records == 0 {
+            return Vec::new();
+        }
+        self.next_sync = now + SYNC_INTERVAL;
+        let first = self.cursor % n_records;
+        self.cursor = first + MAX_NOTICES;
+        let records = self.iter().chain(self.iter()).skip(first);
+        let records = records.take(n_records.min(MAX_NOTICES));
+        records.map(|(pool, part, it)| notice(now, pool, part, it)).collect()
+    }
+
+    /// Returns the parts that have come into quarantine since the last call.
+    pub fn take_fresh(&mut self) -> Vec<(PoolId, PartId)> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    fn insert(&mut self, pool: &str, part: PartId, record: QuarantineRecord) {
+        if record.state == QuarantineState::Quarantined {
+            self.fresh.push((pool.to_owned(), part));
+        }
+        let parts = self.pools.get_or_insert_with(pool.to_owned(), SortedMap::new);
+        parts.insert(part, record);
+        if MAX_RECORDS < self.iter().count() {
+            let oldest = self.iter().min_by_key(|it| (it.2.state, it.2.since));
+            let Some((pool, part)) = oldest.map(|it| (it.0.clone(), it.1)) else { return };
+            if let Some(parts) = self.pools.get_mut(&pool) {
+                parts.remove(&part);
+            }
+        }
+    }
+}
+
+fn notice(now: Moment, pool: &str, part: PartId, record: &QuarantineRecord) -> QuarantineNotice {
+    QuarantineNotice {
+        pool: pool.to_owned(),
+        part,
+        state: record.state,
+        reason: record.reason,
+        version: record.version,
+        age: now.saturating_sub(record.since),
+        idle: now.saturating_sub(record.last_refused),
+    }
+}
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod arrive;
 mod call;
+mod crash;
 mod end;
 pub mod origin;
 pub mod permit;
@@ -196,6 +197,36 @@
         }
     }
 
+    /// Ends the requests with parts that have just come into quarantine: those that wait, and those
+    /// whose endpoint has not begun to write.
+    pub fn enforce_quarantine(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        if cx.ctx.quarantine.take_fresh().is_empty() {
+            return;
+        }
+        let is_early = |it: &ActiveRequest| match &it.phase {
+            Phase::Calling(current) => current.first_event.is_none(),
+            Phase::AwaitingAdmission { .. }
+            | Phase::RunningStages
+            | Phase::AwaitingBuild { .. }
+            | Phase::AwaitingEndpoint { .. }
+            | Phase::AwaitingPermit(_) => true,
+        };
+        let early = self.active.iter().filter(|it| is_early(it.1));
+        let tickets: Vec<Ticket> = early.map(|it| *it.0).collect();
+        for ticket in tickets {
+            let Some(mut request) = self.active.remove(&ticket) else { continue };
+            match end::quarantined_part(cx, &request) {
+                Some(part) => {
+                    self.forget(&request);
+                    end::end_quarantined(cx, batcher, &mut request, part);
+                }
+                None => {
+                    self.active.insert(ticket, request);
+                }
+            }
+        }
+    }
+
     /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
     pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -129,6 +129,12 @@
     pub call: CallId,
     pub endpoint: EndpointId,
     pub build: BuildId,
+    /// Which start of the endpoint it is.
+    pub started: u64,
+    /// When its first event arrived.
+    pub first_event: Option<Moment>,
+    /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
+    pub is_sound: bool,
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -35,6 +35,10 @@
         end::refuse(cx, &request, Status::NotRun, RetryHint::Soon, "no time is left");
         return None;
     }
+    if let Some(part) = end::quarantined_part(cx, &request) {
+        end::refuse_quarantined(cx, &request, part);
+        return None;
+    }
     if let Some((hint, reason)) = refusal_reason(cx, batcher, &request) {
         if let RetryHint::After(_) = hint {
             cx.count(Metric::RequestsHeldBack);
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::permit::{self, Gate};
-use super::{end, origin, retry, schedule, stages};
+use super::{crash, end, origin, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
@@ -31,6 +31,10 @@
     request: &mut ActiveRequest,
     choice: Option<Choice>,
 ) -> bool {
+    if let Some(part) = end::quarantined_part(cx, request) {
+        end::end_quarantined(cx, batcher, request, part);
+        return true;
+    }
     let mut next = choice;
     while let Some(choice) = next.filter(|_| !permit::is_hopeless(request)) {
         match permit::request(cx, request, &choice) {
@@ -51,11 +55,12 @@
 pub fn send(cx: &mut Pass<'_>, request: &mut ActiveRequest, choice: Choice) {
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
-    let mut build = BuildId::new();
+    let (mut build, mut started) = (BuildId::new(), 0);
     if let Some(view) = cx.ctx.endpoints.get_mut(&choice.endpoint) {
         view.outstanding += 1;
         view.record_prompt(cx.now, &tokens);
         build = view.endpoint.build.clone();
+        started = view.endpoint.started;
         if view.rate_limit().is_some() {
             cx.count(Metric::LimitedCalls);
         }
@@ -79,6 +84,9 @@
         call,
         endpoint: choice.endpoint.clone(),
         build,
+        started,
+        first_event: None,
+        is_sound: false,
         sent_at: cx.now,
         last_heard: cx.now,
         expected: choice.expected,
@@ -108,6 +116,7 @@
     event: CallEvent,
 ) -> bool {
     let Phase::Calling(current) = request.phase.clone() else { return false };
+    crash::observe(cx, request, &current, &event);
     match event {
         CallEvent::Unsent { error } => {
             release_endpoint(cx, request, &current);
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -7,11 +7,52 @@
 use super::{permit, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
-use crate::{Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status, StreamEnd};
+use crate::quarantine;
+use crate::{
+    Decision, DecisionKind, Effect, Metric, PartId, Refusal, ScheduleProgress, Status, StreamEnd,
+};
 
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
+const QUARANTINED: &str = "a part of its prompt crashes endpoints";
+
+/// Returns the part in quarantine for which a request may not be sent to an endpoint, if any.
+pub fn quarantined_part(cx: &Pass<'_>, request: &ActiveRequest) -> Option<PartId> {
+    cx.ctx.quarantine.find(&request.pool, &request.head.prompt)
+}
+
+/// Refuses a new request with a part in quarantine.
+pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
+    note_quarantined(cx, request, part);
+    refuse(cx, request, Status::NotRun, RetryHint::Never, QUARANTINED);
+}
+
+/// Ends a request with a part in quarantine before it is sent to an endpoint, or before that begins
+/// to write.
+pub fn end_quarantined(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    part: PartId,
+) {
+    note_quarantined(cx, request, part);
+    if stop_call(cx, request) {
+        request.n_runs += 1;
+    }
+    give_up(cx, batcher, request, RetryHint::Never, QUARANTINED);
+}
+
+fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
+    quarantine::exchange::on_refused(cx, &request.pool, part);
+    let reason = format!("refused for its part {part:x}");
+    cx.log(
+        Decision::new(DecisionKind::Quarantine, reason)
+            .with_attempt(&request.head.attempt)
+            .with_pool(&request.pool),
+    );
+}
+
 /// Ends a request whose complete answer was forwarded.
 pub fn complete(
     cx: &mut Pass<'_>,
@@ -46,6 +87,8 @@
     Late,
     /// Once an endpoint is expected to take it.
     After(Duration),
+    /// Not at all: it would be refused again.
+    Never,
 }
 
 /// Refuses a request that is not sent anywhere else.
@@ -59,11 +102,12 @@
     let time_left = request.deadline.saturating_sub(cx.now);
     let latest = time_left / RETRY_DIVISOR;
     let pause = match hint {
-        RetryHint::Soon => cx.ctx.tuning.retry_after.min(latest),
-        RetryHint::Late => latest,
-        RetryHint::After(wait) => wait.max(cx.ctx.tuning.retry_after.min(latest)),
+        RetryHint::Soon => Some(cx.ctx.tuning.retry_after.min(latest)),
+        RetryHint::Late => Some(latest),
+        RetryHint::After(wait) => Some(wait.max(cx.ctx.tuning.retry_after.min(latest))),
+        RetryHint::Never => None,
     };
-    let retry_after = (status == Status::NotRun).then_some(pause);
+    let retry_after = pause.filter(|_| status == Status::NotRun);
     cx.count(Metric::RequestsRefused);
     cx.log(
         Decision::new(DecisionKind::Refuse, reason)
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::active::{ActiveRequest, Phase};
-use super::end::RetryHint;
+use super::end::{self, RetryHint};
 use super::{call, schedule};
 use crate::batch::Batcher;
 use crate::limits::{Asked, AwaitedPermit, exchange};
@@ -112,6 +112,10 @@
         Gate::Waits => false,
         Gate::Open => {
             request.phase = Phase::RunningStages;
+            if let Some(part) = end::quarantined_part(cx, request) {
+                end::end_quarantined(cx, batcher, request, part);
+                return true;
+            }
             let accepts_work = cx
                 .ctx
                 .endpoints
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -2,7 +2,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, StageState};
 use super::end::RetryHint;
-use super::{end, origin, stages};
+use super::{crash, end, origin, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Metric, NotRunReason};
@@ -85,6 +85,11 @@
         end::fail(cx, batcher, request, &format!("{reason}; no endpoint of its build is left"));
         return true;
     }
+    if crash::is_suspect(cx, request) {
+        let reason = format!("{reason}; endpoints have crashed on its parts");
+        end::fail(cx, batcher, request, &reason);
+        return true;
+    }
     if !is_allowed || !cx.try_spend(&pool) {
         end::fail(cx, batcher, request, reason);
         return true;
--- a/crates/ferry-serve/tests/decisions/health.rs
+++ b/crates/ferry-serve/tests/decisions/health.rs
@@ -72,6 +72,7 @@
         last_change: 10,
         backlog: Vec::new(),
         observations: vec![report_failure(0), report_failure(1)],
+        quarantine: 0,
     })
 }
 
