List, set and lift quarantines of prompt parts over HTTP

Cause: operators could neither see which prompt parts are in quarantine nor change it. Change: GET /v1/quarantine lists pool, part, state, since and reason; PUT and DELETE /v1/quarantine/POOL/PART set and lift. Only the address for readiness has it; directory, peers and callers get 404.

--- a/crates/ferry-gateway/src/auxiliary.rs
+++ b/crates/ferry-gateway/src/auxiliary.rs
@@ -1,5 +1,5 @@
-//! Interfaces other than that for callers' requests: directory, readiness check, state for peers and
-//! metrics.
+//! Interfaces other than that for callers' requests: directory, readiness check, state for peers,
+//! metrics, and the operator's.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -8,12 +8,14 @@
 use bytes::Bytes;
 use ferry_platform::directory;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::driver::{Driver, Phase};
 use crate::peers::SNAPSHOT_PATH;
+use crate::quarantine;
+use crate::server::Interface;
 
 pub const METRICS_PATH: &str = "/metrics";
 /// Maximum TTL of addresses in directory responses. Some callers keep addresses for three times the
@@ -22,6 +24,7 @@
 
 pub async fn serve(
     driver: Rc<Driver>,
+    interface: Interface,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let response = match request.uri().path() {
@@ -29,6 +32,9 @@
         directory::RESOLVE_PATH => resolve(&driver, request.uri().query().unwrap_or_default()),
         SNAPSHOT_PATH => snapshot(&driver, request.uri().query().unwrap_or_default()),
         METRICS_PATH => Response::new(Full::new(Bytes::from(driver.metrics.text()))),
+        path if interface == Interface::Operator && quarantine::has_path(path) => {
+            quarantine(&driver, request.method(), path)
+        }
         _ => status(StatusCode::NOT_FOUND),
     };
     Ok(response)
@@ -64,6 +70,19 @@
     }
 }
 
+/// Does what an operator asks for, or says what is wrong with it.
+fn quarantine(driver: &Rc<Driver>, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    match quarantine::serve(driver, method, path) {
+        Ok(body) => json(Bytes::from(body)),
+        Err(error) => {
+            driver.warn("refused a request of an operator", &error);
+            let mut response = status(error.status());
+            *response.body_mut() = Full::new(Bytes::from(format!("{error}\n")));
+            response
+        }
+    }
+}
+
 fn json(body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod peers;
+pub mod quarantine;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -86,7 +86,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let addresses = driver.settings.clone();
     listen(&driver, addresses.front, Interface::Front).await?;
-    for address in [addresses.ready, addresses.directory, addresses.peer] {
+    listen(&driver, addresses.ready, Interface::Operator).await?;
+    for address in [addresses.directory, addresses.peer] {
         listen(&driver, address, Interface::Auxiliary).await?;
     }
     spawn_local(peers::receive(driver.clone()));
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -38,6 +38,8 @@
     Front,
     /// Directory, readiness check, state for peers and metrics.
     Auxiliary,
+    /// These, and the operator's interface.
+    Operator,
 }
 
 /// Binds to an address and serves its connections in the background.
@@ -79,8 +81,8 @@
     }
     match interface {
         Interface::Front => caller(driver, stream).await,
-        Interface::Auxiliary => {
-            let service = service_fn(move |it| auxiliary::serve(driver.clone(), it));
+        Interface::Auxiliary | Interface::Operator => {
+            let service = service_fn(move |it| auxiliary::serve(driver.clone(), interface, it));
             let served = Builder::new().serve_connection(TokioIo::new(stream), service).await;
             // Clients may disconnect at any time.
             drop(served);
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 mod lifecycle;
+mod quarantine;
 mod raw_requests;
 mod robustness;
 mod soak;
--- /dev/null
+++ b/crates/ferry-gateway/tests/process/quarantine.rs
@@ -0,0 +1,146 @@
+//! The operator's interface to prompt parts in quarantine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_soak::cluster::{Cluster, Node};
+use ferry_soak::config::Route;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::harness::{exchange, head, with_cluster};
+
+/// Time in which all instances know of a change.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
+/// Port for other instances.
+const PEER_PORT: u16 = 7_740;
+
+async fn call(address: SocketAddr, method: &str, path: &str) -> String {
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    exchange(address, text.as_bytes()).await
+}
+
+async fn list(node: &Node) -> Value {
+    let response = call(node.ready(), "GET", "/v1/quarantine").await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let body = response.split_once("\r\n\r\n").expect("the response has a body").1;
+    serde_json::from_str(body).expect("the body is JSON")
+}
+
+/// Sends a request whose prompt has these parts, and returns the response.
+async fn send(cluster: &Cluster, node: usize, route: Route, attempt: &str, parts: &str) -> String {
+    cluster.checker.record_sent(attempt, route, b"body");
+    let head = head("POST", &route.path(), attempt);
+    let request = format!(
+        "{head}Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n\
+         Tarragonferry-Prompt-Prefix: {parts}\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    exchange(cluster.nodes[node].front(), request.as_bytes()).await
+}
+
+#[test]
+fn part_set_or_lifted_at_one_instance_is_known_at_all() {
+    struct Case {
+        name: &'static str,
+        route: Route,
+        parts: &'static str,
+        is_refused: bool,
+    }
+    let cases = [
+        Case { name: "first", route: Route::Stream, parts: "beef:9,a1:9,c3:9", is_refused: true },
+        Case { name: "middle", route: Route::Once, parts: "a1:9,beef:9,c3:9", is_refused: true },
+        Case { name: "last", route: Route::Stream, parts: "a1:9,c3:9,beef:9", is_refused: false },
+        Case { name: "none", route: Route::Once, parts: "a1:9,c3:9", is_refused: false },
+        Case { name: "pool", route: Route::Post, parts: "beef:9,a1:9", is_refused: false },
+    ];
+    with_cluster("quarantine", 3, async |cluster| {
+        let check = async |phase: &str, is_set: bool| {
+            for (number, case) in cases.iter().enumerate() {
+                let node = number % cluster.nodes.len();
+                let attempt = format!("{phase}-{}", case.name);
+                let response = send(&cluster, node, case.route, &attempt, case.parts).await;
+                let is_refused = response.starts_with("HTTP/1.1 503");
+                let is_served = response.starts_with("HTTP/1.1 200");
+                assert_eq!(is_refused, is_set && case.is_refused, "{attempt}: {response}");
+                assert_eq!(is_served, !is_refused, "{attempt}: {response}");
+                let has_hint = response.to_lowercase().contains("retry-after");
+                assert!(!is_refused || !has_hint, "{attempt}: {response}");
+                assert_eq!(cluster.checker.runs(&attempt).is_empty(), is_refused, "{attempt}");
+            }
+        };
+        check("before", false).await;
+        let path = "/v1/quarantine/engine/beef";
+        let response = call(cluster.nodes[0].ready(), "PUT", path).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        sleep(SPREAD_TIME).await;
+        check("set", true).await;
+        for node in &cluster.nodes {
+            let listed = list(node).await;
+            assert_eq!(listed[0]["pool"], json!("engine"), "{listed}");
+            assert_eq!(listed[0]["part"], json!("beef"), "{listed}");
+            assert_eq!(listed[0]["state"], json!("quarantined"), "{listed}");
+            assert_eq!(listed[0]["reason"], json!("operator"), "{listed}");
+        }
+        let response = call(cluster.nodes[2].ready(), "DELETE", path).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        sleep(SPREAD_TIME).await;
+        check("lifted", false).await;
+        for node in &cluster.nodes {
+            assert_eq!(list(node).await[0]["state"], json!("lifted"));
+        }
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn wrong_requests_of_operators_change_nothing() {
+    struct Case {
+        method: &'static str,
+        path: &'static str,
+        status: u16,
+        reason: &'static str,
+    }
+    let wrong = |method, path, reason| Case { method, path, status: 400, reason };
+    let cases = [
+        wrong("PUT", "/v1/quarantine", "PUT and DELETE take /v1/quarantine/POOL/PART"),
+        wrong("PUT", "/v1/quarantine/engine", "PUT and DELETE take /v1/quarantine/POOL/PART"),
+        wrong("PUT", "/v1/quarantine//beef", "PUT and DELETE take /v1/quarantine/POOL/PART"),
+        wrong("GET", "/v1/quarantine/engine/beef", "GET takes /v1/quarantine"),
+        wrong("PUT", "/v1/quarantine/other/beef", "there is no pool \"other\""),
+        wrong("PUT", "/v1/quarantine/%ff/beef", "is not valid percent-encoded UTF-8"),
+        wrong("PUT", "/v1/quarantine/engine/", "the part \"\" is not a hexadecimal number"),
+        wrong("PUT", "/v1/quarantine/engine/xyz", "the part \"xyz\" is not a hexadecimal number"),
+        wrong("PUT", "/v1/quarantine/engine/+1", "the part \"+1\" is not a hexadecimal number"),
+        wrong("PUT", "/v1/quarantine/engine/12345678901234567", "of up to 16 digits"),
+        wrong("DELETE", "/v1/quarantine/engine/beef", "part beef of pool \"engine\" is not in"),
+        Case { method: "POST", path: "/v1/quarantine", status: 405, reason: "DELETE lifts" },
+        Case { method: "GET", path: "/v1/quarantines", status: 404, reason: "" },
+    ];
+    with_cluster("quarantine-wrong", 1, async |cluster| {
+        for case in cases {
+            let response = call(cluster.nodes[0].ready(), case.method, case.path).await;
+            let name = format!("{} {}: {response}", case.method, case.path);
+            assert!(response.starts_with(&format!("HTTP/1.1 {}", case.status)), "{name}");
+            assert!(response.contains(case.reason), "{name}");
+            assert_eq!(list(&cluster.nodes[0]).await, json!([]), "{name}");
+        }
+    });
+}
+
+#[test]
+fn quarantine_cannot_be_set_from_other_listeners() {
+    with_cluster("quarantine-listeners", 1, async |cluster| {
+        let node = &cluster.nodes[0];
+        let path = "/v1/quarantine/engine/beef";
+        for (method, path) in [("GET", "/v1/quarantine"), ("PUT", path), ("DELETE", path)] {
+            for address in [node.directory(), node.address(PEER_PORT)] {
+                let response = call(address, method, path).await;
+                assert!(response.starts_with("HTTP/1.1 404"), "{address} {method}: {response}");
+            }
+            let request = format!("{}Content-Length: 0\r\n\r\n", head(method, path, "front"));
+            let response = exchange(node.front(), request.as_bytes()).await;
+            assert!(response.starts_with("HTTP/1.1 404"), "front {method}: {response}");
+        }
+        assert_eq!(list(node).await, json!([]));
+    });
+}
