Let the soak know when a closed connection looks like the end of a stream

Change: what was in progress when a proxy closes the connections of an unframed engine counts as not served, as after a crash. The report keeps the two counts of streams taken up together. Conclusion: the plan's own close is excused; that of a gateway is still found.

--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -36,7 +36,7 @@
     gateway: Option<SocketAddr>,
     /// Whether its prompt names the part on which engines crash.
     has_part: bool,
-    /// Whether an engine crashed while it responded.
+    /// Whether a response was cut off so that it may look complete.
     is_cut: bool,
 }
 
--- a/crates/ferry-soak/src/checker/crashes.rs
+++ b/crates/ferry-soak/src/checker/crashes.rs
@@ -53,16 +53,20 @@
         self.crash_log.borrow_mut().arrivals.push((Instant::now(), gateway));
     }
 
-    /// Records a crash, after which the responses in progress may look complete.
-    pub fn record_crash(&self, endpoint: &str) {
+    pub fn record_crash(&self) {
         self.crash_log.borrow_mut().crashes.push(Instant::now());
+    }
+
+    /// Records that all connections of an endpoint were closed, after which the responses in progress
+    /// may look complete.
+    pub fn record_cut(&self, endpoint: &str) {
         for attempt in self.attempts.borrow_mut().values_mut() {
             let has_run = attempt.runs.iter().any(|it| it == endpoint);
             attempt.is_cut |= has_run && attempt.outcome.is_none();
         }
     }
 
-    /// Returns whether an engine crashed while it responded to an attempt.
+    /// Returns whether a response to an attempt was cut off so that it may look complete.
     pub fn is_cut(&self, id: &str) -> bool {
         self.attempts.borrow().get(id).is_some_and(|it| it.is_cut)
     }
--- a/crates/ferry-soak/src/crash.rs
+++ b/crates/ferry-soak/src/crash.rs
@@ -81,13 +81,22 @@
 pub async fn run_crashes(endpoint: Rc<Endpoint>, proxy: Rc<Proxy>, store: Rc<Store>, zone: String) {
     let crashes = &endpoint.crashes;
     loop {
-        crashes.due.notified().await;
+        tokio::select! {
+            () = crashes.due.notified() => (),
+            () = proxy.until_reset() => {
+                if crashes.is_unframed.get() {
+                    endpoint.checker.record_cut(&endpoint.id);
+                }
+                continue;
+            }
+        }
         let down = Duration::from_millis(crashes.rng().random_range(DOWN_MS));
         crashes.is_down.set(true);
         crashes.n_crashes.set(crashes.n_crashes.get() + 1);
         proxy.stop();
         endpoint.parts.borrow_mut().clear();
-        endpoint.checker.record_crash(&endpoint.id);
+        endpoint.checker.record_crash();
+        endpoint.checker.record_cut(&endpoint.id);
         sleep(ENTRY_TIMEOUT).await;
         store.remove("servers", &endpoint.id);
         sleep(down - ENTRY_TIMEOUT).await;
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -97,8 +97,8 @@
              limited endpoints; {:?}",
             report.under_faults,
             report.after_recovery,
-            report.n_continued,
-            report.n_taken_up,
+            report.take_ups.1,
+            report.take_ups.0,
             report.n_limited,
             report.crashes
         );
--- a/crates/ferry-soak/src/proxy.rs
+++ b/crates/ferry-soak/src/proxy.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns once connections are closed.
+    pub async fn until_reset(&self) {
+        self.reset.notified().await;
+    }
+
     /// Closes every open connection.
     pub fn reset(&self) {
         self.reset.notify_waiters();
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -58,10 +58,8 @@
     pub violations: Vec<String>,
     pub under_faults: OutcomeCounts,
     pub after_recovery: OutcomeCounts,
-    /// Streams that callers took up.
-    pub n_taken_up: usize,
-    /// Those of them that came to their end.
-    pub n_continued: usize,
+    /// Streams that callers took up, and those of them that came to their end.
+    pub take_ups: (usize, usize),
     /// Requests to endpoints whose rate limit held.
     pub n_limited: usize,
     pub crashes: CrashCounts,
@@ -117,21 +115,13 @@
             "only a share of {share:.3} was served after the recovery: {after_recovery:?}"
         ));
     }
-    let (n_taken_up, n_continued) = cluster.checker.take_ups();
+    let take_ups = cluster.checker.take_ups();
     let n_limited = cluster.checker.n_limited();
     let crashes = cluster.checker.count_crashes(from);
     if MAX_LATE < crashes.n_late {
         violations.push(format!("requests that crash engines went on: {crashes:?}"));
     }
-    Ok(Report {
-        violations,
-        under_faults,
-        after_recovery,
-        n_taken_up,
-        n_continued,
-        n_limited,
-        crashes,
-    })
+    Ok(Report { violations, under_faults, after_recovery, take_ups, n_limited, crashes })
 }
 
 /// Starts callers that send requests until the returned flag is set.
