Show that a sound part can come into quarantine if engines crash at once

Cause: when all engines crash before one sound answer, the parts that all requests have are in each crash as well as the guilty one, nobody objects, and one of them is chosen. With such a part in quarantine its pool serves nobody, so that nothing can speak for it later. Conclusion: open in the decision core; the test names the failure.

--- a/crates/ferry-gateway/tests/process/quarantine.rs
+++ b/crates/ferry-gateway/tests/process/quarantine.rs
@@ -5,6 +5,9 @@
 
 use ferry_soak::cluster::{Cluster, Node};
 use ferry_soak::config::Route;
+use ferry_soak::soak::start_callers;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -144,3 +147,22 @@
         assert_eq!(list(node).await, json!([]));
     });
 }
+
+#[test]
+fn sound_parts_stay_out_of_quarantine_if_engines_crash_at_once() {
+    // Long enough for the crashes of engines that have started again.
+    const CRASH_TIME: Duration = Duration::from_millis(4_500);
+    for seed in [2, 3] {
+        with_cluster(&format!("quarantine-{seed}"), 2, async |cluster| {
+            cluster.start_crashes(seed);
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let is_over = start_callers(&cluster, &mut rng);
+            sleep(CRASH_TIME).await;
+            is_over.replace(true);
+            let listed = list(&cluster.nodes[0]).await;
+            let entries = listed.as_array().expect("the list is an array");
+            let is_wrong = |it: &&Value| it["state"] == "quarantined" && it["part"] != "dead";
+            assert_eq!(entries.iter().find(is_wrong), None, "seed {seed}");
+        });
+    }
+}
