Convict no prompt part for endpoints that are killed, cut off, restarted or break off answers

Cause: with three incidents as the limit, rare parts came into quarantine when engines were killed one after the other every half a second, and popular ones when a whole pool was, at a cold start. Signs of life count however late they come.

--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -51,6 +51,7 @@
 pub use quarantine::{
     Accusation, CrashReport, CrashWatch, Crashed, Exposure, Judge, Objection, PartId, Quarantine,
     QuarantineAction, QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineState,
+    Timing,
 };
 pub use retry_budget::RetryBudget;
 pub use schedule::{
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -7,6 +7,7 @@
 pub mod exchange;
 mod judge;
 mod message;
+mod suspect;
 mod watch;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -19,7 +20,9 @@
 use crate::PromptPart;
 
 pub use judge::Judge;
-pub use message::{Accusation, CrashReport, Crashed, Exposure, Objection, QuarantineNotice};
+pub use message::{
+    Accusation, CrashReport, Crashed, Exposure, Objection, QuarantineNotice, Timing,
+};
 pub use watch::{CallTrace, CrashWatch};
 
 /// Identifier of a prompt part.
@@ -45,6 +48,7 @@
     /// Number of the next record that a peer is sent whose records differ.
     cursor: usize,
     next_expiry: Moment,
+    digest: u64,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -216,6 +220,10 @@
 
     /// Returns a hash of all records, which is equal at instances that know the same.
     pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    fn hash_records(&self) -> u64 {
         let hash = |(pool, part, record): (&PoolId, PartId, &QuarantineRecord)| {
             let mut hasher = DefaultHasher::new();
             (pool, part, record.version, record.state).hash(&mut hasher);
@@ -257,6 +265,7 @@
                 parts.remove(&part);
             }
         }
+        self.digest = self.hash_records();
     }
 }
 
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -5,7 +5,8 @@
 
 use ferry_model::PoolId;
 
-use super::judge::{PartNeed, Verdict};
+use super::judge::Verdict;
+use super::suspect::PartNeed;
 use super::{
     Accusation, CrashReport, Objection, PartId, QuarantineAction, QuarantineNotice,
     QuarantineReason, QuarantineState,
--- a/crates/ferry-serve/src/quarantine/judge.rs
+++ b/crates/ferry-serve/src/quarantine/judge.rs
@@ -5,6 +5,7 @@
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
+use super::suspect::{PartNeed, Suspect};
 use super::{CrashReport, Crashed, Exposure, Objection, PartId};
 
 /// Endpoints that crash within this time count as one incident: kills, cuts and resets break many
@@ -15,12 +16,6 @@
 const MAX_CRASHES: usize = 64;
 const MAX_PARTS: usize = 256;
 const MAX_SOUND: usize = 2_048;
-/// Incidents that convict a part, and one that was sound less than `LATELY` before the first.
-const N_INCIDENTS: usize = 3;
-const N_INCIDENTS_SOUND: usize = 5;
-const LATELY: Duration = Duration::from_secs(60);
-/// Attempts that must have had the part.
-const N_ATTEMPTS: usize = 2;
 /// Time for objections, and the pause between accusations.
 const OBJECTION_TIME: Duration = Duration::from_millis(300);
 const ACCUSATION_INTERVAL: Duration = Duration::from_secs(1);
@@ -51,16 +46,6 @@
     }
 }
 
-/// What speaks against a part.
-#[derive(Debug, Clone, Default)]
-struct Suspect {
-    n_incidents: usize,
-    last_incident: Option<usize>,
-    first: Moment,
-    attempts: Vec<u32>,
-    place: u8,
-}
-
 /// Whether the accused were named to the other instances, or when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Inquiry {
@@ -178,16 +163,6 @@
     }
 }
 
-/// What it takes to convict a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PartNeed {
-    /// It is in quarantine.
-    Known,
-    /// It was, until no request came with it.
-    Once,
-    Several,
-}
-
 impl Docket {
     fn add(&mut self, now: Moment, crashed: Crashed, at: Moment, parts: Vec<Exposure>) {
         self.crashes.retain(|it| now < it.at + MEMORY);
@@ -275,7 +250,8 @@
     fn suspects(&self, need: &impl Fn(PartId) -> PartNeed) -> Vec<(PartId, Suspect)> {
         let mut suspects: SortedMap<PartId, Suspect> = SortedMap::new();
         let (mut incident, mut began) = (0, Moment::ZERO);
-        for crash in self.crashes.iter().filter(|it| !it.is_explained(need)) {
+        let open = self.crashes.iter().filter(|it| !it.is_explained(need));
+        for (number, crash) in open.enumerate() {
             if incident == 0 || began + INCIDENT_TIME < crash.at {
                 (incident, began) = (incident + 1, crash.at);
             }
@@ -283,35 +259,17 @@
                 if self.sound.get(&exposure.part).is_some_and(|it| crash.at <= *it) {
                     continue;
                 }
-                let suspect = suspects.get_or_insert_with(exposure.part, Suspect::default);
-                if suspect.last_incident != Some(incident) {
-                    suspect.last_incident = Some(incident);
-                    suspect.n_incidents += 1;
-                }
-                if suspect.attempts.is_empty() {
-                    suspect.first = crash.at;
-                }
-                if suspect.attempts.len() < N_ATTEMPTS
-                    && !suspect.attempts.contains(&exposure.attempt)
-                {
-                    suspect.attempts.push(exposure.attempt);
-                }
-                suspect.place = suspect.place.max(exposure.place);
+                let new = || Suspect::new(crash.at, incident);
+                suspects.get_or_insert_with(exposure.part, new).add(number, incident, exposure);
             }
         }
-        let fits = |(part, it): &(&PartId, &Suspect)| match need(**part) {
-            PartNeed::Known => false,
-            PartNeed::Once => true,
-            PartNeed::Several => {
-                let was_sound = self.sound.get(part).is_some_and(|at| it.first < *at + LATELY);
-                let n_needed = if was_sound { N_INCIDENTS_SOUND } else { N_INCIDENTS };
-                n_needed <= it.n_incidents && N_ATTEMPTS <= it.attempts.len()
-            }
+        let fits = |(part, it): &(&PartId, &Suspect)| {
+            it.is_convicted(need(**part), incident, self.sound.get(*part).copied())
         };
         let found = suspects.iter().filter(fits);
         let mut found: Vec<(PartId, Suspect)> = found.map(|it| (*it.0, it.1.clone())).collect();
         found.sort_by_key(|(part, it)| {
-            (Reverse(it.n_incidents), self.sound.get(part).copied(), Reverse(it.place), *part)
+            (Reverse(it.incidents.get()), self.sound.get(part).copied(), Reverse(it.place), *part)
         });
         found
     }
--- a/crates/ferry-serve/src/quarantine/message.rs
+++ b/crates/ferry-serve/src/quarantine/message.rs
@@ -48,6 +48,7 @@
     pub attempt: u32,
     /// Its place in the prompt.
     pub place: u8,
+    pub timing: Timing,
 }
 
 /// Asks all instances what they know in favour of parts that are about to be quarantined.
@@ -70,3 +71,14 @@
     /// Endpoints that were heard of after their supposed crash.
     pub alive: Vec<(EndpointId, u64)>,
 }
+
+/// What happened to a call so shortly before the crash as when its part causes one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Timing {
+    /// It was sent, and has not begun.
+    Sent,
+    /// Its first event arrived.
+    Begun,
+    /// None of these.
+    Other,
+}
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -5,7 +5,7 @@
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
-use super::{Accusation, CrashReport, Crashed, Exposure, Objection, PartId};
+use super::{Accusation, CrashReport, Crashed, Exposure, Objection, PartId, Timing};
 
 /// Silence of an endpoint after a break that makes it a crash.
 const SILENCE: Duration = Duration::from_millis(150);
@@ -13,8 +13,10 @@
 const SOUND_AFTER: Duration = Duration::from_millis(300);
 /// Time for which an end of a connection that may be a crash is kept.
 const END_TTL: Duration = Duration::from_secs(5);
-/// Longest time after a crash at which a sign of life is not from the next start.
-const SAME_START: Duration = Duration::from_millis(1_500);
+/// Time after a call was sent, or its first event, in which a part crashes the endpoint, at least and at most, with
+/// some for the network.
+const MIN_CRASH_TIME: Duration = Duration::from_millis(30);
+const MAX_CRASH_TIME: Duration = Duration::from_millis(150);
 const MAX_PARTS: usize = 32;
 /// Attempts that are told of each part.
 const MAX_ATTEMPTS: usize = 2;
@@ -38,11 +40,22 @@
     pub started: u64,
     /// Parts that others may share.
     pub parts: Vec<Exposure>,
+    pub sent_at: Moment,
     /// When its first event arrived.
     pub first_event: Option<Moment>,
 }
 
 impl CallTrace {
+    /// Returns whether its timing at a crash is that of a call that causes one.
+    fn timing(&self, crashed: Moment) -> Timing {
+        let took = crashed.saturating_sub(self.first_event.unwrap_or(self.sent_at));
+        match self.first_event {
+            _ if !(MIN_CRASH_TIME..=MAX_CRASH_TIME).contains(&took) => Timing::Other,
+            Some(_) => Timing::Begun,
+            None => Timing::Sent,
+        }
+    }
+
     /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
     pub fn is_sound(&self, now: Moment) -> bool {
         self.first_event.is_some_and(|it| it + SOUND_AFTER <= now)
@@ -55,8 +68,8 @@
     pool: PoolId,
     started: u64,
     last: Moment,
-    /// Calls that may have caused it.
-    calls: Vec<CallTrace>,
+    /// Calls that may have caused it, and when each broke off.
+    calls: Vec<(Moment, CallTrace)>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -126,7 +139,7 @@
         }
         breaks.last = now;
         if !trace.is_sound(now) {
-            breaks.calls.push(trace.clone());
+            breaks.calls.push((now, trace.clone()));
         }
     }
 
@@ -216,9 +229,9 @@
         };
         let is_alive = |it: &&Crashed| {
             let at = now.saturating_sub(it.age);
-            self.heard.get(&it.endpoint).is_some_and(|(started, last)| {
-                *started == it.started && at + SILENCE < *last && *last < at + SAME_START
-            })
+            self.heard
+                .get(&it.endpoint)
+                .is_some_and(|(started, last)| *started == it.started && at + SILENCE < *last)
         };
         let alive = accusation.crashes.iter().filter(is_alive);
         let objection = Objection {
@@ -238,7 +251,7 @@
         for (at, trace) in &self.ends {
             let is_near = *at < last + SILENCE && last < *at + SILENCE;
             if trace.endpoint == endpoint && trace.started == started && is_near {
-                calls.push(trace.clone());
+                calls.push((*at, trace.clone()));
             }
         }
         self.ends.retain(|it| it.1.endpoint != endpoint || last + SILENCE < it.0);
@@ -270,17 +283,21 @@
 
 /// Returns the parts of the calls that may have caused a crash: those of the calls that began to write
 /// last come first, as an engine crashes soon after that; then those of calls that have not begun.
-fn newest_parts(mut calls: Vec<CallTrace>) -> Vec<Exposure> {
-    calls.sort_by_key(|it| Reverse(it.first_event));
+fn newest_parts(mut calls: Vec<(Moment, CallTrace)>) -> Vec<Exposure> {
+    calls.sort_by_key(|it| Reverse(it.1.first_event));
     let mut parts: Vec<Exposure> = Vec::new();
-    for exposure in calls.iter().flat_map(|it| &it.parts) {
+    let exposures = calls.iter().flat_map(|(at, it)| {
+        let timing = it.timing(*at);
+        it.parts.iter().map(move |it| Exposure { timing, ..*it })
+    });
+    for exposure in exposures {
         let known = parts.iter().filter(|it| it.part == exposure.part);
         let is_needed = match known.clone().count() {
             0 => true,
             n => n < MAX_ATTEMPTS && known.clone().all(|it| it.attempt != exposure.attempt),
         };
         if is_needed && parts.len() < MAX_PARTS {
-            parts.push(*exposure);
+            parts.push(exposure);
         }
     }
     parts
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -4,7 +4,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase};
 use crate::pass::Pass;
-use crate::quarantine::CallTrace;
+use crate::quarantine::{CallTrace, Timing};
 use crate::{CallEvent, Exposure, Framing, NotRunReason};
 
 /// Records what an event of a call tells about its endpoint and the parts of its prompt.
@@ -80,12 +80,14 @@
         part: it.id,
         attempt,
         place: idx.min(usize::from(u8::MAX)) as u8,
+        timing: Timing::Other,
     };
     CallTrace {
         pool: request.pool.clone(),
         endpoint: current.endpoint.clone(),
         started: current.started,
         parts: shared.iter().enumerate().map(exposure).collect(),
+        sent_at: current.sent_at,
         first_event: current.first_event,
     }
 }
--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -1,6 +1,9 @@
 //! Prompt parts that crash each engine that begins to write an answer on them.
 
+mod drawn;
+mod faults;
 mod traffic;
+mod trouble;
 
 use ferry_serve::Framing;
 
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/quarantine/drawn.rs
@@ -0,0 +1,107 @@
+//! What the messages about crashes cost, and drawn combinations of trouble.
+
+use ferry_serve::{Event, Framing, QuarantineAction};
+use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
+
+use crate::quarantine::traffic::{Place, Traffic};
+use crate::quarantine::trouble::{ALL, Trouble};
+use crate::simulation::{Simulation, ms};
+
+/// Bytes that an instance may send each second.
+const MAX_BYTES: usize = 8_192;
+
+struct Fleet {
+    n_instances: usize,
+    n_engines: usize,
+    sound_rate: f64,
+    guilty_rate: f64,
+}
+
+#[test]
+fn messages_about_crashes_stay_within_their_bound() {
+    let fleets = [
+        Fleet { n_instances: 6, n_engines: 8, sound_rate: 60.0, guilty_rate: 20.0 },
+        Fleet { n_instances: 76, n_engines: 20, sound_rate: 120.0, guilty_rate: 20.0 },
+    ];
+    for Fleet { n_instances, n_engines, sound_rate, guilty_rate } in fleets {
+        let mut sim = Simulation::new(n_instances);
+        sim.add_engines(n_engines);
+        sim.crashes.n_events = 30;
+        let mut traffic = Traffic::new(sound_rate).with_distinct(6);
+        traffic.run(&mut sim, ms(1_000));
+        let calm = most_bytes(&sim);
+        traffic.turn_guilty(&mut sim, Place::Middle, guilty_rate);
+        traffic.run(&mut sim, ms(4_000));
+        let series = most_bytes(&sim);
+        println!("{n_instances}: {calm} B/s in calm, {series} in a series of crashes");
+        assert!(calm.max(series) <= MAX_BYTES, "{n_instances}: {calm} {series}");
+    }
+}
+
+/// Instances that have missed as many records as there can be.
+#[test]
+fn records_of_a_long_cut_stay_within_the_bound() {
+    let mut sim = Simulation::new(6);
+    sim.isolated = vec![1, 2];
+    for part in 0..256 {
+        let (pool, action) = ("engine".to_owned(), QuarantineAction::Set);
+        sim.deliver(0, Event::Quarantine { pool, part: part << 32, action });
+        sim.run_for(ms(50));
+    }
+    sim.isolated.clear();
+    sim.crashes.bytes = ferry_model::SortedMap::new();
+    sim.run_for(ms(12_000));
+    let sync = most_bytes(&sim);
+    println!("{sync} B/s after a cut");
+    assert!(sync <= MAX_BYTES, "{sync}");
+    let digests = sim.instances.iter().flatten().map(|it| it.quarantine().digest());
+    let digests: Vec<u64> = digests.collect();
+    assert!(digests.iter().all(|it| *it == digests[0]), "{digests:?}");
+}
+
+/// Returns the most bytes that an instance has sent in a second.
+fn most_bytes(sim: &Simulation) -> usize {
+    sim.crashes.bytes.values().copied().max().unwrap_or_default()
+}
+
+fn trouble() -> impl Strategy<Value = Option<Trouble>> {
+    proptest::option::of(proptest::sample::select(ALL.to_vec()))
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    prop_oneof![Just(Place::First), Just(Place::Middle), Just(Place::NextToLast)]
+}
+
+fn framing() -> impl Strategy<Value = Framing> {
+    prop_oneof![Just(Framing::Chunked), Just(Framing::Connection)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 6, failure_persistence: None, ..Default::default() })]
+    #[test]
+    fn drawn_guilty_part_is_found_beside_drawn_trouble(
+        n_instances in 1_usize..12,
+        n_engines in 6_usize..14,
+        rate in 1.0_f64..20.0,
+        place in place(),
+        framing in framing(),
+        trouble in trouble(),
+        seed in any::<u32>(),
+    ) {
+        let mut sim = Simulation::new(n_instances);
+        sim.add_engines(n_engines);
+        sim.crashes.framing = framing;
+        sim.crashes.n_events = 30;
+        let mut traffic = Traffic::new(25.0).with_seed(u64::from(seed));
+        traffic.run(&mut sim, ms(4_000));
+        traffic.turn_guilty(&mut sim, place, rate);
+        for number in 0..36 {
+            if let Some(trouble) = trouble {
+                trouble.apply(&mut sim, number);
+            }
+            traffic.run(&mut sim, ms(500));
+        }
+        let name = format!("{n_instances}, {n_engines}, {rate}, {place:?}, {framing}, {trouble:?}, {seed}");
+        traffic.check(&sim, &name);
+    }
+}
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/quarantine/faults.rs
@@ -0,0 +1,174 @@
+//! Instances that die, start, are cut off or lose messages while a part crashes engines.
+
+use ferry_serve::{Framing, PeerMessage};
+
+use crate::quarantine::traffic::{GUILTY, Place, Traffic};
+use crate::quarantine::trouble::{Trouble, quarantined};
+use crate::simulation::{Simulation, ms};
+
+/// What happens to the instances, in steps of half a second from the first crash on.
+struct FaultCase {
+    name: &'static str,
+    apply: fn(&mut Simulation, usize),
+}
+
+#[test]
+fn faults_of_instances_do_not_let_a_guilty_part_through() {
+    let cases = [
+        FaultCase {
+            name: "two instances die and come back",
+            apply: |sim, number| match number {
+                1 | 3 => sim.kill(number),
+                7 => [1, 3].into_iter().for_each(|it| sim.start(it)),
+                _ => (),
+            },
+        },
+        FaultCase {
+            name: "an instance starts later",
+            apply: |sim, number| match number {
+                0 => sim.kill(2),
+                14 => sim.start(2),
+                _ => (),
+            },
+        },
+        FaultCase {
+            name: "an instance is cut off for five seconds",
+            apply: |sim, number| match number {
+                0 => sim.isolated = vec![4],
+                10 => sim.isolated.clear(),
+                _ => (),
+            },
+        },
+        FaultCase {
+            name: "one in ten messages is lost",
+            apply: |sim, _| sim.drop_one_in = Some(10),
+        },
+        FaultCase {
+            name: "engines are killed beside",
+            apply: |sim, number| Trouble::KillOne.apply(sim, number),
+        },
+        FaultCase {
+            name: "engines are released beside",
+            apply: |sim, number| Trouble::Release.apply(sim, number),
+        },
+        FaultCase {
+            name: "answers break off beside",
+            apply: |sim, number| Trouble::BrokenAnswers.apply(sim, number),
+        },
+        FaultCase {
+            name: "an instance loses its connections beside",
+            apply: |sim, number| Trouble::ResetInstance.apply(sim, number),
+        },
+    ];
+    for case in cases {
+        for (framing, rate, seed) in
+            [(Framing::Chunked, 3.0, 0), (Framing::Chunked, 1.0, 1), (Framing::Connection, 3.0, 2)]
+        {
+            let mut sim = Simulation::new(6);
+            sim.add_engines(10);
+            sim.crashes.framing = framing;
+            sim.crashes.n_events = 30;
+            let mut traffic = Traffic::new(25.0).with_seed(seed);
+            traffic.run(&mut sim, ms(4_000));
+            traffic.turn_guilty(&mut sim, Place::Middle, rate);
+            for number in 0..40 {
+                (case.apply)(&mut sim, number);
+                traffic.run(&mut sim, ms(500));
+            }
+            traffic.check(&sim, &format!("{}, {framing}, {rate}, {seed}", case.name));
+        }
+    }
+}
+
+#[test]
+fn guilty_part_is_found_although_a_judge_dies() {
+    for victim in 0..6 {
+        for after in [0, 600, 1_200] {
+            let mut sim = Simulation::new(6);
+            sim.add_engines(10);
+            sim.crashes.n_events = 30;
+            let mut traffic = Traffic::new(25.0).with_seed(after);
+            traffic.run(&mut sim, ms(4_000));
+            traffic.turn_guilty(&mut sim, Place::NextToLast, 3.0);
+            traffic.run(&mut sim, ms(after));
+            sim.kill(victim);
+            traffic.run(&mut sim, ms(16_000));
+            traffic.check(&sim, &format!("instance {victim} dies after {after} ms"));
+        }
+    }
+}
+
+/// All instances have the same records a few seconds after the last change.
+#[test]
+fn instances_that_missed_a_quarantine_learn_it() {
+    let mut sim = Simulation::new(12);
+    sim.add_engines(6);
+    sim.isolated = vec![5];
+    sim.kill(6);
+    sim.run_for(ms(2_000));
+    let event = ferry_serve::Event::Quarantine {
+        pool: "engine".to_owned(),
+        part: GUILTY,
+        action: ferry_serve::QuarantineAction::Set,
+    };
+    sim.deliver(0, event);
+    sim.run_for(ms(100));
+    let knows = |sim: &Simulation, it: usize| {
+        let gateway = sim.instances[it].as_ref().expect("it runs");
+        gateway.quarantine().is_quarantined("engine", GUILTY)
+    };
+    let unaware: Vec<usize> = (0..12).filter(|it| *it != 6 && !knows(&sim, *it)).collect();
+    assert_eq!(unaware, [5]);
+    sim.isolated.clear();
+    sim.start(6);
+    sim.run_for(ms(1_500));
+    assert!((0..12).all(|it| knows(&sim, it)));
+    assert_eq!(quarantined(&sim), [GUILTY]);
+}
+
+/// Without any instance left that knew the part, it is learnt again.
+#[test]
+fn part_is_learnt_again_after_all_instances_died() {
+    let mut sim = Simulation::new(6);
+    sim.add_engines(10);
+    sim.crashes.n_events = 30;
+    let mut traffic = Traffic::new(25.0);
+    traffic.run(&mut sim, ms(4_000));
+    traffic.turn_guilty(&mut sim, Place::Middle, 3.0);
+    traffic.run(&mut sim, ms(8_000));
+    assert_eq!(quarantined(&sim), [GUILTY]);
+    (0..6).for_each(|it| sim.kill(it));
+    sim.run_for(ms(500));
+    (0..6).for_each(|it| sim.start(it));
+    let n_crashes = sim.crashes.crashed.len();
+    traffic.run(&mut sim, ms(14_000));
+    assert_eq!(quarantined(&sim), [GUILTY]);
+    let after = sim.crashes.n_received_after(GUILTY, n_crashes + 5, ms(3_000));
+    assert_eq!(after, 0, "crashes at {:?}", sim.crashes.crashed);
+}
+
+#[test]
+fn old_heartbeats_and_notices_change_nothing() {
+    let mut sim = Simulation::new(2);
+    let event =
+        |action| ferry_serve::Event::Quarantine { pool: "engine".to_owned(), part: GUILTY, action };
+    sim.deliver(0, event(ferry_serve::QuarantineAction::Set));
+    sim.run_for(ms(100));
+    let record = ferry_serve::QuarantineNotice {
+        pool: "engine".to_owned(),
+        part: GUILTY,
+        state: ferry_serve::QuarantineState::Quarantined,
+        reason: ferry_serve::QuarantineReason::Operator,
+        version: 1,
+        age: ms(100),
+        idle: ms(100),
+    };
+    sim.deliver(0, event(ferry_serve::QuarantineAction::Lift));
+    sim.run_for(ms(100));
+    assert_eq!(quarantined(&sim), Vec::<u64>::new());
+    let from = crate::simulation::peer(1);
+    let message = PeerMessage::Quarantine(vec![record]);
+    sim.deliver(0, ferry_serve::Event::Peer { from, message });
+    sim.run_for(ms(1_500));
+    assert_eq!(quarantined(&sim), Vec::<u64>::new());
+}
--- a/crates/ferry-serve/tests/decisions/quarantine/traffic.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/traffic.rs
@@ -5,6 +5,7 @@
 use ferry_model::Moment;
 use ferry_serve::{DecisionKind, PromptPart, RequestHead};
 
+use crate::quarantine::trouble::quarantined;
 use crate::simulation::{Simulation, head, ms};
 
 /// The part that all prompts of the traffic share, and those that some of them share.
@@ -75,6 +76,11 @@
         self.turned = sim.now;
     }
 
+    pub fn with_seed(mut self, seed: u64) -> Traffic {
+        self.rng = self.rng.wrapping_add(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        self
+    }
+
     pub fn with_guilty(mut self, parts: &[u64]) -> Traffic {
         self.guilty = parts.to_vec();
         self
@@ -125,6 +131,8 @@
         }
         assert!(n_received <= MAX_RECEIVED, "{name}: {n_received} of {n_crashes}");
         assert!(before * MIN_SOUND <= after, "{name}: {before:.2} -> {after:.2}");
+        let wrong = quarantined(sim).into_iter().find(|it| !self.guilty.contains(it));
+        assert_eq!(wrong, None, "{name}: a sound part is in quarantine");
         assert_eq!(sim.violations, Vec::<String>::new(), "{name}");
     }
 
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use ferry_model::{EndpointState, Moment};
-use ferry_serve::{Call, CallEvent, CallId, Event, Framing, PromptPart, StoreUpdate, StreamEnd};
+use ferry_model::{EndpointState, Moment, SortedMap};
+use ferry_serve::{
+    Call, CallEvent, CallId, Event, Framing, PeerMessage, PromptPart, StoreUpdate, StreamEnd,
+};
 
 use super::{ENGINE, NETWORK_DELAY, QueuedEvent, Simulation, UNIX_START, ms};
 
@@ -31,6 +33,8 @@
     pub received: Vec<(Moment, u64)>,
     /// When engines crashed on a part.
     pub crashed: Vec<(Moment, u64)>,
+    /// Bytes that each instance has sent about crashes, by the second.
+    pub bytes: SortedMap<(usize, u64), usize>,
     /// Endpoints that do not run.
     down: Vec<String>,
     revision: u64,
@@ -45,6 +49,7 @@
             break_one_in: None,
             received: Vec::new(),
             crashed: Vec::new(),
+            bytes: SortedMap::new(),
             down: Vec::new(),
             revision: 100,
         }
@@ -78,6 +83,10 @@
     },
 }
 
+fn encoded_len(value: &impl serde::Serialize) -> usize {
+    postcard::to_stdvec(value).expect("it can be encoded").len()
+}
+
 impl Simulation {
     /// Handles a call to an endpoint that does not run; returns whether it does not.
     pub(super) fn refuse_connection(&mut self, instance: usize, call: &Call) -> bool {
@@ -126,6 +135,20 @@
         self.push_step(down_time, id, EndpointStep::Start);
     }
 
+    /// Changes the state of an endpoint's entry.
+    pub fn set_state(&mut self, id: &str, state: EndpointState) {
+        self.endpoints.get_mut(id).expect("the endpoint exists").entry.state = state;
+        self.announce(id);
+    }
+
+    /// Starts an endpoint again that has left.
+    pub fn restart_endpoint(&mut self, id: &str) {
+        self.break_calls(id, None);
+        let started = (UNIX_START + self.now).as_millis() as u64;
+        self.endpoints.get_mut(id).expect("the endpoint exists").entry.started = started;
+        self.set_state(id, EndpointState::Live);
+    }
+
     /// Breaks all calls in progress at an endpoint, or only those of one instance.
     pub fn break_calls(&mut self, id: &str, instance: Option<usize>) {
         let calls = self.streams.remove(id).unwrap_or_default();
@@ -185,6 +208,19 @@
         self.tell_all(StoreUpdate::Changed { revision, endpoint: entry });
     }
 
+    /// Counts the bytes of a message about crashes, and those that a heartbeat has for it.
+    pub(super) fn count_bytes(&mut self, from: usize, message: &PeerMessage) {
+        let n_bytes = match message {
+            PeerMessage::Quarantine(_)
+            | PeerMessage::CrashReport(_)
+            | PeerMessage::Accusation(_)
+            | PeerMessage::Objection(_) => encoded_len(message),
+            PeerMessage::Heartbeat(it) => encoded_len(&it.quarantine),
+            _ => 0,
+        };
+        *self.crashes.bytes.get_or_insert_with((from, self.now.as_secs()), || 0) += n_bytes;
+    }
+
     fn tell_all(&mut self, update: StoreUpdate) {
         for instance in 0..self.instances.len() {
             self.schedule(instance, ms(0), Event::Store(update.clone()));
--- a/crates/ferry-serve/tests/decisions/simulation/network.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/network.rs
@@ -8,6 +8,7 @@
 
 impl Simulation {
     pub(super) fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
+        self.count_bytes(from, &message);
         let is_lost = self.drop_one_in.is_some_and(|it| self.next_random().is_multiple_of(it));
         let to = usize::from(to.port()) - 7_000;
         if is_lost || self.is_cut(from, to) {
