--- a/crates/ferry-serve/tests/decisions/quarantine/faults.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/faults.rs
@@ -172,3 +172,32 @@
     sim.run_for(ms(1_500));
     assert_eq!(quarantined(&sim), Vec::<u64>::new());
 }
+
+/// An operator's record refuses requests at once, with no time to retry, until it is lifted; a part of
+/// which nothing was heard for a day is lifted by itself.
+#[test]
+fn operator_and_time_end_a_quarantine() {
+    let mut sim = Simulation::new(3);
+    let event =
+        |action| ferry_serve::Event::Quarantine { pool: "engine".to_owned(), part: 7, action };
+    let is_refused = |sim: &mut Simulation, instance: usize, attempt: &str| {
+        sim.arrive(instance, attempt, crate::simulation::head("stream", attempt));
+        sim.run_for(ms(3_000));
+        let ending = &sim.outcome(attempt).ending;
+        matches!(ending, crate::simulation::Ending::Refused(it) if it.retry_after.is_none())
+    };
+    assert!(!is_refused(&mut sim, 1, "before"));
+    sim.deliver(0, event(ferry_serve::QuarantineAction::Set));
+    sim.run_for(ms(100));
+    assert!(is_refused(&mut sim, 1, "set"));
+    sim.deliver(2, event(ferry_serve::QuarantineAction::Lift));
+    sim.run_for(ms(100));
+    assert!(!is_refused(&mut sim, 1, "lifted"));
+    sim.deliver(0, event(ferry_serve::QuarantineAction::Set));
+    sim.run_for(ms(100));
+    let day = ms(24 * 3_600 * 1_000);
+    let mut quarantine = sim.instances[0].as_ref().expect("it runs").quarantine().clone();
+    assert!(quarantine.expire(sim.now + day / 2).is_empty());
+    assert_eq!(quarantine.expire(sim.now + day).len(), 1);
+    assert!(!quarantine.is_quarantined("engine", 7));
+}
