--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod arrive;
 mod call;
+mod crash;
 mod end;
 pub mod origin;
 pub mod permit;
@@ -204,6 +205,28 @@
         self.active.values_mut().for_each(|it| it.excuse_silence(now, time));
     }
 
+    /// Ends the requests with parts that have just come into quarantine: those that wait, and those
+    /// whose endpoint has not begun to write.
+    pub fn enforce_quarantine(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        if cx.ctx.quarantine.take_fresh().is_empty() {
+            return;
+        }
+        let early = self.active.iter().filter(|it| !it.1.has_begun());
+        let tickets: Vec<Ticket> = early.map(|it| *it.0).collect();
+        for ticket in tickets {
+            let Some(mut request) = self.active.remove(&ticket) else { continue };
+            match end::quarantined_part(cx, &request) {
+                Some(part) => {
+                    self.forget(&request);
+                    end::end_quarantined(cx, batcher, &mut request, part);
+                }
+                None => {
+                    self.active.insert(ticket, request);
+                }
+            }
+        }
+    }
+
     /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
     pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -134,6 +134,12 @@
     pub call: CallId,
     pub endpoint: EndpointId,
     pub build: BuildId,
+    /// Which start of the endpoint it is.
+    pub started: u64,
+    /// When its first event arrived.
+    pub first_event: Option<Moment>,
+    /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
+    pub is_sound: bool,
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
@@ -169,6 +175,19 @@
         }
     }
 
+    /// Whether an endpoint has begun to write its answer.
+    pub fn has_begun(&self) -> bool {
+        let current = match &self.phase {
+            Phase::AwaitingAdmission { .. }
+            | Phase::RunningStages
+            | Phase::AwaitingBuild { .. }
+            | Phase::AwaitingEndpoint { .. }
+            | Phase::AwaitingPermit(_) => None,
+            Phase::Calling(current) => Some(current),
+        };
+        self.silent.iter().chain(current).any(|it| it.first_event.is_some())
+    }
+
     /// Returns the calls in progress.
     pub fn calls(&self) -> impl Iterator<Item = CallId> {
         self.call().into_iter().chain(self.silent.iter().map(|it| it.call))
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -3,7 +3,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::call::{record_failure, release_endpoint};
-use super::{origin, permit, retry, schedule, stages};
+use super::{crash, origin, permit, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{CallEvent, CallId, Decision, DecisionKind, Effect, Metric, ScheduleProgress};
@@ -61,6 +61,7 @@
         return true;
     }
     let lost = request.silent.remove(idx);
+    crash::observe(cx, request, &lost, event);
     release_endpoint(cx, &lost);
     request.n_runs += u32::from(has_run);
     cx.log(
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod health;
 mod peers;
+mod quarantine;
 mod rate_limits;
 mod requests;
 mod schedule;
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -36,6 +36,9 @@
     /// only these faults: pauses (moments of silence, configurations and SIGHUP); all by default
     #[argh(option)]
     only: Option<Only>,
+    /// sends prompts on which engines crash
+    #[argh(switch)]
+    crashes: bool,
     /// path of the gateway binary; by default ferry-gateway in the directory of this program
     #[argh(option)]
     gateway: Option<PathBuf>,
@@ -97,17 +100,19 @@
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
             is_calm: args.only == Some(Only::Pauses),
+            has_crashes: args.crashes,
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
-             limited endpoints; {} lost",
+             limited endpoints; {} lost; {:?}",
             report.under_faults,
             report.after_recovery,
-            report.n_continued,
-            report.n_taken_up,
+            report.take_ups.1,
+            report.take_ups.0,
             report.n_limited,
-            report.n_lost
+            report.n_lost,
+            report.crashes
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/proxy.rs
+++ b/crates/ferry-soak/src/proxy.rs
@@ -1,6 +1,6 @@
 //! A proxy that forwards loopback connections and injects faults into them.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,35 +59,51 @@
 #[derive(Debug)]
 pub struct Proxy {
     pub address: SocketAddr,
+    target: SocketAddr,
     state: State,
-    reset: Rc<Notify>,
-    task: AbortHandle,
+    pub reset: Rc<Notify>,
+    task: RefCell<Option<AbortHandle>>,
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        self.task.abort();
+        self.stop();
     }
 }
 
 impl Proxy {
     pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
         let state = State {
             link: Rc::new(Cell::new(Link::Open)),
             answers: Rc::new(Cell::new(Answers::Prompt)),
         };
-        let reset = Rc::new(Notify::new());
-        let (states, resets) = (state.clone(), reset.clone());
+        let (reset, task) = (Rc::default(), RefCell::default());
+        let proxy = Proxy { address, target, state, reset, task };
+        proxy.listen().await?;
+        Ok(proxy)
+    }
+
+    /// Listens, also again after a stop.
+    pub async fn listen(&self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        let (target, state, reset) = (self.target, self.state.clone(), self.reset.clone());
         let task = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if states.link.get() != Link::Refusing {
-                    spawn_local(forward(stream, target, states.clone(), resets.clone()));
+                if state.link.get() != Link::Refusing {
+                    spawn_local(forward(stream, target, state.clone(), reset.clone()));
                 }
             }
         });
-        Ok(Proxy { address, state, reset, task: task.abort_handle() })
+        self.task.replace(Some(task.abort_handle()));
+        Ok(())
+    }
+
+    /// Closes every open connection and refuses new ones.
+    pub fn stop(&self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        self.reset();
     }
 
     pub fn set(&self, link: Link) {
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -14,12 +14,14 @@
 
 use crate::callers::Caller;
 use crate::checker::OutcomeCounts;
-use crate::cluster::Cluster;
+use crate::checker::crashes::{CrashCounts, MAX_LATE};
+use crate::cluster::{Cluster, N_ENDPOINTS};
 use crate::config::Route;
+use crate::crash::Prompts;
 use crate::endpoint::Pool;
 use crate::plan::{Plan, apply, generate, generate_limits, generate_pauses, restore};
 
-const N_CALLERS: usize = 12;
+pub const N_CALLERS: usize = 12;
 /// The same if nothing else fails, so that moments of silence meet more streams that have begun.
 const N_CALM_CALLERS: usize = 40;
 /// Pause of a caller between requests, in milliseconds.
@@ -52,6 +54,8 @@
     pub net: (u8, u8),
     /// Whether there are only silent moments of sound endpoints, configurations and SIGHUP.
     pub is_calm: bool,
+    /// Whether some prompts crash engines.
+    pub has_crashes: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -60,14 +64,13 @@
     pub violations: Vec<String>,
     pub under_faults: OutcomeCounts,
     pub after_recovery: OutcomeCounts,
-    /// Streams that callers took up.
-    pub n_taken_up: usize,
-    /// Those of them that came to their end.
-    pub n_continued: usize,
+    /// Streams that callers took up, and those of them that came to their end.
+    pub take_ups: (usize, usize),
     /// Requests to endpoints whose rate limit held.
     pub n_limited: usize,
     /// Requests that ended without an answer and without an excuse.
     pub n_lost: usize,
+    pub crashes: CrashCounts,
 }
 
 impl Report {
@@ -80,17 +83,21 @@
 /// Runs the soak; must be called within a local task set.
 pub async fn run(options: &SoakOptions) -> std::io::Result<Report> {
     let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
-    let mut cluster =
-        Cluster::start(&options.gateway, &options.directory, options.net, options.n_nodes).await?;
+    let SoakOptions { gateway, directory, net, n_nodes, .. } = options;
+    let mut cluster = Cluster::start(gateway, directory, *net, *n_nodes, N_ENDPOINTS).await?;
     cluster.mix_builds();
     sleep(START_TIME).await;
     let n_callers = if options.is_calm { N_CALM_CALLERS } else { N_CALLERS };
+    if options.has_crashes {
+        cluster.start_crashes(options.seed);
+    }
     let is_over = start_callers(&cluster, &mut rng, n_callers);
     let start = Instant::now();
     for (at, step) in plan(options, &mut rng, cluster.endpoints.len()) {
         sleep_until(start + at).await;
         apply(&mut cluster, step)?;
     }
+    cluster.has_crashes.set(false);
     restore(&mut cluster)?;
     let recovery = if options.is_calm { CALM_RECOVERY_TIME } else { RECOVERY_TIME };
     let recovered = Instant::now() + recovery;
@@ -116,17 +123,13 @@
             "only a share of {share:.3} was served after the recovery: {after_recovery:?}"
         ));
     }
-    let (n_taken_up, n_continued) = cluster.checker.take_ups();
+    let take_ups = cluster.checker.take_ups();
     let n_limited = cluster.checker.n_limited();
-    Ok(Report {
-        violations,
-        under_faults,
-        after_recovery,
-        n_taken_up,
-        n_continued,
-        n_limited,
-        n_lost,
-    })
+    let crashes = cluster.checker.count_crashes(from);
+    if MAX_LATE < crashes.n_late {
+        violations.push(format!("requests that crash engines went on: {crashes:?}"));
+    }
+    Ok(Report { violations, under_faults, after_recovery, take_ups, n_limited, n_lost, crashes })
 }
 
 /// Generates the faults of a run.
@@ -146,7 +149,7 @@
 }
 
 /// Starts callers that send requests until the returned flag is set.
-fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg, n_callers: usize) -> Rc<RefCell<bool>> {
+pub fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg, n_callers: usize) -> Rc<RefCell<bool>> {
     let is_over = Rc::new(RefCell::new(false));
     let routes: Vec<Route> = Route::iter().filter(|it| *it != Route::Extra).collect();
     for number in 0..n_callers {
@@ -154,7 +157,8 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let checker = cluster.checker.clone();
         let name = format!("caller{number}");
-        let mut caller = Caller::new(name, cluster.directories(), checker, rng);
+        let prompts = Prompts::new(seed ^ 2, &cluster.has_crashes);
+        let mut caller = Caller::new(name, cluster.directories(), checker, rng, prompts);
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 1);
         let (is_over, routes) = (is_over.clone(), routes.clone());
         spawn_local(async move {
