Find a part that crashes all endpoints of a small pool before they are back

Cause: six engines that crash within 0.35 s are two incidents; the part was convicted only after they had come back and nine more requests had crashed three of them. Change: five crashes stand for two more incidents if three attempts had the part and no answer on it was ever sound. Small pools with a part that was sound lately remain slower.

--- a/crates/ferry-serve/src/quarantine/suspect.rs
+++ b/crates/ferry-serve/src/quarantine/suspect.rs
@@ -15,8 +15,10 @@
 const MORE_INCIDENTS: usize = 5;
 /// Incidents that convict one in any case.
 const MAX_INCIDENTS: usize = 7;
-/// Crashes that stand for one more incident, if requests come so fast that incidents are joined.
+/// Crashes that stand for one more incident, as incidents are joined if requests come fast; for two if
+/// as many attempts as `MANY_ATTEMPTS` had the part and no answer on it was ever sound.
 const MANY_CRASHES: usize = 5;
+const MANY_ATTEMPTS: usize = 3;
 /// Fraction of incidents that counts as nearly all.
 const MIN_SHARE: f64 = 0.65;
 const LATELY: Duration = Duration::from_secs(60);
@@ -90,7 +92,7 @@
             Timing::Begun => self.begun.add(incident),
             Timing::Other => (),
         }
-        if self.attempts.len() < N_ATTEMPTS && !self.attempts.contains(&exposure.attempt) {
+        if self.attempts.len() < MANY_ATTEMPTS && !self.attempts.contains(&exposure.attempt) {
             self.attempts.push(exposure.attempt);
         }
         self.place = self.place.max(exposure.place);
@@ -103,13 +105,17 @@
         let is_usual = MIN_SHARE <= self.incidents.n as f64 / n_since as f64;
         let was_sound = sound.is_some_and(|it| self.first < it + LATELY);
         let n_timed = self.sent.n.max(self.begun.n);
-        let many = usize::from(MANY_CRASHES <= self.crashes.n);
+        let is_new = sound.is_none() && MANY_ATTEMPTS <= self.attempts.len();
+        let n_joined = match MANY_CRASHES <= self.crashes.n {
+            true => 1 + usize::from(is_new),
+            false => 0,
+        };
         match need {
             PartNeed::Known => false,
             PartNeed::Once => true,
             PartNeed::Several if self.attempts.len() < N_ATTEMPTS => false,
             PartNeed::Several if is_usual && !was_sound => {
-                MIN_INCIDENTS <= n_timed + many || MAX_INCIDENTS <= self.incidents.n
+                MIN_INCIDENTS <= n_timed + n_joined || MAX_INCIDENTS <= self.incidents.n
             }
             PartNeed::Several => MORE_INCIDENTS <= n_timed || MAX_INCIDENTS <= self.incidents.n,
         }
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -0,0 +1,42 @@
+//! What callers get.
+
+use ferry_serve::{CallId, Refusal, Status};
+
+use super::{Ending, Outcome, Simulation};
+
+impl Simulation {
+    pub(super) fn end(&mut self, instance: usize, ticket: u64, ending: Ending) {
+        let Some(caller) = self.callers.remove(&(instance, ticket)) else {
+            return self.violations.push(format!("ticket {ticket} was answered twice"));
+        };
+        let took = self.now - caller.arrived;
+        self.outcomes.insert(caller.attempt, Outcome { ending, took });
+    }
+
+    pub(super) fn check_refusal(&mut self, instance: usize, ticket: u64, refusal: &Refusal) {
+        let attempt = self.callers.get(&(instance, ticket)).map(|it| it.attempt.clone());
+        let Some(attempt) = attempt else { return };
+        if refusal.status == Status::NotRun && self.runs.contains_key(&attempt) {
+            self.violations.push(format!("{attempt} ran and was refused as not run"));
+        }
+        if refusal.status != Status::NotRun && refusal.retry_after.is_some() {
+            self.violations.push(format!("{attempt} may have run and was told to retry"));
+        }
+    }
+
+    pub(super) fn relay(&mut self, instance: usize, call: CallId, ticket: u64) {
+        let kind = self.calls.get(&(instance, call)).copied().unwrap_or_default();
+        let now = self.now;
+        match kind {
+            0 => self.end(instance, ticket, Ending::Answer),
+            1 => self.end(instance, ticket, Ending::Error),
+            _ => {
+                let Some(caller) = self.callers.get_mut(&(instance, ticket)) else { return };
+                if caller.began.is_none() {
+                    caller.began = Some(now);
+                    self.first_events.insert(caller.attempt.clone(), now - caller.arrived);
+                }
+            }
+        }
+    }
+}
