Quarantine no prompt part that nearly all requests have

Cause: where engines crashed before one answer was sound, a part that all requests have stood in as many crashes as the guilty one, or more, and was convicted; its pool then served nobody, and nothing could speak for it any longer. Change: a judge counts the requests that reach it, and chooses the part with the most incidents for the requests that have it. A part of nine requests in ten is never convicted.

--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! and [`Quarantine`] is what each instance knows of the result. docs/design/platform.md has the
 //! reasons.
 
+mod arrivals;
 pub mod exchange;
 mod judge;
 mod message;
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_model::Moment;
+use ferry_model::{Moment, RouteKind};
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
@@ -35,6 +35,9 @@
         end::refuse(cx, &request, Status::NotRun, RetryHint::Soon, "no time is left");
         return None;
     }
+    if request.route.kind == RouteKind::Stream {
+        cx.ctx.judge.on_arrival(now, &request.pool, &request.head.prompt);
+    }
     if let Some(part) = end::quarantined_part(cx, &request) {
         end::refuse_quarantined(cx, &request, part);
         return None;
