Count the time until a crash from when its endpoint began to write

The time was counted from the first event, or else from when the call was sent, which is longer by the reading of the prompt: such crashes counted as weak evidence. Change: the time counts from the head. Conclusion: no test plays a crash without an event on virtual time; the soak's engines crash after 0 to 2 events.

--- a/crates/ferry-serve/src/quarantine/message.rs
+++ b/crates/ferry-serve/src/quarantine/message.rs
@@ -77,7 +77,7 @@
 pub enum Timing {
     /// It was sent, and has not begun.
     Sent,
-    /// Its first event arrived.
+    /// Its endpoint had begun to write.
     Begun,
     /// None of these.
     Other,
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -9,12 +9,11 @@
 
 /// Silence of an endpoint after a break that makes it a crash.
 const SILENCE: Duration = Duration::from_millis(150);
-/// Time after the first event of an answer by which its endpoint would have crashed.
+/// Time after the beginning of an answer by which its endpoint would have crashed.
 const SOUND_AFTER: Duration = Duration::from_millis(300);
 /// Time for which an end of a connection that may be a crash is kept.
 const END_TTL: Duration = Duration::from_secs(5);
-/// Time after a call was sent, or its first event, in which a part crashes the endpoint, at least and at most, with
-/// some for the network.
+/// Time after a call was sent, or its endpoint began to write, in which a part crashes the endpoint.
 const MIN_CRASH_TIME: Duration = Duration::from_millis(30);
 const MAX_CRASH_TIME: Duration = Duration::from_millis(150);
 const MAX_PARTS: usize = 32;
@@ -41,15 +40,15 @@
     /// Parts that others may share.
     pub parts: Vec<Exposure>,
     pub sent_at: Moment,
-    /// When its first event arrived.
-    pub first_event: Option<Moment>,
+    /// When its endpoint began to write.
+    pub began_at: Option<Moment>,
 }
 
 impl CallTrace {
     /// Returns whether its timing at a crash is that of a call that causes one.
     fn timing(&self, crashed: Moment) -> Timing {
-        let took = crashed.saturating_sub(self.first_event.unwrap_or(self.sent_at));
-        match self.first_event {
+        let took = crashed.saturating_sub(self.began_at.unwrap_or(self.sent_at));
+        match self.began_at {
             _ if !(MIN_CRASH_TIME..=MAX_CRASH_TIME).contains(&took) => Timing::Other,
             Some(_) => Timing::Begun,
             None => Timing::Sent,
@@ -58,7 +57,7 @@
 
     /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
     pub fn is_sound(&self, now: Moment) -> bool {
-        self.first_event.is_some_and(|it| it + SOUND_AFTER <= now)
+        self.began_at.is_some_and(|it| it + SOUND_AFTER <= now)
     }
 }
 
@@ -111,7 +110,7 @@
             std::mem::take(&mut self.ends).into_iter().partition(|it| is_proven(it.0, &it.1));
         self.ends = open;
         for (at, trace) in proven {
-            self.on_sound(trace.first_event.unwrap_or(at), &trace);
+            self.on_sound(trace.began_at.unwrap_or(at), &trace);
         }
     }
 
@@ -284,7 +283,7 @@
 /// Returns the parts of the calls that may have caused a crash: those of the calls that began to write
 /// last come first, as an engine crashes soon after that; then those of calls that have not begun.
 fn newest_parts(mut calls: Vec<(Moment, CallTrace)>) -> Vec<Exposure> {
-    calls.sort_by_key(|it| Reverse(it.1.first_event));
+    calls.sort_by_key(|it| Reverse(it.1.began_at));
     let mut parts: Vec<Exposure> = Vec::new();
     let exposures = calls.iter().flat_map(|(at, it)| {
         let timing = it.timing(*at);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -136,8 +136,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
-    /// When its first event arrived.
-    pub first_event: Option<Moment>,
+    /// When its endpoint began to write.
+    pub began_at: Option<Moment>,
     /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
     pub is_sound: bool,
     pub sent_at: Moment,
@@ -185,7 +185,7 @@
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current),
         };
-        self.silent.iter().chain(current).any(|it| it.first_event.is_some())
+        self.silent.iter().chain(current).any(|it| it.began_at.is_some())
     }
 
     /// Returns the calls in progress.
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -84,7 +84,7 @@
         endpoint: choice.endpoint.clone(),
         build,
         started,
-        first_event: None,
+        began_at: None,
         is_sound: false,
         sent_at: cx.now,
         last_heard: cx.now,
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -21,12 +21,10 @@
         CallEvent::Unsent { .. } => watch.on_gone(now, endpoint),
         // Another endpoint has the address of this one.
         CallEvent::NotRun { reason: NotRunReason::Moved, .. } => watch.on_gone(now, endpoint),
-        CallEvent::NotRun { .. } | CallEvent::Began { .. } | CallEvent::Blocked => {
+        CallEvent::NotRun { .. } | CallEvent::Blocked => watch.on_heard(now, endpoint, *started),
+        CallEvent::Began { .. } | CallEvent::Progress { .. } => {
             watch.on_heard(now, endpoint, *started);
-        }
-        CallEvent::Progress { .. } => {
-            watch.on_heard(now, endpoint, *started);
-            on_progress(cx, request, current);
+            on_written(cx, request, current);
         }
         CallEvent::Answer { is_error, .. } => {
             watch.on_heard(now, endpoint, *started);
@@ -40,7 +38,7 @@
         CallEvent::Ended(end) => match end.framing {
             Framing::Length | Framing::Chunked => {
                 watch.on_heard(now, endpoint, *started);
-                let began = current.first_event.unwrap_or(current.sent_at);
+                let began = current.began_at.unwrap_or(current.sent_at);
                 watch.on_sound(began, &trace(request, current));
             }
             Framing::Connection => watch.on_connection_end(now, trace(request, current)),
@@ -55,18 +53,18 @@
     shared.iter().any(|it| cx.ctx.crash_watch.is_suspect(it.id))
 }
 
-fn on_progress(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
+fn on_written(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
     let mut trace = match current.is_sound {
         true => return,
         false => trace(request, current),
     };
-    let first_event = *trace.first_event.get_or_insert(cx.now);
+    let began_at = *trace.began_at.get_or_insert(cx.now);
     let is_sound = trace.is_sound(cx.now);
     if is_sound {
-        cx.ctx.crash_watch.on_sound(first_event, &trace);
+        cx.ctx.crash_watch.on_sound(began_at, &trace);
     }
     if let Phase::Calling(current) = &mut request.phase {
-        current.first_event = Some(first_event);
+        current.began_at = Some(began_at);
         current.is_sound = is_sound;
     }
 }
@@ -88,6 +86,6 @@
         started: current.started,
         parts: shared.iter().enumerate().map(exposure).collect(),
         sent_at: current.sent_at,
-        first_event: current.first_event,
+        began_at: current.began_at,
     }
 }
