--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod connections;
 mod lifecycle;
+mod quarantine;
 mod raw_requests;
 mod robustness;
 mod soak;
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -120,6 +120,11 @@
         self.config.as_ref()?.routes.iter().map(|it| it.time_limit).max()
     }
 
+    /// Whether the current configuration has a pool.
+    pub fn has_pool(&self, pool: &str) -> bool {
+        self.pools.contains_key(pool)
+    }
+
     /// Returns the limits of a batch pool, for items of any instance: those that came under a former
     /// configuration may be for a pool that the current one no longer has.
     pub fn batch_limits(&self, pool: &str) -> Option<&BatchLimits> {
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -298,6 +298,7 @@
     Peer,
     Store,
     Drain,
+    Quarantine,
 }
 
 /// Counters; docs/METRICS.md lists each.
@@ -329,4 +330,7 @@
     EndpointsEjected,
     BatchersSwitched,
     ConnectionsTimedOut,
+    CrashesSeen,
+    PartsQuarantined,
+    RequestsQuarantined,
 }
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -2,7 +2,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, StageState};
 use super::end::RetryHint;
-use super::{end, origin, stages};
+use super::{crash, end, origin, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Metric, NotRunReason};
@@ -83,6 +83,10 @@
         let reason = format!("{reason}; no endpoint of its build is left");
         return end::fail(cx, batcher, request, &reason);
     }
+    if crash::is_suspect(cx, request) {
+        let reason = format!("{reason}; endpoints have crashed on its parts");
+        return end::fail(cx, batcher, request, &reason);
+    }
     if !is_allowed || !cx.try_spend(&pool) {
         return end::fail(cx, batcher, request, reason);
     }
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -1,6 +1,9 @@
 //! Records what callers send and endpoints run, and checks that the guarantees hold.
 
+pub mod crashes;
+
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 
 use ferry_model::SortedMap;
 use tokio::time::Instant;
@@ -8,6 +11,8 @@
 use crate::config::Route;
 use crate::losses::{Ended, Trouble, Troubles};
 
+use crashes::CrashLog;
+
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -34,6 +39,12 @@
     outcome: Option<Outcome>,
     sent: Instant,
     end: Option<Instant>,
+    /// The gateway to which it was sent.
+    gateway: Option<SocketAddr>,
+    /// Whether its prompt names the part on which engines crash.
+    has_part: bool,
+    /// Whether a response was cut off so that it may look complete.
+    is_cut: bool,
 }
 
 /// Checks the guarantees; shared by the callers and endpoints of a run.
@@ -47,6 +58,7 @@
     n_taken_up: Cell<usize>,
     n_continued: Cell<usize>,
     n_limited: Cell<usize>,
+    crash_log: RefCell<CrashLog>,
 }
 
 impl Checker {
@@ -61,6 +73,9 @@
             outcome: None,
             sent: Instant::now(),
             end: None,
+            gateway: None,
+            has_part: false,
+            is_cut: false,
         };
         self.attempts.borrow_mut().insert(id.to_owned(), attempt);
     }
@@ -201,12 +216,15 @@
         self.violations.borrow().clone()
     }
 
-    /// Counts the outcomes of the requests sent between two points in time.
+    /// Counts the outcomes of the requests sent between two points in time, except those with the part
+    /// on which engines crash.
     pub fn count_outcomes(&self, from: Instant, until: Instant) -> OutcomeCounts {
+        self.count(|it| from <= it.sent && it.sent < until && !it.has_part)
+    }
+
+    fn count(&self, is_counted: impl Fn(&Attempt) -> bool) -> OutcomeCounts {
         let mut counts = OutcomeCounts::default();
-        for attempt in
-            self.attempts.borrow().values().filter(|it| from <= it.sent && it.sent < until)
-        {
+        for attempt in self.attempts.borrow().values().filter(|it| is_counted(it)) {
             counts.sent += 1;
             match attempt.outcome {
                 Some(Outcome::Success) => counts.served += 1,
