Let the lower of two rate limits count that are named at the same time

Cause: a notice of a limit is passed on with the age that it had, so each step makes it look newer by the time of the datagram. Two notices that contradict each other then replace each other for good, and each replacement tells eight peers: a storm of messages. Found by the drawn test of silences beside other trouble, which sets two limits at the same moment: it filled the memory of the machine twice before it was traced. Change: of two notices within 50 ms the lower limit counts; the statement of an endpoint itself counts as before. Conclusion: an endpoint's raise is seen late by peers if it comes within 50 ms of a lower limit; they learn it from its responses.

--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -143,6 +143,11 @@
         self.rate_limit.rate
     }
 
+    /// Returns when the endpoint last said what its limit is, as far as known.
+    pub fn limit_heard_at(&self) -> Moment {
+        self.rate_limit.at
+    }
+
     /// Returns since when the endpoint has had a rate limit.
     pub fn limited_since(&self) -> Option<Moment> {
         self.rate_limit.rate.map(|_| self.rate_limit.since)
--- a/crates/ferry-serve/src/limits/exchange.rs
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -5,7 +5,9 @@
 
 use super::{PermitAnswer, PermitReply, PermitRequest};
 use crate::pass::{Context, Pass};
-use crate::{Asker, Decision, DecisionKind, Effect, LimitNotice, Metric, PeerMessage};
+use crate::{
+    Asker, Decision, DecisionKind, Effect, EndpointView, LimitNotice, Metric, PeerMessage,
+};
 
 /// Peers that are told of a change; each of them tells as many others.
 const N_TOLD: usize = 8;
@@ -15,6 +17,8 @@
 const UNWILLING_PAUSE: Duration = Duration::from_millis(300);
 /// Pause of an instance that asks for permits for an endpoint that its limiter does not know yet.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time that a datagram takes, which the age of a notice does not tell.
+const MAX_TRANSIT: Duration = Duration::from_millis(50);
 /// Notices in one datagram.
 const MAX_NOTICES: usize = 64;
 
@@ -72,8 +76,20 @@
     }
 }
 
-/// Applies what a peer knows of a limit.
+/// Applies what a peer knows of a limit. Of two notices that contradict each other at the same time,
+/// the lower limit counts: each step makes a notice look newer, so that they would replace each
+/// other for good.
 pub fn on_notice(cx: &mut Pass<'_>, notice: &LimitNotice) {
+    let at = cx.now.saturating_sub(notice.age);
+    let is_higher = |it: &EndpointView| match (it.rate_limit(), notice.rate) {
+        (Some(known), Some(rate)) => known.per_second() < rate.per_second(),
+        (Some(_), None) => true,
+        (None, _) => false,
+    };
+    let known = cx.ctx.endpoints.get(&notice.endpoint);
+    if known.is_some_and(|it| at <= it.limit_heard_at() + MAX_TRANSIT && is_higher(it)) {
+        return;
+    }
     record(cx, notice, "as a peer knows");
 }
 
