--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -335,18 +335,6 @@
         }
     }
 
-    pub fn outcome(&self, attempt: &str) -> &Outcome {
-        self.outcomes.get(attempt).unwrap_or_else(|| panic!("{attempt} has not ended"))
-    }
-
-    /// Returns the fraction of attempts whose first event arrived within `objective`.
-    pub fn on_time(&self, attempts: &[String], objective: Duration) -> f64 {
-        let is_on_time = |it: &&String| {
-            self.first_events.get(it.as_str()).is_some_and(|took| *took <= objective)
-        };
-        attempts.iter().filter(is_on_time).count() as f64 / attempts.len() as f64
-    }
-
     fn tick(&mut self, instance: usize, late: Duration) {
         if self.timers[instance].is_some_and(|it| it <= self.now) {
             let late = late.max(self.now - self.timers[instance].unwrap_or_default());
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -1,10 +1,24 @@
 //! What callers get.
 
+use std::time::Duration;
+
 use ferry_serve::{CallId, Refusal, Status};
 
 use super::{Ending, Outcome, Simulation};
 
 impl Simulation {
+    pub fn outcome(&self, attempt: &str) -> &Outcome {
+        self.outcomes.get(attempt).unwrap_or_else(|| panic!("{attempt} has not ended"))
+    }
+
+    /// Returns the fraction of attempts whose first event arrived within `objective`.
+    pub fn on_time(&self, attempts: &[String], objective: Duration) -> f64 {
+        let is_on_time = |it: &&String| {
+            self.first_events.get(it.as_str()).is_some_and(|took| *took <= objective)
+        };
+        attempts.iter().filter(is_on_time).count() as f64 / attempts.len() as f64
+    }
+
     pub(super) fn end(&mut self, instance: usize, ticket: u64, ending: Ending) {
         let Some(caller) = self.callers.remove(&(instance, ticket)) else {
             return self.violations.push(format!("ticket {ticket} was answered twice"));
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! Simulated endpoints: plain services, batch services and engines.
 
+mod behaviour;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +21,8 @@
 use crate::rate_limit::RateLimit;
 use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve, without_framing};
 
+pub use behaviour::Behaviour;
+
 /// Time to run a plain request.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
 /// Time to run a batch.
@@ -46,53 +50,6 @@
     Second,
 }
 
-/// How an endpoint responds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Behaviour {
-    Healthy,
-    /// Runs requests and never responds.
-    NeverResponds,
-    /// Runs requests and closes the connection.
-    Disconnects,
-    /// Refuses requests without running them.
-    Full,
-    /// Runs requests and responds with status 500.
-    Failing,
-    /// Closes the connection in the middle of a stream.
-    Truncates,
-    /// Ends streams inside an event, as if they were complete.
-    EndsInEvent {
-        is_chunked: bool,
-    },
-    /// Responds with neither a length nor chunks; the body ends with the connection.
-    Unframed,
-    /// Responds without the type of the content.
-    Untyped,
-    /// Responds with the id of another attempt.
-    WrongAttempt,
-    /// Streams many large events, without pauses.
-    Large,
-    /// Takes longer by this factor.
-    Slow(u32),
-}
-
-impl Behaviour {
-    /// Whether requests that the endpoint runs come to a right and whole answer.
-    pub fn is_sound(self) -> bool {
-        match self {
-            Behaviour::Healthy | Behaviour::Full | Behaviour::Large | Behaviour::Slow(_) => true,
-            Behaviour::NeverResponds
-            | Behaviour::Disconnects
-            | Behaviour::Failing
-            | Behaviour::Truncates
-            | Behaviour::EndsInEvent { .. }
-            | Behaviour::Unframed
-            | Behaviour::Untyped
-            | Behaviour::WrongAttempt => false,
-        }
-    }
-}
-
 #[derive(Debug)]
 pub struct Endpoint {
     pub id: String,
