Report the calls first whose timing is that of a crash

Cause: a report names two attempts of each part, those that began to write last. Where several requests with a part are at an engine, the one that crashed it, which began some time before, was left out. Change: calls with the timing of a crash come first.

--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -280,10 +280,11 @@
     }
 }
 
-/// Returns the parts of the calls that may have caused a crash: those of the calls that began to write
-/// last come first, as an engine crashes soon after that; then those of calls that have not begun.
+/// Returns the parts of the calls that may have caused a crash: those with the timing of one that does
+/// come first, then those of the calls that began to write last, then those of calls that have not
+/// begun.
 fn newest_parts(mut calls: Vec<(Moment, CallTrace)>) -> Vec<Exposure> {
-    calls.sort_by_key(|it| Reverse(it.1.began_at));
+    calls.sort_by_key(|(at, it)| (it.timing(*at) == Timing::Other, Reverse(it.began_at)));
     let mut parts: Vec<Exposure> = Vec::new();
     let exposures = calls.iter().flat_map(|(at, it)| {
         let timing = it.timing(*at);
