--- a/crates/ferry-soak/src/crash.rs
+++ b/crates/ferry-soak/src/crash.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::endpoint::Endpoint;
+use crate::losses::Trouble;
 use crate::proxy::Proxy;
 use crate::store::Store;
 
@@ -93,6 +94,7 @@
         let down = Duration::from_millis(crashes.rng().random_range(DOWN_MS));
         crashes.is_down.set(true);
         crashes.n_crashes.set(crashes.n_crashes.get() + 1);
+        endpoint.checker.set_trouble(&endpoint.id, Trouble::Crashed, true);
         proxy.stop();
         endpoint.parts.borrow_mut().clear();
         endpoint.checker.record_crash();
@@ -106,6 +108,7 @@
             sleep(FLUSH_TIME).await;
         }
         crashes.is_down.set(false);
+        endpoint.checker.set_trouble(&endpoint.id, Trouble::Crashed, false);
         store.put("servers", &endpoint.id, endpoint.entry(&zone, "ready"));
     }
 }
--- a/crates/ferry-soak/src/losses.rs
+++ b/crates/ferry-soak/src/losses.rs
@@ -20,6 +20,8 @@
     Terminated,
     /// The endpoint or its link breaks off, withholds or falsifies answers.
     Broken,
+    /// The engine has crashed on a prompt part.
+    Crashed,
     /// The endpoint falls silent and goes on, or sends slowly.
     Silent,
 }
@@ -35,7 +37,7 @@
     Killed,
     /// A process that was told to end has to end.
     GraceOver,
-    /// Each endpoint that ran it had a fault of the plan during the request.
+    /// Each endpoint that ran it had a fault of the plan, or crashed, during the request.
     EndpointBroken,
     /// What is left of its time limit after a silence may not be enough.
     LateAndSilent,
@@ -88,6 +90,7 @@
     pub fn excuse(&self, it: &Ended<'_>, is_strict: bool) -> Option<Excuse> {
         let Some(node) = it.node else { return Some(Excuse::NotPassedOn) };
         let is_in = |subject: &String, trouble| self.is_in(subject, trouble, it.sent, it.end);
+        let is_faulty = |id: &String| is_in(id, Trouble::Broken) || is_in(id, Trouble::Crashed);
         let time = it.end - it.sent;
         let is_late = SHORTEST_LIMIT.mul_f64(LATE_SHARE) <= time;
         let mut endpoints = it.runs.iter().chain(it.stages);
@@ -99,7 +102,7 @@
             Some(Excuse::Killed)
         } else if self.is_grace_over(node, it) {
             Some(Excuse::GraceOver)
-        } else if !it.runs.is_empty() && it.runs.iter().all(|id| is_in(id, Trouble::Broken)) {
+        } else if !it.runs.is_empty() && it.runs.iter().all(is_faulty) {
             Some(Excuse::EndpointBroken)
         } else if !is_strict && is_late && endpoints.any(|id| is_in(id, Trouble::Silent)) {
             Some(Excuse::LateAndSilent)
