Identify requests that are the same, and log that

Cause: log lines name each attempt by its own id, so that nobody can tell from them that several crashes had one request in common: an operator cannot, and neither can a decision.

Change: a digest (BLAKE3, 128 bits) of method, host, path with its query and body, joined with the workspace; headers are left out. The admit line has it as digest. Nothing decides by it yet.

Conclusion: hypotheses about repeated requests can be told apart from the logs.

--- a/crates/ferry-gateway/src/decision_log.rs
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -15,6 +15,9 @@
         out.emit_str("decision".into(), it.kind.into())?;
         out.emit_str("reason".into(), &it.reason)?;
         emit_text(out, "request", it.attempt.as_deref())?;
+        if let Some(digest) = it.digest {
+            out.emit_arguments("digest".into(), &format_args!("{digest:032x}"))?;
+        }
         emit_text(out, "route", it.route.as_deref())?;
         emit_number(out, "stage", it.stage.map(u64::from))?;
         emit_text(out, "endpoint", it.endpoint.as_deref())?;
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -17,6 +17,7 @@
 use crate::body::ResponseBody;
 use crate::calls::status_code;
 use crate::client::BufferedResponse;
+use crate::digest::request_digest;
 use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, Reply};
 use crate::inspector::Inspector;
 use crate::memory::MemoryReservation;
@@ -91,13 +92,15 @@
         Ok(head) => head,
         Err(problem) => return final_response(StatusCode::BAD_REQUEST, problem),
     };
+    let path = parts.uri.path_and_query().map_or(parts.uri.path(), |it| it.as_str());
+    let digest = request_digest(&parts.method, host, path, &body);
     let ticket = driver.next_ticket();
     let (reply, replied) = oneshot::channel();
     let request = Rc::new(CallerRequest { parts, body, _reservation: reservation });
     let caller = PendingCaller { request, reply: Some(reply), stream: None, since };
     driver.callers.borrow_mut().insert(ticket, caller);
     let guard = CallerGuard { driver: driver.clone(), ticket };
-    driver.dispatch(Event::Arrive(Box::new(Arrival { ticket, head })));
+    driver.dispatch(Event::Arrive(Box::new(Arrival { ticket, digest, head })));
     match replied.await {
         Ok(Reply::Refusal(it)) => refusal_response(&it),
         Ok(Reply::Buffered(response)) => {
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod calls;
 pub mod client;
 pub mod decision_log;
+pub mod digest;
 pub mod driver;
 pub mod events;
 pub mod front;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -6,7 +6,9 @@
 use ferry_model::{BuildId, ConfigVersion, EndpointId, PoolId, ResultHandle, Ticket, WorkspaceId};
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use crate::{CallId, CallerAttempt, ItemInput, PeerMessage, ResumedStream, StreamEnd};
+use crate::{
+    CallId, CallerAttempt, ItemInput, PeerMessage, RequestDigest, ResumedStream, StreamEnd,
+};
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -145,6 +147,8 @@
     pub kind: DecisionKind,
     pub reason: String,
     pub attempt: Option<CallerAttempt>,
+    /// Equal for attempts that are the same request.
+    pub digest: Option<RequestDigest>,
     pub route: Option<String>,
     pub stage: Option<u8>,
     pub endpoint: Option<EndpointId>,
@@ -182,6 +186,7 @@
             kind,
             reason: reason.into(),
             attempt: None,
+            digest: None,
             route: None,
             stage: None,
             endpoint: None,
@@ -207,6 +212,11 @@
         self
     }
 
+    pub fn with_digest(mut self, digest: RequestDigest) -> Decision {
+        self.digest = Some(digest);
+        self
+    }
+
     pub fn with_route(mut self, route: &str) -> Decision {
         self.route = Some(route.to_owned());
         self
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     CallId, CallerAttempt, EndpointsDelta, LimitReport, LoadReport, PartId, PeerMessage,
-    QuarantineAction, Tuning,
+    QuarantineAction, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -93,6 +93,8 @@
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub ticket: Ticket,
+    /// Of what the caller sent, apart from the headers.
+    pub digest: RequestDigest,
     pub head: RequestHead,
 }
 
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -61,5 +61,7 @@
 
 /// One call of this process to an endpoint, unique until the process restarts.
 pub type CallId = u64;
+/// Identifies requests that are the same; collisions cannot be built.
+pub type RequestDigest = u128;
 /// A caller's own id of one attempt, unique across the deployment.
 pub type CallerAttempt = std::sync::Arc<str>;
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -12,12 +12,14 @@
 use super::permit::PermitWait;
 use crate::batch::JobKey;
 use crate::catalog::Pools;
-use crate::{Asker, CallId, Group, PermitId, RequestHead, Tuning};
+use crate::{Asker, CallId, Group, PermitId, RequestDigest, RequestHead, Tuning};
 
 #[derive(Debug, Clone)]
 pub struct ActiveRequest {
     pub ticket: Ticket,
     pub head: RequestHead,
+    /// Of what its workspace sent, so that the same request of another workspace has another one.
+    pub digest: RequestDigest,
     pub route: Arc<Route>,
     pub pool: PoolId,
     /// The pools of the configuration under which it came; a newer one may have others.
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use blake3::Hasher;
 use ferry_model::{Moment, RouteKind};
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
@@ -11,7 +12,10 @@
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
 use crate::pass::{Pass, RouteComparison};
-use crate::{Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, Status, groups};
+use crate::{
+    Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, RequestDigest, Status,
+    groups,
+};
 
 /// Returns the request if it is accepted; otherwise it has been answered.
 pub fn accept(cx: &mut Pass<'_>, batcher: &Batcher, arrival: Arrival) -> Option<ActiveRequest> {
@@ -55,6 +59,7 @@
             .with_route(&request.route.name)
             .with_pool(&request.pool)
             .with_resumed(request.head.resumed.as_ref())
+            .with_digest(request.digest)
             .with_times(comparison.elapsed, times::floor(cx, &request))
             .with_prompt(call::prompt_tokens(&request, 0))
             .with_slack(request.objective().saturating_sub(cx.now))
@@ -63,6 +68,18 @@
     Some(request)
 }
 
+/// Returns the digest of a request and its workspace, whichever of its keys the request has.
+fn workspace_digest(workspace: Option<&str>, digest: RequestDigest) -> RequestDigest {
+    let mut hasher = Hasher::new();
+    hasher.update(&digest.to_le_bytes());
+    if let Some(workspace) = workspace {
+        hasher.update(workspace.as_bytes());
+    }
+    let mut digest = [0; size_of::<RequestDigest>()];
+    hasher.finalize_xof().fill(&mut digest);
+    RequestDigest::from_le_bytes(digest)
+}
+
 fn reject(cx: &mut Pass<'_>, arrival: &Arrival, rejection: Rejection) {
     let (status, reason) = match rejection {
         Rejection::Unconfigured => (Status::NotRun, "no configuration is known yet"),
@@ -82,7 +99,7 @@
     arrival: Arrival,
     resolved: ResolvedRequest,
 ) -> ActiveRequest {
-    let Arrival { ticket, head } = arrival;
+    let Arrival { ticket, digest, head } = arrival;
     let route = resolved.route;
     let time_left = head.time_left.unwrap_or(route.time_limit).min(route.time_limit);
     let (class, value) =
@@ -93,6 +110,7 @@
     };
     ActiveRequest {
         ticket,
+        digest: workspace_digest(resolved.workspace.as_deref(), digest),
         stages: (0..route.stages.len()).map(stage).collect(),
         restarts: vec![0; route.stages.len()],
         pool: resolved.pool,
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -10,13 +10,14 @@
 mod stream_check;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ferry_model::{GatewayConfig, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, RequestHead,
-    StoreUpdate, Tuning,
+    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal,
+    RequestDigest, RequestHead, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
@@ -260,8 +261,21 @@
         self.arm(instance);
     }
 
-    /// Sends a request to an instance and returns its ticket.
+    /// Sends a request, the same as no other, to an instance and returns its ticket.
     pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        attempt.hash(&mut hasher);
+        self.arrive_same(instance, attempt, u128::from(hasher.finish()), head)
+    }
+
+    /// Sends a request, the same as all with this digest, to an instance and returns its ticket.
+    pub fn arrive_same(
+        &mut self,
+        instance: usize,
+        attempt: &str,
+        digest: RequestDigest,
+        head: RequestHead,
+    ) -> u64 {
         self.n_tickets += 1;
         let ticket = self.n_tickets;
         let caller = Caller {
@@ -271,7 +285,7 @@
             began: None,
         };
         self.callers.insert((instance, ticket), caller);
-        let event = Event::Arrive(Box::new(Arrival { ticket, head }));
+        let event = Event::Arrive(Box::new(Arrival { ticket, digest, head }));
         let incarnation = self.incarnations[instance];
         self.process(QueuedEvent::Deliver { instance, incarnation, event });
         ticket
