Repeat sound requests beside endpoints that fail by themselves

Cause: a request that is sent again every 0.2 to 2 s is in progress at many endpoints that are killed, cut off, restarted or released. Nothing showed how often such a request, or a part of it, comes into quarantine.

--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -3,6 +3,7 @@
 mod drawn;
 mod faults;
 mod records;
+mod repeated;
 mod requests;
 mod returns;
 mod traffic;
--- a/crates/ferry-serve/tests/decisions/quarantine/returns.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/returns.rs
@@ -100,6 +100,11 @@
         Load { kind, rate, returning, sent, began: Moment::ZERO, rng: 7 }
     }
 
+    pub fn with_seed(mut self, seed: u64) -> Load {
+        self.rng = self.rng.wrapping_add(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        self
+    }
+
     /// Lets one more request come back from now on, and returns its digest.
     pub fn add_returning(&mut self, now: Moment, gap: Duration, place: Place) -> RequestDigest {
         let digest = FIRST_DIGEST + self.returning.len() as u128;
@@ -153,8 +158,9 @@
             fail(format!("{n_late} received late, {n_crashes} crashes"));
         }
         let (from, until) = self.window(sim);
-        let before = self.served(sim, Moment::ZERO, self.began.saturating_sub(STABLE_TIME / 2));
-        let after = if from < until { self.served(sim, from, until) } else { before };
+        let before =
+            self.sound_share(sim, Moment::ZERO, self.began.saturating_sub(STABLE_TIME / 2));
+        let after = if from < until { self.sound_share(sim, from, until) } else { before };
         if after < before * MIN_SOUND {
             fail(format!("sound requests {before:.2} -> {after:.2}, {n_crashes} crashes"));
         }
@@ -229,15 +235,20 @@
     }
 
     /// Returns the share of sound requests that are served: answered, or begun.
-    pub fn served(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
+    fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
         let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
         let asked = self.sent.iter().filter(|it| from <= it.at && it.at < until);
-        let asked: Vec<&Sent> = asked.filter(is_sound).collect();
-        let is_answered =
-            |it: &str| sim.outcomes.get(it).is_some_and(|it| it.ending == Ending::Answer);
-        let is_served =
-            |it: &&&Sent| sim.first_events.contains_key(&it.attempt) || is_answered(&it.attempt);
-        asked.iter().filter(is_served).count() as f64 / asked.len().max(1) as f64
+        served(sim, asked.filter(is_sound))
+    }
+
+    /// Returns the shares of the distinct requests, and of those that come back, that are served.
+    pub fn shares(&self, sim: &Simulation) -> (f64, f64) {
+        let until = sim.now.saturating_sub(ms(2_000));
+        let share = |is_returning: bool| {
+            let own = self.sent.iter().filter(|it| it.digest.is_some() == is_returning);
+            served(sim, own.filter(|it| it.at < until))
+        };
+        (share(false), share(true))
     }
 
     fn send(
@@ -273,3 +284,12 @@
         self.rng >> 33
     }
 }
+
+/// Returns the share of the requests that are answered, or have begun.
+fn served<'a>(sim: &Simulation, asked: impl Iterator<Item = &'a Sent>) -> f64 {
+    let is_answered = |it: &str| sim.outcomes.get(it).is_some_and(|it| it.ending == Ending::Answer);
+    let is_served =
+        |it: &&&Sent| sim.first_events.contains_key(&it.attempt) || is_answered(&it.attempt);
+    let asked: Vec<&Sent> = asked.collect();
+    asked.iter().filter(is_served).count() as f64 / asked.len().max(1) as f64
+}
--- a/crates/ferry-serve/tests/decisions/quarantine/trouble.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/trouble.rs
@@ -32,8 +32,11 @@
     BrokenAnswers,
     /// One in 20 answers breaks off at one of the engines that serve few requests.
     QuietBrokenAnswers,
+    /// Answers to certain requests break off while their endpoint goes on.
+    LostAnswers,
 }
 
+/// All but lost answers, which are those to certain requests.
 pub const ALL: [Trouble; 9] = [
     Trouble::KillOne,
     Trouble::KillSeveral,
@@ -88,7 +91,11 @@
 impl Trouble {
     /// Does what is due at a step of half a second.
     pub fn apply(self, sim: &mut Simulation, number: usize) {
-        let engine = |it: usize| format!("{ENGINE}-{}", it % N_ENGINES);
+        self.apply_to(sim, ENGINE, number);
+    }
+
+    pub fn apply_to(self, sim: &mut Simulation, pool: &str, number: usize) {
+        let engine = |it: usize| format!("{pool}-{}", it % N_ENGINES);
         match self {
             Trouble::KillOne if number.is_multiple_of(6) => sim.kill_endpoint(&engine(number / 6)),
             Trouble::KillSeveral if number.is_multiple_of(10) => {
@@ -121,7 +128,8 @@
             | Trouble::KillSeveral
             | Trouble::CutLinks
             | Trouble::Release
-            | Trouble::Dark => (),
+            | Trouble::Dark
+            | Trouble::LostAnswers => (),
         }
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -48,8 +48,10 @@
     pub framing: Framing,
     /// Number of events of each stream.
     pub n_events: u64,
-    /// One in this many streams breaks off while its endpoint goes on.
+    /// One in this many answers breaks off while its endpoint goes on.
     pub break_one_in: Option<u64>,
+    /// Requests of which every other answer does.
+    pub lost: Vec<RequestDigest>,
     pub received: Vec<Reach>,
     /// When endpoints crashed, and on what.
     pub crashed: Vec<(Moment, CrashCause)>,
@@ -71,6 +73,7 @@
             framing: Framing::Chunked,
             n_events: 5,
             break_one_in: None,
+            lost: Vec::new(),
             received: Vec::new(),
             crashed: Vec::new(),
             bytes: SortedMap::new(),
@@ -341,9 +344,10 @@
         self.push(self.now + after, QueuedEvent::Endpoint { endpoint, step });
     }
 
-    /// Whether the next stream breaks off while its endpoint goes on.
-    pub(super) fn is_stream_broken(&mut self) -> bool {
-        let n = self.crashes.break_one_in;
+    /// Whether the next answer breaks off while its endpoint goes on.
+    pub(super) fn is_answer_broken(&mut self, attempt: &str) -> bool {
+        let is_lost = self.digests.get(attempt).is_some_and(|it| self.crashes.lost.contains(it));
+        let n = if is_lost { Some(2) } else { self.crashes.break_one_in };
         n.is_some_and(|it| self.next_random().is_multiple_of(it))
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -194,7 +194,6 @@
                 if call.is_stream =>
             {
                 self.calls.insert((instance, id), 2);
-                self.sources.insert((instance, id), source);
                 self.record_asked(instance, call);
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
                 let gap = EVENT_GAP * factor;
@@ -204,7 +203,8 @@
                 let n_left = (n_events + 1).saturating_sub(first);
                 let answer = Answer { begin, gap, n_events: n_left, end };
                 let crash = self.plan_crash(instance, call, &prompt, answer);
-                let is_broken = self.is_stream_broken();
+                let is_broken = self.is_answer_broken(&source.0);
+                self.sources.insert((instance, id), source);
                 let whole = StreamEnd { framing: self.crashes.framing, ..WHOLE };
                 if crash.is_none_or(|it| it.has_head) {
                     self.schedule_limit(instance, begin, &call.endpoint);
@@ -230,7 +230,12 @@
                 self.record_asked(instance, call);
                 let end = PLAIN_TIME * factor;
                 let answer = Answer { begin: end, gap: ms(0), n_events: 0, end };
-                if self.plan_crash(instance, call, &prompt, answer).is_none() {
+                let crash = self.plan_crash(instance, call, &prompt, answer);
+                let is_broken = self.is_answer_broken(&source.0);
+                if is_broken {
+                    let error = "broken off".to_owned();
+                    self.schedule(instance, end, event(CallEvent::Broken { error }));
+                } else if crash.is_none() {
                     self.schedule_limit(instance, end, &call.endpoint);
                     let answer = CallEvent::Answer { is_error: false, load: None };
                     self.schedule(instance, end, event(answer));
