Test crashing requests beside faults of instances and on every way

Cause: the tests of faults, operators, messages and memory knew prompt parts only, and no test showed that each way to an endpoint asks what is in quarantine.

--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -4,10 +4,12 @@
 mod faults;
 mod records;
 mod repeated;
+mod request_faults;
 mod requests;
 mod returns;
 mod traffic;
 mod trouble;
+mod ways;
 
 use ferry_serve::Framing;
 
--- a/crates/ferry-serve/tests/decisions/quarantine/records.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/records.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeSet;
 
-use ferry_serve::{DecisionKind, QuarantineState};
+use ferry_serve::{DecisionKind, Event, QuarantineAction, QuarantineState};
 
 use crate::simulation::{CrashCause, Simulation};
 
+/// Bytes that an instance may send each second.
+pub const MAX_BYTES: usize = 8_192;
+
 /// Returns the causes that any instance has in quarantine.
 pub fn quarantined(sim: &Simulation) -> Vec<CrashCause> {
     let records = sim.instances.iter().flatten().flat_map(|it| it.quarantine().iter());
@@ -28,3 +31,31 @@
         println!("{} {}", it.endpoint.as_deref().unwrap_or_default(), it.reason);
     }
 }
+
+/// Returns the most bytes that an instance has sent in a second.
+pub fn most_bytes(sim: &Simulation) -> usize {
+    sim.crashes.bytes.values().copied().max().unwrap_or_default()
+}
+
+/// Does what an operator does at an instance.
+pub fn operate(
+    sim: &mut Simulation,
+    instance: usize,
+    pool: &str,
+    cause: CrashCause,
+    action: QuarantineAction,
+) {
+    let pool = pool.to_owned();
+    let event = match cause {
+        CrashCause::Part(part) => Event::Quarantine { pool, part, action },
+        CrashCause::Request(it) => panic!("{it:x} cannot be set: only parts can"),
+    };
+    sim.deliver(instance, event);
+}
+
+/// Returns the length of what an instance knows of crashes, written out.
+pub fn state_len(sim: &Simulation, instance: usize) -> usize {
+    let gateway = sim.instances[instance].as_ref().expect("it runs");
+    let ctx = gateway.context();
+    format!("{:?}{:?}{:?}", ctx.quarantine, ctx.crash_watch, ctx.judge).len()
+}
