--- a/crates/ferry-gateway/src/quarantine.rs
+++ b/crates/ferry-gateway/src/quarantine.rs
@@ -1,10 +1,13 @@
-//! The operator's interface to prompt parts that crash endpoints; docs/OPERATIONS.md has examples.
+//! The operator's interface to requests and prompt parts that crash endpoints; docs/OPERATIONS.md has
+//! examples.
 
 use std::rc::Rc;
 use std::time::SystemTime;
 
 use ferry_model::PoolId;
-use ferry_serve::{Event, PartId, QuarantineAction, QuarantineRecord};
+use ferry_serve::{
+    CrashCandidate, Event, PartId, QuarantineAction, QuarantineRecord, RequestDigest,
+};
 use http::{Method, StatusCode};
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
@@ -15,31 +18,56 @@
 use crate::driver::Driver;
 
 const PATH: &str = "/v1/quarantine";
+/// Largest number of digits of a part's id; that of a request has exactly twice as many.
+const PART_DIGITS: usize = 2 * size_of::<PartId>();
+const REQUEST_DIGITS: usize = 2 * size_of::<RequestDigest>();
 
 /// A record as operators see it.
 #[derive(Debug, Serialize)]
 struct Entry<'a> {
     pool: &'a str,
-    /// In hexadecimal, as callers name it.
-    part: String,
+    #[serde(flatten)]
+    id: EntryId,
     state: &'static str,
     since: String,
     reason: &'static str,
 }
 
+/// The name of a candidate, in hexadecimal.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum EntryId {
+    /// As callers name it.
+    Part(String),
+    /// As `admit` lines of the log have it.
+    Request(String),
+}
+
+impl From<CrashCandidate> for EntryId {
+    fn from(candidate: CrashCandidate) -> EntryId {
+        match candidate {
+            CrashCandidate::Part(id) => EntryId::Part(format!("{id:x}")),
+            CrashCandidate::Request(digest) => EntryId::Request(format!("{digest:032x}")),
+        }
+    }
+}
+
 /// Why a request of an operator has no effect.
 #[derive(Debug, Error)]
 pub enum OperatorError {
-    #[error("GET takes {PATH}, PUT and DELETE take {PATH}/POOL/PART")]
+    #[error("GET takes {PATH}, PUT and DELETE take {PATH}/POOL/ID")]
     Path,
     #[error("the pool is not valid percent-encoded UTF-8")]
     PoolEncoding,
     #[error("there is no pool {0:?}")]
     Pool(PoolId),
-    #[error("the part {0:?} is not a hexadecimal number of up to 16 digits")]
-    Part(String),
-    #[error("the part {part:x} of pool {pool:?} is not in quarantine")]
-    Sound { pool: PoolId, part: PartId },
+    #[error(
+        "the id {0:?} is not a hexadecimal number of up to {PART_DIGITS} digits, for a part, or of \
+         {REQUEST_DIGITS}, for a request"
+    )]
+    Id(String),
+    #[error("{candidate} of pool {pool:?} is not in quarantine")]
+    NotQuarantined { pool: PoolId, candidate: CrashCandidate },
     #[error("GET lists, PUT sets and DELETE lifts a quarantine")]
     Method,
     #[error("no configuration is known yet")]
@@ -56,8 +84,8 @@
             OperatorError::Path
             | OperatorError::PoolEncoding
             | OperatorError::Pool(_)
-            | OperatorError::Part(_)
-            | OperatorError::Sound { .. } => StatusCode::BAD_REQUEST,
+            | OperatorError::Id(_)
+            | OperatorError::NotQuarantined { .. } => StatusCode::BAD_REQUEST,
             OperatorError::Method => StatusCode::METHOD_NOT_ALLOWED,
             OperatorError::Unconfigured => StatusCode::SERVICE_UNAVAILABLE,
             OperatorError::Json(_) | OperatorError::Time(_) => StatusCode::INTERNAL_SERVER_ERROR,
@@ -82,11 +110,11 @@
     }
 }
 
-/// Lists the parts in quarantine, and those that were lifted.
+/// Lists what is in quarantine, and what was lifted.
 fn list(driver: &Driver) -> Result<Vec<u8>, OperatorError> {
     driver.query(|it| {
         let records = it.quarantine().iter();
-        let entries = records.map(|(pool, part, it)| entry(driver, pool, part, it));
+        let entries = records.map(|(pool, candidate, it)| entry(driver, pool, candidate, it));
         let entries: Vec<Entry<'_>> = entries.collect::<Result<_, _>>()?;
         Ok(serde_json::to_vec(&entries)?)
     })
@@ -98,51 +126,61 @@
     path: &str,
     action: QuarantineAction,
 ) -> Result<Vec<u8>, OperatorError> {
-    let (pool, part) = read_path(path)?;
+    let (pool, candidate) = read_path(path)?;
     driver.query(|it| {
         let catalog = &it.context().catalog;
         catalog.config().ok_or(OperatorError::Unconfigured)?;
         if !catalog.has_pool(&pool) {
             return Err(OperatorError::Pool(pool.clone()));
         }
-        let is_sound = !it.quarantine().is_quarantined(&pool, part);
+        let is_quarantined = it.quarantine().is_quarantined(&pool, candidate);
         match action {
-            QuarantineAction::Lift if is_sound => {
-                Err(OperatorError::Sound { pool: pool.clone(), part })
+            QuarantineAction::Lift if !is_quarantined => {
+                Err(OperatorError::NotQuarantined { pool: pool.clone(), candidate })
             }
             QuarantineAction::Set | QuarantineAction::Lift => Ok(()),
         }
     })?;
-    driver.dispatch(Event::Quarantine { pool: pool.clone(), part, action });
+    driver.dispatch(Event::Quarantine { pool: pool.clone(), candidate, action });
     driver.query(|it| {
-        let record = it.quarantine().get(&pool, part);
-        let entry = record.map(|it| entry(driver, &pool, part, it)).transpose()?;
+        let record = it.quarantine().get(&pool, candidate);
+        let entry = record.map(|it| entry(driver, &pool, candidate, it)).transpose()?;
         Ok(serde_json::to_vec(&entry)?)
     })
 }
 
-/// Reads the pool and the part of a path.
-fn read_path(path: &str) -> Result<(PoolId, PartId), OperatorError> {
-    let (pool, part) = path.rsplit_once('/').ok_or(OperatorError::Path)?;
+/// Reads the pool and the candidate of a path.
+fn read_path(path: &str) -> Result<(PoolId, CrashCandidate), OperatorError> {
+    let (pool, id) = path.rsplit_once('/').ok_or(OperatorError::Path)?;
     let pool = pool.strip_prefix('/').filter(|it| !it.is_empty()).ok_or(OperatorError::Path)?;
     let pool = percent_decode_str(pool).decode_utf8().map_err(|_| OperatorError::PoolEncoding)?;
+    Ok((pool.into_owned(), read_id(id).ok_or_else(|| OperatorError::Id(id.to_owned()))?))
+}
+
+/// Reads an id, whose length tells what it names.
+fn read_id(text: &str) -> Option<CrashCandidate> {
     // The number may not have a sign.
-    let is_hex = part.bytes().all(|it| it.is_ascii_hexdigit());
-    let id = PartId::from_str_radix(part, 16).ok().filter(|_| is_hex);
-    Ok((pool.into_owned(), id.ok_or(OperatorError::Part(part.to_owned()))?))
+    if !text.bytes().all(|it| it.is_ascii_hexdigit()) {
+        return None;
+    }
+    match text.len() {
+        1..=PART_DIGITS => PartId::from_str_radix(text, 16).ok().map(CrashCandidate::Part),
+        REQUEST_DIGITS => RequestDigest::from_str_radix(text, 16).ok().map(CrashCandidate::Request),
+        _ => None,
+    }
 }
 
 fn entry<'a>(
     driver: &Driver,
     pool: &'a str,
-    part: PartId,
+    candidate: CrashCandidate,
     record: &QuarantineRecord,
 ) -> Result<Entry<'a>, time::error::Format> {
     let age = driver.now().saturating_sub(record.since);
     let since = OffsetDateTime::from(SystemTime::now() - age);
     Ok(Entry {
         pool,
-        part: format!("{part:x}"),
+        id: candidate.into(),
         state: record.state.into(),
         since: since.format(&Rfc3339)?,
         reason: record.reason.into(),
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -342,5 +342,6 @@
     ConnectionsTimedOut,
     CrashesSeen,
     PartsQuarantined,
+    DigestsQuarantined,
     RequestsQuarantined,
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -11,7 +11,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, EndpointsDelta, LimitReport, LoadReport, PartId, PeerMessage,
+    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LimitReport, LoadReport, PeerMessage,
     QuarantineAction, RequestDigest, Tuning,
 };
 
@@ -60,10 +60,10 @@
         from: SocketAddr,
         message: PeerMessage,
     },
-    /// An operator puts a prompt part into quarantine, or lifts that.
+    /// An operator puts a candidate into quarantine, or lifts that.
     Quarantine {
         pool: PoolId,
-        part: PartId,
+        candidate: CrashCandidate,
         action: QuarantineAction,
     },
     /// The settings of the decisions have changed.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -19,9 +19,9 @@
 use crate::quarantine;
 use crate::request::Requests;
 use crate::{
-    Backlog, CallerAttempt, Catalog, CrashWatch, Decision, DecisionKind, Effect, Endpoints, Event,
-    Group, Heartbeat, Judge, Limiter, Mechanism, Observation, Observations, Origins, PeerMessage,
-    Peers, PermitAnswer, PermitId, Quarantine, Scheduled, Scheduler, Tuning,
+    Backlog, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, DecisionKind, Effect,
+    Endpoints, Event, Group, Heartbeat, Limiter, Mechanism, Observation, Observations, Origins,
+    PeerMessage, Peers, PermitAnswer, PermitId, Quarantine, Scheduled, Scheduler, Tuning,
 };
 
 /// Lateness of a pass from which on this process stood still, so that it heard no endpoint.
@@ -82,7 +82,7 @@
                 limiter: Limiter::new(),
                 quarantine: Quarantine::new(),
                 crash_watch: CrashWatch::default(),
-                judge: Judge::new(),
+                collector: CrashCollector::new(),
                 is_leaving: false,
             },
             batcher: Batcher::new(),
@@ -147,8 +147,8 @@
             Event::Peer { from, message } => {
                 updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
-            Event::Quarantine { pool, part, action } => {
-                quarantine::exchange::on_operator(cx, &pool, part, action);
+            Event::Quarantine { pool, candidate, action } => {
+                quarantine::exchange::on_operator(cx, &pool, candidate, action);
             }
             Event::Retune(tuning) => cx.ctx.tuning = *tuning,
             Event::Shutdown => {
@@ -174,7 +174,7 @@
             self.ctx.endpoints.next_wake(),
             self.ctx.limiter.next_wake(),
             self.ctx.crash_watch.next_wake(),
-            self.ctx.judge.next_wake(),
+            self.ctx.collector.next_wake(),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
@@ -208,7 +208,7 @@
         self.ctx.catalog.config()
     }
 
-    /// Returns the prompt parts in quarantine, and those that were lifted.
+    /// Returns what is in quarantine, and what was lifted.
     pub fn quarantine(&self) -> &Quarantine {
         &self.ctx.quarantine
     }
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -147,8 +147,8 @@
         }
         PeerMessage::Quarantine(notices) => quarantine::exchange::on_notices(cx, &notices),
         PeerMessage::CrashReport(report) => quarantine::exchange::on_report(cx, *report),
-        PeerMessage::Accusation(it) => quarantine::exchange::on_accusation(cx, &it),
-        PeerMessage::Objection(it) => quarantine::exchange::on_objection(cx, &it),
+        PeerMessage::CrashInquiry(it) => quarantine::exchange::on_inquiry(cx, &it),
+        PeerMessage::CounterEvidence(it) => quarantine::exchange::on_evidence(cx, &it),
     }
 }
 
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -49,9 +49,9 @@
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
 pub use quarantine::{
-    Accusation, CrashReport, CrashWatch, Crashed, Exposure, Judge, Objection, PartId, Quarantine,
-    QuarantineAction, QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineState,
-    Timing,
+    CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport, CrashWatch,
+    Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineNotice, QuarantineReason,
+    QuarantineRecord, QuarantineState, workspace_digest,
 };
 pub use retry_budget::RetryBudget;
 pub use schedule::{
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -17,9 +17,9 @@
 use crate::batch::{JobKey, JobOutcome};
 use crate::overload::OverloadDetector;
 use crate::{
-    CallId, CallerAttempt, Catalog, CrashWatch, Decision, Effect, Endpoints, EndpointsDelta, Group,
-    Judge, Limiter, Mechanism, Metric, Observations, Origins, Peers, PermitAnswer, PermitId,
-    Quarantine, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
+    CallId, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, Effect, Endpoints,
+    EndpointsDelta, Group, Limiter, Mechanism, Metric, Observations, Origins, Peers, PermitAnswer,
+    PermitId, Quarantine, RequestHead, RetryBudget, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -70,11 +70,11 @@
     pub(crate) last_permit: PermitId,
     /// Permits that this instance grants.
     pub limiter: Limiter,
-    /// Prompt parts that are not sent to their pool.
+    /// What is not sent to its pool.
     pub quarantine: Quarantine,
     pub crash_watch: CrashWatch,
-    /// Crashes of the pools of which this instance is a judge.
-    pub judge: Judge,
+    /// Crashes of the pools of which this instance is a collector.
+    pub collector: CrashCollector,
     /// Whether the shutdown has started.
     pub is_leaving: bool,
 }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -11,8 +11,8 @@
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    Accusation, CallerAttempt, CrashReport, Group, ItemInput, JobKey, JobOutcome, LimitNotice,
-    Objection, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
+    CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, Group, ItemInput, JobKey,
+    JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
     ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
@@ -159,14 +159,14 @@
         /// Instances that were alive lately, as far as it knows.
         n_instances: u32,
     },
-    /// Reports the quarantine of prompt parts.
+    /// Reports what is in quarantine.
     Quarantine(Vec<QuarantineNotice>),
-    /// Reports a crash to a judge of its pool.
+    /// Reports a crash to a collector of its pool.
     CrashReport(Box<CrashReport>),
-    /// Asks what speaks for parts that are about to be quarantined.
-    Accusation(Box<Accusation>),
+    /// Asks what speaks against the attribution of crashes.
+    CrashInquiry(Box<CrashInquiry>),
     /// Answers that.
-    Objection(Box<Objection>),
+    CounterEvidence(Box<CounterEvidence>),
 }
 
 /// Asks which build began a stream that a request continues.
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -1,14 +1,15 @@
-//! Prompt parts that crash the endpoints of a pool, whose requests are no longer sent there.
+//! Requests, and prompt parts, that crash the endpoints of a pool and are no longer sent there.
 //!
-//! [`CrashWatch`] notices crashes at each instance, a [`Judge`] compares those of all instances,
-//! and [`Quarantine`] is what each instance knows of the result. docs/design/platform.md has the
-//! reasons.
+//! [`CrashWatch`] notices crashes at each instance, a [`CrashCollector`] attributes those of all
+//! instances, and [`Quarantine`] is what each instance knows of the result.
+//! docs/design/platform.md has the reasons.
 
 mod arrivals;
+mod candidate;
+mod collector;
+mod evidence;
 pub mod exchange;
-mod judge;
 mod message;
-mod suspect;
 mod watch;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -18,17 +19,13 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::PromptPart;
-
-pub use judge::Judge;
+pub use candidate::{CrashCandidate, PartId, workspace_digest};
+pub use collector::CrashCollector;
 pub use message::{
-    Accusation, CrashReport, Crashed, Exposure, Objection, QuarantineNotice, Timing,
+    CounterEvidence, CrashInquiry, CrashReport, Crashed, Exposure, QuarantineNotice,
 };
 pub use watch::{CallTrace, CrashWatch};
 
-/// Identifier of a prompt part.
-pub type PartId = u64;
-
 /// Largest number of records; the oldest that were lifted go first.
 const MAX_RECORDS: usize = 256;
 /// Time without any request after which a quarantine ends.
@@ -39,12 +36,12 @@
 const MAX_NOTICES: usize = 32;
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What all instances agree on: the parts in quarantine, and those that were lifted.
+/// What all instances agree on: what is in quarantine, and what was lifted.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    pools: SortedMap<PoolId, SortedMap<PartId, QuarantineRecord>>,
-    /// Parts whose requests in progress are still to be ended.
-    fresh: Vec<(PoolId, PartId)>,
+    pools: SortedMap<PoolId, SortedMap<CrashCandidate, QuarantineRecord>>,
+    /// Candidates whose requests in progress are still to be ended.
+    fresh: Vec<(PoolId, CrashCandidate)>,
     next_sync: Moment,
     /// Number of the next record that a peer is sent whose records differ.
     cursor: usize,
@@ -59,7 +56,7 @@
     /// Rises with each change; the newest record counts.
     pub version: u32,
     pub since: Moment,
-    /// When a request with the part was last refused, as far as known here.
+    /// When a request was last refused for it, as far as known here.
     pub last_refused: Moment,
     /// What peers were told of that.
     told_refused: Moment,
@@ -91,13 +88,13 @@
 pub enum QuarantineReason {
     Crashes,
     Operator,
-    /// No request came with the part for long; one crash is enough to convict it again.
+    /// No request came for long; one crash is enough for another quarantine.
     Expired,
-    /// Another part explains all its crashes.
+    /// Another candidate explains all its crashes.
     Explained,
 }
 
-/// What an operator does with a part.
+/// What an operator does with a candidate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum QuarantineAction {
@@ -110,40 +107,42 @@
         Quarantine::default()
     }
 
-    /// Returns all records with their pool and part.
-    pub fn iter(&self) -> impl Iterator<Item = (&PoolId, PartId, &QuarantineRecord)> {
+    /// Returns all records with their pool and candidate.
+    pub fn iter(&self) -> impl Iterator<Item = (&PoolId, CrashCandidate, &QuarantineRecord)> {
         let records = self.pools.iter();
-        records.flat_map(|(pool, parts)| parts.iter().map(move |(id, it)| (pool, *id, it)))
+        records.flat_map(|(pool, known)| known.iter().map(move |(id, it)| (pool, *id, it)))
     }
 
-    pub fn get(&self, pool: &str, part: PartId) -> Option<&QuarantineRecord> {
-        self.pools.get(pool)?.get(&part)
+    pub fn get(&self, pool: &str, candidate: CrashCandidate) -> Option<&QuarantineRecord> {
+        self.pools.get(pool)?.get(&candidate)
     }
 
-    pub fn is_quarantined(&self, pool: &str, part: PartId) -> bool {
-        self.get(pool, part).is_some_and(|it| it.state == QuarantineState::Quarantined)
+    pub fn is_quarantined(&self, pool: &str, candidate: CrashCandidate) -> bool {
+        self.get(pool, candidate).is_some_and(|it| it.state == QuarantineState::Quarantined)
     }
 
-    /// Returns the first part of a prompt that is in quarantine. The last part belongs to the request
-    /// itself, so that no quarantine of it could protect anything.
-    pub fn find(&self, pool: &str, prompt: &[PromptPart]) -> Option<PartId> {
-        let parts = self.pools.get(pool)?;
-        let (_, shared) = prompt.split_last()?;
-        let is_quarantined = |it: &&PromptPart| {
-            parts.get(&it.id).is_some_and(|it| it.state == QuarantineState::Quarantined)
+    /// Returns the first of some candidates that is in quarantine.
+    pub fn find(
+        &self,
+        pool: &str,
+        candidates: impl IntoIterator<Item = CrashCandidate>,
+    ) -> Option<CrashCandidate> {
+        let records = self.pools.get(pool)?;
+        let is_quarantined = |it: &CrashCandidate| {
+            records.get(it).is_some_and(|it| it.state == QuarantineState::Quarantined)
         };
-        shared.iter().find(is_quarantined).map(|it| it.id)
+        candidates.into_iter().find(is_quarantined)
     }
 
-    /// Changes the state of a part; returns the notice for peers, none if nothing changes.
+    /// Changes the state of a candidate; returns the notice for peers, none if nothing changes.
     pub fn set(
         &mut self,
         now: Moment,
-        (pool, part): (&str, PartId),
+        (pool, candidate): (&str, CrashCandidate),
         state: QuarantineState,
         reason: QuarantineReason,
     ) -> Option<QuarantineNotice> {
-        let before = self.get(pool, part);
+        let before = self.get(pool, candidate);
         if before.map_or(QuarantineState::Lifted, |it| it.state) == state {
             return None;
         }
@@ -157,16 +156,16 @@
             last_refused,
             told_refused: last_refused,
         };
-        let notice = notice(now, pool, part, &record);
-        self.insert(pool, part, record);
+        let notice = notice(now, pool, candidate, &record);
+        self.insert(pool, candidate, record);
         Some(notice)
     }
 
     /// Applies what a peer knows; returns whether it is new.
     pub fn merge(&mut self, now: Moment, notice: &QuarantineNotice) -> bool {
-        let QuarantineNotice { pool, part, state, reason, version, age, idle } = notice;
+        let QuarantineNotice { pool, candidate, state, reason, version, age, idle } = notice;
         let last_refused = now.saturating_sub(*idle);
-        if let Some(before) = self.pools.get_mut(pool).and_then(|it| it.get_mut(part)) {
+        if let Some(before) = self.pools.get_mut(pool).and_then(|it| it.get_mut(candidate)) {
             before.last_refused = before.last_refused.max(last_refused);
             before.told_refused = before.told_refused.max(last_refused);
             if (*version, *state) <= (before.version, before.state) {
@@ -181,7 +180,7 @@
             last_refused,
             told_refused: last_refused,
         };
-        self.insert(pool, *part, record);
+        self.insert(pool, *candidate, record);
         true
     }
 
@@ -190,18 +189,18 @@
         &mut self,
         now: Moment,
         pool: &str,
-        part: PartId,
+        candidate: CrashCandidate,
     ) -> Option<QuarantineNotice> {
-        let record = self.pools.get_mut(pool)?.get_mut(&part)?;
+        let record = self.pools.get_mut(pool)?.get_mut(&candidate)?;
         record.last_refused = now;
         if now < record.told_refused + IDLE_NOTICE {
             return None;
         }
         record.told_refused = now;
-        Some(notice(now, pool, part, record))
+        Some(notice(now, pool, candidate, record))
     }
 
-    /// Ends the quarantine of parts with which no request came for a day. Each instance does so by
+    /// Ends the quarantine of candidates for which no request came for a day. Each instance does so by
     /// itself, with the same result.
     pub fn expire(&mut self, now: Moment) -> Vec<QuarantineNotice> {
         if now < self.next_expiry {
@@ -212,9 +211,9 @@
             it.state == QuarantineState::Quarantined && it.last_refused + MAX_IDLE <= now
         };
         let idle = self.iter().filter(|it| is_idle(it.2));
-        let idle: Vec<(PoolId, PartId)> = idle.map(|it| (it.0.clone(), it.1)).collect();
-        let lift = |(pool, part): (PoolId, PartId)| {
-            self.set(now, (&pool, part), QuarantineState::Lifted, QuarantineReason::Expired)
+        let idle: Vec<(PoolId, CrashCandidate)> = idle.map(|it| (it.0.clone(), it.1)).collect();
+        let lift = |(pool, candidate): (PoolId, CrashCandidate)| {
+            self.set(now, (&pool, candidate), QuarantineState::Lifted, QuarantineReason::Expired)
         };
         idle.into_iter().filter_map(lift).collect()
     }
@@ -225,9 +224,9 @@
     }
 
     fn hash_records(&self) -> u64 {
-        let hash = |(pool, part, record): (&PoolId, PartId, &QuarantineRecord)| {
+        let hash = |(pool, candidate, record): (&PoolId, CrashCandidate, &QuarantineRecord)| {
             let mut hasher = DefaultHasher::new();
-            (pool, part, record.version, record.state).hash(&mut hasher);
+            (pool, candidate, record.version, record.state).hash(&mut hasher);
             hasher.finish()
         };
         self.iter().map(hash).fold(0, |all, it| all ^ it)
@@ -245,35 +244,40 @@
         self.cursor = first + MAX_NOTICES;
         let records = self.iter().chain(self.iter()).skip(first);
         let records = records.take(n_records.min(MAX_NOTICES));
-        records.map(|(pool, part, it)| notice(now, pool, part, it)).collect()
+        records.map(|(pool, candidate, it)| notice(now, pool, candidate, it)).collect()
     }
 
-    /// Returns the parts that have come into quarantine since the last call.
-    pub fn take_fresh(&mut self) -> Vec<(PoolId, PartId)> {
+    /// Returns the candidates that have come into quarantine since the last call.
+    pub fn take_fresh(&mut self) -> Vec<(PoolId, CrashCandidate)> {
         std::mem::take(&mut self.fresh)
     }
 
-    fn insert(&mut self, pool: &str, part: PartId, record: QuarantineRecord) {
+    fn insert(&mut self, pool: &str, candidate: CrashCandidate, record: QuarantineRecord) {
         if record.state == QuarantineState::Quarantined {
-            self.fresh.push((pool.to_owned(), part));
+            self.fresh.push((pool.to_owned(), candidate));
         }
-        let parts = self.pools.get_or_insert_with(pool.to_owned(), SortedMap::new);
-        parts.insert(part, record);
+        let records = self.pools.get_or_insert_with(pool.to_owned(), SortedMap::new);
+        records.insert(candidate, record);
         if MAX_RECORDS < self.iter().count() {
             let oldest = self.iter().min_by_key(|it| (it.2.state, it.2.since));
-            let Some((pool, part)) = oldest.map(|it| (it.0.clone(), it.1)) else { return };
-            if let Some(parts) = self.pools.get_mut(&pool) {
-                parts.remove(&part);
+            let Some((pool, candidate)) = oldest.map(|it| (it.0.clone(), it.1)) else { return };
+            if let Some(records) = self.pools.get_mut(&pool) {
+                records.remove(&candidate);
             }
         }
         self.digest = self.hash_records();
     }
 }
 
-fn notice(now: Moment, pool: &str, part: PartId, record: &QuarantineRecord) -> QuarantineNotice {
+fn notice(
+    now: Moment,
+    pool: &str,
+    candidate: CrashCandidate,
+    record: &QuarantineRecord,
+) -> QuarantineNotice {
     QuarantineNotice {
         pool: pool.to_owned(),
-        part,
+        candidate,
         state: record.state,
         reason: record.reason,
         version: record.version,
--- /dev/null
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -0,0 +1,108 @@
+//! What speaks for the attribution of crashes to one candidate, and whether it is enough.
+
+use super::{CrashCandidate, Exposure};
+
+/// Incidents in a row, without a sound answer between them, that are enough for a request as a whole.
+const MIN_FOR_REQUEST: usize = 3;
+/// The same for a part: many sound requests may share one, so that a wrong attribution costs more.
+const MIN_FOR_PART: usize = 5;
+/// Requests that must have had a part; one request by itself is a candidate of its own.
+const MIN_REQUESTS: usize = 3;
+/// Highest probability that endpoints which fail for other reasons hit a candidate so often.
+const MAX_CHANCE: f64 = 1e-5;
+
+/// What a candidate may count on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    Quarantined,
+    /// It was in quarantine until no request came for long.
+    Expired,
+    Free,
+}
+
+/// The calls of a pool since its first crash that counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PoolCalls {
+    /// Calls that crashes have broken off.
+    pub n_broken: usize,
+    /// Sound answers, over all instances, as far as known.
+    pub n_sound: f64,
+}
+
+/// The crashes of a pool that one candidate may explain, since its last sound answer.
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
+    incidents: Count,
+    crashes: Count,
+    /// Calls that these crashes have broken off.
+    n_broken: usize,
+    /// Short hashes of the requests that had it.
+    requests: Vec<u32>,
+    /// Its last place in a prompt.
+    pub place: u8,
+}
+
+/// Counts what comes in the order of its numbers, each once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Count {
+    n: usize,
+    last: Option<usize>,
+}
+
+impl Count {
+    fn add(&mut self, number: usize) {
+        if self.last != Some(number) {
+            (self.n, self.last) = (self.n + 1, Some(number));
+        }
+    }
+}
+
+impl Evidence {
+    /// Adds a crash that has broken off `n_broken` calls.
+    pub fn add(&mut self, crash: usize, incident: usize, n_broken: usize, exposure: &Exposure) {
+        if self.crashes.last != Some(crash) {
+            self.n_broken += n_broken;
+        }
+        self.crashes.add(crash);
+        self.incidents.add(incident);
+        if self.requests.len() < MIN_REQUESTS && !self.requests.contains(&exposure.request) {
+            self.requests.push(exposure.request);
+        }
+        self.place = self.place.max(exposure.place);
+    }
+
+    pub fn n_incidents(&self) -> usize {
+        self.incidents.n
+    }
+
+    /// Whether it is enough to attribute the crashes to a candidate; `was_sound` says whether any
+    /// instance knows of a sound answer to it.
+    pub fn is_enough(
+        &self,
+        candidate: CrashCandidate,
+        standing: Standing,
+        was_sound: bool,
+        pool: PoolCalls,
+    ) -> bool {
+        // Kills at once hit several runs of what many requests have, but that has been sound.
+        let n = if was_sound { self.incidents.n } else { self.crashes.n };
+        let (n, n_needed) = match (standing, candidate) {
+            (Standing::Quarantined, _) => return false,
+            (Standing::Expired, _) => (self.incidents.n, 1),
+            (Standing::Free, CrashCandidate::Request(_)) => (n, MIN_FOR_REQUEST),
+            (Standing::Free, CrashCandidate::Part(_)) if self.requests.len() < MIN_REQUESTS => {
+                return false;
+            }
+            (Standing::Free, CrashCandidate::Part(_)) => (n, MIN_FOR_PART),
+        };
+        let is_unlikely = || self.chance(pool).powi(n as i32) <= MAX_CHANCE;
+        n_needed <= n && (standing == Standing::Expired || is_unlikely())
+    }
+
+    /// Returns the fraction of the calls that are broken off by crashes which this candidate does not
+    /// explain.
+    fn chance(&self, pool: PoolCalls) -> f64 {
+        let n_others = pool.n_broken.saturating_sub(self.n_broken) as f64;
+        n_others / (pool.n_broken as f64 + pool.n_sound).max(1.0)
+    }
+}
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -5,86 +5,97 @@
 
 use ferry_model::PoolId;
 
-use super::judge::Verdict;
-use super::suspect::PartNeed;
+use super::collector::Finding;
+use super::evidence::Standing;
 use super::{
-    Accusation, CrashReport, Objection, PartId, QuarantineAction, QuarantineNotice,
-    QuarantineReason, QuarantineState,
+    CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Quarantine, QuarantineAction,
+    QuarantineNotice, QuarantineReason, QuarantineState,
 };
 use crate::pass::{Context, Pass};
 use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage};
 
-/// Judges of a pool, so that one may die.
-const N_JUDGES: usize = 2;
-/// Peers that are told of a change or an accusation; each of them tells as many others.
-const N_TOLD: usize = 8;
-/// Hash input that separates the choice of judges from other roles.
-const JUDGES_KEY: &str = "judges";
+/// Collectors of a pool, so that one may fail and messages may be lost.
+const N_COLLECTORS: usize = 3;
+/// Peers that receive a change or an inquiry; each of them passes it on to as many others.
+const FANOUT: usize = 8;
+/// Hash input that separates the choice of collectors from other roles.
+const COLLECTORS_KEY: &str = "crash collectors";
 
-/// Reports crashes that are certain by now, judges, and ends what has lasted for long enough.
+/// Reports crashes that are certain by now, attributes them, and ends what has lasted for long enough.
 pub fn tick(cx: &mut Pass<'_>) {
     watch_entries(cx);
     for report in cx.ctx.crash_watch.due(cx.now) {
         send_report(cx, report);
     }
-    let Context { judge, quarantine, .. } = &mut *cx.ctx;
-    for (pool, verdict) in judge.tick(cx.now, |pool, part| need(quarantine, pool, part)) {
-        apply(cx, pool, verdict);
+    let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
+    for evidence in cx.ctx.crash_watch.take_retractions() {
+        retract(cx, &evidence);
+    }
+    let Context { collector, quarantine, crash_watch, .. } = &mut *cx.ctx;
+    let findings = collector.tick(
+        cx.now,
+        |pool| crash_watch.sound_rate(cx.now, pool) * n_instances as f64,
+        |pool, candidate| standing(quarantine, pool, candidate),
+    );
+    for (pool, finding) in findings {
+        apply(cx, pool, finding);
     }
     for notice in cx.ctx.quarantine.expire(cx.now) {
-        spread(cx, &notice, "no request came with it for a day");
+        spread(cx, &notice, "no request came for it for a day");
     }
 }
 
-/// Records a report, if this instance is a judge of its pool.
+/// Records a report, if this instance knows its pool.
 pub fn on_report(cx: &mut Pass<'_>, report: CrashReport) {
-    let judges = judges(cx, &report.pool);
-    let rank = judges.iter().position(Option::is_none).unwrap_or(N_JUDGES - 1);
-    let Context { judge, quarantine, catalog, .. } = &mut *cx.ctx;
+    let collectors = collectors(cx, &report.pool);
+    let rank = collectors.iter().position(Option::is_none).unwrap_or(N_COLLECTORS - 1);
+    let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
+    let Context { collector, quarantine, catalog, crash_watch, .. } = &mut *cx.ctx;
     let pool = report.pool.clone();
     if catalog.has_pool(&pool) {
-        judge.on_report(cx.now, report, rank, |part| need(quarantine, &pool, part));
+        let sound_rate = crash_watch.sound_rate(cx.now, &pool) * n_instances as f64;
+        collector.on_report(cx.now, report, rank, sound_rate, |it| standing(quarantine, &pool, it));
     }
 }
 
-/// Tells the judge what speaks for the accused, and tells other instances of the accusation.
-pub fn on_accusation(cx: &mut Pass<'_>, accusation: &Accusation) {
-    if !cx.ctx.crash_watch.is_new_accusation(accusation.id) {
+/// Tells the collector what speaks against an attribution, and passes the inquiry on.
+pub fn on_inquiry(cx: &mut Pass<'_>, inquiry: &CrashInquiry) {
+    if !cx.ctx.crash_watch.is_new_inquiry(inquiry.id) {
         return;
     }
-    cx.ctx.crash_watch.on_crashes(cx.now, &accusation.crashes);
-    if let Some(objection) = cx.ctx.crash_watch.objection(cx.now, accusation) {
-        let Objection { sound, alive, .. } = &objection;
+    cx.ctx.crash_watch.on_crashes(cx.now, &inquiry.crashes);
+    if let Some(evidence) = cx.ctx.crash_watch.counter_evidence(cx.now, inquiry) {
+        let CounterEvidence { sound, alive, .. } = &evidence;
         log(
             cx,
-            &accusation.pool,
+            &inquiry.pool,
             format!(
-                "objects: {} of {} parts were sound, {} of {} endpoints are alive",
+                "{} of {} candidates were sound, {} of {} endpoints are alive",
                 sound.len(),
-                accusation.parts.len(),
+                inquiry.candidates.len(),
                 alive.len(),
-                accusation.crashes.len()
+                inquiry.crashes.len()
             ),
         );
-        if accusation.judge == cx.ctx.identity.peer {
-            on_objection(cx, &objection);
+        if inquiry.collector == cx.ctx.identity.peer {
+            on_evidence(cx, &evidence);
         } else {
-            // It is sent twice, as nothing else would speak for the part if it got lost.
+            // It is sent twice, as nothing else would speak for a sound candidate if it got lost.
             for _ in 0..2 {
-                let message = PeerMessage::Objection(Box::new(objection.clone()));
-                cx.effects.push(Effect::Send { to: accusation.judge, message });
+                let message = PeerMessage::CounterEvidence(Box::new(evidence.clone()));
+                cx.effects.push(Effect::Send { to: inquiry.collector, message });
             }
         }
     }
-    let key = (accusation.id, &cx.ctx.identity.instance);
-    for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, N_TOLD) {
-        let message = PeerMessage::Accusation(Box::new(accusation.clone()));
+    let key = (inquiry.id, &cx.ctx.identity.instance);
+    for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, FANOUT) {
+        let message = PeerMessage::CrashInquiry(Box::new(inquiry.clone()));
         cx.effects.push(Effect::Send { to, message });
     }
 }
 
-pub fn on_objection(cx: &mut Pass<'_>, objection: &Objection) {
-    cx.ctx.judge.on_objection(cx.now, objection);
+pub fn on_evidence(cx: &mut Pass<'_>, evidence: &CounterEvidence) {
+    cx.ctx.collector.on_evidence(cx.now, evidence);
 }
 
 /// Applies what a peer knows of the quarantine, and tells other peers what is new.
@@ -103,7 +114,7 @@
     }
 }
 
-/// Tells a peer which parts are in quarantine.
+/// Tells a peer what is in quarantine.
 pub fn introduce(cx: &mut Pass<'_>, to: SocketAddr) {
     let notices = cx.ctx.quarantine.sync(cx.now);
     if !notices.is_empty() {
@@ -113,18 +124,23 @@
 }
 
 /// Does what an operator asks for.
-pub fn on_operator(cx: &mut Pass<'_>, pool: &str, part: PartId, action: QuarantineAction) {
+pub fn on_operator(
+    cx: &mut Pass<'_>,
+    pool: &str,
+    candidate: CrashCandidate,
+    action: QuarantineAction,
+) {
     let state = match action {
         QuarantineAction::Set => QuarantineState::Quarantined,
         QuarantineAction::Lift => QuarantineState::Lifted,
     };
-    change(cx, pool, part, state, QuarantineReason::Operator, "by an operator");
+    change(cx, pool, candidate, state, QuarantineReason::Operator, "by an operator");
 }
 
-/// Records that a request was refused for a part of its prompt.
-pub fn on_refused(cx: &mut Pass<'_>, pool: &str, part: PartId) {
+/// Records that a request was refused for a candidate.
+pub fn on_refused(cx: &mut Pass<'_>, pool: &str, candidate: CrashCandidate) {
     cx.count(Metric::RequestsQuarantined);
-    if let Some(notice) = cx.ctx.quarantine.on_refused(cx.now, pool, part) {
+    if let Some(notice) = cx.ctx.quarantine.on_refused(cx.now, pool, candidate) {
         tell(cx, &notice);
     }
 }
@@ -143,14 +159,14 @@
 
 fn send_report(cx: &mut Pass<'_>, report: CrashReport) {
     cx.count(Metric::CrashesSeen);
-    let n_parts = report.parts.len();
+    let names = names(report.exposures.iter().map(|it| it.candidate));
     cx.log(
-        Decision::new(DecisionKind::Quarantine, format!("crash reported with {n_parts} parts"))
+        Decision::new(DecisionKind::Quarantine, format!("crash reported with {names}"))
             .with_pool(&report.pool)
             .with_endpoint(&report.crashed.endpoint),
     );
-    for judge in judges(cx, &report.pool) {
-        match judge {
+    for collector in collectors(cx, &report.pool) {
+        match collector {
             None => on_report(cx, report.clone()),
             Some(to) => {
                 let message = PeerMessage::CrashReport(Box::new(report.clone()));
@@ -160,27 +176,47 @@
     }
 }
 
-fn apply(cx: &mut Pass<'_>, pool: PoolId, verdict: Verdict) {
-    match verdict {
-        Verdict::Accuse { parts, crashes } => {
-            let names: Vec<String> = parts.iter().map(|it| format!("{it:x}")).collect();
-            let reason = format!("accuses {} of {} crashes", names.join(","), crashes.len());
+/// Tells the collectors that endpoints are alive whose crash was reported.
+fn retract(cx: &mut Pass<'_>, evidence: &CounterEvidence) {
+    for (endpoint, _) in &evidence.alive {
+        cx.log(
+            Decision::new(DecisionKind::Quarantine, "it is alive; the report of a crash was wrong")
+                .with_pool(&evidence.pool)
+                .with_endpoint(endpoint),
+        );
+    }
+    for collector in collectors(cx, &evidence.pool) {
+        match collector {
+            None => on_evidence(cx, evidence),
+            Some(to) => {
+                let message = PeerMessage::CounterEvidence(Box::new(evidence.clone()));
+                cx.effects.push(Effect::Send { to, message });
+            }
+        }
+    }
+}
+
+fn apply(cx: &mut Pass<'_>, pool: PoolId, finding: Finding) {
+    match finding {
+        Finding::Inquire { candidates, crashes } => {
+            let names = names(candidates.iter().copied());
+            let reason = format!("asks about {names} for {} crashes", crashes.len());
             log(cx, &pool, reason);
             let mut hasher = DefaultHasher::new();
             let Context { identity, .. } = &*cx.ctx;
             (&identity.instance, identity.incarnation, cx.now, &pool).hash(&mut hasher);
-            let (id, judge) = (hasher.finish(), identity.peer);
-            on_accusation(cx, &Accusation { id, judge, pool, parts, crashes });
+            let (id, collector) = (hasher.finish(), identity.peer);
+            on_inquiry(cx, &CrashInquiry { id, collector, pool, candidates, crashes });
         }
-        Verdict::Convict { part, n_crashes } => {
+        Finding::Quarantine { candidate, n_crashes } => {
             let why = format!("it explains {n_crashes} crashes");
             let state = QuarantineState::Quarantined;
-            change(cx, &pool, part, state, QuarantineReason::Crashes, &why);
+            change(cx, &pool, candidate, state, QuarantineReason::Crashes, &why);
         }
-        Verdict::Lift { part } => {
+        Finding::Lift { candidate } => {
             let why = "a later one explains its crashes";
             let state = QuarantineState::Lifted;
-            change(cx, &pool, part, state, QuarantineReason::Explained, why);
+            change(cx, &pool, candidate, state, QuarantineReason::Explained, why);
         }
     }
 }
@@ -188,46 +224,61 @@
 fn change(
     cx: &mut Pass<'_>,
     pool: &str,
-    part: PartId,
+    candidate: CrashCandidate,
     state: QuarantineState,
     reason: QuarantineReason,
     why: &str,
 ) {
-    if let Some(notice) = cx.ctx.quarantine.set(cx.now, (pool, part), state, reason) {
+    if let Some(notice) = cx.ctx.quarantine.set(cx.now, (pool, candidate), state, reason) {
         spread(cx, &notice, why);
     }
 }
 
 /// Logs a change and tells peers.
 fn spread(cx: &mut Pass<'_>, notice: &QuarantineNotice, why: &str) {
-    let QuarantineNotice { pool, part, state, reason, .. } = notice;
-    log(cx, pool, format!("part {part:x} is {state} ({reason}): {why}"));
-    match state {
-        QuarantineState::Quarantined => cx.count(Metric::PartsQuarantined),
-        QuarantineState::Lifted => cx.ctx.judge.on_lifted(pool, *part),
+    let QuarantineNotice { pool, candidate, state, reason, .. } = notice;
+    log(cx, pool, format!("{candidate} is {state} ({reason}): {why}"));
+    match (state, candidate) {
+        (QuarantineState::Quarantined, CrashCandidate::Part(_)) => {
+            cx.count(Metric::PartsQuarantined);
+        }
+        (QuarantineState::Quarantined, CrashCandidate::Request(_)) => {
+            cx.count(Metric::DigestsQuarantined);
+        }
+        (QuarantineState::Lifted, _) => cx.ctx.collector.on_lifted(pool, *candidate),
     }
     tell(cx, notice);
 }
 
 fn tell(cx: &mut Pass<'_>, notice: &QuarantineNotice) {
-    let key = (notice.part, notice.version, &cx.ctx.identity.instance);
-    for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, N_TOLD) {
+    let key = (notice.candidate, notice.version, &cx.ctx.identity.instance);
+    for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, FANOUT) {
         let message = PeerMessage::Quarantine(vec![notice.clone()]);
         cx.effects.push(Effect::Send { to, message });
     }
 }
 
-/// Returns the judges of a pool; none stands for this instance.
-fn judges(cx: &Pass<'_>, pool: &str) -> Vec<Option<SocketAddr>> {
+/// Returns the collectors of a pool; none stands for this instance.
+fn collectors(cx: &Pass<'_>, pool: &str) -> Vec<Option<SocketAddr>> {
     let Context { peers, tuning, identity, .. } = &*cx.ctx;
-    peers.ranked_with(cx.now, tuning, identity, (JUDGES_KEY, pool), N_JUDGES)
+    peers.ranked_with(cx.now, tuning, identity, (COLLECTORS_KEY, pool), N_COLLECTORS)
+}
+
+fn standing(quarantine: &Quarantine, pool: &str, candidate: CrashCandidate) -> Standing {
+    match quarantine.get(pool, candidate).map(|it| (it.state, it.reason)) {
+        Some((QuarantineState::Quarantined, _)) => Standing::Quarantined,
+        Some((QuarantineState::Lifted, QuarantineReason::Expired)) => Standing::Expired,
+        Some((QuarantineState::Lifted, _)) | None => Standing::Free,
+    }
 }
 
-fn need(quarantine: &super::Quarantine, pool: &str, part: PartId) -> PartNeed {
-    match quarantine.get(pool, part).map(|it| (it.state, it.reason)) {
-        Some((QuarantineState::Quarantined, _)) => PartNeed::Known,
-        Some((QuarantineState::Lifted, QuarantineReason::Expired)) => PartNeed::Once,
-        Some((QuarantineState::Lifted, _)) | None => PartNeed::Several,
+/// Returns the names of candidates for a log line.
+fn names(candidates: impl Iterator<Item = CrashCandidate>) -> String {
+    let mut names: Vec<String> = candidates.map(|it| it.to_string()).collect();
+    names.dedup();
+    match names.is_empty() {
+        true => "no candidate".to_owned(),
+        false => names.join(", "),
     }
 }
 
--- a/crates/ferry-serve/src/quarantine/message.rs
+++ b/crates/ferry-serve/src/quarantine/message.rs
@@ -6,19 +6,19 @@
 use ferry_model::{EndpointId, PoolId};
 use serde::{Deserialize, Serialize};
 
-use super::{PartId, QuarantineReason, QuarantineState};
+use super::{CrashCandidate, QuarantineReason, QuarantineState};
 
 /// A record of the quarantine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QuarantineNotice {
     pub pool: PoolId,
-    pub part: PartId,
+    pub candidate: CrashCandidate,
     pub state: QuarantineState,
     pub reason: QuarantineReason,
     pub version: u32,
     /// Time since the state changed.
     pub age: Duration,
-    /// Time since a request with the part was last refused.
+    /// Time since a request was last refused for it.
     pub idle: Duration,
 }
 
@@ -31,54 +31,42 @@
     pub age: Duration,
 }
 
-/// Tells a judge which parts an endpoint held when it crashed.
+/// Tells a collector what an endpoint ran when it crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     pub pool: PoolId,
     pub crashed: Crashed,
-    /// Parts that may have caused it, newest first.
-    pub parts: Vec<Exposure>,
+    /// What may have caused it, the likeliest first.
+    pub exposures: Vec<Exposure>,
 }
 
-/// A part that an endpoint held when it crashed.
+/// A candidate that an endpoint ran when it crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exposure {
-    pub part: PartId,
-    /// Hash of the attempt that had it.
-    pub attempt: u32,
+    pub candidate: CrashCandidate,
+    /// Short hash of the request that had it.
+    pub request: u32,
     /// Its place in the prompt.
     pub place: u8,
-    pub timing: Timing,
 }
 
-/// Asks all instances what they know in favour of parts that are about to be quarantined.
+/// Asks all instances for evidence against the attribution of crashes to these candidates.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Accusation {
+pub struct CrashInquiry {
     pub id: u64,
-    /// Where objections go.
-    pub judge: SocketAddr,
+    /// Where evidence goes.
+    pub collector: SocketAddr,
     pub pool: PoolId,
-    pub parts: Vec<PartId>,
+    pub candidates: Vec<CrashCandidate>,
     pub crashes: Vec<Crashed>,
 }
 
-/// What an instance knows in favour of accused parts.
+/// What an instance knows against an attribution.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Objection {
+pub struct CounterEvidence {
     pub pool: PoolId,
-    /// Time since the last answer on each part began that was sound.
-    pub sound: Vec<(PartId, Duration)>,
-    /// Endpoints that were heard of after their supposed crash.
+    /// Time since the last sound answer to each candidate.
+    pub sound: Vec<(CrashCandidate, Duration)>,
+    /// Endpoints that were heard after their supposed crash.
     pub alive: Vec<(EndpointId, u64)>,
 }
-
-/// What happened to a call so shortly before the crash as when its part causes one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Timing {
-    /// It was sent, and has not begun.
-    Sent,
-    /// Its endpoint had begun to write.
-    Begun,
-    /// None of these.
-    Other,
-}
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -1,34 +1,45 @@
 //! What one instance notices: breaks that may be crashes, and sound answers.
 
-use std::cmp::Reverse;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
-use super::{Accusation, CrashReport, Crashed, Exposure, Objection, PartId, Timing};
+use super::{
+    CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Crashed, Exposure, PartId,
+};
+use crate::RequestDigest;
 
 /// Silence of an endpoint after a break that makes it a crash.
 const SILENCE: Duration = Duration::from_millis(150);
-/// Time after the beginning of an answer by which its endpoint would have crashed.
-const SOUND_AFTER: Duration = Duration::from_millis(300);
 /// Time for which an end of a connection that may be a crash is kept.
 const END_TTL: Duration = Duration::from_secs(5);
-/// Time after a call was sent, or its endpoint began to write, in which a part crashes the endpoint.
-const MIN_CRASH_TIME: Duration = Duration::from_millis(30);
-const MAX_CRASH_TIME: Duration = Duration::from_millis(150);
-const MAX_PARTS: usize = 32;
-/// Attempts that are told of each part.
-const MAX_ATTEMPTS: usize = 2;
+/// Candidates of one report; the rest of the calls is dropped.
+const MAX_EXPOSURES: usize = 48;
+/// Requests that are named for each candidate.
+const MAX_REQUESTS: usize = 2;
 const MAX_ENDS: usize = 256;
-const MAX_SOUND: usize = 2_048;
+const MAX_SOUND_PARTS: usize = 2_048;
+/// Sound answers that are kept, the newest ones.
+const MAX_SOUND_REQUESTS: usize = 16_384;
 const MAX_ENDPOINTS: usize = 2_048;
 const MAX_REPORTED: usize = 512;
-const MAX_ACCUSATIONS: usize = 64;
-/// Reported crashes with a part that make it suspect.
+const MAX_INQUIRIES: usize = 64;
+/// Calls that broke off with their endpoint; further ones are not kept.
+const MAX_CALLS: usize = 64;
+/// Reported crashes with a candidate that make it suspect.
 const N_SUSPECT: u8 = 2;
-/// Reports per second, and at once.
-const REPORT_RATE: f64 = 3.0;
-const MAX_REPORTS: f64 = 6.0;
+/// Bytes of reports per second, and at once, to each collector.
+const REPORT_RATE: f64 = 700.0;
+const MAX_REPORTED_BYTES: f64 = 1_900.0;
+/// Approximate bytes of a report, and of each exposure.
+const REPORT_SIZE: usize = 40;
+const EXPOSURE_SIZE: usize = 22;
+/// Time after which a sound answer counts little in the rate of them.
+const RATE_TIME: Duration = Duration::from_secs(10);
+/// Reported crashes that are retracted if their endpoint is heard again, and for how long.
+const MAX_RETRACTABLE: usize = 64;
+const RETRACTABLE_TIME: Duration = Duration::from_secs(30);
 
 /// What is known of one call.
 #[derive(Debug, Clone)]
@@ -37,38 +48,43 @@
     pub endpoint: EndpointId,
     /// Which start of the endpoint it is.
     pub started: u64,
-    /// Parts that others may share.
-    pub parts: Vec<Exposure>,
-    pub sent_at: Moment,
-    /// When its endpoint began to write.
-    pub began_at: Option<Moment>,
+    /// What may crash the endpoint.
+    pub exposures: Vec<Exposure>,
 }
 
-impl CallTrace {
-    /// Returns whether its timing at a crash is that of a call that causes one.
-    fn timing(&self, crashed: Moment) -> Timing {
-        let took = crashed.saturating_sub(self.began_at.unwrap_or(self.sent_at));
-        match self.began_at {
-            _ if !(MIN_CRASH_TIME..=MAX_CRASH_TIME).contains(&took) => Timing::Other,
-            Some(_) => Timing::Begun,
-            None => Timing::Sent,
-        }
-    }
+/// Breaks at one endpoint that may be its crash.
+#[derive(Debug, Clone)]
+struct Breaks {
+    pool: PoolId,
+    started: u64,
+    last: Moment,
+    calls: Vec<CallTrace>,
+}
+
+/// Sound answers of one pool.
+#[derive(Debug, Clone, Default)]
+struct SoundAnswers {
+    /// When the last answer to each part was sound.
+    parts: SortedMap<PartId, Moment>,
+    /// Their number, in which older ones count less, at the moment of the last one.
+    n_recent: f64,
+    last: Moment,
+}
 
-    /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
-    pub fn is_sound(&self, now: Moment) -> bool {
-        self.began_at.is_some_and(|it| it + SOUND_AFTER <= now)
+impl SoundAnswers {
+    fn n_recent(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.last).as_secs_f64();
+        self.n_recent * (-age / RATE_TIME.as_secs_f64()).exp()
     }
 }
 
-/// Breaks at one endpoint that may be its crash.
+/// A crash that this instance has reported.
 #[derive(Debug, Clone)]
-struct Breaks {
+struct Reported {
     pool: PoolId,
+    endpoint: EndpointId,
     started: u64,
-    last: Moment,
-    /// Calls that may have caused it, and when each broke off.
-    calls: Vec<(Moment, CallTrace)>,
+    at: Moment,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -78,13 +94,18 @@
     ends: Vec<(Moment, CallTrace)>,
     /// Last sign of life of each endpoint, and which start of it gave it.
     heard: SortedMap<EndpointId, (u64, Moment)>,
-    /// When the last sound answer on each part began.
-    sound: SortedMap<PoolId, SortedMap<PartId, Moment>>,
-    /// Number of crashes that this instance reported for each part.
-    reported: SortedMap<PartId, (u8, Moment)>,
-    /// Accusations that this instance has passed on.
-    accusations: Vec<u64>,
-    n_reports: f64,
+    sound: SortedMap<PoolId, SoundAnswers>,
+    /// Requests with a sound answer, in the order of their ends.
+    sound_requests: VecDeque<(Moment, RequestDigest)>,
+    /// Number of crashes that this instance reported for each candidate since its last sound answer.
+    reported: SortedMap<CrashCandidate, (u8, Moment)>,
+    /// Crashes that may turn out to be none.
+    retractable: Vec<Reported>,
+    retractions: Vec<CounterEvidence>,
+    /// Inquiries that this instance has passed on.
+    inquiries: Vec<u64>,
+    /// Bytes of reports that count against the limit.
+    n_bytes: f64,
     last_report: Moment,
 }
 
@@ -100,6 +121,7 @@
                 self.heard.insert(endpoint.clone(), (started, now));
             }
         }
+        self.retract(endpoint, started);
         if self.ends.is_empty() {
             return;
         }
@@ -110,35 +132,50 @@
             std::mem::take(&mut self.ends).into_iter().partition(|it| is_proven(it.0, &it.1));
         self.ends = open;
         for (at, trace) in proven {
-            self.on_sound(trace.began_at.unwrap_or(at), &trace);
+            self.on_sound(at, &trace);
         }
     }
 
-    /// Records an answer that is sound, which began at `at`.
+    /// Records an answer that was whole at `at`, so that none of its candidates crashes endpoints.
     pub fn on_sound(&mut self, at: Moment, trace: &CallTrace) {
-        let parts = self.sound.get_or_insert_with(trace.pool.clone(), SortedMap::new);
-        for exposure in &trace.parts {
-            let last = parts.get_or_insert_with(exposure.part, || at);
-            *last = at.max(*last);
-            self.reported.remove(&exposure.part);
+        let sound = self.sound.get_or_insert_with(trace.pool.clone(), SoundAnswers::default);
+        sound.n_recent = sound.n_recent(at) + 1.0;
+        sound.last = at.max(sound.last);
+        for exposure in &trace.exposures {
+            match exposure.candidate {
+                CrashCandidate::Part(part) => {
+                    let last = sound.parts.get_or_insert_with(part, || at);
+                    *last = at.max(*last);
+                }
+                CrashCandidate::Request(digest) => {
+                    self.sound_requests.push_back((at, digest));
+                }
+            }
+            if !self.reported.is_empty() {
+                self.reported.remove(&exposure.candidate);
+            }
         }
-        while MAX_SOUND < parts.len() {
-            let Some(oldest) = parts.iter().min_by_key(|it| it.1).map(|it| *it.0) else { break };
-            parts.remove(&oldest);
+        while MAX_SOUND_PARTS < sound.parts.len() {
+            let oldest = sound.parts.iter().min_by_key(|it| it.1).map(|it| *it.0);
+            let Some(oldest) = oldest else { break };
+            sound.parts.remove(&oldest);
+        }
+        while MAX_SOUND_REQUESTS < self.sound_requests.len() {
+            self.sound_requests.pop_front();
         }
     }
 
     /// Records a call that broke off.
-    pub fn on_broken(&mut self, now: Moment, trace: &CallTrace) {
-        let CallTrace { pool, endpoint, started, .. } = trace;
+    pub fn on_broken(&mut self, now: Moment, trace: CallTrace) {
+        let CallTrace { pool, endpoint, started, .. } = &trace;
         let new = || Breaks { pool: pool.clone(), started: *started, last: now, calls: Vec::new() };
         let breaks = self.breaks.get_or_insert_with(endpoint.clone(), new);
         if breaks.started != *started {
             *breaks = new();
         }
         breaks.last = now;
-        if !trace.is_sound(now) {
-            breaks.calls.push((now, trace.clone()));
+        if breaks.calls.len() < MAX_CALLS {
+            breaks.calls.push(trace);
         }
     }
 
@@ -163,7 +200,7 @@
         self.ends = open;
         for (at, trace) in gone {
             if now < at + END_TTL && !is_alive(at, &trace) {
-                self.on_broken(at, &trace);
+                self.on_broken(at, trace);
             }
         }
     }
@@ -182,27 +219,38 @@
     }
 
     pub fn next_wake(&self) -> Option<Moment> {
-        self.breaks.values().map(|it| it.last + SILENCE).min()
+        let retraction = (!self.retractions.is_empty()).then_some(Moment::ZERO);
+        self.breaks.values().map(|it| it.last + SILENCE).chain(retraction).min()
+    }
+
+    /// Returns the sound answers per second of a pool at this instance.
+    pub fn sound_rate(&self, now: Moment, pool: &str) -> f64 {
+        self.sound.get(pool).map_or(0.0, |it| it.n_recent(now)) / RATE_TIME.as_secs_f64()
     }
 
-    /// Whether crashes make a part suspect, as far as this instance knows.
-    pub fn is_suspect(&self, part: PartId) -> bool {
-        self.reported.get(&part).is_some_and(|it| N_SUSPECT <= it.0)
+    /// Returns the endpoints that were heard again after their crash was reported.
+    pub fn take_retractions(&mut self) -> Vec<CounterEvidence> {
+        std::mem::take(&mut self.retractions)
     }
 
-    /// Whether an accusation is new here.
-    pub fn is_new_accusation(&mut self, id: u64) -> bool {
-        let is_new = !self.accusations.contains(&id);
+    /// Whether crashes make a candidate suspect, as far as this instance knows.
+    pub fn is_suspect(&self, candidate: CrashCandidate) -> bool {
+        self.reported.get(&candidate).is_some_and(|it| N_SUSPECT <= it.0)
+    }
+
+    /// Whether an inquiry is new here.
+    pub fn is_new_inquiry(&mut self, id: u64) -> bool {
+        let is_new = !self.inquiries.contains(&id);
         if is_new {
-            if MAX_ACCUSATIONS <= self.accusations.len() {
-                self.accusations.remove(0);
+            if MAX_INQUIRIES <= self.inquiries.len() {
+                self.inquiries.remove(0);
             }
-            self.accusations.push(id);
+            self.inquiries.push(id);
         }
         is_new
     }
 
-    /// Learns from an accusation that endpoints have crashed at which calls had just ended with their
+    /// Learns from an inquiry that endpoints have crashed at which calls had just ended with their
     /// connection.
     pub fn on_crashes(&mut self, now: Moment, crashes: &[Crashed]) {
         for crashed in crashes {
@@ -219,12 +267,11 @@
         }
     }
 
-    /// Returns what this instance knows in favour of the accused, if anything.
-    pub fn objection(&self, now: Moment, accusation: &Accusation) -> Option<Objection> {
-        let sound = self.sound.get(&accusation.pool);
-        let sound_age = |part: &PartId| {
-            let at = sound?.get(part)?;
-            Some((*part, now.saturating_sub(*at)))
+    /// Returns what this instance knows against an attribution, if anything.
+    pub fn counter_evidence(&self, now: Moment, inquiry: &CrashInquiry) -> Option<CounterEvidence> {
+        let sound_age = |candidate: &CrashCandidate| {
+            let at = self.last_sound(&inquiry.pool, *candidate)?;
+            Some((*candidate, now.saturating_sub(at)))
         };
         let is_alive = |it: &&Crashed| {
             let at = now.saturating_sub(it.age);
@@ -232,13 +279,31 @@
                 .get(&it.endpoint)
                 .is_some_and(|(started, last)| *started == it.started && at + SILENCE < *last)
         };
-        let alive = accusation.crashes.iter().filter(is_alive);
-        let objection = Objection {
-            pool: accusation.pool.clone(),
-            sound: accusation.parts.iter().filter_map(sound_age).collect(),
+        let alive = inquiry.crashes.iter().filter(is_alive);
+        let evidence = CounterEvidence {
+            pool: inquiry.pool.clone(),
+            sound: inquiry.candidates.iter().filter_map(sound_age).collect(),
             alive: alive.map(|it| (it.endpoint.clone(), it.started)).collect(),
         };
-        (!objection.sound.is_empty() || !objection.alive.is_empty()).then_some(objection)
+        (!evidence.sound.is_empty() || !evidence.alive.is_empty()).then_some(evidence)
+    }
+
+    fn last_sound(&self, pool: &str, candidate: CrashCandidate) -> Option<Moment> {
+        match candidate {
+            CrashCandidate::Part(part) => self.sound.get(pool)?.parts.get(&part).copied(),
+            CrashCandidate::Request(digest) => {
+                self.sound_requests.iter().rev().find(|it| it.1 == digest).map(|it| it.0)
+            }
+        }
+    }
+
+    fn retract(&mut self, endpoint: &str, started: u64) {
+        let is_alive = |it: &Reported| it.endpoint == endpoint && it.started == started;
+        if let Some(idx) = self.retractable.iter().position(is_alive) {
+            let Reported { pool, endpoint, started, .. } = self.retractable.remove(idx);
+            let alive = vec![(endpoint, started)];
+            self.retractions.push(CounterEvidence { pool, sound: Vec::new(), alive });
+        }
     }
 
     fn report(&mut self, now: Moment, endpoint: EndpointId) -> Option<CrashReport> {
@@ -250,55 +315,65 @@
         for (at, trace) in &self.ends {
             let is_near = *at < last + SILENCE && last < *at + SILENCE;
             if trace.endpoint == endpoint && trace.started == started && is_near {
-                calls.push((*at, trace.clone()));
+                calls.push(trace.clone());
             }
         }
         self.ends.retain(|it| it.1.endpoint != endpoint || last + SILENCE < it.0);
-        let parts = newest_parts(calls);
-        let refilled = (now - self.last_report).as_secs_f64() * REPORT_RATE;
-        self.n_reports = (self.n_reports - refilled).max(0.0);
-        self.last_report = now;
-        if parts.is_empty() || MAX_REPORTS < self.n_reports + 1.0 {
+        let exposures = self.exposures(&pool, &calls);
+        if exposures.is_empty() || !self.try_spend(now, exposures.len()) {
             return None;
         }
-        self.n_reports += 1.0;
-        let mut ids: Vec<PartId> = parts.iter().map(|it| it.part).collect();
-        ids.sort_unstable();
-        ids.dedup();
-        for part in ids {
-            let entry = self.reported.get_or_insert_with(part, || (0, now));
-            *entry = (entry.0.saturating_add(1), now);
-        }
-        while MAX_REPORTED < self.reported.len() {
-            let Some(part) = self.reported.iter().min_by_key(|it| *it.1).map(|it| *it.0) else {
-                break;
-            };
-            self.reported.remove(&part);
+        self.count_reported(now, &exposures);
+        self.retractable.retain(|it| now < it.at + RETRACTABLE_TIME);
+        if self.retractable.len() < MAX_RETRACTABLE {
+            let (pool, endpoint) = (pool.clone(), endpoint.clone());
+            self.retractable.push(Reported { pool, endpoint, started, at: last });
         }
         let crashed = Crashed { endpoint, started, age: now.saturating_sub(last) };
-        Some(CrashReport { pool, crashed, parts })
+        Some(CrashReport { pool, crashed, exposures })
     }
-}
 
-/// Returns the parts of the calls that may have caused a crash: those with the timing of one that does
-/// come first, then those of the calls that began to write last, then those of calls that have not
-/// begun.
-fn newest_parts(mut calls: Vec<(Moment, CallTrace)>) -> Vec<Exposure> {
-    calls.sort_by_key(|(at, it)| (it.timing(*at) == Timing::Other, Reverse(it.began_at)));
-    let mut parts: Vec<Exposure> = Vec::new();
-    let exposures = calls.iter().flat_map(|(at, it)| {
-        let timing = it.timing(*at);
-        it.parts.iter().map(move |it| Exposure { timing, ..*it })
-    });
-    for exposure in exposures {
-        let known = parts.iter().filter(|it| it.part == exposure.part);
-        let is_needed = match known.clone().count() {
-            0 => true,
-            n => n < MAX_ATTEMPTS && known.clone().all(|it| it.attempt != exposure.attempt),
-        };
-        if is_needed && parts.len() < MAX_PARTS {
-            parts.push(exposure);
+    /// Whether a report stays within the bytes that reports may take.
+    fn try_spend(&mut self, now: Moment, n_exposures: usize) -> bool {
+        let refilled = (now - self.last_report).as_secs_f64() * REPORT_RATE;
+        self.last_report = now;
+        self.n_bytes = (self.n_bytes - refilled).max(0.0);
+        let n_bytes = self.n_bytes + (REPORT_SIZE + n_exposures * EXPOSURE_SIZE) as f64;
+        let is_allowed = n_bytes <= MAX_REPORTED_BYTES;
+        if is_allowed {
+            self.n_bytes = n_bytes;
+        }
+        is_allowed
+    }
+
+    /// Returns the candidates of calls that broke off together: those that were never sound first, then
+    /// those that were not for longest.
+    fn exposures(&self, pool: &str, calls: &[CallTrace]) -> Vec<Exposure> {
+        let mut ranked: Vec<(Option<Moment>, Exposure)> = Vec::new();
+        for exposure in calls.iter().flat_map(|it| &it.exposures) {
+            let known = || ranked.iter().filter(|it| it.1.candidate == exposure.candidate);
+            let is_known = known().any(|it| it.1.request == exposure.request);
+            if !is_known && known().count() < MAX_REQUESTS {
+                ranked.push((self.last_sound(pool, exposure.candidate), *exposure));
+            }
+        }
+        ranked.sort_by_key(|it| it.0);
+        ranked.truncate(MAX_EXPOSURES);
+        ranked.into_iter().map(|it| it.1).collect()
+    }
+
+    fn count_reported(&mut self, now: Moment, exposures: &[Exposure]) {
+        let mut candidates: Vec<CrashCandidate> = exposures.iter().map(|it| it.candidate).collect();
+        candidates.sort_unstable();
+        candidates.dedup();
+        for candidate in candidates {
+            let entry = self.reported.get_or_insert_with(candidate, || (0, now));
+            *entry = (entry.0.saturating_add(1), now);
+        }
+        while MAX_REPORTED < self.reported.len() {
+            let oldest = self.reported.iter().min_by_key(|it| it.1.1).map(|it| *it.0);
+            let Some(oldest) = oldest else { break };
+            self.reported.remove(&oldest);
         }
     }
-    parts
 }
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -209,8 +209,8 @@
         self.active.values_mut().for_each(|it| it.excuse_silence(now, time));
     }
 
-    /// Ends the requests with parts that have just come into quarantine: those that wait, and those
-    /// whose endpoint has not begun to write.
+    /// Ends the requests that have just come into quarantine: those that wait, and those whose endpoint
+    /// has not begun to write.
     pub fn enforce_quarantine(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         if cx.ctx.quarantine.take_fresh().is_empty() {
             return;
@@ -219,10 +219,10 @@
         let tickets: Vec<Ticket> = early.map(|it| *it.0).collect();
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
-            match end::quarantined_part(cx, &request) {
-                Some(part) => {
+            match end::quarantined(cx, &request) {
+                Some(candidate) => {
                     self.forget(&request);
-                    end::end_quarantined(cx, batcher, &mut request, part);
+                    end::end_quarantined(cx, batcher, &mut request, candidate);
                 }
                 None => {
                     self.active.insert(ticket, request);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -51,6 +51,8 @@
     pub tried: Vec<EndpointId>,
     /// Number of ended calls that may have run it.
     pub n_runs: u32,
+    /// Number of calls that broke off.
+    pub n_breaks: u32,
     /// Number of endpoints that answered that they had not run it.
     pub n_refusals: u32,
     /// Number of times that limiters had no permit for it.
@@ -138,10 +140,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
-    /// When its endpoint began to write.
-    pub began_at: Option<Moment>,
-    /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
-    pub is_sound: bool,
+    /// Whether its endpoint has begun to write.
+    pub has_begun: bool,
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
@@ -187,7 +187,7 @@
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current),
         };
-        self.silent.iter().chain(current).any(|it| it.began_at.is_some())
+        self.silent.iter().chain(current).any(|it| it.has_begun)
     }
 
     /// Returns the calls in progress.
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use blake3::Hasher;
 use ferry_model::{Moment, RouteKind};
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
@@ -13,8 +12,8 @@
 use crate::catalog::{Rejection, ResolvedRequest};
 use crate::pass::{Pass, RouteComparison};
 use crate::{
-    Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, RequestDigest, Status,
-    groups,
+    Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, Status, groups,
+    workspace_digest,
 };
 
 /// Returns the request if it is accepted; otherwise it has been answered.
@@ -40,10 +39,10 @@
         return None;
     }
     if request.route.kind == RouteKind::Stream {
-        cx.ctx.judge.on_arrival(now, &request.pool, &request.head.prompt);
+        cx.ctx.collector.on_arrival(now, &request.pool, &request.head.prompt);
     }
-    if let Some(part) = end::quarantined_part(cx, &request) {
-        end::refuse_quarantined(cx, &request, part);
+    if let Some(candidate) = end::quarantined(cx, &request) {
+        end::refuse_quarantined(cx, &request, candidate);
         return None;
     }
     if let Some((hint, reason)) = refusal_reason(cx, batcher, &request) {
@@ -68,18 +67,6 @@
     Some(request)
 }
 
-/// Returns the digest of a request and its workspace, whichever of its keys the request has.
-fn workspace_digest(workspace: Option<&str>, digest: RequestDigest) -> RequestDigest {
-    let mut hasher = Hasher::new();
-    hasher.update(&digest.to_le_bytes());
-    if let Some(workspace) = workspace {
-        hasher.update(workspace.as_bytes());
-    }
-    let mut digest = [0; size_of::<RequestDigest>()];
-    hasher.finalize_xof().fill(&mut digest);
-    RequestDigest::from_le_bytes(digest)
-}
-
 fn reject(cx: &mut Pass<'_>, arrival: &Arrival, rejection: Rejection) {
     let (status, reason) = match rejection {
         Rejection::Unconfigured => (Status::NotRun, "no configuration is known yet"),
@@ -128,6 +115,7 @@
         scheduled_by: None,
         tried: Vec::new(),
         n_runs: 0,
+        n_breaks: 0,
         n_refusals: 0,
         n_denials: 0,
         n_restarts: 0,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -31,8 +31,8 @@
     request: &mut ActiveRequest,
     choice: Option<Choice>,
 ) -> bool {
-    if let Some(part) = end::quarantined_part(cx, request) {
-        end::end_quarantined(cx, batcher, request, part);
+    if let Some(candidate) = end::quarantined(cx, request) {
+        end::end_quarantined(cx, batcher, request, candidate);
         return true;
     }
     let mut next = choice;
@@ -84,8 +84,7 @@
         endpoint: choice.endpoint.clone(),
         build,
         started,
-        began_at: None,
-        is_sound: false,
+        has_begun: false,
         sent_at: cx.now,
         last_heard: cx.now,
         checked_at: Moment::ZERO,
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -1,13 +1,14 @@
 //! What the events of a call tell about crashes of its endpoint.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use super::active::{ActiveCall, ActiveRequest, Phase};
 use crate::pass::Pass;
-use crate::quarantine::{CallTrace, Timing};
-use crate::{CallEvent, Exposure, Framing, NotRunReason};
+use crate::quarantine::CallTrace;
+use crate::{CallEvent, CrashCandidate, Exposure, Framing, NotRunReason};
+
+/// Runs of a request that broke off, after which it is not run again.
+const MAX_BREAKS: u32 = 2;
 
-/// Records what an event of a call tells about its endpoint and the parts of its prompt.
+/// Records what an event of a call tells about its endpoint and what that ran.
 pub fn observe(
     cx: &mut Pass<'_>,
     request: &mut ActiveRequest,
@@ -24,68 +25,58 @@
         CallEvent::NotRun { .. } | CallEvent::Blocked => watch.on_heard(now, endpoint, *started),
         CallEvent::Began { .. } | CallEvent::Progress { .. } => {
             watch.on_heard(now, endpoint, *started);
-            on_written(cx, request, current);
+            if let Phase::Calling(current) = &mut request.phase {
+                current.has_begun = true;
+            }
         }
         CallEvent::Answer { is_error, .. } => {
             watch.on_heard(now, endpoint, *started);
             if !is_error {
-                watch.on_sound(current.sent_at, &trace(request, current));
+                watch.on_sound(now, &trace(request, current));
             }
         }
-        CallEvent::Ended(end) if !end.is_complete() => {
-            watch.on_broken(now, &trace(request, current));
-        }
+        CallEvent::Ended(end) if !end.is_complete() => on_broken(cx, request, current),
         CallEvent::Ended(end) => match end.framing {
             Framing::Length | Framing::Chunked => {
                 watch.on_heard(now, endpoint, *started);
-                let began = current.began_at.unwrap_or(current.sent_at);
-                watch.on_sound(began, &trace(request, current));
+                watch.on_sound(now, &trace(request, current));
             }
             Framing::Connection => watch.on_connection_end(now, trace(request, current)),
         },
-        CallEvent::Broken { .. } => watch.on_broken(now, &trace(request, current)),
+        CallEvent::Broken { .. } => on_broken(cx, request, current),
     }
 }
 
-/// Whether endpoints have crashed on a part of a request so often that it is not sent again.
-pub fn is_suspect(cx: &Pass<'_>, request: &ActiveRequest) -> bool {
+/// Returns what may crash the endpoints of a request: the request itself, and the parts of its prompt
+/// without the last one, which no other request has.
+pub fn candidates(request: &ActiveRequest) -> impl Iterator<Item = CrashCandidate> {
     let shared = request.head.prompt.split_last().map_or(&[][..], |it| it.1);
-    shared.iter().any(|it| cx.ctx.crash_watch.is_suspect(it.id))
+    let parts = shared.iter().map(|it| CrashCandidate::Part(it.id));
+    [CrashCandidate::Request(request.digest)].into_iter().chain(parts)
 }
 
-fn on_written(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
-    let mut trace = match current.is_sound {
-        true => return,
-        false => trace(request, current),
-    };
-    let began_at = *trace.began_at.get_or_insert(cx.now);
-    let is_sound = trace.is_sound(cx.now);
-    if is_sound {
-        cx.ctx.crash_watch.on_sound(began_at, &trace);
-    }
-    if let Phase::Calling(current) = &mut request.phase {
-        current.began_at = Some(began_at);
-        current.is_sound = is_sound;
-    }
+/// Whether endpoints have crashed on a request, or on a part of its prompt, so often that it is not sent
+/// again.
+pub fn is_suspect(cx: &Pass<'_>, request: &ActiveRequest) -> bool {
+    MAX_BREAKS <= request.n_breaks
+        || candidates(request).any(|it| cx.ctx.crash_watch.is_suspect(it))
+}
+
+fn on_broken(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
+    request.n_breaks += 1;
+    cx.ctx.crash_watch.on_broken(cx.now, trace(request, current));
 }
 
 fn trace(request: &ActiveRequest, current: &ActiveCall) -> CallTrace {
-    let shared = request.head.prompt.split_last().map_or(&[][..], |it| it.1);
-    let mut hasher = DefaultHasher::new();
-    request.head.attempt.hash(&mut hasher);
-    let attempt = hasher.finish() as u32;
-    let exposure = |(idx, it): (usize, &crate::PromptPart)| Exposure {
-        part: it.id,
-        attempt,
+    let exposure = |(idx, candidate): (usize, CrashCandidate)| Exposure {
+        candidate,
+        request: request.digest as u32,
         place: idx.min(usize::from(u8::MAX)) as u8,
-        timing: Timing::Other,
     };
     CallTrace {
         pool: request.pool.clone(),
         endpoint: current.endpoint.clone(),
         started: current.started,
-        parts: shared.iter().enumerate().map(exposure).collect(),
-        sent_at: current.sent_at,
-        began_at: current.began_at,
+        exposures: candidates(request).enumerate().map(exposure).collect(),
     }
 }
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -4,55 +4,61 @@
 
 use super::active::{ActiveRequest, Phase};
 use super::call::{final_status, leave_endpoint};
-use super::{permit, schedule, silent, stages};
+use super::{crash, permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::quarantine;
 use crate::{
-    Decision, DecisionKind, Effect, Metric, PartId, Refusal, ScheduleProgress, Status, StreamEnd,
+    CrashCandidate, Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status,
+    StreamEnd,
 };
 
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
-const QUARANTINED: &str = "a part of its prompt crashes endpoints";
-
-/// Returns the part in quarantine for which a request may not be sent to an endpoint, if any.
-pub fn quarantined_part(cx: &Pass<'_>, request: &ActiveRequest) -> Option<PartId> {
-    cx.ctx.quarantine.find(&request.pool, &request.head.prompt)
+/// Returns the candidate in quarantine for which a request may not be sent to an endpoint, if any.
+pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<CrashCandidate> {
+    cx.ctx.quarantine.find(&request.pool, crash::candidates(request))
 }
 
-/// Refuses a new request with a part in quarantine.
-pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
-    note_quarantined(cx, request, part);
-    refuse(cx, request, Status::NotRun, RetryHint::Never, QUARANTINED);
+/// Refuses a new request that is in quarantine.
+pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
+    note_quarantined(cx, request, candidate);
+    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(candidate));
 }
 
-/// Ends a request with a part in quarantine before it is sent to an endpoint, or before that begins
-/// to write.
+/// Ends a request that is in quarantine before it is sent to an endpoint, or before that begins to
+/// write.
 pub fn end_quarantined(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
-    part: PartId,
+    candidate: CrashCandidate,
 ) {
-    note_quarantined(cx, request, part);
+    note_quarantined(cx, request, candidate);
     if stop_call(cx, request) {
         request.n_runs += 1;
     }
-    give_up(cx, batcher, request, RetryHint::Never, QUARANTINED);
+    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(candidate));
 }
 
-fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
-    quarantine::exchange::on_refused(cx, &request.pool, part);
-    let reason = format!("refused for its part {part:x}");
+fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
+    quarantine::exchange::on_refused(cx, &request.pool, candidate);
     cx.log(
-        Decision::new(DecisionKind::Quarantine, reason)
+        Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}"))
             .with_attempt(&request.head.attempt)
+            .with_digest(request.digest)
             .with_pool(&request.pool),
     );
 }
 
+fn refusal_reason(candidate: CrashCandidate) -> &'static str {
+    match candidate {
+        CrashCandidate::Part(_) => "a part of its prompt crashes endpoints",
+        CrashCandidate::Request(_) => "it crashes endpoints",
+    }
+}
+
 /// Ends a request whose complete answer was forwarded.
 pub fn complete(
     cx: &mut Pass<'_>,
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -84,7 +84,7 @@
         return end::fail(cx, batcher, request, &reason);
     }
     if crash::is_suspect(cx, request) {
-        let reason = format!("{reason}; endpoints have crashed on its parts");
+        let reason = format!("{reason}; endpoints crash on it");
         return end::fail(cx, batcher, request, &reason);
     }
     if !is_allowed || !cx.try_spend(&pool) {
--- a/crates/ferry-serve/tests/decisions/quarantine/faults.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/faults.rs
@@ -1,6 +1,6 @@
 //! Instances that die, start, are cut off or lose messages while a part crashes engines.
 
-use ferry_serve::{Framing, PeerMessage, QuarantineAction};
+use ferry_serve::{CrashCandidate, Framing, PeerMessage, QuarantineAction};
 
 use crate::quarantine::records::{operate, quarantined};
 use crate::quarantine::traffic::{CRASHING, Place, Traffic};
@@ -109,7 +109,7 @@
     sim.run_for(ms(100));
     let knows = |sim: &Simulation, it: usize| {
         let gateway = sim.instances[it].as_ref().expect("it runs");
-        gateway.quarantine().is_quarantined("engine", CRASHING)
+        gateway.quarantine().is_quarantined("engine", CrashCandidate::Part(CRASHING))
     };
     let unaware: Vec<usize> = (0..12).filter(|it| *it != 6 && !knows(&sim, *it)).collect();
     assert_eq!(unaware, [5]);
@@ -149,7 +149,7 @@
     sim.run_for(ms(100));
     let record = ferry_serve::QuarantineNotice {
         pool: "engine".to_owned(),
-        part: CRASHING,
+        candidate: CrashCandidate::Part(CRASHING),
         state: ferry_serve::QuarantineState::Quarantined,
         reason: ferry_serve::QuarantineReason::Operator,
         version: 1,
@@ -191,5 +191,5 @@
     let mut quarantine = sim.instances[0].as_ref().expect("it runs").quarantine().clone();
     assert!(quarantine.expire(sim.now + day / 2).is_empty());
     assert_eq!(quarantine.expire(sim.now + day).len(), 1);
-    assert!(!quarantine.is_quarantined("engine", 7));
+    assert!(!quarantine.is_quarantined("engine", CrashCandidate::Part(7)));
 }
--- a/crates/ferry-serve/tests/decisions/quarantine/records.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/records.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use ferry_serve::{DecisionKind, Event, QuarantineAction, QuarantineState};
+use ferry_serve::{
+    CrashCandidate, DecisionKind, Event, QuarantineAction, QuarantineState, workspace_digest,
+};
 
 use crate::simulation::{CrashCause, Simulation};
 
@@ -13,10 +15,28 @@
 pub fn quarantined(sim: &Simulation) -> Vec<CrashCause> {
     let records = sim.instances.iter().flatten().flat_map(|it| it.quarantine().iter());
     let on = records.filter(|it| it.2.state == QuarantineState::Quarantined);
-    let causes: BTreeSet<CrashCause> = on.map(|it| CrashCause::Part(it.1)).collect();
+    let causes: BTreeSet<CrashCause> = on.map(|it| cause(sim, it.1)).collect();
     causes.into_iter().collect()
 }
 
+/// Returns the candidate that stands for a cause.
+pub fn candidate(cause: CrashCause) -> CrashCandidate {
+    match cause {
+        CrashCause::Part(part) => CrashCandidate::Part(part),
+        CrashCause::Request(it) => CrashCandidate::Request(workspace_digest(Some("workspace"), it)),
+    }
+}
+
+/// Returns the cause for which a candidate stands; a request that crashes nothing has its own digest.
+fn cause(sim: &Simulation, found: CrashCandidate) -> CrashCause {
+    let known = sim.crashes.requests.iter().map(|it| CrashCause::Request(*it));
+    match (found, known.into_iter().find(|it| candidate(*it) == found)) {
+        (CrashCandidate::Part(part), _) => CrashCause::Part(part),
+        (CrashCandidate::Request(_), Some(known)) => known,
+        (CrashCandidate::Request(digest), None) => CrashCause::Request(digest),
+    }
+}
+
 /// Returns the attempts that were refused for a quarantine.
 pub fn refused(sim: &Simulation) -> BTreeSet<&str> {
     let own = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Quarantine);
@@ -46,10 +66,7 @@
     action: QuarantineAction,
 ) {
     let pool = pool.to_owned();
-    let event = match cause {
-        CrashCause::Part(part) => Event::Quarantine { pool, part, action },
-        CrashCause::Request(it) => panic!("{it:x} cannot be set: only parts can"),
-    };
+    let event = Event::Quarantine { pool, candidate: candidate(cause), action };
     sim.deliver(instance, event);
 }
 
@@ -57,5 +74,5 @@
 pub fn state_len(sim: &Simulation, instance: usize) -> usize {
     let gateway = sim.instances[instance].as_ref().expect("it runs");
     let ctx = gateway.context();
-    format!("{:?}{:?}{:?}", ctx.quarantine, ctx.crash_watch, ctx.judge).len()
+    format!("{:?}{:?}{:?}", ctx.quarantine, ctx.crash_watch, ctx.collector).len()
 }
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -325,8 +325,8 @@
         let n_bytes = match message {
             PeerMessage::Quarantine(_)
             | PeerMessage::CrashReport(_)
-            | PeerMessage::Accusation(_)
-            | PeerMessage::Objection(_) => encoded_len(message),
+            | PeerMessage::CrashInquiry(_)
+            | PeerMessage::CounterEvidence(_) => encoded_len(message),
             PeerMessage::Heartbeat(it) => encoded_len(&it.quarantine),
             _ => 0,
         };
