Keep both runs of a stream until one of them has brought an event

Cause: the head of a run counted as its answer. The call beside it was cancelled when the head arrived, and if that engine failed before its first event, both were gone, although the request had waited for the other one, which went on. Seen by callers: a stream with a head and no event that is cut, or that lasts until its deadline. Change: with two calls in progress, the head is held back until its call has an event (or a complete end); the other call is cancelled with that event, as before with the head. The head of a silent engine that comes late no longer cancels the second run either. The process asks the reducer by a Progress event before it forwards the first events of a held stream. What the events of an answer mean has moved to request/answer.rs. Ruled out: to hold back every head until its first event (callers of a single run would get it later); a new kind of event (all that observe calls would have to know it, and Progress already means that the call goes on). Conclusion: two engines may now work on a stream for as long as the second one takes from its head to its first event.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -172,8 +172,6 @@
         active.pending = Some(Pending::StreamHead(head));
     }
     driver.dispatch(Event::Call { call: call.call, event: CallEvent::Began { load } });
-    let relay = driver.calls.borrow().get(&call.call).and_then(|it| it.relay.clone());
-    let Some(relay) = relay else { return broken("no caller receives the stream") };
     let mut splitter = EventSplitter::new(call.resume);
     while let Some(frame) = body.frame().await {
         let frame = match frame {
@@ -185,16 +183,24 @@
         if MAX_EVENT < splitter.n_buffered() {
             return broken("an event is too large");
         }
-        if !events.is_empty() && !forward(driver, call, &relay, events, splitter.last_id()).await {
+        if !events.is_empty() && !forward(driver, call, events, splitter.last_id()).await {
             return broken("the caller has disconnected");
         }
     }
     let rest = splitter.finish();
-    if !rest.is_empty() && !forward(driver, call, &relay, rest, splitter.last_id()).await {
-        return broken("the caller has disconnected");
-    }
     let (n_events, partial) = (splitter.n_events(), splitter.n_buffered());
-    CallEvent::Ended(StreamEnd { framing, n_events, partial })
+    let end = StreamEnd { framing, n_events, partial };
+    if !end.is_complete() {
+        return CallEvent::Ended(end);
+    }
+    let is_received = match rest.is_empty() {
+        true => receiver(driver, call).is_some(),
+        false => forward(driver, call, rest, splitter.last_id()).await,
+    };
+    match is_received {
+        true => CallEvent::Ended(end),
+        false => broken("the caller has disconnected"),
+    }
 }
 
 /// Returns what marks the end of the body behind these headers.
@@ -208,14 +214,20 @@
     }
 }
 
+/// Returns what forwards a stream to the caller. The reducer holds back its head for as long as
+/// another call may be the first with an event.
+fn receiver(driver: &Rc<Driver>, call: &Call) -> Option<mpsc::Sender<StreamChunk>> {
+    let relay = || driver.calls.borrow().get(&call.call).and_then(|it| it.relay.clone());
+    relay().or_else(|| {
+        let event = CallEvent::Progress { last_event: call.resume };
+        driver.dispatch(Event::Call { call: call.call, event });
+        relay()
+    })
+}
+
 /// Forwards events; returns whether the caller is still connected.
-async fn forward(
-    driver: &Rc<Driver>,
-    call: &Call,
-    relay: &mpsc::Sender<StreamChunk>,
-    events: Bytes,
-    last_event: Option<u64>,
-) -> bool {
+async fn forward(driver: &Rc<Driver>, call: &Call, events: Bytes, last_event: Option<u64>) -> bool {
+    let Some(relay) = receiver(driver, call) else { return false };
     match relay.try_send(StreamChunk::Data(events)) {
         Ok(()) => (),
         Err(TrySendError::Closed(_)) => return false,
--- a/crates/ferry-gateway/tests/process/streams.rs
+++ b/crates/ferry-gateway/tests/process/streams.rs
@@ -1,5 +1,6 @@
 //! Streams that endpoints end in unusual ways.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_soak::cluster::Signal;
@@ -202,3 +203,45 @@
         assert_eq!(cluster.checker.violations(), Vec::<String>::new());
     });
 }
+
+/// Sends a stream's request, and returns everything up to the end of the connection.
+async fn read_whole(front: SocketAddr, attempt: &str) -> String {
+    let mut connection = TcpStream::connect(front).await.expect("the gateway listens");
+    let request =
+        stream(Route::Stream, attempt).replace("Content-L", "Connection: close\r\nContent-L");
+    connection.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut bytes = Vec::new();
+    let read = timeout(TIMEOUT, connection.read_to_end(&mut bytes)).await;
+    if let Err(error) = read.expect("the connection ends") {
+        bytes.extend_from_slice(error.to_string().as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+#[test]
+fn head_of_a_second_run_that_is_cut_off_ends_no_stream_of_a_silent_engine() {
+    const ATTEMPT: &str = "head-only";
+    with_cluster("head-only", 1, async |cluster| {
+        let engines = || cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+        // The head takes 2 s.
+        engines().for_each(|it| it.behaviour.set(Behaviour::Slow(50)));
+        cluster.checker.record_sent(ATTEMPT, Route::Stream, b"body");
+        let change_engines = async {
+            while cluster.checker.runs(ATTEMPT).is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let runs = cluster.checker.runs(ATTEMPT);
+            engines().for_each(|it| {
+                let is_first = runs.contains(&it.id);
+                let behaviour = if is_first { Behaviour::Healthy } else { Behaviour::HeadOnly };
+                it.behaviour.set(behaviour);
+            });
+        };
+        let response = read_whole(cluster.nodes[0].front(), ATTEMPT);
+        let (response, ()) = tokio::join!(response, change_engines);
+        assert_eq!(cluster.checker.runs(ATTEMPT).len(), 2, "{response}");
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+        assert!((1..=N_EVENTS).all(|it| has_event(&response, ATTEMPT, it)), "{response}");
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -152,7 +152,8 @@
     NotRun { reason: NotRunReason, load: Option<LoadReport> },
     /// The headers of a stream arrived and match the request.
     Began { load: Option<LoadReport> },
-    /// Complete events up to this one were forwarded.
+    /// Complete events up to this one were forwarded, or the first ones have arrived of a stream
+    /// whose head was not forwarded, which they wait for.
     Progress { last_event: Option<u64> },
     /// The caller takes no more of the stream for now.
     Blocked,
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -2,6 +2,7 @@
 
 mod active;
 mod admit;
+mod answer;
 mod arrive;
 mod call;
 mod crash;
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -39,7 +39,8 @@
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
-    /// Calls to silent endpoints, which go on until another one brings the answer.
+    /// Calls beside that of its phase, whose endpoints are or were silent. They go on until one call
+    /// brings the answer.
     pub silent: Vec<ActiveCall>,
     /// Zone of the engine that it is likely to go to, as the scheduler knows.
     pub engine_zone: Option<ZoneId>,
@@ -149,7 +150,10 @@
     pub expected: Duration,
     /// Time after which it is silent if it has not begun.
     pub patience: Duration,
+    /// Whether the head of its stream has arrived.
     pub is_streaming: bool,
+    /// Whether that head was forwarded, so that no other call may bring another one.
+    pub is_relayed: bool,
     /// Whether its caller takes no more of the stream for now, so that nothing is read from the
     /// endpoint.
     pub is_blocked: bool,
--- /dev/null
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -0,0 +1,99 @@
+//! What an endpoint's answer to a request means: forward it, hold it back, or look for a better one.
+
+use super::active::{ActiveCall, ActiveRequest, Phase};
+use super::call::{leave_endpoint, observe, pick, release_results};
+use super::{end, retry, schedule, silent};
+use crate::batch::Batcher;
+use crate::pass::Pass;
+use crate::{Effect, LoadReport, Metric, ScheduleProgress};
+
+/// Records that the head of a stream has arrived.
+pub fn on_began(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+    load: Option<LoadReport>,
+) {
+    let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
+    if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
+        let ratio = took / current.expected.as_secs_f64().max(1e-3);
+        view.record_load(cx.now, load);
+        view.record_success(ratio);
+        observe(cx, current, load, Some(ratio));
+    }
+    schedule::report(cx, request, ScheduleProgress::Began);
+    if let Phase::Calling(current) = &mut request.phase {
+        current.last_heard = cx.now;
+        current.is_streaming = true;
+    }
+    // A head that is forwarded rules out the other calls, which may still be the first with an event.
+    if request.silent.is_empty() {
+        relay_head(cx, batcher, request, current);
+    }
+}
+
+/// Forwards the head of a stream, unless that was done, so that no other call may bring the answer.
+pub fn relay_head(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+) {
+    if current.is_relayed {
+        return;
+    }
+    silent::abandon(cx, request);
+    cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
+    release_results(cx, batcher, request);
+    request.began_at.get_or_insert(cx.now);
+    if let Phase::Calling(current) = &mut request.phase {
+        current.is_relayed = true;
+    }
+}
+
+/// Handles an answer that has arrived whole; returns whether the request has ended.
+pub fn on_answer(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+    is_error: bool,
+    load: Option<LoadReport>,
+) -> bool {
+    leave_endpoint(cx, request, current);
+    request.n_runs += 1;
+    let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
+    if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
+        view.record_load(cx.now, load);
+        match is_error {
+            true => view.record_error(),
+            false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
+        }
+    }
+    if request.is_streaming() {
+        let reason = "an endpoint answered without a stream, which has begun";
+        return retry::rerun(cx, batcher, request, reason);
+    }
+    if is_error
+        && silent::fall_back(cx, batcher, request, "another endpoint answered with an error")
+    {
+        return false;
+    }
+    if is_error
+        && request.route.is_repeatable()
+        && request.may_run_again()
+        && retry::has_time(cx, request)
+    {
+        let pool = request.pool.clone();
+        if pick(cx, request).is_some() && cx.try_spend(&pool) {
+            cx.count(Metric::CallsRepeated);
+            retry::log_retry(cx, request, "endpoint answered with an error");
+            return false;
+        }
+    }
+    silent::abandon(cx, request);
+    cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
+    end::complete(cx, batcher, request, &current.endpoint, None);
+    true
+}
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -6,13 +6,13 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::permit::{self, Gate};
-use super::{crash, end, origin, retry, schedule, silent, stages};
+use super::{answer, crash, end, origin, retry, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
 use crate::{
     Call, CallEvent, CallId, Choice, Decision, DecisionKind, Effect, LoadReport, Metric,
-    Observation, PromptTokens, ScheduleProgress, Status, StreamEnd,
+    Observation, PromptTokens, ScheduleProgress, StreamEnd,
 };
 
 /// Urgency of priority zero, and the increase with each further priority.
@@ -92,6 +92,7 @@
         expected: choice.expected,
         patience: whole_prefill(cx, request).max(choice.expected) * PATIENCE_FACTOR,
         is_streaming: false,
+        is_relayed: false,
         is_blocked: false,
         fetched_at: (!request.route.stages.is_empty()).then(|| cx.now + cx.ctx.tuning.fetch_time),
     });
@@ -136,10 +137,11 @@
             retry::on_refusal(cx, batcher, request, &current, reason)
         }
         CallEvent::Began { load } => {
-            on_began(cx, batcher, request, &current, load);
+            answer::on_began(cx, batcher, request, &current, load);
             false
         }
         CallEvent::Progress { last_event } => {
+            answer::relay_head(cx, batcher, request, &current);
             request.last_event = last_event.or(request.last_event);
             origin::on_event(cx, request, &current.build);
             if let Phase::Calling(current) = &mut request.phase {
@@ -162,13 +164,14 @@
             on_broken(cx, batcher, request, &current, &error)
         }
         CallEvent::Ended(end) => {
+            answer::relay_head(cx, batcher, request, &current);
             leave_endpoint(cx, request, &current);
             cx.effects.push(Effect::Finish { ticket: request.ticket });
             end::complete(cx, batcher, request, &current.endpoint, Some(end));
             true
         }
         CallEvent::Answer { is_error, load } => {
-            on_answer(cx, batcher, request, &current, is_error, load)
+            answer::on_answer(cx, batcher, request, &current, is_error, load)
         }
         CallEvent::Broken { error } => on_broken(cx, batcher, request, &current, &error),
     }
@@ -298,91 +301,19 @@
 }
 
 /// Records the result of a call for peers.
-fn observe(cx: &mut Pass<'_>, current: &ActiveCall, load: Option<LoadReport>, ratio: Option<f64>) {
-    let endpoint = current.endpoint.clone();
-    cx.ctx.observations.record(cx.now, Observation { endpoint, load, ratio });
-}
-
-fn on_began(
+pub fn observe(
     cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
     current: &ActiveCall,
     load: Option<LoadReport>,
+    ratio: Option<f64>,
 ) {
-    let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
-    if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
-        let ratio = took / current.expected.as_secs_f64().max(1e-3);
-        view.record_load(cx.now, load);
-        view.record_success(ratio);
-        observe(cx, current, load, Some(ratio));
-    }
-    schedule::report(cx, request, ScheduleProgress::Began);
-    silent::abandon(cx, request);
-    cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
-    release_results(cx, batcher, request);
-    request.began_at.get_or_insert(cx.now);
-    if let Phase::Calling(current) = &mut request.phase {
-        current.last_heard = cx.now;
-        current.is_streaming = true;
-    }
-}
-
-fn on_answer(
-    cx: &mut Pass<'_>,
-    batcher: &mut Batcher,
-    request: &mut ActiveRequest,
-    current: &ActiveCall,
-    is_error: bool,
-    load: Option<LoadReport>,
-) -> bool {
-    leave_endpoint(cx, request, current);
-    request.n_runs += 1;
-    let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
-    if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
-        view.record_load(cx.now, load);
-        match is_error {
-            true => view.record_error(),
-            false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
-        }
-    }
-    if request.is_streaming() {
-        let reason = "an endpoint answered without a stream, which has begun";
-        return retry::rerun(cx, batcher, request, reason);
-    }
-    if is_error
-        && silent::fall_back(cx, batcher, request, "another endpoint answered with an error")
-    {
-        return false;
-    }
-    if is_error
-        && request.route.is_repeatable()
-        && request.may_run_again()
-        && retry::has_time(cx, request)
-    {
-        let pool = request.pool.clone();
-        if pick(cx, request).is_some() && cx.try_spend(&pool) {
-            cx.count(Metric::CallsRepeated);
-            retry::log_retry(cx, request, "endpoint answered with an error");
-            return false;
-        }
-    }
-    silent::abandon(cx, request);
-    cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
-    end::complete(cx, batcher, request, &current.endpoint, None);
-    true
+    let endpoint = current.endpoint.clone();
+    cx.ctx.observations.record(cx.now, Observation { endpoint, load, ratio });
 }
 
-fn release_results(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+/// Releases the results that the endpoint has read.
+pub fn release_results(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
     for idx in 0..request.stages.len() {
         stages::release(cx, batcher, request, idx);
     }
 }
-
-/// Returns the status of a request that ends without an answer of an endpoint.
-pub fn final_status(request: &ActiveRequest) -> Status {
-    match request.n_runs {
-        0 => Status::NotRun,
-        _ => Status::InDoubt,
-    }
-}
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::active::{ActiveRequest, Phase};
-use super::call::{final_status, leave_endpoint};
+use super::call::leave_endpoint;
 use super::{permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
@@ -139,6 +139,14 @@
     true
 }
 
+/// Returns the status of a request that ends without an answer of an endpoint.
+fn final_status(request: &ActiveRequest) -> Status {
+    match request.n_runs {
+        0 => Status::NotRun,
+        _ => Status::InDoubt,
+    }
+}
+
 /// Ends a request that may have run and has no answer; returns whether it has ended, as it goes on if
 /// a silent endpoint may still answer.
 pub fn fail(
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -55,9 +55,20 @@
         CallEvent::Broken { .. } => (false, true),
         CallEvent::NotRun { .. } | CallEvent::Unsent { .. } => (false, false),
     };
+    let is_head = matches!(event, CallEvent::Began { .. });
+    if let Phase::Calling(other) = &mut request.phase
+        && is_head
+    {
+        // Any of the calls may be the first with an event.
+        std::mem::swap(other, &mut request.silent[idx]);
+        schedule::report(cx, request, ScheduleProgress::Ended);
+        return true;
+    }
     if goes_on {
         go_back(cx, batcher, request, idx, "its endpoint is heard again");
-        abandon(cx, request);
+        if !is_head {
+            abandon(cx, request);
+        }
         return true;
     }
     let lost = request.silent.remove(idx);
--- a/crates/ferry-serve/tests/decisions/silence.rs
+++ b/crates/ferry-serve/tests/decisions/silence.rs
@@ -1,6 +1,7 @@
 //! Silence alone ends no answer: endpoints that fall silent and go on.
 
 mod review;
+mod second_runs;
 
 use std::time::Duration;
 
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -15,8 +15,7 @@
 
 use ferry_model::{GatewayConfig, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, RequestHead,
-    StoreUpdate, Tuning,
+    CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
@@ -260,28 +259,16 @@
         self.arm(instance);
     }
 
-    /// Sends a request to an instance and returns its ticket.
-    pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
-        self.n_tickets += 1;
-        let ticket = self.n_tickets;
-        let caller = Caller {
-            attempt: attempt.to_owned(),
-            prompt: head.prompt.clone(),
-            arrived: self.now,
-            began: None,
-        };
-        self.callers.insert((instance, ticket), caller);
-        let event = Event::Arrive(Box::new(Arrival { ticket, head }));
-        let incarnation = self.incarnations[instance];
-        self.process(QueuedEvent::Deliver { instance, incarnation, event });
-        ticket
-    }
-
     /// Delivers an event to an instance at once.
     pub fn deliver(&mut self, instance: usize, event: Event) {
-        let now = self.now;
+        self.bring_events(instance, &event);
         self.record_event(instance, &event);
         self.check_event(instance, &event);
+        self.reduce(instance, event);
+    }
+
+    fn reduce(&mut self, instance: usize, event: Event) {
+        let now = self.now;
         let Some(gateway) = &mut self.instances[instance] else { return };
         let effects = gateway.reduce(now, event);
         for effect in effects {
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -1,12 +1,29 @@
-//! What callers get.
+//! What callers send and get.
 
 use std::time::Duration;
 
-use ferry_serve::{CallId, Refusal, Status};
+use ferry_serve::{Arrival, CallId, Event, Refusal, RequestHead, Status};
 
-use super::{Ending, Outcome, Simulation};
+use super::{Caller, Ending, Outcome, QueuedEvent, Simulation};
 
 impl Simulation {
+    /// Sends a request to an instance and returns its ticket.
+    pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
+        self.n_tickets += 1;
+        let ticket = self.n_tickets;
+        let caller = Caller {
+            attempt: attempt.to_owned(),
+            prompt: head.prompt.clone(),
+            arrived: self.now,
+            began: None,
+        };
+        self.callers.insert((instance, ticket), caller);
+        let event = Event::Arrive(Box::new(Arrival { ticket, head }));
+        let incarnation = self.incarnations[instance];
+        self.process(QueuedEvent::Deliver { instance, incarnation, event });
+        ticket
+    }
+
     pub fn outcome(&self, attempt: &str) -> &Outcome {
         self.outcomes.get(attempt).unwrap_or_else(|| panic!("{attempt} has not ended"))
     }
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -29,6 +29,8 @@
     Full,
     /// Answers that the run failed.
     Failing,
+    /// Sends the head of a stream, and resets it after this time, before any event.
+    HeadOnly(Duration),
     /// Takes this many times longer.
     Slow(u32),
     /// Reads prompts one after the other, this many tokens per millisecond, and caches their parts.
@@ -186,6 +188,12 @@
                 let answer = CallEvent::Answer { is_error: true, load: None };
                 self.schedule(instance, PLAIN_TIME, event(answer));
             }
+            Behaviour::HeadOnly(time) => {
+                self.calls.insert((instance, id), 2);
+                self.schedule(instance, FIRST_EVENT, event(CallEvent::Began { load: None }));
+                let broken = CallEvent::Broken { error: "reset".to_owned() };
+                self.schedule(instance, FIRST_EVENT + time, event(broken));
+            }
             Behaviour::Healthy
             | Behaviour::Slow(_)
             | Behaviour::Reads(_)
@@ -320,7 +328,7 @@
                 let failure = BatchFailure::Broken("no answer in time".to_owned());
                 self.schedule(instance, call.timeout, batch(Err(failure)));
             }
-            Behaviour::Reset | Behaviour::Failing => {
+            Behaviour::Reset | Behaviour::Failing | Behaviour::HeadOnly(_) => {
                 let failure = BatchFailure::Broken("reset".to_owned());
                 self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
             }
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -11,6 +11,8 @@
 pub(super) struct OpenCall {
     ticket: u64,
     endpoint: String,
+    /// Last event that the caller had when it was sent.
+    resume: Option<u64>,
     /// Whether its answer is forwarded.
     is_relayed: bool,
 }
@@ -72,11 +74,29 @@
     }
 
     pub(super) fn open_call(&mut self, instance: usize, call: &Call) {
-        let open =
-            OpenCall { ticket: call.ticket, endpoint: call.endpoint.clone(), is_relayed: false };
+        let open = OpenCall {
+            ticket: call.ticket,
+            endpoint: call.endpoint.clone(),
+            resume: call.resume,
+            is_relayed: false,
+        };
         self.open_calls.insert((instance, call.call), open);
     }
 
+    /// Tells an instance that holds back the head of a stream that its events have arrived.
+    pub(super) fn bring_events(&mut self, instance: usize, event: &Event) {
+        let Event::Call { call, event } = event else { return };
+        let has_events = match event {
+            CallEvent::Progress { .. } => true,
+            CallEvent::Ended(end) => end.is_complete(),
+            _ => false,
+        };
+        let open = self.open_calls.get(&(instance, *call)).filter(|it| !it.is_relayed);
+        let Some(resume) = open.filter(|_| has_events).map(|it| it.resume) else { return };
+        let event = CallEvent::Progress { last_event: resume };
+        self.reduce(instance, Event::Call { call: *call, event });
+    }
+
     /// Checks that callers get each event once and in order, and records the end of calls.
     pub(super) fn check_event(&mut self, instance: usize, event: &Event) {
         let Event::Call { call, event } = event else { return };
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -303,6 +303,7 @@
                     Behaviour::Truncates | Behaviour::EndsInEvent { .. } if number == from + 4 => {
                         Ok(Bytes::from(event[..8].to_owned()))
                     }
+                    Behaviour::HeadOnly => Err(Disconnect),
                     Behaviour::Truncates if from + 4 < number => Err(Disconnect),
                     Behaviour::EndsInEvent { .. } if from + 4 < number => return None,
                     Behaviour::Large => Ok(Bytes::from(large_event(&event))),
@@ -335,6 +336,7 @@
             | Behaviour::Full
             | Behaviour::Failing
             | Behaviour::WrongAttempt
+            | Behaviour::HeadOnly
             | Behaviour::EndsInEvent { .. }
             | Behaviour::Unframed
             | Behaviour::Untyped
--- a/crates/ferry-soak/src/endpoint/behaviour.rs
+++ b/crates/ferry-soak/src/endpoint/behaviour.rs
@@ -14,6 +14,8 @@
     Failing,
     /// Closes the connection in the middle of a stream.
     Truncates,
+    /// Sends the head of a stream, and closes the connection before the first event.
+    HeadOnly,
     /// Ends streams inside an event, as if they were complete.
     EndsInEvent {
         is_chunked: bool,
@@ -39,6 +41,7 @@
             | Behaviour::Disconnects
             | Behaviour::Failing
             | Behaviour::Truncates
+            | Behaviour::HeadOnly
             | Behaviour::EndsInEvent { .. }
             | Behaviour::Unframed
             | Behaviour::Untyped
