Forward an endpoint's error if no other run brings a better answer

Cause: the error of a silent endpoint was dropped while a second run was in progress, that of a second run when the request went back to its silent endpoint, and any error when the request was run again. If the run that was left then was refused, found no endpoint, broke off or lasted until the deadline, nothing was left to forward. Seen by callers: 502 "no endpoint is left for it" or 504 of the gateway for a request that an endpoint has answered. Change: such an error is held back (Effect::Hold keeps the answer of a call that has ended), forwarded where the request would otherwise be refused as in doubt or expired, and dropped with the first event or answer of another call, or with its caller. The simulation checks that no answer is forwarded that the process has dropped, and that none is kept after the end of its request. Ruled out: to end the request by the first error (the other run often has a good answer, and a test keeps that); to keep every answer in the process until its request ends (nothing would drop what no one forwards). Conclusion: an answer that has arrived is only dropped for a better one. An error that comes after the head of a stream was forwarded is still dropped: it cannot follow that head.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -44,7 +44,8 @@
             finish(&driver, id, event).await;
         })
     };
-    let active = ActiveCall { task: task.abort_handle(), pending: None, relay: None };
+    let active =
+        ActiveCall { task: task.abort_handle(), pending: None, relay: None, is_held: false };
     driver.calls.borrow_mut().insert(id, active);
 }
 
@@ -53,7 +54,10 @@
     let relay = driver.calls.borrow().get(&call).and_then(|it| it.relay.clone());
     let is_complete = matches!(&event, CallEvent::Ended(end) if end.is_complete());
     driver.dispatch(Event::Call { call, event });
-    driver.calls.borrow_mut().remove(&call);
+    let is_held = driver.calls.borrow().get(&call).is_some_and(|it| it.is_held);
+    if !is_held {
+        driver.calls.borrow_mut().remove(&call);
+    }
     if let Some(relay) = relay.filter(|_| is_complete) {
         // Fails if the caller has disconnected.
         let _ = relay.send(StreamChunk::End).await;
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -77,6 +77,8 @@
     pub pending: Option<Pending>,
     /// Receives the chunks of the stream; set by [`Effect::Relay`].
     pub relay: Option<mpsc::Sender<StreamChunk>>,
+    /// Whether its answer is kept after its end; set by [`Effect::Hold`].
+    pub is_held: bool,
 }
 
 /// Phases of the process, up to its shutdown.
@@ -216,6 +218,7 @@
             Effect::Refuse { ticket, refusal } => self.refuse(ticket, refusal),
             Effect::Call(call) => calls::start(self, *call),
             Effect::Relay { call, ticket } => self.relay(call, ticket),
+            Effect::Hold { call } => self.hold(call),
             Effect::Finish { ticket } | Effect::Abort { ticket } => self.remove_caller(ticket),
             Effect::Cancel { call } => self.cancel(call),
             Effect::Batch(call) => items::start(self, *call),
@@ -251,6 +254,7 @@
                     // Fails if the caller has disconnected.
                     let _ = reply.send(Reply::Buffered(response));
                 }
+                calls.remove(&call);
             }
             Some(Pending::StreamHead(head)) => {
                 if let Some(reply) = caller.reply.take() {
@@ -264,6 +268,12 @@
         }
     }
 
+    fn hold(&self, call: CallId) {
+        if let Some(active) = self.calls.borrow_mut().get_mut(&call) {
+            active.is_held = true;
+        }
+    }
+
     fn remove_caller(&self, ticket: Ticket) {
         if let Some(caller) = self.callers.borrow_mut().remove(&ticket) {
             self.metrics.record_response(caller.since.elapsed());
--- a/crates/ferry-gateway/tests/process/robustness.rs
+++ b/crates/ferry-gateway/tests/process/robustness.rs
@@ -4,7 +4,7 @@
 
 use ferry_soak::cluster::{Cluster, Signal};
 use ferry_soak::config::Route;
-use ferry_soak::endpoint::Behaviour;
+use ferry_soak::endpoint::{Behaviour, Pool};
 use futures_util::future::join_all;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -223,3 +223,27 @@
         });
     }
 }
+
+#[test]
+fn error_of_an_endpoint_is_forwarded_if_all_others_refuse() {
+    with_cluster("held-error", 1, async |cluster| {
+        let plain = || cluster.endpoints.iter().filter(|it| it.pool == Pool::Plain);
+        plain().for_each(|it| it.behaviour.set(Behaviour::Failing));
+        cluster.checker.record_sent("held", Route::Get, b"");
+        let request = format!("{}\r\n", head("GET", &Route::Get.path(), "held"));
+        let fill_others = async {
+            while cluster.checker.runs("held").is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let runs = cluster.checker.runs("held");
+            let others = plain().filter(|it| !runs.contains(&it.id));
+            others.for_each(|it| it.behaviour.set(Behaviour::Full));
+        };
+        let response = exchange(cluster.nodes[0].front(), request.as_bytes());
+        let (response, ()) = tokio::join!(response, fill_others);
+        assert!(response.starts_with("HTTP/1.1 500"), "{response}");
+        assert!(response.contains("tarragonferry-response-seal: sealed"), "{response}");
+        assert!(response.ends_with("failed"), "{response}");
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -22,6 +22,10 @@
         call: CallId,
         ticket: Ticket,
     },
+    /// Keeps the answer of a call that has ended until it is relayed or cancelled.
+    Hold {
+        call: CallId,
+    },
     /// Ends the caller's answer as complete, as all of the stream was forwarded.
     Finish {
         ticket: Ticket,
@@ -30,7 +34,7 @@
     Abort {
         ticket: Ticket,
     },
-    /// Closes the connection of a call; later events of it are ignored.
+    /// Closes the connection of a call, and drops its answer if that is held; later events of it are ignored.
     Cancel {
         call: CallId,
     },
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -42,6 +42,8 @@
     /// Calls beside that of its phase, whose endpoints are or were silent. They go on until one call
     /// brings the answer.
     pub silent: Vec<ActiveCall>,
+    /// An error that is forwarded if no call brings a better answer.
+    pub held: Option<HeldError>,
     /// Zone of the engine that it is likely to go to, as the scheduler knows.
     pub engine_zone: Option<ZoneId>,
     /// Where the call to an engine is counted, if it is.
@@ -64,6 +66,13 @@
     pub build: StreamBuild,
 }
 
+/// An endpoint's answer that its run failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldError {
+    pub call: CallId,
+    pub endpoint: EndpointId,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamBuild {
     /// No event of the stream has arrived yet.
--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -1,11 +1,11 @@
 //! What an endpoint's answer to a request means: forward it, hold it back, or look for a better one.
 
-use super::active::{ActiveCall, ActiveRequest, Phase};
+use super::active::{ActiveCall, ActiveRequest, HeldError, Phase};
 use super::call::{leave_endpoint, observe, pick, release_results};
 use super::{end, retry, schedule, silent};
 use crate::batch::Batcher;
 use crate::pass::Pass;
-use crate::{Effect, LoadReport, Metric, ScheduleProgress};
+use crate::{Decision, DecisionKind, Effect, LoadReport, Metric, ScheduleProgress};
 
 /// Records that the head of a stream has arrived.
 pub fn on_began(
@@ -44,6 +44,7 @@
         return;
     }
     silent::abandon(cx, request);
+    drop_held(cx, request);
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     release_results(cx, batcher, request);
     request.began_at.get_or_insert(cx.now);
@@ -75,25 +76,72 @@
         let reason = "an endpoint answered without a stream, which has begun";
         return retry::rerun(cx, batcher, request, reason);
     }
-    if is_error
-        && silent::fall_back(cx, batcher, request, "another endpoint answered with an error")
-    {
+    if is_error && looks_further(cx, batcher, request, current) {
         return false;
     }
-    if is_error
-        && request.route.is_repeatable()
-        && request.may_run_again()
-        && retry::has_time(cx, request)
-    {
-        let pool = request.pool.clone();
-        if pick(cx, request).is_some() && cx.try_spend(&pool) {
-            cx.count(Metric::CallsRepeated);
-            retry::log_retry(cx, request, "endpoint answered with an error");
-            return false;
-        }
-    }
     silent::abandon(cx, request);
+    drop_held(cx, request);
     cx.effects.push(Effect::Relay { call: current.call, ticket: request.ticket });
     end::complete(cx, batcher, request, &current.endpoint, None);
     true
 }
+
+/// Goes back to a silent endpoint or starts another run after an error, which is held back
+/// meanwhile; returns whether there is such a run.
+fn looks_further(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    current: &ActiveCall,
+) -> bool {
+    let pool = request.pool.clone();
+    if silent::fall_back(cx, batcher, request, "another endpoint answered with an error") {
+        hold(cx, request, current);
+        return true;
+    }
+    let may_run = request.route.is_repeatable()
+        && request.may_run_again()
+        && retry::has_time(cx, request)
+        && pick(cx, request).is_some()
+        && cx.try_spend(&pool);
+    if may_run {
+        cx.count(Metric::CallsRepeated);
+        retry::log_retry(cx, request, "endpoint answered with an error");
+        hold(cx, request, current);
+    }
+    may_run
+}
+
+/// Holds back the error that has ended a call, in place of an earlier one.
+pub fn hold(cx: &mut Pass<'_>, request: &mut ActiveRequest, ended: &ActiveCall) {
+    drop_held(cx, request);
+    cx.effects.push(Effect::Hold { call: ended.call });
+    request.held = Some(HeldError { call: ended.call, endpoint: ended.endpoint.clone() });
+}
+
+/// Drops the error that was held back, if there is one.
+pub fn drop_held(cx: &mut Pass<'_>, request: &mut ActiveRequest) {
+    if let Some(held) = request.held.take() {
+        cx.effects.push(Effect::Cancel { call: held.call });
+    }
+}
+
+/// Ends a request by the error that was held back, as no better answer will come; returns whether
+/// there is one.
+pub fn relay_held(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    reason: &str,
+) -> bool {
+    let Some(held) = request.held.take() else { return false };
+    cx.log(
+        Decision::new(DecisionKind::Retry, format!("{reason}; an earlier error is forwarded"))
+            .with_attempt(&request.head.attempt)
+            .with_pool(&request.pool)
+            .with_budget(request.deadline.saturating_sub(cx.now)),
+    );
+    cx.effects.push(Effect::Relay { call: held.call, ticket: request.ticket });
+    end::complete(cx, batcher, request, &held.endpoint, None);
+    true
+}
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -106,6 +106,7 @@
         deadline: now + time_left,
         phase: Phase::RunningStages,
         silent: Vec::new(),
+        held: None,
         engine_zone: None,
         scheduled_by: None,
         tried: Vec::new(),
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -4,7 +4,7 @@
 
 use super::active::{ActiveRequest, Phase};
 use super::call::leave_endpoint;
-use super::{permit, schedule, silent, stages};
+use super::{answer, permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::quarantine;
@@ -131,6 +131,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     match request.is_streaming() {
         true => abort(cx, request, reason),
         false => refuse(cx, request, final_status(request), hint, reason),
@@ -158,6 +161,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     cx.count(Metric::RequestsFailed);
     cx.log(
         Decision::new(DecisionKind::Fail, reason)
@@ -183,6 +189,9 @@
 /// Ends a request whose deadline has passed.
 pub fn expire(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     let was_sent = stop_call(cx, &mut request) || 0 < request.n_runs;
+    if answer::relay_held(cx, batcher, &mut request, "its time is over") {
+        return;
+    }
     let status = if was_sent { Status::Expired } else { Status::NotRun };
     match request.is_streaming() {
         true => abort(cx, &request, "its time is over"),
@@ -194,6 +203,7 @@
 /// Ends a request whose caller has disconnected.
 pub fn drop_request(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     stop_call(cx, &mut request);
+    answer::drop_held(cx, &mut request);
     cx.count(Metric::RequestsDropped);
     cx.log(
         Decision::new(DecisionKind::Drop, "caller disconnected")
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -3,7 +3,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase};
 use super::call::{record_failure, release_endpoint};
-use super::{crash, origin, permit, retry, schedule, stages};
+use super::{answer, crash, origin, permit, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{CallEvent, CallId, Decision, DecisionKind, Effect, Metric, ScheduleProgress};
@@ -75,6 +75,9 @@
     crash::observe(cx, request, &lost, event);
     release_endpoint(cx, &lost);
     request.n_runs += u32::from(has_run);
+    if matches!(event, CallEvent::Answer { .. }) && !request.is_streaming() {
+        answer::hold(cx, request, &lost);
+    }
     cx.log(
         Decision::new(DecisionKind::Silence, "its silent endpoint gave no answer")
             .with_attempt(&request.head.attempt)
--- a/crates/ferry-serve/tests/decisions/silence/second_runs.rs
+++ b/crates/ferry-serve/tests/decisions/silence/second_runs.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use ferry_serve::{CallEvent, CallId, Event, NotRunReason};
+
 use super::{STAGES, failures, pool, silence_first};
-use crate::simulation::{Behaviour, ENGINE, Simulation, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, head, ms};
+
+/// Longer than any request.
+const DARK: Duration = ms(60_000);
 
 struct Case {
     name: &'static str,
@@ -15,12 +20,11 @@
 
 #[test]
 fn head_of_a_second_run_that_brings_no_event_ends_no_answer() {
-    let dark = ms(60_000);
     let cases = [
         Case { name: "reset before the first event", at: STAGES + 10, reset_after: ms(50) },
         Case { name: "reset between events", at: STAGES + 110, reset_after: ms(50) },
-        Case { name: "silent before the first event", at: STAGES + 10, reset_after: dark },
-        Case { name: "silent between events", at: STAGES + 110, reset_after: dark },
+        Case { name: "silent before the first event", at: STAGES + 10, reset_after: DARK },
+        Case { name: "silent between events", at: STAGES + 110, reset_after: DARK },
     ];
     let mut all = Vec::new();
     for case in cases {
@@ -63,3 +67,122 @@
     }
     assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
 }
+
+/// How a run ends that brings no answer.
+fn ends() -> [Option<CallEvent>; 4] {
+    [
+        Some(CallEvent::NotRun { reason: NotRunReason::Full, load: None }),
+        Some(CallEvent::Unsent { error: "connection refused".to_owned() }),
+        Some(CallEvent::Broken { error: "reset".to_owned() }),
+        // It lasts until the deadline.
+        None,
+    ]
+}
+
+struct Failed {
+    route: &'static str,
+    pool: &'static str,
+    at: u64,
+}
+
+const FAILED: [Failed; 2] = [
+    Failed { route: "get", pool: PLAIN, at: 20 },
+    Failed { route: "stream", pool: ENGINE, at: STAGES + 10 },
+];
+
+/// Lets the endpoint of a request fall silent until another one runs it as well, and returns both calls.
+fn run_twice(sim: &mut Simulation, case: &Failed, silence: Duration) -> [CallId; 2] {
+    sim.arrive(0, "probe", head(case.route, "probe"));
+    sim.run_for(ms(case.at));
+    let first = sim.last_call("probe").expect("it is called");
+    for id in pool(sim, case.pool) {
+        sim.silence(&id, silence);
+    }
+    assert!(sim.run_until(|it| it.runs.get("probe").is_some_and(|it| it.len() == 2)));
+    [first, sim.last_call("probe").expect("it is called again")]
+}
+
+#[test]
+fn error_beside_a_run_that_brings_nothing_is_forwarded() {
+    let mut all = Vec::new();
+    for case in FAILED {
+        // Which of the two answers with the error.
+        for nth in [0, 1] {
+            for end in ends() {
+                let mut sim = Simulation::new(1);
+                let calls = run_twice(&mut sim, &case, DARK);
+                sim.fail(0, calls[nth]);
+                if let Some(event) = end.clone() {
+                    sim.deliver(0, Event::Call { call: calls[1 - nth], event });
+                }
+                sim.run_for(ms(5_000));
+                let ending = &sim.outcome("probe").ending;
+                if *ending != Ending::Error {
+                    all.push(format!("{} run {nth}, other {end:?}: {ending:?}", case.route));
+                }
+                all.extend(sim.violations.clone());
+                assert_eq!(sim.n_open_calls(), 0);
+            }
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
+
+#[test]
+fn error_is_forwarded_if_the_run_after_it_brings_nothing() {
+    let mut all = Vec::new();
+    for case in FAILED {
+        for behaviour in [Behaviour::Full, Behaviour::Reset, Behaviour::Silent] {
+            let mut sim = Simulation::new(1);
+            pool(&sim, case.pool).iter().for_each(|it| sim.set_behaviour(it, Behaviour::Failing));
+            sim.arrive(0, "probe", head(case.route, "probe"));
+            sim.run_for(ms(case.at));
+            let first = sim.runs.get("probe").expect("it runs by now")[0].clone();
+            for id in pool(&sim, case.pool).iter().filter(|it| **it != first) {
+                sim.set_behaviour(id, behaviour);
+            }
+            sim.run_for(ms(5_000));
+            let ending = &sim.outcome("probe").ending;
+            if *ending != Ending::Error {
+                all.push(format!("{} others {behaviour:?}: {ending:?}", case.route));
+            }
+            all.extend(sim.violations.clone());
+            assert_eq!(sim.n_open_calls(), 0);
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
+
+#[test]
+fn error_that_is_held_back_gives_way_to_a_better_answer() {
+    for case in FAILED {
+        for nth in [0, 1] {
+            let mut sim = Simulation::new(1);
+            let calls = run_twice(&mut sim, &case, ms(2_500));
+            sim.fail(0, calls[nth]);
+            sim.run_for(ms(5_000));
+            let ending = &sim.outcome("probe").ending;
+            assert!(
+                matches!(ending, Ending::Answer | Ending::Stream),
+                "{}: {ending:?}",
+                case.route
+            );
+            assert_eq!(sim.violations, Vec::<String>::new());
+            assert_eq!(sim.n_open_calls(), 0);
+        }
+    }
+}
+
+#[test]
+fn error_that_is_held_back_is_dropped_with_its_caller() {
+    for case in FAILED {
+        for nth in [0, 1] {
+            let mut sim = Simulation::new(1);
+            let calls = run_twice(&mut sim, &case, DARK);
+            sim.fail(0, calls[nth]);
+            assert_eq!(sim.n_open_calls(), 2);
+            sim.deliver(0, Event::CallerGone { ticket: 1 });
+            assert_eq!(sim.n_open_calls(), 0);
+        }
+    }
+}
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -22,7 +22,7 @@
 use crashes::{Crashes, EndpointStep};
 pub use endpoint::{Behaviour, Endpoint, Received};
 
-use stream_check::OpenCall;
+use stream_check::{OpenCall, PendingAnswer};
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -132,6 +132,7 @@
     cancelled: Vec<(usize, CallId)>,
     /// Calls of requests that have neither ended nor been cancelled.
     open_calls: SortedMap<(usize, CallId), OpenCall>,
+    answers: SortedMap<(usize, CallId), PendingAnswer>,
     /// Endpoints of the calls for items in progress.
     batches: SortedMap<(usize, CallId), String>,
     /// Attempts of which a call was broken off, or answered with an error.
@@ -203,6 +204,7 @@
             callers: SortedMap::new(),
             cancelled: Vec::new(),
             open_calls: SortedMap::new(),
+            answers: SortedMap::new(),
             batches: SortedMap::new(),
             broken: Vec::new(),
             events: SortedMap::new(),
@@ -265,6 +267,7 @@
         self.record_event(instance, &event);
         self.check_event(instance, &event);
         self.reduce(instance, event);
+        self.drop_answers();
     }
 
     fn reduce(&mut self, instance: usize, event: Event) {
@@ -363,7 +366,9 @@
             Effect::Cancel { call } => {
                 self.cancelled.push((instance, call));
                 self.open_calls.remove(&(instance, call));
+                self.answers.remove(&(instance, call));
             }
+            Effect::Hold { call } => self.hold(instance, call),
             Effect::Batch(call) => self.batch(instance, &call),
             Effect::Free { handles, .. } => {
                 self.n_freed += handles.len();
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -59,6 +59,9 @@
     pub(super) fn relay(&mut self, instance: usize, call: CallId, ticket: u64) {
         self.check_relay(instance, call, ticket);
         let kind = self.calls.get(&(instance, call)).copied().unwrap_or_default();
+        if kind != 2 {
+            self.check_answer(instance, call);
+        }
         let now = self.now;
         let began = self.callers.get(&(instance, ticket)).and_then(|it| it.began);
         match kind {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -294,6 +294,13 @@
         }
     }
 
+    /// Answers a call in progress with an error.
+    pub fn fail(&mut self, instance: usize, call: CallId) {
+        self.calls.insert((instance, call), 1);
+        let event = CallEvent::Answer { is_error: true, load: None };
+        self.deliver(instance, Event::Call { call, event });
+    }
+
     pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
         let Some(view) = self.endpoints.get(&endpoint) else { return };
         let part = |it: &(u64, Moment)| PromptPart { id: it.0, tokens: 1 };
--- a/crates/ferry-serve/tests/decisions/simulation/faults.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/faults.rs
@@ -24,6 +24,7 @@
         self.incarnations[instance] += 1;
         self.streams.values_mut().for_each(|it| it.retain(|it| it.0 != instance));
         self.begun.retain(|it| it.0 != instance);
+        self.answers.retain(|it, _| it.0 != instance);
         self.callers.retain(|(it, _), _| *it != instance);
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -17,6 +17,13 @@
     is_relayed: bool,
 }
 
+/// An answer that has arrived whole and was neither forwarded nor dropped.
+#[derive(Debug)]
+pub(super) struct PendingAnswer {
+    ticket: u64,
+    is_held: bool,
+}
+
 impl Simulation {
     /// Lets an endpoint say nothing for a while, and then go on.
     pub fn silence(&mut self, id: &str, time: Duration) {
@@ -68,9 +75,10 @@
         }
     }
 
-    /// Returns the number of calls that have neither ended nor been cancelled.
+    /// Returns the number of calls that have neither ended nor been cancelled, and of those whose
+    /// answers are held back.
     pub fn n_open_calls(&self) -> usize {
-        self.open_calls.len()
+        self.open_calls.len() + self.answers.len()
     }
 
     pub(super) fn open_call(&mut self, instance: usize, call: &Call) {
@@ -123,16 +131,39 @@
             CallEvent::Progress { last_event: None }
             | CallEvent::Began { .. }
             | CallEvent::Blocked => (),
+            CallEvent::Answer { .. } => {
+                let Some(open) = self.open_calls.remove(&key) else { return };
+                let answer = PendingAnswer { ticket: open.ticket, is_held: false };
+                self.answers.insert(key, answer);
+            }
             CallEvent::Unsent { .. }
             | CallEvent::NotRun { .. }
             | CallEvent::Ended(_)
-            | CallEvent::Answer { .. }
             | CallEvent::Broken { .. } => {
                 self.open_calls.remove(&key);
             }
         }
     }
 
+    pub(super) fn hold(&mut self, instance: usize, call: CallId) {
+        match self.answers.get_mut(&(instance, call)) {
+            Some(answer) => answer.is_held = true,
+            None => self.violations.push(format!("call {call} has no answer to hold back")),
+        }
+    }
+
+    /// Drops answers that the instance has neither forwarded nor held back.
+    pub(super) fn drop_answers(&mut self) {
+        self.answers.retain(|_, it| it.is_held);
+    }
+
+    /// Checks that an answer is still there.
+    pub(super) fn check_answer(&mut self, instance: usize, call: CallId) {
+        if self.answers.remove(&(instance, call)).is_none() {
+            self.violations.push(format!("the answer of call {call} was dropped"));
+        }
+    }
+
     /// Checks that only one call of a request brings its answer.
     pub(super) fn check_relay(&mut self, instance: usize, call: CallId, ticket: u64) {
         let is_other = |it: &(&(usize, CallId), &OpenCall)| {
@@ -156,5 +187,11 @@
         if self.open_calls.iter().any(|it| is_own(&it)) {
             self.violations.push(format!("a call of {attempt} goes on after its end"));
         }
+        let is_held = |it: &(usize, CallId), answer: &PendingAnswer| {
+            it.0 == instance && answer.ticket == ticket && answer.is_held
+        };
+        if self.answers.iter().any(|it| is_held(it.0, it.1)) {
+            self.violations.push(format!("an answer to {attempt} is held back after its end"));
+        }
     }
 }
