--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -15,15 +15,14 @@
 
 use ferry_model::{GatewayConfig, Moment, SortedMap};
 use ferry_serve::{
-    Arrival, CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, RequestHead,
-    StoreUpdate, Tuning,
+    CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, StoreUpdate, Tuning,
 };
 
 pub use config::{config, front, head, limits, peer};
 use crashes::{Crashes, EndpointStep};
 pub use endpoint::{Behaviour, Endpoint, Received};
 
-use stream_check::OpenCall;
+use stream_check::{OpenCall, PendingAnswer};
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -133,6 +132,7 @@
     cancelled: Vec<(usize, CallId)>,
     /// Calls of requests that have neither ended nor been cancelled.
     open_calls: SortedMap<(usize, CallId), OpenCall>,
+    answers: SortedMap<(usize, CallId), PendingAnswer>,
     /// Endpoints of the calls for items in progress.
     batches: SortedMap<(usize, CallId), String>,
     /// Attempts of which a call was broken off, or answered with an error.
@@ -204,6 +204,7 @@
             callers: SortedMap::new(),
             cancelled: Vec::new(),
             open_calls: SortedMap::new(),
+            answers: SortedMap::new(),
             batches: SortedMap::new(),
             broken: Vec::new(),
             events: SortedMap::new(),
@@ -260,28 +261,17 @@
         self.arm(instance);
     }
 
-    /// Sends a request to an instance and returns its ticket.
-    pub fn arrive(&mut self, instance: usize, attempt: &str, head: RequestHead) -> u64 {
-        self.n_tickets += 1;
-        let ticket = self.n_tickets;
-        let caller = Caller {
-            attempt: attempt.to_owned(),
-            prompt: head.prompt.clone(),
-            arrived: self.now,
-            began: None,
-        };
-        self.callers.insert((instance, ticket), caller);
-        let event = Event::Arrive(Box::new(Arrival { ticket, head }));
-        let incarnation = self.incarnations[instance];
-        self.process(QueuedEvent::Deliver { instance, incarnation, event });
-        ticket
-    }
-
     /// Delivers an event to an instance at once.
     pub fn deliver(&mut self, instance: usize, event: Event) {
-        let now = self.now;
+        self.bring_events(instance, &event);
         self.record_event(instance, &event);
         self.check_event(instance, &event);
+        self.reduce(instance, event);
+        self.drop_answers();
+    }
+
+    fn reduce(&mut self, instance: usize, event: Event) {
+        let now = self.now;
         let Some(gateway) = &mut self.instances[instance] else { return };
         let effects = gateway.reduce(now, event);
         for effect in effects {
@@ -376,7 +366,9 @@
             Effect::Cancel { call } => {
                 self.cancelled.push((instance, call));
                 self.open_calls.remove(&(instance, call));
+                self.answers.remove(&(instance, call));
             }
+            Effect::Hold { call } => self.hold(instance, call),
             Effect::Batch(call) => self.batch(instance, &call),
             Effect::Free { handles, .. } => {
                 self.n_freed += handles.len();
