Discard what callers still send before their connection is closed

Cause: a connection that closes after a response (a chunked body, 400, 413, 431, no memory, a stop) was closed with unread bytes in its socket. The kernel then resets it and drops what it has not sent yet. Callers saw: the tail of an answer missing if they had sent more behind a chunked body than the HTTP library reads once; a write error instead of the refusal while they were still sending. A connection that lingers does not count as timed out. Ruled out: bytes that arrive in one read behind the body cut nothing, as the library takes them. A connection that is closed for its idle time has no answer on the way; it is closed as before, and so is a stream that is aborted.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 struct IdleState {
     n_requests: Cell<usize>,
+    is_closing: Cell<bool>,
     /// When the connection was accepted, or its last response ended.
     since: Cell<Instant>,
 }
@@ -73,7 +74,8 @@
 impl IdleWatch {
     /// Creates the watch of a connection accepted now.
     pub fn new(now: Instant) -> IdleWatch {
-        let state = IdleState { n_requests: Cell::new(0), since: Cell::new(now) };
+        let (n_requests, is_closing) = (Cell::new(0), Cell::new(false));
+        let state = IdleState { n_requests, is_closing, since: Cell::new(now) };
         IdleWatch { state: Rc::new(state) }
     }
 
@@ -93,15 +95,20 @@
         self.state.since.set(Instant::now());
     }
 
+    /// Records that the last response was sent, after which the connection is no longer idle.
+    pub fn record_close(&self) {
+        self.state.is_closing.set(true);
+    }
+
     /// Waits until the connection has been idle for longer than the limits in force allow.
     pub async fn expired(&self, limits: &mut watch::Receiver<CallerLimits>) {
         loop {
             let limit = limits.borrow_and_update().idle;
             let now = Instant::now();
-            let due = match self.state.n_requests.get() {
-                0 => self.state.since.get() + limit,
+            let due = match self.is_busy() || self.state.is_closing.get() {
+                false => self.state.since.get() + limit,
                 // The idle time begins after the request, so that it cannot end earlier.
-                _ => now + limit,
+                true => now + limit,
             };
             if due <= now {
                 return;
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -8,7 +8,8 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use httparse::{EMPTY_HEADER, Header, Request, Status};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -16,11 +17,15 @@
 use tokio::sync::watch;
 
 use crate::caller_limits::{CallerLimits, IdleWatch};
+use crate::driver::Phase;
+use crate::linger::Linger;
 
 /// Maximum number of headers of a request; the HTTP library rejects requests with more.
 const MAX_HEADERS: usize = 100;
 /// Maximum number of bytes of a read; the HTTP library's buffer grows with the size of reads.
 const MAX_READ: usize = 16 * 1024;
+/// Time for which a connection lingers once the process stops, which waits for it.
+const STOP_LINGER: Duration = Duration::from_secs(1);
 
 /// Framing of the body that follows a request head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -215,9 +220,22 @@
     pub inspector: Inspector,
     pub idle: IdleWatch,
     pub limits: watch::Receiver<CallerLimits>,
+    pub phase: watch::Receiver<Phase>,
+    /// Set once the sending side is shut down.
+    pub linger: Option<Linger>,
 }
 
 impl InspectedStream {
+    /// Returns for how long the connection lingers. While the process serves, a caller may take as
+    /// long to read a response as it may leave the connection idle.
+    fn linger_time(&self) -> Duration {
+        let idle = self.limits.borrow().idle;
+        match *self.phase.borrow() {
+            Phase::Serving => idle,
+            Phase::Leaving | Phase::Closing | Phase::Stopped => idle.min(STOP_LINGER),
+        }
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.idle.record_write();
@@ -277,6 +295,15 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.idle.record_close();
+            this.linger = Some(Linger::new(this.linger_time()));
+        }
+        match &mut this.linger {
+            Some(linger) => linger.poll(&mut this.stream, cx).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod front;
 pub mod inspector;
 pub mod items;
+pub mod linger;
 pub mod logs;
 pub mod memory;
 pub mod metrics;
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -105,6 +105,8 @@
         inspector: inspector.clone(),
         idle: idle.clone(),
         limits: limits.clone(),
+        phase: phase.clone(),
+        linger: None,
     };
     let service = {
         let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+mod closes;
 mod connections;
 mod lifecycle;
 mod quarantine;
