Attribute crashes of the endpoints of stages to the requests of their items

Change: jobs carry the digest of their request; a batcher reports what its calls ran when an endpoint crashed, and holds items of requests in quarantine back. A sound answer clears a request in the pool that gave it only.

Before -> after: request_that_crashes_endpoints_reaches_few_of_them fails in the case of items -> passes whole.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -7,6 +7,7 @@
 
 mod backlog;
 mod candidates;
+mod crash;
 mod job;
 mod outcomes;
 mod permits;
@@ -50,6 +51,8 @@
 struct SentCall {
     group: Group,
     endpoint: EndpointId,
+    /// Which start of the endpoint it is.
+    started: u64,
     address: SocketAddr,
     items: Vec<(JobKey, u16)>,
     sent_at: Moment,
@@ -120,6 +123,7 @@
             view.outstanding = view.outstanding.saturating_sub(1);
             view.record_load(cx.now, load);
         }
+        self.observe(cx, &sent, &result);
         match result {
             Ok(results) => self.on_items(cx, &sent, results),
             Err(failure) => self.on_failure(cx, &sent, &failure),
@@ -194,7 +198,7 @@
         self.linger.remove(group);
         let Some(limits) = batch_limits(cx.ctx, &group.pool) else { return };
         loop {
-            let waiting = self.waiting(group);
+            let waiting = self.sendable(cx.ctx, group);
             if waiting.is_empty() {
                 return;
             }
@@ -291,8 +295,10 @@
                 input: job.input.clone(),
             });
         }
+        let mut started = 0;
         if let Some(view) = cx.ctx.endpoints.get_mut(&candidate.endpoint) {
             view.outstanding += 1;
+            started = view.endpoint.started;
         }
         self.permits.spend(&candidate.endpoint);
         let timeout = (expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
@@ -317,6 +323,7 @@
         let sent = SentCall {
             group,
             endpoint,
+            started,
             address: candidate.address,
             items,
             sent_at: cx.now,
--- a/crates/ferry-serve/src/batch/job.rs
+++ b/crates/ferry-serve/src/batch/job.rs
@@ -6,7 +6,7 @@
 use ferry_model::{Moment, ResultHandle, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{CallerAttempt, Group, ItemInput, JobSubmission};
+use crate::{CallerAttempt, Group, ItemInput, JobSubmission, RequestDigest};
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct JobKey {
@@ -53,6 +53,8 @@
 pub struct Job {
     pub owner: JobOwner,
     pub group: Group,
+    /// Equal for attempts that are the same request.
+    pub digest: RequestDigest,
     pub input: ItemInput,
     /// When the results are needed for the request to meet its objective.
     pub due: Moment,
@@ -87,6 +89,7 @@
         Job {
             owner,
             group,
+            digest: 0,
             input,
             due: since,
             deadline: since,
@@ -107,6 +110,7 @@
     /// Creates the job of a submission that arrived at `now`.
     pub fn from_submit(owner: JobOwner, submit: JobSubmission, now: Moment) -> (JobKey, Job) {
         let job = Job::new(owner, submit.group, submit.n_items, submit.input, now)
+            .with_digest(submit.digest)
             .with_times(now + submit.due, now + submit.time_left)
             .with_class(submit.class)
             .with_zone(submit.zone)
@@ -114,6 +118,11 @@
         (submit.key, job)
     }
 
+    pub fn with_digest(mut self, digest: RequestDigest) -> Job {
+        self.digest = digest;
+        self
+    }
+
     pub fn with_times(mut self, due: Moment, deadline: Moment) -> Job {
         self.due = due;
         self.deadline = deadline;
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -13,7 +13,7 @@
 use crate::{
     CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, Group, ItemInput, JobKey,
     JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
-    ScheduleProgress, ScheduleRequest, Scheduled,
+    RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -66,6 +66,8 @@
 pub struct JobSubmission {
     pub key: JobKey,
     pub group: Group,
+    /// Equal for attempts that are the same request.
+    pub digest: RequestDigest,
     pub n_items: u16,
     /// Approximate size of one result.
     pub result_bytes: u64,
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -20,8 +20,8 @@
 const MAX_REQUESTS: usize = 2;
 const MAX_ENDS: usize = 256;
 const MAX_SOUND_PARTS: usize = 2_048;
-/// Sound answers that are kept, the newest ones.
-const MAX_SOUND_REQUESTS: usize = 16_384;
+/// Sound answers of a pool that are kept, the newest ones.
+const MAX_SOUND_REQUESTS: usize = 8_192;
 const MAX_ENDPOINTS: usize = 2_048;
 const MAX_REPORTED: usize = 512;
 const MAX_INQUIRIES: usize = 64;
@@ -66,6 +66,8 @@
 struct SoundAnswers {
     /// When the last answer to each part was sound.
     parts: SortedMap<PartId, Moment>,
+    /// Requests, in the order of their ends.
+    requests: VecDeque<(Moment, RequestDigest)>,
     /// Their number, in which older ones count less, at the moment of the last one.
     n_recent: f64,
     last: Moment,
@@ -95,10 +97,8 @@
     /// Last sign of life of each endpoint, and which start of it gave it.
     heard: SortedMap<EndpointId, (u64, Moment)>,
     sound: SortedMap<PoolId, SoundAnswers>,
-    /// Requests with a sound answer, in the order of their ends.
-    sound_requests: VecDeque<(Moment, RequestDigest)>,
     /// Number of crashes that this instance reported for each candidate since its last sound answer.
-    reported: SortedMap<CrashCandidate, (u8, Moment)>,
+    reported: SortedMap<(PoolId, CrashCandidate), (u8, Moment)>,
     /// Crashes that may turn out to be none.
     retractable: Vec<Reported>,
     retractions: Vec<CounterEvidence>,
@@ -148,11 +148,11 @@
                     *last = at.max(*last);
                 }
                 CrashCandidate::Request(digest) => {
-                    self.sound_requests.push_back((at, digest));
+                    sound.requests.push_back((at, digest));
                 }
             }
             if !self.reported.is_empty() {
-                self.reported.remove(&exposure.candidate);
+                self.reported.remove(&(trace.pool.clone(), exposure.candidate));
             }
         }
         while MAX_SOUND_PARTS < sound.parts.len() {
@@ -160,8 +160,8 @@
             let Some(oldest) = oldest else { break };
             sound.parts.remove(&oldest);
         }
-        while MAX_SOUND_REQUESTS < self.sound_requests.len() {
-            self.sound_requests.pop_front();
+        while MAX_SOUND_REQUESTS < sound.requests.len() {
+            sound.requests.pop_front();
         }
     }
 
@@ -234,8 +234,8 @@
     }
 
     /// Whether crashes make a candidate suspect, as far as this instance knows.
-    pub fn is_suspect(&self, candidate: CrashCandidate) -> bool {
-        self.reported.get(&candidate).is_some_and(|it| N_SUSPECT <= it.0)
+    pub fn is_suspect(&self, pool: &str, candidate: CrashCandidate) -> bool {
+        self.reported.get(&(pool.to_owned(), candidate)).is_some_and(|it| N_SUSPECT <= it.0)
     }
 
     /// Whether an inquiry is new here.
@@ -292,7 +292,8 @@
         match candidate {
             CrashCandidate::Part(part) => self.sound.get(pool)?.parts.get(&part).copied(),
             CrashCandidate::Request(digest) => {
-                self.sound_requests.iter().rev().find(|it| it.1 == digest).map(|it| it.0)
+                let requests = &self.sound.get(pool)?.requests;
+                requests.iter().rev().find(|it| it.1 == digest).map(|it| it.0)
             }
         }
     }
@@ -323,7 +324,7 @@
         if exposures.is_empty() || !self.try_spend(now, exposures.len()) {
             return None;
         }
-        self.count_reported(now, &exposures);
+        self.count_reported(now, &pool, &exposures);
         self.retractable.retain(|it| now < it.at + RETRACTABLE_TIME);
         if self.retractable.len() < MAX_RETRACTABLE {
             let (pool, endpoint) = (pool.clone(), endpoint.clone());
@@ -362,16 +363,17 @@
         ranked.into_iter().map(|it| it.1).collect()
     }
 
-    fn count_reported(&mut self, now: Moment, exposures: &[Exposure]) {
+    fn count_reported(&mut self, now: Moment, pool: &str, exposures: &[Exposure]) {
         let mut candidates: Vec<CrashCandidate> = exposures.iter().map(|it| it.candidate).collect();
         candidates.sort_unstable();
         candidates.dedup();
         for candidate in candidates {
-            let entry = self.reported.get_or_insert_with(candidate, || (0, now));
+            let key = (pool.to_owned(), candidate);
+            let entry = self.reported.get_or_insert_with(key, || (0, now));
             *entry = (entry.0.saturating_add(1), now);
         }
         while MAX_REPORTED < self.reported.len() {
-            let oldest = self.reported.iter().min_by_key(|it| it.1.1).map(|it| *it.0);
+            let oldest = self.reported.iter().min_by_key(|it| it.1.1).map(|it| it.0.clone());
             let Some(oldest) = oldest else { break };
             self.reported.remove(&oldest);
         }
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -221,9 +221,9 @@
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
             match end::quarantined(cx, &request) {
-                Some(candidate) => {
+                Some(found) => {
                     self.forget(&request);
-                    end::end_quarantined(cx, batcher, &mut request, candidate);
+                    end::end_quarantined(cx, batcher, &mut request, &found);
                 }
                 None => {
                     self.active.insert(ticket, request);
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -41,8 +41,8 @@
     if request.route.kind == RouteKind::Stream {
         cx.ctx.collector.on_arrival(now, &request.pool, &request.head.prompt);
     }
-    if let Some(candidate) = end::quarantined(cx, &request) {
-        end::refuse_quarantined(cx, &request, candidate);
+    if let Some(found) = end::quarantined(cx, &request) {
+        end::refuse_quarantined(cx, &request, &found);
         return None;
     }
     if let Some((hint, reason)) = refusal_reason(cx, batcher, &request) {
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -31,8 +31,8 @@
     request: &mut ActiveRequest,
     choice: Option<Choice>,
 ) -> bool {
-    if let Some(candidate) = end::quarantined(cx, request) {
-        end::end_quarantined(cx, batcher, request, candidate);
+    if let Some(found) = end::quarantined(cx, request) {
+        end::end_quarantined(cx, batcher, request, &found);
         return true;
     }
     let mut next = choice;
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -59,7 +59,7 @@
 /// again.
 pub fn is_suspect(cx: &Pass<'_>, request: &ActiveRequest) -> bool {
     MAX_BREAKS <= request.n_breaks
-        || candidates(request).any(|it| cx.ctx.crash_watch.is_suspect(it))
+        || candidates(request).any(|it| cx.ctx.crash_watch.is_suspect(&request.pool, it))
 }
 
 fn on_broken(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ferry_model::PoolId;
+
 use super::active::{ActiveRequest, Phase};
 use super::call::leave_endpoint;
 use super::{answer, crash, permit, schedule, silent, stages};
@@ -16,15 +18,28 @@
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
-/// Returns the candidate in quarantine for which a request may not be sent to an endpoint, if any.
-pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<CrashCandidate> {
-    cx.ctx.quarantine.find(&request.pool, crash::candidates(request))
+/// Returns the quarantine for which a request may not be sent to an endpoint, if any: that of its own
+/// pool, or that of a pool which runs its stages.
+pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<(PoolId, CrashCandidate)> {
+    let quarantine = &cx.ctx.quarantine;
+    if let Some(candidate) = quarantine.find(&request.pool, crash::candidates(request)) {
+        return Some((request.pool.clone(), candidate));
+    }
+    let itself = CrashCandidate::Request(request.digest);
+    let stages = request.route.stages.iter().zip(&request.head.items);
+    let mut pools = stages.filter(|it| 0 < *it.1).map(|it| &it.0.pool);
+    let pool = pools.find(|it| quarantine.is_quarantined(it, itself))?;
+    Some((pool.clone(), itself))
 }
 
 /// Refuses a new request that is in quarantine.
-pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
-    note_quarantined(cx, request, candidate);
-    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(candidate));
+pub fn refuse_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    found: &(PoolId, CrashCandidate),
+) {
+    note_quarantined(cx, request, found);
+    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(found.1));
 }
 
 /// Ends a request that is in quarantine before it is sent to an endpoint, or before that begins to
@@ -33,22 +48,26 @@
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
-    candidate: CrashCandidate,
+    found: &(PoolId, CrashCandidate),
 ) {
-    note_quarantined(cx, request, candidate);
+    note_quarantined(cx, request, found);
     if stop_call(cx, request) {
         request.n_runs += 1;
     }
-    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(candidate));
+    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(found.1));
 }
 
-fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
-    quarantine::exchange::on_refused(cx, &request.pool, candidate);
+fn note_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    (pool, candidate): &(PoolId, CrashCandidate),
+) {
+    quarantine::exchange::on_refused(cx, pool, *candidate);
     cx.log(
         Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}"))
             .with_attempt(&request.head.attempt)
             .with_digest(request.digest)
-            .with_pool(&request.pool),
+            .with_pool(pool),
     );
 }
 
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -112,8 +112,8 @@
         Gate::Waits => false,
         Gate::Open => {
             request.phase = Phase::RunningStages;
-            if let Some(candidate) = end::quarantined(cx, request) {
-                end::end_quarantined(cx, batcher, request, candidate);
+            if let Some(found) = end::quarantined(cx, request) {
+                end::end_quarantined(cx, batcher, request, &found);
                 return true;
             }
             let accepts_work = cx
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -311,6 +311,7 @@
     JobSubmission {
         key: request.job_key(idx),
         group,
+        digest: request.digest,
         n_items: request.head.items.get(idx).copied().unwrap_or_default(),
         result_bytes: request.route.stages[idx].result_bytes,
         class: request.class,
