Take no endpoints of a stage for slow after a pause of all of them

Cause: the batcher counted the time of a pause in which no endpoint of a group answered, or in which this process stood still, as slowness of each endpoint. The rate that it reports to admission was a third or less for seconds, and requests were refused. Seen by callers: 503 "the endpoints of its stages are taken" at endpoints that were sound and had room. Change: if calls at several endpoints of a group are overdue and none has answered since they were due, the time until the next answer is excused, once: after a late answer, calls that are overdue together count as before. Calls excuse the time for which this process stood still, like those of requests. The code for late calls has moved to batch/late.rs. Whole cargo test -p ferry-serve: 122 passed. Conclusion: after a pause of all, admission goes on with the rates that it knew before. A pause of the only endpoint with a call still counts against it, as nothing tells it from a slow one.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -8,6 +8,7 @@
 mod backlog;
 mod candidates;
 mod job;
+mod late;
 mod outcomes;
 mod permits;
 mod plan;
@@ -26,6 +27,7 @@
 use backlog::usable_endpoints;
 use candidates::Candidate;
 pub use job::{Job, JobKey, JobOutcome, JobOwner};
+use late::GroupAnswers;
 use outcomes::{finish, notify_owner};
 use permits::BatchPermits;
 pub(crate) use plan::full_call;
@@ -55,6 +57,12 @@
     sent_at: Moment,
     /// Expected time on an endpoint of normal speed.
     expected: Duration,
+    /// For how long this process stood still meanwhile.
+    stopped: Duration,
+    /// When it ends if its endpoint is as fast as lately.
+    due: Moment,
+    /// From when on it is late.
+    late_at: Moment,
     /// When its items are sent to another endpoint too; none once they are.
     hedge_at: Option<Moment>,
 }
@@ -67,6 +75,7 @@
     /// When batches that wait for more items are sent as they are.
     linger: SortedMap<Group, Moment>,
     permits: BatchPermits,
+    answers: GroupAnswers,
 }
 
 impl Batcher {
@@ -121,7 +130,10 @@
             view.record_load(cx.now, load);
         }
         match result {
-            Ok(results) => self.on_items(cx, &sent, results),
+            Ok(results) => {
+                let pause = self.answers.record(cx.now, &sent, &self.calls);
+                self.on_items(cx, &sent, results, pause);
+            }
             Err(failure) => self.on_failure(cx, &sent, &failure),
         }
         self.dispatch(cx, &sent.group);
@@ -296,8 +308,8 @@
         }
         self.permits.spend(&candidate.endpoint);
         let timeout = (expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
-        let hedge_at =
-            cx.now + expected.mul_f64(candidate.slowdown.max(1.0) * HEDGE_FACTOR) + HEDGE_SLACK;
+        let usual = expected.mul_f64(candidate.slowdown.max(1.0));
+        let late_at = cx.now + usual.mul_f64(HEDGE_FACTOR) + HEDGE_SLACK;
         cx.count(Metric::BatchesSent);
         cx.log(
             Decision::new(DecisionKind::Batch, format!("{} items", items.len()))
@@ -321,43 +333,14 @@
             items,
             sent_at: cx.now,
             expected,
-            hedge_at: cx.ctx.tuning.is_enabled(Mechanism::Hedging).then_some(hedge_at),
+            stopped: Duration::ZERO,
+            due: cx.now + usual,
+            late_at,
+            hedge_at: cx.ctx.tuning.is_enabled(Mechanism::Hedging).then_some(late_at),
         };
         self.calls.insert(call, sent);
     }
 
-    /// Sends the items of slow calls to other endpoints too.
-    fn hedge_late(&mut self, cx: &mut Pass<'_>) {
-        let now = cx.now;
-        for sent in self.calls.values_mut() {
-            if sent.hedge_at.is_none_or(|it| now < it) {
-                continue;
-            }
-            sent.hedge_at = None;
-            let ratio = (now - sent.sent_at).as_secs_f64() / sent.expected.as_secs_f64().max(1e-3);
-            if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
-                view.record_late(ratio);
-            }
-            for (key, item) in &sent.items {
-                let Some(job) = self.jobs.get_mut(key) else { continue };
-                let is_open = job.outcome.is_none()
-                    && job.results.get(usize::from(*item)).is_some_and(Option::is_none);
-                if is_open && !job.pending.contains(item) {
-                    cx.count(Metric::ItemsRepeated);
-                    job.pending.push(*item);
-                }
-            }
-            cx.log(
-                Decision::new(
-                    DecisionKind::Retry,
-                    "call is slow; its items are sent to another endpoint too",
-                )
-                .with_pool(&sent.group.pool)
-                .with_endpoint(&sent.endpoint),
-            );
-        }
-    }
-
     /// Ends jobs that would be served too late, so that their callers get a refusal at once.
     fn shed(&mut self, cx: &mut Pass<'_>) {
         for group in self.groups() {
--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -12,6 +12,8 @@
 
 /// Pause of an endpoint that is busy with calls of other instances.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
+/// Expected time of a call from which on ratios to it are taken.
+const MIN_EXPECTED: Duration = Duration::from_millis(1);
 /// Pause of an endpoint that has no memory for more results.
 const MEMORY_PAUSE: Duration = Duration::from_millis(80);
 
@@ -21,6 +23,7 @@
         cx: &mut Pass<'_>,
         sent: &SentCall,
         results: Vec<ItemResult>,
+        pause: Duration,
     ) {
         let took = cx.now.saturating_sub(sent.sent_at);
         let n_items = sent.items.len();
@@ -29,8 +32,10 @@
             return self.on_failure(cx, sent, &failure);
         }
         if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
-            let work = took.saturating_sub(TRANSIT_TIME).as_secs_f64();
-            view.record_success(work / sent.expected.as_secs_f64().max(1e-3));
+            let expected = sent.expected.max(MIN_EXPECTED);
+            let work = took.saturating_sub(TRANSIT_TIME);
+            let own = work.saturating_sub(pause).max(work.min(expected));
+            view.record_success(own.div_duration_f64(expected));
         }
         log_failed_items(cx, sent, &results);
         let mut unneeded = Vec::new();
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -100,6 +100,7 @@
         let late = now.saturating_sub(self.ctx.peers.next_wake());
         if MAX_LATENESS < late {
             self.requests.excuse_silence(now, late);
+            self.batcher.excuse_silence(late);
         }
         let mut effects = Vec::new();
         let mut outcomes = Vec::new();
