--- a/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
@@ -1,13 +1,13 @@
-//! Sound requests that are sent again and again, while endpoints fail for other reasons.
+//! Requests that are sent again and again on drawn days, while endpoints fail for other reasons.
 
 use std::time::Duration;
 
-use ferry_serve::Framing;
+use ferry_serve::{Framing, RequestDigest};
 
 use crate::quarantine::records::{print_decisions, quarantined, refused};
 use crate::quarantine::returns::{Kind, Load, Place};
 use crate::quarantine::trouble::{ALL, Trouble};
-use crate::simulation::{Behaviour, CrashCause, Simulation, ms};
+use crate::simulation::{Behaviour, CrashCause, CrashMoment, Simulation, ms};
 
 /// Days that are drawn, unless the variable `DAYS` says how many.
 const N_DAYS: u64 = 16;
@@ -32,6 +32,7 @@
     /// One after the other.
     troubles: Vec<Trouble>,
     is_slow: bool,
+    moment: CrashMoment,
 }
 
 /// What a day shows.
@@ -66,10 +67,39 @@
                 .map(|_| troubles[draw(troubles.len() as u64) as usize])
                 .collect(),
             is_slow: draw(2) == 0,
+            moment: [CrashMoment::Drawn, CrashMoment::EARLY, CrashMoment::SLOW][draw(3) as usize],
         }
     }
 
     fn run(&self) -> Result {
+        let (mut sim, mut load) = self.start();
+        let add = |gap: &u64| load.add_returning(sim.now, ms(*gap), self.place);
+        let own: Vec<_> = self.gaps.iter().map(add).collect();
+        self.go_on(&mut sim, &mut load, &own);
+        let (wrong, n_refused) = (quarantined(&sim), refused(&sim).len());
+        if !wrong.is_empty() || 0 < n_refused {
+            print_decisions(&sim);
+        }
+        let (distinct, repeated) = load.shares(&sim);
+        Result { wrong, n_refused, distinct, repeated }
+    }
+
+    /// Returns what does not hold if the first of the requests crashes endpoints, compared with the
+    /// same day without it.
+    fn failures(&self) -> Vec<String> {
+        let (mut usual, mut unharmed) = self.start();
+        self.go_on(&mut usual, &mut unharmed, &[]);
+        let (mut sim, mut load) = self.start();
+        load.start_crashing(&mut sim, 1, ms(self.gaps[0]), self.place);
+        let add = |gap: &u64| load.add_returning(sim.now, ms(*gap), self.place);
+        let sound: Vec<_> = self.gaps[1..].iter().map(add).collect();
+        self.go_on(&mut sim, &mut load, &sound);
+        let (from, until) = load.window(&sim);
+        let before = unharmed.sound_share(&usual, from, until);
+        load.failures_against(&sim, before, &format!("{self:?}"))
+    }
+
+    fn start(&self) -> (Simulation, Load) {
         let mut sim = Simulation::new(self.n_instances);
         let pool = self.kind.pool();
         sim.fill_pool(pool, N_ENDPOINTS);
@@ -79,36 +109,45 @@
             }
         }
         sim.crashes.framing = self.framing;
+        sim.crashes.moment = self.moment;
         sim.crashes.n_events = 30;
         let mut load = Load::new(self.kind, 15.0).with_seed(self.seed);
         load.run(&mut sim, ms(2_000));
-        let add = |gap: &u64| load.add_returning(sim.now, ms(*gap), self.place);
-        let own: Vec<_> = self.gaps.iter().map(add).collect();
+        (sim, load)
+    }
+
+    /// Goes on with the trouble of the day, where some requests may lose their answers.
+    fn go_on(&self, sim: &mut Simulation, load: &mut Load, own: &[RequestDigest]) {
         for number in 0..N_STEPS {
             let trouble = self.troubles[number / N_SAME % self.troubles.len()];
             sim.crashes.break_one_in = None;
             sim.crashes.lost.clear();
-            trouble.apply_to(&mut sim, pool, number);
+            trouble.apply_to(sim, self.kind.pool(), number);
             if trouble == Trouble::LostAnswers {
-                sim.crashes.lost.clone_from(&own);
+                sim.crashes.lost.extend(own);
             }
-            load.run(&mut sim, STEP);
-        }
-        let (wrong, n_refused) = (quarantined(&sim), refused(&sim).len());
-        if !wrong.is_empty() || 0 < n_refused {
-            print_decisions(&sim);
+            load.run(sim, STEP);
         }
-        let (distinct, repeated) = load.shares(&sim);
-        Result { wrong, n_refused, distinct, repeated }
     }
 }
 
+fn days() -> impl Iterator<Item = Day> {
+    let n_days = std::env::var("DAYS").ok().and_then(|it| it.parse().ok()).unwrap_or(N_DAYS);
+    (0..n_days).map(Day::draw)
+}
+
+#[test]
+fn crashing_request_is_found_on_days_with_other_trouble() {
+    let failed: Vec<String> = days().flat_map(|it| it.failures()).collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 #[test]
 fn sound_request_that_comes_again_and_again_stays_served() {
-    let n_days = std::env::var("DAYS").ok().and_then(|it| it.parse().ok()).unwrap_or(N_DAYS);
     let mut failed = Vec::new();
-    let (mut n_requests, mut n_parts) = (0, 0);
-    for day in (0..n_days).map(Day::draw) {
+    let (mut n_days, mut n_requests, mut n_parts) = (0, 0, 0);
+    for day in days() {
+        n_days += 1;
         let result = day.run();
         let is_request = |it: &CrashCause| matches!(it, CrashCause::Request(_));
         n_requests += usize::from(result.wrong.iter().any(is_request));
--- a/crates/ferry-serve/tests/decisions/quarantine/requests.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/requests.rs
@@ -81,3 +81,27 @@
     let failed: Vec<String> = cases.iter().flat_map(Case::failures).collect();
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Both are in progress at the same moments, and only one of them crashes endpoints.
+#[test]
+fn sound_request_beside_one_that_crashes_endpoints_stays_served() {
+    let mut failed = Vec::new();
+    for kind in [Kind::Idempotent, Kind::Resumable, Kind::Bare] {
+        for (n_instances, gap, sound_gap, seed) in
+            [(1, 1_000, 300, 0), (1, 700, 700, 1), (6, 300, 1_000, 2), (6, 1_000, 1_000, 3)]
+        {
+            let mut sim = Simulation::new(n_instances);
+            sim.fill_pool(kind.pool(), N_ENDPOINTS);
+            sim.crashes.moment = CrashMoment::Drawn;
+            sim.crashes.n_events = 30;
+            let mut load = Load::new(kind, 10.0).with_seed(seed);
+            load.run(&mut sim, ms(4_000));
+            load.start_crashing(&mut sim, 1, ms(gap), Place::SameInstance);
+            load.add_returning(sim.now, ms(sound_gap), Place::SameInstance);
+            load.run(&mut sim, ms(14_000));
+            let name = format!("{kind:?}, {n_instances} instances, {gap} and {sound_gap} ms");
+            failed.extend(load.failures(&sim, &name));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/crates/ferry-serve/tests/decisions/quarantine/returns.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/returns.rs
@@ -153,6 +153,13 @@
 
     /// Returns what does not hold, with the figures.
     pub fn failures(&self, sim: &Simulation, name: &str) -> Vec<String> {
+        let until = self.began.saturating_sub(STABLE_TIME / 2);
+        self.failures_against(sim, self.sound_share(sim, Moment::ZERO, until), name)
+    }
+
+    /// Returns what does not hold, where `before` is the share of sound requests that are usually
+    /// served.
+    pub fn failures_against(&self, sim: &Simulation, before: f64, name: &str) -> Vec<String> {
         let mut failed = Vec::new();
         let mut fail = |what: String| failed.push(format!("{name}: {what}"));
         let n_crashes = sim.crashes.crashed.len();
@@ -165,8 +172,6 @@
             fail(format!("{n_late} received late, {n_crashes} crashes"));
         }
         let (from, until) = self.window(sim);
-        let before =
-            self.sound_share(sim, Moment::ZERO, self.began.saturating_sub(STABLE_TIME / 2));
         let after = if from < until { self.sound_share(sim, from, until) } else { before };
         if after < before * MIN_SOUND {
             fail(format!("sound requests {before:.2} -> {after:.2}, {n_crashes} crashes"));
@@ -237,14 +242,14 @@
     }
 
     /// Returns from when on sound requests must be served, and until when they are counted.
-    fn window(&self, sim: &Simulation) -> (Moment, Moment) {
+    pub fn window(&self, sim: &Simulation) -> (Moment, Moment) {
         let learnt = self.causes(sim).into_iter().filter_map(|it| self.learnt(sim, it));
         let from = learnt.max().unwrap_or(self.began) + STABLE_TIME * 2;
         (from, sim.now.saturating_sub(ms(2_000)))
     }
 
     /// Returns the share of sound requests that are served: answered, or begun.
-    fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
+    pub fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
         let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
         let asked = self.sent.iter().filter(|it| from <= it.at && it.at < until);
         served(sim, asked.filter(is_sound))
