Test a crashing request beside many distinct ones

Cause: what is kept of requests is bounded, so that many others whose answers break off may push out the evidence on the one that crashes endpoints.

Change: a request that crashes endpoints comes back every 2 s beside 100 to 300 distinct ones a second, of which one in five answers breaks off.

--- a/crates/ferry-serve/tests/decisions/quarantine/requests.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/requests.rs
@@ -105,3 +105,24 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// What is known of it must outlive what is known of many others whose answers break off.
+#[test]
+fn request_that_crashes_endpoints_is_found_beside_many_distinct_ones() {
+    let mut failed = Vec::new();
+    for (n_instances, kind, rate) in
+        [(1, Kind::Idempotent, 300.0), (1, Kind::Stream, 100.0), (6, Kind::Resumable, 150.0)]
+    {
+        let mut sim = Simulation::new(n_instances);
+        sim.fill_pool(kind.pool(), 2 * N_ENDPOINTS);
+        sim.crashes.moment = CrashMoment::Drawn;
+        sim.crashes.n_events = 30;
+        sim.crashes.break_one_in = Some(5);
+        let mut load = Load::new(kind, rate);
+        load.run(&mut sim, ms(4_000));
+        load.start_crashing(&mut sim, 1, ms(2_000), Place::AnyInstance);
+        load.run(&mut sim, ms(20_000));
+        failed.extend(load.failures(&sim, &format!("{kind:?}, {n_instances} instances, {rate}/s")));
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
