--- a/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
@@ -37,7 +37,7 @@
 
 /// What a day shows.
 #[derive(Debug)]
-struct Result {
+struct Served {
     wrong: Vec<CrashCause>,
     /// Repeated requests that were refused as if they crashed endpoints.
     n_refused: usize,
@@ -71,7 +71,7 @@
         }
     }
 
-    fn run(&self) -> Result {
+    fn run(&self) -> Served {
         let (mut sim, mut load) = self.start();
         let add = |gap: &u64| load.add_returning(sim.now, ms(*gap), self.place);
         let own: Vec<_> = self.gaps.iter().map(add).collect();
@@ -81,7 +81,7 @@
             print_decisions(&sim);
         }
         let (distinct, repeated) = load.shares(&sim);
-        Result { wrong, n_refused, distinct, repeated }
+        Served { wrong, n_refused, distinct, repeated }
     }
 
     /// Returns what does not hold if the first of the requests crashes endpoints, compared with the
--- a/crates/ferry-serve/tests/decisions/quarantine/returns.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/returns.rs
@@ -176,16 +176,14 @@
         if after < before * MIN_SOUND {
             fail(format!("sound requests {before:.2} -> {after:.2}, {n_crashes} crashes"));
         }
-        let wrong: Vec<CrashCause> = quarantined(sim);
-        let wrong: Vec<CrashCause> =
-            wrong.into_iter().filter(|it| !self.causes(sim).contains(it)).collect();
+        let mut wrong = quarantined(sim);
+        wrong.retain(|it| !self.causes(sim).contains(it));
         if !wrong.is_empty() {
             fail(format!("in quarantine: {wrong:?}"));
         }
         let refused = refused(sim);
-        let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
-        let n_refused = self.sent.iter().filter(is_sound);
-        let n_refused = n_refused.filter(|it| refused.contains(it.attempt.as_str())).count();
+        let sound = self.sent.iter().filter(|it| it.is_sound(sim));
+        let n_refused = sound.filter(|it| refused.contains(it.attempt.as_str())).count();
         if 0 < n_refused {
             fail(format!("{n_refused} sound requests refused"));
         }
@@ -250,9 +248,8 @@
 
     /// Returns the share of sound requests that are served: answered, or begun.
     pub fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
-        let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
         let asked = self.sent.iter().filter(|it| from <= it.at && it.at < until);
-        served(sim, asked.filter(is_sound))
+        served(sim, asked.filter(|it| it.is_sound(sim)))
     }
 
     /// Returns the shares of the distinct requests, and of those that come back, that are served.
@@ -300,6 +297,13 @@
     }
 }
 
+impl Sent {
+    /// Whether it crashes nothing.
+    fn is_sound(&self, sim: &Simulation) -> bool {
+        self.digest.is_none_or(|it| !sim.crashes.requests.contains(&it))
+    }
+}
+
 /// Returns the share of the requests that are answered, or have begun.
 fn served<'a>(sim: &Simulation, asked: impl Iterator<Item = &'a Sent>) -> f64 {
     let is_answered = |it: &str| sim.outcomes.get(it).is_some_and(|it| it.ending == Ending::Answer);
--- a/crates/ferry-serve/tests/decisions/simulation/crash_moment.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crash_moment.rs
@@ -63,7 +63,7 @@
         let last = after_event(n_events.saturating_sub(1));
         let after = match moment {
             CrashMoment::Drawn => {
-                let idx = self.draw(0, DRAWN.len() as u64 - 1).as_millis() as usize;
+                let idx = self.next_random() as usize % DRAWN.len();
                 return self.draw_crash(DRAWN[idx], answer);
             }
             CrashMoment::BeforeHead => self.draw_between(ms(1), begin),
