--- a/crates/ferry-serve/tests/decisions/quarantine/returns.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/returns.rs
@@ -153,6 +153,13 @@
 
     /// Returns what does not hold, with the figures.
     pub fn failures(&self, sim: &Simulation, name: &str) -> Vec<String> {
+        let until = self.began.saturating_sub(STABLE_TIME / 2);
+        self.failures_against(sim, self.sound_share(sim, Moment::ZERO, until), name)
+    }
+
+    /// Returns what does not hold, where `before` is the share of sound requests that are usually
+    /// served.
+    pub fn failures_against(&self, sim: &Simulation, before: f64, name: &str) -> Vec<String> {
         let mut failed = Vec::new();
         let mut fail = |what: String| failed.push(format!("{name}: {what}"));
         let n_crashes = sim.crashes.crashed.len();
@@ -165,22 +172,18 @@
             fail(format!("{n_late} received late, {n_crashes} crashes"));
         }
         let (from, until) = self.window(sim);
-        let before =
-            self.sound_share(sim, Moment::ZERO, self.began.saturating_sub(STABLE_TIME / 2));
         let after = if from < until { self.sound_share(sim, from, until) } else { before };
         if after < before * MIN_SOUND {
             fail(format!("sound requests {before:.2} -> {after:.2}, {n_crashes} crashes"));
         }
-        let wrong: Vec<CrashCause> = quarantined(sim);
-        let wrong: Vec<CrashCause> =
-            wrong.into_iter().filter(|it| !self.causes(sim).contains(it)).collect();
+        let mut wrong = quarantined(sim);
+        wrong.retain(|it| !self.causes(sim).contains(it));
         if !wrong.is_empty() {
             fail(format!("in quarantine: {wrong:?}"));
         }
         let refused = refused(sim);
-        let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
-        let n_refused = self.sent.iter().filter(is_sound);
-        let n_refused = n_refused.filter(|it| refused.contains(it.attempt.as_str())).count();
+        let sound = self.sent.iter().filter(|it| it.is_sound(sim));
+        let n_refused = sound.filter(|it| refused.contains(it.attempt.as_str())).count();
         if 0 < n_refused {
             fail(format!("{n_refused} sound requests refused"));
         }
@@ -237,17 +240,16 @@
     }
 
     /// Returns from when on sound requests must be served, and until when they are counted.
-    fn window(&self, sim: &Simulation) -> (Moment, Moment) {
+    pub fn window(&self, sim: &Simulation) -> (Moment, Moment) {
         let learnt = self.causes(sim).into_iter().filter_map(|it| self.learnt(sim, it));
         let from = learnt.max().unwrap_or(self.began) + STABLE_TIME * 2;
         (from, sim.now.saturating_sub(ms(2_000)))
     }
 
     /// Returns the share of sound requests that are served: answered, or begun.
-    fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
-        let is_sound = |it: &&Sent| it.digest.is_none_or(|it| !sim.crashes.requests.contains(&it));
+    pub fn sound_share(&self, sim: &Simulation, from: Moment, until: Moment) -> f64 {
         let asked = self.sent.iter().filter(|it| from <= it.at && it.at < until);
-        served(sim, asked.filter(is_sound))
+        served(sim, asked.filter(|it| it.is_sound(sim)))
     }
 
     /// Returns the shares of the distinct requests, and of those that come back, that are served.
@@ -295,6 +297,13 @@
     }
 }
 
+impl Sent {
+    /// Whether it crashes nothing.
+    fn is_sound(&self, sim: &Simulation) -> bool {
+        self.digest.is_none_or(|it| !sim.crashes.requests.contains(&it))
+    }
+}
+
 /// Returns the share of the requests that are answered, or have begun.
 fn served<'a>(sim: &Simulation, asked: impl Iterator<Item = &'a Sent>) -> f64 {
     let is_answered = |it: &str| sim.outcomes.get(it).is_some_and(|it| it.ending == Ending::Answer);
