Rank the candidates of crashes before chance is considered, and accept less for requests

Cause: beside endpoints that are killed at once, parts that many requests share were attributed crashes of a rarer part whose own crashes chance might explain (virtual time, 6 engines, KillSeveral: parts 10 to 12 in quarantine).

Change: candidates are ranked, and only the first is asked whether chance explains it. A request is refused whatever the pool of its record; calls with items that time out or fail are no crashes; names in log lines are not repeated.

--- a/crates/ferry-gateway/src/items.rs
+++ b/crates/ferry-gateway/src/items.rs
@@ -49,7 +49,7 @@
             (Err(BatchFailure::Unsent(error.to_string())), None)
         }
         Ok(Err(error)) => (Err(BatchFailure::Broken(error.to_string())), None),
-        Err(_) => (Err(BatchFailure::Broken("no answer in time".to_owned())), None),
+        Err(_) => (Err(BatchFailure::TimedOut), None),
     }
 }
 
@@ -69,9 +69,9 @@
         || response.status == StatusCode::MISDIRECTED_REQUEST;
     let result = match response.status {
         StatusCode::OK => items::read_results(&response.body)
-            .map_err(|error| BatchFailure::Broken(error.to_string())),
+            .map_err(|error| BatchFailure::Failed(error.to_string())),
         status if is_not_run => Err(BatchFailure::NotRun(status.to_string())),
-        status => Err(BatchFailure::Broken(status.to_string())),
+        status => Err(BatchFailure::Failed(status.to_string())),
     };
     (result, load)
 }
--- a/crates/ferry-serve/src/batch/crash.rs
+++ b/crates/ferry-serve/src/batch/crash.rs
@@ -23,7 +23,11 @@
                 let done = done.filter(|it| matches!(it.0, ItemResult::Done(_))).map(|it| it.1);
                 watch.on_sound(now, &self.trace(sent, done));
             }
-            Err(BatchFailure::NotRun(_)) => watch.on_heard(now, endpoint, *started),
+            Err(BatchFailure::NotRun(_) | BatchFailure::Failed(_)) => {
+                watch.on_heard(now, endpoint, *started)
+            }
+            // It is silent, which is no crash.
+            Err(BatchFailure::TimedOut) => (),
             Err(BatchFailure::Unsent(_)) => watch.on_gone(now, endpoint),
             Err(BatchFailure::Broken(_)) => watch.on_broken(now, self.trace(sent, &sent.items)),
         }
@@ -31,10 +35,7 @@
 
     /// Returns the jobs of a group with items to send whose requests are not in quarantine.
     pub(super) fn sendable(&self, ctx: &Context, group: &Group) -> Vec<(&JobKey, &Job)> {
-        let is_free = |it: &&(&JobKey, &Job)| {
-            let candidate = CrashCandidate::Request(it.1.digest);
-            !ctx.quarantine.is_quarantined(&group.pool, candidate)
-        };
+        let is_free = |it: &&(&JobKey, &Job)| ctx.quarantine.find_request(it.1.digest).is_none();
         let waiting = self.waiting(group);
         waiting.iter().filter(is_free).copied().collect()
     }
--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -28,7 +28,7 @@
         let took = cx.now.saturating_sub(sent.sent_at);
         let n_items = sent.items.len();
         if results.len() != n_items {
-            let failure = BatchFailure::Broken("results are missing".to_owned());
+            let failure = BatchFailure::Failed("results are missing".to_owned());
             return self.on_failure(cx, sent, &failure);
         }
         if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
@@ -119,9 +119,10 @@
         if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
             match failure {
                 BatchFailure::NotRun(_) => view.pause_until(now + BUSY_PAUSE),
-                BatchFailure::Unsent(_) | BatchFailure::Broken(_) => {
-                    view.record_failure(now, &tuning)
-                }
+                BatchFailure::Unsent(_)
+                | BatchFailure::Broken(_)
+                | BatchFailure::TimedOut
+                | BatchFailure::Failed(_) => view.record_failure(now, &tuning),
             }
         }
         cx.count(Metric::BatchesFailed);
@@ -132,7 +133,9 @@
         );
         let max_tries = match failure {
             BatchFailure::NotRun(_) | BatchFailure::Unsent(_) => u8::MAX,
-            BatchFailure::Broken(_) => tuning.max_item_tries,
+            BatchFailure::Broken(_) | BatchFailure::TimedOut | BatchFailure::Failed(_) => {
+                tuning.max_item_tries
+            }
         };
         for (key, item) in &sent.items {
             let Some(job) = self.jobs.get_mut(key) else { continue };
@@ -150,6 +153,8 @@
             BatchFailure::Unsent(error) => format!("could not connect: {error}"),
             BatchFailure::NotRun(error) => format!("endpoint did not accept the call: {error}"),
             BatchFailure::Broken(error) => format!("no complete answer: {error}"),
+            BatchFailure::TimedOut => "no complete answer: none in time".to_owned(),
+            BatchFailure::Failed(error) => format!("no complete answer: {error}"),
         }
     }
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -247,4 +247,8 @@
     NotRun(String),
     /// No complete answer will arrive.
     Broken(String),
+    /// No answer has arrived in time.
+    TimedOut,
+    /// The endpoint answered without results.
+    Failed(String),
 }
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -19,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+use crate::RequestDigest;
+
 pub use candidate::{CrashCandidate, PartId, workspace_digest};
 pub use collector::CrashCollector;
 pub use message::{
@@ -134,6 +136,16 @@
         candidates.into_iter().find(is_quarantined)
     }
 
+    /// Returns a pool in which a request is in quarantine as a whole. Another pool may get it too, where
+    /// its route splits its traffic.
+    pub fn find_request(&self, digest: RequestDigest) -> Option<&PoolId> {
+        let candidate = CrashCandidate::Request(digest);
+        let is_quarantined = |it: &QuarantineRecord| it.state == QuarantineState::Quarantined;
+        let mut pools = self.pools.iter();
+        let found = pools.find(|it| it.1.get(&candidate).is_some_and(is_quarantined));
+        found.map(|it| it.0)
+    }
+
     /// Changes the state of a candidate; returns the notice for peers, none if nothing changes.
     pub fn set(
         &mut self,
--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -28,8 +28,8 @@
 /// Time by which each further collector of a pool is later, so that the first decides if it lives.
 const RANK_DELAY: Duration = Duration::from_millis(600);
 /// Candidates and crashes of one inquiry.
-const MAX_CANDIDATES: usize = 8;
-const MAX_NAMED: usize = 16;
+const MAX_CANDIDATES: usize = 4;
+const MAX_NAMED: usize = 6;
 const MAX_ATTRIBUTIONS: usize = 16;
 
 /// One start of an endpoint that crashed.
@@ -281,11 +281,11 @@
         findings
     }
 
-    /// Returns the candidates for which enough speaks, the likeliest first: the one with most
-    /// incidents; then the one that was not sound for longest, as one that many share is often sound;
-    /// then a whole request before a part, and a part that fewer requests have, as fewer suffer if it
-    /// is the wrong one. A part that nearly all requests have is none: its quarantine would close the
-    /// pool.
+    /// Returns the candidates for which enough speaks, the likeliest first: one that was never sound;
+    /// then the one with most incidents; then the one that was not sound for longest, as one that many
+    /// share is often sound; then a whole request before a part, and a part that fewer requests have,
+    /// as fewer suffer if it is the wrong one. None is returned if the likeliest may have been hit by
+    /// chance. A part that nearly all requests have is no candidate: its quarantine would close the pool.
     fn likely(
         &self,
         now: Moment,
@@ -294,29 +294,32 @@
     ) -> Vec<CrashCandidate> {
         let open: Vec<&Crash> =
             self.crashes.iter().filter(|it| !it.is_explained(standing)).collect();
-        let recent = || open.iter().filter(|it| now < it.at + CHANCE_TIME);
-        let span = recent().next().map_or(Duration::ZERO, |it| now.saturating_sub(it.at));
-        let pool = PoolCalls {
-            n_broken: recent().map(|it| it.n_calls()).sum(),
-            n_sound: sound_rate * span.as_secs_f64(),
-        };
         let evidence = self.evidence(&open);
+        let was_sound = |it: &CrashCandidate| self.sound.contains_key(it);
         let fits = |(candidate, it): &(&CrashCandidate, &Evidence)| {
-            let was_sound = self.sound.contains_key(candidate);
             !self.is_common(**candidate)
-                && it.is_enough(**candidate, standing(**candidate), was_sound, pool)
+                && it.is_enough(**candidate, standing(**candidate), was_sound(candidate))
         };
         let mut likely: Vec<(CrashCandidate, &Evidence)> =
             evidence.iter().filter(fits).map(|it| (*it.0, it.1)).collect();
         likely.sort_by(|(a, x), (b, y)| {
-            let key = |candidate, it: &Evidence| {
-                (Reverse(it.n_incidents()), self.sound.get(&candidate), is_part(candidate))
+            let key = |it: &CrashCandidate, evidence: &Evidence| {
+                let n_incidents = Reverse(evidence.n_incidents());
+                (was_sound(it), n_incidents, self.sound.get(it).copied(), is_part(*it))
             };
-            let order = key(*a, x).cmp(&key(*b, y));
+            let order = key(a, x).cmp(&key(b, y));
             let order = order.then_with(|| self.fraction(*a).total_cmp(&self.fraction(*b)));
             order.then_with(|| (Reverse(x.place), a).cmp(&(Reverse(y.place), b)))
         });
-        likely.into_iter().map(|it| it.0).collect()
+        let calls = pool_calls(now, sound_rate, &open);
+        let is_certain = |(candidate, it): &(CrashCandidate, &Evidence)| {
+            standing(*candidate) == Standing::Expired
+                || it.is_unlikely_by_chance(*candidate, was_sound(candidate), calls)
+        };
+        match likely.first().is_some_and(is_certain) {
+            true => likely.into_iter().map(|it| it.0).collect(),
+            false => Vec::new(),
+        }
     }
 
     /// Returns what speaks for each candidate of these crashes, which are in the order of time.
@@ -370,3 +373,13 @@
 fn is_part(candidate: CrashCandidate) -> bool {
     matches!(candidate, CrashCandidate::Part(_))
 }
+
+/// Returns the calls of a pool since the first of these crashes that counts.
+fn pool_calls(now: Moment, sound_rate: f64, crashes: &[&Crash]) -> PoolCalls {
+    let recent = || crashes.iter().filter(|it| now < it.at + CHANCE_TIME);
+    let span = recent().next().map_or(Duration::ZERO, |it| now.saturating_sub(it.at));
+    PoolCalls {
+        n_broken: recent().map(|it| it.n_calls()).sum(),
+        n_sound: sound_rate * span.as_secs_f64(),
+    }
+}
--- a/crates/ferry-serve/src/quarantine/evidence.rs
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -10,6 +10,9 @@
 const MIN_REQUESTS: usize = 3;
 /// Highest probability that endpoints which fail for other reasons hit a candidate so often.
 const MAX_CHANCE: f64 = 1e-5;
+/// The same for a part, and for a request, that was never sound.
+const MAX_CHANCE_PART: f64 = 1e-3;
+const MAX_CHANCE_REQUEST: f64 = 1e-2;
 
 /// What a candidate may count on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,28 +78,39 @@
         self.incidents.n
     }
 
-    /// Whether it is enough to attribute the crashes to a candidate; `was_sound` says whether any
-    /// instance knows of a sound answer to it.
+    /// Whether a candidate comes into question; `was_sound` says whether any instance knows of a sound
+    /// answer to it.
     pub fn is_enough(
         &self,
         candidate: CrashCandidate,
         standing: Standing,
         was_sound: bool,
-        pool: PoolCalls,
     ) -> bool {
         // Kills at once hit several runs of what many requests have, but that has been sound.
         let n = if was_sound { self.incidents.n } else { self.crashes.n };
-        let (n, n_needed) = match (standing, candidate) {
-            (Standing::Quarantined, _) => return false,
-            (Standing::Expired, _) => (self.incidents.n, 1),
-            (Standing::Free, CrashCandidate::Request(_)) => (n, MIN_FOR_REQUEST),
-            (Standing::Free, CrashCandidate::Part(_)) if self.requests.len() < MIN_REQUESTS => {
-                return false;
+        match (standing, candidate) {
+            (Standing::Quarantined, _) => false,
+            (Standing::Expired, _) => true,
+            (Standing::Free, CrashCandidate::Request(_)) => MIN_FOR_REQUEST <= n,
+            (Standing::Free, CrashCandidate::Part(_)) => {
+                MIN_FOR_PART <= n && MIN_REQUESTS <= self.requests.len()
             }
-            (Standing::Free, CrashCandidate::Part(_)) => (n, MIN_FOR_PART),
+        }
+    }
+
+    /// Whether other failures hardly hit a candidate so often by chance.
+    pub fn is_unlikely_by_chance(
+        &self,
+        candidate: CrashCandidate,
+        was_sound: bool,
+        pool: PoolCalls,
+    ) -> bool {
+        let (n, max_chance) = match (was_sound, candidate) {
+            (true, _) => (self.incidents.n, MAX_CHANCE),
+            (false, CrashCandidate::Part(_)) => (self.crashes.n, MAX_CHANCE_PART),
+            (false, CrashCandidate::Request(_)) => (self.crashes.n, MAX_CHANCE_REQUEST),
         };
-        let is_unlikely = || self.chance(pool).powi(n as i32) <= MAX_CHANCE;
-        n_needed <= n && (standing == Standing::Expired || is_unlikely())
+        self.chance(pool).powi(n as i32) <= max_chance
     }
 
     /// Returns the fraction of the calls that are broken off by crashes which this candidate does not
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -274,8 +274,10 @@
 
 /// Returns the names of candidates for a log line.
 fn names(candidates: impl Iterator<Item = CrashCandidate>) -> String {
-    let mut names: Vec<String> = candidates.map(|it| it.to_string()).collect();
-    names.dedup();
+    let mut candidates: Vec<CrashCandidate> = candidates.collect();
+    candidates.sort_unstable();
+    candidates.dedup();
+    let names: Vec<String> = candidates.iter().map(CrashCandidate::to_string).collect();
     match names.is_empty() {
         true => "no candidate".to_owned(),
         false => names.join(", "),
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -18,18 +18,14 @@
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
-/// Returns the quarantine for which a request may not be sent to an endpoint, if any: that of its own
-/// pool, or that of a pool which runs its stages.
+/// Returns the quarantine for which a request may not be sent to an endpoint, if any.
 pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<(PoolId, CrashCandidate)> {
     let quarantine = &cx.ctx.quarantine;
-    if let Some(candidate) = quarantine.find(&request.pool, crash::candidates(request)) {
-        return Some((request.pool.clone(), candidate));
+    if let Some(pool) = quarantine.find_request(request.digest) {
+        return Some((pool.clone(), CrashCandidate::Request(request.digest)));
     }
-    let itself = CrashCandidate::Request(request.digest);
-    let stages = request.route.stages.iter().zip(&request.head.items);
-    let mut pools = stages.filter(|it| 0 < *it.1).map(|it| &it.0.pool);
-    let pool = pools.find(|it| quarantine.is_quarantined(it, itself))?;
-    Some((pool.clone(), itself))
+    let candidate = quarantine.find(&request.pool, crash::candidates(request))?;
+    Some((request.pool.clone(), candidate))
 }
 
 /// Refuses a new request that is in quarantine.
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -356,7 +356,7 @@
         let batch = |result| Event::Batch { call: id, result, load: None };
         match endpoint.behaviour {
             Behaviour::Silent => {
-                let failure = BatchFailure::Broken("no answer in time".to_owned());
+                let failure = BatchFailure::TimedOut;
                 self.schedule(instance, call.timeout, batch(Err(failure)));
             }
             Behaviour::Reset | Behaviour::Failing | Behaviour::HeadOnly(_) => {
@@ -380,7 +380,7 @@
                     self.schedule_limit(instance, after, &call.endpoint);
                     self.schedule(instance, after, batch(Ok(results)));
                 }
-                let failure = BatchFailure::Broken("no answer in time".to_owned());
+                let failure = BatchFailure::TimedOut;
                 self.schedule(instance, call.timeout, batch(Err(failure)));
             }
         }
