--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -11,9 +11,9 @@
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    Accusation, CallerAttempt, CrashReport, Group, ItemInput, JobKey, JobOutcome, LimitNotice,
-    Objection, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
-    ScheduleProgress, ScheduleRequest, Scheduled,
+    CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, Group, ItemInput, JobKey,
+    JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
+    RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -66,6 +66,8 @@
 pub struct JobSubmission {
     pub key: JobKey,
     pub group: Group,
+    /// Equal for attempts that are the same request.
+    pub digest: RequestDigest,
     pub n_items: u16,
     /// Approximate size of one result.
     pub result_bytes: u64,
@@ -159,14 +161,14 @@
         /// Instances that were alive lately, as far as it knows.
         n_instances: u32,
     },
-    /// Reports the quarantine of prompt parts.
+    /// Reports what is in quarantine.
     Quarantine(Vec<QuarantineNotice>),
-    /// Reports a crash to a judge of its pool.
+    /// Reports a crash to a collector of its pool.
     CrashReport(Box<CrashReport>),
-    /// Asks what speaks for parts that are about to be quarantined.
-    Accusation(Box<Accusation>),
+    /// Asks what speaks against the attribution of crashes.
+    CrashInquiry(Box<CrashInquiry>),
     /// Answers that.
-    Objection(Box<Objection>),
+    CounterEvidence(Box<CounterEvidence>),
 }
 
 /// Asks which build began a stream that a request continues.
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -41,8 +41,11 @@
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
-    /// Calls to silent endpoints, which go on until another one brings the answer.
+    /// Calls beside that of its phase, whose endpoints are or were silent. They go on until one call
+    /// brings the answer.
     pub silent: Vec<ActiveCall>,
+    /// An error that is forwarded if no call brings a better answer.
+    pub held: Option<HeldError>,
     /// Zone of the engine that it is likely to go to, as the scheduler knows.
     pub engine_zone: Option<ZoneId>,
     /// Where the call to an engine is counted, if it is.
@@ -51,6 +54,8 @@
     pub tried: Vec<EndpointId>,
     /// Number of ended calls that may have run it.
     pub n_runs: u32,
+    /// Number of calls that broke off.
+    pub n_breaks: u32,
     /// Number of endpoints that answered that they had not run it.
     pub n_refusals: u32,
     /// Number of times that limiters had no permit for it.
@@ -65,6 +70,13 @@
     pub build: StreamBuild,
 }
 
+/// An endpoint's answer that its run failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldError {
+    pub call: CallId,
+    pub endpoint: EndpointId,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamBuild {
     /// No event of the stream has arrived yet.
@@ -138,10 +150,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
-    /// When its endpoint began to write.
-    pub began_at: Option<Moment>,
-    /// Whether its answer has gone on for so long that none of its parts crashes endpoints.
-    pub is_sound: bool,
+    /// Whether its endpoint has begun to write.
+    pub has_begun: bool,
     pub sent_at: Moment,
     /// When the call last made progress.
     pub last_heard: Moment,
@@ -151,7 +161,10 @@
     pub expected: Duration,
     /// Time after which it is silent if it has not begun.
     pub patience: Duration,
+    /// Whether the head of its stream has arrived.
     pub is_streaming: bool,
+    /// Whether that head was forwarded, so that no other call may bring another one.
+    pub is_relayed: bool,
     /// Whether its caller takes no more of the stream for now, so that nothing is read from the
     /// endpoint.
     pub is_blocked: bool,
@@ -187,7 +200,7 @@
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current),
         };
-        self.silent.iter().chain(current).any(|it| it.began_at.is_some())
+        self.silent.iter().chain(current).any(|it| it.has_begun)
     }
 
     /// Returns the calls in progress.
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -2,57 +2,82 @@
 
 use std::time::Duration;
 
+use ferry_model::PoolId;
+
 use super::active::{ActiveRequest, Phase};
-use super::call::{final_status, leave_endpoint};
-use super::{permit, schedule, silent, stages};
+use super::call::leave_endpoint;
+use super::{answer, crash, permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::quarantine;
 use crate::{
-    Decision, DecisionKind, Effect, Metric, PartId, Refusal, ScheduleProgress, Status, StreamEnd,
+    CrashCandidate, Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status,
+    StreamEnd,
 };
 
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
-const QUARANTINED: &str = "a part of its prompt crashes endpoints";
-
-/// Returns the part in quarantine for which a request may not be sent to an endpoint, if any.
-pub fn quarantined_part(cx: &Pass<'_>, request: &ActiveRequest) -> Option<PartId> {
-    cx.ctx.quarantine.find(&request.pool, &request.head.prompt)
+/// Returns the quarantine for which a request may not be sent to an endpoint, if any: that of its own
+/// pool, or that of a pool which runs its stages.
+pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<(PoolId, CrashCandidate)> {
+    let quarantine = &cx.ctx.quarantine;
+    if let Some(candidate) = quarantine.find(&request.pool, crash::candidates(request)) {
+        return Some((request.pool.clone(), candidate));
+    }
+    let itself = CrashCandidate::Request(request.digest);
+    let stages = request.route.stages.iter().zip(&request.head.items);
+    let mut pools = stages.filter(|it| 0 < *it.1).map(|it| &it.0.pool);
+    let pool = pools.find(|it| quarantine.is_quarantined(it, itself))?;
+    Some((pool.clone(), itself))
 }
 
-/// Refuses a new request with a part in quarantine.
-pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
-    note_quarantined(cx, request, part);
-    refuse(cx, request, Status::NotRun, RetryHint::Never, QUARANTINED);
+/// Refuses a new request that is in quarantine.
+pub fn refuse_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    found: &(PoolId, CrashCandidate),
+) {
+    note_quarantined(cx, request, found);
+    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(found.1));
 }
 
-/// Ends a request with a part in quarantine before it is sent to an endpoint, or before that begins
-/// to write.
+/// Ends a request that is in quarantine before it is sent to an endpoint, or before that begins to
+/// write.
 pub fn end_quarantined(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
-    part: PartId,
+    found: &(PoolId, CrashCandidate),
 ) {
-    note_quarantined(cx, request, part);
+    note_quarantined(cx, request, found);
     if stop_call(cx, request) {
         request.n_runs += 1;
     }
-    give_up(cx, batcher, request, RetryHint::Never, QUARANTINED);
+    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(found.1));
 }
 
-fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, part: PartId) {
-    quarantine::exchange::on_refused(cx, &request.pool, part);
-    let reason = format!("refused for its part {part:x}");
+fn note_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    (pool, candidate): &(PoolId, CrashCandidate),
+) {
+    quarantine::exchange::on_refused(cx, pool, *candidate);
     cx.log(
-        Decision::new(DecisionKind::Quarantine, reason)
+        Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}"))
             .with_attempt(&request.head.attempt)
-            .with_pool(&request.pool),
+            .with_digest(request.digest)
+            .with_pool(pool),
     );
 }
 
+fn refusal_reason(candidate: CrashCandidate) -> &'static str {
+    match candidate {
+        CrashCandidate::Part(_) => "a part of its prompt crashes endpoints",
+        CrashCandidate::Request(_) => "it crashes endpoints",
+    }
+}
+
 /// Ends a request whose complete answer was forwarded.
 pub fn complete(
     cx: &mut Pass<'_>,
@@ -131,6 +156,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     match request.is_streaming() {
         true => abort(cx, request, reason),
         false => refuse(cx, request, final_status(request), hint, reason),
@@ -139,6 +167,14 @@
     true
 }
 
+/// Returns the status of a request that ends without an answer of an endpoint.
+fn final_status(request: &ActiveRequest) -> Status {
+    match request.n_runs {
+        0 => Status::NotRun,
+        _ => Status::InDoubt,
+    }
+}
+
 /// Ends a request that may have run and has no answer; returns whether it has ended, as it goes on if
 /// a silent endpoint may still answer.
 pub fn fail(
@@ -150,6 +186,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     cx.count(Metric::RequestsFailed);
     cx.log(
         Decision::new(DecisionKind::Fail, reason)
@@ -175,6 +214,9 @@
 /// Ends a request whose deadline has passed.
 pub fn expire(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     let was_sent = stop_call(cx, &mut request) || 0 < request.n_runs;
+    if answer::relay_held(cx, batcher, &mut request, "its time is over") {
+        return;
+    }
     let status = if was_sent { Status::Expired } else { Status::NotRun };
     match request.is_streaming() {
         true => abort(cx, &request, "its time is over"),
@@ -186,6 +228,7 @@
 /// Ends a request whose caller has disconnected.
 pub fn drop_request(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     stop_call(cx, &mut request);
+    answer::drop_held(cx, &mut request);
     cx.count(Metric::RequestsDropped);
     cx.log(
         Decision::new(DecisionKind::Drop, "caller disconnected")
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -3,7 +3,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase};
 use super::call::{record_failure, release_endpoint};
-use super::{crash, origin, permit, retry, schedule, stages};
+use super::{answer, crash, origin, permit, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{CallEvent, CallId, Decision, DecisionKind, Effect, Metric, ScheduleProgress};
@@ -55,15 +55,29 @@
         CallEvent::Broken { .. } => (false, true),
         CallEvent::NotRun { .. } | CallEvent::Unsent { .. } => (false, false),
     };
+    let is_head = matches!(event, CallEvent::Began { .. });
+    if let Phase::Calling(other) = &mut request.phase
+        && is_head
+    {
+        // Any of the calls may be the first with an event.
+        std::mem::swap(other, &mut request.silent[idx]);
+        schedule::report(cx, request, ScheduleProgress::Ended);
+        return true;
+    }
     if goes_on {
         go_back(cx, batcher, request, idx, "its endpoint is heard again");
-        abandon(cx, request);
+        if !is_head {
+            abandon(cx, request);
+        }
         return true;
     }
     let lost = request.silent.remove(idx);
     crash::observe(cx, request, &lost, event);
     release_endpoint(cx, &lost);
     request.n_runs += u32::from(has_run);
+    if matches!(event, CallEvent::Answer { .. }) && !request.is_streaming() {
+        answer::hold(cx, request, &lost);
+    }
     cx.log(
         Decision::new(DecisionKind::Silence, "its silent endpoint gave no answer")
             .with_attempt(&request.head.attempt)
--- a/crates/ferry-serve/tests/decisions/silence.rs
+++ b/crates/ferry-serve/tests/decisions/silence.rs
@@ -1,6 +1,8 @@
 //! Silence alone ends no answer: endpoints that fall silent and go on.
 
+mod pauses;
 mod review;
+mod second_runs;
 
 use std::time::Duration;
 
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -30,6 +30,8 @@
     Full,
     /// Answers that the run failed.
     Failing,
+    /// Sends the head of a stream, and resets it after this time, before any event.
+    HeadOnly(Duration),
     /// Takes this many times longer.
     Slow(u32),
     /// Reads prompts one after the other, this many tokens per millisecond, and caches their parts.
@@ -187,6 +189,12 @@
                 let answer = CallEvent::Answer { is_error: true, load: None };
                 self.schedule(instance, PLAIN_TIME, event(answer));
             }
+            Behaviour::HeadOnly(time) => {
+                self.calls.insert((instance, id), 2);
+                self.schedule(instance, FIRST_EVENT, event(CallEvent::Began { load: None }));
+                let broken = CallEvent::Broken { error: "reset".to_owned() };
+                self.schedule(instance, FIRST_EVENT + time, event(broken));
+            }
             Behaviour::Healthy
             | Behaviour::Slow(_)
             | Behaviour::Reads(_)
@@ -307,6 +315,13 @@
         }
     }
 
+    /// Answers a call in progress with an error.
+    pub fn fail(&mut self, instance: usize, call: CallId) {
+        self.calls.insert((instance, call), 1);
+        let event = CallEvent::Answer { is_error: true, load: None };
+        self.deliver(instance, Event::Call { call, event });
+    }
+
     pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
         let Some(view) = self.endpoints.get(&endpoint) else { return };
         let part = |it: &(u64, Moment)| PromptPart { id: it.0, tokens: 1 };
@@ -344,7 +359,7 @@
                 let failure = BatchFailure::Broken("no answer in time".to_owned());
                 self.schedule(instance, call.timeout, batch(Err(failure)));
             }
-            Behaviour::Reset | Behaviour::Failing => {
+            Behaviour::Reset | Behaviour::Failing | Behaviour::HeadOnly(_) => {
                 let failure = BatchFailure::Broken("reset".to_owned());
                 self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
             }
