--- a/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/repeated.rs
@@ -164,3 +164,66 @@
     println!("of {n_days} days, wrong: a request on {n_requests}, a part on {n_parts}");
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// An endpoint that breaks off only the answers to one request has not crashed.
+#[test]
+fn answers_lost_at_live_endpoints_are_no_crashes() {
+    let mut failed = Vec::new();
+    for (n_instances, kind, rate, gap) in [
+        (1, Kind::Idempotent, 1.0, 1_000),
+        (1, Kind::Idempotent, 15.0, 1_000),
+        (6, Kind::Idempotent, 5.0, 500),
+        (6, Kind::Resumable, 5.0, 500),
+        (20, Kind::Idempotent, 15.0, 400),
+        (20, Kind::Bare, 15.0, 1_000),
+    ] {
+        for seed in 0..4 {
+            let mut sim = Simulation::new(n_instances);
+            sim.fill_pool(kind.pool(), N_ENDPOINTS);
+            sim.crashes.n_events = 30;
+            let mut load = Load::new(kind, rate).with_seed(seed);
+            load.run(&mut sim, ms(2_000));
+            let own = load.add_returning(sim.now, ms(gap), Place::AnyInstance);
+            sim.crashes.lost = vec![own];
+            load.run(&mut sim, ms(30_000));
+            let wrong = quarantined(&sim);
+            if !wrong.is_empty() {
+                failed.push(format!(
+                    "{n_instances} instances, {kind:?}, {rate}/s, {seed}: {wrong:?}"
+                ));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Its quarantine would close the pool.
+#[test]
+fn part_of_all_requests_stays_out_of_quarantine_beside_a_crashing_request() {
+    let mut failed = Vec::new();
+    for n_instances in [1, 6, 12, 20] {
+        for seed in 0..4 {
+            let day = Day {
+                seed,
+                n_instances,
+                kind: Kind::Resumable,
+                framing: Framing::Connection,
+                place: Place::SameInstance,
+                gaps: vec![1_230],
+                troubles: vec![Trouble::KillSeveral],
+                is_slow: false,
+                moment: CrashMoment::Drawn,
+            };
+            let (mut sim, mut load) = day.start();
+            load.start_crashing(&mut sim, 1, ms(day.gaps[0]), day.place);
+            day.go_on(&mut sim, &mut load, &[]);
+            let parts =
+                quarantined(&sim).into_iter().filter(|it| matches!(it, CrashCause::Part(_)));
+            let parts: Vec<CrashCause> = parts.collect();
+            if !parts.is_empty() {
+                failed.push(format!("{n_instances} instances, {seed}: {parts:?}"));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
