Test what the digest of a request depends on

Cause: the digest decides which attempts count as the same request, and no test said what belongs to it.

Change: a table of requests that differ in one field, one of requests whose bytes stand in another field, and drawn requests that are cut from the same bytes. A process test reads the digest of admit lines: it is equal for another attempt, key of the workspace, instance, deadline and trace header, and differs by workspace, query, route, method and body.

--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 mod connections;
+mod digests;
 mod lifecycle;
 mod quarantine;
 mod raw_requests;
