Crash simulated endpoints on whole requests, and at any moment of a run

Cause: the soak crashed engines on a prompt part only, and always within their first two events, where the watch of crashes looks for them. No endpoint crashed on a request as a whole, which its caller sends again at any instance.

Change: endpoints of all kinds crash on a request whose body is marked; its caller sends it again about once a second at any gateway, to the end. Crashes come at a drawn moment: before the head, behind any event or piece of the body, before the end, of a run that takes up to six times as long as others. The checker wants at most three attempts later than 3 s after a request's third crash, over all pools and gateways, and excuses none; the rule of prompt parts is as it was. Two sound requests are sent again likewise and must be served after the recovery. An endpoint that crashes loses its stage results, and a call whose connection is closed no longer occupies a batch endpoint for good.

--- a/crates/ferry-gateway/tests/inspector.rs
+++ b/crates/ferry-gateway/tests/inspector.rs
@@ -200,7 +200,7 @@
 }
 
 /// Returns whether each request that may start is ambiguous.
-fn verdicts<'a>(pipeline: &[Sent], reads: impl Iterator<Item = &'a [u8]>) -> Vec<bool> {
+fn are_ambiguous<'a>(pipeline: &[Sent], reads: impl Iterator<Item = &'a [u8]>) -> Vec<bool> {
     let inspector = Inspector::new(MAX_HEAD);
     for read in reads {
         inspector.record(read);
@@ -219,7 +219,7 @@
         piece in 1..7usize,
     ) {
         let bytes: Vec<u8> = pipeline.iter().flat_map(Sent::bytes).collect();
-        let whole = verdicts(&pipeline, std::iter::once(bytes.as_slice()));
+        let whole = are_ambiguous(&pipeline, std::iter::once(bytes.as_slice()));
         // The connection ends with the first request that has a transfer encoding.
         let is_last = |it: &Sent| matches!(it.body, Body::Chunks(_) | Body::Both { .. });
         let n_started = pipeline.iter().position(is_last).map_or(pipeline.len(), |it| it + 1);
@@ -231,7 +231,7 @@
         at.extend([0, bytes.len()]);
         at.sort_unstable();
         let cut = at.windows(2).map(|it| &bytes[it[0]..it[1]]);
-        prop_assert_eq!(&verdicts(&pipeline, cut), &whole);
-        prop_assert_eq!(&verdicts(&pipeline, bytes.chunks(piece)), &whole);
+        prop_assert_eq!(&are_ambiguous(&pipeline, cut), &whole);
+        prop_assert_eq!(&are_ambiguous(&pipeline, bytes.chunks(piece)), &whole);
     }
 }
--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use ferry_soak::SoakOptions;
-use ferry_soak::checker::crashes::MAX_LATE;
+use ferry_soak::checker::crashes::CauseCounts;
+use ferry_soak::config::Route;
+use ferry_soak::crash::Cause;
+use ferry_soak::repeats::{Repeats, start_repeats};
 use ferry_soak::soak::{N_CALLERS, start_callers};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -93,11 +96,54 @@
         sleep(END_TIME).await;
         is_over.replace(true);
         let counts = cluster.checker.count_crashes(until);
-        assert!(0 < counts.n_crashes, "{counts:?}");
-        let (before, after) = (counts.before, counts.after);
-        assert!(20 <= before.sent && 20 <= after.sent, "{counts:?}");
-        assert!(counts.n_late <= MAX_LATE, "{counts:?}");
-        assert!(before.served * after.sent <= 2 * after.served * before.sent, "{counts:?}");
+        assert!(counts.causes.iter().any(|it| 0 < it.n_crashes), "{counts:?}");
+        assert_eq!(counts.violations(), Vec::<String>::new(), "{counts:?}");
+        assert!(counts.streams.are_served(), "{counts:?}");
         assert_eq!(cluster.checker.violations(), Vec::<String>::new());
     });
 }
+
+/// Time for which requests that crash endpoints come again; the pool of the plain ones has three, which
+/// may all be down after the third crash.
+const REPEAT_TIME: Duration = Duration::from_millis(12_500);
+
+#[test]
+fn request_that_crashes_endpoints_stops_reaching_them() {
+    struct Case {
+        seed: u64,
+        crashing: [Route; 2],
+    }
+    let cases = [
+        Case { seed: 1, crashing: [Route::Get, Route::Once] },
+        Case { seed: 2, crashing: [Route::Post, Route::Stream] },
+    ];
+    for Case { seed, crashing } in cases {
+        with_engines(&format!("soak-repeats-{seed}"), 3, N_ENGINES, async |cluster| {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let is_over = start_callers(&cluster, &mut rng, N_CALLERS);
+            sleep(SOUND_TIME).await;
+            cluster.seed_crashes(seed);
+            let repeats = Repeats { crashing: crashing.to_vec(), ..Repeats::draw(seed) };
+            start_repeats(&cluster, &repeats, seed, &is_over);
+            sleep(REPEAT_TIME).await;
+            let until = Instant::now();
+            sleep(END_TIME).await;
+            is_over.replace(true);
+            let counts = cluster.checker.count_crashes(until);
+            assert_eq!(counts.violations(), Vec::<String>::new(), "seed {seed}: {counts:#?}");
+            for route in crashing {
+                let cause = Cause::Request(route);
+                let has_crashed = |it: &CauseCounts| it.cause == cause && 3 <= it.n_crashes;
+                assert!(counts.causes.iter().any(has_crashed), "seed {seed}: {counts:#?}");
+            }
+            assert!(counts.streams.are_served(), "seed {seed}: {counts:#?}");
+            assert!(counts.plain.are_served(), "seed {seed}: {counts:#?}");
+            let since = until - SOUND_TIME;
+            for body in repeats.sound_bodies() {
+                let served = cluster.checker.count_body(&body, since, until).served;
+                assert!(0 < served, "seed {seed}, {body}");
+            }
+            assert_eq!(cluster.checker.violations(), Vec::<String>::new(), "seed {seed}");
+        });
+    }
+}
--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -19,7 +19,7 @@
 
 use crate::checker::{Checker, Outcome};
 use crate::config::{API_KEY, DEADLINE_MS, HOST, Route};
-use crate::crash::{Prompts, names_part};
+use crate::crash::{Cause, Prompts};
 use crate::endpoint::{N_EVENTS, event_text, response_body};
 
 /// Time limit for opening a connection, and for a lookup in the directory.
@@ -52,18 +52,30 @@
         Caller { rng, name, directories, checker, connection: None, prompts, n_sent: 0 }
     }
 
-    /// Sends a request and records its outcome; a resumable stream that breaks off is taken up once.
+    /// Sends a request of its own.
     pub async fn send(&mut self, route: Route) {
+        let body = format!("body of {}-{}", self.name, self.n_sent + 1);
+        let prompt = self.prompts.draw();
+        self.send_body(route, &body, prompt).await;
+    }
+
+    /// Sends a request over a new connection, which may lead to another gateway.
+    pub async fn send_elsewhere(&mut self, route: Route, body: &str, prompt: &str) {
+        self.connection = None;
+        self.send_body(route, body, prompt.to_owned()).await;
+    }
+
+    /// Sends a request and records its outcome; a resumable stream that breaks off is taken up once.
+    async fn send_body(&mut self, route: Route, body: &str, prompt: String) {
         self.n_sent += 1;
         let attempt = format!("{}-{}", self.name, self.n_sent);
-        let body = format!("body of {attempt}");
-        let mut stream = Stream { prompt: self.prompts.draw(), ..Stream::default() };
-        self.try_send(route, &attempt, &body, &mut stream).await;
+        let mut stream = Stream { prompt, ..Stream::default() };
+        self.try_send(route, &attempt, body, &mut stream).await;
         if route == Route::Stream && stream.is_broken() {
             self.checker.count_take_up();
             let next = format!("{attempt}-again");
             stream.first_attempt = Some(attempt);
-            if self.try_send(route, &next, &body, &mut stream).await == Outcome::Success {
+            if self.try_send(route, &next, body, &mut stream).await == Outcome::Success {
                 self.checker.count_continued();
             }
         }
@@ -99,8 +111,8 @@
         stream: &mut Stream,
     ) -> Option<Outcome> {
         let (address, mut sender) = self.connection().await?;
-        let has_part = route.is_stream() && names_part(&stream.prompt);
-        self.checker.record_gateway(attempt, address, has_part);
+        let cause = Cause::of(route, &stream.prompt, body.as_bytes());
+        self.checker.record_gateway(attempt, address, cause);
         let request = request(route, attempt, body, stream)?;
         self.checker.record_node(attempt, &address.ip().to_string());
         let response = sender.send_request(request).await.ok()?;
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::config::Route;
+use crate::crash::Cause;
 use crate::losses::{Ended, Trouble, Troubles};
 
 use crashes::CrashLog;
@@ -41,8 +42,8 @@
     end: Option<Instant>,
     /// The gateway to which it was sent.
     gateway: Option<SocketAddr>,
-    /// Whether its prompt names the part on which engines crash.
-    has_part: bool,
+    /// What its endpoints crash on.
+    cause: Option<Cause>,
     /// Whether a response was cut off so that it may look complete.
     is_cut: bool,
 }
@@ -74,7 +75,7 @@
             sent: Instant::now(),
             end: None,
             gateway: None,
-            has_part: false,
+            cause: None,
             is_cut: false,
         };
         self.attempts.borrow_mut().insert(id.to_owned(), attempt);
@@ -216,10 +217,15 @@
         self.violations.borrow().clone()
     }
 
-    /// Counts the outcomes of the requests sent between two points in time, except those with the part
-    /// on which engines crash.
+    /// Counts the outcomes of the requests sent between two points in time, except those on which
+    /// endpoints crash.
     pub fn count_outcomes(&self, from: Instant, until: Instant) -> OutcomeCounts {
-        self.count(|it| from <= it.sent && it.sent < until && !it.has_part)
+        self.count(|it| from <= it.sent && it.sent < until && it.cause.is_none())
+    }
+
+    /// Counts the outcomes of the requests with a body that were sent between two points in time.
+    pub fn count_body(&self, body: &str, from: Instant, until: Instant) -> OutcomeCounts {
+        self.count(|it| from <= it.sent && it.sent < until && it.body == body.as_bytes())
     }
 
     fn count(&self, is_counted: impl Fn(&Attempt) -> bool) -> OutcomeCounts {
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -268,9 +268,14 @@
         }
     }
 
-    /// Makes callers send prompts on which engines crash; every second engine responds without framing.
+    /// Makes callers send prompts on which engines crash.
     pub fn start_crashes(&self, seed: u64) {
         self.has_crashes.set(true);
+        self.seed_crashes(seed);
+    }
+
+    /// Draws the crashes from a seed; every second engine responds without framing.
+    pub fn seed_crashes(&self, seed: u64) {
         for (number, endpoint) in (0..).zip(&self.endpoints) {
             endpoint.crashes.seed.set(seed.wrapping_add(number * 1_000));
             endpoint.crashes.is_unframed.set(number % 2 == 1);
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -1,6 +1,8 @@
 //! Simulated endpoints: plain services, batch services and engines.
 
 mod behaviour;
+mod calls;
+mod responses;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,6 +12,7 @@
 use bytes::Bytes;
 use ferry_platform::headers;
 use futures_util::stream;
+use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -21,7 +24,11 @@
 use crate::rate_limit::RateLimit;
 use crate::server::{Body, Disconnect, ListenerHandle, full_response, serve, without_framing};
 
+use calls::CallGuard;
+use responses::{crash_response, large_event, not_run};
+
 pub use behaviour::Behaviour;
+pub use responses::{event_text, response_body};
 
 /// Time to run a plain request.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
@@ -35,8 +42,6 @@
 pub const N_EVENTS: u64 = 8;
 /// Number of events in a stream of large ones: more than a gateway and its sockets buffer.
 pub const N_LARGE_EVENTS: u64 = 200;
-/// Bytes in a large event beside its text.
-const LARGE_EVENT: usize = 64 * 1024;
 /// Time between large events.
 const LARGE_GAP: Duration = Duration::from_millis(2);
 
@@ -176,10 +181,8 @@
         if self.behaviour.get() == Behaviour::Full || 2 < self.n_calls.get() {
             return Some(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
-        self.n_calls.set(self.n_calls.get() + 1);
-        let response = self.make_items(body).await;
-        self.n_calls.set(self.n_calls.get() - 1);
-        response
+        let _guard = CallGuard::new(&self.n_calls);
+        self.make_items(body).await
     }
 
     async fn make_items(&self, body: &[u8]) -> Option<Response<Body>> {
@@ -222,10 +225,11 @@
             return Some(not_run(StatusCode::BAD_REQUEST));
         };
         let prompt = header("tarragonferry-prompt-prefix").unwrap_or_default();
-        let crash = self.crashes.pending(prompt).filter(|_| self.pool == Pool::Engine);
-        if crash.is_some() {
-            self.checker.record_arrival(attempt);
+        let cause = self.checker.cause(attempt, prompt, body);
+        if let Some(cause) = cause {
+            self.checker.record_arrival(attempt, cause);
         }
+        let crash = cause.map(|it| self.crashes.pending(it));
         if self.behaviour.get() == Behaviour::Full {
             return Some(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
@@ -254,16 +258,23 @@
         let from = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         match self.pool {
             Pool::Engine => self.stream(attempt, from, crash).await,
-            Pool::Plain | Pool::First | Pool::Second => self.plain(attempt, body).await,
+            Pool::Plain | Pool::First | Pool::Second => self.plain(attempt, body, crash).await,
         }
     }
 
-    async fn plain(&self, attempt: &str, body: &[u8]) -> Option<Response<Body>> {
-        tokio::time::sleep(self.time(PLAIN_TIME)).await;
+    async fn plain(
+        &self,
+        attempt: &str,
+        body: &[u8],
+        crash: Option<PendingCrash>,
+    ) -> Option<Response<Body>> {
+        self.run_head(PLAIN_TIME, crash.as_ref()).await;
         self.apply_fault().await?;
-        let mut response = match self.behaviour.get() {
-            Behaviour::Failing => full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-            _ => full_response(StatusCode::OK, response_body(attempt, body)),
+        let text = response_body(attempt, body);
+        let mut response = match (self.behaviour.get(), crash) {
+            (Behaviour::Failing, _) => full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+            (_, Some(crash)) => crash_response(text, crash),
+            (_, None) => full_response(StatusCode::OK, text),
         };
         self.add_headers(&mut response, attempt);
         match self.behaviour.get() {
@@ -278,7 +289,7 @@
         from: u64,
         crash: Option<PendingCrash>,
     ) -> Option<Response<Body>> {
-        tokio::time::sleep(self.time(FIRST_EVENT)).await;
+        self.run_head(FIRST_EVENT, crash.as_ref()).await;
         if self.behaviour.get() != Behaviour::Truncates {
             self.apply_fault().await?;
         }
@@ -287,11 +298,14 @@
             Behaviour::Large => (LARGE_GAP, N_LARGE_EVENTS),
             _ => (self.time(EVENT_GAP), N_EVENTS),
         };
+        let gap = gap * crash.as_ref().map_or(1, |it| it.slowness);
         let (attempt_id, build) = (attempt.to_owned(), self.build.get());
         let events = stream::unfold(from + 1, move |number| {
             let (attempt, crash) = (attempt_id.clone(), crash.clone());
             async move {
-                if let Some(crash) = crash.filter(|it| from + it.n_events < number) {
+                // A stream that was taken up has fewer events, and crashes the engine nevertheless.
+                let is_due = |it: &PendingCrash| it.is_due(number - from - 1) || n_events < number;
+                if let Some(crash) = crash.filter(is_due) {
                     crash.crash().await;
                 }
                 if n_events < number {
@@ -314,7 +328,7 @@
         let mut response = crate::server::stream_response(events);
         if behaviour != Behaviour::Untyped {
             let kind = HeaderValue::from_static("text/event-stream");
-            response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+            response.headers_mut().insert(CONTENT_TYPE, kind);
         }
         self.add_headers(&mut response, attempt);
         match behaviour {
@@ -326,6 +340,14 @@
         }
     }
 
+    /// Takes the time until the head of a response, in which the endpoint may crash.
+    async fn run_head(&self, time: Duration, crash: Option<&PendingCrash>) {
+        match crash {
+            Some(crash) => crash.run_head(self.time(time)).await,
+            None => tokio::time::sleep(self.time(time)).await,
+        }
+    }
+
     /// Applies behaviours that prevent a response; none closes the connection.
     async fn apply_fault(&self) -> Option<()> {
         match self.behaviour.get() {
@@ -364,25 +386,3 @@
         }
     }
 }
-
-/// Returns an event of a stream.
-pub fn event_text(attempt: &str, number: u64, build: &str) -> String {
-    format!("id: {number}\ndata: {attempt} {number} {build}\n\n")
-}
-
-/// Returns an event with a long comment.
-fn large_event(event: &str) -> String {
-    format!(":{}\n{event}", "x".repeat(LARGE_EVENT))
-}
-
-/// Returns the only correct body of a response to an attempt.
-pub fn response_body(attempt: &str, body: &[u8]) -> String {
-    format!("{attempt}:{}", String::from_utf8_lossy(body))
-}
-
-fn not_run(status: StatusCode) -> Response<Body> {
-    let mut response = full_response(status, "");
-    let one = HeaderValue::from_static("1");
-    response.headers_mut().insert("tarragonferry-not-executed", one);
-    response
-}
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod proxy;
 mod rate_limit;
+pub mod repeats;
 pub mod server;
 pub mod soak;
 pub mod store;
--- a/crates/ferry-soak/src/losses.rs
+++ b/crates/ferry-soak/src/losses.rs
@@ -20,7 +20,7 @@
     Terminated,
     /// The endpoint or its link breaks off, withholds or falsifies answers.
     Broken,
-    /// The engine has crashed on a prompt part.
+    /// The endpoint has crashed on a request.
     Crashed,
     /// The endpoint falls silent and goes on, or sends slowly.
     Silent,
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -36,7 +36,7 @@
     /// only these faults: pauses (moments of silence, configurations and SIGHUP); all by default
     #[argh(option)]
     only: Option<Only>,
-    /// sends prompts on which engines crash
+    /// sends prompts on which engines crash, and requests on which all endpoints do
     #[argh(switch)]
     crashes: bool,
     /// path of the gateway binary; by default ferry-gateway in the directory of this program
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -14,12 +14,13 @@
 
 use crate::callers::Caller;
 use crate::checker::OutcomeCounts;
-use crate::checker::crashes::{CrashCounts, MAX_LATE};
+use crate::checker::crashes::CrashCounts;
 use crate::cluster::{Cluster, N_ENDPOINTS};
 use crate::config::Route;
 use crate::crash::Prompts;
 use crate::endpoint::Pool;
 use crate::plan::{Plan, apply, generate, generate_limits, generate_pauses, restore};
+use crate::repeats::{Repeats, start_repeats};
 
 pub const N_CALLERS: usize = 12;
 /// The same if nothing else fails, so that moments of silence meet more streams that have begun.
@@ -54,7 +55,7 @@
     pub net: (u8, u8),
     /// Whether there are only silent moments of sound endpoints, configurations and SIGHUP.
     pub is_calm: bool,
-    /// Whether some prompts crash engines.
+    /// Whether some prompts crash engines, and some requests all endpoints.
     pub has_crashes: bool,
 }
 
@@ -92,6 +93,10 @@
         cluster.start_crashes(options.seed);
     }
     let is_over = start_callers(&cluster, &mut rng, n_callers);
+    let repeats = options.has_crashes.then(|| Repeats::draw(options.seed));
+    if let Some(repeats) = &repeats {
+        start_repeats(&cluster, repeats, options.seed, &is_over);
+    }
     let start = Instant::now();
     for (at, step) in plan(options, &mut rng, cluster.endpoints.len()) {
         sleep_until(start + at).await;
@@ -126,8 +131,12 @@
     let take_ups = cluster.checker.take_ups();
     let n_limited = cluster.checker.n_limited();
     let crashes = cluster.checker.count_crashes(from);
-    if MAX_LATE < crashes.n_late {
-        violations.push(format!("requests that crash engines went on: {crashes:?}"));
+    violations.extend(crashes.violations());
+    for body in repeats.iter().flat_map(Repeats::sound_bodies) {
+        let counts = cluster.checker.count_body(&body, from, until);
+        if counts.served == 0 {
+            violations.push(format!("{body:?} is not served after the recovery: {counts:?}"));
+        }
     }
     Ok(Report { violations, under_faults, after_recovery, take_ups, n_limited, n_lost, crashes })
 }
