--- a/crates/ferry-serve/tests/decisions/quarantine/trouble.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/trouble.rs
@@ -1,8 +1,9 @@
-//! Trouble that breaks many calls at once and is no prompt part's fault.
+//! Trouble that breaks many calls at once and no request causes.
 
 use ferry_model::EndpointState;
-use ferry_serve::{DecisionKind, Framing};
+use ferry_serve::Framing;
 
+use crate::quarantine::records::{print_decisions, quarantined};
 use crate::quarantine::traffic::Traffic;
 use crate::simulation::{Behaviour, ENGINE, Simulation, ms};
 
@@ -31,8 +32,11 @@
     BrokenAnswers,
     /// One in 20 answers breaks off at one of the engines that serve few requests.
     QuietBrokenAnswers,
+    /// Answers to certain requests break off while their endpoint goes on.
+    LostAnswers,
 }
 
+/// All but lost answers, which are those to certain requests.
 pub const ALL: [Trouble; 9] = [
     Trouble::KillOne,
     Trouble::KillSeveral,
@@ -73,13 +77,10 @@
                     traffic.run(&mut sim, ms(STEP));
                 }
                 traffic.run(&mut sim, ms(3_000));
-                let parts = quarantined(&sim);
-                if !parts.is_empty() {
-                    for it in sim.decisions.iter().filter(|it| it.kind == DecisionKind::Quarantine)
-                    {
-                        println!("{it:?}");
-                    }
-                    failed.push(format!("{name}: {parts:?}"));
+                let wrong = quarantined(&sim);
+                if !wrong.is_empty() {
+                    print_decisions(&sim);
+                    failed.push(format!("{name}: {wrong:?}"));
                 }
             }
         }
@@ -87,21 +88,14 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Returns the parts that an instance has in quarantine.
-pub fn quarantined(sim: &Simulation) -> Vec<u64> {
-    let is_on =
-        |it: &ferry_serve::QuarantineState| *it == ferry_serve::QuarantineState::Quarantined;
-    let records = sim.instances.iter().flatten().flat_map(|it| it.quarantine().iter());
-    let mut parts: Vec<u64> = records.filter(|it| is_on(&it.2.state)).map(|it| it.1).collect();
-    parts.sort_unstable();
-    parts.dedup();
-    parts
-}
-
 impl Trouble {
     /// Does what is due at a step of half a second.
     pub fn apply(self, sim: &mut Simulation, number: usize) {
-        let engine = |it: usize| format!("{ENGINE}-{}", it % N_ENGINES);
+        self.apply_to(sim, ENGINE, number);
+    }
+
+    pub fn apply_to(self, sim: &mut Simulation, pool: &str, number: usize) {
+        let engine = |it: usize| format!("{pool}-{}", it % N_ENGINES);
         match self {
             Trouble::KillOne if number.is_multiple_of(6) => sim.kill_endpoint(&engine(number / 6)),
             Trouble::KillSeveral if number.is_multiple_of(10) => {
@@ -134,7 +128,8 @@
             | Trouble::KillSeveral
             | Trouble::CutLinks
             | Trouble::Release
-            | Trouble::Dark => (),
+            | Trouble::Dark
+            | Trouble::LostAnswers => (),
         }
     }
 }
