--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -22,7 +22,7 @@
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
-use crate::{caches, calls, items, peers};
+use crate::{caches, calls, items, peers, probes};
 
 /// Lateness of the timer after which the process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(50);
@@ -224,6 +224,9 @@
             Effect::Batch(call) => items::start(self, *call),
             Effect::Free { address, handles } => self.free(address, handles),
             Effect::ReadCache { endpoint, address } => caches::read(self, endpoint, address),
+            Effect::Probe { endpoint, started, address } => {
+                probes::start(self, endpoint, started, address);
+            }
             Effect::Send { to, message } => peers::send(self, to, &message),
             Effect::Pull { from, version, since } => peers::pull(self, from, version, since),
             Effect::Log(decision) => self.log_decision(&decision),
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod peers;
+pub mod probes;
 pub mod quarantine;
 pub mod run;
 pub mod server;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -52,6 +52,13 @@
         endpoint: EndpointId,
         address: SocketAddr,
     },
+    /// Opens a connection to an endpoint whose calls broke off, to see whether it is alive.
+    Probe {
+        endpoint: EndpointId,
+        /// Which start of the endpoint it is.
+        started: u64,
+        address: SocketAddr,
+    },
     /// Sends a datagram to a peer; it may get lost.
     Send {
         to: SocketAddr,
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -55,6 +55,12 @@
         endpoint: EndpointId,
         parts: Vec<PromptPart>,
     },
+    /// A probe of an endpoint ended.
+    Probed {
+        endpoint: EndpointId,
+        started: u64,
+        is_alive: bool,
+    },
     /// A peer sent a message.
     Peer {
         from: SocketAddr,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -145,6 +145,9 @@
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
+            Event::Probed { endpoint, started, is_alive } => {
+                quarantine::exchange::on_probed(cx, &endpoint, started, is_alive);
+            }
             Event::Peer { from, message } => {
                 updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
--- a/crates/ferry-serve/src/quarantine/evidence.rs
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -10,9 +10,8 @@
 const MIN_REQUESTS: usize = 3;
 /// Highest probability that endpoints which fail for other reasons hit a candidate so often.
 const MAX_CHANCE: f64 = 1e-5;
-/// The same for a part, and for a request, that was never sound.
-const MAX_CHANCE_PART: f64 = 1e-3;
-const MAX_CHANCE_REQUEST: f64 = 1e-2;
+/// The same for a request that was never sound, which alone suffers if that is wrong.
+const MAX_CHANCE_UNSOUND: f64 = 1e-2;
 
 /// What a candidate may count on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,8 +106,8 @@
     ) -> bool {
         let (n, max_chance) = match (was_sound, candidate) {
             (true, _) => (self.incidents.n, MAX_CHANCE),
-            (false, CrashCandidate::Part(_)) => (self.crashes.n, MAX_CHANCE_PART),
-            (false, CrashCandidate::Request(_)) => (self.crashes.n, MAX_CHANCE_REQUEST),
+            (false, CrashCandidate::Part(_)) => (self.crashes.n, MAX_CHANCE),
+            (false, CrashCandidate::Request(_)) => (self.crashes.n, MAX_CHANCE_UNSOUND),
         };
         self.chance(pool).powi(n as i32) <= max_chance
     }
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-use ferry_model::PoolId;
+use ferry_model::{EndpointId, PoolId};
 
 use super::collector::Finding;
 use super::evidence::Standing;
@@ -24,7 +24,8 @@
 /// Reports crashes that are certain by now, attributes them, and ends what has lasted for long enough.
 pub fn tick(cx: &mut Pass<'_>) {
     watch_entries(cx);
-    for report in cx.ctx.crash_watch.due(cx.now) {
+    probe(cx);
+    for report in cx.ctx.crash_watch.due_reports(cx.now) {
         send_report(cx, report);
     }
     let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
@@ -45,6 +46,25 @@
     }
 }
 
+/// Handles the end of a probe of an endpoint.
+pub fn on_probed(cx: &mut Pass<'_>, endpoint: &EndpointId, started: u64, is_alive: bool) {
+    let report = cx.ctx.crash_watch.on_probed(cx.now, endpoint, started, is_alive);
+    if let Some(report) = report {
+        send_report(cx, report);
+    }
+}
+
+/// Probes the endpoints that may have crashed; one that is no longer known has.
+fn probe(cx: &mut Pass<'_>) {
+    for (endpoint, started) in cx.ctx.crash_watch.due_probes(cx.now) {
+        let view = cx.ctx.endpoints.get(&endpoint);
+        match view.filter(|it| it.endpoint.started == started).map(|it| it.endpoint.address) {
+            Some(address) => cx.effects.push(Effect::Probe { endpoint, started, address }),
+            None => on_probed(cx, &endpoint, started, false),
+        }
+    }
+}
+
 /// Records a report, if this instance knows its pool.
 pub fn on_report(cx: &mut Pass<'_>, report: CrashReport) {
     let collectors = collectors(cx, &report.pool);
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -10,8 +10,10 @@
 };
 use crate::RequestDigest;
 
-/// Silence of an endpoint after a break that makes it a crash.
+/// Silence of an endpoint after a break that may be its crash.
 const SILENCE: Duration = Duration::from_millis(150);
+/// Time for a probe of such an endpoint.
+const PROBE_TIME: Duration = Duration::from_millis(600);
 /// Time for which an end of a connection that may be a crash is kept.
 const END_TTL: Duration = Duration::from_secs(5);
 /// Candidates of one report; the rest of the calls is dropped.
@@ -59,6 +61,15 @@
     started: u64,
     last: Moment,
     calls: Vec<CallTrace>,
+    /// When a probe of the endpoint was sent, if it was.
+    probed: Option<Moment>,
+}
+
+impl Breaks {
+    /// Returns when the next step is due: the probe, or a report without its answer.
+    fn due(&self) -> Moment {
+        self.probed.map_or(self.last + SILENCE, |it| it + PROBE_TIME)
+    }
 }
 
 /// Sound answers of one pool.
@@ -168,7 +179,13 @@
     /// Records a call that broke off.
     pub fn on_broken(&mut self, now: Moment, trace: CallTrace) {
         let CallTrace { pool, endpoint, started, .. } = &trace;
-        let new = || Breaks { pool: pool.clone(), started: *started, last: now, calls: Vec::new() };
+        let new = || Breaks {
+            pool: pool.clone(),
+            started: *started,
+            last: now,
+            calls: Vec::new(),
+            probed: None,
+        };
         let breaks = self.breaks.get_or_insert_with(endpoint.clone(), new);
         if breaks.started != *started {
             *breaks = new();
@@ -210,17 +227,51 @@
         self.ends.iter().map(|it| (it.1.endpoint.clone(), it.1.started)).collect()
     }
 
-    /// Returns the crashes that are certain enough by now, as far as this instance knows.
-    pub fn due(&mut self, now: Moment) -> Vec<CrashReport> {
+    /// Returns the endpoints that may have crashed and are to be probed now.
+    pub fn due_probes(&mut self, now: Moment) -> Vec<(EndpointId, u64)> {
         self.ends.retain(|it| now < it.0 + END_TTL);
-        let due = self.breaks.iter().filter(|it| it.1.last + SILENCE <= now);
+        let heard = &self.heard;
+        self.breaks.retain(|endpoint, it| {
+            let is_alive = |heard: &(u64, Moment)| heard.0 == it.started && it.last < heard.1;
+            !heard.get(endpoint).is_some_and(is_alive)
+        });
+        let mut due = Vec::new();
+        for (endpoint, breaks) in self.breaks.iter_mut() {
+            if breaks.probed.is_none() && breaks.due() <= now {
+                breaks.probed = Some(now);
+                due.push((endpoint.clone(), breaks.started));
+            }
+        }
+        due
+    }
+
+    /// Returns the crashes of endpoints whose probes have not ended in time.
+    pub fn due_reports(&mut self, now: Moment) -> Vec<CrashReport> {
+        let due = self.breaks.iter().filter(|it| it.1.probed.is_some() && it.1.due() <= now);
         let due: Vec<EndpointId> = due.map(|it| it.0.clone()).collect();
         due.into_iter().filter_map(|it| self.report(now, it)).collect()
     }
 
+    /// Handles the end of a probe; returns the crash to report, if the endpoint is not alive.
+    pub fn on_probed(
+        &mut self,
+        now: Moment,
+        endpoint: &EndpointId,
+        started: u64,
+        is_alive: bool,
+    ) -> Option<CrashReport> {
+        self.breaks.get(endpoint).filter(|it| it.started == started && it.probed.is_some())?;
+        if is_alive {
+            self.breaks.remove(endpoint);
+            self.on_heard(now, endpoint, started);
+            return None;
+        }
+        self.report(now, endpoint.clone())
+    }
+
     pub fn next_wake(&self) -> Option<Moment> {
         let retraction = (!self.retractions.is_empty()).then_some(Moment::ZERO);
-        self.breaks.values().map(|it| it.last + SILENCE).chain(retraction).min()
+        self.breaks.values().map(Breaks::due).chain(retraction).min()
     }
 
     /// Returns the sound answers per second of a pool at this instance.
@@ -308,7 +359,7 @@
     }
 
     fn report(&mut self, now: Moment, endpoint: EndpointId) -> Option<CrashReport> {
-        let Breaks { pool, started, last, mut calls } = self.breaks.remove(&endpoint)?;
+        let Breaks { pool, started, last, mut calls, .. } = self.breaks.remove(&endpoint)?;
         let is_alive = |it: &(u64, Moment)| it.0 == started && last < it.1;
         if self.heard.get(&endpoint).is_some_and(is_alive) {
             return None;
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -388,6 +388,7 @@
             Effect::Pull { from, version, since } => self.pull(instance, from, version, since),
             Effect::Exit => self.exited.push(instance),
             Effect::Close => self.closed.push((instance, self.now)),
+            Effect::Probe { endpoint, started, .. } => self.probe(instance, endpoint, started),
             Effect::ReadCache { endpoint, .. } => self.read_cache(instance, endpoint),
             Effect::Log(decision) => self.decisions.push(*decision),
             Effect::Count(_) => (),
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -121,6 +121,13 @@
 }
 
 impl Simulation {
+    /// Answers a probe of an endpoint.
+    pub(super) fn probe(&mut self, instance: usize, endpoint: String, started: u64) {
+        let is_alive = !self.crashes.down.contains(&endpoint);
+        let event = Event::Probed { endpoint, started, is_alive };
+        self.schedule(instance, NETWORK_DELAY, event);
+    }
+
     /// Handles a call to an endpoint that does not run; returns whether it does not.
     pub(super) fn refuse_connection(&mut self, instance: usize, call: &Call) -> bool {
         let is_down = self.crashes.down.contains(&call.endpoint);
