Test the operator interface with whole requests, and count a request as wrong only without a cause

Cause: operators could name a prompt part only. The interface takes parts and requests since the attribution covers both, and had no test for requests.

The test of sound parts now looks at requests too: a request in quarantine is wrong unless an attempt with its digest has the part on which engines crash.

--- a/crates/ferry-gateway/tests/process/harness.rs
+++ b/crates/ferry-gateway/tests/process/harness.rs
@@ -1,12 +1,14 @@
 //! Clusters on separate loopback addresses, and helpers that send raw requests.
 
+use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use ferry_soak::cluster::{Cluster, N_ENDPOINTS};
+use ferry_soak::cluster::{Cluster, N_ENDPOINTS, Node};
 use ferry_soak::config::{API_KEY, HOST};
+use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
@@ -100,3 +102,19 @@
          Tarragonferry-Deadline-Remaining: 4000\r\nApi-Key: {API_KEY}\r\n"
     )
 }
+
+/// Returns the digest in the admit line of an attempt, once it is in a gateway's log.
+pub async fn logged_digest(node: &Node, attempt: &str) -> String {
+    let find = async {
+        loop {
+            let log = fs::read_to_string(node.log()).expect("there is a log");
+            let lines = log.lines().filter_map(|it| serde_json::from_str::<Value>(it).ok());
+            let mut lines = lines.filter(|it| it["decision"] == "admit");
+            if let Some(line) = lines.find(|it| it["request"] == attempt) {
+                return line["digest"].as_str().expect("the line has a digest").to_owned();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TIMEOUT, find).await.expect("the request is admitted")
+}
--- a/crates/ferry-soak/src/checker/crashes.rs
+++ b/crates/ferry-soak/src/checker/crashes.rs
@@ -93,6 +93,11 @@
         Cause::of(route, prompt, body)
     }
 
+    /// Returns whether an attempt was sent on which endpoints crash.
+    pub fn has_cause(&self, id: &str) -> bool {
+        self.attempts.borrow().get(id).is_some_and(|it| it.cause.is_some())
+    }
+
     /// Records that a request has reached an endpoint that crashes on it.
     pub fn record_arrival(&self, id: &str, cause: Cause) {
         let gateway = self.attempts.borrow().get(id).and_then(|it| it.gateway);
