--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -12,6 +12,8 @@
 
 /// Pause of an endpoint that is busy with calls of other instances.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
+/// Expected time of a call from which on ratios to it are taken.
+const MIN_EXPECTED: Duration = Duration::from_millis(1);
 /// Pause of an endpoint that has no memory for more results.
 const MEMORY_PAUSE: Duration = Duration::from_millis(80);
 
@@ -21,16 +23,19 @@
         cx: &mut Pass<'_>,
         sent: &SentCall,
         results: Vec<ItemResult>,
+        pause: Duration,
     ) {
         let took = cx.now.saturating_sub(sent.sent_at);
         let n_items = sent.items.len();
         if results.len() != n_items {
-            let failure = BatchFailure::Broken("results are missing".to_owned());
+            let failure = BatchFailure::Failed("results are missing".to_owned());
             return self.on_failure(cx, sent, &failure);
         }
         if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
-            let work = took.saturating_sub(TRANSIT_TIME).as_secs_f64();
-            view.record_success(work / sent.expected.as_secs_f64().max(1e-3));
+            let expected = sent.expected.max(MIN_EXPECTED);
+            let work = took.saturating_sub(TRANSIT_TIME);
+            let own = work.saturating_sub(pause).max(work.min(expected));
+            view.record_success(own.div_duration_f64(expected));
         }
         log_failed_items(cx, sent, &results);
         let mut unneeded = Vec::new();
@@ -114,9 +119,10 @@
         if let Some(view) = cx.ctx.endpoints.get_mut(&sent.endpoint) {
             match failure {
                 BatchFailure::NotRun(_) => view.pause_until(now + BUSY_PAUSE),
-                BatchFailure::Unsent(_) | BatchFailure::Broken(_) => {
-                    view.record_failure(now, &tuning)
-                }
+                BatchFailure::Unsent(_)
+                | BatchFailure::Broken(_)
+                | BatchFailure::TimedOut
+                | BatchFailure::Failed(_) => view.record_failure(now, &tuning),
             }
         }
         cx.count(Metric::BatchesFailed);
@@ -127,7 +133,9 @@
         );
         let max_tries = match failure {
             BatchFailure::NotRun(_) | BatchFailure::Unsent(_) => u8::MAX,
-            BatchFailure::Broken(_) => tuning.max_item_tries,
+            BatchFailure::Broken(_) | BatchFailure::TimedOut | BatchFailure::Failed(_) => {
+                tuning.max_item_tries
+            }
         };
         for (key, item) in &sent.items {
             let Some(job) = self.jobs.get_mut(key) else { continue };
@@ -145,6 +153,8 @@
             BatchFailure::Unsent(error) => format!("could not connect: {error}"),
             BatchFailure::NotRun(error) => format!("endpoint did not accept the call: {error}"),
             BatchFailure::Broken(error) => format!("no complete answer: {error}"),
+            BatchFailure::TimedOut => "no complete answer: none in time".to_owned(),
+            BatchFailure::Failed(error) => format!("no complete answer: {error}"),
         }
     }
 }
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use ferry_model::PoolId;
+
 use super::active::{ActiveRequest, Phase};
-use super::call::{final_status, leave_endpoint};
-use super::{crash, permit, schedule, silent, stages};
+use super::call::leave_endpoint;
+use super::{answer, crash, permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::quarantine;
@@ -16,15 +18,24 @@
 /// A refused caller should retry within its time left divided by this.
 const RETRY_DIVISOR: u32 = 4;
 
-/// Returns the candidate in quarantine for which a request may not be sent to an endpoint, if any.
-pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<CrashCandidate> {
-    cx.ctx.quarantine.find(&request.pool, crash::candidates(request))
+/// Returns the quarantine for which a request may not be sent to an endpoint, if any.
+pub fn quarantined(cx: &Pass<'_>, request: &ActiveRequest) -> Option<(PoolId, CrashCandidate)> {
+    let quarantine = &cx.ctx.quarantine;
+    if let Some(pool) = quarantine.find_request(request.digest) {
+        return Some((pool.clone(), CrashCandidate::Request(request.digest)));
+    }
+    let candidate = quarantine.find(&request.pool, crash::candidates(request))?;
+    Some((request.pool.clone(), candidate))
 }
 
 /// Refuses a new request that is in quarantine.
-pub fn refuse_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
-    note_quarantined(cx, request, candidate);
-    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(candidate));
+pub fn refuse_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    found: &(PoolId, CrashCandidate),
+) {
+    note_quarantined(cx, request, found);
+    refuse(cx, request, Status::NotRun, RetryHint::Never, refusal_reason(found.1));
 }
 
 /// Ends a request that is in quarantine before it is sent to an endpoint, or before that begins to
@@ -33,22 +44,26 @@
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
-    candidate: CrashCandidate,
+    found: &(PoolId, CrashCandidate),
 ) {
-    note_quarantined(cx, request, candidate);
+    note_quarantined(cx, request, found);
     if stop_call(cx, request) {
         request.n_runs += 1;
     }
-    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(candidate));
+    give_up(cx, batcher, request, RetryHint::Never, refusal_reason(found.1));
 }
 
-fn note_quarantined(cx: &mut Pass<'_>, request: &ActiveRequest, candidate: CrashCandidate) {
-    quarantine::exchange::on_refused(cx, &request.pool, candidate);
+fn note_quarantined(
+    cx: &mut Pass<'_>,
+    request: &ActiveRequest,
+    (pool, candidate): &(PoolId, CrashCandidate),
+) {
+    quarantine::exchange::on_refused(cx, pool, *candidate);
     cx.log(
         Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}"))
             .with_attempt(&request.head.attempt)
             .with_digest(request.digest)
-            .with_pool(&request.pool),
+            .with_pool(pool),
     );
 }
 
@@ -137,6 +152,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     match request.is_streaming() {
         true => abort(cx, request, reason),
         false => refuse(cx, request, final_status(request), hint, reason),
@@ -145,6 +163,14 @@
     true
 }
 
+/// Returns the status of a request that ends without an answer of an endpoint.
+fn final_status(request: &ActiveRequest) -> Status {
+    match request.n_runs {
+        0 => Status::NotRun,
+        _ => Status::InDoubt,
+    }
+}
+
 /// Ends a request that may have run and has no answer; returns whether it has ended, as it goes on if
 /// a silent endpoint may still answer.
 pub fn fail(
@@ -156,6 +182,9 @@
     if silent::fall_back(cx, batcher, request, reason) {
         return false;
     }
+    if answer::relay_held(cx, batcher, request, reason) {
+        return true;
+    }
     cx.count(Metric::RequestsFailed);
     cx.log(
         Decision::new(DecisionKind::Fail, reason)
@@ -181,6 +210,9 @@
 /// Ends a request whose deadline has passed.
 pub fn expire(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     let was_sent = stop_call(cx, &mut request) || 0 < request.n_runs;
+    if answer::relay_held(cx, batcher, &mut request, "its time is over") {
+        return;
+    }
     let status = if was_sent { Status::Expired } else { Status::NotRun };
     match request.is_streaming() {
         true => abort(cx, &request, "its time is over"),
@@ -192,6 +224,7 @@
 /// Ends a request whose caller has disconnected.
 pub fn drop_request(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
     stop_call(cx, &mut request);
+    answer::drop_held(cx, &mut request);
     cx.count(Metric::RequestsDropped);
     cx.log(
         Decision::new(DecisionKind::Drop, "caller disconnected")
