Drop no items as too late that are in a call

Cause: items of a call that is late are sent to other endpoints too, so their job counted as waiting; once it was late itself, it was ranked behind newer ones and dropped as too late, although its first call went on and was about to bring the results. Seen by callers: 503 "its stages would get their turn too late" for a request whose items an endpoint had done, or was doing. Change: jobs of which every waiting item is in a call are left out when hopeless jobs are dropped; their deadline ends them. Conclusion: the same fault as with calls to silent endpoints: something was given up before it was known whether there was anything better.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -347,7 +347,8 @@
             let limits = cx.ctx.catalog.shortest_limits(cx.now, &group.pool);
             let Some(limits) = limits else { continue };
             let n_endpoints = usable_endpoints(cx.ctx, cx.now, &group, &limits);
-            let waiting = self.waiting(&group);
+            let mut waiting = self.waiting(&group);
+            waiting.retain(|(key, job)| !self.is_in_calls(key, job));
             for key in plan::too_late(cx.now, &waiting, n_endpoints, &limits) {
                 let Some(job) = self.jobs.get_mut(&key) else { continue };
                 finish(cx, &key, job, JobOutcome::Late);
@@ -355,6 +356,15 @@
         }
     }
 
+    /// Whether all items of a job are in calls, so that it may be served before those that wait are.
+    fn is_in_calls(&self, key: &JobKey, job: &Job) -> bool {
+        let has =
+            |call: &SentCall, item: u16| call.items.iter().any(|it| it.0 == *key && it.1 == item);
+        // Most jobs have no item in a call.
+        job.pending.len() <= job.n_in_flight
+            && job.pending.iter().all(|item| self.calls.values().any(|it| has(it, *item)))
+    }
+
     /// Ends jobs past their deadline, and drops those that ended a while ago.
     fn expire(&mut self, cx: &mut Pass<'_>) {
         let (now, retention) = (cx.now, cx.ctx.tuning.job_retention);
--- a/crates/ferry-serve/tests/decisions/silence.rs
+++ b/crates/ferry-serve/tests/decisions/silence.rs
@@ -1,5 +1,6 @@
 //! Silence alone ends no answer: endpoints that fall silent and go on.
 
+mod held_items;
 mod pauses;
 mod review;
 mod second_runs;
