Read requests that arrived while a shorter idle time was applied

Cause: a configuration with a shorter idle time expires at once for all connections that have been idle for longer. They were closed in the same turn of the event loop in which the configuration was decoded, before their sockets were looked at again. Callers saw: a request, sent on an open connection while the configuration was decoded, had neither an answer nor a refusal. Change: an idle connection is closed only after one more turn of the event loop, in which what has arrived is read. A request that crosses the close by less than 20 ms does not count. Ruled out: busy connections (not closed by any limit), a head larger than the connection can take (its response says that the connection closes), a smaller body limit (read when the body begins, ends in 413). Conclusion: proven, a way to end a request at a configuration and at no other moment.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -10,6 +10,7 @@
 use ferry_serve::Gateway;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 use crate::body::{ResponseBody, StreamAborted};
@@ -101,7 +102,11 @@
     }
 
     /// Waits until the connection has been idle for longer than the limits in force allow.
+    ///
+    /// Returns only after another turn of the event loop, in which the connection has to be read. A
+    /// shorter limit expires at once, while requests may wait that arrived as it was applied.
     pub async fn expired(&self, limits: &mut watch::Receiver<CallerLimits>) {
+        let mut has_yielded = false;
         loop {
             let limit = limits.borrow_and_update().idle;
             let now = Instant::now();
@@ -111,8 +116,14 @@
                 true => now + limit,
             };
             if due <= now {
-                return;
+                if has_yielded {
+                    return;
+                }
+                yield_now().await;
+                has_yielded = true;
+                continue;
             }
+            has_yielded = false;
             tokio::select! {
                 Ok(()) = limits.changed() => (),
                 () = sleep_until(due) => (),
--- a/crates/ferry-gateway/tests/process/connections.rs
+++ b/crates/ferry-gateway/tests/process/connections.rs
@@ -5,10 +5,11 @@
 use ferry_soak::cluster::Cluster;
 use ferry_soak::config::{Route, desired_state};
 use ferry_soak::endpoint::{Behaviour, Pool};
-use serde_json::Value;
+use futures_util::future::join_all;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::harness::{TIMEOUT, exchange, head, read_until_idle, with_cluster};
 
@@ -189,3 +190,55 @@
         assert!(text.contains("ferry_connections_timed_out_total 0"), "{text}");
     });
 }
+
+/// Sends a request, and returns whether it was lost: read or not, it has no answer, and its caller
+/// could not know so when sending it.
+async fn is_lost(mut stream: TcpStream, attempt: &str) -> bool {
+    /// Time in which a request and the end of its connection may cross.
+    const CROSSING: Duration = Duration::from_millis(20);
+    let mut buffer = [0; 4096];
+    match timeout(Duration::ZERO, stream.read(&mut buffer)).await {
+        Ok(Ok(0) | Err(_)) => return false,
+        Ok(Ok(_)) => panic!("a response without a request"),
+        Err(_) => (),
+    }
+    let sent = Instant::now();
+    let _ = stream.write_all(get(attempt).as_bytes()).await;
+    match timeout(TIMEOUT, stream.read(&mut buffer)).await.expect("the connection goes on") {
+        Ok(1..) => false,
+        Ok(0) | Err(_) => CROSSING < sent.elapsed(),
+    }
+}
+
+#[test]
+fn request_that_arrives_while_a_shorter_idle_time_is_applied_is_answered() {
+    const N_CALLERS: usize = 150;
+    /// Time between the requests of two callers.
+    const GAP: Duration = Duration::from_millis(4);
+    const N_WORKSPACES: usize = 20_000;
+    with_cluster("idle-requests", 1, async |cluster| {
+        let mut callers = Vec::new();
+        for number in 0..N_CALLERS {
+            let attempt = format!("idle-{number}");
+            cluster.checker.record_sent(&attempt, Route::Get, b"");
+            callers.push((attempt, connect(&cluster, b"").await));
+        }
+        sleep(CHECK).await;
+        let mut state = with_limit(2, "IdleTimeoutMs", SHORT);
+        let tenants = state["Tenants"].as_array_mut().expect("a list");
+        tenants.extend((0..N_WORKSPACES).map(
+            |it| json!({ "Name": format!("workspace-{it}"), "ApiKeys": [format!("key-{it}")] }),
+        ));
+        cluster.store.put("config", "main", state);
+        let lost = callers.into_iter().enumerate().map(async |(number, (attempt, stream))| {
+            sleep(GAP * number as u32).await;
+            is_lost(stream, &attempt).await
+        });
+        let n_lost = join_all(lost).await.into_iter().filter(|it| *it).count();
+        assert_eq!(n_lost, 0, "lost");
+        let metrics = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let text = exchange(cluster.nodes[0].ready(), metrics).await;
+        let line = "ferry_connections_timed_out_total 0\n";
+        assert!(!text.contains(line), "no connection was closed for its idle time");
+    });
+}
