--- a/crates/ferry-gateway/tests/parsing.rs
+++ b/crates/ferry-gateway/tests/parsing.rs
@@ -108,5 +108,11 @@
         assert_eq!(splitter.finish(), case.rest.as_bytes(), "{}", case.name);
         assert_eq!(splitter.n_buffered(), case.partial, "{}", case.name);
         assert_eq!(splitter.n_events(), case.n_events, "{}", case.name);
+
+        let mut splitter = EventSplitter::new(case.skip);
+        let bytes = case.chunks.concat().into_bytes();
+        let events: Vec<u8> = bytes.chunks(1).flat_map(|it| splitter.push(it).to_vec()).collect();
+        assert_eq!(events, case.events.concat().into_bytes(), "{}, byte by byte", case.name);
+        assert_eq!(splitter.finish(), case.rest.as_bytes(), "{}, byte by byte", case.name);
     }
 }
