Let other work go on while an endpoint sends bytes without end

Cause: the HTTP library reads on within one turn while bytes arrive that complete neither a head nor a part of a body: interim responses, or a chunk size of zeros without end. It only stops after 128 reads, of up to 400 KB each. Callers saw: the process stood still for seconds, so that the request of that endpoint ended up to 3 s late, and all others waited. An optimized build was not measured. Conclusion: such an endpoint holds neither the memory nor the process; its caller gets 502 or 504, or an aborted stream, in time.

--- a/crates/ferry-gateway/src/client.rs
+++ b/crates/ferry-gateway/src/client.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::fair::FairStream;
+
 /// Time limit for opening a connection; allows several round trips between distant zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum pause within a response to an internal call, as a peer may stop responding for good.
@@ -64,7 +66,7 @@
             .map_err(|_| ConnectError::Timeout { address })?
             .map_err(|error| ConnectError::Io { address, error })?;
         stream.set_nodelay(true).map_err(|error| ConnectError::Io { address, error })?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| ConnectError::Handshake { address, error })?;
         // The request in progress returns errors of the connection.
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod decision_log;
 pub mod driver;
 pub mod events;
+pub mod fair;
 pub mod front;
 pub mod inspector;
 pub mod items;
--- /dev/null
+++ b/crates/ferry-gateway/tests/process/endless.rs
@@ -0,0 +1,156 @@
+//! Endpoints that send bytes without end.
+
+use std::time::Duration;
+
+use ferry_soak::cluster::Cluster;
+use ferry_soak::config::Route;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::harness::{TIMEOUT, head, with_cluster};
+
+/// Bytes of memory that the gateway may need in addition, for a request of each case.
+const MAX_GROWTH: u64 = 48_000_000;
+/// The time that callers give, and a second to spare.
+const MAX_TIME: Duration = Duration::from_secs(5);
+/// Bytes that an endpoint writes at once.
+const PART: usize = 64 * 1024;
+
+struct Case {
+    name: &'static str,
+    route: Route,
+    /// What the endpoint sends once, and then again and again.
+    start: &'static str,
+    again: &'static str,
+    /// Pause between writes.
+    gap: Duration,
+}
+
+const fn case(name: &'static str, route: Route, start: &'static str, again: &'static str) -> Case {
+    Case { name, route, start, again, gap: Duration::ZERO }
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: endless\r\n\
+                    Tarragonferry-Response-Seal: sealed\r\n";
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: endless\r\n\
+                        Tarragonferry-Response-Seal: sealed\r\nConnection: close\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: endless\r\n\
+                       Tarragonferry-Response-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Makes `listener` the only endpoint of a pool of three.
+async fn replace_pool(cluster: &Cluster, service: &str, listener: &TcpListener) {
+    let address = listener.local_addr().expect("the listener has an address");
+    for number in 0..3 {
+        cluster.store.remove("servers", &format!("{service}-{number}"));
+    }
+    let entry = json!({
+        "Service": service, "Address": address.to_string(), "Zone": "zone-0", "Version": "v1",
+        "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1,
+    });
+    cluster.store.put("servers", "raw", entry);
+    sleep(Duration::from_millis(1_500)).await;
+}
+
+/// Sends bytes on each connection until the other side closes it.
+async fn send_endlessly(listener: TcpListener, start: &'static str, part: String, gap: Duration) {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
+        let part = part.clone();
+        spawn_local(async move {
+            let mut buffer = [0; 4096];
+            if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
+                return;
+            }
+            let mut sent = stream.write_all(start.as_bytes()).await;
+            while sent.is_ok() {
+                sent = stream.write_all(part.as_bytes()).await;
+                sleep(gap).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn endless_bytes_of_an_endpoint_neither_fill_the_memory_nor_hold_the_caller() {
+    let cases = [
+        case("status", Route::Post, "", "HTTP/1.1 200 "),
+        case("no protocol", Route::Post, "", "xxxxxxxx"),
+        case("empty lines", Route::Post, "", "\r\n"),
+        case("header", Route::Post, "HTTP/1.1 200 OK\r\nA: ", "xxxxxxxx"),
+        case("headers", Route::Post, "HTTP/1.1 200 OK\r\n", "A: x\r\n"),
+        case("interim responses", Route::Post, "", "HTTP/1.1 102 Processing\r\n\r\n"),
+        case("unframed body", Route::Post, UNFRAMED, "xxxxxxxx"),
+        case("chunks", Route::Post, CHUNKED, "8\r\nxxxxxxxx\r\n"),
+        case("chunk size", Route::Post, CHUNKED, "0"),
+        case("chunk extension", Route::Post, CHUNKED, "8;xxxxxxxx"),
+        Case {
+            gap: Duration::from_millis(100),
+            ..case("slow chunks", Route::Post, CHUNKED, "8\r\nxxxxxxxx\r\n")
+        },
+        case("headers of a stream", Route::Once, HEAD, "A: x\r\n"),
+        case("event without end", Route::Once, UNFRAMED, "xxxxxxxx"),
+        case("chunked event without end", Route::Once, CHUNKED, "8\r\nxxxxxxxx\r\n"),
+        case("empty events", Route::Once, UNFRAMED, "\n\n"),
+        case("comments", Route::Once, UNFRAMED, ":xxxxxx\n"),
+        case("comment events", Route::Once, UNFRAMED, ":xxxxx\n\n"),
+    ];
+    let mut failed = Vec::new();
+    for (number, case) in cases.into_iter().enumerate() {
+        with_cluster(&format!("endless-{number}"), 1, async |cluster| {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let service = if case.route.is_stream() { "engine" } else { "plain" };
+            replace_pool(&cluster, service, &listener).await;
+            let n_again = if case.gap.is_zero() { PART / case.again.len() } else { 1 };
+            let part = case.again.repeat(n_again);
+            let endpoint = spawn_local(send_endlessly(listener, case.start, part, case.gap));
+            cluster.checker.record_sent("endless", case.route, b"body");
+            let before = cluster.nodes[0].memory_peak().expect("the process is running");
+            let pieces = match case.route.is_stream() {
+                true => "Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n",
+                false => "",
+            };
+            let head = head("POST", &case.route.path(), "endless");
+            let request = format!("{head}{pieces}Content-Length: 4\r\n\r\nbody");
+            let front = cluster.nodes[0].front();
+            let mut stream = TcpStream::connect(front).await.expect("the gateway listens");
+            let sent = Instant::now();
+            stream.write_all(request.as_bytes()).await.expect("the request is written");
+            let (first, n_read) = read_response(&mut stream).await;
+            let took = sent.elapsed();
+            let after = cluster.nodes[0].memory_peak().expect("the process is running");
+            let growth = after.saturating_sub(before);
+            println!("{}: {first:?} and {n_read} bytes in {took:?}, {growth} more", case.name);
+            if MAX_TIME < took || MAX_GROWTH < growth {
+                failed.push(format!("{}: {took:?}, {growth} bytes more", case.name));
+            }
+            endpoint.abort();
+        });
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Reads until the response has ended or stands still; returns its first line and its size.
+async fn read_response(stream: &mut TcpStream) -> (String, usize) {
+    /// Bytes kept of a response.
+    const MAX_START: usize = 200;
+    let mut start = Vec::new();
+    let mut n_read = 0;
+    let mut buffer = vec![0; PART];
+    let read = async |buffer: &mut [u8], stream: &mut TcpStream| {
+        timeout(TIMEOUT, stream.read(buffer)).await.expect("the request ends")
+    };
+    while let Ok(len @ 1..) = read(&mut buffer, stream).await {
+        n_read += len;
+        start.extend_from_slice(&buffer[..len.min(MAX_START - start.len())]);
+        let text = String::from_utf8_lossy(&start);
+        let is_error = text.starts_with("HTTP/1.1 5") || text.starts_with("HTTP/1.1 4");
+        if is_error && text.contains("\r\n\r\n") {
+            break;
+        }
+    }
+    let text = String::from_utf8_lossy(&start);
+    (text.lines().next().unwrap_or_default().to_owned(), n_read)
+}
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod closes;
 mod connections;
+mod endless;
 mod lifecycle;
 mod quarantine;
 mod raw_requests;
