Compare answers cut beside configurations with those cut at other times in the soak

It counts answers of requests that endpoints ran, cut before their time limit, within 3 s after a configuration and at other times, and fails if they are over three times as often near. Cuts that a fault excuses count too, as the ratio is of interest.

--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use ferry_soak::SoakOptions;
 use ferry_soak::checker::crashes::MAX_LATE;
 use ferry_soak::soak::{N_CALLERS, start_callers};
+use ferry_soak::{Only, SoakOptions};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::task::LocalSet;
@@ -34,7 +34,7 @@
     let runtime = runtime.expect("a runtime starts");
     let mut n_limited = 0;
     for case in CASES {
-        let options = options(case.seed, 6, false);
+        let options = options(case.seed, 6, None);
         let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
         let report = report.expect("the soak runs");
         assert!(report.is_ok(), "seed {} ({}): {report:#?}", case.seed, case.reason);
@@ -48,7 +48,7 @@
 fn no_answer_is_lost_while_endpoints_are_silent_for_a_moment() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("a runtime starts");
-    let [first, second] = CALM_SEEDS.map(|seed| options(seed, 4, true));
+    let [first, second] = CALM_SEEDS.map(|seed| options(seed, 4, Some(Only::Pauses)));
     let runs = async { tokio::join!(ferry_soak::run(&first), ferry_soak::run(&second)) };
     let (first, second) = LocalSet::new().block_on(&runtime, runs);
     for (seed, report) in CALM_SEEDS.into_iter().zip([first, second]) {
@@ -58,8 +58,8 @@
     }
 }
 
-fn options(seed: u64, seconds: u64, is_calm: bool) -> SoakOptions {
-    let kind = if is_calm { "calm" } else { "soak" };
+fn options(seed: u64, seconds: u64, only: Option<Only>) -> SoakOptions {
+    let kind = if only.is_some() { "calm" } else { "soak" };
     SoakOptions {
         seed,
         duration: Duration::from_secs(seconds),
@@ -67,7 +67,7 @@
         gateway: gateway(),
         directory: directory(&format!("{kind}-{seed}")),
         net: net(),
-        is_calm,
+        only,
         has_crashes: false,
     }
 }
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::config::Route;
-use crate::losses::{Ended, Trouble, Troubles};
+use crate::losses::{Cuts, Ended, Trouble, Troubles, is_at_limit};
 
 use crashes::CrashLog;
 
@@ -55,6 +55,8 @@
     results: RefCell<SortedMap<String, String>>,
     violations: RefCell<Vec<String>>,
     troubles: RefCell<Troubles>,
+    /// When configurations were written to the store.
+    configured: RefCell<Vec<Instant>>,
     n_taken_up: Cell<usize>,
     n_continued: Cell<usize>,
     n_limited: Cell<usize>,
@@ -133,6 +135,25 @@
         self.troubles.borrow_mut().set(subject, trouble, is_on);
     }
 
+    /// Records that a configuration is written to the store.
+    pub fn record_configured(&self) {
+        self.configured.borrow_mut().push(Instant::now());
+    }
+
+    /// Counts the answers to requests that endpoints ran which were cut between two points in time,
+    /// before their time limit.
+    pub fn cuts(&self, from: Instant, until: Instant) -> Cuts {
+        let attempts = self.attempts.borrow();
+        let is_cut = |it: &&Attempt| {
+            it.outcome == Some(Outcome::Disconnected)
+                && !(it.runs.is_empty() && it.stages.is_empty())
+        };
+        let ends = attempts.values().filter(is_cut).filter_map(|it| Some((it.sent, it.end?)));
+        let cut: Vec<Instant> =
+            ends.filter(|(sent, end)| !is_at_limit(*end - *sent)).map(|it| it.1).collect();
+        Cuts::count(&self.configured.borrow(), &cut, from, until)
+    }
+
     /// Describes the requests that ended without an answer and without an excuse.
     pub fn lost(&self, is_strict: bool) -> Vec<String> {
         let troubles = self.troubles.borrow();
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -19,4 +19,4 @@
 pub mod soak;
 pub mod store;
 
-pub use soak::{Report, SoakOptions, run};
+pub use soak::{Only, Report, SoakOptions, run};
--- a/crates/ferry-soak/src/losses.rs
+++ b/crates/ferry-soak/src/losses.rs
@@ -13,6 +13,11 @@
 /// Share of its time limit after which a request at a silent endpoint may be given up.
 const LATE_SHARE: f64 = 0.7;
 
+/// Time after a configuration for which a cut answer counts as beside it.
+const NEAR: Duration = Duration::from_millis(3_000);
+/// How many times as often answers may be cut beside configurations as at other times.
+const MAX_RATIO: f64 = 3.0;
+
 /// What the plan does to a gateway or an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trouble {
@@ -56,6 +61,11 @@
     pub end: Instant,
 }
 
+/// Whether a request that took this long may have ended for its time limit.
+pub fn is_at_limit(time: Duration) -> bool {
+    SHORTEST_LIMIT <= time + LIMIT_MARGIN
+}
+
 #[derive(Debug)]
 struct Period {
     subject: String,
@@ -96,7 +106,7 @@
         let mut endpoints = it.runs.iter().chain(it.stages);
         if it.runs.is_empty() && it.stages.is_empty() {
             Some(Excuse::NotPassedOn)
-        } else if SHORTEST_LIMIT <= time + LIMIT_MARGIN {
+        } else if is_at_limit(time) {
             Some(Excuse::TimeLimit)
         } else if self.is_in(node, Trouble::Killed, it.sent, it.end) {
             Some(Excuse::Killed)
@@ -128,3 +138,42 @@
         periods.any(|it| it.from <= until && it.until.is_none_or(|end| from <= end))
     }
 }
+
+/// Answers that were cut before their time limit, beside configurations and at other times, whatever
+/// else excuses them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cuts {
+    pub n_near: usize,
+    pub n_far: usize,
+    /// Time beside configurations, and the rest.
+    pub near: Duration,
+    pub far: Duration,
+}
+
+impl Cuts {
+    /// Divides the answers that were cut in a span by the time since the last configuration, of which
+    /// the times are in order.
+    pub fn count(configured: &[Instant], cut: &[Instant], from: Instant, until: Instant) -> Cuts {
+        let is_near = |it: &Instant| {
+            let next = configured.partition_point(|at| at <= it);
+            configured[..next].last().is_some_and(|at| *it < *at + NEAR)
+        };
+        let is_in = |it: &&Instant| from <= **it && **it < until;
+        let n_cut = cut.iter().filter(is_in).count();
+        let n_near = cut.iter().filter(is_in).filter(|it| is_near(it)).count();
+        let mut near = Duration::ZERO;
+        let mut counted = from;
+        for at in configured {
+            let end = (*at + NEAR).min(until);
+            near += end.saturating_duration_since(counted.max(*at));
+            counted = counted.max(end);
+        }
+        Cuts { n_near, n_far: n_cut - n_near, near, far: (until - from).saturating_sub(near) }
+    }
+
+    /// Whether answers are cut over three times as often beside configurations as at other times.
+    pub fn is_uneven(&self) -> bool {
+        let far = self.n_far as f64 * self.near.as_secs_f64();
+        MAX_RATIO * far < self.n_near as f64 * self.far.as_secs_f64()
+    }
+}
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use ferry_soak::{SoakOptions, run};
+use ferry_soak::{Only, SoakOptions, run};
 use tokio::task::LocalSet;
 
 /// Number of gateways for which a run has loopback addresses.
@@ -33,7 +33,8 @@
     /// number of gateways, 2 to 240 (4)
     #[argh(option, default = "4", from_str_fn(n_processes))]
     processes: usize,
-    /// only these faults: pauses (moments of silence, configurations and SIGHUP); all by default
+    /// only these faults: pauses (moments of silence, configurations and SIGHUP) or configurations
+    /// (the same with series of configurations apart from each other); all by default
     #[argh(option)]
     only: Option<Only>,
     /// sends prompts on which engines crash
@@ -47,13 +48,6 @@
     directory: PathBuf,
 }
 
-/// A part of the faults.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString)]
-#[strum(serialize_all = "snake_case")]
-enum Only {
-    Pauses,
-}
-
 fn n_processes(text: &str) -> Result<usize, String> {
     match text.parse() {
         Ok(number @ 2..=MAX_PROCESSES) => Ok(number),
@@ -99,19 +93,20 @@
             gateway: gateway.clone(),
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
-            is_calm: args.only == Some(Only::Pauses),
+            only: args.only,
             has_crashes: args.crashes,
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
-             limited endpoints; {} lost; {:?}",
+             limited endpoints; {} lost; {:?}; {:?}",
             report.under_faults,
             report.after_recovery,
             report.take_ups.1,
             report.take_ups.0,
             report.n_limited,
             report.n_lost,
+            report.cuts,
             report.crashes
         );
         for violation in &report.violations {
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::Behaviour;
 use crate::losses::Trouble;
 use crate::proxy::{Answers, Link};
+use crate::soak::Only;
 use crate::store::StoreBehaviour;
 
 /// Time from SIGTERM to the start of the next process.
@@ -115,17 +116,19 @@
 }
 
 /// Generates moments in which endpoints are silent or slow but sound, series of configurations and
-/// signals beside them; none but SIGHUP if `is_calm`.
+/// signals beside them; none but SIGHUP if the run has only a part of the faults.
 pub fn generate_pauses(
     rng: &mut Pcg64Mcg,
     duration: Duration,
     n_nodes: usize,
     n_endpoints: usize,
-    is_calm: bool,
+    only: Option<Only>,
 ) -> Plan {
     let mut plan = Vec::new();
     let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
-    let gap = if is_calm { 800..5_000 } else { 2_000..12_000 };
+    let gap = if only.is_some() { 800..5_000 } else { 2_000..12_000 };
+    // Long enough that answers may be cut far from a configuration.
+    let rest = if only == Some(Only::Configurations) { 6_000..9_000 } else { 500..3_000 };
     for endpoint in 0..n_endpoints {
         let mut at = millis(rng, 0..gap.end / 2);
         while at < duration {
@@ -150,11 +153,11 @@
             at += millis(rng, 100..400);
         }
         let node = rng.random_range(0..n_nodes);
-        if !is_calm && rng.random_range(0..4) == 0 {
+        if only.is_none() && rng.random_range(0..4) == 0 {
             plan.push((at, Step::Signal { node, signal: Signal::Terminate }));
             plan.push((at + RESTART_TIME, Step::Start { node }));
         }
-        at += millis(rng, 500..3_000);
+        at += millis(rng, rest.clone());
     }
     plan.sort_by_key(|it| it.0);
     plan
@@ -261,6 +264,7 @@
         Step::Undrain { endpoint } => register(cluster, endpoint, "ready"),
         Step::Configure { has_extra, variation } => {
             cluster.version += 1;
+            cluster.checker.record_configured();
             let state = match variation {
                 Some(it) => it.desired_state(cluster.version, has_extra),
                 None => desired_state(cluster.version, has_extra),
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -2,6 +2,7 @@
 //! that requests are served again.
 
 use std::cell::RefCell;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +20,16 @@
 use crate::config::Route;
 use crate::crash::Prompts;
 use crate::endpoint::Pool;
+use crate::losses::Cuts;
 use crate::plan::{Plan, apply, generate, generate_limits, generate_pauses, restore};
 
 pub const N_CALLERS: usize = 12;
 /// The same if nothing else fails, so that moments of silence meet more streams that have begun.
 const N_CALM_CALLERS: usize = 40;
 /// Pause of a caller between requests, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 5..60;
+const PAUSE_MS: Range<u64> = 5..60;
+/// The same where idle times decide about connections.
+const LONG_PAUSE_MS: Range<u64> = 500..5_000;
 /// Time for the gateways to start.
 const START_TIME: Duration = Duration::from_millis(1_500);
 /// Time for the system to recover; covers the detection of silent peers, the shutdown of a process
@@ -39,6 +43,16 @@
 /// Minimum share of the requests that must be served after the recovery.
 const MIN_SERVED: f64 = 0.98;
 
+/// A part of the faults, by which no process and no endpoint fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Only {
+    /// Silent moments of sound endpoints, configurations and SIGHUP.
+    Pauses,
+    /// The same, with series of configurations apart from each other and callers that pause.
+    Configurations,
+}
+
 #[derive(Debug, Clone)]
 pub struct SoakOptions {
     pub seed: u64,
@@ -52,8 +66,8 @@
     pub directory: PathBuf,
     /// Second and third octet of the loopback addresses, so that concurrent runs do not collide.
     pub net: (u8, u8),
-    /// Whether there are only silent moments of sound endpoints, configurations and SIGHUP.
-    pub is_calm: bool,
+    /// All faults if none.
+    pub only: Option<Only>,
     /// Whether some prompts crash engines.
     pub has_crashes: bool,
 }
@@ -70,6 +84,7 @@
     pub n_limited: usize,
     /// Requests that ended without an answer and without an excuse.
     pub n_lost: usize,
+    pub cuts: Cuts,
     pub crashes: CrashCounts,
 }
 
@@ -87,11 +102,15 @@
     let mut cluster = Cluster::start(gateway, directory, *net, *n_nodes, N_ENDPOINTS).await?;
     cluster.mix_builds();
     sleep(START_TIME).await;
-    let n_callers = if options.is_calm { N_CALM_CALLERS } else { N_CALLERS };
+    let is_calm = options.only.is_some();
+    let n_callers = if is_calm { N_CALM_CALLERS } else { N_CALLERS };
     if options.has_crashes {
         cluster.start_crashes(options.seed);
     }
     let is_over = start_callers(&cluster, &mut rng, n_callers);
+    if options.only == Some(Only::Configurations) {
+        start_pausing_callers(&cluster, &mut rng, n_callers, is_over.clone());
+    }
     let start = Instant::now();
     for (at, step) in plan(options, &mut rng, cluster.endpoints.len()) {
         sleep_until(start + at).await;
@@ -99,7 +118,7 @@
     }
     cluster.has_crashes.set(false);
     restore(&mut cluster)?;
-    let recovery = if options.is_calm { CALM_RECOVERY_TIME } else { RECOVERY_TIME };
+    let recovery = if is_calm { CALM_RECOVERY_TIME } else { RECOVERY_TIME };
     let recovered = Instant::now() + recovery;
     while Instant::now() < recovered {
         sleep(Duration::from_millis(200)).await;
@@ -114,9 +133,13 @@
     let under_faults = cluster.checker.count_outcomes(start, from);
     let after_recovery = cluster.checker.count_outcomes(from, until);
     let mut violations = cluster.checker.violations();
-    let lost = cluster.checker.lost(options.is_calm);
+    let lost = cluster.checker.lost(is_calm);
     let n_lost = lost.len();
     violations.extend(lost);
+    let cuts = cluster.checker.cuts(start, from);
+    if options.only == Some(Only::Configurations) && cuts.is_uneven() {
+        violations.push(format!("answers are cut beside configurations: {cuts:?}"));
+    }
     let share = after_recovery.served as f64 / after_recovery.sent.max(1) as f64;
     if share < MIN_SERVED {
         violations.push(format!(
@@ -129,17 +152,26 @@
     if MAX_LATE < crashes.n_late {
         violations.push(format!("requests that crash engines went on: {crashes:?}"));
     }
-    Ok(Report { violations, under_faults, after_recovery, take_ups, n_limited, n_lost, crashes })
+    Ok(Report {
+        violations,
+        under_faults,
+        after_recovery,
+        take_ups,
+        n_limited,
+        n_lost,
+        cuts,
+        crashes,
+    })
 }
 
 /// Generates the faults of a run.
 fn plan(options: &SoakOptions, rng: &mut Pcg64Mcg, n_endpoints: usize) -> Plan {
-    let SoakOptions { seed, duration, n_nodes, is_calm, .. } = *options;
+    let SoakOptions { seed, duration, n_nodes, only, .. } = *options;
     // Generators of their own, so that seeds draw the other faults as before.
     let mut limits_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut pauses_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
-    let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, is_calm);
-    if !is_calm {
+    let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, only);
+    if only.is_none() {
         plan.extend(generate(rng, duration, n_nodes, n_endpoints));
         plan.extend(generate_limits(&mut limits_rng, duration, Pool::iter().count()));
     }
@@ -151,22 +183,42 @@
 /// Starts callers that send requests until the returned flag is set.
 pub fn start_callers(cluster: &Cluster, rng: &mut Pcg64Mcg, n_callers: usize) -> Rc<RefCell<bool>> {
     let is_over = Rc::new(RefCell::new(false));
-    let routes: Vec<Route> = Route::iter().filter(|it| *it != Route::Extra).collect();
     for number in 0..n_callers {
-        let seed = rng.random_range(0..u64::MAX);
-        let rng = Pcg64Mcg::seed_from_u64(seed);
-        let checker = cluster.checker.clone();
-        let name = format!("caller{number}");
-        let prompts = Prompts::new(seed ^ 2, &cluster.has_crashes);
-        let mut caller = Caller::new(name, cluster.directories(), checker, rng, prompts);
-        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 1);
-        let (is_over, routes) = (is_over.clone(), routes.clone());
-        spawn_local(async move {
-            while !*is_over.borrow() {
-                caller.send(routes[rng.random_range(0..routes.len())]).await;
-                sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
-            }
-        });
+        start_caller(cluster, rng, format!("caller{number}"), PAUSE_MS, is_over.clone());
     }
     is_over
 }
+
+/// Starts callers whose connections are idle between their requests.
+fn start_pausing_callers(
+    cluster: &Cluster,
+    rng: &mut Pcg64Mcg,
+    n_callers: usize,
+    is_over: Rc<RefCell<bool>>,
+) {
+    for number in 0..n_callers {
+        start_caller(cluster, rng, format!("pausing{number}"), LONG_PAUSE_MS, is_over.clone());
+    }
+}
+
+fn start_caller(
+    cluster: &Cluster,
+    rng: &mut Pcg64Mcg,
+    name: String,
+    pause_ms: Range<u64>,
+    is_over: Rc<RefCell<bool>>,
+) {
+    let routes: Vec<Route> = Route::iter().filter(|it| *it != Route::Extra).collect();
+    let seed = rng.random_range(0..u64::MAX);
+    let rng = Pcg64Mcg::seed_from_u64(seed);
+    let prompts = Prompts::new(seed ^ 2, &cluster.has_crashes);
+    let mut caller =
+        Caller::new(name, cluster.directories(), cluster.checker.clone(), rng, prompts);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 1);
+    spawn_local(async move {
+        while !*is_over.borrow() {
+            caller.send(routes[rng.random_range(0..routes.len())]).await;
+            sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
+        }
+    });
+}
--- a/crates/ferry-soak/tests/losses.rs
+++ b/crates/ferry-soak/tests/losses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_soak::losses::{Ended, Excuse, Trouble, Troubles};
+use ferry_soak::losses::{Cuts, Ended, Excuse, Trouble, Troubles};
 use tokio::time::Instant;
 
 struct Case {
@@ -80,3 +80,86 @@
         assert_eq!(found, case.expected, "{}", case.name);
     }
 }
+
+#[test]
+fn cuts_beside_configurations_are_compared_by_time() {
+    struct Case {
+        name: &'static str,
+        /// Seconds of configurations and of cut answers, in a run of 20 s.
+        configured: &'static [u64],
+        cut: &'static [u64],
+        n_near: usize,
+        n_far: usize,
+        near: u64,
+        is_uneven: bool,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            configured: &[5],
+            cut: &[],
+            n_near: 0,
+            n_far: 0,
+            near: 3,
+            is_uneven: false,
+        },
+        Case {
+            name: "near only",
+            configured: &[5],
+            cut: &[7],
+            n_near: 1,
+            n_far: 0,
+            near: 3,
+            is_uneven: true,
+        },
+        Case {
+            name: "before and later",
+            configured: &[5],
+            cut: &[4, 8],
+            n_near: 0,
+            n_far: 2,
+            near: 3,
+            is_uneven: false,
+        },
+        Case {
+            name: "three times as often",
+            configured: &[1, 3, 15],
+            cut: &[2, 6, 9, 15, 16, 25],
+            n_near: 3,
+            n_far: 2,
+            near: 8,
+            is_uneven: false,
+        },
+        Case {
+            name: "more often",
+            configured: &[1, 3, 15],
+            cut: &[2, 2, 9, 15, 16],
+            n_near: 4,
+            n_far: 1,
+            near: 8,
+            is_uneven: true,
+        },
+        Case {
+            name: "always near",
+            configured: &[0, 2, 4, 6, 8, 10, 12, 14, 16, 18],
+            cut: &[1, 2],
+            n_near: 2,
+            n_far: 0,
+            near: 20,
+            is_uneven: false,
+        },
+    ];
+    for case in cases {
+        let from = Instant::now();
+        let at = |seconds: &[u64]| -> Vec<Instant> {
+            seconds.iter().map(|it| from + Duration::from_secs(*it)).collect()
+        };
+        let until = from + Duration::from_secs(20);
+        let cuts = Cuts::count(&at(case.configured), &at(case.cut), from, until);
+        let near = Duration::from_secs(case.near);
+        let far = Duration::from_secs(20 - case.near);
+        let (n_near, n_far) = (case.n_near, case.n_far);
+        assert_eq!(cuts, Cuts { n_near, n_far, near, far }, "{}", case.name);
+        assert_eq!(cuts.is_uneven(), case.is_uneven, "{}", case.name);
+    }
+}
