Test that a planned stop under load cuts no request that was just accepted

Cause: the tests of the stop have one open request; the soak excuses requests that no endpoint has seen, so neither shows a request that was accepted and cut off.

--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -11,4 +11,5 @@
 mod robustness;
 mod soak;
 mod stalls;
+mod stops;
 mod streams;
