Keep an error that is held back until another run has an event

Cause: the head of a run that was alone was forwarded as it arrived, and dropped the error that was held back beside it. If that engine then failed before its first event, or never sent one, and no run was left, the stream was cut, although an answer had arrived. Seen by callers: a stream with a head and no event that is cut, in place of the error of an endpoint. Change: a head is also held back while an error is. The streams of error_is_forwarded_if_the_run_after_it_brings_nothing may have run twice before the other engines changed; those now change as soon as the first run starts. Ruled out: to hold back every head until its first event (callers of a single run would get it later). Conclusion: the head costs its caller nothing but its own time, and only after an error.

--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -27,8 +27,9 @@
         current.last_heard = cx.now;
         current.is_streaming = true;
     }
-    // A head that is forwarded rules out the other calls, which may still be the first with an event.
-    if request.silent.is_empty() {
+    // A head that is forwarded rules out the other calls, which may still be the first with an event,
+    // and an error that is held back.
+    if request.silent.is_empty() && request.held.is_none() {
         relay_head(cx, batcher, request, current);
     }
 }
--- a/crates/ferry-serve/tests/decisions/silence/second_runs.rs
+++ b/crates/ferry-serve/tests/decisions/silence/second_runs.rs
@@ -68,6 +68,39 @@
     assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
 }
 
+#[test]
+fn head_of_a_run_after_an_error_does_not_rule_the_error_out() {
+    let mut all = Vec::new();
+    for reset_after in [ms(50), ms(500), DARK] {
+        // Whether the error comes while a second run is in progress.
+        for is_beside in [false, true] {
+            let mut sim = Simulation::new(1);
+            let engines = pool(&sim, ENGINE);
+            let first = if is_beside { Behaviour::Silent } else { Behaviour::Failing };
+            engines.iter().for_each(|it| sim.set_behaviour(it, first));
+            sim.arrive(0, "stream", head("stream", "stream"));
+            assert!(sim.run_until(|it| it.runs.get("stream").is_some()));
+            let first = sim.runs.get("stream").expect("it runs by now")[0].clone();
+            let first_call = sim.last_call("stream").expect("it is called");
+            for id in engines.iter().filter(|it| **it != first) {
+                sim.set_behaviour(id, Behaviour::HeadOnly(reset_after));
+            }
+            if is_beside {
+                assert!(sim.run_until(|it| it.runs.get("stream").is_some_and(|it| it.len() == 2)));
+                sim.fail(0, first_call);
+            }
+            sim.run_for(ms(5_000));
+            let ending = &sim.outcome("stream").ending;
+            if *ending != Ending::Error {
+                all.push(format!("{reset_after:?}, beside {is_beside}: {ending:?}"));
+            }
+            all.extend(sim.violations.clone());
+            assert_eq!(sim.n_open_calls(), 0);
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
+
 /// How a run ends that brings no answer.
 fn ends() -> [Option<CallEvent>; 4] {
     [
@@ -136,7 +169,7 @@
             let mut sim = Simulation::new(1);
             pool(&sim, case.pool).iter().for_each(|it| sim.set_behaviour(it, Behaviour::Failing));
             sim.arrive(0, "probe", head(case.route, "probe"));
-            sim.run_for(ms(case.at));
+            assert!(sim.run_until(|it| it.runs.get("probe").is_some()));
             let first = sim.runs.get("probe").expect("it runs by now")[0].clone();
             for id in pool(&sim, case.pool).iter().filter(|it| **it != first) {
                 sim.set_behaviour(id, behaviour);
