Wait at a stop for the end of answers that has not been sent

Cause: a connection counted as busy until the HTTP library had taken the whole body of its response, and the library keeps what the caller has not read yet, up to 64 KiB and a frame. At a stop such a connection counted as idle, so the process exited with these bytes. Callers saw: the tail of a whole answer missing if they read slowly around a stop, with an ordinary end of the connection. Change: a connection whose library has not flushed what it wrote counts as well. The place depends on the send buffer of the kernel, 3.6 MB here, so that the test may meet no such caller elsewhere. Ruled out: to hold the body until the flush (the library drops it); to count every connection at a stop (idle ones would hold the exit). Conclusion: proven, a way to lose an answer at a stop; it needs no configuration.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -53,6 +53,8 @@
 struct IdleState {
     n_requests: Cell<usize>,
     is_closing: Cell<bool>,
+    /// Whether bytes of a response may wait in the process, long after its body was taken over.
+    has_unsent: Cell<bool>,
     /// When the connection was accepted, or its last response ended.
     since: Cell<Instant>,
 }
@@ -74,8 +76,12 @@
 impl IdleWatch {
     /// Creates the watch of a connection accepted now.
     pub fn new(now: Instant) -> IdleWatch {
-        let (n_requests, is_closing) = (Cell::new(0), Cell::new(false));
-        let state = IdleState { n_requests, is_closing, since: Cell::new(now) };
+        let state = IdleState {
+            n_requests: Cell::new(0),
+            is_closing: Cell::new(false),
+            has_unsent: Cell::new(false),
+            since: Cell::new(now),
+        };
         IdleWatch { state: Rc::new(state) }
     }
 
@@ -89,6 +95,21 @@
         0 < self.state.n_requests.get()
     }
 
+    /// Whether bytes of a response may wait in the process.
+    pub fn has_unsent(&self) -> bool {
+        self.state.has_unsent.get()
+    }
+
+    /// Records that bytes are about to be sent.
+    pub fn record_unsent(&self) {
+        self.state.has_unsent.set(true);
+    }
+
+    /// Records that no bytes wait any longer.
+    pub fn record_flush(&self) {
+        self.state.has_unsent.set(false);
+    }
+
     /// Records that bytes were sent: the end of a response may be sent long after its body was
     /// taken over by the HTTP library.
     pub fn record_write(&self) {
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -270,6 +270,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.idle.record_unsent();
         let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
         this.record_write(&written);
         written
@@ -281,6 +282,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.idle.record_unsent();
         let written = Pin::new(&mut this.stream).poll_write_vectored(cx, parts);
         this.record_write(&written);
         written
@@ -291,7 +293,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        // The HTTP library flushes once it has written all that it has.
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        this.idle.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -138,7 +138,7 @@
         _ = phase.wait_for(|it| is_closing(*it)) => connection.as_mut().graceful_shutdown(),
         () = idle.expired(&mut limits) => return close_idle(&driver, &inspector),
     }
-    if !idle.is_busy() {
+    if !idle.is_busy() && !idle.has_unsent() {
         let _ = connection.await;
         return;
     }
--- a/crates/ferry-gateway/tests/process/closes.rs
+++ b/crates/ferry-gateway/tests/process/closes.rs
@@ -1,9 +1,12 @@
 //! Connections that the gateway closes while bytes of their callers are on the way.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use ferry_soak::cluster::Signal;
 use ferry_soak::config::Route;
 use ferry_soak::endpoint::{Behaviour, N_LARGE_EVENTS, Pool};
+use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -155,3 +158,58 @@
         assert!(lost.is_empty(), "{lost:#?}");
     });
 }
+
+/// Requests a stream of large events, and reads its first bytes.
+async fn read_first(front: SocketAddr, attempt: &str, n_first: usize) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(16 * 1024).expect("the size is set");
+    let mut stream = socket.connect(front).await.expect("the gateway listens");
+    let head = head("POST", &Route::Stream.path(), attempt);
+    let request = format!(
+        "{head}Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    );
+    stream.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut first = vec![0; n_first];
+    stream.read_exact(&mut first).await.expect("the stream is open");
+    stream
+}
+
+#[test]
+fn stop_does_not_cut_an_answer_whose_end_waits_in_the_process() {
+    /// Bytes read before the stop, so that some leave less in the process than its buffer takes.
+    const FIRST: usize = 9_000_000;
+    const STEP: usize = 40_000;
+    const N_CALLERS: usize = 32;
+    /// As many as the engines take.
+    const N_AT_ONCE: usize = 4;
+    /// Longer than the gateway serves on, shorter than it may take to exit.
+    const PAUSE: Duration = Duration::from_millis(3_000);
+    with_cluster("end-waits", 1, async |mut cluster| {
+        let engines = cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+        engines.for_each(|it| it.behaviour.set(Behaviour::Large));
+        let front = cluster.nodes[0].front();
+        let sizes: Vec<usize> = (0..N_CALLERS).map(|it| FIRST + it * STEP).collect();
+        let mut callers = Vec::new();
+        for sizes in sizes.chunks(N_AT_ONCE) {
+            let open = join_all(sizes.iter().map(async |len| {
+                let attempt = format!("first-{len}");
+                cluster.checker.record_sent(&attempt, Route::Stream, b"body");
+                (*len, read_first(front, &attempt, *len).await)
+            }));
+            callers.extend(open.await);
+        }
+        sleep(Duration::from_millis(500)).await;
+        cluster.nodes[0].signal(Signal::Terminate);
+        sleep(PAUSE).await;
+        let mut cut = Vec::new();
+        // Those that leave most in the process come first; it may exit after them.
+        for (len, mut stream) in callers {
+            let (text, is_whole) = read_to_end(&mut stream, Duration::ZERO).await;
+            if !is_whole || !text.ends_with(LAST_CHUNK) {
+                cut.push((len, text.len()));
+            }
+        }
+        assert!(cut.is_empty(), "{} of {N_CALLERS}: {cut:?}", cut.len());
+    });
+}
