Answer the requests that are still in progress when the process exits

Cause: at the end of the grace time the process exited with requests in progress. Nothing ended them, so that their connections closed without a status, also where an endpoint's error was held back for a run that brought nothing. Seen by callers: a request that had been read whole got neither an answer nor a refusal, if its endpoint was still silent at the end of the grace time of a stop. Change: before the exit each request in progress ends as at its deadline: by the error that is held back, by 504 if an endpoint may have run it, by 503 if none has. Streams that have begun are aborted, as before. Ruled out: to end them earlier (an endpoint that is silent may still answer); to exit later (the grace time is the platform's).

--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -255,10 +255,26 @@
         let is_late = since + self.ctx.tuning.exit_after() <= now;
         if !self.has_exited && self.is_closed && (is_late || is_idle) {
             self.has_exited = true;
+            self.end_requests(now, effects);
             effects.push(Effect::Exit);
         }
     }
 
+    /// Ends the requests that are still in progress. What others here wait for is not passed on.
+    fn end_requests(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let Settlement { mut outcomes, mut released, mut permits } = Settlement::default();
+        let cx = &mut Pass {
+            now,
+            ctx: &mut self.ctx,
+            effects,
+            outcomes: &mut outcomes,
+            released: &mut released,
+            permits: &mut permits,
+            late: Duration::ZERO,
+        };
+        self.requests.end_all(cx, &mut self.batcher);
+    }
+
     /// Passes the outcomes of jobs, and answers of the scheduler and the limiter here, to those that
     /// wait for them until none is left.
     fn settle(&mut self, now: Moment, effects: &mut Vec<Effect>, settlement: Settlement) {
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -232,6 +232,16 @@
         }
     }
 
+    /// Ends all requests, as the process exits: a caller gets an answer of any kind before that.
+    pub fn end_all(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        let tickets: Vec<Ticket> = self.active.keys().copied().collect();
+        for ticket in tickets {
+            let Some(request) = self.active.remove(&ticket) else { continue };
+            self.forget(&request);
+            end::expire(cx, batcher, request, "the instance stops");
+        }
+    }
+
     /// Ends requests past their deadline, and handles timeouts of admission, calls and jobs.
     pub fn tick(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
@@ -239,7 +249,7 @@
             let Some(mut request) = self.active.remove(&ticket) else { continue };
             if request.deadline <= cx.now {
                 self.forget(&request);
-                end::expire(cx, batcher, request);
+                end::expire(cx, batcher, request, "its time is over");
                 continue;
             }
             if matches!(request.phase, Phase::AwaitingAdmission { until } if until <= cx.now) {
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -186,16 +186,21 @@
     true
 }
 
-/// Ends a request whose deadline has passed.
-pub fn expire(cx: &mut Pass<'_>, batcher: &mut Batcher, mut request: ActiveRequest) {
+/// Ends a request that gets no more time: its deadline has passed, or the process exits.
+pub fn expire(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    mut request: ActiveRequest,
+    reason: &'static str,
+) {
     let was_sent = stop_call(cx, &mut request) || 0 < request.n_runs;
-    if answer::relay_held(cx, batcher, &mut request, "its time is over") {
+    if answer::relay_held(cx, batcher, &mut request, reason) {
         return;
     }
     let status = if was_sent { Status::Expired } else { Status::NotRun };
     match request.is_streaming() {
-        true => abort(cx, &request, "its time is over"),
-        false => refuse(cx, &request, status, RetryHint::Soon, "its time is over"),
+        true => abort(cx, &request, reason),
+        false => refuse(cx, &request, status, RetryHint::Soon, reason),
     }
     release_stages(cx, batcher, &mut request);
 }
--- a/crates/ferry-serve/tests/decisions/shutdown.rs
+++ b/crates/ferry-serve/tests/decisions/shutdown.rs
@@ -1,8 +1,8 @@
 //! A shutdown cuts no request and ends in time.
 
-use ferry_serve::Event;
+use ferry_serve::{Event, Refusal, Status};
 
-use crate::simulation::{Ending, Simulation, front, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, front, head, ms};
 
 #[test]
 fn shutdown_exits_after_the_last_request() {
@@ -69,3 +69,47 @@
         assert_eq!(n_items, 9 * 8, "instance {leaving} leaves: work was repeated");
     }
 }
+
+#[test]
+fn request_in_progress_at_the_end_of_the_grace_time_gets_an_answer() {
+    struct Case {
+        route: &'static str,
+        /// Whether the first endpoint answers with an error, before another one runs the request.
+        has_error: bool,
+        ending: Ending,
+    }
+    let expired = || {
+        let reason = "the instance stops";
+        Ending::Refused(Refusal { status: Status::Expired, retry_after: None, reason })
+    };
+    let cases = [
+        Case { route: "get", has_error: false, ending: expired() },
+        Case { route: "get", has_error: true, ending: Ending::Error },
+        Case { route: "stream", has_error: false, ending: expired() },
+        Case { route: "stream", has_error: true, ending: Ending::Error },
+        Case { route: "once", has_error: false, ending: expired() },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let name = format!("{}, error {}", case.route, case.has_error);
+        let mut sim = Simulation::with_time_limit(1, ms(15_000));
+        let mut head = head(case.route, "probe");
+        head.time_left = Some(ms(15_000));
+        let ids: Vec<_> = sim.endpoints.keys().cloned().collect();
+        let ids = ids.iter().filter(|it| it.starts_with(ENGINE) || it.starts_with(PLAIN));
+        let first = if case.has_error { Behaviour::Failing } else { Behaviour::Silent };
+        ids.clone().for_each(|it| sim.set_behaviour(it, first));
+        sim.deliver(0, Event::Shutdown);
+        sim.arrive(0, "probe", head);
+        assert!(sim.run_until(|it| it.runs.get("probe").is_some()), "{name}");
+        ids.for_each(|it| sim.set_behaviour(it, Behaviour::Silent));
+        sim.run_for(ms(9_000));
+        assert_eq!(sim.exited, vec![0], "{name}");
+        let ending = sim.outcomes.get("probe").map(|it| &it.ending);
+        if ending != Some(&case.ending) || sim.n_open_calls() != 0 {
+            failures.push(format!("{name}: {ending:?}, {} calls", sim.n_open_calls()));
+        }
+        failures.extend(sim.violations.clone());
+    }
+    assert!(failures.is_empty(), "{} failures: {failures:#?}", failures.len());
+}
