End no items as too late that another call goes on with

Cause: items of a call that is late are sent to another endpoint too. If that one answered that they came too late, their job ended at once, although the first call went on and was about to bring the results. Seen by callers: 503 "its stages would get their turn too late" for a request whose items an endpoint was doing, with seconds left. Change: such an answer is not the end of an item that is in another call; that call or the deadline of the job ends it. Ruled out: items that are in no other call, which end their job as before (pool_without_results_ends_its_requests); inputs that are gone, which no call has. Conclusion: the same fault as with calls to silent endpoints.

--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -90,6 +90,7 @@
             }
             ItemFailure::Late | ItemFailure::Gone => (),
         }
+        let is_in_call = self.is_in_call(key, item);
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.n_in_flight = job.n_in_flight.saturating_sub(1);
         if job.outcome.is_some() {
@@ -97,12 +98,18 @@
         }
         match reason {
             ItemFailure::Gone => finish(cx, key, job, JobOutcome::Gone),
+            // The other call may bring its result; otherwise the deadline ends the job.
+            ItemFailure::Late if is_in_call => (),
             ItemFailure::Late => finish(cx, key, job, JobOutcome::Late),
             ItemFailure::OutOfMemory => retry(cx, key, job, item, u8::MAX),
             ItemFailure::Error => retry(cx, key, job, item, tuning.max_item_tries),
         }
     }
 
+    fn is_in_call(&self, key: &JobKey, item: u16) -> bool {
+        self.calls.values().flat_map(|it| &it.items).any(|it| it.0 == *key && it.1 == item)
+    }
+
     pub(super) fn on_failure(
         &mut self,
         cx: &mut Pass<'_>,
--- a/crates/ferry-serve/tests/decisions/silence/second_runs.rs
+++ b/crates/ferry-serve/tests/decisions/silence/second_runs.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use ferry_serve::{CallEvent, CallId, Event, NotRunReason};
+use ferry_serve::{CallEvent, CallId, Event, ItemFailure, NotRunReason};
 
 use super::{STAGES, failures, pool, silence_first};
-use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, FIRST, PLAIN, SECOND, Simulation, head, ms};
 
 /// Longer than any request.
 const DARK: Duration = ms(60_000);
@@ -219,3 +219,31 @@
         }
     }
 }
+
+#[test]
+fn answer_that_items_come_too_late_ends_no_call_that_goes_on_with_them() {
+    let mut all = Vec::new();
+    for (pool_name, at) in [(FIRST, 30), (SECOND, 250)] {
+        for silence in [300, 500, 700] {
+            let mut sim = Simulation::with_time_limit(1, ms(8_000));
+            let mut head = head("stream", "probe");
+            head.time_left = Some(ms(8_000));
+            sim.arrive(0, "probe", head);
+            sim.run_for(ms(at));
+            let members = pool(&sim, pool_name);
+            let first = sim.decisions.iter().rev().find_map(|it| it.endpoint.clone());
+            let first = first.expect("its items are in a call");
+            assert!(members.contains(&first), "{pool_name}: {first}");
+            sim.silence(&first, ms(silence));
+            for id in members.iter().filter(|it| **it != first) {
+                sim.set_behaviour(id, Behaviour::FailItems(ItemFailure::Late));
+            }
+            sim.run_for(ms(6_000));
+            let ending = &sim.outcome("probe").ending;
+            if *ending != Ending::Stream {
+                all.push(format!("{pool_name}, {silence} ms: {ending:?}"));
+            }
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
