End no job for failed tries of its items while a call goes on with them

Cause: the tries of a job's items count together, five in all. If the endpoints that got the items of a late call as well failed each of them, the job was given up, its stage started anew at the same endpoints, and after four restarts the request was refused, within the time in which the first call went on. Seen by callers: 503 "its stages failed too often" for a request whose items an endpoint was doing, with seconds left. Change: the last failed try is not the end of an item that is in another call. Conclusion: the count by job instead of by item, and the restart after a broken call of more than five items, remain as they were.

--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -100,6 +100,7 @@
             ItemFailure::Gone => finish(cx, key, job, JobOutcome::Gone),
             // The other call may bring its result; otherwise the deadline ends the job.
             ItemFailure::Late if is_in_call => (),
+            ItemFailure::Error if is_in_call && tuning.max_item_tries <= job.n_tries => (),
             ItemFailure::Late => finish(cx, key, job, JobOutcome::Late),
             ItemFailure::OutOfMemory => retry(cx, key, job, item, u8::MAX),
             ItemFailure::Error => retry(cx, key, job, item, tuning.max_item_tries),
--- a/crates/ferry-serve/tests/decisions/silence/second_runs.rs
+++ b/crates/ferry-serve/tests/decisions/silence/second_runs.rs
@@ -221,9 +221,16 @@
 }
 
 #[test]
-fn answer_that_items_come_too_late_ends_no_call_that_goes_on_with_them() {
+fn failures_of_items_end_no_call_that_goes_on_with_them() {
+    let others = [
+        Behaviour::FailItems(ItemFailure::Late),
+        Behaviour::FailItems(ItemFailure::Error),
+        Behaviour::Reset,
+    ];
+    let stages = [(FIRST, 30), (SECOND, 250)];
+    let cases = others.iter().flat_map(|other| stages.map(|stage| (other, stage)));
     let mut all = Vec::new();
-    for (pool_name, at) in [(FIRST, 30), (SECOND, 250)] {
+    for (other, (pool_name, at)) in cases {
         for silence in [300, 500, 700] {
             let mut sim = Simulation::with_time_limit(1, ms(8_000));
             let mut head = head("stream", "probe");
@@ -236,12 +243,12 @@
             assert!(members.contains(&first), "{pool_name}: {first}");
             sim.silence(&first, ms(silence));
             for id in members.iter().filter(|it| **it != first) {
-                sim.set_behaviour(id, Behaviour::FailItems(ItemFailure::Late));
+                sim.set_behaviour(id, *other);
             }
             sim.run_for(ms(6_000));
             let ending = &sim.outcome("probe").ending;
             if *ending != Ending::Stream {
-                all.push(format!("{pool_name}, {silence} ms: {ending:?}"));
+                all.push(format!("{pool_name} {other:?}, {silence} ms: {ending:?}"));
             }
         }
     }
