--- a/crates/ferry-serve/tests/decisions/silence/second_runs.rs
+++ b/crates/ferry-serve/tests/decisions/silence/second_runs.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use ferry_serve::{CallEvent, CallId, Event, NotRunReason};
+use ferry_serve::{CallEvent, CallId, Event, ItemFailure, NotRunReason};
 
 use super::{STAGES, failures, pool, silence_first};
-use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, head, ms};
+use crate::simulation::{Behaviour, ENGINE, Ending, FIRST, PLAIN, SECOND, Simulation, head, ms};
 
 /// Longer than any request.
 const DARK: Duration = ms(60_000);
@@ -68,6 +68,39 @@
     assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
 }
 
+#[test]
+fn head_of_a_run_after_an_error_does_not_rule_the_error_out() {
+    let mut all = Vec::new();
+    for reset_after in [ms(50), ms(500), DARK] {
+        // Whether the error comes while a second run is in progress.
+        for is_beside in [false, true] {
+            let mut sim = Simulation::new(1);
+            let engines = pool(&sim, ENGINE);
+            let first = if is_beside { Behaviour::Silent } else { Behaviour::Failing };
+            engines.iter().for_each(|it| sim.set_behaviour(it, first));
+            sim.arrive(0, "stream", head("stream", "stream"));
+            assert!(sim.run_until(|it| it.runs.get("stream").is_some()));
+            let first = sim.runs.get("stream").expect("it runs by now")[0].clone();
+            let first_call = sim.last_call("stream").expect("it is called");
+            for id in engines.iter().filter(|it| **it != first) {
+                sim.set_behaviour(id, Behaviour::HeadOnly(reset_after));
+            }
+            if is_beside {
+                assert!(sim.run_until(|it| it.runs.get("stream").is_some_and(|it| it.len() == 2)));
+                sim.fail(0, first_call);
+            }
+            sim.run_for(ms(5_000));
+            let ending = &sim.outcome("stream").ending;
+            if *ending != Ending::Error {
+                all.push(format!("{reset_after:?}, beside {is_beside}: {ending:?}"));
+            }
+            all.extend(sim.violations.clone());
+            assert_eq!(sim.n_open_calls(), 0);
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
+
 /// How a run ends that brings no answer.
 fn ends() -> [Option<CallEvent>; 4] {
     [
@@ -136,7 +169,7 @@
             let mut sim = Simulation::new(1);
             pool(&sim, case.pool).iter().for_each(|it| sim.set_behaviour(it, Behaviour::Failing));
             sim.arrive(0, "probe", head(case.route, "probe"));
-            sim.run_for(ms(case.at));
+            assert!(sim.run_until(|it| it.runs.get("probe").is_some()));
             let first = sim.runs.get("probe").expect("it runs by now")[0].clone();
             for id in pool(&sim, case.pool).iter().filter(|it| **it != first) {
                 sim.set_behaviour(id, behaviour);
@@ -186,3 +219,38 @@
         }
     }
 }
+
+#[test]
+fn failures_of_items_end_no_call_that_goes_on_with_them() {
+    let others = [
+        Behaviour::FailItems(ItemFailure::Late),
+        Behaviour::FailItems(ItemFailure::Error),
+        Behaviour::Reset,
+    ];
+    let stages = [(FIRST, 30), (SECOND, 250)];
+    let cases = others.iter().flat_map(|other| stages.map(|stage| (other, stage)));
+    let mut all = Vec::new();
+    for (other, (pool_name, at)) in cases {
+        for silence in [300, 500, 700] {
+            let mut sim = Simulation::with_time_limit(1, ms(8_000));
+            let mut head = head("stream", "probe");
+            head.time_left = Some(ms(8_000));
+            sim.arrive(0, "probe", head);
+            sim.run_for(ms(at));
+            let members = pool(&sim, pool_name);
+            let first = sim.decisions.iter().rev().find_map(|it| it.endpoint.clone());
+            let first = first.expect("its items are in a call");
+            assert!(members.contains(&first), "{pool_name}: {first}");
+            sim.silence(&first, ms(silence));
+            for id in members.iter().filter(|it| **it != first) {
+                sim.set_behaviour(id, *other);
+            }
+            sim.run_for(ms(6_000));
+            let ending = &sim.outcome("probe").ending;
+            if *ending != Ending::Stream {
+                all.push(format!("{pool_name} {other:?}, {silence} ms: {ending:?}"));
+            }
+        }
+    }
+    assert!(all.is_empty(), "{} failures: {all:#?}", all.len());
+}
