--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -1,14 +1,13 @@
 //! What one instance notices: breaks that may be crashes, and sound answers.
 
-use std::collections::VecDeque;
+mod sound;
+
 use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
-use super::{
-    CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Crashed, Exposure, PartId,
-};
-use crate::RequestDigest;
+use super::{CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Crashed, Exposure};
+use sound::SoundAnswers;
 
 /// Silence of an endpoint after a break that may be its crash.
 const SILENCE: Duration = Duration::from_millis(150);
@@ -21,9 +20,6 @@
 /// Requests that are named for each candidate.
 const MAX_REQUESTS: usize = 2;
 const MAX_ENDS: usize = 256;
-const MAX_SOUND_PARTS: usize = 2_048;
-/// Sound answers of a pool that are kept, the newest ones.
-const MAX_SOUND_REQUESTS: usize = 8_192;
 const MAX_ENDPOINTS: usize = 2_048;
 const MAX_REPORTED: usize = 512;
 const MAX_INQUIRIES: usize = 64;
@@ -37,8 +33,6 @@
 /// Approximate bytes of a report, and of each exposure.
 const REPORT_SIZE: usize = 40;
 const EXPOSURE_SIZE: usize = 22;
-/// Time after which a sound answer counts little in the rate of them.
-const RATE_TIME: Duration = Duration::from_secs(10);
 /// Reported crashes that are retracted if their endpoint is heard again, and for how long.
 const MAX_RETRACTABLE: usize = 64;
 const RETRACTABLE_TIME: Duration = Duration::from_secs(30);
@@ -72,25 +66,6 @@
     }
 }
 
-/// Sound answers of one pool.
-#[derive(Debug, Clone, Default)]
-struct SoundAnswers {
-    /// When the last answer to each part was sound.
-    parts: SortedMap<PartId, Moment>,
-    /// Requests, in the order of their ends.
-    requests: VecDeque<(Moment, RequestDigest)>,
-    /// Their number, in which older ones count less, at the moment of the last one.
-    n_recent: f64,
-    last: Moment,
-}
-
-impl SoundAnswers {
-    fn n_recent(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.last).as_secs_f64();
-        self.n_recent * (-age / RATE_TIME.as_secs_f64()).exp()
-    }
-}
-
 /// A crash that this instance has reported.
 #[derive(Debug, Clone)]
 struct Reported {
@@ -150,29 +125,12 @@
     /// Records an answer that was whole at `at`, so that none of its candidates crashes endpoints.
     pub fn on_sound(&mut self, at: Moment, trace: &CallTrace) {
         let sound = self.sound.get_or_insert_with(trace.pool.clone(), SoundAnswers::default);
-        sound.n_recent = sound.n_recent(at) + 1.0;
-        sound.last = at.max(sound.last);
-        for exposure in &trace.exposures {
-            match exposure.candidate {
-                CrashCandidate::Part(part) => {
-                    let last = sound.parts.get_or_insert_with(part, || at);
-                    *last = at.max(*last);
-                }
-                CrashCandidate::Request(digest) => {
-                    sound.requests.push_back((at, digest));
-                }
-            }
-            if !self.reported.is_empty() {
-                self.reported.remove(&(trace.pool.clone(), exposure.candidate));
-            }
-        }
-        while MAX_SOUND_PARTS < sound.parts.len() {
-            let oldest = sound.parts.iter().min_by_key(|it| it.1).map(|it| *it.0);
-            let Some(oldest) = oldest else { break };
-            sound.parts.remove(&oldest);
+        sound.record(at, trace.exposures.iter().map(|it| it.candidate));
+        if self.reported.is_empty() {
+            return;
         }
-        while MAX_SOUND_REQUESTS < sound.requests.len() {
-            sound.requests.pop_front();
+        for exposure in &trace.exposures {
+            self.reported.remove(&(trace.pool.clone(), exposure.candidate));
         }
     }
 
@@ -276,7 +234,7 @@
 
     /// Returns the sound answers per second of a pool at this instance.
     pub fn sound_rate(&self, now: Moment, pool: &str) -> f64 {
-        self.sound.get(pool).map_or(0.0, |it| it.n_recent(now)) / RATE_TIME.as_secs_f64()
+        self.sound.get(pool).map_or(0.0, |it| it.rate(now))
     }
 
     /// Returns the endpoints that were heard again after their crash was reported.
@@ -340,13 +298,7 @@
     }
 
     fn last_sound(&self, pool: &str, candidate: CrashCandidate) -> Option<Moment> {
-        match candidate {
-            CrashCandidate::Part(part) => self.sound.get(pool)?.parts.get(&part).copied(),
-            CrashCandidate::Request(digest) => {
-                let requests = &self.sound.get(pool)?.requests;
-                requests.iter().rev().find(|it| it.1 == digest).map(|it| it.0)
-            }
-        }
+        self.sound.get(pool)?.last(candidate)
     }
 
     fn retract(&mut self, endpoint: &str, started: u64) {
