Wait for the idle time in the test of requests that arrive while it is applied

It failed in its own precondition and no request was lost: its 150 requests are over after 0.6 s, and the configuration of 20,000 keys, in an unoptimized build, was applied later.

Change: one more connection sends nothing, and the test waits until it is closed. What counts as lost, and the counter, are checked as before.

--- a/crates/ferry-gateway/tests/process/connections.rs
+++ b/crates/ferry-gateway/tests/process/connections.rs
@@ -223,6 +223,7 @@
             cluster.checker.record_sent(&attempt, Route::Get, b"");
             callers.push((attempt, connect(&cluster, b"").await));
         }
+        let mut unused = connect(&cluster, b"").await;
         sleep(CHECK).await;
         let mut state = with_limit(2, "IdleTimeoutMs", SHORT);
         let tenants = state["Tenants"].as_array_mut().expect("a list");
@@ -236,6 +237,8 @@
         });
         let n_lost = join_all(lost).await.into_iter().filter(|it| *it).count();
         assert_eq!(n_lost, 0, "lost");
+        let closed = timeout(TIMEOUT, unused.read(&mut [0; 16])).await;
+        assert_eq!(closed.expect("it is closed for its idle time").unwrap_or_default(), 0);
         let metrics = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
         let text = exchange(cluster.nodes[0].ready(), metrics).await;
         let line = "ferry_connections_timed_out_total 0\n";
