Test that an endpoint that announces its leaving gets nothing new

Fails on this code: the header is read nowhere. A process test with one gateway, and the stand-in and the checker for the soak: an announcement counts once a caller has received it, a request if it was sent 2 s later through the same gateway.

--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod digests;
 mod endless;
+mod leaving;
 mod lifecycle;
 mod quarantine;
 mod raw_requests;
--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -20,7 +20,7 @@
 use crate::checker::{Checker, Outcome};
 use crate::config::{API_KEY, DEADLINE_MS, HOST, Route};
 use crate::crash::{Cause, Prompts};
-use crate::endpoint::{N_EVENTS, event_text, response_body};
+use crate::endpoint::{LEAVING, N_EVENTS, event_text, response_body};
 
 /// Time limit for opening a connection, and for a lookup in the directory.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -116,6 +116,9 @@
         let request = request(route, attempt, body, stream)?;
         self.checker.record_node(attempt, &address.ip().to_string());
         let response = sender.send_request(request).await.ok()?;
+        if response.headers().contains_key(LEAVING) {
+            self.checker.record_leaving(attempt);
+        }
         let is_closing = response.headers().get(http::header::CONNECTION).is_some();
         let outcome = self.check(route, attempt, body, response, stream).await;
         if !is_closing && outcome.is_some() {
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers send and endpoints run, and checks that the guarantees hold.
 
 pub mod crashes;
+mod leaving;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use crate::losses::{Cuts, Ended, Trouble, Troubles, is_at_limit};
 
 use crashes::CrashLog;
+use leaving::LeavingLog;
 
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,6 +35,8 @@
     body: Vec<u8>,
     /// Endpoints that have run the attempt.
     runs: Vec<String>,
+    /// Which start of the endpoint that ran it last.
+    start: u64,
     /// Endpoints that have run items of its stages.
     stages: Vec<String>,
     /// Gateway that the caller's connection leads to.
@@ -62,6 +66,7 @@
     n_continued: Cell<usize>,
     n_limited: Cell<usize>,
     crash_log: RefCell<CrashLog>,
+    leaving_log: RefCell<LeavingLog>,
 }
 
 impl Checker {
@@ -71,6 +76,7 @@
             route,
             body: body.to_vec(),
             runs: Vec::new(),
+            start: 0,
             stages: Vec::new(),
             node: None,
             outcome: None,
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -13,7 +13,7 @@
 use ferry_platform::headers;
 use futures_util::stream;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -38,6 +38,8 @@
 const FIRST_EVENT: Duration = Duration::from_millis(40);
 /// Time between the events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(15);
+/// Header by which an endpoint announces that it leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Number of events in a stream.
 pub const N_EVENTS: u64 = 8;
 /// Number of events in a stream of large ones: more than a gateway and its sockets buffer.
@@ -63,6 +65,10 @@
     /// Version of the endpoint's software, which its events contain.
     pub build: Cell<&'static str>,
     pub rate_limit: RateLimit,
+    /// Whether it announces in its responses that it leaves.
+    pub is_leaving: Cell<bool>,
+    /// How often it has come back after it left.
+    pub n_returns: Cell<u64>,
     pub crashes: Crashes,
     address: SocketAddr,
     pub checker: Rc<Checker>,
@@ -85,6 +91,8 @@
             id: format!("{name}-{number}"),
             build: Cell::new("v1"),
             rate_limit: RateLimit::default(),
+            is_leaving: Cell::new(false),
+            n_returns: Cell::new(0),
             crashes: Crashes::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
@@ -115,10 +123,15 @@
         let pool: &str = self.pool.into();
         json!({
             "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": self.build.get(),
-            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": 1 + self.crashes.n_crashes.get(),
+            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": self.start_number(),
         })
     }
 
+    /// Counts its starts.
+    pub fn start_number(&self) -> u64 {
+        1 + self.crashes.n_crashes.get() + self.n_returns.get()
+    }
+
     /// Discards all stage results, as a restart would.
     pub fn drop_results(&self) {
         for handle in self.results.borrow_mut().drain(..) {
@@ -140,6 +153,9 @@
         }
         let mut response = self.run(&parts, &body).await?;
         self.rate_limit.add_header(response.headers_mut());
+        if self.is_leaving.get() {
+            response.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+        }
         Some(response)
     }
 
@@ -255,6 +271,7 @@
         }
         let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
         self.checker.record_run(attempt, &self.id, path, body);
+        self.checker.check_leaving(attempt, &self.id, self.start_number());
         let from = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         match self.pool {
             Pool::Engine => self.stream(attempt, from, crash).await,
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -99,7 +99,8 @@
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
-             limited endpoints; {} lost; {:?}; {:?}",
+             limited endpoints; {} lost; {:?}; {:?}; {} announcements of leaving passed on, last request {:?} \
+             after one",
             report.under_faults,
             report.after_recovery,
             report.take_ups.1,
@@ -107,7 +108,9 @@
             report.n_limited,
             report.n_lost,
             report.cuts,
-            report.crashes
+            report.crashes,
+            report.leaving.0,
+            report.leaving.1.iter().max()
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -62,6 +62,14 @@
         endpoint: usize,
         answers: Answers,
     },
+    /// Makes an endpoint announce in its responses that it leaves, while its entry stays.
+    Leave {
+        endpoint: usize,
+    },
+    /// Starts an endpoint that left again.
+    Return {
+        endpoint: usize,
+    },
     /// Makes an endpoint name a rate limit, which may be no valid one, or none any longer.
     RateLimit {
         endpoint: usize,
@@ -115,6 +123,28 @@
     plan
 }
 
+/// Generates endpoints, or whole pools, that announce that they leave, at random times.
+pub fn generate_leaving(rng: &mut Pcg64Mcg, duration: Duration, n_pools: usize) -> Plan {
+    let mut plan = Vec::new();
+    for pool in 0..n_pools {
+        let mut at = Duration::from_millis(rng.random_range(0..2_000));
+        while at < duration {
+            let endpoints = pool * N_ENDPOINTS..(pool + 1) * N_ENDPOINTS;
+            let is_whole = rng.random_range(0..6) == 0;
+            let only = rng.random_range(endpoints.clone());
+            let time = if is_whole { 500..3_000 } else { 2_500..7_000 };
+            let end = at + Duration::from_millis(rng.random_range(time));
+            for endpoint in endpoints.filter(|it| is_whole || *it == only) {
+                plan.push((at, Step::Leave { endpoint }));
+                plan.push((end, Step::Return { endpoint }));
+            }
+            at = end + Duration::from_millis(rng.random_range(0..2_000));
+        }
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
+
 /// Generates moments in which endpoints are silent or slow but sound, series of configurations and
 /// signals beside them; none but SIGHUP if the run has only a part of the faults.
 pub fn generate_pauses(
@@ -239,6 +269,9 @@
                 }
                 Signal::Stop | Signal::Continue | Signal::HangUp => (),
             }
+            if signal != Signal::HangUp {
+                cluster.checker.forget_leaving(&subject);
+            }
             cluster.nodes[node].signal(signal);
         }
         Step::Start { node } => start(cluster, node)?,
@@ -276,6 +309,14 @@
             let is_on = answers != Answers::Prompt;
             cluster.checker.set_trouble(&cluster.endpoints[endpoint].id, Trouble::Silent, is_on);
         }
+        Step::Leave { endpoint } => cluster.endpoints[endpoint].is_leaving.set(true),
+        Step::Return { endpoint } => {
+            let it = &cluster.endpoints[endpoint];
+            if it.is_leaving.replace(false) {
+                it.n_returns.set(it.n_returns.get() + 1);
+                register(cluster, endpoint, "ready");
+            }
+        }
         Step::RateLimit { endpoint, per_second } => {
             cluster.endpoints[endpoint].rate_limit.set(per_second);
         }
@@ -286,6 +327,7 @@
 fn start(cluster: &mut Cluster, node: usize) -> std::io::Result<()> {
     cluster.nodes[node].start()?;
     let subject = cluster.nodes[node].subject();
+    cluster.checker.forget_leaving(&subject);
     for trouble in [Trouble::Killed, Trouble::Terminated] {
         cluster.checker.set_trouble(&subject, trouble, false);
     }
@@ -316,6 +358,7 @@
         cluster.proxies[idx].set(Link::Open);
         note(cluster, idx);
         apply(cluster, Step::Answers { endpoint: idx, answers: Answers::Prompt })?;
+        apply(cluster, Step::Return { endpoint: idx })?;
         register(cluster, idx, "ready");
     }
     for idx in 0..cluster.nodes.len() {
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -21,7 +21,9 @@
 use crate::crash::Prompts;
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
-use crate::plan::{Plan, apply, generate, generate_limits, generate_pauses, restore};
+use crate::plan::{
+    Plan, apply, generate, generate_leaving, generate_limits, generate_pauses, restore,
+};
 use crate::repeats::{Repeats, start_repeats};
 
 pub const N_CALLERS: usize = 12;
@@ -87,6 +89,9 @@
     pub n_lost: usize,
     pub cuts: Cuts,
     pub crashes: CrashCounts,
+    /// Announcements of leaving endpoints that gateways passed on, and the times until later requests
+    /// from the same gateway.
+    pub leaving: (usize, Vec<Duration>),
 }
 
 impl Report {
@@ -170,6 +175,7 @@
         n_lost,
         cuts,
         crashes,
+        leaving: cluster.checker.leaving(),
     })
 }
 
@@ -179,10 +185,12 @@
     // Generators of their own, so that seeds draw the other faults as before.
     let mut limits_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut pauses_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
+    let mut leaving_rng = Pcg64Mcg::seed_from_u64(!seed.rotate_left(32));
     let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, only);
     if only.is_none() {
         plan.extend(generate(rng, duration, n_nodes, n_endpoints));
         plan.extend(generate_limits(&mut limits_rng, duration, Pool::iter().count()));
+        plan.extend(generate_leaving(&mut leaving_rng, duration, Pool::iter().count()));
     }
     plan.retain(|(at, _)| *at <= duration);
     plan.sort_by_key(|it| it.0);
