Send nothing new to endpoints that announce in a response that they leave

What callers saw: requests and calls with items reached an endpoint that was to get nothing more.

Cause: the header by which an endpoint announces its leaving was read nowhere. The entry in the store was the only announcement that an instance knew, and it may come many seconds later, or not at all.

Change: platform/ reads the header of every response that is the endpoint's own, to requests, calls with items and reads of caches, and the reducer records it for the start of the endpoint that was called. accepts_work() is the one question on all ways. Requests that wait for a permit of that endpoint choose again at once. Groups of batch pools go by the entries, on which all instances agree.

Ruled out: checking where the bytes leave.

--- a/crates/ferry-gateway/src/caches.rs
+++ b/crates/ferry-gateway/src/caches.rs
@@ -7,6 +7,7 @@
 use ferry_model::EndpointId;
 use ferry_platform::{cache, headers};
 use ferry_serve::{Event, PromptPart};
+use http::StatusCode;
 use tokio::task::spawn_local;
 
 use crate::client::{CallError, InternalCall, call_once};
@@ -17,22 +18,30 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Reads the cache of an engine and reports it to the reducer, which does without it otherwise.
-pub fn read(driver: &Rc<Driver>, endpoint: EndpointId, address: SocketAddr) {
+pub fn read(driver: &Rc<Driver>, endpoint: EndpointId, started: u64, address: SocketAddr) {
     let driver = driver.clone();
     spawn_local(async move {
         // The semaphore is never closed.
         let Ok(_permit) = driver.cache_reads.acquire().await else { return };
-        match try_read(&endpoint, address).await {
+        match try_read(&driver, &endpoint, started, address).await {
             Ok(parts) => driver.dispatch(Event::Cached { endpoint, parts }),
             Err(error) => driver.warn("could not read the cache of an engine", &error),
         }
     });
 }
 
-async fn try_read(endpoint: &str, address: SocketAddr) -> Result<Vec<PromptPart>, CallError> {
+async fn try_read(
+    driver: &Rc<Driver>,
+    endpoint: &str,
+    started: u64,
+    address: SocketAddr,
+) -> Result<Vec<PromptPart>, CallError> {
     let mut call = InternalCall::get(cache::LIST_PATH.to_owned());
     headers::set_expected(&mut call.headers, endpoint);
     let read = tokio::time::timeout(READ_TIMEOUT, call_once(address, &call));
     let response = read.await.map_err(|_| CallError::Timeout)??;
+    if response.status != StatusCode::MISDIRECTED_REQUEST {
+        driver.report_leaving(endpoint, started, headers::leaving(&response.headers));
+    }
     cache::read_list(&response.body).map_err(|it| CallError::Body(it.to_string()))
 }
--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -82,6 +82,7 @@
     let attempt = attempt(request);
     let kind = headers::response_kind(response.status(), response.headers(), attempt);
     report_limit(driver, &call.endpoint, &kind, response.headers());
+    report_leaving(driver, call, &kind, response.headers());
     match kind {
         ResponseKind::NotRun(reason) => CallEvent::NotRun { reason, load },
         ResponseKind::Mismatched => broken("the response belongs to another request"),
@@ -109,6 +110,17 @@
     }
 }
 
+/// Reports that the endpoint leaves, if its response says so. One that is not the endpoint's own says
+/// nothing of it.
+fn report_leaving(driver: &Rc<Driver>, call: &Call, kind: &ResponseKind, headers: &HeaderMap) {
+    match kind {
+        ResponseKind::Mismatched | ResponseKind::NotRun(NotRunReason::Moved) => (),
+        ResponseKind::NotRun(_) | ResponseKind::Matching { .. } => {
+            driver.report_leaving(&call.endpoint, call.started, headers::leaving(headers));
+        }
+    }
+}
+
 fn outgoing(request: &CallerRequest, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
     let added = AddedHeaders {
         endpoint: &call.endpoint,
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
 use ferry_platform::settings::NodeSettings;
-use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Refusal};
+use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LeavingReport, LimitReport, Refusal};
 use http::request::Parts;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
@@ -195,6 +195,19 @@
         }
     }
 
+    /// Reports that a response of an endpoint announces that it leaves. Each of them does, but only the first
+    /// is news.
+    pub fn report_leaving(
+        self: &Rc<Self>,
+        endpoint: &str,
+        started: u64,
+        report: Option<LeavingReport>,
+    ) {
+        let Some(report) = report else { return };
+        let endpoint = endpoint.to_owned();
+        self.dispatch(Event::Leaving { endpoint, started, report });
+    }
+
     /// Dispatches a tick whenever the reducer needs one.
     pub async fn run_timer(self: Rc<Self>) {
         loop {
@@ -223,7 +236,9 @@
             Effect::Cancel { call } => self.cancel(call),
             Effect::Batch(call) => items::start(self, *call),
             Effect::Free { address, handles } => self.free(address, handles),
-            Effect::ReadCache { endpoint, address } => caches::read(self, endpoint, address),
+            Effect::ReadCache { endpoint, started, address } => {
+                caches::read(self, endpoint, started, address);
+            }
             Effect::Probe { endpoint, started, address } => {
                 probes::start(self, endpoint, started, address);
             }
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -327,6 +327,7 @@
         cx.effects.push(Effect::Batch(Box::new(BatchCall {
             call,
             endpoint: endpoint.clone(),
+            started,
             address: candidate.address,
             items: sent,
             timeout,
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -50,6 +50,8 @@
     /// Reads which prompt parts an engine has cached.
     ReadCache {
         endpoint: EndpointId,
+        /// Which start of the endpoint it is.
+        started: u64,
         address: SocketAddr,
     },
     /// Opens a connection to an endpoint whose calls broke off, to see whether it is alive.
@@ -109,6 +111,8 @@
     pub call: CallId,
     pub ticket: Ticket,
     pub endpoint: EndpointId,
+    /// Which start of the endpoint it is.
+    pub started: u64,
     pub address: SocketAddr,
     pub workspace: Option<WorkspaceId>,
     /// Time until the answer is useless.
@@ -126,6 +130,8 @@
 pub struct BatchCall {
     pub call: CallId,
     pub endpoint: EndpointId,
+    /// Which start of the endpoint it is.
+    pub started: u64,
     pub address: SocketAddr,
     pub items: Vec<BatchItem>,
     /// Time after which the call is given up.
@@ -341,6 +347,8 @@
     BuildsUnknown,
     LimitsNamed,
     LimitsInvalid,
+    LeavingAnnounced,
+    LeavingInvalid,
     LimitedCalls,
     PermitsGranted,
     RequestsHeldBack,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod delta;
+mod leaving;
 mod observe;
 mod rate_limit;
 
@@ -15,9 +16,11 @@
 
 use builds::OnlyBuild;
 use delta::Changes;
+use leaving::Departed;
 use rate_limit::RateLimit;
 
 pub use delta::EndpointsDelta;
+pub use leaving::LeavingReport;
 pub use observe::{Observation, Observations};
 pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
 
@@ -29,6 +32,8 @@
 const CACHE_TTL: Duration = Duration::from_secs(20);
 /// Prompt parts that are tracked for each engine.
 const MAX_CACHED_PARTS: usize = 1024;
+/// Interval at which invalid headers in responses of an endpoint are logged.
+const INVALID_INTERVAL: Duration = Duration::from_secs(10);
 /// Consecutive failures after which the pause no longer doubles.
 const MAX_DOUBLINGS: u32 = 6;
 
@@ -53,6 +58,10 @@
     failure_streak: u32,
     paused: Moment,
     rate_limit: RateLimit,
+    /// Whether it has announced in a response that it leaves.
+    has_announced: bool,
+    /// Until when no more invalid headers of its responses are logged.
+    invalid_until: Moment,
     /// Whether it is missing from the list since the store became reachable again.
     is_missing: bool,
     /// Hashes of prompt prefixes, and when each was last used.
@@ -70,6 +79,8 @@
             failure_streak: 0,
             paused: Moment::ZERO,
             rate_limit: RateLimit::default(),
+            has_announced: false,
+            invalid_until: Moment::ZERO,
             is_missing: false,
             parts: SortedMap::new(),
         }
@@ -80,10 +91,26 @@
         self.accepts_work() && self.paused <= now
     }
 
+    /// Whether neither its entry nor a response of it says that it leaves.
     pub fn accepts_work(&self) -> bool {
+        self.is_listed_live() && !self.has_announced
+    }
+
+    /// Whether its entry says that it accepts work. Instances that have to agree on something go by
+    /// that: not all of them have received an announcement.
+    pub fn is_listed_live(&self) -> bool {
         self.endpoint.state == EndpointState::Live
     }
 
+    /// Records that a header of its responses is invalid; returns whether to log it.
+    pub fn note_invalid(&mut self, now: Moment) -> bool {
+        let is_due = self.invalid_until <= now;
+        if is_due {
+            self.invalid_until = now + INVALID_INTERVAL;
+        }
+        is_due
+    }
+
     /// Whether it has the build, if one is needed.
     pub fn has_build(&self, build: Option<&str>) -> bool {
         build.is_none_or(|it| it == self.endpoint.build)
@@ -173,6 +200,7 @@
     /// Revision of the last known change among them.
     last_change: u64,
     changes: Changes,
+    departed: Departed,
     is_store_down: bool,
     /// End of the time in which endpoints may register again after the store became reachable.
     rejoin_until: Option<Moment>,
@@ -295,7 +323,7 @@
             .map(|it| it.endpoint.id.clone())
             .collect();
         for id in gone {
-            self.views.remove(&id);
+            self.forget(&id);
             self.record_change(self.revision, &id);
         }
         self.index(now, false);
@@ -348,7 +376,7 @@
     fn put_view(&mut self, now: Moment, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
         let Some(view) = self.views.get_mut(&id) else {
-            self.views.insert(id, EndpointView::new(endpoint));
+            self.insert(endpoint);
             return true;
         };
         view.is_missing = false;
@@ -357,7 +385,8 @@
             || view.endpoint.pool != endpoint.pool
             || view.endpoint.build != endpoint.build;
         if is_restarted {
-            *view = EndpointView::new(endpoint);
+            self.forget(&id);
+            let view = self.insert(endpoint);
             view.rate_limit = RateLimit::new(now);
             return true;
         }
@@ -373,7 +402,7 @@
             view.is_missing = true;
             return false;
         }
-        self.views.remove(id);
+        self.forget(id);
         self.record_change(revision, id);
         true
     }
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -13,8 +13,6 @@
 const SMALL_CHANGE: f64 = 0.05;
 /// Requests of other instances that are taken to wait for permits; limiters know how many do.
 const MAX_EXPECTED: u32 = 4;
-/// Interval at which an invalid limit of an endpoint is logged.
-const INVALID_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time between two requests that a rate stands for; a lower rate is taken for this one.
 const MAX_INTERVAL: Duration = Duration::from_secs(600);
 
@@ -93,8 +91,6 @@
     free_at: Moment,
     /// When it is worth asking for a permit if there are other endpoints.
     ask_at: Moment,
-    /// When an invalid limit may be logged again.
-    invalid_until: Moment,
 }
 
 impl RateLimit {
@@ -174,15 +170,6 @@
         }
     }
 
-    /// Records that the endpoint has named an invalid limit; returns whether to log it.
-    pub fn note_invalid_limit(&mut self, now: Moment) -> bool {
-        let is_due = self.rate_limit.invalid_until <= now;
-        if is_due {
-            self.rate_limit.invalid_until = now + INVALID_INTERVAL;
-        }
-        is_due
-    }
-
     /// Records that a permit is free after `wait`, and when to ask again.
     pub fn defer_permits(&mut self, now: Moment, wait: Duration, pause: Duration) {
         self.rate_limit.free_at = now.saturating_add(wait);
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -11,8 +11,8 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LimitReport, LoadReport, PeerMessage,
-    QuarantineAction, RequestDigest, Tuning,
+    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LeavingReport, LimitReport, LoadReport,
+    PeerMessage, QuarantineAction, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -50,6 +50,13 @@
         endpoint: EndpointId,
         limit: LimitReport,
     },
+    /// A response says whether its endpoint leaves.
+    Leaving {
+        endpoint: EndpointId,
+        /// Which start of the endpoint was called.
+        started: u64,
+        report: LeavingReport,
+    },
     /// The prompt parts that an engine has cached.
     Cached {
         endpoint: EndpointId,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -142,6 +142,9 @@
                 self.batcher.on_result(cx, call, result, load);
             }
             Event::Limit { endpoint, limit } => updates::on_limit(cx, &endpoint, limit),
+            Event::Leaving { endpoint, started, report } => {
+                updates::on_leaving(cx, &endpoint, started, report);
+            }
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
@@ -165,6 +168,7 @@
             }
         }
         self.requests.enforce_quarantine(cx, &mut self.batcher);
+        self.requests.avoid_leaving(cx, &mut self.batcher);
         self.settle(now, &mut effects, Settlement { outcomes, released, permits });
         self.finish(now, &mut effects);
         effects
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -12,8 +12,8 @@
 use crate::quarantine;
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
-    Asker, Decision, DecisionKind, Effect, JobSubmission, LimitNotice, LimitReport, Metric,
-    PeerMessage, PermitAnswer, PermitId, StoreUpdate,
+    Asker, Decision, DecisionKind, Effect, JobSubmission, LeavingReport, LimitNotice, LimitReport,
+    Metric, PeerMessage, PermitAnswer, PermitId, StoreUpdate,
 };
 
 pub(super) fn configure(cx: &mut Pass<'_>, batcher: &mut Batcher, config: Arc<GatewayConfig>) {
@@ -54,7 +54,7 @@
         LimitReport::Invalid(text) => {
             cx.count(Metric::LimitsInvalid);
             let view = cx.ctx.endpoints.get_mut(endpoint);
-            if !view.is_some_and(|it| it.note_invalid_limit(cx.now)) {
+            if !view.is_some_and(|it| it.note_invalid(cx.now)) {
                 return;
             }
             let reason = format!("ignored {text:?}, which is not a positive rate");
@@ -65,6 +65,30 @@
     exchange::record(cx, &notice, "by its response");
 }
 
+pub(super) fn on_leaving(
+    cx: &mut Pass<'_>,
+    endpoint: &EndpointId,
+    started: u64,
+    report: LeavingReport,
+) {
+    let reason = match report {
+        LeavingReport::Leaving if cx.ctx.endpoints.record_leaving(endpoint, started) => {
+            cx.count(Metric::LeavingAnnounced);
+            "announced in a response that it leaves".to_owned()
+        }
+        LeavingReport::Leaving => return,
+        LeavingReport::Invalid(text) => {
+            cx.count(Metric::LeavingInvalid);
+            let view = cx.ctx.endpoints.get_mut(endpoint);
+            if !view.is_some_and(|it| it.note_invalid(cx.now)) {
+                return;
+            }
+            format!("ignored {text:?}, which does not say whether it leaves")
+        }
+    };
+    cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
+}
+
 /// Passes the answer of a limiter to the request, or the batch, that waits for it.
 pub(super) fn on_permit(
     cx: &mut Pass<'_>,
--- a/crates/ferry-serve/src/group.rs
+++ b/crates/ferry-serve/src/group.rs
@@ -37,9 +37,10 @@
     }
 }
 
-/// Returns the groups of a pool, sorted; none if it has no endpoint that accepts work.
+/// Returns the groups of a pool, sorted; none if it has no endpoint whose entry says that it accepts
+/// work.
 pub fn groups(endpoints: &Endpoints, pool: &str) -> Vec<Group> {
-    let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.accepts_work()).collect();
+    let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.is_listed_live()).collect();
     match live.len() {
         0 => Vec::new(),
         n_live if n_live < DIVIDE_THRESHOLD => vec![Group::whole(pool)],
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -34,8 +34,8 @@
     Status,
 };
 pub use endpoints::{
-    EndpointView, Endpoints, EndpointsDelta, LimitChange, LimitNotice, LimitReport, LoadReport,
-    Observation, Observations, RequestRate,
+    EndpointView, Endpoints, EndpointsDelta, LeavingReport, LimitChange, LimitNotice, LimitReport,
+    LoadReport, Observation, Observations, RequestRate,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -177,14 +177,16 @@
 }
 
 /// Notifies the endpoints that hold results that these are no longer needed. One that limits its
-/// requests discards them by itself: each call would take the place of a caller's request.
+/// requests discards them by itself: each call would take the place of a caller's request. So does one
+/// that leaves.
 pub(crate) fn free(cx: &mut Pass<'_>, handles: Vec<ResultHandle>) {
     let mut by_address: SortedMap<SocketAddr, Vec<ResultHandle>> = SortedMap::new();
     for handle in handles {
         by_address.get_or_insert_with(handle.address, Vec::new).push(handle);
     }
     for (address, handles) in by_address.iter() {
-        if cx.ctx.endpoints.is_limited_at(*address) {
+        let endpoints = &cx.ctx.endpoints;
+        if endpoints.is_limited_at(*address) || endpoints.is_leaving_at(*address) {
             continue;
         }
         cx.effects.push(Effect::Free { address: *address, handles: handles.clone() });
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -232,6 +232,25 @@
         }
     }
 
+    /// Sends requests elsewhere that wait for a permit of an endpoint which leaves meanwhile.
+    pub fn avoid_leaving(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        let leaves = |request: &ActiveRequest| {
+            let endpoint = permit::endpoint(request).and_then(|it| cx.ctx.endpoints.get(it));
+            permit::endpoint(request).is_some() && !endpoint.is_some_and(|it| it.accepts_work())
+        };
+        let waiting = self.permits.values().filter(|it| self.active.get(it).is_some_and(leaves));
+        let tickets: Vec<Ticket> = waiting.copied().collect();
+        for ticket in tickets {
+            let Some(mut request) = self.active.remove(&ticket) else { continue };
+            if let Some(id) = request.permit() {
+                self.permits.remove(&id);
+            }
+            permit::withdraw(cx, &request);
+            request.phase = Phase::RunningStages;
+            self.proceed(cx, batcher, request);
+        }
+    }
+
     /// Ends all requests, as the process exits: a caller gets an answer of any kind before that.
     pub fn end_all(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -99,6 +99,7 @@
         call,
         ticket: request.ticket,
         endpoint: choice.endpoint,
+        started,
         address: choice.address,
         workspace: request.workspace.clone(),
         time_left,
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ferry_model::EndpointId;
+
 use super::active::{ActiveRequest, Phase};
 use super::end::{self, RetryHint};
 use super::{call, schedule};
@@ -66,6 +68,18 @@
     go_on(cx, batcher, request, choice, gate)
 }
 
+/// Returns the endpoint for whose permit a request waits.
+pub fn endpoint(request: &ActiveRequest) -> Option<&EndpointId> {
+    match &request.phase {
+        Phase::AwaitingPermit(wait) => Some(&wait.choice.endpoint),
+        Phase::AwaitingAdmission { .. }
+        | Phase::RunningStages
+        | Phase::AwaitingBuild { .. }
+        | Phase::AwaitingEndpoint { .. }
+        | Phase::Calling(_) => None,
+    }
+}
+
 /// Withdraws the request for a permit, if there is one.
 pub fn withdraw(cx: &mut Pass<'_>, request: &ActiveRequest) {
     if let Phase::AwaitingPermit(wait) = &request.phase {
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -100,6 +100,7 @@
         let engines = ctx.endpoints.pool(&wanted.pool).filter(is_own);
         effects.extend(engines.map(|it| Effect::ReadCache {
             endpoint: it.endpoint.id.clone(),
+            started: it.endpoint.started,
             address: it.endpoint.address,
         }));
     }
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -237,7 +237,8 @@
         let Held { asker, request, decision, .. } = held;
         let attempt = request.attempt.clone();
         let engine = self.engines.get_mut(&decision.endpoint);
-        if has_read {
+        let accepts_work = endpoints.get(&decision.endpoint).is_some_and(|it| it.accepts_work());
+        if has_read && accepts_work {
             if let Some(engine) = engine {
                 engine.restart(now, &attempt);
             }
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -0,0 +1,253 @@
+//! Endpoints that announce in their responses that they leave.
+
+use std::time::Duration;
+
+use ferry_model::EndpointState;
+use ferry_serve::{
+    CallEvent, DecisionKind, EndpointsDelta, Event, LeavingReport, Status, StoreUpdate,
+};
+
+use crate::rate_limits::load::Load;
+use crate::simulation::{Behaviour, Ending, Simulation, head, ms};
+
+fn announce(sim: &mut Simulation, instance: usize, endpoint: &str, started: u64) {
+    let endpoint = endpoint.to_owned();
+    let report = LeavingReport::Leaving;
+    sim.deliver(instance, Event::Leaving { endpoint, started, report });
+}
+
+/// Counts everything that has reached an endpoint.
+fn n_received(sim: &Simulation, id: &str) -> usize {
+    let endpoint = sim.endpoints.get(id).expect("the endpoint exists");
+    endpoint.n_calls + endpoint.n_messages
+}
+
+/// A way on which something reaches an endpoint.
+struct Way {
+    name: &'static str,
+    routes: &'static [&'static str],
+    leaving: &'static str,
+    /// What the other endpoints of its pool do.
+    others: Behaviour,
+    /// Requests per second that it takes.
+    rate_limit: Option<f64>,
+}
+
+#[test]
+fn nothing_reaches_an_endpoint_after_its_announcement_on_any_way() {
+    let first = Way {
+        name: "first runs",
+        routes: &["get", "post"],
+        leaving: "plain-0",
+        others: Behaviour::Healthy,
+        rate_limit: None,
+    };
+    let engines =
+        Way { name: "engines", routes: &["stream", "once"], leaving: "engine-0", ..first };
+    let items = Way { name: "items", leaving: "first-0", ..engines };
+    let ways = [
+        Way { name: "repeats of failed runs", others: Behaviour::Failing, ..first },
+        Way { name: "repeats of broken runs", others: Behaviour::Reset, ..first },
+        Way { name: "repeats of refusals", others: Behaviour::Full, ..first },
+        Way { name: "second runs beside silent ones", others: Behaviour::Silent, ..first },
+        Way { name: "slow endpoints", others: Behaviour::Slow(20), ..first },
+        Way { name: "permits", rate_limit: Some(2.0), ..first },
+        Way { name: "resumed streams", others: Behaviour::HeadOnly(ms(50)), ..engines },
+        Way { name: "streams beside silent ones", others: Behaviour::Silent, ..engines },
+        Way { name: "engines that refuse", others: Behaviour::Full, ..engines },
+        Way { name: "engines that read prompts", others: Behaviour::Reads(2), ..engines },
+        Way { name: "permits of engines", rate_limit: Some(2.0), ..engines },
+        Way { name: "items of slow endpoints", others: Behaviour::Slow(8), ..items },
+        Way { name: "items of silent endpoints", others: Behaviour::Silent, ..items },
+        Way { name: "items of endpoints that refuse", others: Behaviour::Full, ..items },
+        Way { name: "items of broken calls", others: Behaviour::Reset, ..items },
+        Way { name: "items of a later stage", leaving: "second-0", ..items },
+        Way { name: "permits of items", rate_limit: Some(2.0), ..items },
+        first,
+        engines,
+        items,
+    ];
+    for way in ways {
+        for n_instances in [1, 6] {
+            for delay in [0, 37, 110, 400] {
+                let mut sim = Simulation::new(n_instances);
+                let pool = way.leaving.split('-').next().unwrap_or_default();
+                let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
+                for id in ids.iter().filter(|it| it.starts_with(pool) && **it != way.leaving) {
+                    sim.set_behaviour(id, way.others);
+                }
+                sim.set_rate_limit(way.leaving, way.rate_limit);
+                let mut load = Load::new(way.routes, 60);
+                load.send(&mut sim, ms(3_000 + delay));
+                assert!(0 < n_received(&sim, way.leaving), "{}: was never asked", way.name);
+                for instance in 0..n_instances {
+                    announce(&mut sim, instance, way.leaving, 1);
+                }
+                let before = n_received(&sim, way.leaving);
+                load.send(&mut sim, ms(3_000));
+                // A scheduler that takes over reads the caches of engines.
+                if 1 < n_instances {
+                    sim.kill(0);
+                }
+                load.send(&mut sim, ms(3_000));
+                sim.run_for(ms(5_000));
+                let n_late = n_received(&sim, way.leaving) - before;
+                assert_eq!(n_late, 0, "{}, {n_instances} instances, {delay} ms", way.name);
+                assert_eq!(sim.violations, Vec::<String>::new(), "{}", way.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn request_at_an_endpoint_that_announces_its_leaving_goes_on_to_its_end() {
+    for (route, ending) in [("get", Ending::Answer), ("stream", Ending::Stream)] {
+        let mut sim = Simulation::new(1);
+        let attempts: Vec<String> = (0..10).map(|it| format!("{route}-{it}")).collect();
+        for attempt in &attempts {
+            sim.arrive(0, attempt, head(route, attempt));
+        }
+        assert!(sim.run_until(|it| it.runs.len() == attempts.len()), "{route}: all of them run");
+        for id in ["plain-0", "plain-1", "engine-0", "engine-1", "engine-2"] {
+            announce(&mut sim, 0, id, 1);
+        }
+        sim.run_for(ms(3_000));
+        for attempt in &attempts {
+            assert_eq!(sim.outcome(attempt).ending, ending);
+        }
+    }
+}
+
+#[test]
+fn requests_are_refused_at_once_if_all_endpoints_of_a_pool_leave() {
+    for (route, ids) in [
+        ("get", ["plain-0", "plain-1", "plain-1"]),
+        ("stream", ["engine-0", "engine-1", "engine-2"]),
+        ("stream", ["second-0", "second-1", "second-2"]),
+    ] {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(100));
+        for id in ids {
+            announce(&mut sim, 0, id, 1);
+        }
+        sim.arrive(0, "late", head(route, "late"));
+        let outcome = sim.outcome("late");
+        assert_eq!(outcome.took, Duration::ZERO, "{route} {ids:?}");
+        let Ending::Refused(refusal) = &outcome.ending else {
+            panic!("{route} {ids:?}: {outcome:?}");
+        };
+        assert_eq!(refusal.status, Status::NotRun);
+        assert!(refusal.retry_after.is_some_and(|it| ms(0) < it && it < ms(4_000)), "{refusal:?}");
+    }
+}
+
+/// What happens to the endpoint `plain-0` behind its announcement.
+#[derive(Debug, Clone, Copy)]
+enum Then {
+    Nothing,
+    /// Its entry is written again, with this start.
+    Entry(u64, EndpointState),
+    Removed,
+    List,
+    Peer,
+    StoreAway,
+    Configuration,
+    /// An announcement of this start arrives.
+    Announcement(u64),
+}
+
+#[test]
+fn announcement_holds_for_the_start_of_the_endpoint_that_made_it() {
+    use EndpointState::{Leaving, Live};
+    struct Case {
+        then: &'static [Then],
+        accepts_work: bool,
+    }
+    let cases = [
+        Case { then: &[Then::Nothing], accepts_work: false },
+        Case { then: &[Then::Entry(1, Live)], accepts_work: false },
+        Case { then: &[Then::Entry(1, Leaving), Then::Entry(1, Live)], accepts_work: false },
+        Case { then: &[Then::Removed, Then::Entry(1, Live)], accepts_work: false },
+        Case { then: &[Then::List], accepts_work: false },
+        Case { then: &[Then::Peer], accepts_work: false },
+        Case { then: &[Then::StoreAway, Then::List], accepts_work: false },
+        Case { then: &[Then::StoreAway, Then::Removed, Then::Peer], accepts_work: false },
+        Case { then: &[Then::Configuration], accepts_work: false },
+        Case { then: &[Then::Entry(2, Live)], accepts_work: true },
+        Case { then: &[Then::Removed, Then::Entry(2, Live)], accepts_work: true },
+        Case { then: &[Then::Entry(2, Live), Then::Announcement(1)], accepts_work: true },
+        Case { then: &[Then::Entry(2, Live), Then::Announcement(2)], accepts_work: false },
+        Case { then: &[Then::Entry(2, Live), Then::Entry(1, Live)], accepts_work: false },
+    ];
+    for Case { then, accepts_work } in cases {
+        let mut sim = Simulation::new(1);
+        let entry = sim.endpoints.get("plain-0").expect("the endpoint exists").entry.clone();
+        announce(&mut sim, 0, "plain-0", 1);
+        let mut is_restarted = false;
+        for (step, revision) in then.iter().zip(20..) {
+            let listed = || sim.endpoints.values().map(|it| it.entry.clone()).collect();
+            let event = match *step {
+                Then::Nothing => continue,
+                Then::Entry(started, state) => {
+                    is_restarted |= started == 2;
+                    let endpoint = ferry_model::GatewayEndpoint { started, state, ..entry.clone() };
+                    Event::Store(StoreUpdate::Changed { revision, endpoint })
+                }
+                Then::Removed => {
+                    Event::Store(StoreUpdate::Removed { revision, id: "plain-0".to_owned() })
+                }
+                Then::List => Event::Store(StoreUpdate::List { revision, endpoints: listed() }),
+                Then::Peer => Event::Store(StoreUpdate::Peer(EndpointsDelta {
+                    since: 0,
+                    revision,
+                    last_change: revision,
+                    endpoints: listed(),
+                    removed: Vec::new(),
+                })),
+                Then::StoreAway => Event::Store(StoreUpdate::Unreachable),
+                Then::Configuration => Event::Config(crate::simulation::config(2).into()),
+                Then::Announcement(started) => {
+                    let endpoint = "plain-0".to_owned();
+                    Event::Leaving { endpoint, started, report: LeavingReport::Leaving }
+                }
+            };
+            sim.deliver(0, event);
+            sim.run_for(ms(100));
+        }
+        let gateway = sim.instances[0].as_ref().expect("the instance is running");
+        let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+        assert_eq!(view.accepts_work(), accepts_work, "{then:?}, restarted: {is_restarted}");
+    }
+}
+
+#[test]
+fn answer_of_a_call_that_was_cancelled_announces_too() {
+    let mut sim = Simulation::new(1);
+    let ticket = sim.arrive(0, "gone", head("get", "gone"));
+    sim.run_for(ms(10));
+    sim.deliver(0, Event::CallerGone { ticket });
+    announce(&mut sim, 0, "plain-0", 1);
+    sim.deliver(
+        0,
+        Event::Call { call: 1, event: CallEvent::Answer { is_error: false, load: None } },
+    );
+    let gateway = sim.instances[0].as_ref().expect("the instance is running");
+    let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+    assert!(!view.accepts_work());
+}
+
+#[test]
+fn other_values_of_the_header_are_logged_once_and_change_nothing() {
+    let mut sim = Simulation::new(1);
+    for _ in 0..100 {
+        let (endpoint, report) = ("plain-0".to_owned(), LeavingReport::Invalid("soon".to_owned()));
+        sim.deliver(0, Event::Leaving { endpoint, started: 1, report });
+    }
+    let lines = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Endpoint);
+    let lines: Vec<&str> =
+        lines.map(|it| it.reason.as_str()).filter(|it| it.contains("soon")).collect();
+    assert_eq!(lines, ["ignored \"soon\", which does not say whether it leaves"]);
+    let gateway = sim.instances[0].as_ref().expect("the instance is running");
+    let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+    assert!(view.accepts_work());
+}
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod config_changes;
 mod endpoints;
 mod health;
+mod leaving;
 mod peers;
 mod quarantine;
 mod rate_limits;
--- a/crates/ferry-serve/tests/decisions/rate_limits.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits.rs
@@ -3,7 +3,7 @@
 mod callers;
 mod changes;
 mod faults;
-mod load;
+pub mod load;
 
 use ferry_serve::{Mechanism, Tuning};
 
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -377,7 +377,11 @@
             }
             Effect::Hold { call } => self.hold(instance, call),
             Effect::Batch(call) => self.batch(instance, &call),
-            Effect::Free { handles, .. } => {
+            Effect::Free { handles, address } => {
+                let mut endpoints = self.endpoints.values_mut();
+                if let Some(endpoint) = endpoints.find(|it| it.entry.address == address) {
+                    endpoint.n_messages += 1;
+                }
                 self.n_freed += handles.len();
                 for handle in handles {
                     self.results.remove(&handle.id);
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -52,6 +52,8 @@
     pub cached: Vec<(u64, Moment)>,
     pub n_calls: usize,
     pub n_items: usize,
+    /// Reads of its cache, and calls that free its results.
+    pub n_messages: usize,
     pub last_call: Moment,
     /// The rate limit that it names in its responses.
     pub rate_limit: Option<RequestRate>,
@@ -89,6 +91,7 @@
             cached: Vec::new(),
             n_calls: 0,
             n_items: 0,
+            n_messages: 0,
             last_call: Moment::ZERO,
             rate_limit: None,
             arrivals: Vec::new(),
@@ -323,7 +326,8 @@
     }
 
     pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
-        let Some(view) = self.endpoints.get(&endpoint) else { return };
+        let Some(view) = self.endpoints.get_mut(&endpoint) else { return };
+        view.n_messages += 1;
         let part = |it: &(u64, Moment)| PromptPart { id: it.0, tokens: 1 };
         let parts = view.cached.iter().map(part).collect();
         self.schedule(instance, NETWORK_DELAY, Event::Cached { endpoint, parts });
