Keep no removed endpoint in use while the store comes and goes

Cause: while the store is away, and for 1.8 s after its return, a missing entry is kept, as it may only have expired. Each return began that time anew, for all missing entries. A store that comes and goes faster than that keeps an endpoint in use that the instance itself has read as removed, for as long as it goes on.

Change: the time counts from the moment at which an entry was first seen missing (endpoints/missing.rs). If that would leave a pool without any endpoint, its endpoints are kept until the store has been reachable for the whole time: then it is far more likely that they have expired together.

Evidence: store_that_comes_and_goes_keeps_no_removed_endpoint_in_use failed before: 10 of 20 requests went to the endpoint 2 s after its removal was read, with 300 ms between the returns; 0 now with 300 ms, 1 s and 1.7 s, read from a list or as an event.

--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod delta;
 mod leaving;
+mod missing;
 mod observe;
 mod rate_limit;
 
@@ -62,8 +63,8 @@
     has_announced: bool,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
-    /// Whether it is missing from the list since the store became reachable again.
-    is_missing: bool,
+    /// Since when its entry is missing, if it may only have expired while the store was unreachable.
+    missing_since: Option<Moment>,
     /// Hashes of prompt prefixes, and when each was last used.
     parts: SortedMap<u64, Moment>,
 }
@@ -81,7 +82,7 @@
             rate_limit: RateLimit::default(),
             has_announced: false,
             invalid_until: Moment::ZERO,
-            is_missing: false,
+            missing_since: None,
             parts: SortedMap::new(),
         }
     }
@@ -239,7 +240,7 @@
     /// Returns the entries in the store, without those that may only have expired, as a peer that
     /// reads them would take them for present.
     pub fn listed(&self) -> impl Iterator<Item = &GatewayEndpoint> {
-        self.views.values().filter(|it| !it.is_missing).map(|it| &it.endpoint)
+        self.views.values().filter(|it| it.missing_since.is_none()).map(|it| &it.endpoint)
     }
 
     pub fn len(&self) -> usize {
@@ -270,10 +271,6 @@
         self.is_store_down
     }
 
-    pub fn next_wake(&self) -> Option<Moment> {
-        self.rejoin_until
-    }
-
     /// Applies an update of the store; returns whether it changed anything.
     pub fn apply(&mut self, now: Moment, tuning: &Tuning, update: StoreUpdate) -> bool {
         let is_first = !self.is_known();
@@ -310,30 +307,6 @@
         is_changed
     }
 
-    /// Drops the entries that were not registered again within the rejoin window.
-    pub fn tick(&mut self, now: Moment) {
-        if self.rejoin_until.is_none_or(|it| now < it) {
-            return;
-        }
-        self.rejoin_until = None;
-        let gone: Vec<EndpointId> = self
-            .views
-            .values()
-            .filter(|it| it.is_missing)
-            .map(|it| it.endpoint.id.clone())
-            .collect();
-        for id in gone {
-            self.forget(&id);
-            self.record_change(self.revision, &id);
-        }
-        self.index(now, false);
-    }
-
-    /// Whether a missing entry may only have expired while the store was unreachable.
-    fn may_have_lapsed(&self, now: Moment) -> bool {
-        self.is_store_down || self.rejoin_until.is_some_and(|it| now < it)
-    }
-
     fn replace(&mut self, now: Moment, revision: u64, endpoints: Vec<GatewayEndpoint>) -> bool {
         if revision < self.revision {
             return false;
@@ -379,7 +352,7 @@
             self.insert(endpoint);
             return true;
         };
-        view.is_missing = false;
+        view.missing_since = None;
         let is_restarted = view.endpoint.started != endpoint.started
             || view.endpoint.address != endpoint.address
             || view.endpoint.pool != endpoint.pool
@@ -399,7 +372,7 @@
         let may_lapse = self.may_have_lapsed(now);
         let Some(view) = self.views.get_mut(id) else { return false };
         if may_lapse && view.accepts_work() {
-            view.is_missing = true;
+            view.missing_since.get_or_insert(now);
             return false;
         }
         self.forget(id);
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -87,7 +87,7 @@
         for id in ids {
             match self.get(id) {
                 None => removed.push(id.clone()),
-                Some(view) if view.is_missing => (),
+                Some(view) if view.missing_since.is_some() => (),
                 Some(view) => endpoints.push(view.endpoint.clone()),
             }
         }
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -118,7 +118,7 @@
         match event {
             Event::Tick { late } => {
                 cx.ctx.overload.observe(now, late);
-                cx.ctx.endpoints.tick(now);
+                cx.ctx.endpoints.tick(now, &cx.ctx.tuning);
                 exchange::tick(cx);
                 quarantine::exchange::tick(cx);
                 self.batcher.tick(cx);
@@ -179,7 +179,7 @@
         let due = [
             self.requests.next_wake(&self.ctx.tuning),
             self.batcher.next_wake(now, &self.ctx.endpoints),
-            self.ctx.endpoints.next_wake(),
+            self.ctx.endpoints.next_wake(now, &self.ctx.tuning),
             self.ctx.limiter.next_wake(),
             self.ctx.crash_watch.next_wake(),
             self.ctx.collector.next_wake(),
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -67,6 +67,60 @@
     }
 }
 
+#[test]
+fn store_that_comes_and_goes_keeps_no_removed_endpoint_in_use() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds between two returns of the store.
+        gap: u64,
+        /// Whether the removal is an event, and not only missing in a list.
+        is_event: bool,
+        /// Whether all other endpoints of the pool are missing too.
+        is_alone: bool,
+    }
+    let cases = [
+        Case { name: "list, fast", gap: 300, is_event: false, is_alone: false },
+        Case { name: "list", gap: 1_000, is_event: false, is_alone: false },
+        Case { name: "list, slow", gap: 1_700, is_event: false, is_alone: false },
+        Case { name: "event", gap: 1_000, is_event: true, is_alone: false },
+        Case { name: "whole pool", gap: 1_000, is_event: false, is_alone: true },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(1);
+        sim.deliver(0, Event::Store(StoreUpdate::Unreachable));
+        sim.run_for(ms(3_000));
+        let is_listed = |id: &str| id != "plain-0" && !(case.is_alone && id == "plain-1");
+        let listed: Vec<_> = sim.endpoints.values().map(|it| it.entry.clone()).collect();
+        let listed: Vec<_> = listed.into_iter().filter(|it| is_listed(&it.id)).collect();
+        let start = sim.now;
+        let mut revision = 12;
+        let mut comes_back = |sim: &mut Simulation| {
+            revision += 1;
+            let id = "plain-0".to_owned();
+            if case.is_event {
+                sim.deliver(0, Event::Store(StoreUpdate::Reachable));
+                sim.deliver(0, Event::Store(StoreUpdate::Removed { revision, id }));
+            } else {
+                let endpoints = listed.clone();
+                sim.deliver(0, Event::Store(StoreUpdate::List { revision, endpoints }));
+                sim.deliver(0, Event::Store(StoreUpdate::Reachable));
+            }
+        };
+        comes_back(&mut sim);
+        while sim.now < start + ms(2_000) {
+            sim.run_for(ms(case.gap - 100));
+            sim.deliver(0, Event::Store(StoreUpdate::Unreachable));
+            sim.run_for(ms(100));
+            comes_back(&mut sim);
+        }
+        let before = n_calls(&sim, "plain-0");
+        send_requests(&mut sim, 20, "probe");
+        let n_late = n_calls(&sim, "plain-0") - before;
+        // Endpoints of a pool that would be left without any are kept while the store comes and goes.
+        assert_eq!(0 < n_late, case.is_alone, "{}: {n_late} requests", case.name);
+    }
+}
+
 #[test]
 fn possibly_expired_entries_are_not_sent_to_peers() {
     let mut sim = Simulation::new(1);
