Tell peers which entries are missing, so that changes hide no removal

Cause: an instance leaves entries that may only have expired out of the changes that it gives a peer. The reader took over the revision without them, and then ignored the removal in its own watch as older. It went on sending until its next list, up to 16 s later where a watch waits for 15 s.

Change: the changes name the missing entries, and the reader treats them as its own watch would. An entry that was missing and comes back counts as a change, so that such a reader learns of it.

Evidence: changes_of_a_peer_hide_no_removal failed before (9 of 20 requests went to the endpoint 2 s later), with changes and with a whole list; 0 now, and an endpoint that comes back is used again.

--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -352,7 +352,7 @@
             self.insert(endpoint);
             return true;
         };
-        view.missing_since = None;
+        let was_missing = view.missing_since.take().is_some();
         let is_restarted = view.endpoint.started != endpoint.started
             || view.endpoint.address != endpoint.address
             || view.endpoint.pool != endpoint.pool
@@ -363,7 +363,8 @@
             view.rate_limit = RateLimit::new(now);
             return true;
         }
-        let is_changed = view.endpoint != endpoint;
+        // Peers may have removed a missing entry, and learn from this instance that it is back.
+        let is_changed = was_missing || view.endpoint != endpoint;
         view.endpoint = endpoint;
         is_changed
     }
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -24,6 +24,10 @@
     pub last_change: u64,
     pub endpoints: Vec<GatewayEndpoint>,
     pub removed: Vec<EndpointId>,
+    /// Entries that are missing in the store, and may be registered again. With the revision, a reader
+    /// takes over that they are missing: the removal that it reads itself may be older.
+    #[serde(default)]
+    pub missing: Vec<EndpointId>,
 }
 
 /// Changes in the order in which they became known.
@@ -69,10 +73,12 @@
 
     /// Returns what a peer lacks that has seen the store at revision `since`.
     ///
-    /// Entries that may only have expired are left out: a peer would take them for present, or for
+    /// Entries that may only have expired are named apart: a peer would take them for present, or for
     /// removed.
     pub fn delta(&self, since: u64) -> EndpointsDelta {
         let (revision, last_change) = (self.revision, self.last_change);
+        let missing = self.views.values().filter(|it| it.missing_since.is_some());
+        let missing = missing.map(|it| it.endpoint.id.clone()).collect();
         let Some(ids) = self.changes.after(since) else {
             let endpoints = self.listed().cloned().collect();
             return EndpointsDelta {
@@ -81,6 +87,7 @@
                 last_change,
                 endpoints,
                 removed: Vec::new(),
+                missing,
             };
         };
         let (mut endpoints, mut removed) = (Vec::new(), Vec::new());
@@ -91,12 +98,12 @@
                 Some(view) => endpoints.push(view.endpoint.clone()),
             }
         }
-        EndpointsDelta { since, revision, last_change, endpoints, removed }
+        EndpointsDelta { since, revision, last_change, endpoints, removed, missing }
     }
 
     /// Merges the changes that a peer has sent; returns whether it changed anything.
     pub(super) fn merge(&mut self, now: Moment, delta: EndpointsDelta) -> bool {
-        let EndpointsDelta { since, revision, last_change, endpoints, removed } = delta;
+        let EndpointsDelta { since, revision, last_change, endpoints, removed, missing } = delta;
         if revision < self.revision {
             // This instance has already seen everything that the peer knows.
             self.last_change = self.last_change.max(last_change);
@@ -109,6 +116,9 @@
             0 => self.replace(now, revision, endpoints),
             _ => self.merge_changes(now, revision, endpoints, &removed),
         };
+        let is_changed = missing
+            .iter()
+            .fold(is_changed, |is_changed, id| self.remove(now, revision, id) || is_changed);
         self.last_change = self.last_change.max(last_change);
         is_changed
     }
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -121,6 +121,56 @@
     }
 }
 
+#[test]
+fn changes_of_a_peer_hide_no_removal() {
+    struct Case {
+        name: &'static str,
+        /// Revision that the reader has seen; zero reads the whole list.
+        since: u64,
+        comes_back: bool,
+    }
+    let cases = [
+        Case { name: "changes", since: 10, comes_back: false },
+        Case { name: "list", since: 0, comes_back: false },
+        Case { name: "changes, and the entry comes back", since: 10, comes_back: true },
+        Case { name: "list, and the entry comes back", since: 0, comes_back: true },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(2);
+        sim.isolated = vec![0, 1];
+        let entry = sim.endpoints.get("plain-0").expect("the endpoint exists").entry.clone();
+        // The store returns for instance 1, which has read the removal but waits for the entry to
+        // come back.
+        sim.deliver(1, Event::Store(StoreUpdate::Unreachable));
+        sim.deliver(1, Event::Store(StoreUpdate::Reachable));
+        let id = "plain-0".to_owned();
+        sim.deliver(1, Event::Store(StoreUpdate::Removed { revision: 13, id: id.clone() }));
+        let mut other = sim.endpoints.get("plain-1").expect("the endpoint exists").entry.clone();
+        other.slots += 1;
+        sim.deliver(1, Event::Store(StoreUpdate::Changed { revision: 14, endpoint: other }));
+        let read = |sim: &Simulation, since| {
+            let gateway = sim.instances[1].as_ref().expect("the instance is running");
+            Event::Store(StoreUpdate::Peer(gateway.snapshot(0, since).endpoints))
+        };
+        let update = read(&sim, case.since);
+        sim.deliver(0, update);
+        // Its own watch is late.
+        sim.deliver(0, Event::Store(StoreUpdate::Removed { revision: 13, id }));
+        if case.comes_back {
+            let update = StoreUpdate::Changed { revision: 15, endpoint: entry };
+            sim.run_for(ms(500));
+            sim.deliver(1, Event::Store(update));
+            let update = read(&sim, 14);
+            sim.deliver(0, update);
+        }
+        sim.run_for(ms(2_000));
+        let before = n_calls(&sim, "plain-0");
+        send_requests(&mut sim, 20, "probe");
+        let n_late = n_calls(&sim, "plain-0") - before;
+        assert_eq!(0 < n_late, case.comes_back, "{}: {n_late} requests", case.name);
+    }
+}
+
 #[test]
 fn possibly_expired_entries_are_not_sent_to_peers() {
     let mut sim = Simulation::new(1);
