Spend the retry budget on requests whose stage results are gone

What callers saw: repeats piled up at a pool of engines beyond its budget.

Cause: an endpoint that does not find the results which a request reads refuses it, and the request comes again after its stages. Whatever makes stage endpoints lose results (a crash, a release, a scale-in, a restart of the instance that batches) makes each request in that phase one such repeat, all at once, beside the repeats of the other disruptions.

Change: this refusal spends like every other. A request for which nothing is left of the budget is refused as not run, with a time to come back.

--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -32,24 +32,27 @@
                 view.pause_until(pause);
             }
         }
-        NotRunReason::InputsGone => {
-            if request.n_restarts < stages::MAX_RESTARTS {
-                request.tried.retain(|it| *it != current.endpoint);
-                restart_all(cx, batcher, request);
-                return false;
-            }
-        }
+        NotRunReason::InputsGone => (),
         NotRunReason::Malformed => {
             let reason = "endpoint takes it for malformed";
             return end::give_up(cx, batcher, request, RetryHint::Soon, reason);
         }
     }
     let pool = request.pool.clone();
-    if MAX_REFUSALS <= request.n_refusals || !has_time(cx, request) || !cx.try_spend(&pool) {
+    let needs_inputs =
+        reason == NotRunReason::InputsGone && request.n_restarts < stages::MAX_RESTARTS;
+    let is_refused = MAX_REFUSALS <= request.n_refusals && !needs_inputs;
+    if is_refused || !has_time(cx, request) || !cx.try_spend(&pool) {
         return end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
     }
     cx.count(Metric::CallsRepeated);
-    restart_released(cx, batcher, request);
+    match needs_inputs {
+        true => {
+            request.tried.retain(|it| *it != current.endpoint);
+            restart_all(cx, batcher, request);
+        }
+        false => restart_released(cx, batcher, request),
+    }
     log_retry(cx, request, reason.into());
     false
 }
--- a/crates/ferry-serve/tests/decisions/budgets.rs
+++ b/crates/ferry-serve/tests/decisions/budgets.rs
@@ -1,5 +1,8 @@
 //! Retries stay within the budget that all instances share.
 
+mod count;
+mod faults;
+
 use ferry_serve::{RetryBudget, Tuning};
 
 use crate::simulation::{Behaviour, Simulation, head, ms};
--- a/crates/ferry-serve/tests/decisions/rate_limits/load.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/load.rs
@@ -19,11 +19,17 @@
     n_sent: u64,
     /// Number of keys of different workspaces; none for the common key.
     n_keys: Option<u64>,
+    /// Time for which callers wait, if it is another one than usual.
+    time_left: Option<Duration>,
 }
 
 impl Load {
     pub fn new(routes: &'static [&'static str], per_second: u64) -> Load {
-        Load { routes, per_second, n_sent: 0, n_keys: None }
+        Load { routes, per_second, n_sent: 0, n_keys: None, time_left: None }
+    }
+
+    pub fn with_time_left(self, time_left: Duration) -> Load {
+        Load { time_left: Some(time_left), ..self }
     }
 
     pub fn with_keys(self, n_keys: u64) -> Load {
@@ -48,6 +54,7 @@
             let instance = (number * 7 % sim.instances.len() as u64) as usize;
             if sim.instances[instance].is_some() {
                 let mut head = head_of(route, &attempt, number);
+                head.time_left = self.time_left.or(head.time_left);
                 if let Some(n_keys) = self.n_keys {
                     head.key = Some(format!("key-{}", Load::key_of(number, n_keys)));
                 }
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -102,6 +102,12 @@
     pub first_events: SortedMap<String, Duration>,
     /// Endpoints that started to run each attempt.
     pub runs: SortedMap<String, Vec<String>>,
+    /// Moment and attempt of each call that reached an endpoint, by the endpoint's pool.
+    pub reached: SortedMap<String, Vec<(Moment, String)>>,
+    /// When callers sent requests, by path.
+    pub sent: SortedMap<String, Vec<Moment>>,
+    /// Whether endpoints lose the results of stages at once.
+    pub loses_results: bool,
     /// Violations of the call protocol, as the endpoints saw them.
     pub violations: Vec<String>,
     pub n_batches: usize,
@@ -175,9 +181,17 @@
 
     /// Creates a simulation whose routes have another time limit.
     pub fn with_time_limit(n_instances: usize, limit: Duration) -> Simulation {
+        Simulation::with_limit_and_tuning(n_instances, limit, Tuning::default())
+    }
+
+    pub fn with_limit_and_tuning(
+        n_instances: usize,
+        limit: Duration,
+        tuning: Tuning,
+    ) -> Simulation {
         let mut config = config(1);
         config.routes.iter_mut().for_each(|it| it.time_limit = limit);
-        Simulation::with_config(n_instances, config, Tuning::default())
+        Simulation::with_config(n_instances, config, tuning)
     }
 
     fn with_config(n_instances: usize, config: GatewayConfig, tuning: Tuning) -> Simulation {
@@ -190,6 +204,9 @@
             outcomes: SortedMap::new(),
             first_events: SortedMap::new(),
             runs: SortedMap::new(),
+            reached: SortedMap::new(),
+            sent: SortedMap::new(),
+            loses_results: false,
             violations: Vec::new(),
             n_batches: 0,
             n_freed: 0,
@@ -257,7 +274,7 @@
             incarnation: self.incarnations[instance],
             zone: format!("zone-{}", instance % 2),
             weight: 0.25,
-            is_first_start: true,
+            is_first_start: self.incarnations[instance] == 1,
             started: UNIX_START + self.now,
             front: front(instance),
             peer: peer(instance),
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -23,6 +23,8 @@
         digest: RequestDigest,
         head: RequestHead,
     ) -> u64 {
+        let now = self.now;
+        self.sent.get_or_insert_with(head.path.clone(), Vec::new).push(now);
         self.n_tickets += 1;
         let ticket = self.n_tickets;
         let caller = Caller {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -146,6 +146,8 @@
         let Some(attempt) = attempt else {
             return self.violations.push("a call without a caller".to_owned());
         };
+        let pool = call.endpoint.split('-').next().unwrap_or_default().to_owned();
+        self.reached.get_or_insert_with(pool, Vec::new).push((self.now, attempt.clone()));
         for handle in call.inputs.iter().flatten() {
             if self.results.get(&handle.id).is_none_or(|(owner, _)| *owner != attempt) {
                 let event =
@@ -344,7 +346,9 @@
         for item in &call.items {
             self.check_inputs(&item.attempt, &item.input, item.stage);
             let id = format!("{}/{}/{}/{}", item.attempt, item.stage, item.item, self.n_queued);
-            self.results.insert(id.clone(), (item.attempt.to_string(), item.stage));
+            if !self.loses_results {
+                self.results.insert(id.clone(), (item.attempt.to_string(), item.stage));
+            }
             results.push(ItemResult::Done(ResultHandle { address: call.address, id }));
         }
         let is_informed = self.is_informed(instance, &call.endpoint);
--- a/crates/ferry-soak/src/checker/leaving.rs
+++ b/crates/ferry-soak/src/checker/leaving.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Default)]
 pub struct LeavingLog {
     announcements: Vec<Announcement>,
+    n_announced: usize,
     /// Times from an announcement to later requests from the same gateway.
     delays: Vec<Duration>,
 }
@@ -45,6 +46,7 @@
         let start = attempt.start;
         let mut log = self.leaving_log.borrow_mut();
         if log.find(endpoint, start, node).is_none() {
+            log.n_announced += 1;
             let (endpoint, node) = (endpoint.clone(), node.clone());
             log.announcements.push(Announcement { endpoint, start, node, at: Instant::now() });
         }
@@ -77,7 +79,7 @@
     /// requests.
     pub fn leaving(&self) -> (usize, Vec<Duration>) {
         let log = self.leaving_log.borrow();
-        (log.announcements.len(), log.delays.clone())
+        (log.n_announced, log.delays.clone())
     }
 
     /// Counts the items that an endpoint was asked for.
