Count a retry until a window after its endpoint was heard

What callers saw: repeats beyond the budget of a pool, also without any fault of an instance.

Cause: a retry was counted when it was decided, in a window of ten slots of a second. The window forgot it between 9 and 10 s later, and a retry that waits for stages, or whose endpoint does not read it, arrives later than it counts.

One whose connection could not be opened stays reserved, one that is not sent is given up. Every call of a request that may have reached an endpoint before needs a reservation where it is sent, whatever led to it.

--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -165,14 +165,21 @@
         self.effects.push(Effect::Log(Box::new(decision)));
     }
 
-    /// Counts a retry at a pool if its budget allows it, and returns whether it does.
-    pub fn try_spend(&mut self, pool: &str) -> bool {
+    /// Reserves a retry at a pool if its budget allows it, and returns whether it does.
+    pub fn try_reserve(&mut self, pool: &str) -> bool {
         let n_instances = self.ctx.peers.n_instances(self.now, &self.ctx.tuning);
         let (now, tuning) = (self.now, self.ctx.tuning.clone());
         if !tuning.is_enabled(Mechanism::Retries) {
             return false;
         }
-        self.ctx.retry_budget(pool).try_spend(now, &tuning, n_instances)
+        let share = 1.0 / n_instances as f64;
+        self.ctx.retry_budget(pool).try_reserve(now, &tuning, share)
+    }
+
+    /// Records that the endpoint of a retry was heard, or that its call has ended.
+    pub fn settle_retry(&mut self, pool: &str) {
+        let (now, tuning) = (self.now, self.ctx.tuning.clone());
+        self.ctx.retry_budget(pool).settle(now, &tuning);
     }
 }
 
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -64,8 +64,8 @@
 
     /// Ends a request whose caller has disconnected.
     pub fn caller_gone(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, ticket: Ticket) {
-        let Some(request) = self.active.remove(&ticket) else { return };
-        self.forget(&request);
+        let Some(mut request) = self.active.remove(&ticket) else { return };
+        self.forget(cx, &mut request);
         end::drop_request(cx, batcher, request);
     }
 
@@ -88,7 +88,7 @@
             self.permits.remove(&id);
         }
         match ended {
-            true => self.forget(&request),
+            true => self.forget(cx, &mut request),
             false => self.proceed(cx, batcher, request),
         }
     }
@@ -147,7 +147,7 @@
         let request = self.permits.remove(&id).and_then(|it| self.active.remove(&it));
         let Some(mut request) = request else { return false };
         match permit::on_answer(cx, batcher, &mut request, n_asks, answer) {
-            true => self.forget(&request),
+            true => self.forget(cx, &mut request),
             false => self.proceed(cx, batcher, request),
         }
         true
@@ -165,7 +165,7 @@
         let Some(ticket) = self.attempts.get(attempt).copied() else { return };
         let Some(mut request) = self.active.remove(&ticket) else { return };
         match apply(cx, batcher, &mut request) {
-            true => self.forget(&request),
+            true => self.forget(cx, &mut request),
             false => self.proceed(cx, batcher, request),
         }
     }
@@ -183,7 +183,7 @@
             return stages::free_orphaned(cx, outcome);
         };
         match stages::on_outcome(cx, batcher, &mut request, key, outcome) {
-            true => self.forget(&request),
+            true => self.forget(cx, &mut request),
             false => self.proceed(cx, batcher, request),
         }
     }
@@ -222,7 +222,7 @@
             let Some(mut request) = self.active.remove(&ticket) else { continue };
             match end::quarantined(cx, &request) {
                 Some(found) => {
-                    self.forget(&request);
+                    self.forget(cx, &mut request);
                     end::end_quarantined(cx, batcher, &mut request, &found);
                 }
                 None => {
@@ -255,8 +255,8 @@
     pub fn end_all(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
         let tickets: Vec<Ticket> = self.active.keys().copied().collect();
         for ticket in tickets {
-            let Some(request) = self.active.remove(&ticket) else { continue };
-            self.forget(&request);
+            let Some(mut request) = self.active.remove(&ticket) else { continue };
+            self.forget(cx, &mut request);
             end::expire(cx, batcher, request, "the instance stops");
         }
     }
@@ -267,7 +267,7 @@
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
             if request.deadline <= cx.now {
-                self.forget(&request);
+                self.forget(cx, &mut request);
                 end::expire(cx, batcher, request, "its time is over");
                 continue;
             }
@@ -277,14 +277,14 @@
             if matches!(request.phase, Phase::AwaitingEndpoint { until } if until <= cx.now)
                 && schedule::on_timeout(cx, batcher, &mut request)
             {
-                self.forget(&request);
+                self.forget(cx, &mut request);
                 continue;
             }
             if let Some(id) = request.permit().filter(|_| request.is_permit_overdue(cx.now)) {
                 let ended = permit::on_timeout(cx, batcher, &mut request);
                 self.permits.remove(&id);
                 if ended {
-                    self.forget(&request);
+                    self.forget(cx, &mut request);
                     continue;
                 }
             }
@@ -316,7 +316,7 @@
             ended = schedule::start(cx, batcher, &mut request);
         }
         if ended {
-            return self.forget(&request);
+            return self.forget(cx, &mut request);
         }
         if let Some(call) = request.call() {
             self.calls.insert(call, request.ticket);
@@ -327,7 +327,8 @@
         self.active.insert(request.ticket, request);
     }
 
-    fn forget(&mut self, request: &ActiveRequest) {
+    fn forget(&mut self, cx: &mut Pass<'_>, request: &mut ActiveRequest) {
+        retry::release(cx, request);
         self.attempts.remove(&request.head.attempt);
         for call in request.calls() {
             self.calls.remove(&call);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -38,6 +38,8 @@
     /// When the answer becomes useless, by the caller's time left and the route's time limit.
     pub deadline: Moment,
     pub stages: Vec<StageState>,
+    /// Whether a retry is reserved for it that has not been sent.
+    pub has_retry: bool,
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
@@ -150,6 +152,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
+    /// Whether it is a retry whose endpoint has not been heard.
+    pub is_retry: bool,
     /// Whether its endpoint has begun to write.
     pub has_begun: bool,
     pub sent_at: Moment,
@@ -254,6 +258,11 @@
         self.arrived + self.route.objective
     }
 
+    /// Whether it may have reached an endpoint, so that the next call is a retry.
+    pub fn has_arrived(&self) -> bool {
+        0 < self.n_runs + self.n_refusals || !self.silent.is_empty()
+    }
+
     /// Whether the kind of the request and the number of its runs allow another run.
     pub fn may_run_again(&self) -> bool {
         let n_runs = self.n_runs + self.silent.len() as u32;
--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -26,6 +26,9 @@
     if let Phase::Calling(current) = &mut request.phase {
         current.last_heard = cx.now;
         current.is_streaming = true;
+        if std::mem::take(&mut current.is_retry) {
+            cx.settle_retry(&request.pool);
+        }
     }
     // A head that is forwarded rules out the other calls, which may still be the first with an event,
     // and an error that is held back.
@@ -95,7 +98,6 @@
     request: &mut ActiveRequest,
     current: &ActiveCall,
 ) -> bool {
-    let pool = request.pool.clone();
     if silent::fall_back(cx, batcher, request, "another endpoint answered with an error") {
         hold(cx, request, current);
         return true;
@@ -104,7 +106,7 @@
         && request.may_run_again()
         && retry::has_time(cx, request)
         && pick(cx, request).is_some()
-        && cx.try_spend(&pool);
+        && retry::reserve(cx, request);
     if may_run {
         cx.count(Metric::CallsRepeated);
         retry::log_retry(cx, request, "endpoint answered with an error");
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -99,6 +99,7 @@
         ticket,
         digest: workspace_digest(resolved.workspace.as_deref(), digest),
         stages: (0..route.stages.len()).map(stage).collect(),
+        has_retry: false,
         restarts: vec![0; route.stages.len()],
         pool: resolved.pool,
         pools: resolved.pools,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -38,10 +38,7 @@
     let mut next = choice;
     while let Some(choice) = next.filter(|_| !permit::is_hopeless(request)) {
         match permit::request(cx, request, &choice) {
-            Gate::Open => {
-                send(cx, request, choice);
-                return false;
-            }
+            Gate::Open => return send(cx, batcher, request, choice),
             Gate::Waits => return false,
             Gate::Closed => next = pick(cx, request),
         }
@@ -50,8 +47,20 @@
     end::give_up(cx, batcher, request, hint, reason)
 }
 
-/// Sends a request to an endpoint that takes it.
-pub fn send(cx: &mut Pass<'_>, request: &mut ActiveRequest, choice: Choice) {
+/// Sends a request to an endpoint that takes it; returns whether it has ended instead, as it would be a
+/// retry for which nothing is left of the budget.
+pub fn send(
+    cx: &mut Pass<'_>,
+    batcher: &mut Batcher,
+    request: &mut ActiveRequest,
+    choice: Choice,
+) -> bool {
+    let is_retry = request.has_arrived();
+    if is_retry && !retry::reserve(cx, request) {
+        let reason = "nothing is left of the retry budget";
+        return end::give_up(cx, batcher, request, end::RetryHint::Soon, reason);
+    }
+    request.has_retry = false;
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
     let (mut build, mut started) = (BuildId::new(), 0);
@@ -84,6 +93,7 @@
         endpoint: choice.endpoint.clone(),
         build,
         started,
+        is_retry,
         has_begun: false,
         sent_at: cx.now,
         last_heard: cx.now,
@@ -108,6 +118,7 @@
         resume: request.last_event,
         is_stream: request.route.kind == RouteKind::Stream,
     })));
+    false
 }
 
 /// Processes an event of a call in progress; returns whether the request has ended.
@@ -125,7 +136,8 @@
     crash::observe(cx, request, &current, &event);
     match event {
         CallEvent::Unsent { error } => {
-            leave_endpoint(cx, request, &current);
+            request.has_retry = current.is_retry;
+            leave_endpoint(cx, request, &ActiveCall { is_retry: false, ..current.clone() });
             record_failure(cx, &current);
             retry::resend(cx, batcher, request, &format!("could not connect: {error}"))
         }
@@ -199,8 +211,11 @@
     release_results(cx, batcher, request);
 }
 
-/// Removes a call from the endpoint's outstanding calls.
-pub fn release_endpoint(cx: &mut Pass<'_>, call: &ActiveCall) {
+/// Removes a call that has ended from the endpoint's outstanding calls.
+pub fn release_endpoint(cx: &mut Pass<'_>, request: &ActiveRequest, call: &ActiveCall) {
+    if call.is_retry {
+        cx.settle_retry(&request.pool);
+    }
     if let Some(view) = cx.ctx.endpoints.get_mut(&call.endpoint) {
         view.outstanding = view.outstanding.saturating_sub(1);
     }
@@ -208,7 +223,7 @@
 
 /// Ends the call in progress as far as its endpoint and its scheduler are concerned.
 pub fn leave_endpoint(cx: &mut Pass<'_>, request: &mut ActiveRequest, current: &ActiveCall) {
-    release_endpoint(cx, current);
+    release_endpoint(cx, request, current);
     schedule::report(cx, request, ScheduleProgress::Ended);
     request.phase = Phase::RunningStages;
 }
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -136,10 +136,7 @@
                 .get(&choice.endpoint)
                 .is_some_and(|it| it.accepts_work() && it.has_build(request.needed_build()));
             match accepts_work {
-                true => {
-                    call::send(cx, request, choice);
-                    false
-                }
+                true => call::send(cx, batcher, request, choice),
                 false => schedule::start(cx, batcher, request),
             }
         }
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -38,11 +38,10 @@
             return end::give_up(cx, batcher, request, RetryHint::Soon, reason);
         }
     }
-    let pool = request.pool.clone();
     let needs_inputs =
         reason == NotRunReason::InputsGone && request.n_restarts < stages::MAX_RESTARTS;
     let is_refused = MAX_REFUSALS <= request.n_refusals && !needs_inputs;
-    if is_refused || !has_time(cx, request) || !cx.try_spend(&pool) {
+    if is_refused || !has_time(cx, request) || !reserve(cx, request) {
         return end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
     }
     cx.count(Metric::CallsRepeated);
@@ -79,7 +78,6 @@
     request: &mut ActiveRequest,
     reason: &str,
 ) -> bool {
-    let pool = request.pool.clone();
     let is_allowed =
         request.route.is_repeatable() && request.may_run_again() && has_time(cx, request);
     if !origin::has_endpoint(cx, request) && request.needed_build().is_some() {
@@ -90,7 +88,7 @@
         let reason = format!("{reason}; endpoints crash on it");
         return end::fail(cx, batcher, request, &reason);
     }
-    if !is_allowed || !cx.try_spend(&pool) {
+    if !is_allowed || !reserve(cx, request) {
         return end::fail(cx, batcher, request, reason);
     }
     cx.count(Metric::CallsRepeated);
@@ -102,6 +100,20 @@
     false
 }
 
+/// Reserves a retry of a request if the budget of its pool allows it, unless that was done; returns whether
+/// it does.
+pub fn reserve(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
+    request.has_retry = request.has_retry || cx.try_reserve(&request.pool);
+    request.has_retry
+}
+
+/// Gives up the retry that is reserved for a request, if there is one.
+pub fn release(cx: &mut Pass<'_>, request: &mut ActiveRequest) {
+    if std::mem::take(&mut request.has_retry) {
+        cx.ctx.retry_budget(&request.pool).release();
+    }
+}
+
 fn restart_all(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
     let n_restarts = request.n_restarts;
     for idx in 0..request.stages.len() {
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -23,11 +23,10 @@
             .with_budget(request.deadline.saturating_sub(cx.now)),
     );
     record_failure(cx, &current);
-    let pool = request.pool.clone();
     let is_possible = request.may_run_beside()
         && retry::has_time(cx, request)
         && origin::has_endpoint(cx, request);
-    if !is_possible || !cx.try_spend(&pool) {
+    if !is_possible || !retry::reserve(cx, request) {
         return;
     }
     cx.count(Metric::CallsRepeated);
@@ -71,9 +70,13 @@
         }
         return true;
     }
-    let lost = request.silent.remove(idx);
+    let mut lost = request.silent.remove(idx);
     crash::observe(cx, request, &lost, event);
-    release_endpoint(cx, &lost);
+    if lost.is_retry && matches!(event, CallEvent::Unsent { .. }) {
+        cx.ctx.retry_budget(&request.pool).release();
+        lost.is_retry = false;
+    }
+    release_endpoint(cx, request, &lost);
     request.n_runs += u32::from(has_run);
     if matches!(event, CallEvent::Answer { .. }) && !request.is_streaming() {
         answer::hold(cx, request, &lost);
@@ -109,7 +112,7 @@
 
 /// Cancels a call that may have run.
 fn cancel(cx: &mut Pass<'_>, request: &mut ActiveRequest, call: &ActiveCall) {
-    release_endpoint(cx, call);
+    release_endpoint(cx, request, call);
     request.n_runs += 1;
     cx.effects.push(Effect::Cancel { call: call.call });
 }
@@ -135,6 +138,7 @@
         | Phase::AwaitingBuild { .. }
         | Phase::AwaitingEndpoint { .. } => (),
     }
+    retry::release(cx, request);
     schedule::report(cx, request, ScheduleProgress::Ended);
     for idx in 0..request.stages.len() {
         stages::reset(cx, batcher, request, idx);
--- a/crates/ferry-serve/tests/decisions/budgets.rs
+++ b/crates/ferry-serve/tests/decisions/budgets.rs
@@ -36,7 +36,9 @@
     let tuning = Tuning::default();
     let mut budget = RetryBudget::new();
     let n_spent = |budget: &mut RetryBudget, at| {
-        (0..1_000).take_while(|_| budget.try_spend(at, &tuning, 1)).count()
+        let n_reserved = (0..1_000).take_while(|_| budget.try_reserve(at, &tuning, 1.0)).count();
+        (0..n_reserved).for_each(|_| budget.settle(at, &tuning));
+        n_reserved
     };
     let first = n_spent(&mut budget, ms(0));
     assert!(first as f64 <= tuning.retry_extra);
--- a/crates/ferry-serve/tests/decisions/budgets/faults.rs
+++ b/crates/ferry-serve/tests/decisions/budgets/faults.rs
@@ -55,6 +55,7 @@
         (1..case.n_instances).for_each(|it| sim.kill(it));
     }
     let mut load = Load::new(case.routes, case.rate).with_time_left(TIME_LIMIT);
+    sim.is_first_start = false;
     load.send(&mut sim, ms(1_000));
     for step in &case.steps {
         apply(&mut sim, &mut load, *step);
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -106,6 +106,8 @@
     pub reached: SortedMap<String, Vec<(Moment, String)>>,
     /// When callers sent requests, by path.
     pub sent: SortedMap<String, Vec<Moment>>,
+    /// Whether instances start with the whole system, for the first time.
+    pub is_first_start: bool,
     /// Whether endpoints lose the results of stages at once.
     pub loses_results: bool,
     /// Violations of the call protocol, as the endpoints saw them.
@@ -206,6 +208,7 @@
             runs: SortedMap::new(),
             reached: SortedMap::new(),
             sent: SortedMap::new(),
+            is_first_start: true,
             loses_results: false,
             violations: Vec::new(),
             n_batches: 0,
@@ -274,7 +277,7 @@
             incarnation: self.incarnations[instance],
             zone: format!("zone-{}", instance % 2),
             weight: 0.25,
-            is_first_start: self.incarnations[instance] == 1,
+            is_first_start: self.is_first_start,
             started: UNIX_START + self.now,
             front: front(instance),
             peer: peer(instance),
