--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -1,5 +1,6 @@
 //! Records what callers send and endpoints run, and checks that the guarantees hold.
 
+mod budget;
 pub mod crashes;
 mod leaving;
 
@@ -13,9 +14,12 @@
 use crate::crash::Cause;
 use crate::losses::{Cuts, Ended, Trouble, Troubles, is_at_limit};
 
+use budget::PoolLog;
 use crashes::CrashLog;
 use leaving::LeavingLog;
 
+pub use budget::WorstWindow;
+
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -67,6 +71,7 @@
     n_limited: Cell<usize>,
     crash_log: RefCell<CrashLog>,
     leaving_log: RefCell<LeavingLog>,
+    pool_log: RefCell<SortedMap<String, PoolLog>>,
 }
 
 impl Checker {
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 
 use crate::checker::Checker;
-use crate::config::desired_state;
+use crate::config::{BUDGET_EXTRA, BUDGET_RATIO, BUDGET_WINDOW, desired_state};
 use crate::crash::run_crashes;
 use crate::endpoint::{Endpoint, Pool};
 use crate::proxy::Proxy;
@@ -49,6 +49,7 @@
     gateway: PathBuf,
     checker: Rc<Checker>,
     child: Option<Child>,
+    has_started: bool,
 }
 
 impl Drop for Node {
@@ -67,6 +68,10 @@
         if self.exit_status().is_none() && self.child.is_some() {
             return Ok(());
         }
+        if std::mem::replace(&mut self.has_started, true) {
+            let text = fs::read_to_string(&self.settings)?;
+            fs::write(&self.settings, text.replace("Bootstrap=true", "Bootstrap=false"))?;
+        }
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.gateway)
             .arg("--settings")
@@ -154,12 +159,13 @@
         let ip = self.ip;
         let zone = number % 2;
         format!(
-            "Node=edge-{number}\nIp={ip}\nZone=zone-{zone}\nListen.Front={ip}:{FRONT_PORT}\n\
+            "Node=edge-{number}\nBootstrap=true\nIp={ip}\nZone=zone-{zone}\nListen.Front={ip}:{FRONT_PORT}\n\
              Listen.Ready={ip}:{READY_PORT}\nListen.Directory={ip}:{DIRECTORY_PORT}\n\
              InternalPortRange={PEER_PORT},7755\nLimits.CpuShare=0.25\nLimits.Cores=1\n\
              Limits.MemoryMb=260\nBounds.DrainMs=2000\nBounds.GraceS=8\n\
-             Bounds.RetryBudgetRatio=0.2\nBounds.RetryBudgetExtra=52\nBounds.BudgetWindowS=10\n\
-             Bounds.ttl_max_s=5\nPlatform.Address={store}\nNew.Field=ignored\n"
+             Bounds.RetryBudgetRatio={BUDGET_RATIO}\nBounds.RetryBudgetExtra={BUDGET_EXTRA}\n\
+             Bounds.BudgetWindowS={}\nBounds.ttl_max_s=5\nPlatform.Address={store}\nNew.Field=ignored\n",
+            BUDGET_WINDOW.as_secs()
         )
     }
 }
@@ -235,6 +241,7 @@
                 gateway: gateway.to_owned(),
                 checker: checker.clone(),
                 child: None,
+                has_started: false,
             };
             fs::write(&node.settings, node.settings_text(number, store_proxy.address))?;
             // Discard the log of an earlier run.
--- a/crates/ferry-soak/src/config.rs
+++ b/crates/ferry-soak/src/config.rs
@@ -14,6 +14,11 @@
 /// Shortest time limit of any route in any version of the desired state.
 pub const SHORTEST_LIMIT: Duration = Duration::from_millis(3_500);
 
+/// Repeats that a pool allows for each request, and in addition, in each window.
+pub const BUDGET_RATIO: f64 = 0.2;
+pub const BUDGET_EXTRA: f64 = 52.0;
+pub const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
 /// Routes to which callers send requests; the name is the path prefix.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::EnumIter, strum::IntoStaticStr,
@@ -43,6 +48,11 @@
         }
     }
 
+    /// Returns the pool that serves it in most versions of the desired state.
+    pub fn pool(self) -> &'static str {
+        if self.is_stream() { "engine" } else { "plain" }
+    }
+
     pub fn is_stream(self) -> bool {
         matches!(self, Route::Stream | Route::Once)
     }
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -240,6 +240,7 @@
         let Some(attempt) = header(headers::ATTEMPT_ID.as_str()) else {
             return Some(not_run(StatusCode::BAD_REQUEST));
         };
+        self.checker.record_reached(attempt, self.pool.into());
         let prompt = header("tarragonferry-prompt-prefix").unwrap_or_default();
         let cause = self.checker.cause(attempt, prompt, body);
         if let Some(cause) = cause {
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -100,7 +100,7 @@
         println!(
             "seed {seed}: {:?}; after recovery: {:?}; {} of {} streams taken up went on; {} requests to \
              limited endpoints; {} lost; {:?}; {:?}; {} announcements of leaving passed on, last request {:?} \
-             after one",
+             after one; {:?}",
             report.under_faults,
             report.after_recovery,
             report.take_ups.1,
@@ -110,7 +110,8 @@
             report.cuts,
             report.crashes,
             report.leaving.0,
-            report.leaving.1.iter().max()
+            report.leaving.1.iter().max(),
+            report.worst_windows
         );
         for violation in &report.violations {
             println!("seed {seed}: {violation}");
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -14,8 +14,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::callers::Caller;
-use crate::checker::OutcomeCounts;
 use crate::checker::crashes::CrashCounts;
+use crate::checker::{OutcomeCounts, WorstWindow};
 use crate::cluster::{Cluster, N_ENDPOINTS};
 use crate::config::Route;
 use crate::crash::Prompts;
@@ -92,6 +92,8 @@
     /// Announcements of leaving endpoints that gateways passed on, and the times until later requests
     /// from the same gateway.
     pub leaving: (usize, Vec<Duration>),
+    /// The window of each pool in which fewest more repeats were allowed.
+    pub worst_windows: Vec<(String, WorstWindow)>,
 }
 
 impl Report {
@@ -150,6 +152,12 @@
     if options.only == Some(Only::Configurations) && cuts.is_uneven() {
         violations.push(format!("answers are cut beside configurations: {cuts:?}"));
     }
+    let worst_windows = cluster.checker.worst_windows();
+    for (pool, worst) in &worst_windows {
+        if worst.allowed < worst.n_repeats as f64 {
+            violations.push(format!("repeats at {pool} exceed their budget: {worst:?}"));
+        }
+    }
     let share = after_recovery.served as f64 / after_recovery.sent.max(1) as f64;
     if share < MIN_SERVED {
         violations.push(format!(
@@ -176,6 +184,7 @@
         cuts,
         crashes,
         leaving: cluster.checker.leaving(),
+        worst_windows,
     })
 }
 
