--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -20,6 +20,7 @@
 use crate::client::{BufferedResponse, Connection, read_buffered};
 use crate::driver::{ActiveCall, CallerRequest, Driver, Pending};
 use crate::events::EventSplitter;
+use crate::relay;
 
 /// Maximum size of an event in bytes; a stream with a larger one is treated as invalid.
 const MAX_EVENT: usize = 1024 * 1024;
@@ -80,9 +81,15 @@
     };
     let load = headers::load(response.headers());
     let attempt = attempt(request);
-    let kind = headers::response_kind(response.status(), response.headers(), attempt);
-    report_limit(driver, &call.endpoint, &kind, response.headers());
-    report_leaving(driver, call, &kind, response.headers());
+    let kind = match call.relayed {
+        Some(_) => headers::peer_response_kind(response.status(), response.headers(), attempt),
+        None => headers::response_kind(response.status(), response.headers(), attempt),
+    };
+    // A peer learns itself what its endpoints say.
+    if call.relayed.is_none() {
+        report_limit(driver, &call.endpoint, &kind, response.headers());
+        report_leaving(driver, call, &kind, response.headers());
+    }
     match kind {
         ResponseKind::NotRun(reason) => CallEvent::NotRun { reason, load },
         ResponseKind::Mismatched => broken("the response belongs to another request"),
@@ -137,7 +144,10 @@
         .method(parts.method.clone())
         .uri(target)
         .body(Full::new(request.body.clone()))?;
-    *outgoing.headers_mut() = headers::to_endpoint(&parts.headers, &added);
+    *outgoing.headers_mut() = match call.relayed {
+        Some(relayed) => relay::outgoing_headers(&parts.headers, call, relayed),
+        None => headers::to_endpoint(&parts.headers, &added),
+    };
     Ok(outgoing)
 }
 
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use ferry_model::Ticket;
 use ferry_platform::headers;
-use ferry_serve::{Arrival, Event, Metric, Refusal, Status};
+use ferry_serve::{Arrival, Event, Metric, Refusal, RequestHead, Status};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -21,6 +21,8 @@
 use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, Reply};
 use crate::inspector::Inspector;
 use crate::memory::MemoryReservation;
+use crate::relay;
+use crate::server::Interface;
 
 /// Maximum size of a request body in bytes; a configuration can only lower it.
 const MAX_BODY: usize = 4 * 1024 * 1024;
@@ -45,6 +47,7 @@
 pub async fn serve(
     driver: Rc<Driver>,
     inspector: Inspector,
+    interface: Interface,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     // The connection is closed after a chunked body, so that bytes behind it are never parsed as
@@ -56,7 +59,7 @@
             "the head is larger than allowed",
         ),
         true => final_response(StatusCode::BAD_REQUEST, "the body has a length and an encoding"),
-        false => respond(&driver, request).await,
+        false => respond(&driver, interface, request).await,
     };
     if is_chunked || *driver.phase.borrow() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -64,7 +67,11 @@
     Ok(response)
 }
 
-async fn respond(driver: &Rc<Driver>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn respond(
+    driver: &Rc<Driver>,
+    interface: Interface,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let since = Instant::now();
     let Some(config) = driver.query(|it| it.config().cloned()) else {
         return refusal_response(&Refusal {
@@ -73,7 +80,8 @@
             reason: "no configuration is known yet",
         });
     };
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let relayed = relay::take(&mut parts.headers).filter(|_| interface == Interface::Relay);
     let (body, reservation) = match read_body(driver, body, config.limits.body.min(MAX_BODY)).await
     {
         Ok(read) => read,
@@ -89,7 +97,7 @@
     };
     let host = host.split(':').next().unwrap_or_default();
     let head = match headers::read_head(host, parts.uri.path(), &parts.headers) {
-        Ok(head) => head,
+        Ok(head) => RequestHead { relayed, ..head },
         Err(problem) => return final_response(StatusCode::BAD_REQUEST, problem),
     };
     let path = parts.uri.path_and_query().map_or(parts.uri.path(), |it| it.as_str());
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod probes;
 pub mod quarantine;
+pub mod relay;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -78,6 +78,7 @@
         started: Duration::from_millis(process::unix_millis()),
         front: settings.front,
         peer: settings.peer,
+        relay: settings.relay,
     };
     info!(log, "starting"; "life" => identity.incarnation,
         "zone" => &identity.zone, "disabled" => names(&tuning.disabled), "version" => env!("CARGO_PKG_VERSION"));
@@ -87,6 +88,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let addresses = driver.settings.clone();
     listen(&driver, addresses.front, Interface::Front).await?;
+    listen(&driver, addresses.relay, Interface::Relay).await?;
     listen(&driver, addresses.ready, Interface::Operator).await?;
     for address in [addresses.directory, addresses.peer] {
         listen(&driver, address, Interface::Auxiliary).await?;
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -39,12 +39,20 @@
 pub enum Interface {
     /// Callers' requests.
     Front,
+    /// Requests that peers pass on.
+    Relay,
     /// Directory, readiness check, state for peers and metrics.
     Auxiliary,
     /// These, and the operator's interface.
     Operator,
 }
 
+impl Interface {
+    fn takes_requests(self) -> bool {
+        matches!(self, Interface::Front | Interface::Relay)
+    }
+}
+
 /// Binds to an address and serves its connections in the background.
 pub async fn listen(
     driver: &Rc<Driver>,
@@ -63,7 +71,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|it| is_closing(*it)), if interface == Interface::Front => return,
+            _ = phase.wait_for(|it| is_closing(*it)), if interface.takes_requests() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -83,7 +91,7 @@
         driver.warn("could not set up a connection", &error);
     }
     match interface {
-        Interface::Front => caller(driver, stream).await,
+        Interface::Front | Interface::Relay => caller(driver, stream, interface).await,
         Interface::Auxiliary | Interface::Operator => {
             let service = service_fn(move |it| auxiliary::serve(driver.clone(), interface, it));
             let served = Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -93,7 +101,7 @@
     }
 }
 
-async fn caller(driver: Rc<Driver>, stream: TcpStream) {
+async fn caller(driver: Rc<Driver>, stream: TcpStream, interface: Interface) {
     let mut limits = driver.limits.subscribe();
     let max_head = limits.borrow().max_head;
     let capacity = max_head.max(HEAD_CAPACITY);
@@ -112,7 +120,7 @@
         let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
         service_fn(move |it| {
             let request = idle.start_request();
-            let response = front::serve(driver.clone(), inspector.clone(), it);
+            let response = front::serve(driver.clone(), inspector.clone(), interface, it);
             let driver = driver.clone();
             async move {
                 let mut response = response.await?;
--- a/crates/ferry-gateway/tests/large_config.rs
+++ b/crates/ferry-gateway/tests/large_config.rs
@@ -51,6 +51,7 @@
         started: Duration::ZERO,
         front: "127.0.0.1:1".parse().expect("an address"),
         peer: "127.0.0.1:2".parse().expect("an address"),
+        relay: "127.0.0.1:3".parse().expect("an address"),
     };
     Gateway::new(identity, Tuning::default())
 }
--- /dev/null
+++ b/crates/ferry-gateway/tests/process/cuts.rs
@@ -0,0 +1,153 @@
+//! A gateway that loses its links to all endpoints, while callers, the store and the other gateways reach it.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use ferry_soak::checker::Checker;
+use ferry_soak::cluster::{Cluster, Signal};
+use ferry_soak::config::{Route, desired_state};
+use ferry_soak::endpoint::{N_EVENTS, event_text, response_body};
+use ferry_soak::proxy::Proxy;
+use ferry_soak::store::Store;
+use strum::IntoEnumIterator;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::harness::{TIMEOUT, exchange, head, wait_ready, with_cluster};
+
+/// Time after the beginning of a cut from which callers must be served.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Links of the first gateway to the endpoints, apart from those of the others.
+struct OwnLinks {
+    proxies: Vec<Proxy>,
+    _store: std::rc::Rc<Store>,
+    _listener: ferry_soak::server::ListenerHandle,
+}
+
+/// Gives the first gateway a store of its own, whose entries have other addresses of the same endpoints.
+async fn own_links(cluster: &mut Cluster) -> OwnLinks {
+    let store = Store::new();
+    store.put("config", "main", desired_state(cluster.version, true));
+    let mut proxies = Vec::new();
+    for (number, endpoint) in cluster.endpoints.iter().enumerate() {
+        let mut entry = endpoint.entry(&format!("zone-{}", number % 2), "ready");
+        let text = entry["Address"].as_str().expect("the entry has an address");
+        let public: SocketAddr = text.parse().expect("it is valid");
+        let SocketAddr::V4(public) = public else { panic!("it is an IPv4 address") };
+        let [a, b, c, last] = public.ip().octets();
+        let internal = SocketAddr::from((Ipv4Addr::new(a, b, c, last + 50), public.port()));
+        let own = SocketAddr::from((Ipv4Addr::new(a, b, c, last + 100), public.port()));
+        proxies.push(Proxy::start(own, internal).await.expect("the proxy starts"));
+        entry["Address"] = own.to_string().into();
+        store.put("servers", &endpoint.id, entry);
+    }
+    let SocketAddr::V4(at) = cluster.store_proxy.address else { panic!("it is an IPv4 address") };
+    let [a, b, c, _] = at.ip().octets();
+    let address = SocketAddr::from((Ipv4Addr::new(a, b, c, 3), at.port()));
+    let listener = store.listen(address).await.expect("the store listens");
+    let node = &mut cluster.nodes[0];
+    let text = fs::read_to_string(node.settings()).expect("the settings are readable");
+    let text =
+        text.replace(&format!("Platform.Address={at}"), &format!("Platform.Address={address}"));
+    fs::write(node.settings(), text).expect("the settings are written");
+    node.signal(Signal::Kill);
+    while node.exit_status().is_none() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    node.start().expect("the gateway starts");
+    wait_ready(node.ready()).await;
+    // Enough for the gateways to hear of each other.
+    sleep(Duration::from_millis(800)).await;
+    OwnLinks { proxies, _store: store, _listener: listener }
+}
+
+/// Sends a request to a gateway; returns whether the answer is whole and its own.
+async fn is_served(front: SocketAddr, checker: &Checker, route: Route, attempt: &str) -> bool {
+    checker.record_sent(attempt, route, b"body");
+    let head = head("POST", &route.path(), attempt);
+    // Callers cannot claim that a request was passed on.
+    let request = format!(
+        "{head}Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\nFerry-Relay-Tries: 1\r\n\
+         Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    let mut stream = TcpStream::connect(front).await.expect("the gateway listens");
+    stream.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut bytes = Vec::new();
+    let read = timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await;
+    if read.expect("the connection ends").is_err() {
+        return false;
+    }
+    let response = String::from_utf8_lossy(&bytes);
+    let has_event = |it| response.contains(&event_text(attempt, it, "v1"));
+    response.starts_with("HTTP/1.1 200")
+        && match route.is_stream() {
+            true => (1..=N_EVENTS).all(has_event) && response.ends_with("\r\n0\r\n\r\n"),
+            false => response.ends_with(&response_body(attempt, b"body")),
+        }
+}
+
+/// Sends requests of each kind one after the other; returns the share that was served.
+async fn share_served(cluster: &Cluster, name: &str, time: Duration) -> f64 {
+    let front = cluster.nodes[0].front();
+    let (mut n_sent, mut n_served) = (0, 0);
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        for route in Route::iter() {
+            n_sent += 1;
+            let attempt = format!("{name}-{n_sent}");
+            n_served += u32::from(is_served(front, &cluster.checker, route, &attempt).await);
+        }
+    }
+    f64::from(n_served) / f64::from(n_sent)
+}
+
+/// Returns how many requests the first gateway has passed on.
+async fn n_relayed(cluster: &Cluster) -> u64 {
+    let text =
+        exchange(cluster.nodes[0].ready(), b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    let line = text.lines().find_map(|it| it.strip_prefix("ferry_requests_relayed_total "));
+    line.and_then(|it| it.trim().parse().ok()).unwrap_or_default()
+}
+
+#[test]
+fn gateway_that_is_cut_off_from_all_endpoints_serves_its_callers() {
+    struct Case {
+        name: &'static str,
+        is_reset: bool,
+    }
+    let cases = [
+        Case { name: "open connections live on", is_reset: false },
+        Case { name: "all connections are reset", is_reset: true },
+    ];
+    with_cluster("cut", 3, async |mut cluster| {
+        let links = own_links(&mut cluster).await;
+        let share = share_served(&cluster, "before", Duration::from_secs(1)).await;
+        assert!(0.99 <= share, "{share} before any cut");
+        assert_eq!(n_relayed(&cluster).await, 0, "requests are passed on without a cut");
+        for Case { name, is_reset } in cases {
+            for proxy in &links.proxies {
+                match is_reset {
+                    true => proxy.stop(),
+                    false => proxy.stop_listening(),
+                }
+            }
+            share_served(&cluster, &format!("{name}, early"), STABLE_TIME).await;
+            let share = share_served(&cluster, name, Duration::from_secs(3)).await;
+            assert!(0.99 <= share, "{name}: {share} were served");
+            for proxy in &links.proxies {
+                proxy.listen().await.expect("the proxy listens again");
+            }
+            sleep(STABLE_TIME).await;
+            let before = n_relayed(&cluster).await;
+            assert!(0 < before, "{name}: no request was passed on");
+            let share =
+                share_served(&cluster, &format!("{name}, healed"), Duration::from_secs(1)).await;
+            assert!(0.99 <= share, "{name}: {share} were served afterwards");
+            assert_eq!(n_relayed(&cluster).await, before, "{name}: the cut is not forgotten");
+        }
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod closes;
 mod connections;
+mod cuts;
 mod digests;
 mod endless;
 mod leaving;
--- a/crates/ferry-serve/src/batch/crash.rs
+++ b/crates/ferry-serve/src/batch/crash.rs
@@ -14,8 +14,15 @@
         result: &Result<Vec<ItemResult>, BatchFailure>,
     ) {
         let now = cx.now;
+        let SentCall { group, endpoint, started, .. } = sent;
+        match result {
+            Ok(_) | Err(BatchFailure::NotRun(_) | BatchFailure::Failed(_)) => {
+                cx.ctx.reach.on_heard(now, &group.pool, endpoint);
+            }
+            Err(BatchFailure::Unsent(_)) => cx.ctx.reach.on_failed(now, &group.pool, endpoint),
+            Err(BatchFailure::TimedOut | BatchFailure::Broken(_)) => (),
+        }
         let watch = &mut cx.ctx.crash_watch;
-        let SentCall { endpoint, started, .. } = sent;
         match result {
             Ok(results) => {
                 watch.on_heard(now, endpoint, *started);
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -7,7 +7,8 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, ItemInput, PeerMessage, RequestDigest, ResumedStream, StreamEnd,
+    CallId, CallerAttempt, ItemInput, PeerMessage, RelayedCall, RequestDigest, ResumedStream,
+    StreamEnd,
 };
 
 #[derive(Debug, Clone, PartialEq)]
@@ -114,6 +115,8 @@
     /// Which start of the endpoint it is.
     pub started: u64,
     pub address: SocketAddr,
+    /// If it goes to a peer, which runs it as its own.
+    pub relayed: Option<RelayedCall>,
     pub workspace: Option<WorkspaceId>,
     /// Time until the answer is useless.
     pub time_left: Duration,
@@ -326,6 +329,7 @@
     Store,
     Drain,
     Quarantine,
+    Reach,
 }
 
 /// Counters; docs/METRICS.md lists each.
@@ -363,4 +367,6 @@
     PartsQuarantined,
     DigestsQuarantined,
     RequestsQuarantined,
+    RequestsRelayed,
+    PoolsCut,
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -128,6 +128,15 @@
     pub item_key: Option<String>,
     /// The stream that the request continues; none if it begins one.
     pub resumed: Option<ResumedStream>,
+    /// What the peer says that passed the request on; none if its caller sent it here.
+    pub relayed: Option<RelayedCall>,
+}
+
+/// A request that an instance passes on to a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayedCall {
+    /// Endpoints to which the peer may send it.
+    pub n_tries: u32,
 }
 
 impl RequestHead {
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::{
     Backlog, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, DecisionKind, Effect,
     Endpoints, Event, Group, Heartbeat, Limiter, Mechanism, Observation, Observations, Origins,
-    PeerMessage, Peers, PermitAnswer, PermitId, Quarantine, Scheduled, Scheduler, Tuning,
+    PeerMessage, Peers, PermitAnswer, PermitId, Quarantine, Reach, Scheduled, Scheduler, Tuning,
 };
 
 /// Lateness of a pass from which on this process stood still, so that it heard no endpoint.
@@ -73,6 +73,7 @@
                 endpoints,
                 origins: Origins::new(),
                 peers: Peers::new(),
+                reach: Reach::new(),
                 overload: OverloadDetector::new(),
                 observations: Observations::default(),
                 admission: AdmissionController::default(),
@@ -155,6 +156,7 @@
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
             Event::Probed { endpoint, started, is_alive } => {
+                updates::on_probed(cx, &endpoint, is_alive);
                 quarantine::exchange::on_probed(cx, &endpoint, started, is_alive);
             }
             Event::Peer { from, message } => {
@@ -175,6 +177,7 @@
         }
         self.requests.enforce_quarantine(cx, &mut self.batcher);
         self.requests.avoid_leaving(cx, &mut self.batcher);
+        updates::update_reach(cx);
         self.settle(now, &mut effects, Settlement { outcomes, released, permits });
         self.finish(now, &mut effects);
         effects
@@ -189,6 +192,7 @@
             self.ctx.limiter.next_wake(),
             self.ctx.crash_watch.next_wake(),
             self.ctx.collector.next_wake(),
+            self.ctx.reach.next_wake(now),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
@@ -233,8 +237,8 @@
 
     /// Returns instance addresses for a caller in `zone`.
     pub fn directory(&self, now: Moment, zone: Option<&str>) -> Vec<SocketAddr> {
-        let Context { identity, tuning, peers, overload, .. } = &self.ctx;
-        let state = (self.is_ready(), overload.is_overloaded(now));
+        let Context { identity, tuning, peers, .. } = &self.ctx;
+        let state = (self.is_ready(), self.ctx.is_hindered(now));
         peers.directory(now, tuning, identity, state, zone)
     }
 
@@ -323,14 +327,19 @@
         if due.is_empty() {
             return;
         }
-        let Context { observations, peers, tuning, .. } = &mut self.ctx;
+        let Context { observations, peers, reach, tuning, .. } = &mut self.ctx;
         let observations = match tuning.is_enabled(Mechanism::Observations) {
+            // What fails for want of a way says nothing of the endpoints.
+            true if reach.is_any_cut() => Vec::new(),
             true => observations.recent(now, peers.round_time(tuning)),
             false => Vec::new(),
         };
         let heartbeat = self.heartbeat(now, observations);
         for to in due {
-            effects.push(Effect::Send { to, message: PeerMessage::Heartbeat(heartbeat.clone()) });
+            effects.push(Effect::Send {
+                to,
+                message: PeerMessage::Heartbeat(Box::new(heartbeat.clone())),
+            });
         }
     }
 
@@ -353,6 +362,10 @@
             incarnation: identity.incarnation,
             zone: identity.zone.clone(),
             front: identity.front,
+            relay: identity.relay,
+            reached: self.ctx.reach.reached(now),
+            doubted: self.ctx.reach.doubted(),
+            unreached: self.ctx.reach.cut_pools(),
             weight: identity.weight,
             is_ready: self.is_ready(),
             is_leaving: self.is_leaving(),
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -13,7 +13,7 @@
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
     Asker, Decision, DecisionKind, Effect, JobSubmission, LeavingReport, LimitNotice, LimitReport,
-    Metric, PeerMessage, PermitAnswer, PermitId, StoreUpdate,
+    Metric, PeerMessage, PermitAnswer, PermitId, ReachChange, StoreUpdate,
 };
 
 pub(super) fn configure(cx: &mut Pass<'_>, batcher: &mut Batcher, config: Arc<GatewayConfig>) {
@@ -89,6 +89,50 @@
     cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
 }
 
+/// Compares what this instance reaches with what its peers do, and probes the pools that only they reach.
+pub(super) fn update_reach(cx: &mut Pass<'_>) {
+    let (now, ctx) = (cx.now, &mut *cx.ctx);
+    let Context { reach, peers, endpoints, tuning, .. } = ctx;
+    let is_reached = |pool: &str, since| peers.reach(now, tuning, pool, since);
+    let changes = reach.update(now, endpoints, is_reached);
+    let probes = reach.probes(now, endpoints);
+    probes.into_iter().for_each(|it| probe(cx, it));
+    if changes.is_empty() {
+        return;
+    }
+    for ReachChange { pool, is_cut } in changes {
+        let reason = match is_cut {
+            true => "only peers reach its endpoints",
+            false => "its endpoints are reached again",
+        };
+        cx.count(Metric::PoolsCut);
+        cx.log(Decision::new(DecisionKind::Reach, reason).with_pool(&pool));
+    }
+    cx.ctx.peers.heartbeat_now(now);
+}
+
+/// Looks whether a pool is reached whose endpoints fail at a peer.
+fn probe_for_peer(cx: &mut Pass<'_>, pool: &str) {
+    let Context { reach, endpoints, .. } = &mut *cx.ctx;
+    if let Some(endpoint) = reach.probe_for_peer(cx.now, pool, endpoints) {
+        probe(cx, endpoint);
+    }
+}
+
+fn probe(cx: &mut Pass<'_>, endpoint: EndpointId) {
+    let Some(view) = cx.ctx.endpoints.get(&endpoint) else { return };
+    let (started, address) = (view.endpoint.started, view.endpoint.address);
+    cx.effects.push(Effect::Probe { endpoint, started, address });
+}
+
+/// Records whether an endpoint accepted a connection.
+pub(super) fn on_probed(cx: &mut Pass<'_>, endpoint: &str, is_alive: bool) {
+    let Context { endpoints, reach, .. } = &mut *cx.ctx;
+    if let Some(view) = endpoints.get(endpoint) {
+        reach.on_probed(cx.now, &view.endpoint.pool, endpoint, is_alive);
+    }
+}
+
 /// Passes the answer of a limiter to the request, or the batch, that waits for it.
 pub(super) fn on_permit(
     cx: &mut Pass<'_>,
@@ -116,8 +160,9 @@
             for observation in &heartbeat.observations {
                 endpoints.observe(cx.now, tuning, observation);
             }
+            heartbeat.doubted.iter().for_each(|it| probe_for_peer(cx, it));
             let (instance, digest) = (heartbeat.instance.clone(), heartbeat.quarantine);
-            if cx.ctx.peers.on_heartbeat(cx.now, from, heartbeat) {
+            if cx.ctx.peers.on_heartbeat(cx.now, from, *heartbeat) {
                 cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
                 requests.batcher_lost(cx, batcher, from);
                 exchange::introduce(cx, from);
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -20,6 +20,7 @@
 mod pass;
 mod peers;
 mod quarantine;
+mod reach;
 mod request;
 mod retry_budget;
 mod schedule;
@@ -39,7 +40,8 @@
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
-    NotRunReason, PromptPart, RequestHead, ResumedStream, StoreUpdate, StreamEnd, TokenCounts,
+    NotRunReason, PromptPart, RelayedCall, RequestHead, ResumedStream, StoreUpdate, StreamEnd,
+    TokenCounts,
 };
 pub use gateway::Gateway;
 pub use group::{Group, groups};
@@ -53,6 +55,7 @@
     Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineNotice, QuarantineReason,
     QuarantineRecord, QuarantineState, workspace_digest,
 };
+pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
 pub use schedule::{
     Asker, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Scheduler,
--- a/crates/ferry-serve/src/mechanism.rs
+++ b/crates/ferry-serve/src/mechanism.rs
@@ -25,6 +25,8 @@
     Lingering,
     /// Tells peers the results of calls.
     Observations,
+    /// Passes requests on to peers for pools that only they reach.
+    Relaying,
     /// Calls another endpoint after a failure or a refusal.
     Retries,
     /// Chooses the engines of all requests on one instance.
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -19,7 +19,8 @@
 use crate::{
     CallId, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, Effect, Endpoints,
     EndpointsDelta, Group, Limiter, Mechanism, Metric, Observations, Origins, Peers, PermitAnswer,
-    PermitId, Quarantine, RequestHead, RetryBudget, RetryShare, Scheduled, Scheduler, Tuning,
+    PermitId, Quarantine, Reach, RequestHead, RetryBudget, RetryShare, Scheduled, Scheduler,
+    Tuning,
 };
 
 use averages::RouteAverages;
@@ -46,6 +47,8 @@
     pub front: SocketAddr,
     /// Where peers send datagrams.
     pub peer: SocketAddr,
+    /// Where peers pass requests on.
+    pub relay: SocketAddr,
 }
 
 /// State shared by all components of the gateway.
@@ -59,6 +62,8 @@
     pub endpoints: Endpoints,
     pub origins: Origins,
     pub peers: Peers,
+    /// Which pools this instance reaches itself.
+    pub reach: Reach,
     pub overload: OverloadDetector,
     pub observations: Observations,
     /// Admitted requests, if this instance is an admission controller.
@@ -111,11 +116,16 @@
         !self.is_leaving && self.endpoints.is_known() && !self.overload.is_overloaded(now)
     }
 
+    /// Whether others should do the work of this instance, as long as there are any.
+    pub fn is_hindered(&self, now: Moment) -> bool {
+        self.overload.is_overloaded(now) || self.reach.is_any_cut()
+    }
+
     fn coordinator(&self, now: Moment, work: impl Hash) -> Option<SocketAddr> {
         let mut hasher = DefaultHasher::new();
         work.hash(&mut hasher);
-        let is_overloaded = self.overload.is_overloaded(now);
-        self.peers.coordinator(now, &self.tuning, &self.identity, is_overloaded, hasher.finish())
+        let is_hindered = self.is_hindered(now);
+        self.peers.coordinator(now, &self.tuning, &self.identity, is_hindered, hasher.finish())
     }
 
     /// Records a request of a route and compares it to the route's averages.
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -157,6 +157,12 @@
         ahead.count() < N_WATCHERS
     }
 
+    /// Whether a live peer has said since a moment that it reaches a pool.
+    pub fn reach(&self, now: Moment, tuning: &Tuning, pool: &str, since: Moment) -> bool {
+        let mut live = self.live(now, tuning).map(|it| it.1).filter(|it| since <= it.last_heard);
+        live.any(|it| it.heartbeat.reached.iter().any(|it| it == pool))
+    }
+
     /// Returns the live peers that have a newer configuration or newer entries, with the version of
     /// their configuration.
     pub fn ahead(
@@ -181,18 +187,18 @@
     /// Returns the peer that does the work identified by `key` for all instances; none if this
     /// instance does.
     ///
-    /// An overloaded instance is chosen only if all of them are.
+    /// An instance that is overloaded or cut off from endpoints is chosen only if all of them are.
     pub fn coordinator(
         &self,
         now: Moment,
         tuning: &Tuning,
         own: &Identity,
-        is_overloaded: bool,
+        is_hindered: bool,
         key: u64,
     ) -> Option<SocketAddr> {
-        let me = (!is_overloaded, weighted_score(key, &own.instance, own.weight), None);
+        let me = (!is_hindered, weighted_score(key, &own.instance, own.weight), None);
         let peers = self.scores(now, tuning, key);
-        let peers = peers.map(|(at, it, score)| (!it.is_overloaded, score, Some(at)));
+        let peers = peers.map(|(at, it, score)| (!it.is_hindered(), score, Some(at)));
         let best = peers.chain([me]).max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.and_then(|it| it.2)
     }
@@ -347,7 +353,7 @@
         now: Moment,
         tuning: &Tuning,
         own: &Identity,
-        (is_ready, is_overloaded): (bool, bool),
+        (is_ready, is_hindered): (bool, bool),
         zone: Option<&str>,
     ) -> Vec<SocketAddr> {
         let ready: Vec<&Heartbeat> = self
@@ -355,13 +361,13 @@
             .map(|(_, it)| &it.heartbeat)
             .filter(|it| it.accepts_work())
             .collect();
-        let others_fit = ready.iter().any(|it| !it.is_overloaded);
+        let others_fit = ready.iter().any(|it| !it.is_hindered());
         let mut choices: Vec<(bool, u64, SocketAddr)> = ready
             .iter()
-            .filter(|it| !it.is_overloaded || !others_fit)
+            .filter(|it| !it.is_hindered() || !others_fit)
             .map(|it| sort_key(zone, &it.zone, it.front))
             .collect();
-        let is_fit = is_ready && !(is_overloaded && others_fit);
+        let is_fit = is_ready && !(is_hindered && others_fit);
         if is_fit || choices.is_empty() {
             choices.push(sort_key(zone, &own.zone, own.front));
         }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -29,6 +29,14 @@
     pub is_leaving: bool,
     /// Whether it gets too little CPU time to work for others.
     pub is_overloaded: bool,
+    /// Where peers pass requests on to it.
+    pub relay: SocketAddr,
+    /// Pools of which it has heard an endpoint lately.
+    pub reached: Vec<PoolId>,
+    /// Pools whose endpoints fail there; peers look whether they reach them.
+    pub doubted: Vec<PoolId>,
+    /// Pools that it does not reach, although peers do.
+    pub unreached: Vec<PoolId>,
     /// Its share of a CPU core.
     pub weight: f64,
     pub version: ConfigVersion,
@@ -48,6 +56,11 @@
     pub fn accepts_work(&self) -> bool {
         self.is_ready && !self.is_leaving
     }
+
+    /// Whether others should do its work, as long as there are any.
+    pub fn is_hindered(&self) -> bool {
+        self.is_overloaded || !self.unreached.is_empty()
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -84,7 +97,7 @@
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     Submit(Box<JobSubmission>),
     /// Asks whether a request may start.
     #[serde(rename = "Ask")]
--- /dev/null
+++ b/crates/ferry-serve/src/reach.rs
@@ -0,0 +1,200 @@
+//! Which pools this instance reaches itself, and which only its peers do.
+//!
+//! An instance may lose its links to endpoints while callers and peers still reach it. Every call opens a
+//! connection, so that shows soon; that the endpoints live shows only at the peers, who say in their
+//! heartbeats which pools they reach. docs/design/platform.md weighs that.
+
+use std::time::Duration;
+
+use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
+
+use crate::Endpoints;
+
+/// Time for which a pool counts as reached since one of its endpoints was last heard.
+const REACHED_TIME: Duration = Duration::from_millis(300);
+/// Age of the first failure from which on reports of peers are newer than what has failed here.
+const EVIDENCE_DELAY: Duration = Duration::from_millis(400);
+/// Endpoints of a pool that must fail, if it has as many.
+const MIN_FAILED: usize = 2;
+/// Time after which a failure is too old to speak for a cut.
+const FAILURE_TTL: Duration = Duration::from_secs(3);
+/// Interval of the probes of a pool that is not reached.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Consecutive probes of different endpoints that must succeed, if the pool has as many.
+const MIN_PROBES: usize = 3;
+
+/// What is known of the way to one pool.
+#[derive(Debug, Clone, Default)]
+struct PoolReach {
+    /// Since when connections to each endpoint fail.
+    failed: SortedMap<EndpointId, Moment>,
+    /// When an endpoint was last heard, if one was.
+    heard_at: Option<Moment>,
+    /// Whether enough endpoints fail for a cut.
+    is_doubted: bool,
+    is_cut: bool,
+    /// Endpoints that accepted a connection since the last one that did not.
+    accepted: Vec<EndpointId>,
+    next_probe: Moment,
+    n_probes: usize,
+}
+
+/// A pool that is reached no longer, or again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReachChange {
+    pub pool: PoolId,
+    pub is_cut: bool,
+}
+
+/// The ways to all pools.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    pools: SortedMap<PoolId, PoolReach>,
+}
+
+impl Reach {
+    pub fn new() -> Reach {
+        Reach::default()
+    }
+
+    /// Records that an endpoint was heard.
+    pub fn on_heard(&mut self, now: Moment, pool: &str, endpoint: &str) {
+        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+        it.heard_at = Some(now);
+        it.failed.remove(endpoint);
+    }
+
+    /// Records that a connection to an endpoint could not be opened.
+    pub fn on_failed(&mut self, now: Moment, pool: &str, endpoint: &str) {
+        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+        it.failed.get_or_insert_with(endpoint.to_owned(), || now);
+    }
+
+    /// Whether connections to endpoints of a pool fail.
+    pub fn has_failed(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|it| it.is_cut || !it.failed.is_empty())
+    }
+
+    /// Whether the endpoints of a pool are reached by peers only.
+    pub fn is_cut(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|it| it.is_cut)
+    }
+
+    /// Whether any pool is reached by peers only.
+    pub fn is_any_cut(&self) -> bool {
+        self.pools.values().any(|it| it.is_cut)
+    }
+
+    /// Returns these pools.
+    pub fn cut_pools(&self) -> Vec<PoolId> {
+        self.pools.iter().filter(|it| it.1.is_cut).map(|it| it.0.clone()).collect()
+    }
+
+    /// Returns the pools whose endpoints fail here, and may be reached by peers.
+    pub fn doubted(&self) -> Vec<PoolId> {
+        let doubted = self.pools.iter().filter(|it| it.1.is_doubted);
+        doubted.map(|it| it.0.clone()).collect()
+    }
+
+    /// Returns the pools of which an endpoint was heard lately.
+    pub fn reached(&self, now: Moment) -> Vec<PoolId> {
+        let is_recent = |it: &PoolReach| it.heard_at.is_some_and(|at| now < at + REACHED_TIME);
+        self.pools.iter().filter(|it| is_recent(it.1)).map(|it| it.0.clone()).collect()
+    }
+
+    /// Compares what has failed here with what peers reach. `is_reached` tells whether a peer has said
+    /// since a moment that it reaches a pool.
+    pub fn update(
+        &mut self,
+        now: Moment,
+        endpoints: &Endpoints,
+        is_reached: impl Fn(&str, Moment) -> bool,
+    ) -> Vec<ReachChange> {
+        let mut changes = Vec::new();
+        for (pool, it) in self.pools.iter_mut() {
+            let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+            let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
+            it.failed.retain(|id, _| live.contains(&id));
+            if it.is_cut {
+                let n_needed = MIN_PROBES.min(live.len());
+                if n_needed <= it.accepted.len() {
+                    *it = PoolReach { heard_at: it.heard_at, ..PoolReach::default() };
+                    changes.push(ReachChange { pool: pool.clone(), is_cut: false });
+                }
+                continue;
+            }
+            let heard_at = it.heard_at;
+            it.failed.retain(|_, at| now < *at + FAILURE_TTL && heard_at.is_none_or(|it| it < *at));
+            let first = it.failed.values().min().copied();
+            let first = first.filter(|_| MIN_FAILED.min(live.len()) <= it.failed.len());
+            it.is_doubted = first.is_some();
+            let Some(first) = first else { continue };
+            let since = first + EVIDENCE_DELAY;
+            if since <= now && is_reached(pool, since) {
+                it.is_cut = true;
+                it.is_doubted = false;
+                it.next_probe = now + PROBE_INTERVAL;
+                changes.push(ReachChange { pool: pool.clone(), is_cut: true });
+            }
+        }
+        changes
+    }
+
+    /// Returns the endpoints that are probed now: one of each pool that is not reached, in turns.
+    pub fn probes(&mut self, now: Moment, endpoints: &Endpoints) -> Vec<EndpointId> {
+        let mut probes = Vec::new();
+        for (pool, it) in self.pools.iter_mut().filter(|it| it.1.is_cut && it.1.next_probe <= now) {
+            it.next_probe = now + PROBE_INTERVAL;
+            let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+            let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
+            it.n_probes += 1;
+            probes.extend(live.get(it.n_probes % live.len().max(1)).map(|it| (*it).clone()));
+        }
+        probes
+    }
+
+    /// Returns an endpoint to probe for a peer that doubts whether the pool is alive, unless one was heard or
+    /// probed lately.
+    pub fn probe_for_peer(
+        &mut self,
+        now: Moment,
+        pool: &str,
+        endpoints: &Endpoints,
+    ) -> Option<EndpointId> {
+        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+        let is_recent = it.heard_at.is_some_and(|at| now < at + REACHED_TIME / 2);
+        if is_recent || it.is_cut || now < it.next_probe {
+            return None;
+        }
+        it.next_probe = now + PROBE_INTERVAL;
+        it.n_probes += 1;
+        let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+        let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
+        live.get(it.n_probes % live.len().max(1)).map(|it| (*it).clone())
+    }
+
+    /// Records whether an endpoint of a pool accepted a connection.
+    pub fn on_probed(&mut self, now: Moment, pool: &str, endpoint: &str, is_alive: bool) {
+        let Some(it) = self.pools.get_mut(pool) else { return };
+        if !it.is_cut {
+            return match is_alive {
+                true => self.on_heard(now, pool, endpoint),
+                false => self.on_failed(now, pool, endpoint),
+            };
+        }
+        match is_alive {
+            true if it.accepted.iter().any(|it| it == endpoint) => (),
+            true => it.accepted.push(endpoint.to_owned()),
+            false => it.accepted.clear(),
+        }
+    }
+
+    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
+        let evidence = |it: &PoolReach| {
+            let first = it.failed.values().min().map(|it| *it + EVIDENCE_DELAY);
+            first.filter(|it| now < *it)
+        };
+        let next = |it: &PoolReach| if it.is_cut { Some(it.next_probe) } else { evidence(it) };
+        self.pools.values().filter_map(next).min()
+    }
+}
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -9,6 +9,8 @@
 mod end;
 pub mod origin;
 pub mod permit;
+mod reach;
+mod relay;
 mod retry;
 pub mod schedule;
 mod silent;
@@ -23,7 +25,9 @@
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::pass::Pass;
-use crate::{Arrival, CallEvent, CallId, CallerAttempt, PermitAnswer, PermitId, Scheduled, Tuning};
+use crate::{
+    Arrival, CallEvent, CallId, CallerAttempt, Effect, PermitAnswer, PermitId, Scheduled, Tuning,
+};
 
 use active::{ActiveRequest, Phase};
 pub use admit::evaluate;
@@ -54,9 +58,12 @@
 
     pub fn arrive(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, arrival: Arrival) {
         let Some(mut request) = arrive::accept(cx, batcher, arrival) else { return };
-        origin::ask(cx, &mut request);
-        if admit::request_admission(cx, batcher, &mut request) {
-            return;
+        let is_relayed = relay::is_needed(cx, &request) && relay::start(cx, batcher, &mut request);
+        if !is_relayed {
+            origin::ask(cx, &mut request);
+            if admit::request_admission(cx, batcher, &mut request) {
+                return;
+            }
         }
         self.attempts.insert(request.head.attempt.clone(), request.ticket);
         self.proceed(cx, batcher, request);
@@ -294,6 +301,14 @@
             if request.fetched_at().is_some_and(|it| it <= cx.now) {
                 call::on_fetched(cx, batcher, &mut request);
             }
+            if let (Some(event), Some(call)) = (relay::lost_event(cx, &request), request.call()) {
+                cx.effects.push(Effect::Cancel { call });
+                self.calls.remove(&call);
+                if call::on_event(cx, batcher, &mut request, call, event) {
+                    self.forget(cx, &mut request);
+                    continue;
+                }
+            }
             if request.is_timed_out(cx.now, &cx.ctx.tuning) {
                 silent::on_timeout(cx, batcher, &mut request);
             }
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -40,6 +40,8 @@
     pub stages: Vec<StageState>,
     /// Whether a retry is reserved for it that has not been sent.
     pub has_retry: bool,
+    /// Whether it was passed on to a peer.
+    pub was_relayed: bool,
     /// How often each stage was restarted.
     pub restarts: Vec<u8>,
     pub phase: Phase,
@@ -152,6 +154,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
+    /// The peer that runs the request, by the address at which it receives datagrams; none if an endpoint does.
+    pub peer: Option<SocketAddr>,
     /// Whether it is a retry whose endpoint has not been heard.
     pub is_retry: bool,
     /// Whether its endpoint has begun to write.
@@ -263,16 +267,22 @@
         0 < self.n_runs + self.n_refusals || !self.silent.is_empty()
     }
 
+    /// Returns how many endpoints may run it.
+    pub fn max_tries(&self) -> u32 {
+        let max_tries = self.route.max_tries;
+        self.head.relayed.map_or(max_tries, |it| max_tries.min(it.n_tries))
+    }
+
     /// Whether the kind of the request and the number of its runs allow another run.
     pub fn may_run_again(&self) -> bool {
         let n_runs = self.n_runs + self.silent.len() as u32;
-        n_runs == 0 || (self.route.is_repeatable() && n_runs < self.route.max_tries)
+        n_runs == 0 || (self.route.is_repeatable() && n_runs < self.max_tries())
     }
 
     /// Whether another run may be started beside the call in progress.
     pub fn may_run_beside(&self) -> bool {
         let n_runs = self.n_runs + self.silent.len() as u32 + 1;
-        self.route.is_repeatable() && n_runs < self.route.max_tries
+        self.route.is_repeatable() && n_runs < self.max_tries()
     }
 
     /// Whether its endpoint has been silent for so long that another run is looked for.
@@ -325,7 +335,8 @@
     /// what it waits for.
     fn timeout_at(&self, tuning: &Tuning) -> Option<Moment> {
         let Phase::Calling(current) = &self.phase else { return None };
-        if current.is_blocked || !self.may_run_beside() {
+        // A peer looks for other runs itself.
+        if current.is_blocked || current.peer.is_some() || !self.may_run_beside() {
             return None;
         }
         let silence = match (self.route.kind, current.is_streaming) {
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -27,7 +27,10 @@
         }
     };
     let (now, tuning) = (cx.now, cx.ctx.tuning.clone());
-    cx.ctx.retry_budget(&resolved.pool).record_request(now, &tuning);
+    // The peer that passed a request on has counted it.
+    if arrival.head.relayed.is_none() {
+        cx.ctx.retry_budget(&resolved.pool).record_request(now, &tuning);
+    }
     let mut comparison = cx.ctx.compare_to_route(&resolved.route, &arrival.head);
     if !tuning.is_enabled(Mechanism::AttemptAges) {
         comparison.elapsed = Duration::ZERO;
@@ -100,6 +103,7 @@
         digest: workspace_digest(resolved.workspace.as_deref(), digest),
         stages: (0..route.stages.len()).map(stage).collect(),
         has_retry: false,
+        was_relayed: false,
         restarts: vec![0; route.stages.len()],
         pool: resolved.pool,
         pools: resolved.pools,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::permit::{self, Gate};
-use super::{answer, crash, end, origin, retry, schedule, silent, stages};
+use super::{answer, crash, end, origin, reach, relay, retry, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
@@ -35,6 +35,9 @@
         end::end_quarantined(cx, batcher, request, &found);
         return true;
     }
+    if relay::is_needed(cx, request) && relay::start(cx, batcher, request) {
+        return false;
+    }
     let mut next = choice;
     while let Some(choice) = next.filter(|_| !permit::is_hopeless(request)) {
         match permit::request(cx, request, &choice) {
@@ -87,12 +90,15 @@
             .with_score(choice.considered, choice.cost.as_micros() as u64)
             .with_budget(time_left),
     );
+    // Results are kept until the endpoint is heard where a connection may not be opened.
+    let has_inputs = !request.route.stages.is_empty() && !cx.ctx.reach.has_failed(&request.pool);
     request.tried.push(choice.endpoint.clone());
     request.phase = Phase::Calling(ActiveCall {
         call,
         endpoint: choice.endpoint.clone(),
         build,
         started,
+        peer: None,
         is_retry,
         has_begun: false,
         sent_at: cx.now,
@@ -103,7 +109,7 @@
         is_streaming: false,
         is_relayed: false,
         is_blocked: false,
-        fetched_at: (!request.route.stages.is_empty()).then(|| cx.now + cx.ctx.tuning.fetch_time),
+        fetched_at: has_inputs.then(|| cx.now + cx.ctx.tuning.fetch_time),
     });
     cx.effects.push(Effect::Call(Box::new(Call {
         call,
@@ -111,6 +117,7 @@
         endpoint: choice.endpoint,
         started,
         address: choice.address,
+        relayed: None,
         workspace: request.workspace.clone(),
         time_left,
         urgency: urgency(request),
@@ -134,6 +141,7 @@
     }
     let Phase::Calling(current) = request.phase.clone() else { return false };
     crash::observe(cx, request, &current, &event);
+    reach::observe(cx, request, &current, &event);
     match event {
         CallEvent::Unsent { error } => {
             request.has_retry = current.is_retry;
@@ -146,6 +154,10 @@
             if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
                 view.record_load(cx.now, load);
             }
+            if current.peer.is_some() {
+                let reason = "the peer that it was passed on to refuses it";
+                return end::give_up(cx, batcher, request, end::RetryHint::Soon, reason);
+            }
             retry::on_refusal(cx, batcher, request, &current, reason)
         }
         CallEvent::Began { load } => {
@@ -155,7 +167,9 @@
         CallEvent::Progress { last_event } => {
             answer::relay_head(cx, batcher, request, &current);
             request.last_event = last_event.or(request.last_event);
-            origin::on_event(cx, request, &current.build);
+            if current.peer.is_none() {
+                origin::on_event(cx, request, &current.build);
+            }
             if let Phase::Calling(current) = &mut request.phase {
                 current.last_heard = cx.now;
                 current.is_blocked = false;
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -15,6 +15,15 @@
     current: &ActiveCall,
     event: &CallEvent,
 ) {
+    // The peer that runs a request watches its endpoints.
+    if current.peer.is_some() {
+        if matches!(event, CallEvent::Began { .. } | CallEvent::Progress { .. })
+            && let Phase::Calling(current) = &mut request.phase
+        {
+            current.has_begun = true;
+        }
+        return;
+    }
     let now = cx.now;
     let watch = &mut cx.ctx.crash_watch;
     let ActiveCall { endpoint, started, .. } = current;
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -3,7 +3,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase};
 use super::call::{record_failure, release_endpoint};
-use super::{answer, crash, origin, permit, retry, schedule, stages};
+use super::{answer, crash, origin, permit, reach, retry, schedule, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{CallEvent, CallId, Decision, DecisionKind, Effect, Metric, ScheduleProgress};
@@ -72,6 +72,7 @@
     }
     let mut lost = request.silent.remove(idx);
     crash::observe(cx, request, &lost, event);
+    reach::observe(cx, request, &lost, event);
     if lost.is_retry && matches!(event, CallEvent::Unsent { .. }) {
         cx.ctx.retry_budget(&request.pool).release();
         lost.is_retry = false;
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -97,7 +97,12 @@
     if let Some(peer) = peer.filter(|_| !is_working) {
         cx.ctx.peers.suspect(peer);
     }
-    !is_working && cx.ctx.batcher(cx.now, group) != peer
+    // A batcher that does not reach the endpoints keeps its jobs until they are withdrawn.
+    let is_cut = match peer.and_then(|it| cx.ctx.peers.get(it)) {
+        Some(view) => view.heartbeat.unreached.contains(&group.pool),
+        None => peer.is_none() && cx.ctx.reach.is_cut(&group.pool),
+    };
+    (is_cut || !is_working) && cx.ctx.batcher(cx.now, group) != peer
 }
 
 /// Applies the outcome of a stage; returns whether the request has ended.
--- a/crates/ferry-serve/tests/decisions/health.rs
+++ b/crates/ferry-serve/tests/decisions/health.rs
@@ -2,7 +2,9 @@
 
 use ferry_serve::{Event, Heartbeat, Observation, PeerMessage};
 
-use crate::simulation::{Behaviour, Ending, FIRST, PLAIN, Simulation, front, head, ms, peer};
+use crate::simulation::{
+    Behaviour, Ending, FIRST, PLAIN, Simulation, front, head, ms, peer, relay,
+};
 
 struct Flap {
     name: &'static str,
@@ -59,7 +61,7 @@
         load: None,
         ratio: None,
     };
-    PeerMessage::Heartbeat(Heartbeat {
+    PeerMessage::Heartbeat(Box::new(Heartbeat {
         instance: "instance-1".to_owned(),
         incarnation,
         zone: "zone-1".to_owned(),
@@ -67,13 +69,17 @@
         is_ready: true,
         is_leaving: false,
         is_overloaded: false,
+        relay: relay(1),
+        reached: Vec::new(),
+        doubted: Vec::new(),
+        unreached: Vec::new(),
         weight: 0.25,
         version: 1,
         last_change: 10,
         backlog: Vec::new(),
         observations: vec![report_failure(0), report_failure(1)],
         quarantine: 0,
-    })
+    }))
 }
 
 #[test]
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod builds;
 mod config;
 mod config_changes;
+mod cuts;
 mod endpoints;
 mod health;
 mod leaving;
--- a/crates/ferry-serve/tests/decisions/rate_limits/load.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/load.rs
@@ -28,6 +28,11 @@
         Load { routes, per_second, n_sent: 0, n_keys: None, time_left: None }
     }
 
+    /// Returns the number of requests that were sent.
+    pub fn n_sent(&self) -> u64 {
+        self.n_sent
+    }
+
     pub fn with_time_left(self, time_left: Duration) -> Load {
         Load { time_left: Some(time_left), ..self }
     }
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -5,6 +5,7 @@
 mod config;
 mod crash_moment;
 mod crashes;
+mod cuts;
 mod endpoint;
 mod faults;
 mod network;
@@ -17,13 +18,14 @@
 use ferry_model::{GatewayConfig, Moment, SortedMap};
 use ferry_serve::{
     CallId, Decision, Effect, Event, Gateway, Identity, PromptPart, Refusal, RequestDigest,
-    StoreUpdate, Tuning,
+    RequestHead, StoreUpdate, Tuning,
 };
 
-pub use config::{config, front, head, limits, peer};
+pub use config::{config, front, head, limits, peer, relay};
 pub use crash_moment::CrashMoment;
 pub use crashes::CrashCause;
 use crashes::{Crashes, EndpointStep};
+pub use cuts::{Cut, CutForm};
 pub use endpoint::{Behaviour, Endpoint, Received};
 
 use stream_check::{OpenCall, PendingAnswer};
@@ -62,6 +64,9 @@
 struct Caller {
     attempt: String,
     prompt: Vec<PromptPart>,
+    head: RequestHead,
+    /// Last event that was received before, if another instance passed the request on.
+    offset: u64,
     arrived: Moment,
     /// When the first event arrived.
     began: Option<Moment>,
@@ -106,6 +111,16 @@
     pub reached: SortedMap<String, Vec<(Moment, String)>>,
     /// When callers sent requests, by path.
     pub sent: SortedMap<String, Vec<Moment>>,
+    /// Instances that have lost their links to endpoints.
+    pub cuts: Vec<Cut>,
+    /// Requests that an instance got from another one, by instance and ticket, and the call there.
+    passed_on: SortedMap<(usize, u64), (usize, CallId)>,
+    /// Last event that the caller of the next request has received.
+    offset: u64,
+    /// Requests that were passed on and then cancelled.
+    abandoned: BTreeSet<(usize, u64)>,
+    /// Requests that were passed on.
+    pub n_passed_on: usize,
     /// Whether instances start with the whole system, for the first time.
     pub is_first_start: bool,
     /// Whether endpoints lose the results of stages at once.
@@ -208,6 +223,11 @@
             runs: SortedMap::new(),
             reached: SortedMap::new(),
             sent: SortedMap::new(),
+            cuts: Vec::new(),
+            passed_on: SortedMap::new(),
+            offset: 0,
+            abandoned: BTreeSet::new(),
+            n_passed_on: 0,
             is_first_start: true,
             loses_results: false,
             violations: Vec::new(),
@@ -281,6 +301,7 @@
             started: UNIX_START + self.now,
             front: front(instance),
             peer: peer(instance),
+            relay: relay(instance),
         };
         self.instances[instance] = Some(Gateway::new(identity, self.tuning.clone()));
         let members = (0..self.instances.len()).map(peer).collect();
@@ -291,6 +312,7 @@
     /// Delivers an event to an instance at once.
     pub fn deliver(&mut self, instance: usize, event: Event) {
         self.bring_events(instance, &event);
+        self.pass_back_event(instance, &event);
         self.record_event(instance, &event);
         self.check_event(instance, &event);
         self.reduce(instance, event);
@@ -389,9 +411,11 @@
             Effect::Finish { ticket } => self.end(instance, ticket, Ending::Stream),
             Effect::Abort { ticket } => self.end(instance, ticket, Ending::Aborted),
             Effect::Relay { call, ticket } => self.relay(instance, call, ticket),
+            Effect::Call(call) if call.relayed.is_some() => self.pass_on(instance, &call),
             Effect::Call(call) => self.call(instance, &call),
             Effect::Cancel { call } => {
                 self.cancelled.push((instance, call));
+                self.cancel_passed_on(instance, call);
                 self.open_calls.remove(&(instance, call));
                 self.answers.remove(&(instance, call));
             }
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -30,6 +30,8 @@
         let caller = Caller {
             attempt: attempt.to_owned(),
             prompt: head.prompt.clone(),
+            head: head.clone(),
+            offset: self.offset,
             arrived: self.now,
             began: None,
         };
@@ -54,17 +56,27 @@
     }
 
     pub(super) fn end(&mut self, instance: usize, ticket: u64, ending: Ending) {
+        if self.abandoned.contains(&(instance, ticket)) {
+            return;
+        }
         let Some(caller) = self.callers.remove(&(instance, ticket)) else {
             return self.violations.push(format!("ticket {ticket} was answered twice"));
         };
         self.check_end(instance, ticket, &caller.attempt);
+        if self.pass_back_end(instance, ticket, &ending) {
+            return;
+        }
         let took = self.now - caller.arrived;
         self.outcomes.insert(caller.attempt, Outcome { ending, took });
     }
 
     pub(super) fn check_refusal(&mut self, instance: usize, ticket: u64, refusal: &Refusal) {
         let attempt = self.callers.get(&(instance, ticket)).map(|it| it.attempt.clone());
-        let Some(attempt) = attempt else { return };
+        // The instance that passed a request on may have sent it to an endpoint before.
+        let Some(attempt) = attempt.filter(|_| !self.passed_on.contains_key(&(instance, ticket)))
+        else {
+            return;
+        };
         if refusal.status == Status::NotRun && self.runs.contains_key(&attempt) {
             self.violations.push(format!("{attempt} ran and was refused as not run"));
         }
@@ -90,6 +102,10 @@
                 let Some(caller) = self.callers.get_mut(&(instance, ticket)) else { return };
                 if caller.began.is_none() {
                     caller.began = Some(now);
+                    if self.pass_back_head(instance, ticket) {
+                        return;
+                    }
+                    let Some(caller) = self.callers.get_mut(&(instance, ticket)) else { return };
                     self.first_events.insert(caller.attempt.clone(), now - caller.arrived);
                 }
             }
--- a/crates/ferry-serve/tests/decisions/simulation/config.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/config.rs
@@ -20,6 +20,11 @@
     SocketAddr::from(([127, 0, 0, 1], 7_000 + instance as u16))
 }
 
+/// Returns the address at which an instance takes requests of its peers.
+pub fn relay(instance: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 6_000 + instance as u16))
+}
+
 pub fn limits() -> BatchLimits {
     BatchLimits {
         slots: 1,
@@ -106,5 +111,6 @@
         tokens: None,
         item_key: Some("input".to_owned()),
         resumed: None,
+        relayed: None,
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -123,13 +123,19 @@
 impl Simulation {
     /// Answers a probe of an endpoint.
     pub(super) fn probe(&mut self, instance: usize, endpoint: String, started: u64) {
-        let is_alive = !self.crashes.down.contains(&endpoint);
+        let cut_delay = self.cut_delay(instance, &endpoint);
+        let is_alive = cut_delay.is_none() && !self.crashes.down.contains(&endpoint);
         let event = Event::Probed { endpoint, started, is_alive };
-        self.schedule(instance, NETWORK_DELAY, event);
+        self.schedule(instance, cut_delay.unwrap_or(NETWORK_DELAY), event);
     }
 
     /// Handles a call to an endpoint that does not run; returns whether it does not.
     pub(super) fn refuse_connection(&mut self, instance: usize, call: &Call) -> bool {
+        if let Some(after) = self.cut_delay(instance, &call.endpoint) {
+            let event = CallEvent::Unsent { error: "cut off".to_owned() };
+            self.schedule(instance, after, Event::Call { call: call.call, event });
+            return true;
+        }
         let is_down = self.crashes.down.contains(&call.endpoint);
         if is_down {
             let event = CallEvent::Unsent { error: "connection refused".to_owned() };
@@ -140,6 +146,12 @@
 
     /// Handles a call with items to an endpoint that does not run; returns whether it does not.
     pub(super) fn refuse_items(&mut self, instance: usize, call: &BatchCall) -> bool {
+        if let Some(after) = self.cut_delay(instance, &call.endpoint) {
+            let result = Err(BatchFailure::Unsent("cut off".to_owned()));
+            let event = Event::Batch { call: call.call, result, load: None };
+            self.schedule(instance, after, event);
+            return true;
+        }
         let is_down = self.crashes.down.contains(&call.endpoint);
         if is_down {
             let result = Err(BatchFailure::Unsent("connection refused".to_owned()));
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -156,6 +156,7 @@
                 return self.schedule(instance, NETWORK_DELAY, Event::Call { call: id, event });
             }
         }
+        let offset = self.callers.get(&(instance, call.ticket)).map_or(0, |it| it.offset);
         let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
         let prompt = prompt.unwrap_or_default();
         let read_at = self.read_prompt(&call.endpoint, &prompt);
@@ -210,7 +211,7 @@
                 self.record_asked(instance, call);
                 let begin = read_at.unwrap_or(FIRST_EVENT * factor);
                 let gap = EVENT_GAP * factor;
-                let first = call.resume.unwrap_or(0) + 1;
+                let first = call.resume.unwrap_or(offset) + 1;
                 let n_events = self.crashes.n_events;
                 let end = begin + gap * n_events as u32;
                 let n_left = (n_events + 1).saturating_sub(first);
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -42,6 +42,41 @@
         self.endpoints.get_mut(id).expect("the endpoint exists").silent_until = self.now;
     }
 
+    /// Returns the ticket of a call in progress.
+    pub(super) fn ticket_of(&self, instance: usize, call: CallId) -> Option<u64> {
+        self.open_calls.get(&(instance, call)).map(|it| it.ticket)
+    }
+
+    /// Drops what is to come of calls behind a cut.
+    pub(super) fn drop_answers_of(&mut self, is_behind: impl Fn(&Simulation, usize, &str) -> bool) {
+        let open = self.open_calls.iter().map(|it| (*it.0, it.1.endpoint.clone()));
+        let batches = self.batches.iter().map(|it| (*it.0, it.1.clone()));
+        let calls: Vec<(usize, CallId)> = open
+            .chain(batches)
+            .filter(|(key, endpoint)| is_behind(self, key.0, endpoint))
+            .map(|it| it.0)
+            .collect();
+        self.queue.retain(|_, it| match it {
+            QueuedEvent::Deliver {
+                instance,
+                event: Event::Call { call, .. } | Event::Batch { call, result: Ok(_), .. },
+                ..
+            } => !calls.contains(&(*instance, *call)),
+            _ => true,
+        });
+    }
+
+    /// Breaks off the calls of an instance in progress at endpoints.
+    pub(super) fn reset_calls_of(&mut self, instance: usize, reaches: impl Fn(&str) -> bool) {
+        let own =
+            self.open_calls.iter().filter(|it| it.0.0 == instance && !reaches(&it.1.endpoint));
+        let calls: Vec<CallId> = own.map(|it| it.0.1).collect();
+        for call in calls {
+            let event = CallEvent::Broken { error: "reset".to_owned() };
+            self.deliver(instance, Event::Call { call, event });
+        }
+    }
+
     /// Returns the latest call of an attempt that is in progress.
     pub fn last_call(&self, attempt: &str) -> Option<CallId> {
         let is_own = |instance: usize, ticket: u64| {
@@ -120,6 +155,9 @@
                     return;
                 };
                 let Some(caller) = self.callers.get(&(instance, open.ticket)) else { return };
+                if self.passed_on.contains_key(&(instance, open.ticket)) {
+                    return;
+                }
                 let events = self.events.get_or_insert_with(caller.attempt.clone(), Vec::new);
                 let last = events.last().copied().unwrap_or_default();
                 if *number != last + 1 {
--- a/crates/ferry-soak/src/proxy.rs
+++ b/crates/ferry-soak/src/proxy.rs
@@ -100,10 +100,15 @@
 
     /// Closes every open connection and refuses new ones.
     pub fn stop(&self) {
+        self.stop_listening();
+        self.reset();
+    }
+
+    /// Refuses new connections, while open ones live on.
+    pub fn stop_listening(&self) {
         if let Some(task) = self.task.take() {
             task.abort();
         }
-        self.reset();
     }
 
     pub fn set(&self, link: Link) {
