Count all runs that a peer may have used for a request passed on to it

What callers saw: nothing yet. The drawn test of requests that are passed on found an idempotent request that three endpoints ran where two are allowed.

Cause: a peer may repeat a request within the tries that it is given, and the instance that passed it on counted one run.

Change: a call knows how many endpoints it may run at, and counts them all once it may have run.

--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -156,6 +156,8 @@
     pub started: u64,
     /// The peer that runs the request, by the address at which it receives datagrams; none if an endpoint does.
     pub peer: Option<SocketAddr>,
+    /// Endpoints at which it may run the request; a peer repeats it by itself.
+    pub n_tries: u32,
     /// Whether it is a retry whose endpoint has not been heard.
     pub is_retry: bool,
     /// Whether its endpoint has begun to write.
--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -67,7 +67,7 @@
     load: Option<LoadReport>,
 ) -> bool {
     leave_endpoint(cx, request, current);
-    request.n_runs += 1;
+    request.n_runs += current.n_tries;
     let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
     if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
         view.record_load(cx.now, load);
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -99,6 +99,7 @@
         build,
         started,
         peer: None,
+        n_tries: 1,
         is_retry,
         has_begun: false,
         sent_at: cx.now,
@@ -213,7 +214,7 @@
 ) -> bool {
     leave_endpoint(cx, request, current);
     record_failure(cx, current);
-    request.n_runs += 1;
+    request.n_runs += current.n_tries;
     retry::rerun(cx, batcher, request, &format!("no complete answer: {error}"))
 }
 
--- a/crates/ferry-serve/src/request/relay.rs
+++ b/crates/ferry-serve/src/request/relay.rs
@@ -53,6 +53,8 @@
         stages::reset(cx, batcher, request, idx);
     }
     let call = cx.next_call();
+    let n_runs = request.n_runs + request.silent.len() as u32;
+    let n_tries = request.max_tries().saturating_sub(n_runs).max(1);
     let time_left = request.deadline.saturating_sub(cx.now);
     cx.count(Metric::RequestsRelayed);
     cx.log(
@@ -70,6 +72,7 @@
         build: BuildId::new(),
         started: 0,
         peer: Some(target.peer),
+        n_tries,
         is_retry,
         has_begun: false,
         sent_at: cx.now,
@@ -82,15 +85,13 @@
         is_blocked: false,
         fetched_at: None,
     });
-    let n_runs = request.n_runs + request.silent.len() as u32;
-    let relayed = RelayedCall { n_tries: request.max_tries().saturating_sub(n_runs) };
     cx.effects.push(Effect::Call(Box::new(Call {
         call,
         ticket: request.ticket,
         endpoint: target.instance,
         started: 0,
         address: target.relay,
-        relayed: Some(relayed),
+        relayed: Some(RelayedCall { n_tries }),
         workspace: request.workspace.clone(),
         time_left,
         urgency: 0,
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -78,7 +78,7 @@
         lost.is_retry = false;
     }
     release_endpoint(cx, request, &lost);
-    request.n_runs += u32::from(has_run);
+    request.n_runs += if has_run { lost.n_tries } else { 0 };
     if matches!(event, CallEvent::Answer { .. }) && !request.is_streaming() {
         answer::hold(cx, request, &lost);
     }
@@ -114,7 +114,7 @@
 /// Cancels a call that may have run.
 fn cancel(cx: &mut Pass<'_>, request: &mut ActiveRequest, call: &ActiveCall) {
     release_endpoint(cx, request, call);
-    request.n_runs += 1;
+    request.n_runs += call.n_tries;
     cx.effects.push(Effect::Cancel { call: call.call });
 }
 
--- a/crates/ferry-serve/tests/decisions/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/cuts.rs
@@ -4,6 +4,7 @@
 
 use ferry_model::Moment;
 use ferry_serve::DecisionKind;
+use proptest::prelude::*;
 
 use crate::rate_limits::load::Load;
 use crate::simulation::{
@@ -204,3 +205,83 @@
         assert!(noticed.is_some(), "{form:?} was not noticed");
     }
 }
+
+/// What happens in a drawn run; requests go on.
+#[derive(Debug, Clone)]
+enum Step {
+    Run(u64),
+    Cut(usize, CutForm, &'static str),
+    Heal,
+    Restart(usize),
+    Freeze(usize, u64),
+    Endpoints(&'static str, Behaviour),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let form = prop_oneof![Just(CutForm::Hangs), Just(CutForm::Reset), Just(CutForm::RefusesNew)];
+    let behind = prop_oneof![3 => Just(""), 1 => Just(PLAIN), 1 => Just(ENGINE), 1 => Just(FIRST)];
+    let pool = prop_oneof![Just(PLAIN), Just(ENGINE), Just(FIRST)];
+    let behaviour = prop_oneof![
+        2 => Just(Behaviour::Healthy),
+        1 => Just(Behaviour::Failing),
+        1 => Just(Behaviour::Reset),
+        1 => Just(Behaviour::Full),
+        1 => Just(Behaviour::Silent),
+    ];
+    let step = prop_oneof![
+        4 => (50_u64..2_500).prop_map(Step::Run),
+        4 => (0_usize..6, form, behind).prop_map(|(it, form, behind)| Step::Cut(it, form, behind)),
+        2 => Just(Step::Heal),
+        1 => (0_usize..6).prop_map(Step::Restart),
+        1 => (0_usize..6, 200_u64..3_000).prop_map(|(it, time)| Step::Freeze(it, time)),
+        1 => (pool, behaviour).prop_map(|(pool, it)| Step::Endpoints(pool, it)),
+    ];
+    proptest::collection::vec(step, 5..30)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    #[test]
+    fn requests_that_are_passed_on_keep_every_promise(steps in steps()) {
+        let mut sim = Simulation::new(6);
+        let mut load = Load::new(&["get", "post", "stream", "once", "get"], 50);
+        for step in steps {
+            match step {
+                Step::Run(time) => {
+                    load.send(&mut sim, ms(time));
+                }
+                Step::Cut(instance, form, endpoints) => sim.cut(Cut { instance, form, endpoints }),
+                Step::Heal => sim.cuts.clear(),
+                Step::Restart(instance) => {
+                    sim.kill(instance);
+                    load.send(&mut sim, ms(300));
+                    sim.start(instance);
+                }
+                Step::Freeze(instance, time) => {
+                    sim.freeze(instance);
+                    load.send(&mut sim, ms(time));
+                    sim.thaw(instance);
+                }
+                Step::Endpoints(pool, behaviour) => {
+                    let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
+                    for id in ids.iter().filter(|it| it.starts_with(pool)) {
+                        sim.set_behaviour(id, behaviour);
+                    }
+                }
+            }
+        }
+        sim.cuts.clear();
+        load.send(&mut sim, ms(1_000));
+        sim.run_for(ms(6_000));
+        prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+        for attempt in sim.runs.keys().filter(|it| it.starts_with("post") || it.starts_with("once")) {
+            let n_runs = sim.runs.get(attempt).map_or(0, Vec::len);
+            prop_assert!(n_runs <= 1, "{} ran {} times", attempt, n_runs);
+        }
+        for attempt in sim.runs.keys().filter(|it| it.starts_with("get") || it.starts_with("stream")) {
+            let n_runs = sim.runs.get(attempt).map_or(0, Vec::len);
+            prop_assert!(n_runs <= 2, "{} ran {} times", attempt, n_runs);
+        }
+    }
+}
--- a/crates/ferry-serve/tests/decisions/simulation/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/cuts.rs
@@ -9,6 +9,9 @@
 /// Time after which an instance gives up to open a connection.
 const CONNECT_TIMEOUT: Duration = ms(400);
 
+/// Start of the names of instances.
+const INSTANCE_PREFIX: &str = "instance-";
+
 /// What becomes of the connections to endpoints behind a cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CutForm {
@@ -34,14 +37,13 @@
     pub fn cut(&mut self, cut: Cut) {
         let Cut { instance, form, endpoints } = cut.clone();
         self.cuts.push(cut);
+        // The links to other instances are sound.
+        let is_behind = |it: &str| it.starts_with(endpoints) && !it.starts_with(INSTANCE_PREFIX);
         match form {
             CutForm::Hangs => {
-                let is_behind = |_: &Simulation, at: usize, endpoint: &str| {
-                    at == instance && endpoint.starts_with(endpoints)
-                };
-                self.drop_answers_of(is_behind);
+                self.drop_answers_of(|_, at, endpoint| at == instance && is_behind(endpoint));
             }
-            CutForm::Reset => self.reset_calls_of(instance, |it| !it.starts_with(endpoints)),
+            CutForm::Reset => self.reset_calls_of(instance, |it| !is_behind(it)),
             CutForm::RefusesNew => (),
         }
     }
@@ -139,6 +141,21 @@
         true
     }
 
+    /// Breaks off the requests that were passed on to an instance which is killed, and those that it has
+    /// passed on.
+    pub(super) fn break_passed_on(&mut self, killed: usize) {
+        let own = self.passed_on.iter().filter(|it| it.1.0 == killed).map(|it| *it.1);
+        let own: Vec<(usize, CallId)> = own.collect();
+        own.into_iter().for_each(|(instance, call)| self.cancel_passed_on(instance, call));
+        let lost = self.passed_on.iter().filter(|it| it.0.0 == killed);
+        let lost: Vec<((usize, u64), (usize, CallId))> = lost.map(|it| (*it.0, *it.1)).collect();
+        for (key, (to, call)) in lost {
+            self.passed_on.remove(&key);
+            let event = CallEvent::Broken { error: "the peer was killed".to_owned() };
+            self.schedule(to, NETWORK_DELAY, Event::Call { call, event });
+        }
+    }
+
     /// Ends a request that was passed on, as the instance that did so cancels it.
     pub(super) fn cancel_passed_on(&mut self, instance: usize, call: CallId) {
         let found = self.passed_on.iter().find(|it| *it.1 == (instance, call)).map(|it| *it.0);
--- a/crates/ferry-serve/tests/decisions/simulation/faults.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/faults.rs
@@ -20,6 +20,7 @@
 
     pub fn kill(&mut self, instance: usize) {
         self.frozen.remove(&instance);
+        self.break_passed_on(instance);
         self.instances[instance] = None;
         self.incarnations[instance] += 1;
         self.asked.values_mut().for_each(|it| it.retain(|it| it.0 != instance));
