--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other instances: which ones are alive, and what they know.
 
+mod directory;
 mod message;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -28,10 +29,6 @@
 const N_WATCHERS: usize = 3;
 /// Hash key that separates the choice of watchers from other roles.
 const WATCHERS_KEY: u64 = 0x77;
-/// Fewest addresses that a caller gets, if as many instances are alive.
-const MIN_ADDRESSES: usize = 2;
-/// Most addresses that a caller gets.
-const MAX_ADDRESSES: usize = 64;
 
 #[derive(Debug, Clone)]
 pub struct PeerView {
@@ -347,36 +344,6 @@
         self.views.iter().filter(|(_, it)| is_recent(it)).map(|it| *it.0).collect()
     }
 
-    /// Returns addresses for a caller: those of its zone, and others if there are too few.
-    pub fn directory(
-        &self,
-        now: Moment,
-        tuning: &Tuning,
-        own: &Identity,
-        (is_ready, is_hindered): (bool, bool),
-        zone: Option<&str>,
-    ) -> Vec<SocketAddr> {
-        let ready: Vec<&Heartbeat> = self
-            .live(now, tuning)
-            .map(|(_, it)| &it.heartbeat)
-            .filter(|it| it.accepts_work())
-            .collect();
-        let others_fit = ready.iter().any(|it| !it.is_hindered());
-        let mut choices: Vec<(bool, u64, SocketAddr)> = ready
-            .iter()
-            .filter(|it| !it.is_hindered() || !others_fit)
-            .map(|it| sort_key(zone, &it.zone, it.front))
-            .collect();
-        let is_fit = is_ready && !(is_hindered && others_fit);
-        if is_fit || choices.is_empty() {
-            choices.push(sort_key(zone, &own.zone, own.front));
-        }
-        choices.sort_unstable();
-        let n_near = choices.iter().filter(|it| !it.0).count();
-        choices.truncate(n_near.clamp(MIN_ADDRESSES, MAX_ADDRESSES));
-        choices.into_iter().map(|it| it.2).collect()
-    }
-
     /// Returns the time in which each peer gets a heartbeat.
     pub fn round_time(&self, tuning: &Tuning) -> Duration {
         tuning.heartbeat_interval * self.n_rounds()
@@ -398,12 +365,3 @@
     let uniform = (rendezvous_hash(key, instance) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
     -weight.max(f64::MIN_POSITIVE) / uniform.ln()
 }
-
-/// Returns a key that sorts addresses of the caller's zone first, and the others in an order
-/// specific to that zone.
-fn sort_key(zone: Option<&str>, at: &str, front: SocketAddr) -> (bool, u64, SocketAddr) {
-    let is_far = zone.is_some_and(|it| it != at);
-    let mut hasher = DefaultHasher::new();
-    (zone, front).hash(&mut hasher);
-    (is_far, hasher.finish(), front)
-}
