Notice a cut beside streams that go on

What callers saw: nothing yet.

Cause: each event of a stream counted as a sign that its pool is reached. Where open connections live on and new ones are refused, the events of long streams hid that for as long as they lasted.

Change: only the first response to a call counts, and only against failures before the call was sent.

--- a/crates/ferry-serve/src/batch/crash.rs
+++ b/crates/ferry-serve/src/batch/crash.rs
@@ -17,7 +17,7 @@
         let SentCall { group, endpoint, started, .. } = sent;
         match result {
             Ok(_) | Err(BatchFailure::NotRun(_) | BatchFailure::Failed(_)) => {
-                cx.ctx.reach.on_heard(now, &group.pool, endpoint);
+                cx.ctx.reach.on_heard(now, sent.sent_at, &group.pool, endpoint);
             }
             Err(BatchFailure::Unsent(_)) => cx.ctx.reach.on_failed(now, &group.pool, endpoint),
             Err(BatchFailure::TimedOut | BatchFailure::Broken(_)) => (),
--- a/crates/ferry-serve/src/reach.rs
+++ b/crates/ferry-serve/src/reach.rs
@@ -28,8 +28,10 @@
 struct PoolReach {
     /// Since when connections to each endpoint fail.
     failed: SortedMap<EndpointId, Moment>,
-    /// When an endpoint was last heard, if one was.
+    /// When an endpoint last responded to a call, if one did.
     heard_at: Option<Moment>,
+    /// When the latest call was sent to which an endpoint responded.
+    opened_at: Option<Moment>,
     /// Whether enough endpoints fail for a cut.
     is_doubted: bool,
     is_cut: bool,
@@ -57,19 +59,30 @@
         Reach::default()
     }
 
-    /// Records that an endpoint was heard.
-    pub fn on_heard(&mut self, now: Moment, pool: &str, endpoint: &str) {
-        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+    /// Records that an endpoint has responded to a call that was sent at `sent_at`.
+    pub fn on_heard(&mut self, now: Moment, sent_at: Moment, pool: &str, endpoint: &str) {
+        let it = self.pool(pool);
         it.heard_at = Some(now);
-        it.failed.remove(endpoint);
+        it.opened_at = it.opened_at.max(Some(sent_at));
+        if it.failed.get(endpoint).is_some_and(|at| *at < sent_at) {
+            it.failed.remove(endpoint);
+        }
     }
 
     /// Records that a connection to an endpoint could not be opened.
     pub fn on_failed(&mut self, now: Moment, pool: &str, endpoint: &str) {
-        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+        let it = self.pool(pool);
         it.failed.get_or_insert_with(endpoint.to_owned(), || now);
     }
 
+    fn pool(&mut self, pool: &str) -> &mut PoolReach {
+        // Most calls are for a pool that is known.
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.to_owned(), PoolReach::default());
+        }
+        self.pools.get_or_insert_with(pool.into(), PoolReach::default)
+    }
+
     /// Whether connections to endpoints of a pool fail.
     pub fn has_failed(&self, pool: &str) -> bool {
         self.pools.get(pool).is_some_and(|it| it.is_cut || !it.failed.is_empty())
@@ -111,7 +124,8 @@
         is_reached: impl Fn(&str, Moment) -> bool,
     ) -> Vec<ReachChange> {
         let mut changes = Vec::new();
-        for (pool, it) in self.pools.iter_mut() {
+        let suspects = self.pools.iter_mut().filter(|it| it.1.is_cut || !it.1.failed.is_empty());
+        for (pool, it) in suspects {
             let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
             let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
             it.failed.retain(|id, _| live.contains(&id));
@@ -123,8 +137,9 @@
                 }
                 continue;
             }
-            let heard_at = it.heard_at;
-            it.failed.retain(|_, at| now < *at + FAILURE_TTL && heard_at.is_none_or(|it| it < *at));
+            let opened_at = it.opened_at;
+            it.failed
+                .retain(|_, at| now < *at + FAILURE_TTL && opened_at.is_none_or(|it| it < *at));
             let first = it.failed.values().min().copied();
             let first = first.filter(|_| MIN_FAILED.min(live.len()) <= it.failed.len());
             it.is_doubted = first.is_some();
@@ -161,7 +176,7 @@
         pool: &str,
         endpoints: &Endpoints,
     ) -> Option<EndpointId> {
-        let it = self.pools.get_or_insert_with(pool.to_owned(), PoolReach::default);
+        let it = self.pool(pool);
         let is_recent = it.heard_at.is_some_and(|at| now < at + REACHED_TIME / 2);
         if is_recent || it.is_cut || now < it.next_probe {
             return None;
@@ -178,7 +193,7 @@
         let Some(it) = self.pools.get_mut(pool) else { return };
         if !it.is_cut {
             return match is_alive {
-                true => self.on_heard(now, pool, endpoint),
+                true => self.on_heard(now, now, pool, endpoint),
                 false => self.on_failed(now, pool, endpoint),
             };
         }
--- a/crates/ferry-serve/tests/decisions/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/cuts.rs
@@ -206,6 +206,18 @@
     }
 }
 
+#[test]
+fn streams_that_go_on_hide_no_cut() {
+    let mut sim = Simulation::with_time_limit(6, ms(20_000));
+    sim.crashes.n_events = 400;
+    let mut load = Load::new(&["once"], 40).with_time_left(ms(20_000));
+    send(&mut sim, &mut load, ms(4_000));
+    let from = sim.decisions.len();
+    sim.cut(Cut { instance: 0, form: CutForm::RefusesNew, endpoints: ENGINE });
+    send(&mut sim, &mut load, STABLE_TIME);
+    assert_eq!(n_noticed(&sim, from), 1);
+}
+
 /// What happens in a drawn run; requests go on.
 #[derive(Debug, Clone)]
 enum Step {
