Take no pool for cut of which an endpoint is reached

What callers saw: nothing yet.

Cause: two endpoints that failed were enough, while peers reached others of the same pool. Where many endpoints of a pool had crashed and their entries stayed, an instance that met two of them took the pool for cut; and the cut went on as long as no three endpoints in a row accepted a probe.

Change: an instance probes up to nine endpoints of the pool before it takes it for cut, and one that accepts rules that out. A cut ends once three endpoints, or half of the pool, have accepted their last probe.

--- a/crates/ferry-serve/src/reach.rs
+++ b/crates/ferry-serve/src/reach.rs
@@ -14,14 +14,20 @@
 const REACHED_TIME: Duration = Duration::from_millis(300);
 /// Age of the first failure from which on reports of peers are newer than what has failed here.
 const EVIDENCE_DELAY: Duration = Duration::from_millis(400);
-/// Endpoints of a pool that must fail, if it has as many.
-const MIN_FAILED: usize = 2;
+/// Endpoints of a pool that must fail before others are probed, if it has as many.
+const MIN_DOUBTED: usize = 2;
+/// The same for a cut.
+const MIN_FAILED: usize = 3;
 /// Time after which a failure is too old to speak for a cut.
 const FAILURE_TTL: Duration = Duration::from_secs(3);
 /// Interval of the probes of a pool that is not reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Consecutive probes of different endpoints that must succeed, if the pool has as many.
-const MIN_PROBES: usize = 3;
+/// The same of one that may not be.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(50);
+/// Endpoints of such a pool that are probed, if it has as many.
+const MIN_PROBED: usize = 9;
+/// Endpoints that must accept a probe to end a cut, or half of the pool if that is less.
+const MIN_ACCEPTED: usize = 3;
 
 /// What is known of the way to one pool.
 #[derive(Debug, Clone, Default)]
@@ -35,10 +41,22 @@
     /// Whether enough endpoints fail for a cut.
     is_doubted: bool,
     is_cut: bool,
-    /// Endpoints that accepted a connection since the last one that did not.
+    /// Endpoints that accepted their last probe.
     accepted: Vec<EndpointId>,
     next_probe: Moment,
     n_probes: usize,
+    /// Probes since the pool may not be reached.
+    n_doubted: usize,
+}
+
+impl PoolReach {
+    /// Returns the endpoint whose turn it is to be probed.
+    fn next_endpoint(&mut self, pool: &str, endpoints: &Endpoints) -> Option<EndpointId> {
+        self.n_probes += 1;
+        let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+        let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
+        live.get(self.n_probes % live.len().max(1)).map(|it| (*it).clone())
+    }
 }
 
 /// A pool that is reached no longer, or again.
@@ -130,7 +148,8 @@
             let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
             it.failed.retain(|id, _| live.contains(&id));
             if it.is_cut {
-                let n_needed = MIN_PROBES.min(live.len());
+                it.accepted.retain(|it| live.contains(&it));
+                let n_needed = MIN_ACCEPTED.min(live.len().div_ceil(2));
                 if n_needed <= it.accepted.len() {
                     *it = PoolReach { heard_at: it.heard_at, ..PoolReach::default() };
                     changes.push(ReachChange { pool: pool.clone(), is_cut: false });
@@ -141,13 +160,17 @@
             it.failed
                 .retain(|_, at| now < *at + FAILURE_TTL && opened_at.is_none_or(|it| it < *at));
             let first = it.failed.values().min().copied();
-            let first = first.filter(|_| MIN_FAILED.min(live.len()) <= it.failed.len());
-            it.is_doubted = first.is_some();
-            let Some(first) = first else { continue };
-            let since = first + EVIDENCE_DELAY;
-            if since <= now && is_reached(pool, since) {
+            it.is_doubted = MIN_DOUBTED.min(live.len()) <= it.failed.len();
+            if !it.is_doubted {
+                it.n_doubted = 0;
+            }
+            let has_failed = MIN_FAILED.min(live.len()) <= it.failed.len()
+                && MIN_PROBED.min(live.len()) <= it.n_doubted;
+            let since = first.filter(|_| has_failed).map(|it| it + EVIDENCE_DELAY);
+            if since.is_some_and(|it| it <= now && is_reached(pool, it)) {
                 it.is_cut = true;
                 it.is_doubted = false;
+                it.n_doubted = 0;
                 it.next_probe = now + PROBE_INTERVAL;
                 changes.push(ReachChange { pool: pool.clone(), is_cut: true });
             }
@@ -155,17 +178,16 @@
         changes
     }
 
-    /// Returns the endpoints that are probed now: one of each pool that is not reached, in turns.
+    /// Returns the endpoints that are probed now: one of each pool that is not reached, or may not be, in turns.
     pub fn probes(&mut self, now: Moment, endpoints: &Endpoints) -> Vec<EndpointId> {
-        let mut probes = Vec::new();
-        for (pool, it) in self.pools.iter_mut().filter(|it| it.1.is_cut && it.1.next_probe <= now) {
-            it.next_probe = now + PROBE_INTERVAL;
-            let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
-            let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
-            it.n_probes += 1;
-            probes.extend(live.get(it.n_probes % live.len().max(1)).map(|it| (*it).clone()));
-        }
-        probes
+        let is_due = |it: &PoolReach| (it.is_cut || it.is_doubted) && it.next_probe <= now;
+        let due = self.pools.iter_mut().filter(|it| is_due(it.1));
+        due.filter_map(|(pool, it)| {
+            it.next_probe = now + if it.is_cut { PROBE_INTERVAL } else { DOUBT_INTERVAL };
+            it.n_doubted += 1;
+            it.next_endpoint(pool, endpoints)
+        })
+        .collect()
     }
 
     /// Returns an endpoint to probe for a peer that doubts whether the pool is alive, unless one was heard or
@@ -182,10 +204,7 @@
             return None;
         }
         it.next_probe = now + PROBE_INTERVAL;
-        it.n_probes += 1;
-        let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
-        let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
-        live.get(it.n_probes % live.len().max(1)).map(|it| (*it).clone())
+        it.next_endpoint(pool, endpoints)
     }
 
     /// Records whether an endpoint of a pool accepted a connection.
@@ -200,7 +219,7 @@
         match is_alive {
             true if it.accepted.iter().any(|it| it == endpoint) => (),
             true => it.accepted.push(endpoint.to_owned()),
-            false => it.accepted.clear(),
+            false => it.accepted.retain(|it| it != endpoint),
         }
     }
 
@@ -209,7 +228,10 @@
             let first = it.failed.values().min().map(|it| *it + EVIDENCE_DELAY);
             first.filter(|it| now < *it)
         };
-        let next = |it: &PoolReach| if it.is_cut { Some(it.next_probe) } else { evidence(it) };
+        let next = |it: &PoolReach| match it.is_cut || it.is_doubted {
+            true => Some(it.next_probe),
+            false => evidence(it),
+        };
         self.pools.values().filter_map(next).min()
     }
 }
--- a/crates/ferry-serve/tests/decisions/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/cuts.rs
@@ -206,6 +206,29 @@
     }
 }
 
+#[test]
+fn endpoints_that_crash_are_no_cut() {
+    for n_down in 1..8 {
+        let mut sim = Simulation::new(6);
+        (3..9).for_each(|it| sim.add_endpoint(ENGINE, it));
+        (0..6).for_each(|it| sim.start(it));
+        let mut load = Load::new(&["once"], 40);
+        send(&mut sim, &mut load, ms(2_000));
+        // No instance reaches them, and their entries stay.
+        let names =
+            ["engine-0", "engine-1", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6"];
+        for endpoints in names.into_iter().take(n_down) {
+            for instance in 0..6 {
+                sim.cut(Cut { instance, form: CutForm::Hangs, endpoints });
+            }
+        }
+        send(&mut sim, &mut load, ms(8_000));
+        let share = n_noticed(&sim, 0);
+        println!("{n_down} of 9 engines down: {share} notices, {} passed on", sim.n_passed_on);
+        assert_eq!(share, 0, "{n_down} of 9 engines");
+    }
+}
+
 #[test]
 fn streams_that_go_on_hide_no_cut() {
     let mut sim = Simulation::with_time_limit(6, ms(20_000));
