Hold an announcement of leaving for a start whose entry comes later

What callers saw: nothing yet.

Cause: an endpoint that started again under its id announced its leaving while the entry of its former start was still known. The announcement counted for that one, and ended when the entry of the new start came.

Change: if the start that an entry names had begun before the announcement, the announcement counts for it as well: for 10 s, as clocks differ, and for good once it is repeated. The endpoints of the soak have real start times.

--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -61,6 +61,10 @@
     rate_limit: RateLimit,
     /// Whether it has announced in a response that it leaves.
     has_announced: bool,
+    /// When it has, as time since the Unix epoch.
+    announced_at: Duration,
+    /// Until when that counts, if it may have been another start of it; none if it was this one.
+    unsure_until: Option<Moment>,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
     /// Since when its entry is missing, if it may only have expired while the store was unreachable.
@@ -81,6 +85,8 @@
             paused: Moment::ZERO,
             rate_limit: RateLimit::default(),
             has_announced: false,
+            announced_at: Duration::ZERO,
+            unsure_until: None,
             invalid_until: Moment::ZERO,
             missing_since: None,
             parts: SortedMap::new(),
@@ -358,8 +364,7 @@
             || view.endpoint.pool != endpoint.pool
             || view.endpoint.build != endpoint.build;
         if is_restarted {
-            self.forget(&id);
-            let view = self.insert(endpoint);
+            let view = self.restart(now, endpoint);
             view.rate_limit = RateLimit::new(now);
             return true;
         }
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -4,11 +4,14 @@
 //! never say so. docs/design/platform.md weighs that.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use ferry_model::{EndpointId, GatewayEndpoint};
+use ferry_model::{EndpointId, GatewayEndpoint, Moment};
 
 use super::{EndpointView, Endpoints};
 
+/// Time for which an announcement counts for a start whose entry came after it, unless it is repeated.
+const UNSURE_TIME: Duration = Duration::from_secs(10);
 /// Leaving endpoints without an entry that are remembered, as an entry may come back.
 const MAX_DEPARTED: usize = 512;
 
@@ -43,13 +46,44 @@
 
 impl Endpoints {
     /// Records that an endpoint has announced that it leaves; returns whether that is new.
-    pub fn record_leaving(&mut self, id: &str, started: u64) -> bool {
+    pub fn record_leaving(&mut self, now: Moment, id: &str, started: u64) -> bool {
+        let at = self.start + now;
         let Some(view) = self.get_mut(id).filter(|it| it.endpoint.started == started) else {
             return false;
         };
+        view.announced_at = at;
+        view.unsure_until = None;
         !std::mem::replace(&mut view.has_announced, true)
     }
 
+    /// Replaces an endpoint by another start of it.
+    ///
+    /// A start that had begun before the announcement may be the one that made it, while its entry came later. The
+    /// clocks of endpoints differ, so that this holds for a while only.
+    pub(super) fn restart(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
+        let id = endpoint.id.clone();
+        let began_at = Duration::from_millis(endpoint.started);
+        let before = self.views.get(&id).filter(|it| it.has_announced);
+        let announced_at = before.map(|it| it.announced_at).filter(|it| began_at <= *it);
+        self.forget(&id);
+        let view = self.insert(endpoint);
+        if let Some(at) = announced_at.filter(|_| !view.has_announced) {
+            view.has_announced = true;
+            view.announced_at = at;
+            view.unsure_until = Some(now + UNSURE_TIME);
+        }
+        view
+    }
+
+    /// Ends the announcements that may have been another start's.
+    pub(super) fn end_unsure(&mut self, now: Moment) {
+        let is_due = |it: &&mut EndpointView| it.unsure_until.is_some_and(|it| it <= now);
+        for view in self.views.values_mut().filter(is_due) {
+            view.unsure_until = None;
+            view.has_announced = false;
+        }
+    }
+
     /// Whether every endpoint with this address leaves; false if none is known.
     pub fn is_leaving_at(&self, address: SocketAddr) -> bool {
         let mut at = self.views.values().filter(|it| it.endpoint.address == address).peekable();
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -17,6 +17,7 @@
     /// does not start it again. Endpoints of a pool that would be left without any are kept until the
     /// store has been reachable for that long.
     pub fn tick(&mut self, now: Moment, tuning: &Tuning) {
+        self.end_unsure(now);
         let is_over = self.rejoin_until.is_some_and(|it| it <= now);
         if is_over {
             self.rejoin_until = None;
@@ -41,11 +42,12 @@
         self.index(now, false);
     }
 
-    /// Returns when an endpoint may be removed because its entry is missing.
+    /// Returns when an endpoint may be removed because its entry is missing, or may accept work again.
     pub fn next_wake(&self, now: Moment, tuning: &Tuning) -> Option<Moment> {
         let missing = self.views.values().filter_map(|it| it.missing_since);
         let ends = missing.map(|it| it + tuning.rejoin_window).filter(|it| now < *it);
-        ends.chain(self.rejoin_until).min()
+        let unsure = self.views.values().filter_map(|it| it.unsure_until);
+        ends.chain(unsure).chain(self.rejoin_until).min()
     }
 
     /// Whether an endpoint of the same pool accepts work whose entry is not missing.
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -72,7 +72,7 @@
     report: LeavingReport,
 ) {
     let reason = match report {
-        LeavingReport::Leaving if cx.ctx.endpoints.record_leaving(endpoint, started) => {
+        LeavingReport::Leaving if cx.ctx.endpoints.record_leaving(cx.now, endpoint, started) => {
             cx.count(Metric::LeavingAnnounced);
             "announced in a response that it leaves".to_owned()
         }
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -154,8 +154,14 @@
     Configuration,
     /// An announcement of this start arrives.
     Announcement(u64),
+    /// Some milliseconds pass.
+    Wait(u64),
 }
 
+/// Starts in Unix milliseconds, before and after the announcement.
+const EARLIER: u64 = 1_000_500;
+const LATER: u64 = 5_000_000;
+
 #[test]
 fn announcement_holds_for_the_start_of_the_endpoint_that_made_it() {
     use EndpointState::{Leaving, Live};
@@ -173,11 +179,19 @@
         Case { then: &[Then::StoreAway, Then::List], accepts_work: false },
         Case { then: &[Then::StoreAway, Then::Removed, Then::Peer], accepts_work: false },
         Case { then: &[Then::Configuration], accepts_work: false },
-        Case { then: &[Then::Entry(2, Live)], accepts_work: true },
-        Case { then: &[Then::Removed, Then::Entry(2, Live)], accepts_work: true },
-        Case { then: &[Then::Entry(2, Live), Then::Announcement(1)], accepts_work: true },
-        Case { then: &[Then::Entry(2, Live), Then::Announcement(2)], accepts_work: false },
-        Case { then: &[Then::Entry(2, Live), Then::Entry(1, Live)], accepts_work: false },
+        Case { then: &[Then::Entry(LATER, Live)], accepts_work: true },
+        Case { then: &[Then::Removed, Then::Entry(LATER, Live)], accepts_work: true },
+        Case { then: &[Then::Entry(LATER, Live), Then::Announcement(1)], accepts_work: true },
+        // Its entry is late: it had started when the announcement was made.
+        Case { then: &[Then::Entry(EARLIER, Live)], accepts_work: false },
+        Case { then: &[Then::Entry(EARLIER, Live), Then::Wait(9_000)], accepts_work: false },
+        Case { then: &[Then::Entry(EARLIER, Live), Then::Wait(11_000)], accepts_work: true },
+        Case {
+            then: &[Then::Entry(EARLIER, Live), Then::Announcement(EARLIER), Then::Wait(11_000)],
+            accepts_work: false,
+        },
+        Case { then: &[Then::Entry(LATER, Live), Then::Announcement(LATER)], accepts_work: false },
+        Case { then: &[Then::Entry(LATER, Live), Then::Entry(1, Live)], accepts_work: false },
     ];
     for Case { then, accepts_work } in cases {
         let mut sim = Simulation::new(1);
@@ -188,8 +202,12 @@
             let listed = || sim.endpoints.values().map(|it| it.entry.clone()).collect();
             let event = match *step {
                 Then::Nothing => continue,
+                Then::Wait(time) => {
+                    sim.run_for(ms(time));
+                    continue;
+                }
                 Then::Entry(started, state) => {
-                    is_restarted |= started == 2;
+                    is_restarted |= started == LATER;
                     let endpoint = ferry_model::GatewayEndpoint { started, state, ..entry.clone() };
                     Event::Store(StoreUpdate::Changed { revision, endpoint })
                 }
--- a/crates/ferry-soak/src/crash.rs
+++ b/crates/ferry-soak/src/crash.rs
@@ -157,6 +157,7 @@
         let down = Duration::from_millis(crashes.rng().random_range(DOWN_MS));
         crashes.is_down.set(true);
         crashes.n_crashes.set(crashes.n_crashes.get() + 1);
+        endpoint.restart();
         endpoint.checker.set_trouble(&endpoint.id, Trouble::Crashed, true);
         proxy.stop();
         endpoint.parts.borrow_mut().clear();
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use ferry_platform::headers;
@@ -67,8 +67,8 @@
     pub rate_limit: RateLimit,
     /// Whether it announces in its responses that it leaves.
     pub is_leaving: Cell<bool>,
-    /// How often it has come back after it left.
-    pub n_returns: Cell<u64>,
+    /// Start of its process in Unix milliseconds.
+    pub started: Cell<u64>,
     pub crashes: Crashes,
     address: SocketAddr,
     pub checker: Rc<Checker>,
@@ -92,7 +92,7 @@
             build: Cell::new("v1"),
             rate_limit: RateLimit::default(),
             is_leaving: Cell::new(false),
-            n_returns: Cell::new(0),
+            started: Cell::new(unix_millis()),
             crashes: Crashes::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
@@ -123,13 +123,13 @@
         let pool: &str = self.pool.into();
         json!({
             "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": self.build.get(),
-            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": self.start_number(),
+            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": self.started.get(),
         })
     }
 
-    /// Counts its starts.
-    pub fn start_number(&self) -> u64 {
-        1 + self.crashes.n_crashes.get() + self.n_returns.get()
+    /// Starts its process again.
+    pub fn restart(&self) {
+        self.started.set(unix_millis().max(self.started.get() + 1));
     }
 
     /// Discards all stage results, as a restart would.
@@ -272,7 +272,7 @@
         }
         let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
         self.checker.record_run(attempt, &self.id, path, body);
-        self.checker.check_leaving(attempt, &self.id, self.start_number());
+        self.checker.check_leaving(attempt, &self.id, self.started.get());
         let from = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         match self.pool {
             Pool::Engine => self.stream(attempt, from, crash).await,
@@ -406,3 +406,8 @@
         }
     }
 }
+
+fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(0, |it| it.as_millis() as u64)
+}
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -313,7 +313,7 @@
         Step::Return { endpoint } => {
             let it = &cluster.endpoints[endpoint];
             if it.is_leaving.replace(false) {
-                it.n_returns.set(it.n_returns.get() + 1);
+                it.restart();
                 register(cluster, endpoint, "ready");
             }
         }
