End a stream that a peer began if no peer goes on with it

What callers saw: nothing yet. Found in reading the diff.

Cause: the instance that passed a stream on does not know the build that began it. If the peer broke it off and no other one took it, the request went on at an endpoint of its own choice, which may have another build.

Change: such a stream ends there, as its caller can take it up.

Evidence: by reading. The check was not run on the code before.

--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -38,6 +38,9 @@
     if relay::is_needed(cx, request) && relay::start(cx, batcher, request) {
         return false;
     }
+    if relay::is_foreign(request) {
+        return end::fail(cx, batcher, request, "no peer goes on with a stream that a peer began");
+    }
     let mut next = choice;
     while let Some(choice) = next.filter(|_| !permit::is_hopeless(request)) {
         match permit::request(cx, request, &choice) {
@@ -50,8 +53,8 @@
     end::give_up(cx, batcher, request, hint, reason)
 }
 
-/// Sends a request to an endpoint that takes it; returns whether it has ended instead, as it would be a
-/// retry for which nothing is left of the budget.
+/// Sends a request to an endpoint that takes it; returns whether it has ended instead, as it would
+/// be a retry for which nothing is left of the budget.
 pub fn send(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
--- a/crates/ferry-serve/src/request/relay.rs
+++ b/crates/ferry-serve/src/request/relay.rs
@@ -1,7 +1,7 @@
 //! Passes requests on to a peer where only peers reach the endpoints.
 //!
-//! The peer runs the request as its own: it chooses, limits, retries and refuses. This instance holds the
-//! caller, and treats the peer like an endpoint.
+//! The peer runs the request as its own: it chooses, limits, retries and refuses. This instance
+//! holds the caller, and treats the peer like an endpoint.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -33,10 +33,12 @@
     if !is_enabled || request.head.relayed.is_some() || !request.may_run_again() {
         return false;
     }
-    // Only the peers that hold its origin know the build of a stream which a peer has begun.
-    let is_foreign =
-        request.last_event.is_some() && request.was_relayed && request.build == StreamBuild::Any;
-    is_foreign || cx.ctx.reach.is_cut(&request.pool)
+    is_foreign(request) || cx.ctx.reach.is_cut(&request.pool)
+}
+
+/// Whether a peer has begun the stream of a request: only peers know its build.
+pub fn is_foreign(request: &ActiveRequest) -> bool {
+    request.last_event.is_some() && request.was_relayed && request.build == StreamBuild::Any
 }
 
 /// Passes a request on to a peer; returns whether there is one that takes it.
@@ -110,8 +112,8 @@
     (!is_live).then_some(CallEvent::Broken { error })
 }
 
-/// Returns one of the peers that reach the pool. Of two that a hash of the request finds, the one in the
-/// zone of this instance: all cut instances together must not meet at one peer.
+/// Returns one of the peers that reach the pool. Of two that a hash of the request finds, the one
+/// in the zone of this instance: all cut instances together must not meet at one peer.
 fn choose(cx: &Pass<'_>, request: &ActiveRequest) -> Option<Target> {
     let mut hasher = DefaultHasher::new();
     request.head.attempt.hash(&mut hasher);
--- a/crates/ferry-serve/tests/decisions/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/cuts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ferry_model::Moment;
-use ferry_serve::DecisionKind;
+use ferry_serve::{DecisionKind, Event, StoreUpdate};
 use proptest::prelude::*;
 
 use crate::rate_limits::load::Load;
@@ -280,6 +280,12 @@
     #[test]
     fn requests_that_are_passed_on_keep_every_promise(steps in steps()) {
         let mut sim = Simulation::new(6);
+        sim.set_build("engine-1", "v2");
+        let endpoint = sim.endpoints.get("engine-1").expect("the endpoint exists").entry.clone();
+        for instance in 0..6 {
+            let update = StoreUpdate::Changed { revision: 20, endpoint: endpoint.clone() };
+            sim.deliver(instance, Event::Store(update));
+        }
         let mut load = Load::new(&["get", "post", "stream", "once", "get"], 50);
         for step in steps {
             match step {
@@ -310,6 +316,9 @@
         load.send(&mut sim, ms(1_000));
         sim.run_for(ms(6_000));
         prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+        for (attempt, builds) in sim.event_builds.iter() {
+            prop_assert!(builds.len() <= 1, "{} has events of {:?}", attempt, builds);
+        }
         for attempt in sim.runs.keys().filter(|it| it.starts_with("post") || it.starts_with("once")) {
             let n_runs = sim.runs.get(attempt).map_or(0, Vec::len);
             prop_assert!(n_runs <= 1, "{} ran {} times", attempt, n_runs);
