--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -117,8 +117,8 @@
     }
 }
 
-/// Reports that the endpoint leaves, if its response says so. One that is not the endpoint's own says
-/// nothing of it.
+/// Reports that the endpoint leaves, if its response says so. One that is not the endpoint's own
+/// says nothing of it.
 fn report_leaving(driver: &Rc<Driver>, call: &Call, kind: &ResponseKind, headers: &HeaderMap) {
     match kind {
         ResponseKind::Mismatched | ResponseKind::NotRun(NotRunReason::Moved) => (),
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -195,8 +195,8 @@
         }
     }
 
-    /// Reports that a response of an endpoint announces that it leaves. Each of them does, but only the first
-    /// is news.
+    /// Reports that a response of an endpoint announces that it leaves. Each of them does, but only
+    /// the first is news.
     pub fn report_leaving(
         self: &Rc<Self>,
         endpoint: &str,
--- a/crates/ferry-gateway/tests/process/cuts.rs
+++ b/crates/ferry-gateway/tests/process/cuts.rs
@@ -1,4 +1,5 @@
-//! A gateway that loses its links to all endpoints, while callers, the store and the other gateways reach it.
+//! A gateway that loses its links to all endpoints, while callers, the store and the other gateways
+//! reach it.
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -27,7 +28,8 @@
     _listener: ferry_soak::server::ListenerHandle,
 }
 
-/// Gives the first gateway a store of its own, whose entries have other addresses of the same endpoints.
+/// Gives the first gateway a store of its own, whose entries have other addresses of the same
+/// endpoints.
 async fn own_links(cluster: &mut Cluster) -> OwnLinks {
     let store = Store::new();
     store.put("config", "main", desired_state(cluster.version, true));
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -67,7 +67,8 @@
     unsure_until: Option<Moment>,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
-    /// Since when its entry is missing, if it may only have expired while the store was unreachable.
+    /// Since when its entry is missing, if it may only have expired while the store was
+    /// unreachable.
     missing_since: Option<Moment>,
     /// Hashes of prompt prefixes, and when each was last used.
     parts: SortedMap<u64, Moment>,
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -24,8 +24,8 @@
     pub last_change: u64,
     pub endpoints: Vec<GatewayEndpoint>,
     pub removed: Vec<EndpointId>,
-    /// Entries that are missing in the store, and may be registered again. With the revision, a reader
-    /// takes over that they are missing: the removal that it reads itself may be older.
+    /// Entries that are missing in the store, and may be registered again. With the revision, a
+    /// reader takes over that they are missing: the removal that it reads itself may be older.
     #[serde(default)]
     pub missing: Vec<EndpointId>,
 }
@@ -73,8 +73,8 @@
 
     /// Returns what a peer lacks that has seen the store at revision `since`.
     ///
-    /// Entries that may only have expired are named apart: a peer would take them for present, or for
-    /// removed.
+    /// Entries that may only have expired are named apart: a peer would take them for present, or
+    /// for removed.
     pub fn delta(&self, since: u64) -> EndpointsDelta {
         let (revision, last_change) = (self.revision, self.last_change);
         let missing = self.views.values().filter(|it| it.missing_since.is_some());
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -1,7 +1,7 @@
 //! What endpoints announce in their responses of their own leaving.
 //!
-//! An announcement holds for one start of an endpoint, whatever its entry says: the entry may be late, or
-//! never say so. docs/design/platform.md weighs that.
+//! An announcement holds for one start of an endpoint, whatever its entry says: the entry may be
+//! late, or never say so. docs/design/platform.md weighs that.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,7 +10,8 @@
 
 use super::{EndpointView, Endpoints};
 
-/// Time for which an announcement counts for a start whose entry came after it, unless it is repeated.
+/// Time for which an announcement counts for a start whose entry came after it, unless it is
+/// repeated.
 const UNSURE_TIME: Duration = Duration::from_secs(10);
 /// Leaving endpoints without an entry that are remembered, as an entry may come back.
 const MAX_DEPARTED: usize = 512;
@@ -58,8 +59,8 @@
 
     /// Replaces an endpoint by another start of it.
     ///
-    /// A start that had begun before the announcement may be the one that made it, while its entry came later. The
-    /// clocks of endpoints differ, so that this holds for a while only.
+    /// A start that had begun before the announcement may be the one that made it, while its entry
+    /// came later. The clocks of endpoints differ, so that this holds for a while only.
     pub(super) fn restart(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
         let id = endpoint.id.clone();
         let began_at = Duration::from_millis(endpoint.started);
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -13,9 +13,9 @@
 
     /// Removes endpoints whose entries have been missing for the rejoin window.
     ///
-    /// The time counts from when the entry was first seen missing, so that a store which comes and goes
-    /// does not start it again. Endpoints of a pool that would be left without any are kept until the
-    /// store has been reachable for that long.
+    /// The time counts from when the entry was first seen missing, so that a store which comes and
+    /// goes does not start it again. Endpoints of a pool that would be left without any are kept
+    /// until the store has been reachable for that long.
     pub fn tick(&mut self, now: Moment, tuning: &Tuning) {
         self.end_unsure(now);
         let is_over = self.rejoin_until.is_some_and(|it| it <= now);
@@ -42,7 +42,8 @@
         self.index(now, false);
     }
 
-    /// Returns when an endpoint may be removed because its entry is missing, or may accept work again.
+    /// Returns when an endpoint may be removed because its entry is missing, or may accept work
+    /// again.
     pub fn next_wake(&self, now: Moment, tuning: &Tuning) -> Option<Moment> {
         let missing = self.views.values().filter_map(|it| it.missing_since);
         let ends = missing.map(|it| it + tuning.rejoin_window).filter(|it| now < *it);
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -89,7 +89,8 @@
     cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
 }
 
-/// Compares what this instance reaches with what its peers do, and probes the pools that only they reach.
+/// Compares what this instance reaches with what its peers do, and probes the pools that only they
+/// reach.
 pub(super) fn update_reach(cx: &mut Pass<'_>) {
     let (now, ctx) = (cx.now, &mut *cx.ctx);
     let Context { reach, peers, endpoints, tuning, .. } = ctx;
--- a/crates/ferry-serve/src/group.rs
+++ b/crates/ferry-serve/src/group.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// Returns the groups of a pool, sorted; none if it has no endpoint whose entry says that it accepts
-/// work.
+/// Returns the groups of a pool, sorted; none if it has no endpoint whose entry says that it
+/// accepts work.
 pub fn groups(endpoints: &Endpoints, pool: &str) -> Vec<Group> {
     let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.is_listed_live()).collect();
     match live.len() {
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -137,8 +137,8 @@
 
     /// Returns the part of the retry budgets that this instance may use.
     ///
-    /// Peers that are not heard may be cut off and retry as well, so they count for long. A process that takes
-    /// another one's place leaves to it, for one window, what it may have used.
+    /// Peers that are not heard may be cut off and retry as well, so they count for long. A process
+    /// that takes another one's place leaves to it, for one window, what it may have used.
     fn retry_share(&self, now: Moment) -> RetryShare {
         let margin = self.tuning.retry_margin;
         if !self.identity.is_first_start && now < self.began_at + self.tuning.retry_window {
@@ -207,8 +207,8 @@
 }
 
 /// Notifies the endpoints that hold results that these are no longer needed. One that limits its
-/// requests discards them by itself: each call would take the place of a caller's request. So does one
-/// that leaves.
+/// requests discards them by itself: each call would take the place of a caller's request. So does
+/// one that leaves.
 pub(crate) fn free(cx: &mut Pass<'_>, handles: Vec<ResultHandle>) {
     let mut by_address: SortedMap<SocketAddr, Vec<ResultHandle>> = SortedMap::new();
     for handle in handles {
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -22,8 +22,8 @@
 const NEW_PEERS_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which a silent peer counts as gone for good, not as cut off.
 const MEMORY: Duration = Duration::from_secs(60);
-/// Time after its last message for which a peer counts where the instances share something: longer than
-/// most partitions, and short enough that replaced instances do not add up.
+/// Time after its last message for which a peer counts where the instances share something: longer
+/// than most partitions, and short enough that replaced instances do not add up.
 const SHARE_MEMORY: Duration = Duration::from_secs(300);
 /// Instances that watch the store closely, so that two may fail at once.
 const N_WATCHERS: usize = 3;
@@ -328,8 +328,8 @@
         1 + if now < MEMORY { self.known.len() } else { 0 }
     }
 
-    /// Counts this instance, the peers that were heard within some minutes, and those of which only the
-    /// address is known so far.
+    /// Counts this instance, the peers that were heard within some minutes, and those of which only
+    /// the address is known so far.
     pub fn n_remembered(&self, now: Moment) -> usize {
         let is_remembered = |address: &&SocketAddr| {
             let last_heard = self.views.get(*address).map_or(Moment::ZERO, |it| it.last_heard);
--- a/crates/ferry-serve/src/reach.rs
+++ b/crates/ferry-serve/src/reach.rs
@@ -1,8 +1,8 @@
 //! Which pools this instance reaches itself, and which only its peers do.
 //!
-//! An instance may lose its links to endpoints while callers and peers still reach it. Every call opens a
-//! connection, so that shows soon; that the endpoints live shows only at the peers, who say in their
-//! heartbeats which pools they reach. docs/design/platform.md weighs that.
+//! An instance may lose its links to endpoints while callers and peers still reach it. Every call
+//! opens a connection, so that shows soon; that the endpoints live shows only at the peers, who say
+//! in their heartbeats which pools they reach. docs/design/platform.md weighs that.
 
 use std::time::Duration;
 
@@ -133,8 +133,8 @@
         self.pools.iter().filter(|it| is_recent(it.1)).map(|it| it.0.clone()).collect()
     }
 
-    /// Compares what has failed here with what peers reach. `is_reached` tells whether a peer has said
-    /// since a moment that it reaches a pool.
+    /// Compares what has failed here with what peers reach. `is_reached` tells whether a peer has
+    /// said since a moment that it reaches a pool.
     pub fn update(
         &mut self,
         now: Moment,
@@ -178,7 +178,8 @@
         changes
     }
 
-    /// Returns the endpoints that are probed now: one of each pool that is not reached, or may not be, in turns.
+    /// Returns the endpoints that are probed now: one of each pool that is not reached, or may not
+    /// be, in turns.
     pub fn probes(&mut self, now: Moment, endpoints: &Endpoints) -> Vec<EndpointId> {
         let is_due = |it: &PoolReach| (it.is_cut || it.is_doubted) && it.next_probe <= now;
         let due = self.pools.iter_mut().filter(|it| is_due(it.1));
@@ -190,8 +191,8 @@
         .collect()
     }
 
-    /// Returns an endpoint to probe for a peer that doubts whether the pool is alive, unless one was heard or
-    /// probed lately.
+    /// Returns an endpoint to probe for a peer that doubts whether the pool is alive, unless one
+    /// was heard or probed lately.
     pub fn probe_for_peer(
         &mut self,
         now: Moment,
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -154,7 +154,8 @@
     pub build: BuildId,
     /// Which start of the endpoint it is.
     pub started: u64,
-    /// The peer that runs the request, by the address at which it receives datagrams; none if an endpoint does.
+    /// The peer that runs the request, by the address at which it receives datagrams; none if an
+    /// endpoint does.
     pub peer: Option<SocketAddr>,
     /// Endpoints at which it may run the request; a peer repeats it by itself.
     pub n_tries: u32,
--- a/crates/ferry-serve/src/request/reach.rs
+++ b/crates/ferry-serve/src/request/reach.rs
@@ -4,8 +4,8 @@
 use crate::CallEvent;
 use crate::pass::Pass;
 
-/// Records what an event of a call tells about the way to its endpoint: its first response, but no later one,
-/// as open connections may live on where no new one can be opened.
+/// Records what an event of a call tells about the way to its endpoint: its first response, but no
+/// later one, as open connections may live on where no new one can be opened.
 pub fn observe(
     cx: &mut Pass<'_>,
     request: &ActiveRequest,
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -100,8 +100,8 @@
     false
 }
 
-/// Reserves a retry of a request if the budget of its pool allows it, unless that was done; returns whether
-/// it does.
+/// Reserves a retry of a request if the budget of its pool allows it, unless that was done; returns
+/// whether it does.
 pub fn reserve(cx: &mut Pass<'_>, request: &mut ActiveRequest) -> bool {
     request.has_retry = request.has_retry || cx.try_reserve(&request.pool);
     request.has_retry
--- a/crates/ferry-serve/src/retry_budget.rs
+++ b/crates/ferry-serve/src/retry_budget.rs
@@ -17,8 +17,8 @@
 /// Counts of a sliding window for one pool at one instance.
 ///
 /// The limit applies to the sum of all instances, so each of them takes the ratio of its own
-/// requests and its share of the constant. A retry counts from its decision until a window has passed
-/// since its endpoint was heard: until then it may arrive at any moment.
+/// requests and its share of the constant. A retry counts from its decision until a window has
+/// passed since its endpoint was heard: until then it may arrive at any moment.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     counts: VecDeque<Count>,
@@ -79,9 +79,9 @@
 
     /// Returns the requests that every window with the slot `last` in it allows retries for.
     ///
-    /// The limit of a window goes by its requests, those of the window before it, or those from half a
-    /// window before it, whichever are most. Of the windows that contain `last`, the one with the fewest
-    /// counts.
+    /// The limit of a window goes by its requests, those of the window before it, or those from
+    /// half a window before it, whichever are most. Of the windows that contain `last`, the one
+    /// with the fewest counts.
     fn n_requests(&self, last: u128) -> u32 {
         let mut totals = [0; KEPT_SLOTS + 1];
         let first = (last + 1).saturating_sub(KEPT_SLOTS as u128);
@@ -99,7 +99,8 @@
         starts.map(allowed).min().unwrap_or_default()
     }
 
-    /// Returns the count of the slot that contains `now`, and drops those that are not needed any longer.
+    /// Returns the count of the slot that contains `now`, and drops those that are not needed any
+    /// longer.
     fn current(&mut self, now: Moment, tuning: &Tuning) -> &mut Count {
         let width = (tuning.retry_window / SLOTS as u32).max(Duration::from_millis(1));
         let slot = now.as_nanos() / width.as_nanos();
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -116,7 +116,8 @@
         let before = n_calls(&sim, "plain-0");
         send_requests(&mut sim, 20, "probe");
         let n_late = n_calls(&sim, "plain-0") - before;
-        // Endpoints of a pool that would be left without any are kept while the store comes and goes.
+        // Endpoints of a pool that would be left without any are kept while the store comes and
+        // goes.
         assert_eq!(0 < n_late, case.is_alone, "{}: {n_late} requests", case.name);
     }
 }
--- a/crates/ferry-serve/tests/decisions/simulation/callers.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/callers.rs
@@ -72,7 +72,8 @@
 
     pub(super) fn check_refusal(&mut self, instance: usize, ticket: u64, refusal: &Refusal) {
         let attempt = self.callers.get(&(instance, ticket)).map(|it| it.attempt.clone());
-        // The instance that passed a request on may have sent it to an endpoint before, and answers for it.
+        // The instance that passed a request on may have sent it to an endpoint before, and answers
+        // for it.
         let key = (instance, ticket);
         let is_own = !self.passed_on.contains_key(&key) && !self.abandoned.contains(&key);
         let Some(attempt) = attempt.filter(|_| is_own) else { return };
--- a/crates/ferry-serve/tests/decisions/simulation/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/cuts.rs
@@ -141,8 +141,8 @@
         true
     }
 
-    /// Breaks off the requests that were passed on to an instance which is killed, and those that it has
-    /// passed on.
+    /// Breaks off the requests that were passed on to an instance which is killed, and those that
+    /// it has passed on.
     pub(super) fn break_passed_on(&mut self, killed: usize) {
         let own = self.passed_on.iter().filter(|it| it.1.0 == killed).map(|it| *it.1);
         let own: Vec<(usize, CallId)> = own.collect();
--- a/crates/ferry-soak/src/checker/leaving.rs
+++ b/crates/ferry-soak/src/checker/leaving.rs
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Returns the number of announcements that gateways passed on, and the times from them to later
-    /// requests.
+    /// Returns the number of announcements that gateways passed on, and the times from them to
+    /// later requests.
     pub fn leaving(&self) -> (usize, Vec<Duration>) {
         let log = self.leaving_log.borrow();
         (log.n_announced, log.delays.clone())
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -89,8 +89,8 @@
     pub n_lost: usize,
     pub cuts: Cuts,
     pub crashes: CrashCounts,
-    /// Announcements of leaving endpoints that gateways passed on, and the times until later requests
-    /// from the same gateway.
+    /// Announcements of leaving endpoints that gateways passed on, and the times until later
+    /// requests from the same gateway.
     pub leaving: (usize, Vec<Duration>),
     /// The window of each pool in which fewest more repeats were allowed.
     pub worst_windows: Vec<(String, WorstWindow)>,
