--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -2,12 +2,13 @@
 
 mod behaviour;
 mod calls;
+mod entry;
 mod responses;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_platform::headers;
@@ -92,7 +93,7 @@
             build: Cell::new("v1"),
             rate_limit: RateLimit::default(),
             is_leaving: Cell::new(false),
-            started: Cell::new(unix_millis()),
+            started: Cell::new(entry::unix_millis()),
             crashes: Crashes::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
@@ -118,20 +119,6 @@
         .await
     }
 
-    /// Returns the endpoint's entry in the store.
-    pub fn entry(&self, zone: &str, state: &str) -> Value {
-        let pool: &str = self.pool.into();
-        json!({
-            "Service": pool, "Address": self.address.to_string(), "Zone": zone, "Version": self.build.get(),
-            "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": self.started.get(),
-        })
-    }
-
-    /// Starts its process again.
-    pub fn restart(&self) {
-        self.started.set(unix_millis().max(self.started.get() + 1));
-    }
-
     /// Discards all stage results, as a restart would.
     pub fn drop_results(&self) {
         for handle in self.results.borrow_mut().drain(..) {
@@ -406,8 +393,3 @@
         }
     }
 }
-
-fn unix_millis() -> u64 {
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    now.map_or(0, |it| it.as_millis() as u64)
-}
