Restore two bounds that were loosened after a figure was seen

While the tests of this change were written, two of their bounds were changed to fit what was measured: the part of the retry budget that must be used where endpoints refuse (0.6, lowered to 0.3), and the streams served at the one instance that still reaches endpoints (0.95, left out for all forms of the cut).

--- a/crates/ferry-serve/tests/decisions/budgets/faults.rs
+++ b/crates/ferry-serve/tests/decisions/budgets/faults.rs
@@ -130,7 +130,7 @@
     vec![
         case("failing", vec![Run(9_000), fail, Run(14_000)], 0.6),
         case("broken", vec![Run(9_000), All(pool, Behaviour::Reset), Run(14_000)], 0.6),
-        case("full", vec![Run(9_000), All(pool, Behaviour::Full), Run(14_000)], 0.3),
+        case("full", vec![Run(9_000), All(pool, Behaviour::Full), Run(14_000)], 0.6),
         case("silent", vec![Run(9_000), All(pool, Behaviour::Silent), Run(14_000)], 0.1),
         case("cut off", vec![Run(9_000), Isolate(true), Run(2_000), fail, Run(12_000)], 0.3),
         case(
--- a/crates/ferry-serve/tests/decisions/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/cuts.rs
@@ -125,13 +125,27 @@
     }
     for case in cases {
         let (cut, others) = play(&case);
-        // One instance of six has to make up for the stages that ran in vain at the others.
-        let is_alone = case.n_instances == 6 && case.n_cut == 5 && case.routes[0] == "stream";
-        assert!(is_alone || 0.95 <= others.share(), "{case:?}: {others:?} at the others");
+        // The test below has the one case that does not hold.
+        let is_apart = case.form == CutForm::Hangs && case.n_cut == 5 && case.name == "streams";
+        assert!(is_apart || 0.95 <= others.share(), "{case:?}: {others:?} at the others");
         assert!(MIN_SHARE * others.share() <= cut.share(), "{case:?}: {cut:?}, others {others:?}");
     }
 }
 
+#[test]
+fn last_instance_that_reaches_endpoints_serves_its_own_callers() {
+    let case = Case {
+        name: "streams",
+        n_instances: 6,
+        n_cut: 5,
+        form: CutForm::Hangs,
+        endpoints: "",
+        routes: &["stream", "once"],
+    };
+    let (_, others) = play(&case);
+    assert!(0.95 <= others.share(), "{case:?}: {others:?} at the others");
+}
+
 #[test]
 fn cuts_in_series_leave_callers_served() {
     let mut sim = Simulation::new(6);
