Record in the store which builds a pool has, and which began each stream

Cause: what an instance needs to know of a stream was in the memory of four processes, and of a pool's past in the age of its youngest endpoint. After all instances were killed during a rollout every continuation was refused, and one begun at a build that had just left went on at the one that was left, as that one's endpoints had been there for long. An instance that was cut off may also go on beginning streams at a build whose entries are gone; others took the pool for one of one build after the time of a request.

Change: an object for each pool has the builds with which streams may have begun. A build is added before it gets its first stream (its endpoints get none until then, as long as others are left), and removed once none has had an entry for the longest request and ten seconds. While a pool has several, instances write which build began a stream into objects of their own, in slots that they use in turns, at most as often as the store takes half of its writes. A continuation waits for a read of the store that starts after its arrival; if the store does not answer, peers must agree. The age of endpoints and clocks play no part any longer. With one build, nothing is written, sent or asked but one read for a continuation.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -22,7 +22,7 @@
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
-use crate::{caches, calls, items, peers, probes};
+use crate::{caches, calls, items, peers, probes, records};
 
 /// Lateness of the timer after which the process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(50);
@@ -100,6 +100,8 @@
     pub log: Logger,
     pub metrics: Metrics,
     pub connections: ConnectionCache,
+    /// To the store, for records of builds and streams.
+    pub record_connections: Rc<ConnectionCache>,
     pub memory: BodyMemory,
     /// Permits to read the cache of an engine.
     pub cache_reads: Semaphore,
@@ -136,6 +138,7 @@
             log,
             metrics: Metrics::new(),
             connections: ConnectionCache::new(),
+            record_connections: Rc::default(),
             callers: RefCell::default(),
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -242,6 +245,7 @@
             Effect::Probe { endpoint, started, address } => {
                 probes::start(self, endpoint, started, address);
             }
+            Effect::Record(call) => records::start(self, call),
             Effect::Send { to, message } => peers::send(self, to, &message),
             Effect::Pull { from, version, since } => peers::pull(self, from, version, since),
             Effect::Log(decision) => self.log_decision(&decision),
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod probes;
 pub mod quarantine;
+mod records;
 pub mod relay;
 pub mod run;
 pub mod server;
--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -57,6 +57,9 @@
                 if let Some(config) = snapshot.config {
                     driver.dispatch(Event::Config(config));
                 }
+                if !snapshot.builds.is_empty() {
+                    driver.dispatch(Event::PoolBuilds(snapshot.builds));
+                }
                 driver.dispatch(Event::Store(StoreUpdate::Peer(snapshot.endpoints)));
             }
             Err(error) => driver.warn("could not read the state from a peer", &error),
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -24,7 +24,7 @@
 /// changes that a silent connection hides.
 const RELAXED_WATCH_WAIT: Duration = Duration::from_millis(15_000);
 /// Time limit for a response, in addition to the wait of a watch.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a change of endpoints, so that the next call returns several changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 /// The same on instances that do not follow the store closely, as a divisor of the time for which a
@@ -34,7 +34,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
 #[derive(Debug, Error)]
-enum StoreError {
+pub enum StoreError {
     #[error(transparent)]
     Call(#[from] CallError),
     #[error(transparent)]
@@ -45,18 +45,24 @@
     HistoryGone(u64),
 }
 
-/// A client of the store with a connection of its own.
-struct Client {
+/// A client of the store.
+pub struct Client {
     driver: Rc<Driver>,
-    connections: ConnectionCache,
+    connections: Rc<ConnectionCache>,
 }
 
 impl Client {
-    fn new(driver: &Rc<Driver>) -> Client {
-        Client { driver: driver.clone(), connections: ConnectionCache::new() }
+    /// Returns a client with a connection of its own, for calls that wait.
+    pub fn new(driver: &Rc<Driver>) -> Client {
+        Client::with_connections(driver, Rc::default())
     }
 
-    async fn call(&self, call: &InternalCall, timeout: Duration) -> Result<Bytes, StoreError> {
+    /// Returns a client that shares its connections with others.
+    pub fn with_connections(driver: &Rc<Driver>, connections: Rc<ConnectionCache>) -> Client {
+        Client { driver: driver.clone(), connections }
+    }
+
+    pub async fn call(&self, call: &InternalCall, timeout: Duration) -> Result<Bytes, StoreError> {
         self.driver.metrics.count_store_call();
         let response = self.connections.call(self.driver.settings.store, call, timeout).await?;
         match response.status {
@@ -66,7 +72,7 @@
     }
 
     /// Returns all objects of a kind, and the revision from which to watch.
-    async fn list(&self, kind: Kind) -> Result<(Vec<Object>, u64), StoreError> {
+    pub async fn list(&self, kind: Kind) -> Result<(Vec<Object>, u64), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
         let mut first = None;
         loop {
@@ -173,6 +179,8 @@
                 objects.iter().filter_map(store::read_registration).map(|it| it.peer).collect();
             driver.dispatch(Event::Members(members));
         }
+        // These are read when a decision needs them.
+        Kind::Builds | Kind::Streams => (),
     }
     Ok(Update { revision, is_unchanged: false })
 }
@@ -200,7 +208,7 @@
                 };
                 driver.dispatch(Event::Store(update));
             }
-            Kind::Instances => (),
+            Kind::Instances | Kind::Builds | Kind::Streams => (),
         }
     }
     Ok(Update { revision, is_unchanged: changes.changes.is_empty() })
--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -6,7 +6,7 @@
 
 use ferry_model::{
     ApiKey, BatchLimits, ConfigVersion, GatewayConfig, GatewayPool, Moment, PoolId, Route,
-    SortedMap, WorkspaceId,
+    RouteKind, SortedMap, WorkspaceId,
 };
 
 use crate::RequestHead;
@@ -28,6 +28,8 @@
     former_limits: SortedMap<PoolId, (Moment, BatchLimits)>,
     /// Priorities of requests, sorted.
     ranks: Vec<Rank>,
+    /// Pools of routes whose streams may be taken up, sorted.
+    resumable: Vec<PoolId>,
 }
 
 /// Priority of a request, and that of its route. Where every workspace has a priority of its own,
@@ -77,6 +79,7 @@
                 self.pools = Arc::new(config.pools.clone());
             }
             self.ranks = ranks(&config);
+            self.resumable = resumable_pools(&config);
             self.config = Some(config);
         }
         is_newer
@@ -120,6 +123,11 @@
         self.config.as_ref()?.routes.iter().map(|it| it.time_limit).max()
     }
 
+    /// Returns the pools of routes whose streams may be taken up, sorted.
+    pub fn resumable_pools(&self) -> &[PoolId] {
+        &self.resumable
+    }
+
     /// Whether the current configuration has a pool.
     pub fn has_pool(&self, pool: &str) -> bool {
         self.pools.contains_key(pool)
@@ -173,6 +181,15 @@
     }
 }
 
+fn resumable_pools(config: &GatewayConfig) -> Vec<PoolId> {
+    let streams = config.routes.iter().filter(|it| it.kind == RouteKind::Stream && it.resumable);
+    let mut pools: Vec<PoolId> =
+        streams.flat_map(|it| &it.targets).map(|it| it.pool.clone()).collect();
+    pools.sort_unstable();
+    pools.dedup();
+    pools
+}
+
 /// Returns the priorities that requests with stages may have, sorted.
 fn ranks(config: &GatewayConfig) -> Vec<Rank> {
     let owners = config.keys.iter().flat_map(|it| it.values());
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -7,8 +7,8 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, ItemInput, PeerMessage, RelayedCall, RequestDigest, ResumedStream,
-    StreamEnd,
+    CallId, CallerAttempt, ItemInput, PeerMessage, RecordCall, RelayedCall, RequestDigest,
+    ResumedStream, StreamEnd,
 };
 
 #[derive(Debug, Clone, PartialEq)]
@@ -62,6 +62,8 @@
         started: u64,
         address: SocketAddr,
     },
+    /// Reads or writes records of builds and streams in the store.
+    Record(RecordCall),
     /// Sends a datagram to a peer; it may get lost.
     Send {
         to: SocketAddr,
@@ -330,6 +332,7 @@
     Drain,
     Quarantine,
     Reach,
+    Build,
 }
 
 /// Counters; docs/METRICS.md lists each.
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -15,7 +15,6 @@
 
 use crate::{Mechanism, StoreUpdate, Tuning};
 
-use builds::OnlyBuild;
 use delta::Changes;
 use leaving::Departed;
 use rate_limit::RateLimit;
@@ -67,6 +66,8 @@
     unsure_until: Option<Moment>,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
+    /// Whether it gets nothing until its build is recorded; see [`Endpoints::withhold`].
+    is_withheld: bool,
     /// Since when its entry is missing, if it may only have expired while the store was
     /// unreachable.
     missing_since: Option<Moment>,
@@ -89,6 +90,7 @@
             announced_at: Duration::ZERO,
             unsure_until: None,
             invalid_until: Moment::ZERO,
+            is_withheld: false,
             missing_since: None,
             parts: SortedMap::new(),
         }
@@ -99,9 +101,14 @@
         self.accepts_work() && self.paused <= now
     }
 
-    /// Whether neither its entry nor a response of it says that it leaves.
+    /// Whether it may get work, now or after a pause.
     pub fn accepts_work(&self) -> bool {
-        self.is_listed_live() && !self.has_announced
+        !self.leaves() && !self.is_withheld
+    }
+
+    /// Whether its entry or a response of it says that it leaves.
+    pub fn leaves(&self) -> bool {
+        !self.is_listed_live() || self.has_announced
     }
 
     /// Whether its entry says that it accepts work. Instances that have to agree on something go by
@@ -199,8 +206,8 @@
     views: SortedMap<EndpointId, EndpointView>,
     pools: SortedMap<PoolId, Vec<EndpointId>>,
     zones: SortedMap<SocketAddr, ZoneId>,
-    /// Pools whose endpoints all have the same build.
-    only_builds: SortedMap<PoolId, OnlyBuild>,
+    /// Number of changes so far to the endpoints that may get work.
+    n_changes: u64,
     /// Start of the process as time since the Unix epoch.
     start: Duration,
     /// Store revision of the entries.
@@ -280,7 +287,6 @@
 
     /// Applies an update of the store; returns whether it changed anything.
     pub fn apply(&mut self, now: Moment, tuning: &Tuning, update: StoreUpdate) -> bool {
-        let is_first = !self.is_known();
         let is_changed = match update {
             StoreUpdate::List { revision, endpoints } => self.replace(now, revision, endpoints),
             // A peer or a list already contained a later state.
@@ -309,7 +315,7 @@
             }
         };
         if is_changed {
-            self.index(now, is_first);
+            self.index();
         }
         is_changed
     }
@@ -378,7 +384,7 @@
     fn remove(&mut self, now: Moment, revision: u64, id: &str) -> bool {
         let may_lapse = self.may_have_lapsed(now);
         let Some(view) = self.views.get_mut(id) else { return false };
-        if may_lapse && view.accepts_work() {
+        if may_lapse && !view.leaves() {
             view.missing_since.get_or_insert(now);
             return false;
         }
@@ -387,7 +393,8 @@
         true
     }
 
-    fn index(&mut self, now: Moment, is_first: bool) {
+    fn index(&mut self) {
+        self.n_changes += 1;
         self.pools = SortedMap::new();
         self.zones = SortedMap::new();
         for (id, view) in self.views.iter() {
@@ -395,6 +402,5 @@
             self.pools.get_or_insert_with(endpoint.pool.clone(), Vec::new).push(id.clone());
             self.zones.insert(endpoint.address, endpoint.zone.clone());
         }
-        self.compare_builds(now, is_first);
     }
 }
--- a/crates/ferry-serve/src/endpoints/builds.rs
+++ b/crates/ferry-serve/src/endpoints/builds.rs
@@ -1,58 +1,37 @@
-//! Pools whose endpoints have all had the same build for a while.
+//! The builds of a pool's endpoints.
 
-use std::time::Duration;
+use ferry_model::BuildId;
 
-use ferry_model::{BuildId, Moment, PoolId};
-
-use super::Endpoints;
-
-/// Largest difference between the clocks of an endpoint and of this instance.
-const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
-
-/// The build of all endpoints of a pool.
-#[derive(Debug, Clone)]
-pub(super) struct OnlyBuild {
-    build: BuildId,
-    since: Moment,
-    /// Time before `since` in which no endpoint of the pool was replaced.
-    before: Duration,
-}
+use super::{EndpointView, Endpoints};
 
 impl Endpoints {
-    /// Returns the build of all endpoints of a pool, if none had another one within this time.
-    pub fn only_build(&self, now: Moment, pool: &str, time: Duration) -> Option<&BuildId> {
-        let only = self.only_builds.get(pool)?;
-        (time <= now - only.since + only.before).then_some(&only.build)
+    /// Number of changes so far to the endpoints that may get work.
+    pub fn n_changes(&self) -> u64 {
+        self.n_changes
     }
 
-    /// Updates which pools have one build only.
-    ///
-    /// An instance that has just started has not seen earlier ones. A rollout starts new endpoints, so
-    /// there was none since the youngest one started.
-    pub(super) fn compare_builds(&mut self, now: Moment, is_first: bool) {
-        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
-        self.only_builds.retain(|it, _| pools.binary_search(it).is_ok());
-        for pool in pools {
-            let Some((build, youngest)) = self.shared_build(&pool) else {
-                self.only_builds.remove(&pool);
-                continue;
-            };
-            if self.only_builds.get(&pool).is_some_and(|it| it.build == build) {
-                continue;
-            }
-            let age = (self.start + now).saturating_sub(youngest);
-            let before =
-                if is_first { age.saturating_sub(MAX_CLOCK_ERROR) } else { Duration::ZERO };
-            self.only_builds.insert(pool, OnlyBuild { build, since: now, before });
-        }
+    /// Returns the builds of a pool's endpoints, sorted.
+    pub fn builds(&self, pool: &str) -> Vec<BuildId> {
+        let mut builds: Vec<BuildId> =
+            self.pool(pool).map(|it| it.endpoint.build.clone()).collect();
+        builds.sort_unstable();
+        builds.dedup();
+        builds
     }
 
-    /// Returns the build that all endpoints of a pool have, and the start of the youngest one as time
-    /// since the Unix epoch; none if their builds differ.
-    fn shared_build(&self, pool: &str) -> Option<(BuildId, Duration)> {
-        let build = &self.pool(pool).next()?.endpoint.build;
-        let is_shared = self.pool(pool).all(|it| it.endpoint.build == *build);
-        let youngest = self.pool(pool).map(|it| it.endpoint.started).max()?;
-        is_shared.then(|| (build.clone(), Duration::from_millis(youngest)))
+    /// Withholds work from the endpoints of a pool whose builds the store does not record yet, as long
+    /// as others are left.
+    ///
+    /// An instance that starts later could not know that such a build has begun streams.
+    pub fn withhold(&mut self, pool: &str, recorded: Option<&[BuildId]>) {
+        let is_recorded = |it: &EndpointView| {
+            recorded.is_none_or(|builds| builds.binary_search(&it.endpoint.build).is_ok())
+        };
+        let has_recorded = self.pool(pool).any(|it| is_recorded(it) && !it.leaves());
+        let ids = self.pools.get(pool).cloned().unwrap_or_default();
+        for id in ids {
+            let Some(view) = self.views.get_mut(&id) else { continue };
+            view.is_withheld = has_recorded && !is_recorded(view);
+        }
     }
 }
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -54,7 +54,9 @@
         };
         view.announced_at = at;
         view.unsure_until = None;
-        !std::mem::replace(&mut view.has_announced, true)
+        let is_new = !std::mem::replace(&mut view.has_announced, true);
+        self.n_changes += u64::from(is_new);
+        is_new
     }
 
     /// Replaces an endpoint by another start of it.
@@ -82,13 +84,14 @@
         for view in self.views.values_mut().filter(is_due) {
             view.unsure_until = None;
             view.has_announced = false;
+            self.n_changes += 1;
         }
     }
 
     /// Whether every endpoint with this address leaves; false if none is known.
     pub fn is_leaving_at(&self, address: SocketAddr) -> bool {
         let mut at = self.views.values().filter(|it| it.endpoint.address == address).peekable();
-        at.peek().is_some() && at.all(|it| !it.accepts_work())
+        at.peek().is_some() && at.all(EndpointView::leaves)
     }
 
     /// Adds the endpoint of an entry.
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -39,7 +39,7 @@
             self.forget(&id);
             self.record_change(self.revision, &id);
         }
-        self.index(now, false);
+        self.index();
     }
 
     /// Returns when an endpoint may be removed because its entry is missing, or may accept work
@@ -53,7 +53,7 @@
 
     /// Whether an endpoint of the same pool accepts work whose entry is not missing.
     fn has_other(&self, view: &EndpointView) -> bool {
-        let is_other = |it: &EndpointView| it.missing_since.is_none() && it.accepts_work();
+        let is_other = |it: &EndpointView| it.missing_since.is_none() && !it.leaves();
         self.pool(&view.endpoint.pool).any(is_other)
     }
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LeavingReport, LimitReport, LoadReport,
-    PeerMessage, QuarantineAction, RequestDigest, Tuning,
+    PeerMessage, PoolBuilds, QuarantineAction, RecordReply, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -26,6 +26,10 @@
     /// A configuration was read from the store or from a peer.
     Config(Arc<GatewayConfig>),
     Store(StoreUpdate),
+    /// A call for records of builds and streams ended.
+    Record(RecordReply),
+    /// The builds of pools that the store has recorded, as a peer knows them.
+    PoolBuilds(Vec<PoolBuilds>),
     /// Peer addresses of the other registered instances.
     Members(Vec<SocketAddr>),
     /// A caller's request was read completely.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::admission::{AdmissionController, Shard};
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::limits::exchange;
+use crate::origins;
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
 use crate::quarantine;
@@ -133,6 +134,12 @@
             }
             Event::Config(config) => updates::configure(cx, &mut self.batcher, config),
             Event::Store(update) => updates::on_store(cx, update),
+            Event::Record(reply) => {
+                if let Some(read) = origins::exchange::on_reply(cx, reply) {
+                    self.requests.on_records(cx, &mut self.batcher, read);
+                }
+            }
+            Event::PoolBuilds(pools) => origins::exchange::on_pool_builds(cx, pools),
             Event::Members(addresses) => {
                 let own = cx.ctx.identity.peer;
                 cx.ctx.peers.add_known(&addresses, own);
@@ -178,6 +185,9 @@
         self.requests.enforce_quarantine(cx, &mut self.batcher);
         self.requests.avoid_leaving(cx, &mut self.batcher);
         updates::update_reach(cx);
+        for pool in origins::exchange::update(cx) {
+            self.requests.record_streams(cx, &pool);
+        }
         self.settle(now, &mut effects, Settlement { outcomes, released, permits });
         self.finish(now, &mut effects);
         effects
@@ -193,6 +203,7 @@
             self.ctx.crash_watch.next_wake(),
             self.ctx.collector.next_wake(),
             self.ctx.reach.next_wake(now),
+            self.ctx.origins.next_wake().filter(|_| !self.ctx.endpoints.is_store_down()),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
@@ -252,7 +263,11 @@
     /// at revision `since`.
     pub fn snapshot(&self, version: ConfigVersion, since: u64) -> Snapshot {
         let config = self.ctx.catalog.config().filter(|it| version < it.version);
-        Snapshot { config: config.cloned(), endpoints: self.ctx.endpoints.delta(since) }
+        Snapshot {
+            config: config.cloned(),
+            endpoints: self.ctx.endpoints.delta(since),
+            builds: self.ctx.origins.pool_builds(),
+        }
     }
 
     /// Does what is due after any event: heartbeats, reading from peers, and shutdown steps.
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::{Batcher, Job, JobOwner};
 use crate::limits::exchange;
+use crate::origins;
 use crate::pass::{Context, Pass};
 use crate::quarantine;
 use crate::request::{Requests, evaluate, origin, schedule};
@@ -198,6 +199,10 @@
         PeerMessage::Origin { attempt, build } => {
             requests.on_origin(cx, batcher, &attempt, build);
         }
+        PeerMessage::OnlyBuild { attempt, build } => {
+            requests.on_only_build(cx, batcher, &attempt, build);
+        }
+        PeerMessage::PoolBuilds(pools) => origins::exchange::on_pool_builds(cx, pools),
         PeerMessage::Accepted(key) => requests.on_accepted(&key),
         PeerMessage::Withdraw(key) => batcher.withdraw(cx, &key),
         PeerMessage::JobOutcome { key, outcome } => cx.outcomes.push((key, outcome)),
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -47,7 +47,10 @@
 pub use group::{Group, groups};
 pub use limits::{Limiter, PermitAnswer, PermitId, PermitReply, PermitRequest};
 pub use mechanism::Mechanism;
-pub use origins::Origins;
+pub use origins::{
+    Origins, PoolBuilds, ReadId, RecordCall, RecordReply, StoredRecords, StreamRecord, StreamSlot,
+    WriteFailure,
+};
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
 pub use quarantine::{
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -19,8 +19,8 @@
 use crate::{
     CallId, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, Effect, Endpoints,
     EndpointsDelta, Group, Limiter, Mechanism, Metric, Observations, Origins, Peers, PermitAnswer,
-    PermitId, Quarantine, Reach, RequestHead, RetryBudget, RetryShare, Scheduled, Scheduler,
-    Tuning,
+    PermitId, PoolBuilds, Quarantine, Reach, RequestHead, RetryBudget, RetryShare, Scheduled,
+    Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -229,4 +229,7 @@
     /// None if the reader already has it.
     pub config: Option<Arc<GatewayConfig>>,
     pub endpoints: EndpointsDelta,
+    /// Builds of pools that the store has recorded.
+    #[serde(default)]
+    pub builds: Vec<PoolBuilds>,
 }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -12,8 +12,8 @@
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
     CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, Group, ItemInput, JobKey,
-    JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, QuarantineNotice,
-    RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
+    JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, PoolBuilds,
+    QuarantineNotice, RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -182,6 +182,14 @@
     CrashInquiry(Box<CrashInquiry>),
     /// Answers that.
     CounterEvidence(Box<CounterEvidence>),
+    /// Reports the builds of pools that the store has recorded.
+    PoolBuilds(Vec<PoolBuilds>),
+    /// Answers which build began a stream if that is not known, with the only build of its pool; none
+    /// if there may be others.
+    OnlyBuild {
+        attempt: CallerAttempt,
+        build: Option<BuildId>,
+    },
 }
 
 /// Asks which build began a stream that a request continues.
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -24,6 +24,7 @@
 
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
+use crate::origins::exchange::Read;
 use crate::pass::Pass;
 use crate::{
     Arrival, CallEvent, CallId, CallerAttempt, Effect, PermitAnswer, PermitId, Scheduled, Tuning,
@@ -127,6 +128,38 @@
         });
     }
 
+    /// Applies what a peer knows of the builds of a stream's pool.
+    pub fn on_only_build(
+        &mut self,
+        cx: &mut Pass<'_>,
+        batcher: &mut Batcher,
+        attempt: &CallerAttempt,
+        build: Option<BuildId>,
+    ) {
+        self.on_answer(cx, batcher, attempt, |cx, batcher, request| {
+            origin::on_only_build(cx, batcher, request, build)
+        });
+    }
+
+    /// Decides on the continuations that have waited for a read of the store.
+    pub fn on_records(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher, read: Read) {
+        let waiting = self.active.iter().filter(|it| origin::waits_for(it.1, read));
+        let tickets: Vec<Ticket> = waiting.map(|it| *it.0).collect();
+        for ticket in tickets {
+            let Some(mut request) = self.active.remove(&ticket) else { continue };
+            match origin::on_read(cx, batcher, &mut request, read) {
+                true => self.forget(cx, &mut request),
+                false => self.proceed(cx, batcher, request),
+            }
+        }
+    }
+
+    /// Records the streams in progress of a pool that has got a second build.
+    pub fn record_streams(&mut self, cx: &mut Pass<'_>, pool: &str) {
+        let streams = self.active.values().filter(|it| it.pool == pool);
+        streams.for_each(|it| origin::record(cx, it));
+    }
+
     /// Sends a request to the engine that its scheduler has chosen.
     pub fn on_scheduled(
         &mut self,
@@ -295,8 +328,10 @@
                     continue;
                 }
             }
-            if matches!(request.phase, Phase::AwaitingBuild { until } if until <= cx.now) {
-                request.phase = Phase::RunningStages;
+            let is_overdue = request.inquiry().is_some_and(|it| it.until <= cx.now);
+            if is_overdue && origin::decide(cx, batcher, &mut request) {
+                self.forget(cx, &mut request);
+                continue;
             }
             if request.fetched_at().is_some_and(|it| it <= cx.now) {
                 call::on_fetched(cx, batcher, &mut request);
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -12,7 +12,7 @@
 use super::permit::PermitWait;
 use crate::batch::JobKey;
 use crate::catalog::Pools;
-use crate::{Asker, CallId, Group, PermitId, RequestDigest, RequestHead, Tuning};
+use crate::{Asker, CallId, Group, PermitId, ReadId, RequestDigest, RequestHead, Tuning};
 
 #[derive(Debug, Clone)]
 pub struct ActiveRequest {
@@ -85,13 +85,41 @@
 pub enum StreamBuild {
     /// No event of the stream has arrived yet.
     Any,
-    /// Peers were asked; without an answer by `until`, this instance decides.
-    Asked {
-        until: Moment,
-    },
+    /// The store or peers were asked.
+    Asked(Inquiry),
     Known(BuildId),
 }
 
+/// An open question which build began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Inquiry {
+    pub store: StoreRead,
+    /// Until when peers may answer; none if they were not asked.
+    pub peers_until: Option<Moment>,
+    /// Number of peers that were asked.
+    pub n_asked: usize,
+    /// Until when the answers are waited for.
+    pub until: Moment,
+    /// The only builds of the pool as peers know them; none from a peer that knows of several.
+    pub only_builds: Vec<Option<BuildId>>,
+}
+
+impl Inquiry {
+    /// Returns a question that waits for a read of the store until then.
+    pub fn new(store: StoreRead, until: Moment) -> Inquiry {
+        Inquiry { store, peers_until: None, n_asked: 0, until, only_builds: Vec::new() }
+    }
+}
+
+/// What the store has said of an open question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreRead {
+    Open(ReadId),
+    Answered,
+    /// It does not answer.
+    Failed,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum StageState {
     /// Its inputs are not available yet.
@@ -134,10 +162,8 @@
         until: Moment,
     },
     RunningStages,
-    /// Waits for a peer that knows the build of its stream.
-    AwaitingBuild {
-        until: Moment,
-    },
+    /// Waits until the build of its stream is known.
+    AwaitingBuild,
     /// Waits for the engine that the scheduler chooses.
     AwaitingEndpoint {
         until: Moment,
@@ -194,7 +220,7 @@
         match &self.phase {
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
-            | Phase::AwaitingBuild { .. }
+            | Phase::AwaitingBuild
             | Phase::AwaitingEndpoint { .. }
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current.call),
@@ -206,7 +232,7 @@
         let current = match &self.phase {
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
-            | Phase::AwaitingBuild { .. }
+            | Phase::AwaitingBuild
             | Phase::AwaitingEndpoint { .. }
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => Some(current),
@@ -236,7 +262,15 @@
     pub fn needed_build(&self) -> Option<&str> {
         match &self.build {
             StreamBuild::Known(build) => Some(build),
-            StreamBuild::Any | StreamBuild::Asked { .. } => None,
+            StreamBuild::Any | StreamBuild::Asked(_) => None,
+        }
+    }
+
+    /// Returns the open question which build began its stream.
+    pub fn inquiry(&self) -> Option<&Inquiry> {
+        match &self.build {
+            StreamBuild::Asked(inquiry) => Some(inquiry),
+            StreamBuild::Any | StreamBuild::Known(_) => None,
         }
     }
 
@@ -299,6 +333,7 @@
             StageState::Submitted(_) | StageState::Waiting | StageState::Done { .. } => None,
         });
         submitted
+            .chain(self.inquiry().map(|it| it.until))
             .chain(self.timeout_at(tuning))
             .chain(self.fetched_at())
             .chain(self.answer_timeout())
@@ -307,11 +342,9 @@
 
     fn answer_timeout(&self) -> Option<Moment> {
         match &self.phase {
-            Phase::AwaitingAdmission { until }
-            | Phase::AwaitingBuild { until }
-            | Phase::AwaitingEndpoint { until } => Some(*until),
+            Phase::AwaitingAdmission { until } | Phase::AwaitingEndpoint { until } => Some(*until),
             Phase::AwaitingPermit(wait) => Some(wait.permit.until),
-            Phase::RunningStages | Phase::Calling(_) => None,
+            Phase::RunningStages | Phase::AwaitingBuild | Phase::Calling(_) => None,
         }
     }
 
@@ -319,7 +352,7 @@
         match &self.phase {
             Phase::AwaitingAdmission { .. }
             | Phase::RunningStages
-            | Phase::AwaitingBuild { .. }
+            | Phase::AwaitingBuild
             | Phase::AwaitingEndpoint { .. }
             | Phase::AwaitingPermit(_) => None,
             Phase::Calling(current) => current.fetched_at,
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -74,7 +74,7 @@
         Phase::AwaitingPermit(wait) => Some(&wait.choice.endpoint),
         Phase::AwaitingAdmission { .. }
         | Phase::RunningStages
-        | Phase::AwaitingBuild { .. }
+        | Phase::AwaitingBuild
         | Phase::AwaitingEndpoint { .. }
         | Phase::Calling(_) => None,
     }
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -5,7 +5,7 @@
 
 use ferry_model::{PoolKind, ZoneId};
 
-use super::active::{ActiveRequest, Phase, StreamBuild};
+use super::active::{ActiveRequest, Phase};
 use super::{call, origin};
 use crate::batch::Batcher;
 use crate::choose::{prefixes, shared_key};
@@ -23,14 +23,12 @@
 
 /// Sends a request whose stages are done, or asks where to; returns whether it has ended instead.
 pub fn start(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) -> bool {
-    if let StreamBuild::Asked { until } = request.build {
-        if cx.now < until {
-            request.phase = Phase::AwaitingBuild { until };
-            return false;
-        }
-        if origin::on_timeout(cx, batcher, request) {
-            return true;
-        }
+    if origin::decide(cx, batcher, request) {
+        return true;
+    }
+    if request.inquiry().is_some() {
+        request.phase = Phase::AwaitingBuild;
+        return false;
     }
     let is_scheduled = cx.ctx.tuning.is_enabled(Mechanism::Scheduling);
     let Some(wanted) = wanted(cx, request).filter(|_| is_scheduled) else {
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -136,7 +136,7 @@
         Phase::AwaitingPermit(_) => permit::withdraw(cx, request),
         Phase::AwaitingAdmission { .. }
         | Phase::RunningStages
-        | Phase::AwaitingBuild { .. }
+        | Phase::AwaitingBuild
         | Phase::AwaitingEndpoint { .. } => (),
     }
     retry::release(cx, request);
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -66,6 +66,8 @@
     pub close_after: Duration,
     /// Time between the shutdown request and the forced exit.
     pub shutdown_grace: Duration,
+    /// Writes per second that the store takes from all instances together.
+    pub store_writes: f64,
     /// Mechanisms that are switched off, sorted.
     pub disabled: Vec<Mechanism>,
 }
@@ -100,6 +102,7 @@
             job_retention: ms(6_000),
             close_after: ms(2_800),
             shutdown_grace: ms(8_000),
+            store_writes: 400.0,
             disabled: Vec::new(),
         }
     }
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod quarantine;
 mod rate_limits;
+mod rejoined;
 mod requests;
 mod schedule;
 mod seeds;
--- a/crates/ferry-serve/tests/decisions/simulation/network.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/network.rs
@@ -9,6 +9,9 @@
 impl Simulation {
     pub(super) fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
         self.count_bytes(from, &message);
+        let is_about_builds =
+            matches!(message, PeerMessage::Began { .. } | PeerMessage::OriginRequest(_));
+        self.records.n_messages += usize::from(is_about_builds);
         let is_lost = self.drop_one_in.is_some_and(|it| self.next_random().is_multiple_of(it));
         let to = usize::from(to.port()) - 7_000;
         if is_lost || self.is_cut(from, to) {
--- /dev/null
+++ b/crates/ferry-serve/tests/decisions/simulation/records.rs
@@ -0,0 +1,154 @@
+//! The records of builds and streams in the store, and what the store does with calls for them.
+
+use std::time::Duration;
+
+use ferry_model::SortedMap;
+use ferry_serve::{
+    Event, PoolBuilds, RecordCall, RecordReply, StoreUpdate, StoredRecords, StreamSlot,
+    WriteFailure,
+};
+
+use super::{Simulation, ms};
+
+/// Time that the store takes for a call.
+const STORE_DELAY: Duration = ms(4);
+/// Time after which an instance gives a call up.
+const TIMEOUT: Duration = ms(900);
+
+/// How the store treats the calls of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreState {
+    Refuses,
+    Silent,
+    Slow,
+}
+
+#[derive(Debug, Default)]
+pub struct RecordStore {
+    revision: u64,
+    pools: SortedMap<String, PoolBuilds>,
+    slots: SortedMap<(String, u32), StreamSlot>,
+    /// Instances that the store does not serve as usual.
+    states: SortedMap<usize, StoreState>,
+    /// One in this many writes is executed without an answer, some of them seconds later.
+    pub lose_one_in: Option<u64>,
+    /// Messages between instances about builds.
+    pub n_messages: usize,
+    pub n_reads: usize,
+    pub n_writes: usize,
+    /// Bytes of the attempts and builds in all writes.
+    pub n_bytes: usize,
+}
+
+impl RecordStore {
+    /// Executes a write if its condition holds.
+    fn write(&mut self, call: &RecordCall) -> Result<u64, WriteFailure> {
+        let (before, expected) = match call {
+            RecordCall::Read { .. } => return Err(WriteFailure::Failed),
+            RecordCall::WriteBuilds(it) => {
+                (self.pools.get(&it.pool).and_then(|it| it.revision), it.revision)
+            }
+            RecordCall::WriteStreams(it) => {
+                let key = (it.instance.clone(), it.number);
+                (self.slots.get(&key).and_then(|it| it.revision), it.revision)
+            }
+        };
+        if before != expected {
+            return Err(WriteFailure::Conflict);
+        }
+        self.revision += 1;
+        let revision = Some(self.revision);
+        match call.clone() {
+            RecordCall::Read { .. } => (),
+            RecordCall::WriteBuilds(it) => {
+                self.pools.insert(it.pool.clone(), PoolBuilds { revision, ..it });
+            }
+            RecordCall::WriteStreams(it) => {
+                let key = (it.instance.clone(), it.number);
+                self.slots.insert(key, StreamSlot { revision, ..it });
+            }
+        }
+        Ok(self.revision)
+    }
+
+    fn read(&self, with_streams: bool) -> StoredRecords {
+        let pools = self.pools.values().cloned().collect();
+        let streams = with_streams.then(|| self.slots.values().cloned().collect());
+        StoredRecords { pools, streams }
+    }
+
+    /// Returns the recorded builds of a pool.
+    pub fn builds(&self, pool: &str) -> &[String] {
+        self.pools.get(pool).map_or(&[], |it| &it.builds)
+    }
+}
+
+fn reply(call: RecordCall, result: Result<u64, WriteFailure>) -> RecordReply {
+    match call {
+        RecordCall::Read { id, .. } => RecordReply::Read { id, records: None },
+        RecordCall::WriteBuilds(it) => RecordReply::Builds { pool: it.pool, result },
+        RecordCall::WriteStreams(it) => RecordReply::Streams { slot: it.number, result },
+    }
+}
+
+impl Simulation {
+    /// Sets how the store treats an instance, which notices it.
+    pub fn set_store(&mut self, instance: usize, state: Option<StoreState>) {
+        match state {
+            Some(state) => self.records.states.insert(instance, state),
+            None => self.records.states.remove(&instance),
+        };
+        let update = match state {
+            Some(StoreState::Refuses | StoreState::Silent) => StoreUpdate::Unreachable,
+            Some(StoreState::Slow) | None => StoreUpdate::Reachable,
+        };
+        self.deliver(instance, Event::Store(update));
+    }
+
+    /// Executes a call, and answers it.
+    pub(super) fn call_store(&mut self, instance: usize, call: RecordCall) {
+        let is_read = matches!(call, RecordCall::Read { .. });
+        self.records.n_reads += usize::from(is_read);
+        self.records.n_writes += usize::from(!is_read);
+        if let RecordCall::WriteStreams(slot) = &call {
+            let len = |it: &ferry_serve::StreamRecord| it.attempt.len() + 3;
+            self.records.n_bytes += slot.streams.iter().map(len).sum::<usize>();
+        }
+        let delay = match self.records.states.get(&instance) {
+            Some(StoreState::Refuses) => {
+                let reply = reply(call, Err(WriteFailure::Failed));
+                return self.schedule(instance, STORE_DELAY, Event::Record(reply));
+            }
+            Some(StoreState::Silent) => {
+                let reply = reply(call, Err(WriteFailure::Failed));
+                return self.schedule(instance, TIMEOUT, Event::Record(reply));
+            }
+            Some(StoreState::Slow) => STORE_DELAY * 25,
+            None => STORE_DELAY,
+        };
+        let is_lost = !is_read
+            && self.records.lose_one_in.is_some_and(|it| self.next_random().is_multiple_of(it));
+        if is_lost {
+            let after = ms(self.next_random() % 6_000) * (self.next_random() % 2) as u32;
+            self.push_write(after, call.clone());
+            let reply = reply(call, Err(WriteFailure::Failed));
+            return self.schedule(instance, TIMEOUT, Event::Record(reply));
+        }
+        let reply = match call {
+            RecordCall::Read { id, with_streams } => {
+                RecordReply::Read { id, records: Some(self.records.read(with_streams)) }
+            }
+            call => {
+                let result = self.records.write(&call);
+                reply(call, result)
+            }
+        };
+        self.schedule(instance, delay, Event::Record(reply));
+    }
+
+    /// Executes a write whose answer was lost.
+    pub(super) fn write_late(&mut self, call: &RecordCall) {
+        // Its condition may no longer hold.
+        let _ = self.records.write(call);
+    }
+}
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -93,15 +93,16 @@
         self.changed.notify_waiters();
     }
 
-    /// Creates or replaces an object.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    /// Creates or replaces an object, and returns it.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
         let revision = self.next_revision();
         let object = json!({
             "Metadata": { "Name": name, "Revision": revision, "CreateRev": revision },
             "Spec": spec, "Status": null,
         });
         self.objects.borrow_mut().insert((kind.to_owned(), name.to_owned()), object.clone());
-        self.record(revision, kind, object, false);
+        self.record(revision, kind, object.clone(), false);
+        object
     }
 
     /// Removes an object if it exists.
@@ -146,9 +147,7 @@
             },
             (Method::POST, None) => self.create(&path, &body)?,
             (Method::PUT, Some((kind, name))) => {
-                let object: Value = serde_json::from_slice(&body).ok()?;
-                self.put(kind, name, object["Spec"].clone());
-                full_response(StatusCode::OK, body)
+                self.replace(kind, name, &serde_json::from_slice(&body).ok()?)
             }
             _ => full_response(StatusCode::NOT_FOUND, ""),
         };
@@ -160,11 +159,25 @@
         let object: Value = serde_json::from_slice(body).ok()?;
         let name = object["Metadata"]["Name"].as_str()?.to_owned();
         let key = (kind.to_owned(), name.clone());
-        if self.objects.borrow().contains_key(&key) {
-            return Some(full_response(StatusCode::CONFLICT, ""));
+        if let Some(present) = self.objects.borrow().get(&key) {
+            return Some(full_response(StatusCode::CONFLICT, present.to_string()));
         }
-        self.put(kind, &name, object["Spec"].clone());
-        Some(full_response(StatusCode::OK, body.to_vec()))
+        let created = self.put(kind, &name, object["Spec"].clone());
+        Some(full_response(StatusCode::OK, created.to_string()))
+    }
+
+    /// Replaces an object, if it has the revision that the call names.
+    fn replace(&self, kind: &str, name: &str, object: &Value) -> Response<Body> {
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(present) = self.objects.borrow().get(&key).cloned() else {
+            return full_response(StatusCode::NOT_FOUND, "");
+        };
+        let expected = &object["Metadata"]["Revision"];
+        if !expected.is_null() && *expected != present["Metadata"]["Revision"] {
+            return full_response(StatusCode::CONFLICT, present.to_string());
+        }
+        let replaced = self.put(kind, name, object["Spec"].clone());
+        full_response(StatusCode::OK, replaced.to_string())
     }
 
     async fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
