Admit continuations of streams like new requests, by the time they have left

Cause: a continuation counted as late, as the objective of its route counts from the first attempt. The admission of stages then served it from what requests in time leave, which is nothing under load: after all instances were killed, up to two thirds of the continuations were refused while three quarters of the new streams began. Its caller has the first event, so what matters to it is when the next one comes.

Change: a continuation counts from its arrival, with the objective of its route or its deadline, whichever is earlier. It stays a retry for the admission.

--- a/crates/ferry-serve/src/request/admit.rs
+++ b/crates/ferry-serve/src/request/admit.rs
@@ -168,5 +168,7 @@
         return None;
     }
     let expected = times::full_path_time(request) + call::engine_time(cx, request);
-    Some(request.objective().saturating_sub(cx.now + expected))
+    // A continuation may have less time left than the objective of its route.
+    let until = request.objective().min(request.deadline);
+    Some(until.saturating_sub(cx.now + expected))
 }
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -32,7 +32,8 @@
         cx.ctx.retry_budget(&resolved.pool).record_request(now, &tuning);
     }
     let mut comparison = cx.ctx.compare_to_route(&resolved.route, &arrival.head);
-    if !tuning.is_enabled(Mechanism::AttemptAges) {
+    // The caller of a continuation has its first event, so the time that this took delays it no longer.
+    if !tuning.is_enabled(Mechanism::AttemptAges) || arrival.head.resumed.is_some() {
         comparison.elapsed = Duration::ZERO;
     }
     let mut request = new_request(cx.now, comparison, arrival, resolved);
@@ -111,7 +112,7 @@
         class,
         value,
         priority: resolved.priority,
-        is_retry: Duration::ZERO < comparison.elapsed,
+        is_retry: Duration::ZERO < comparison.elapsed || head.resumed.is_some(),
         arrived: now.saturating_sub(comparison.elapsed),
         deadline: now + time_left,
         phase: Phase::RunningStages,
--- a/crates/ferry-serve/tests/decisions/rejoined.rs
+++ b/crates/ferry-serve/tests/decisions/rejoined.rs
@@ -315,3 +315,48 @@
     assert_eq!((sim.records.n_reads, sim.records.n_writes), before);
     assert_eq!(sim.records.n_messages, 0);
 }
+
+/// The stages serve 56 requests a second. A caller that takes up its stream has part of the answer, and
+/// less time left than one that begins.
+#[test]
+fn continuation_is_served_like_a_new_request_under_load() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds between two requests, one of five of which is a continuation.
+        interval: u64,
+        least: f64,
+    }
+    let cases = [
+        Case { name: "half of the capacity", interval: 36, least: 0.99 },
+        Case { name: "one and a half times the capacity", interval: 12, least: 0.9 },
+        Case { name: "twice the capacity", interval: 9, least: 0.9 },
+    ];
+    for Case { name, interval, least } in cases {
+        let mut sim = Simulation::new(3);
+        sim.run_for(ms(3_000));
+        let (mut begun, mut continued) = (Vec::new(), Vec::new());
+        for number in 0..6_000 / interval {
+            let attempt = format!("attempt-{number}");
+            let request = head("stream", &attempt);
+            if number % 5 == 0 {
+                let first = format!("first-{number}");
+                let resumed = continuation(&attempt, &first).resumed;
+                let time_left = Some(ms(2_400));
+                sim.arrive(0, &attempt, RequestHead { resumed, time_left, ..request });
+                continued.push(attempt);
+            } else {
+                sim.arrive((number % 3) as usize, &attempt, request);
+                begun.push(attempt);
+            }
+            sim.run_for(ms(interval));
+        }
+        sim.run_for(ms(5_000));
+        let share = |attempts: &[String]| {
+            let is_served = |it: &&String| sim.outcome(it).ending == Ending::Stream;
+            attempts.iter().filter(is_served).count() as f64 / attempts.len() as f64
+        };
+        let (begun, continued) = (share(&begun), share(&continued));
+        println!("{name}: {begun:.2} of the new ones are served, {continued:.2} of the others");
+        assert!(least * begun <= continued, "{name}: {continued} of the continuations, {begun}");
+    }
+}
