Kill all gateways at once in the soak, and take streams up as callers do

Cause: the soak killed one gateway at a time, and its callers took a stream up once, at once. No run could show what a restart of all of them does to streams.

A caller waits for a gateway and comes again three times. Streams of two builds are found as in every run; at least nine in ten of those taken up must come to their end.

--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -31,6 +31,9 @@
 /// Seeds with which streams ended because their endpoint was silent for a moment.
 const CALM_SEEDS: [u64; 2] = [40, 42];
 
+/// Seed with which all gateways are killed several times.
+const HERD_SEED: u64 = 1;
+
 #[test]
 fn guarantees_hold_under_random_faults() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -61,6 +64,17 @@
     }
 }
 
+#[test]
+fn streams_go_on_after_all_gateways_were_killed() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime starts");
+    let options = options(HERD_SEED, 10, Some(Only::Herds));
+    let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
+    let report = report.expect("the soak runs");
+    assert!(report.is_ok(), "seed {HERD_SEED}: {report:#?}");
+    assert!(0 < report.take_ups.0, "seed {HERD_SEED}: {report:#?}");
+}
+
 fn options(seed: u64, seconds: u64, only: Option<Only>) -> SoakOptions {
     let kind = if only.is_some() { "calm" } else { "soak" };
     SoakOptions {
--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
 
 use crate::checker::{Checker, Outcome};
 use crate::config::{API_KEY, DEADLINE_MS, HOST, Route};
@@ -27,6 +28,14 @@
 /// Time after the deadline for which a caller still waits.
 const GRACE: Duration = Duration::from_millis(600);
 
+/// Time for which a caller looks for a gateway to take up its stream, and the pause between two tries.
+const GATEWAY_TIMEOUT: Duration = Duration::from_secs(3);
+const GATEWAY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How often a refused caller comes again, and the pause before that.
+const N_RETRIES: usize = 2;
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A caller that sends one request at a time.
@@ -65,7 +74,7 @@
         self.send_body(route, body, prompt.to_owned()).await;
     }
 
-    /// Sends a request and records its outcome; a resumable stream that breaks off is taken up once.
+    /// Sends a request and records its outcome; a resumable stream that breaks off is taken up.
     async fn send_body(&mut self, route: Route, body: &str, prompt: String) {
         self.n_sent += 1;
         let attempt = format!("{}-{}", self.name, self.n_sent);
@@ -73,14 +82,47 @@
         self.try_send(route, &attempt, body, &mut stream).await;
         if route == Route::Stream && stream.is_broken() {
             self.checker.count_take_up();
-            let next = format!("{attempt}-again");
-            stream.first_attempt = Some(attempt);
-            if self.try_send(route, &next, body, &mut stream).await == Outcome::Success {
+            stream.first_attempt = Some(attempt.clone());
+            if self.take_up(route, &attempt, body, &mut stream).await == Outcome::Success {
                 self.checker.count_continued();
             }
         }
     }
 
+    /// Takes a stream up, and again if that was refused or its gateway was killed as well.
+    async fn take_up(
+        &mut self,
+        route: Route,
+        first: &str,
+        body: &str,
+        stream: &mut Stream,
+    ) -> Outcome {
+        let mut outcome = Outcome::Disconnected;
+        for number in 0..=N_RETRIES {
+            if 0 < number {
+                sleep(RETRY_PAUSE).await;
+            }
+            self.wait_for_gateway().await;
+            outcome = self.try_send(route, &format!("{first}-again-{number}"), body, stream).await;
+            match outcome {
+                Outcome::Success | Outcome::Failed(_) => break,
+                Outcome::Refused(_) | Outcome::Disconnected => (),
+            }
+        }
+        outcome
+    }
+
+    /// Waits until a gateway accepts a connection, as all of them may have been killed.
+    async fn wait_for_gateway(&mut self) {
+        let until = Instant::now() + GATEWAY_TIMEOUT;
+        while self.connection.is_none() && Instant::now() < until {
+            self.connection = self.connection().await;
+            if self.connection.is_none() {
+                sleep(GATEWAY_INTERVAL).await;
+            }
+        }
+    }
+
     async fn try_send(
         &mut self,
         route: Route,
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -33,8 +33,9 @@
     /// number of gateways, 2 to 240 (4)
     #[argh(option, default = "4", from_str_fn(n_processes))]
     processes: usize,
-    /// only these faults: pauses (moments of silence, configurations and SIGHUP) or configurations
-    /// (the same with series of configurations apart from each other); all by default
+    /// only these faults: pauses (moments of silence, configurations and SIGHUP), configurations (the
+    /// same with series of configurations apart from each other) or herds (all gateways are killed at
+    /// once); all by default
     #[argh(option)]
     only: Option<Only>,
     /// sends prompts on which engines crash, and requests on which all endpoints do
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::cluster::{Cluster, N_ENDPOINTS, Signal};
 use crate::config::{Variation, desired_state};
-use crate::endpoint::Behaviour;
+use crate::endpoint::{Behaviour, Pool};
 use crate::losses::Trouble;
 use crate::proxy::{Answers, Link};
 use crate::soak::Only;
@@ -145,6 +145,26 @@
     plan
 }
 
+/// Generates moments at which all gateways are killed, and start again one after the other.
+pub fn generate_herds(rng: &mut Pcg64Mcg, duration: Duration, n_nodes: usize) -> Plan {
+    // Streams last about a second, so that many of them are in progress.
+    let engines = Pool::Engine as usize * N_ENDPOINTS..(Pool::Engine as usize + 1) * N_ENDPOINTS;
+    let slow = |endpoint| Step::Behaviour { endpoint, behaviour: Behaviour::Slow(8) };
+    let mut plan: Plan = engines.map(|it| (Duration::ZERO, slow(it))).collect();
+    let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
+    let mut at = millis(rng, 1_000..3_000);
+    while at < duration {
+        let down = millis(rng, 100..1_500);
+        for node in 0..n_nodes {
+            plan.push((at, Step::Signal { node, signal: Signal::Kill }));
+            plan.push((at + down + millis(rng, 0..300), Step::Start { node }));
+        }
+        at += down + millis(rng, 1_000..4_000);
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
+
 /// Generates moments in which endpoints are silent or slow but sound, series of configurations and
 /// signals beside them; none but SIGHUP if the run has only a part of the faults.
 pub fn generate_pauses(
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -22,7 +22,8 @@
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
 use crate::plan::{
-    Plan, apply, generate, generate_leaving, generate_limits, generate_pauses, restore,
+    Plan, apply, generate, generate_herds, generate_leaving, generate_limits, generate_pauses,
+    restore,
 };
 use crate::repeats::{Repeats, start_repeats};
 
@@ -45,6 +46,8 @@
 const CHECK_TIME: Duration = Duration::from_millis(2_000);
 /// Minimum share of the requests that must be served after the recovery.
 const MIN_SERVED: f64 = 0.98;
+/// Minimum share of the streams taken up that must go on if all engines are sound.
+const MIN_CONTINUED: f64 = 0.9;
 
 /// A part of the faults, by which no process and no endpoint fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString)]
@@ -54,6 +57,18 @@
     Pauses,
     /// The same, with series of configurations apart from each other and callers that pause.
     Configurations,
+    /// All gateways are killed at once, again and again.
+    Herds,
+}
+
+impl Only {
+    /// Whether no process fails.
+    fn is_calm(self) -> bool {
+        match self {
+            Only::Pauses | Only::Configurations => true,
+            Only::Herds => false,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -110,8 +125,8 @@
     let mut cluster = Cluster::start(gateway, directory, *net, *n_nodes, N_ENDPOINTS).await?;
     cluster.mix_builds();
     sleep(START_TIME).await;
-    let is_calm = options.only.is_some();
-    let n_callers = if is_calm { N_CALM_CALLERS } else { N_CALLERS };
+    let is_calm = options.only.is_some_and(Only::is_calm);
+    let n_callers = if options.only.is_some() { N_CALM_CALLERS } else { N_CALLERS };
     if options.has_crashes {
         cluster.start_crashes(options.seed);
     }
@@ -165,6 +180,11 @@
         ));
     }
     let take_ups = cluster.checker.take_ups();
+    let (n_taken_up, n_continued) = take_ups;
+    if options.only == Some(Only::Herds) && (n_continued as f64) < n_taken_up as f64 * MIN_CONTINUED
+    {
+        violations.push(format!("only {n_continued} of {n_taken_up} streams taken up went on"));
+    }
     let n_limited = cluster.checker.n_limited();
     let crashes = cluster.checker.count_crashes(from);
     violations.extend(crashes.violations());
@@ -195,6 +215,9 @@
     let mut limits_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut pauses_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
     let mut leaving_rng = Pcg64Mcg::seed_from_u64(!seed.rotate_left(32));
+    if only == Some(Only::Herds) {
+        return generate_herds(rng, duration, n_nodes);
+    }
     let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, only);
     if only.is_none() {
         plan.extend(generate(rng, duration, n_nodes, n_endpoints));
