Give messages between instances a version, and speak to a peer what it reads

Cause: messages were positional and had no version. A heartbeat got four fields in its middle in the last release, so instances of two releases read none of each other's heartbeats, and each half took itself for the whole fleet: rates that endpoints name, the retry budget, admission, collectors and leaving notices were shared by half, twice. Nothing but luck kept a message from being decoded as another one.

Change: a message has a marker that no earlier release takes for one of its kinds, the number of its format, a checksum and a list of tagged extensions; unknown kinds and extensions are skipped, damaged messages counted, logged every ten seconds at most, and dropped. The two formats before are frozen, read and written; heartbeats tell them apart. A peer gets the format of its latest process, and all formats until it was heard. An answer of an earlier release on the build of a stream may have been a guess, and counts as that.

Measured: the bytes of 14 kinds were recorded with the releases themselves, and are read and written alike; their heartbeats, which could not read each other, are both read here. A framed message has seven bytes more.

--- a/crates/ferry-gateway/src/auxiliary.rs
+++ b/crates/ferry-gateway/src/auxiliary.rs
@@ -2,6 +2,7 @@
 //! metrics, and the operator's.
 
 use std::convert::Infallible;
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,11 +12,13 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use strum::IntoEnumIterator;
 
 use crate::driver::{Driver, Phase};
 use crate::peers::SNAPSHOT_PATH;
 use crate::quarantine;
 use crate::server::Interface;
+use crate::wire::WireFormat;
 
 pub const METRICS_PATH: &str = "/metrics";
 /// Maximum TTL of addresses in directory responses. Some callers keep addresses for three times the
@@ -31,7 +34,7 @@
         directory::READY_PATH => ready(&driver),
         directory::RESOLVE_PATH => resolve(&driver, request.uri().query().unwrap_or_default()),
         SNAPSHOT_PATH => snapshot(&driver, request.uri().query().unwrap_or_default()),
-        METRICS_PATH => Response::new(Full::new(Bytes::from(driver.metrics.text()))),
+        METRICS_PATH => metrics(&driver),
         path if interface == Interface::Operator && quarantine::has_path(path) => {
             quarantine(&driver, request.method(), path)
         }
@@ -40,6 +43,15 @@
     Ok(response)
 }
 
+fn metrics(driver: &Rc<Driver>) -> Response<Full<Bytes>> {
+    let mut text = driver.metrics.text();
+    let formats = driver.formats.borrow();
+    for format in WireFormat::iter() {
+        let _ = writeln!(text, "ferry_peers{{format=\"{format}\"}} {}", formats.count(format));
+    }
+    Response::new(Full::new(Bytes::from(text)))
+}
+
 fn ready(driver: &Rc<Driver>) -> Response<Full<Bytes>> {
     match driver.query(ferry_serve::Gateway::is_ready) && *driver.phase.borrow() == Phase::Serving {
         true => status(StatusCode::OK),
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -22,12 +22,15 @@
 use crate::decision_log::DecisionFields;
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
+use crate::wire::{PeerFormats, WireFormat};
 use crate::{caches, calls, items, peers, probes, records};
 
 /// Lateness of the timer after which the process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(50);
 /// Turns of the event loop after a stall before the timer is handled; each runs some tens of tasks.
 const CATCH_UP_TURNS: usize = 32;
+/// Interval at which errors are logged that a peer causes.
+const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of chunks of a stream that are buffered for a slow caller.
 const STREAM_QUEUE: usize = 64;
 
@@ -114,6 +117,11 @@
     pub n_closing: watch::Sender<usize>,
     /// Last warning about each invalid object of the store, by name.
     pub invalid_objects: RefCell<SortedMap<String, String>>,
+    /// The highest format in which messages are sent to peers, and read.
+    pub highest_format: WireFormat,
+    pub formats: RefCell<PeerFormats>,
+    /// When a warning may be written again that is written seldom.
+    next_warning: Cell<Instant>,
     gateway: RefCell<Gateway>,
     socket: UdpSocket,
     start: Instant,
@@ -129,6 +137,7 @@
         settings: NodeSettings,
         gateway: Gateway,
         socket: UdpSocket,
+        highest_format: WireFormat,
         log: Logger,
     ) -> Rc<Driver> {
         Rc::new(Driver {
@@ -145,6 +154,9 @@
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
             n_closing: watch::Sender::new(0),
             invalid_objects: RefCell::default(),
+            highest_format,
+            formats: RefCell::default(),
+            next_warning: Cell::new(Instant::now()),
             gateway: RefCell::new(gateway),
             socket,
             start: Instant::now(),
@@ -321,6 +333,14 @@
         info!(self.log, "decision"; DecisionFields(it));
     }
 
+    /// Logs an error of which a peer may cause any number.
+    pub fn warn_seldom(&self, message: &str, error: &dyn std::fmt::Display) {
+        if self.next_warning.get() <= Instant::now() {
+            self.next_warning.set(Instant::now() + WARNING_INTERVAL);
+            self.warn(message, error);
+        }
+    }
+
     /// Logs an error that is not part of a decision.
     pub fn warn(&self, message: &str, error: &dyn std::fmt::Display) {
         warn!(self.log, "{}", message; "error" => error.to_string());
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -24,12 +24,13 @@
 pub mod peers;
 pub mod probes;
 pub mod quarantine;
-mod records;
+pub mod records;
 pub mod relay;
 pub mod run;
 pub mod server;
 pub mod settings;
 pub mod store;
+pub mod wire;
 
 pub use run::{RunError, Sources, run};
 pub use settings::GatewaySettings;
--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use ferry_model::ConfigVersion;
-use ferry_serve::{Event, PeerMessage, Snapshot, StoreUpdate};
+use ferry_serve::{Event, Metric, PeerMessage, Snapshot, StoreUpdate};
 use tokio::task::spawn_local;
 
 use crate::client::{CallError, InternalCall};
 use crate::driver::Driver;
+use crate::wire::{self, Received, WireFormat};
 
 /// Path at which an instance serves its state to peers.
 pub const SNAPSHOT_PATH: &str = "/snapshot";
@@ -18,16 +19,22 @@
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
+/// Sends a message to a peer in the format that it reads.
 pub fn send(driver: &Rc<Driver>, to: SocketAddr, message: &PeerMessage) {
-    let bytes = match postcard::to_stdvec(message) {
-        Ok(bytes) => bytes,
-        Err(error) => return driver.warn("could not serialize a message to a peer", &error),
-    };
-    // A datagram that cannot be sent now is lost like any other; the reducer repeats those that
-    // matter.
-    if let Err(error) = driver.socket().try_send_to(&bytes, to) {
-        slog::debug!(driver.log, "could not send to a peer";
-            "peer" => to.to_string(), "error" => error.to_string());
+    let formats = driver.formats.borrow().of(to, driver.highest_format);
+    for format in formats {
+        let bytes = match wire::encode(message, format) {
+            Ok(Some(bytes)) => bytes,
+            // Its release has no such message.
+            Ok(None) => continue,
+            Err(error) => return driver.warn("could not serialize a message to a peer", &error),
+        };
+        // A datagram that cannot be sent now is lost like any other; the reducer repeats those that
+        // matter.
+        if let Err(error) = driver.socket().try_send_to(&bytes, to) {
+            slog::debug!(driver.log, "could not send to a peer";
+                "peer" => to.to_string(), "error" => error.to_string());
+        }
     }
 }
 
@@ -40,9 +47,50 @@
             // A closed port on a peer results in an error here, which concerns only that peer.
             Err(_) => continue,
         };
-        match postcard::from_bytes(&buffer[..len]) {
-            Ok(message) => driver.dispatch(Event::Peer { from, message }),
-            Err(error) => driver.warn("could not parse a message from a peer", &error),
+        match wire::decode(&buffer[..len]) {
+            Ok((format, received)) => {
+                if let Some(message) = accept(&driver, from, format, received) {
+                    driver.dispatch(Event::Peer { from, message });
+                }
+            }
+            Err(error) => {
+                driver.metrics.count(Metric::MessagesDamaged);
+                let text = format!("{from}: {error}");
+                driver.warn_seldom("could not read a message from a peer", &text);
+            }
+        }
+    }
+}
+
+/// Returns the message of a datagram, if it has one for this release, and notes what its sender reads.
+fn accept(
+    driver: &Rc<Driver>,
+    from: SocketAddr,
+    format: Option<WireFormat>,
+    received: Received,
+) -> Option<PeerMessage> {
+    let highest = driver.highest_format;
+    if format.is_some_and(|it| highest < it) {
+        driver.metrics.count(Metric::MessagesSkipped);
+        return None;
+    }
+    if let (Some(format), Received::Message(PeerMessage::Heartbeat(it))) = (format, &received)
+        && driver.formats.borrow_mut().record(from, it.incarnation, format)
+    {
+        slog::info!(driver.log, "a peer speaks another format than before";
+            "peer" => from.to_string(), "format" => format.to_string());
+    }
+    match received {
+        Received::Message(message) => Some(message),
+        Received::UnknownKind(kind) => {
+            driver.metrics.count(Metric::MessagesSkipped);
+            slog::debug!(driver.log, "skipped a message of an unknown kind"; "kind" => kind);
+            None
+        }
+        Received::LaterFormat(format) => {
+            driver.metrics.count(Metric::MessagesSkipped);
+            slog::debug!(driver.log, "skipped a message of a later format"; "format" => format);
+            None
         }
     }
 }
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -83,7 +83,8 @@
     info!(log, "starting"; "life" => identity.incarnation,
         "zone" => &identity.zone, "disabled" => names(&tuning.disabled), "version" => env!("CARGO_PKG_VERSION"));
     let socket = UdpSocket::bind(settings.peer).await.map_err(RunError::Peers)?;
-    let driver = Driver::new(settings, Gateway::new(identity, tuning), socket, log);
+    let driver =
+        Driver::new(settings, Gateway::new(identity, tuning), socket, sources.gateway.format, log);
     let signals = StopSignals::new()?;
     let hangup = signal(SignalKind::hangup())?;
     let addresses = driver.settings.clone();
--- a/crates/ferry-gateway/src/settings.rs
+++ b/crates/ferry-gateway/src/settings.rs
@@ -10,6 +10,8 @@
 use ferry_platform::settings::NodeSettings;
 use ferry_serve::Tuning;
 
+use crate::wire::WireFormat;
+
 const MS: Duration = Duration::from_millis(1);
 const MINUTE: Duration = Duration::from_secs(60);
 /// Allowed range of timeouts and intervals.
@@ -21,11 +23,17 @@
 pub struct GatewaySettings {
     pub tuning: Tuning,
     pub log: LogLevel,
+    /// The highest format in which messages are sent to peers, and read.
+    pub format: WireFormat,
 }
 
 impl Default for GatewaySettings {
     fn default() -> Self {
-        GatewaySettings { tuning: Tuning::default(), log: LogLevel::Info }
+        GatewaySettings {
+            tuning: Tuning::default(),
+            log: LogLevel::Info,
+            format: WireFormat::CURRENT,
+        }
     }
 }
 
@@ -38,6 +46,7 @@
     pub fn read(reader: &mut Reader) -> GatewaySettings {
         let mut settings = GatewaySettings::default();
         settings.log = reader.value("log", "level", Choice::new(), settings.log);
+        settings.format = reader.value("peers", "format", Choice::new(), settings.format);
         let it = &mut settings.tuning;
         calls(&mut Section::new(reader, "calls"), it);
         engines(&mut Section::new(reader, "engines"), it);
--- /dev/null
+++ b/crates/ferry-gateway/src/wire.rs
@@ -0,0 +1,221 @@
+//! The datagrams between instances, in the formats of this and of earlier releases.
+//!
+//! docs/UPGRADES.md has the rules for changes, and which releases may run together. In short: a released
+//! format stays as it is. A new field of a message is an extension with a tag of its own, which earlier
+//! readers ignore; a new kind of message is skipped by them; anything else is a new format.
+
+mod former;
+
+use std::net::SocketAddr;
+
+use ferry_model::{Incarnation, SortedMap};
+use ferry_serve::PeerMessage;
+use serde::Deserialize;
+use strum::{Display, EnumCount, EnumIter, EnumString, FromRepr};
+use thiserror::Error;
+
+use former::FormerHeartbeat;
+
+/// First byte of a framed message. In the formats before, it is the number of the message's kind, of which
+/// there are fewer.
+const MARKER: u8 = 0x7f;
+/// Marker, format and checksum.
+const HEADER_LEN: usize = 6;
+/// Number of message kinds in the formats before the current one.
+const N_FORMER_KINDS: u32 = 23;
+
+/// A format of messages between instances; each release reads its own and all before.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString, FromRepr,
+)]
+#[repr(u8)]
+pub enum WireFormat {
+    /// Heartbeats do not say which pools are reached.
+    #[strum(serialize = "1")]
+    Bare = 1,
+    #[strum(serialize = "2")]
+    Reach = 2,
+    /// Messages have a header, a checksum and extensions.
+    #[strum(serialize = "3")]
+    Framed = 3,
+}
+
+impl WireFormat {
+    pub const CURRENT: WireFormat = WireFormat::Framed;
+    pub const ALL: [WireFormat; 3] = [WireFormat::Framed, WireFormat::Reach, WireFormat::Bare];
+}
+
+/// What a datagram has.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Received {
+    Message(PeerMessage),
+    /// A kind of message that this release does not know.
+    UnknownKind(u32),
+    /// A format that this release does not read. Its sender speaks this release's once it has heard it.
+    LaterFormat(u8),
+}
+
+#[derive(Debug, Error)]
+pub enum WireError {
+    #[error("it is empty or too short")]
+    Short,
+    #[error("its checksum does not match")]
+    Checksum,
+    #[error("{0} bytes follow its end")]
+    Trailing(usize),
+    #[error("its sender is at {0}, and takes requests at {1}")]
+    Contradiction(SocketAddr, SocketAddr),
+    #[error(transparent)]
+    Content(#[from] postcard::Error),
+}
+
+/// Fields that were added to a message after its format was released, by tag.
+type Extensions = Vec<(u16, Vec<u8>)>;
+
+/// Returns the bytes of a message; none if the format does not have it.
+pub fn encode(message: &PeerMessage, format: WireFormat) -> Result<Option<Vec<u8>>, WireError> {
+    let former = match (message, format) {
+        (_, WireFormat::Framed) => return framed(message).map(Some),
+        (PeerMessage::Heartbeat(it), WireFormat::Bare) => {
+            let body = (0_u32, FormerHeartbeat::from((**it).clone()));
+            return Ok(Some(postcard::to_stdvec(&body)?));
+        }
+        (PeerMessage::PoolBuilds(_) | PeerMessage::OnlyBuild { build: None, .. }, _) => {
+            return Ok(None);
+        }
+        // Instances of these releases take the only build of a pool for the one that began the stream.
+        (PeerMessage::OnlyBuild { attempt, build: Some(build) }, _) => {
+            &PeerMessage::Origin { attempt: attempt.clone(), build: build.clone() }
+        }
+        _ => message,
+    };
+    Ok(Some(postcard::to_stdvec(former)?))
+}
+
+fn framed(message: &PeerMessage) -> Result<Vec<u8>, WireError> {
+    let body = postcard::to_stdvec(&(message, Extensions::new()))?;
+    let mut bytes = Vec::with_capacity(HEADER_LEN + body.len());
+    bytes.extend([MARKER, WireFormat::Framed as u8]);
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    Ok(bytes)
+}
+
+/// Reads a datagram, and in which format it is; none if that is a later one.
+///
+/// # Errors
+///
+/// Returns an error if it is damaged. Nothing of it may be used then.
+pub fn decode(bytes: &[u8]) -> Result<(Option<WireFormat>, Received), WireError> {
+    match bytes {
+        [MARKER, format, rest @ ..] => match WireFormat::from_repr(*format) {
+            Some(WireFormat::Framed) => Ok((Some(WireFormat::Framed), read_framed(rest)?)),
+            Some(_) | None => Ok((None, Received::LaterFormat(*format))),
+        },
+        _ => read_former(bytes),
+    }
+}
+
+fn read_framed(rest: &[u8]) -> Result<Received, WireError> {
+    let (checksum, body) = rest.split_first_chunk::<4>().ok_or(WireError::Short)?;
+    if crc32fast::hash(body) != u32::from_le_bytes(*checksum) {
+        return Err(WireError::Checksum);
+    }
+    let (kind, _) = postcard::take_from_bytes::<u32>(body)?;
+    if PeerMessage::COUNT as u32 <= kind {
+        return Ok(Received::UnknownKind(kind));
+    }
+    // Extensions of later releases are ignored; this one has none.
+    let ((message, _), rest) = postcard::take_from_bytes::<(PeerMessage, Extensions)>(body)?;
+    match rest.len() {
+        0 => Ok(Received::Message(message)),
+        n_bytes => Err(WireError::Trailing(n_bytes)),
+    }
+}
+
+/// Reads a message of the formats without a header, of which only heartbeats differ.
+fn read_former(bytes: &[u8]) -> Result<(Option<WireFormat>, Received), WireError> {
+    let (kind, _) = postcard::take_from_bytes::<u32>(bytes)?;
+    if N_FORMER_KINDS <= kind {
+        return Ok((None, Received::UnknownKind(kind)));
+    }
+    let whole = read_whole::<PeerMessage>(bytes).and_then(check_heartbeat);
+    match whole {
+        Ok(PeerMessage::Heartbeat(it)) => {
+            let message = PeerMessage::Heartbeat(it);
+            Ok((Some(WireFormat::Reach), Received::Message(message)))
+        }
+        Err(error) if kind == 0 => {
+            let (_, heartbeat) = read_whole::<(u32, FormerHeartbeat)>(bytes).map_err(|_| error)?;
+            let message = PeerMessage::Heartbeat(Box::new(heartbeat.into()));
+            Ok((Some(WireFormat::Bare), Received::Message(message)))
+        }
+        // The sender may only have taken the pool for one of a single build.
+        Ok(PeerMessage::Origin { attempt, build }) => {
+            let message = PeerMessage::OnlyBuild { attempt, build: Some(build) };
+            Ok((None, Received::Message(message)))
+        }
+        Ok(message) => Ok((None, Received::Message(message))),
+        Err(error) => Err(error),
+    }
+}
+
+fn read_whole<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, WireError> {
+    match postcard::take_from_bytes(bytes)? {
+        (value, []) => Ok(value),
+        (_, rest) => Err(WireError::Trailing(rest.len())),
+    }
+}
+
+/// Finds a heartbeat of another format that happens to be readable: an instance takes requests of peers
+/// at the address at which it takes those of callers.
+fn check_heartbeat(message: PeerMessage) -> Result<PeerMessage, WireError> {
+    match message {
+        PeerMessage::Heartbeat(it) if it.relay.ip() != it.front.ip() => {
+            Err(WireError::Contradiction(it.front, it.relay))
+        }
+        message => Ok(message),
+    }
+}
+
+/// The format that each peer reads, by the address at which it receives datagrams.
+///
+/// A process that has not heard a peer sends it its heartbeat in all formats, so that the highest one
+/// counts; one that takes its place may be of an earlier release, so that its format counts alone.
+#[derive(Debug, Default)]
+pub struct PeerFormats {
+    known: SortedMap<SocketAddr, (Incarnation, WireFormat)>,
+}
+
+impl PeerFormats {
+    /// Records the format of a peer's heartbeat; returns whether it speaks another one than before.
+    pub fn record(
+        &mut self,
+        peer: SocketAddr,
+        incarnation: Incarnation,
+        format: WireFormat,
+    ) -> bool {
+        let before = self.known.get(&peer).copied();
+        let now = match before {
+            Some((known, _)) if incarnation < known => return false,
+            Some((known, spoken)) if incarnation == known => spoken.max(format),
+            Some(_) | None => format,
+        };
+        self.known.insert(peer, (incarnation, now));
+        before.map(|it| it.1) != Some(now)
+    }
+
+    /// Returns the formats in which a message is sent to a peer: that which it speaks, or all of them
+    /// until it was heard.
+    pub fn of(&self, peer: SocketAddr, highest: WireFormat) -> Vec<WireFormat> {
+        match self.known.get(&peer) {
+            Some((_, format)) => vec![(*format).min(highest)],
+            None => WireFormat::ALL.into_iter().filter(|it| *it <= highest).collect(),
+        }
+    }
+
+    /// Counts the peers that speak a format.
+    pub fn count(&self, format: WireFormat) -> usize {
+        self.known.values().filter(|it| it.1 == format).count()
+    }
+}
--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -7,7 +7,7 @@
 use ferry_soak::crash::Cause;
 use ferry_soak::repeats::{Repeats, start_repeats};
 use ferry_soak::soak::{N_CALLERS, start_callers};
-use ferry_soak::{Only, SoakOptions};
+use ferry_soak::{Only, Release, SoakOptions};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::task::LocalSet;
@@ -75,16 +75,32 @@
     assert!(0 < report.take_ups.0, "seed {HERD_SEED}: {report:#?}");
 }
 
+/// A release that speaks the format of messages before the current one.
+#[test]
+fn guarantees_hold_while_gateways_are_replaced_by_another_release() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime starts");
+    let own = directory("soak-upgrade").with_extension("ini");
+    std::fs::write(&own, "[peers]\nformat = 2\n").expect("the settings are written");
+    let other = Some(Release { gateway: gateway(), own: Some(own) });
+    let options = SoakOptions { other, ..options(1, 24, Some(Only::Upgrades)) };
+    let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
+    let report = report.expect("the soak runs");
+    assert!(report.is_ok(), "{report:#?}");
+    assert!(100 <= report.under_faults.served, "{report:#?}");
+}
+
 fn options(seed: u64, seconds: u64, only: Option<Only>) -> SoakOptions {
-    let kind = if only.is_some() { "calm" } else { "soak" };
+    let kind = only.map_or("all".to_owned(), |it| format!("{it:?}"));
     SoakOptions {
         seed,
         duration: Duration::from_secs(seconds),
         n_nodes: 3,
         gateway: gateway(),
-        directory: directory(&format!("{kind}-{seed}")),
+        directory: directory(&format!("soak-{kind}-{seed}")),
         net: net(),
         only,
+        other: None,
         has_crashes: false,
     }
 }
--- /dev/null
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -0,0 +1,283 @@
+//! The formats of messages between instances: recorded bytes of each release, and damaged messages.
+
+mod samples;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_gateway::wire::{PeerFormats, Received, WireFormat, decode, encode};
+use ferry_serve::{Backlog, Group, Heartbeat, LoadReport, Observation, PeerMessage, PoolBuilds};
+use proptest::prelude::*;
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use samples::samples;
+
+/// Bytes of the messages of each release, by name; a released file never changes.
+const RECORDED: [(WireFormat, &str); 3] = [
+    (WireFormat::Bare, include_str!("format-1.txt")),
+    (WireFormat::Reach, include_str!("format-2.txt")),
+    (WireFormat::Framed, include_str!("format-3.txt")),
+];
+
+fn heartbeat() -> Heartbeat {
+    let address = |port| SocketAddr::from(([10, 1, 0, 41], port));
+    Heartbeat {
+        instance: "edge-1".to_owned(),
+        incarnation: 1_764_000_000,
+        zone: "zone-1".to_owned(),
+        front: address(8_625),
+        is_ready: true,
+        is_leaving: false,
+        is_overloaded: false,
+        relay: address(7_741),
+        reached: vec!["pool".to_owned()],
+        doubted: Vec::new(),
+        unreached: vec!["other".to_owned()],
+        weight: 0.25,
+        version: 12,
+        last_change: 530,
+        backlog: vec![Backlog {
+            group: Group::whole("pool"),
+            wait: Duration::from_millis(15),
+            rate: 224.5,
+            queued: [0, 1, 2, 0, 0, 0, 0, 0, 9],
+        }],
+        observations: vec![Observation {
+            endpoint: "i-1".to_owned(),
+            load: Some(LoadReport { running: 3, waiting: 1, slots: 64 }),
+            ratio: Some(1.25),
+        }],
+        quarantine: 77,
+    }
+}
+
+/// Returns what a heartbeat of a format says.
+fn heartbeat_of(format: WireFormat) -> Heartbeat {
+    match format {
+        WireFormat::Reach | WireFormat::Framed => heartbeat(),
+        WireFormat::Bare => Heartbeat {
+            relay: heartbeat().front,
+            reached: Vec::new(),
+            unreached: Vec::new(),
+            ..heartbeat()
+        },
+    }
+}
+
+/// Returns the messages of a format by name, as they are sent and as they are read.
+fn messages(format: WireFormat) -> Vec<(&'static str, PeerMessage, PeerMessage)> {
+    let sent = PeerMessage::Heartbeat(Box::new(heartbeat_of(format)));
+    let mut messages = vec![("heartbeat", sent.clone(), sent)];
+    for (name, message) in samples() {
+        let read = match (&message, format) {
+            // Its sender may only have taken the pool for one of a single build.
+            (PeerMessage::Origin { attempt, build }, WireFormat::Bare | WireFormat::Reach) => {
+                PeerMessage::OnlyBuild { attempt: attempt.clone(), build: Some(build.clone()) }
+            }
+            _ => message.clone(),
+        };
+        messages.push((name, message, read));
+    }
+    if format == WireFormat::Framed {
+        let pools = vec![PoolBuilds {
+            pool: "pool".to_owned(),
+            builds: vec!["v1".to_owned(), "v1.2".to_owned()],
+            revision: Some(412),
+        }];
+        let known = PeerMessage::PoolBuilds(pools);
+        let only = PeerMessage::OnlyBuild { attempt: "9c41".into(), build: None };
+        messages.push(("pool_builds", known.clone(), known));
+        messages.push(("only_build", only.clone(), only));
+    }
+    messages
+}
+
+/// Returns a framed message with an extension, as a later release may send it.
+fn with_extension(message: &impl Serialize, tag: u16, value: &[u8]) -> Vec<u8> {
+    let body = postcard::to_stdvec(&(message, vec![(tag, value)])).expect("it is written");
+    let checksum = crc32fast::hash(&body).to_le_bytes();
+    [0x7f, 3].into_iter().chain(checksum).chain(body).collect()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|it| format!("{it:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let pairs = text.as_bytes().chunks(2);
+    let byte = |it: &[u8]| u8::from_str_radix(std::str::from_utf8(it).ok()?, 16).ok();
+    pairs.filter_map(byte).collect()
+}
+
+#[test]
+fn messages_of_each_release_are_written_and_read() {
+    for (format, text) in RECORDED {
+        let recorded: Vec<(&str, &str)> =
+            text.lines().filter_map(|it| it.split_once(' ')).collect();
+        let messages = messages(format);
+        let names: Vec<&str> = messages.iter().map(|it| it.0).collect();
+        assert_eq!(recorded.iter().map(|it| it.0).collect::<Vec<_>>(), names, "format {format}");
+        for ((name, bytes), (_, sent, read)) in recorded.into_iter().zip(messages) {
+            let written = encode(&sent, format).expect("it is written").expect("it has the kind");
+            assert_eq!(hex(&written), bytes, "format {format}: {name} is written differently");
+            let (found, received) = decode(&unhex(bytes)).expect("it is read");
+            assert_eq!(received, Received::Message(read), "format {format}: {name}");
+            if name == "heartbeat" {
+                assert_eq!(found, Some(format), "the format of a heartbeat is recognized");
+            }
+        }
+    }
+}
+
+#[test]
+fn message_without_a_counterpart_is_not_sent() {
+    let only = |build| PeerMessage::OnlyBuild { attempt: "9c41".into(), build };
+    for format in [WireFormat::Bare, WireFormat::Reach] {
+        let pools = PeerMessage::PoolBuilds(Vec::new());
+        assert_eq!(encode(&pools, format).expect("no error"), None);
+        assert_eq!(encode(&only(None), format).expect("no error"), None);
+        assert!(encode(&only(Some("v1".to_owned())), format).expect("no error").is_some());
+    }
+}
+
+#[test]
+fn later_messages_are_skipped() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+        expected: Received,
+    }
+    let ping = PeerMessage::Ping { id: 300 };
+    let later_kind = with_extension(&(200_u32, "content"), 1, &[]);
+    let mut later_format = encode(&ping, WireFormat::Framed).expect("no error").expect("a kind");
+    later_format[1] = 9;
+    let cases = [
+        Case {
+            name: "an unknown extension is ignored",
+            bytes: with_extension(&ping, 4_711, b"value"),
+            expected: Received::Message(ping),
+        },
+        Case {
+            name: "a kind of a later release",
+            bytes: later_kind,
+            expected: Received::UnknownKind(200),
+        },
+        Case { name: "a later format", bytes: later_format, expected: Received::LaterFormat(9) },
+        Case {
+            name: "a kind that was never in the format without header",
+            bytes: vec![23, 0],
+            expected: Received::UnknownKind(23),
+        },
+    ];
+    for Case { name, bytes, expected } in cases {
+        assert_eq!(decode(&bytes).expect("it is no error").1, expected, "{name}");
+    }
+}
+
+#[test]
+fn damaged_message_is_an_error() {
+    for (name, message, _) in messages(WireFormat::Framed) {
+        let bytes = encode(&message, WireFormat::Framed).expect("no error").expect("a kind");
+        for idx in 2..bytes.len() {
+            let mut damaged = bytes.clone();
+            damaged[idx] ^= 0x10;
+            assert!(decode(&damaged).is_err(), "{name}: byte {idx} is changed");
+            assert!(decode(&bytes[..idx]).is_err(), "{name}: {idx} bytes are left");
+        }
+    }
+    assert!(decode(&[]).is_err());
+}
+
+#[test]
+fn heartbeat_of_another_release_is_not_taken_for_one_of_this() {
+    for (format, text) in RECORDED {
+        let bytes = text.lines().find_map(|it| it.strip_prefix("heartbeat ")).expect("it has one");
+        let (found, _) = decode(&unhex(bytes)).expect("it is read");
+        assert_eq!(found, Some(format));
+    }
+}
+
+#[test]
+fn peer_gets_the_format_that_it_speaks() {
+    struct Case {
+        name: &'static str,
+        /// Heartbeats by incarnation, and the format of each.
+        spoken: &'static [(u64, WireFormat)],
+        highest: WireFormat,
+        expected: &'static [WireFormat],
+    }
+    let cases = [
+        Case {
+            name: "it was not heard yet",
+            spoken: &[],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Framed, WireFormat::Reach, WireFormat::Bare],
+        },
+        Case {
+            name: "this release",
+            spoken: &[(1, WireFormat::Framed)],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Framed],
+        },
+        Case {
+            name: "an earlier release",
+            spoken: &[(1, WireFormat::Bare)],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Bare],
+        },
+        Case {
+            name: "the settings allow less than it speaks",
+            spoken: &[(1, WireFormat::Framed)],
+            highest: WireFormat::Reach,
+            expected: &[WireFormat::Reach],
+        },
+        Case {
+            name: "its first heartbeat came in all formats",
+            spoken: &[(1, WireFormat::Framed), (1, WireFormat::Reach), (1, WireFormat::Bare)],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Framed],
+        },
+        Case {
+            name: "it was replaced by an earlier release",
+            spoken: &[(1, WireFormat::Framed), (2, WireFormat::Reach)],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Reach],
+        },
+        Case {
+            name: "a heartbeat of the process before it is late",
+            spoken: &[(2, WireFormat::Reach), (1, WireFormat::Framed)],
+            highest: WireFormat::Framed,
+            expected: &[WireFormat::Reach],
+        },
+    ];
+    let peer = SocketAddr::from(([10, 1, 0, 41], 7_740));
+    for Case { name, spoken, highest, expected } in cases {
+        let mut formats = PeerFormats::default();
+        for (incarnation, format) in spoken {
+            formats.record(peer, *incarnation, *format);
+            assert!(!formats.record(peer, *incarnation, *format), "{name}: it is no news");
+        }
+        assert_eq!(formats.of(peer, highest), expected, "{name}");
+        let n_peers: usize = WireFormat::iter().map(|it| formats.count(it)).sum();
+        assert_eq!(n_peers, spoken.len().min(1), "{name}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        // Must not panic, whatever it returns.
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn framed_bytes_without_a_checksum_are_an_error(
+        body in prop::collection::vec(any::<u8>(), 0..100),
+        checksum in any::<[u8; 4]>(),
+    ) {
+        prop_assume!(u32::from_le_bytes(checksum) != crc32fast::hash(&body));
+        let bytes: Vec<u8> = [0x7f, 3].into_iter().chain(checksum).chain(body).collect();
+        prop_assert!(decode(&bytes).is_err());
+    }
+}
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -372,4 +372,6 @@
     RequestsQuarantined,
     RequestsRelayed,
     PoolsCut,
+    MessagesSkipped,
+    MessagesDamaged,
 }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -8,6 +8,7 @@
 
 use ferry_model::{BuildId, ConfigVersion, EndpointId, Incarnation, InstanceId, PoolId, ZoneId};
 use serde::{Deserialize, Serialize};
+use strum::EnumCount;
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
@@ -95,7 +96,8 @@
     pub time_left: Duration,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// The order of the kinds and their fields are a released format, see docs/UPGRADES.md.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, EnumCount)]
 pub enum PeerMessage {
     Heartbeat(Box<Heartbeat>),
     Submit(Box<JobSubmission>),
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -40,13 +40,23 @@
     HangUp,
 }
 
+/// What a gateway runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Release {
+    /// Path of the binary.
+    pub gateway: PathBuf,
+    /// Path of a settings file of its own, if it has one.
+    pub own: Option<PathBuf>,
+}
+
 /// A gateway, whose process is killed when this is dropped.
 #[derive(Debug)]
 pub struct Node {
     ip: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
-    gateway: PathBuf,
+    /// What it runs from its next start on.
+    pub release: Release,
     checker: Rc<Checker>,
     child: Option<Child>,
     has_started: bool,
@@ -73,13 +83,12 @@
             fs::write(&self.settings, text.replace("Bootstrap=true", "Bootstrap=false"))?;
         }
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.gateway)
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
+        let mut command = Command::new(&self.release.gateway);
+        command.arg("--settings").arg(&self.settings);
+        if let Some(own) = &self.release.own {
+            command.arg("--own").arg(own);
+        }
+        let child = command.stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log).spawn()?;
         self.child = Some(child);
         self.checker.record_fault(self.front());
         Ok(())
@@ -182,6 +191,10 @@
     pub version: u64,
     /// Whether callers send prompts on which engines crash.
     pub has_crashes: Rc<Cell<bool>>,
+    /// What the gateways run at first.
+    usual: Release,
+    /// What takes its place while gateways are replaced; none if they are not.
+    pub other: Option<Release>,
     listeners: Vec<ListenerHandle>,
 }
 
@@ -238,7 +251,7 @@
                 ip: node_ip(net, number),
                 settings: directory.join(format!("node-{number}.conf")),
                 log: directory.join(format!("node-{number}.log")),
-                gateway: gateway.to_owned(),
+                release: Release { gateway: gateway.to_owned(), own: None },
                 checker: checker.clone(),
                 child: None,
                 has_started: false,
@@ -261,10 +274,21 @@
             checker,
             version,
             has_crashes,
+            usual: Release { gateway: gateway.to_owned(), own: None },
+            other: None,
             listeners,
         })
     }
 
+    /// Lets a gateway run the other release, or the usual one, from its next start on.
+    pub fn set_release(&mut self, node: usize, is_other: bool) {
+        let release = match (is_other, &self.other) {
+            (true, Some(other)) => other.clone(),
+            (true, None) | (false, _) => self.usual.clone(),
+        };
+        self.nodes[node].release = release;
+    }
+
     /// Gives one endpoint of each pool another build than the others have.
     pub fn mix_builds(&self) {
         for (number, endpoint) in self.endpoints.iter().enumerate() {
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod soak;
 pub mod store;
 
+pub use cluster::Release;
 pub use soak::{Only, Report, SoakOptions, run};
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use ferry_soak::{Only, SoakOptions, run};
+use ferry_soak::{Only, Release, SoakOptions, run};
 use tokio::task::LocalSet;
 
 /// Number of gateways for which a run has loopback addresses.
@@ -34,13 +34,17 @@
     #[argh(option, default = "4", from_str_fn(n_processes))]
     processes: usize,
     /// only these faults: pauses (moments of silence, configurations and SIGHUP), configurations (the
-    /// same with series of configurations apart from each other) or herds (all gateways are killed at
-    /// once); all by default
+    /// same with series of configurations apart from each other), herds (all gateways are killed at
+    /// once) or upgrades (gateways are replaced, see --other); all by default
     #[argh(option)]
     only: Option<Only>,
     /// sends prompts on which engines crash, and requests on which all endpoints do
     #[argh(switch)]
     crashes: bool,
+    /// path of the gateway binary of another release, by which the gateways are replaced one after the
+    /// other, and back again
+    #[argh(option)]
+    other: Option<PathBuf>,
     /// path of the gateway binary; by default ferry-gateway in the directory of this program
     #[argh(option)]
     gateway: Option<PathBuf>,
@@ -95,6 +99,7 @@
             directory: args.directory.join(format!("seed-{seed}")),
             net: (100 + (process >> 8) as u8 % 100, process as u8),
             only: args.only,
+            other: args.other.clone().map(|gateway| Release { gateway, own: None }),
             has_crashes: args.crashes,
         };
         let report = LocalSet::new().block_on(&runtime, run(&options))?;
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -16,6 +16,9 @@
 /// Time from SIGTERM to the start of the next process.
 const RESTART_TIME: Duration = Duration::from_millis(9_000);
 
+/// Time between the replacements of two gateways.
+const UPGRADE_INTERVAL: Duration = Duration::from_millis(4_000);
+
 /// A fault, or the end of one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Step {
@@ -30,6 +33,11 @@
     StoreLink(Link),
     /// Resets all connections to the store.
     StoreReset,
+    /// Lets a gateway run the other release, or the usual one, from its next start on.
+    Release {
+        node: usize,
+        is_other: bool,
+    },
     /// Discards the store's change history.
     Compact,
     Behaviour {
@@ -145,6 +153,28 @@
     plan
 }
 
+/// Replaces the gateways one after the other by the other release, and back again, until the end. They
+/// begin with the usual one.
+pub fn generate_upgrades(duration: Duration, n_nodes: usize) -> Plan {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(1_000);
+    for number in 0.. {
+        if duration <= at {
+            break;
+        }
+        let (node, is_other) = (number % n_nodes, (number / n_nodes).is_multiple_of(2));
+        plan.push((at, Step::Release { node, is_other }));
+        plan.push((at, Step::Signal { node, signal: Signal::Terminate }));
+        // It ends sooner if its requests do.
+        for after in [3_500, 5_000, 7_000, 9_000] {
+            plan.push((at + Duration::from_millis(after), Step::Start { node }));
+        }
+        at += UPGRADE_INTERVAL;
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
+
 /// Generates moments at which all gateways are killed, and start again one after the other.
 pub fn generate_herds(rng: &mut Pcg64Mcg, duration: Duration, n_nodes: usize) -> Plan {
     // Streams last about a second, so that many of them are in progress.
@@ -298,6 +328,7 @@
         Step::Store(behaviour) => cluster.store.set_behaviour(behaviour),
         Step::StoreLink(link) => cluster.store_proxy.set(link),
         Step::StoreReset => cluster.store_proxy.reset(),
+        Step::Release { node, is_other } => cluster.set_release(node, is_other),
         Step::Compact => cluster.store.compact(),
         Step::Behaviour { endpoint, behaviour } => {
             cluster.endpoints[endpoint].behaviour.set(behaviour);
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -16,14 +16,14 @@
 use crate::callers::Caller;
 use crate::checker::crashes::CrashCounts;
 use crate::checker::{OutcomeCounts, WorstWindow};
-use crate::cluster::{Cluster, N_ENDPOINTS};
+use crate::cluster::{Cluster, N_ENDPOINTS, Release};
 use crate::config::Route;
 use crate::crash::Prompts;
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
 use crate::plan::{
     Plan, apply, generate, generate_herds, generate_leaving, generate_limits, generate_pauses,
-    restore,
+    generate_upgrades, restore,
 };
 use crate::repeats::{Repeats, start_repeats};
 
@@ -59,6 +59,8 @@
     Configurations,
     /// All gateways are killed at once, again and again.
     Herds,
+    /// The gateways are replaced by another release.
+    Upgrades,
 }
 
 impl Only {
@@ -66,7 +68,7 @@
     fn is_calm(self) -> bool {
         match self {
             Only::Pauses | Only::Configurations => true,
-            Only::Herds => false,
+            Only::Herds | Only::Upgrades => false,
         }
     }
 }
@@ -86,6 +88,8 @@
     pub net: (u8, u8),
     /// All faults if none.
     pub only: Option<Only>,
+    /// Another release, by which the gateways are replaced one after the other, and back again.
+    pub other: Option<Release>,
     /// Whether some prompts crash engines, and some requests all endpoints.
     pub has_crashes: bool,
 }
@@ -124,6 +128,7 @@
     let SoakOptions { gateway, directory, net, n_nodes, .. } = options;
     let mut cluster = Cluster::start(gateway, directory, *net, *n_nodes, N_ENDPOINTS).await?;
     cluster.mix_builds();
+    cluster.other = options.other.clone();
     sleep(START_TIME).await;
     let is_calm = options.only.is_some_and(Only::is_calm);
     let n_callers = if options.only.is_some() { N_CALM_CALLERS } else { N_CALLERS };
@@ -218,11 +223,17 @@
     if only == Some(Only::Herds) {
         return generate_herds(rng, duration, n_nodes);
     }
+    if only == Some(Only::Upgrades) {
+        return generate_upgrades(duration, n_nodes);
+    }
     let mut plan = generate_pauses(&mut pauses_rng, duration, n_nodes, n_endpoints, only);
     if only.is_none() {
         plan.extend(generate(rng, duration, n_nodes, n_endpoints));
         plan.extend(generate_limits(&mut limits_rng, duration, Pool::iter().count()));
         plan.extend(generate_leaving(&mut leaving_rng, duration, Pool::iter().count()));
+        if options.other.is_some() {
+            plan.extend(generate_upgrades(duration, n_nodes));
+        }
     }
     plan.retain(|(at, _)| *at <= duration);
     plan.sort_by_key(|it| it.0);
