Delete the records of instances that are gone, and read records less often

Cause: nothing in the store expires by itself, so each replaced instance would leave its records of streams there for good. An instance with little processor time read all records up to 33 times a second while callers took streams up, and counted its live peers in every pass.

Change: one instance deletes, after a read, the records of those that were not heard for a minute, once it has run for longer than records are needed; each deletion names the revision. Reads start 100 ms apart. The time between two writes is worked out only if there is something to write.

Measured: records_of_an_instance_that_is_gone_for_good_are_deleted; before, the records stayed. Nothing else was measured.

--- a/crates/ferry-gateway/src/client.rs
+++ b/crates/ferry-gateway/src/client.rs
@@ -119,6 +119,10 @@
         InternalCall { method: Method::GET, path, headers: HeaderMap::new(), body: Bytes::new() }
     }
 
+    pub fn delete(path: String) -> InternalCall {
+        InternalCall { method: Method::DELETE, ..InternalCall::get(path) }
+    }
+
     pub fn json(method: Method, path: &str, body: Bytes) -> InternalCall {
         InternalCall { method, path: path.to_owned(), headers: HeaderMap::new(), body }
     }
--- a/crates/ferry-gateway/src/records.rs
+++ b/crates/ferry-gateway/src/records.rs
@@ -36,6 +36,13 @@
                 let result = logged(&driver, "write records of streams to", result);
                 RecordReply::Streams { slot: slot.number, result: result.map_err(failure) }
             }
+            RecordCall::DeleteStreams(slot) => {
+                let path = records::delete_path(&slot);
+                let deleted = client.call(&InternalCall::delete(path), RESPONSE_TIMEOUT).await;
+                // One that is still there is found by the next read.
+                let _ = logged(&driver, "delete records of streams from", deleted);
+                return;
+            }
         };
         driver.dispatch(Event::Record(reply));
     });
--- a/crates/ferry-serve/src/origins/exchange.rs
+++ b/crates/ferry-serve/src/origins/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_model::{BuildId, PoolId};
+use ferry_model::{BuildId, Moment, PoolId};
 
 use super::{
     N_HOLDERS, PoolBuilds, ReadId, RecordReply, StoredRecords, StreamRecord, StreamSlot,
@@ -16,12 +16,22 @@
 /// Hash key that separates the turns to write builds from other roles.
 const TURN_KEY: &str = "builds";
 
+/// Hash key that separates the choice of the instance that deletes records from other roles.
+const CLEANER_KEY: &str = "records";
+/// Uptime from which an instance knows which others are gone; longer than records are needed.
+const ABSENCE: Duration = Duration::from_secs(90);
+/// Records of gone instances that are deleted after one read.
+const MAX_DELETED: usize = 20;
+
 /// Does what is due; returns the pools whose streams have to be recorded from now on.
 pub fn update(cx: &mut Pass<'_>) -> Vec<PoolId> {
     let added = review(cx);
     let Pass { now, ctx, effects, .. } = cx;
     let now = *now;
-    let interval = write_interval(ctx, now);
+    let interval = match ctx.origins.writer.is_empty() {
+        true => Duration::ZERO,
+        false => write_interval(ctx, now),
+    };
     let Context { origins, endpoints, identity, catalog, peers, tuning, .. } = &mut **ctx;
     if endpoints.is_store_down() {
         return added;
@@ -72,7 +82,7 @@
 
 /// Returns the time between two writes of this instance: all instances together leave a part of the
 /// calls that the store takes.
-fn write_interval(ctx: &Context, now: ferry_model::Moment) -> Duration {
+fn write_interval(ctx: &Context, now: Moment) -> Duration {
     let n_instances = ctx.peers.n_instances(now, &ctx.tuning) as f64;
     Duration::from_secs_f64(n_instances / (ctx.tuning.store_writes * WRITE_SHARE).max(1.0))
 }
@@ -137,7 +147,7 @@
 fn on_read(cx: &mut Pass<'_>, id: ReadId, records: Option<StoredRecords>) -> Option<Read> {
     let now = cx.now;
     let longest = cx.ctx.catalog.longest_request(now).unwrap_or_default();
-    let Context { origins, identity, .. } = &mut *cx.ctx;
+    let Context { origins, .. } = &mut *cx.ctx;
     if !origins.reader.on_reply(id) {
         return None;
     }
@@ -150,6 +160,8 @@
     origins.ledger.on_read(pools);
     let with_streams = streams.is_some();
     if let Some(slots) = streams {
+        clean_up(cx, &slots);
+        let Context { origins, identity, .. } = &mut *cx.ctx;
         let own = slots.iter().filter(|it| it.instance == identity.instance);
         origins.writer.on_slots(own, now + longest + super::RETENTION);
         for StreamRecord { attempt, build } in
@@ -161,6 +173,25 @@
     Some(Read { id, is_answered: true, with_streams })
 }
 
+/// Deletes records of instances that have not been heard for longer than records are needed, as nobody
+/// else would.
+fn clean_up(cx: &mut Pass<'_>, slots: &[StreamSlot]) {
+    let Context { peers, tuning, identity, began_at, .. } = &*cx.ctx;
+    let order = peers.ranked_with(cx.now, tuning, identity, CLEANER_KEY, 1);
+    let is_cleaner = order.first() == Some(&None);
+    if !is_cleaner || cx.now < *began_at + ABSENCE {
+        return;
+    }
+    let is_gone = |it: &&StreamSlot| {
+        it.instance != identity.instance && !peers.was_heard(cx.now, &it.instance)
+    };
+    let gone = slots.iter().filter(is_gone).take(MAX_DELETED);
+    let emptied = gone.map(|it| StreamSlot { streams: Vec::new(), ..it.clone() });
+    let calls: Vec<Effect> =
+        emptied.map(|it| Effect::Record(RecordCall::DeleteStreams(it))).collect();
+    cx.effects.extend(calls);
+}
+
 fn on_builds_written(cx: &mut Pass<'_>, pool: &PoolId, result: Result<u64, WriteFailure>) {
     let now = cx.now;
     let ledger = &mut cx.ctx.origins.ledger;
--- a/crates/ferry-serve/src/origins/reader.rs
+++ b/crates/ferry-serve/src/origins/reader.rs
@@ -6,8 +6,9 @@
 
 use super::{ReadId, RecordCall};
 
-/// Shortest time between the starts of two reads; one serves all requests that wait for it.
-const READ_INTERVAL: Duration = Duration::from_millis(30);
+/// Shortest time between the starts of two reads; one serves all requests that wait for it. Their stages
+/// usually take longer.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a read without an answer until the next one, unless a request waits for it.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/ferry-serve/src/origins/record.rs
+++ b/crates/ferry-serve/src/origins/record.rs
@@ -57,6 +57,8 @@
     },
     WriteBuilds(PoolBuilds),
     WriteStreams(StreamSlot),
+    /// Deletes the records of an instance that is gone.
+    DeleteStreams(StreamSlot),
 }
 
 /// Why a write is not known to have taken place.
--- a/crates/ferry-serve/src/origins/writer.rs
+++ b/crates/ferry-serve/src/origins/writer.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Whether nothing waits to be written.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.open.is_empty()
+    }
+
     /// Whether the slots have to be read before something can be written.
     pub fn needs_slots(&self) -> bool {
         self.slots.is_none() && !self.queue.is_empty()
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -344,6 +344,12 @@
         self.views.iter().filter(|(_, it)| is_recent(it)).map(|it| *it.0).collect()
     }
 
+    /// Whether an instance was alive lately.
+    pub fn was_heard(&self, now: Moment, instance: &str) -> bool {
+        let is_recent = |it: &&PeerView| now < it.last_heard + MEMORY;
+        self.views.values().filter(is_recent).any(|it| it.heartbeat.instance == instance)
+    }
+
     /// Returns the time in which each peer gets a heartbeat.
     pub fn round_time(&self, tuning: &Tuning) -> Duration {
         tuning.heartbeat_interval * self.n_rounds()
--- a/crates/ferry-serve/tests/decisions/rejoined.rs
+++ b/crates/ferry-serve/tests/decisions/rejoined.rs
@@ -298,6 +298,30 @@
     assert_eq!(sim.records.builds(ENGINE), ["v2"]);
 }
 
+#[test]
+fn records_of_an_instance_that_is_gone_for_good_are_deleted() {
+    let mut sim = Simulation::new(3);
+    let mut rollout = Rollout::new();
+    set_engines(&mut sim, &mut rollout, "v1");
+    rollout.add(&mut sim, "v2", 3, &[0, 1, 2]);
+    sim.run_for(ms(2_000));
+    for instance in 0..3 {
+        let attempt = format!("stream-{instance}");
+        sim.arrive(instance, &attempt, stream(&attempt));
+    }
+    sim.run_for(ms(1_000));
+    assert_eq!(sim.records.writers(), ["instance-0", "instance-1", "instance-2"]);
+    sim.kill(2);
+    sim.run_for(ms(95_000));
+    // The records are read for a continuation.
+    for instance in 0..2 {
+        let attempt = format!("again-{instance}");
+        sim.arrive(instance, &attempt, continuation(&attempt, "gone"));
+    }
+    sim.run_for(ms(2_000));
+    assert_eq!(sim.records.writers(), ["instance-0", "instance-1"]);
+}
+
 #[test]
 fn pool_of_one_build_costs_nothing() {
     let mut sim = Simulation::new(6);
--- a/crates/ferry-serve/tests/decisions/simulation/records.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/records.rs
@@ -45,6 +45,17 @@
     fn write(&mut self, call: &RecordCall) -> Result<u64, WriteFailure> {
         let (before, expected) = match call {
             RecordCall::Read { .. } => return Err(WriteFailure::Failed),
+            RecordCall::DeleteStreams(it) => {
+                let key = (it.instance.clone(), it.number);
+                return match self.slots.get(&key).is_some_and(|slot| slot.revision == it.revision) {
+                    true => self
+                        .slots
+                        .remove(&key)
+                        .and_then(|it| it.revision)
+                        .ok_or(WriteFailure::Conflict),
+                    false => Err(WriteFailure::Conflict),
+                };
+            }
             RecordCall::WriteBuilds(it) => {
                 (self.pools.get(&it.pool).and_then(|it| it.revision), it.revision)
             }
@@ -59,7 +70,7 @@
         self.revision += 1;
         let revision = Some(self.revision);
         match call.clone() {
-            RecordCall::Read { .. } => (),
+            RecordCall::Read { .. } | RecordCall::DeleteStreams(_) => (),
             RecordCall::WriteBuilds(it) => {
                 self.pools.insert(it.pool.clone(), PoolBuilds { revision, ..it });
             }
@@ -77,6 +88,13 @@
         StoredRecords { pools, streams }
     }
 
+    /// Returns the instances that have records of streams.
+    pub fn writers(&self) -> Vec<String> {
+        let mut writers: Vec<String> = self.slots.keys().map(|it| it.0.clone()).collect();
+        writers.dedup();
+        writers
+    }
+
     /// Returns the recorded builds of a pool.
     pub fn builds(&self, pool: &str) -> &[String] {
         self.pools.get(pool).map_or(&[], |it| &it.builds)
@@ -87,7 +105,9 @@
     match call {
         RecordCall::Read { id, .. } => RecordReply::Read { id, records: None },
         RecordCall::WriteBuilds(it) => RecordReply::Builds { pool: it.pool, result },
-        RecordCall::WriteStreams(it) => RecordReply::Streams { slot: it.number, result },
+        RecordCall::WriteStreams(it) | RecordCall::DeleteStreams(it) => {
+            RecordReply::Streams { slot: it.number, result }
+        }
     }
 }
 
@@ -110,6 +130,10 @@
         let is_read = matches!(call, RecordCall::Read { .. });
         self.records.n_reads += usize::from(is_read);
         self.records.n_writes += usize::from(!is_read);
+        if matches!(call, RecordCall::DeleteStreams(_)) {
+            // Nobody waits for the answer.
+            return self.write_late(&call);
+        }
         if let RecordCall::WriteStreams(slot) = &call {
             let len = |it: &ferry_serve::StreamRecord| it.attempt.len() + 3;
             self.records.n_bytes += slot.streams.iter().map(len).sum::<usize>();
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -149,6 +149,10 @@
             (Method::PUT, Some((kind, name))) => {
                 self.replace(kind, name, &serde_json::from_slice(&body).ok()?)
             }
+            (Method::DELETE, Some((kind, name))) => {
+                self.remove(kind, name);
+                full_response(StatusCode::OK, "")
+            }
             _ => full_response(StatusCode::NOT_FOUND, ""),
         };
         let is_lost = is_write && self.behaviour.get() == StoreBehaviour::LosesResponses;
