--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Returns the message of a datagram, if it has one for this release, and notes what its sender reads.
+/// Returns the message of a datagram, if it has one for this release, and records the format of its sender.
 fn accept(
     driver: &Rc<Driver>,
     from: SocketAddr,
@@ -77,7 +77,7 @@
     if let (Some(format), Received::Message(PeerMessage::Heartbeat(it))) = (format, &received)
         && driver.formats.borrow_mut().record(from, it.incarnation, format)
     {
-        slog::info!(driver.log, "a peer speaks another format than before";
+        slog::info!(driver.log, "a peer uses another format than before";
             "peer" => from.to_string(), "format" => format.to_string());
     }
     match received {
--- a/crates/ferry-gateway/src/records.rs
+++ b/crates/ferry-gateway/src/records.rs
@@ -78,7 +78,7 @@
     Ok(store::read_object(&body)?.revision)
 }
 
-/// An object that is gone has another revision, too.
+/// An object that does not exist any longer counts as changed.
 fn failure(error: StoreError) -> WriteFailure {
     match error {
         StoreError::Status(StatusCode::CONFLICT | StatusCode::NOT_FOUND) => WriteFailure::Conflict,
--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -30,7 +30,7 @@
 )]
 #[repr(u8)]
 pub enum WireFormat {
-    /// Heartbeats do not say which pools are reached.
+    /// Heartbeats have no list of the pools that are reached.
     #[strum(serialize = "1")]
     Bare = 1,
     #[strum(serialize = "2")]
@@ -49,9 +49,9 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Received {
     Message(PeerMessage),
-    /// A kind of message that this release does not know.
+    /// A kind of message of a later release.
     UnknownKind(u32),
-    /// A format that this release does not read. Its sender speaks this release's once it has heard it.
+    /// A format that this release does not read. Its sender uses one that is, after a heartbeat of this process.
     LaterFormat(u8),
 }
 
@@ -83,7 +83,7 @@
         (PeerMessage::PoolBuilds(_) | PeerMessage::OnlyBuild { build: None, .. }, _) => {
             return Ok(None);
         }
-        // Instances of these releases take the only build of a pool for the one that began the stream.
+        // These releases make no difference between the only build of a pool and a record.
         (PeerMessage::OnlyBuild { attempt, build: Some(build) }, _) => {
             &PeerMessage::Origin { attempt: attempt.clone(), build: build.clone() }
         }
@@ -180,7 +180,7 @@
 
 /// The format that each peer reads, by the address at which it receives datagrams.
 ///
-/// A process that has not heard a peer sends it its heartbeat in all formats, so that the highest one
+/// A process sends its heartbeat in all formats until it has received the peer's, so that the highest one
 /// counts; one that takes its place may be of an earlier release, so that its format counts alone.
 #[derive(Debug, Default)]
 pub struct PeerFormats {
@@ -188,7 +188,7 @@
 }
 
 impl PeerFormats {
-    /// Records the format of a peer's heartbeat; returns whether it speaks another one than before.
+    /// Records the format of a peer's heartbeat; returns whether it uses another one than before.
     pub fn record(
         &mut self,
         peer: SocketAddr,
@@ -205,8 +205,8 @@
         before.map(|it| it.1) != Some(now)
     }
 
-    /// Returns the formats in which a message is sent to a peer: that which it speaks, or all of them
-    /// until it was heard.
+    /// Returns the formats in which a message is sent to a peer: its own, or all of them until a
+    /// heartbeat has arrived.
     pub fn of(&self, peer: SocketAddr, highest: WireFormat) -> Vec<WireFormat> {
         match self.known.get(&peer) {
             Some((_, format)) => vec![(*format).min(highest)],
@@ -214,7 +214,7 @@
         }
     }
 
-    /// Counts the peers that speak a format.
+    /// Counts the peers that use a format.
     pub fn count(&self, format: WireFormat) -> usize {
         self.known.values().filter(|it| it.1 == format).count()
     }
--- a/crates/ferry-gateway/src/wire/former.rs
+++ b/crates/ferry-gateway/src/wire/former.rs
@@ -6,7 +6,7 @@
 use ferry_serve::{Backlog, Heartbeat, Observation};
 use serde::{Deserialize, Serialize};
 
-/// A heartbeat that does not say which pools its instance reaches.
+/// A heartbeat without the pools that its instance reaches.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct FormerHeartbeat {
     instance: InstanceId,
@@ -33,7 +33,7 @@
             front: it.front,
             is_ready: it.is_ready,
             is_leaving: it.is_leaving,
-            // An instance that is cut off works for others only if all are; these know of no cuts.
+            // An instance that is cut off works for others only if all are; this format has no cuts.
             is_overloaded: it.is_overloaded || !it.unreached.is_empty(),
             weight: it.weight,
             version: it.version,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -103,7 +103,7 @@
         !self.leaves() && !self.is_withheld
     }
 
-    /// Whether its entry or a response of it says that it leaves.
+    /// Whether its entry, or a response of it, announces that it leaves.
     pub fn leaves(&self) -> bool {
         !self.is_listed_live() || self.has_announced
     }
--- a/crates/ferry-serve/src/endpoints/builds.rs
+++ b/crates/ferry-serve/src/endpoints/builds.rs
@@ -22,7 +22,7 @@
     /// Withholds work from the endpoints of a pool whose builds the store does not record yet, as long
     /// as others are left.
     ///
-    /// An instance that starts later could not know that such a build has begun streams.
+    /// Otherwise an instance that starts later has no evidence that such a build has begun streams.
     pub fn withhold(&mut self, pool: &str, recorded: Option<&[BuildId]>) {
         let is_recorded = |it: &EndpointView| {
             recorded.is_none_or(|builds| builds.binary_search(&it.endpoint.build).is_ok())
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -28,7 +28,7 @@
     Store(StoreUpdate),
     /// A call for records of builds and streams ended.
     Record(RecordReply),
-    /// The builds of pools that the store has recorded, as a peer knows them.
+    /// The builds of pools that the store has recorded, as a peer has read them.
     PoolBuilds(Vec<PoolBuilds>),
     /// Peer addresses of the other registered instances.
     Members(Vec<SocketAddr>),
--- a/crates/ferry-serve/src/origins.rs
+++ b/crates/ferry-serve/src/origins.rs
@@ -2,7 +2,7 @@
 //!
 //! A caller takes up its stream at any instance, often because the one that began it has failed, and
 //! all of them may fail at once. While a pool has several builds, or had them a short while ago, an
-//! instance tells a few peers which build began a stream, and writes it to the store. Which builds a pool
+//! instance sends the build that began a stream to a few peers, and writes it to the store. Which builds a pool
 //! has is recorded there as well; docs/design/platform.md#streams-and-builds has the protocol.
 
 pub(crate) mod exchange;
@@ -105,7 +105,7 @@
         self.reader.request(now, with_streams)
     }
 
-    /// Returns the builds of all pools that the store is known to have.
+    /// Returns the builds of all pools that are recorded in the store.
     pub fn pool_builds(&self) -> Vec<PoolBuilds> {
         self.ledger.recorded().cloned().collect()
     }
--- a/crates/ferry-serve/src/origins/exchange.rs
+++ b/crates/ferry-serve/src/origins/exchange.rs
@@ -1,4 +1,4 @@
-//! Keeps the records of builds and streams in the store, and tells peers of them.
+//! Writes and reads the records of builds and streams, in the store and at peers.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 
 /// Hash key that separates the choice of the instance that deletes records from other roles.
 const CLEANER_KEY: &str = "records";
-/// Uptime from which an instance knows which others are gone; longer than records are needed.
+/// Uptime from which a silent instance counts as gone for good; longer than records are needed.
 const ABSENCE: Duration = Duration::from_secs(90);
 /// Records of gone instances that are deleted after one read.
 const MAX_DELETED: usize = 20;
@@ -173,8 +173,8 @@
     Some(Read { id, is_answered: true, with_streams })
 }
 
-/// Deletes records of instances that have not been heard for longer than records are needed, as nobody
-/// else would.
+/// Deletes records of instances that have been silent for longer than records are needed: nothing in the
+/// store expires by itself.
 fn clean_up(cx: &mut Pass<'_>, slots: &[StreamSlot]) {
     let Context { peers, tuning, identity, began_at, .. } = &*cx.ctx;
     let order = peers.ranked_with(cx.now, tuning, identity, CLEANER_KEY, 1);
--- a/crates/ferry-serve/src/origins/ledger.rs
+++ b/crates/ferry-serve/src/origins/ledger.rs
@@ -13,7 +13,7 @@
 /// Time between the turns of two instances to write the builds of a pool.
 const TURN: Duration = Duration::from_millis(200);
 /// Time until the first record of a pool is written. Nothing waits for it, and instances that have
-/// started together have to hear each other to take turns.
+/// started together need each other's heartbeats to take turns.
 const FIRST_DELAY: Duration = Duration::from_secs(1);
 /// Time after a failed write until the next one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -344,7 +344,7 @@
         self.views.iter().filter(|(_, it)| is_recent(it)).map(|it| *it.0).collect()
     }
 
-    /// Whether an instance was alive lately.
+    /// Whether a heartbeat of an instance has arrived within [`MEMORY`].
     pub fn was_heard(&self, now: Moment, instance: &str) -> bool {
         let is_recent = |it: &&PeerView| now < it.last_heard + MEMORY;
         self.views.values().filter(is_recent).any(|it| it.heartbeat.instance == instance)
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -128,7 +128,7 @@
         });
     }
 
-    /// Applies what a peer knows of the builds of a stream's pool.
+    /// Applies a peer's answer with the only build of a stream's pool.
     pub fn on_only_build(
         &mut self,
         cx: &mut Pass<'_>,
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -100,7 +100,7 @@
     pub n_asked: usize,
     /// Until when the answers are waited for.
     pub until: Moment,
-    /// The only builds of the pool as peers know them; none from a peer that knows of several.
+    /// The only builds of the pool by the answers of peers; none from a peer with several.
     pub only_builds: Vec<Option<BuildId>>,
 }
 
@@ -111,7 +111,7 @@
     }
 }
 
-/// What the store has said of an open question.
+/// The store's answer to an open question.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreRead {
     Open(ReadId),
--- a/crates/ferry-serve/src/request/origin.rs
+++ b/crates/ferry-serve/src/request/origin.rs
@@ -85,7 +85,7 @@
     cx.effects.push(Effect::Send { to: from, message });
 }
 
-/// Applies the answer of a peer that knows the build; returns whether the request has ended.
+/// Applies the answer of a peer with a record of the stream; returns whether the request has ended.
 pub fn on_answer(
     cx: &mut Pass<'_>,
     batcher: &mut Batcher,
@@ -98,7 +98,7 @@
     }
 }
 
-/// Applies the answer of a peer that knows only which build the pool has, if it has one; returns
+/// Applies the answer of a peer without a record: the only build of the pool, if there is one. Returns
 /// whether the request has ended.
 pub fn on_only_build(
     cx: &mut Pass<'_>,
@@ -156,7 +156,7 @@
     }
     let only = only_build(cx, &request.pool);
     let StreamBuild::Asked(inquiry) = &request.build else { return false };
-    // A read that starts after the request has arrived knows of every build that may have begun it.
+    // A read that starts after the request has arrived has every build that may have begun its stream.
     if let (StoreRead::Answered, Some(build)) = (inquiry.store, &only) {
         return settle(cx, batcher, request, build.clone(), "its pool has had one build only");
     }
@@ -164,7 +164,7 @@
     if is_open {
         return false;
     }
-    // While the store answers nobody, no build is added; peers may know better if it answers them.
+    // No build is added while the store is down for all; if it is not, a peer may have another answer.
     let agree = !inquiry.only_builds.is_empty() && inquiry.only_builds.iter().all(|it| *it == only);
     let is_alone = cx.ctx.peers.n_remembered(cx.now) == 1;
     match (inquiry.store, only) {
--- a/crates/ferry-serve/tests/decisions/rejoined.rs
+++ b/crates/ferry-serve/tests/decisions/rejoined.rs
@@ -155,7 +155,7 @@
         sim.records.lose_one_in = case.lose_one_in;
         set_engines(&mut sim, &mut rollout, "v1");
         rollout.add(&mut sim, "v2", 3, &all);
-        // The endpoints have been there for long, so that their age says nothing.
+        // The endpoints have been there for long, so that their age is no evidence.
         sim.run_for(ms(25_000));
         let streams: Vec<(String, String)> =
             (0..N_STREAMS).map(|it| (format!("first-{it}"), format!("second-{it}"))).collect();
@@ -187,7 +187,7 @@
             n_possible += usize::from(is_there);
             match &outcome.ending {
                 Ending::Stream => n_continued += usize::from(is_there),
-                // A refusal says when to come back, and the caller's next attempt begins afresh.
+                // A refusal has the time to come back, and the caller's next attempt begins afresh.
                 Ending::Refused(it) => {
                     assert!(it.retry_after.is_some(), "{name}: {outcome:?}");
                     assert!(outcome.took <= ms(1_000), "{name}: {outcome:?}");
@@ -392,7 +392,7 @@
     set_engines(&mut sim, &mut rollout, "v1");
     sim.run_for(ms(20_000));
     rollout.add(&mut sim, "v2", 9, &[0, 1]);
-    // Peers would tell the instance in time what the store does not.
+    // Otherwise peers report the new build to the instance.
     sim.isolated = vec![2];
     sim.run_for(ms(100));
     let begun: Vec<String> = (0..N_STREAMS).map(|it| format!("first-{it}")).collect();
--- a/crates/ferry-serve/tests/decisions/rejoined/drawn.rs
+++ b/crates/ferry-serve/tests/decisions/rejoined/drawn.rs
@@ -255,7 +255,7 @@
             for (first, second, has_endpoint) in &day.taken_up {
                 let builds = builds(&day.sim, &[first, second]);
                 assert!(builds.len() <= 1, "{name}: {first} has events of {builds:?}");
-                // One that another kill ended says nothing.
+                // One that another kill ended is not counted.
                 let Some(outcome) = day.sim.outcomes.get(second) else { continue };
                 if *has_endpoint {
                     n_possible += 1;
