Log and count pauses that endpoints ask for, and responses of the store that cannot be read

The header is read from every response of the endpoint's own, like the announcement that it leaves, and told to the reducer, which writes one line for each pause and counts the responses. No decision uses it yet. A response of the store that cannot be read has a line and a counter of its own.

Tests: refusals_tell_for_how_long_their_endpoint_wants_no_requests, pause_is_logged_once_while_it_lasts.

--- a/crates/ferry-gateway/src/caches.rs
+++ b/crates/ferry-gateway/src/caches.rs
@@ -7,7 +7,6 @@
 use ferry_model::EndpointId;
 use ferry_platform::{cache, headers};
 use ferry_serve::{Event, PromptPart};
-use http::StatusCode;
 use tokio::task::spawn_local;
 
 use crate::client::{CallError, InternalCall, call_once};
@@ -40,8 +39,6 @@
     headers::set_expected(&mut call.headers, endpoint);
     let read = tokio::time::timeout(READ_TIMEOUT, call_once(address, &call));
     let response = read.await.map_err(|_| CallError::Timeout)??;
-    if response.status != StatusCode::MISDIRECTED_REQUEST {
-        driver.report_leaving(endpoint, started, headers::leaving(&response.headers));
-    }
+    driver.report_state(endpoint, started, response.status, &response.headers);
     cache::read_list(&response.body).map_err(|it| CallError::Body(it.to_string()))
 }
--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -88,7 +88,7 @@
     // A peer learns itself what its endpoints say.
     if call.relayed.is_none() {
         report_limit(driver, &call.endpoint, &kind, response.headers());
-        report_leaving(driver, call, &kind, response.headers());
+        report_state(driver, call, &response, attempt);
     }
     match kind {
         ResponseKind::NotRun(reason) => CallEvent::NotRun { reason, load },
@@ -117,14 +117,12 @@
     }
 }
 
-/// Reports that the endpoint leaves, if its response says so. One that is not the endpoint's own
-/// says nothing of it.
-fn report_leaving(driver: &Rc<Driver>, call: &Call, kind: &ResponseKind, headers: &HeaderMap) {
-    match kind {
-        ResponseKind::Mismatched | ResponseKind::NotRun(NotRunReason::Moved) => (),
-        ResponseKind::NotRun(_) | ResponseKind::Matching { .. } => {
-            driver.report_leaving(&call.endpoint, call.started, headers::leaving(headers));
-        }
+/// Reports what the endpoint says of itself. A response that names another attempt may be an older
+/// one.
+fn report_state(driver: &Rc<Driver>, call: &Call, response: &Response<Incoming>, attempt: &str) {
+    let named = response.headers().get(headers::ATTEMPT_ID);
+    if named.is_none_or(|it| it.as_bytes() == attempt.as_bytes()) {
+        driver.report_state(&call.endpoint, call.started, response.status(), response.headers());
     }
 }
 
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -7,9 +7,11 @@
 
 use bytes::Bytes;
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
+use ferry_platform::headers;
 use ferry_platform::settings::NodeSettings;
-use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LeavingReport, LimitReport, Refusal};
+use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Refusal};
 use http::request::Parts;
+use http::{HeaderMap, StatusCode};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
@@ -210,17 +212,24 @@
         }
     }
 
-    /// Reports that a response of an endpoint announces that it leaves. Each of them does, but only
-    /// the first is news.
-    pub fn report_leaving(
+    /// Reports what a response says of its endpoint's leaving, and the pause that it asks for. A
+    /// response of another endpoint at the address says nothing of the one that was called.
+    pub fn report_state(
         self: &Rc<Self>,
         endpoint: &str,
         started: u64,
-        report: Option<LeavingReport>,
+        status: StatusCode,
+        headers: &HeaderMap,
     ) {
-        let Some(report) = report else { return };
-        let endpoint = endpoint.to_owned();
-        self.dispatch(Event::Leaving { endpoint, started, report });
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if let Some(report) = headers::leaving(headers) {
+            self.dispatch(Event::Leaving { endpoint: endpoint.to_owned(), started, report });
+        }
+        if let Some(report) = headers::pause(status, headers) {
+            self.dispatch(Event::Pause { endpoint: endpoint.to_owned(), started, report });
+        }
     }
 
     /// Dispatches a tick whenever the reducer needs one.
--- a/crates/ferry-gateway/src/items.rs
+++ b/crates/ferry-gateway/src/items.rs
@@ -43,10 +43,8 @@
     match tokio::time::timeout(call.timeout, call_once(call.address, &request)).await {
         Ok(Ok(response)) => {
             report_limit(driver, call, &response);
-            if response.status != StatusCode::MISDIRECTED_REQUEST {
-                let report = headers::leaving(&response.headers);
-                driver.report_leaving(&call.endpoint, call.started, report);
-            }
+            let BufferedResponse { status, headers, .. } = &response;
+            driver.report_state(&call.endpoint, call.started, *status, headers);
             read(&response)
         }
         Ok(Err(error @ CallError::Connect(_))) => {
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -9,7 +9,7 @@
 use ferry_model::GatewayEndpoint;
 use ferry_platform::store::{self, Changes, Kind, Object, Page, Registration};
 use ferry_platform::{FormatError, desired, endpoints};
-use ferry_serve::{Event, StoreUpdate};
+use ferry_serve::{Event, Metric, StoreUpdate};
 use http::{Method, StatusCode};
 use rand::RngExt;
 use thiserror::Error;
@@ -133,6 +133,10 @@
             Err(error) => {
                 // Changes may have been missed during the failure.
                 from = None;
+                if let StoreError::Format(error) = &error {
+                    driver.metrics.count(Metric::ResponsesUnreadable);
+                    driver.warn_seldom("could not read a response of the store", error);
+                }
                 if !std::mem::replace(&mut is_unreachable, true) {
                     driver.warn("the store does not answer", &error);
                     if kind == Kind::Endpoints {
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -356,6 +356,8 @@
     LimitsInvalid,
     LeavingAnnounced,
     LeavingInvalid,
+    PausesAsked,
+    PausesInvalid,
     LimitedCalls,
     PermitsGranted,
     RequestsHeldBack,
@@ -372,6 +374,7 @@
     RequestsQuarantined,
     RequestsRelayed,
     PoolsCut,
+    ResponsesUnreadable,
     MessagesSkipped,
     MessagesDamaged,
 }
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod missing;
 mod observe;
+mod pause;
 mod prompt;
 mod rate_limit;
 
@@ -23,6 +24,7 @@
 pub use delta::EndpointsDelta;
 pub use leaving::LeavingReport;
 pub use observe::{Observation, Observations};
+pub use pause::PauseReport;
 pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
 
 /// Weight of the newest observation in averages.
@@ -54,6 +56,8 @@
     report: Option<(Moment, LoadReport)>,
     failure_streak: u32,
     paused: Moment,
+    /// End of the pause that it has asked this instance for.
+    pause_end: Moment,
     rate_limit: RateLimit,
     /// Whether it has announced in a response that it leaves.
     has_announced: bool,
@@ -82,6 +86,7 @@
             report: None,
             failure_streak: 0,
             paused: Moment::ZERO,
+            pause_end: Moment::ZERO,
             rate_limit: RateLimit::default(),
             has_announced: false,
             announced_at: Duration::ZERO,
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LeavingReport, LimitReport, LoadReport,
-    PeerMessage, PoolBuilds, QuarantineAction, RecordReply, RequestDigest, Tuning,
+    PauseReport, PeerMessage, PoolBuilds, QuarantineAction, RecordReply, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -61,6 +61,13 @@
         started: u64,
         report: LeavingReport,
     },
+    /// A refusal says for how long its endpoint wants no requests.
+    Pause {
+        endpoint: EndpointId,
+        /// Which start of the endpoint was called.
+        started: u64,
+        report: PauseReport,
+    },
     /// The prompt parts that an engine has cached.
     Cached {
         endpoint: EndpointId,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -158,6 +158,9 @@
             Event::Leaving { endpoint, started, report } => {
                 updates::on_leaving(cx, &endpoint, started, report);
             }
+            Event::Pause { endpoint, started, report } => {
+                updates::on_pause(cx, &endpoint, started, report);
+            }
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -14,7 +14,7 @@
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
     Asker, Decision, DecisionKind, Effect, JobSubmission, LeavingReport, LimitNotice, LimitReport,
-    Metric, PeerMessage, PermitAnswer, PermitId, ReachChange, StoreUpdate,
+    Metric, PauseReport, PeerMessage, PermitAnswer, PermitId, ReachChange, StoreUpdate,
 };
 
 pub(super) fn configure(cx: &mut Pass<'_>, batcher: &mut Batcher, config: Arc<GatewayConfig>) {
@@ -90,6 +90,32 @@
     cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
 }
 
+pub(super) fn on_pause(
+    cx: &mut Pass<'_>,
+    endpoint: &EndpointId,
+    started: u64,
+    report: PauseReport,
+) {
+    let reason = match report {
+        PauseReport::Asked(pause) => {
+            cx.count(Metric::PausesAsked);
+            if !cx.ctx.endpoints.record_pause(cx.now, endpoint, started, pause) {
+                return;
+            }
+            format!("asks for a pause of {pause:?}")
+        }
+        PauseReport::Invalid(text) => {
+            cx.count(Metric::PausesInvalid);
+            let view = cx.ctx.endpoints.get_mut(endpoint);
+            if !view.is_some_and(|it| it.note_invalid(cx.now)) {
+                return;
+            }
+            format!("ignored {text:?}, which is not a pause in seconds")
+        }
+    };
+    cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
+}
+
 /// Compares what this instance reaches with what its peers do, and probes the pools that only they
 /// reach.
 pub(super) fn update_reach(cx: &mut Pass<'_>) {
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -36,7 +36,7 @@
 };
 pub use endpoints::{
     EndpointView, Endpoints, EndpointsDelta, LeavingReport, LimitChange, LimitNotice, LimitReport,
-    LoadReport, Observation, Observations, RequestRate,
+    LoadReport, Observation, Observations, PauseReport, RequestRate,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod health;
 mod leaving;
+mod pauses;
 mod peers;
 mod quarantine;
 mod rate_limits;
