Add failing tests of unreadable entries, late announcements and pauses

- An entry that cannot be read hides all others.
With real processes, ten requests 2 s after one endpoint had said that it leaves and another was removed: the two that left got requests with nine of 13 kinds of entries, and a gateway that started beside them was not ready after 20 s.
Neither was one that reads names which are no part of a URI.
- An announcement is ignored if its request was sent before the entry of the start that made it was known.
- Endpoints that asked for a pause of 2 s got up to 91 requests in it, where 2 are allowed.

The stand-in of the store keeps objects as text, which need not be valid, and decodes names in queries; endpoints may ask for pauses, which the checker counts for each gateway.

--- /dev/null
+++ b/crates/ferry-gateway/tests/process/unreadable.rs
@@ -0,0 +1,171 @@
+//! Entries of other writers that cannot be read, beside those of sound endpoints.
+
+use std::time::Duration;
+
+use ferry_soak::cluster::{Cluster, Signal};
+use ferry_soak::config::Route;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use crate::harness::{TIMEOUT, exchange, head, wait_ready, with_cluster};
+
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+const N_REQUESTS: usize = 10;
+const NAME: &str = "odd";
+
+/// An object that cannot be read, or whose spec is no entry of an endpoint.
+struct Odd {
+    what: &'static str,
+    object: Vec<u8>,
+}
+
+fn with_spec(what: &'static str, spec: &[u8]) -> Odd {
+    let start = br#"{"Metadata":{"Name":"odd","Revision":1},"Spec":"#;
+    Odd { what, object: [start, spec, br#","Status":null}"#].concat() }
+}
+
+fn with_field(what: &'static str, field: &str) -> Odd {
+    let spec = format!(
+        r#"{{"Service":"plain","Address":"127.0.0.1:9","Zone":"zone-0","Version":"v1",
+            "State":"ready","ColdLeftMs":0,"Sequence":1,{field}}}"#
+    );
+    with_spec(what, spec.as_bytes())
+}
+
+fn nested(depth: usize) -> Vec<u8> {
+    [vec![b'['; depth], vec![b']'; depth]].concat()
+}
+
+fn odd_objects() -> Vec<Odd> {
+    let digits = format!(r#""Slots":8,"born":{}"#, "9".repeat(400));
+    let status = br#"{"Metadata":{"Name":"odd","Revision":1},"Spec":null,"Status":"#;
+    let megabyte = [b"\"", &vec![b'x'; 1_000_000][..], b"\""].concat();
+    vec![
+        with_spec("nested deeply", &nested(3_000)),
+        with_field("a number too large", r#""Slots":1e999"#),
+        with_field("a negative number too large", r#""Slots":-1e999"#),
+        with_field("a number of 400 digits", &digits),
+        with_field("half of a surrogate pair", r#""Slots":8,"Zone":"\ud800""#),
+        with_field("a number that is none", r#""Slots":Infinity"#),
+        with_field("a field twice", r#""Slots":8,"Slots":9"#),
+        with_field("an unescaped control character", "\"Slots\":8,\"Zone\":\"a\nb\""),
+        with_spec("bytes that are no text", b"\"\xff\xfe\""),
+        with_spec("a megabyte", &megabyte),
+        Odd { what: "status nested deeply", object: [&status[..], &nested(3_000), b"}"].concat() },
+        Odd { what: "no metadata", object: br#"{"Spec":null}"#.to_vec() },
+        Odd { what: "no object", object: b"7".to_vec() },
+    ]
+}
+
+/// Sends requests to the plain pool; returns the endpoints that ran them, and how many were served.
+async fn ask(cluster: &Cluster, name: &str) -> (Vec<String>, usize) {
+    let (mut runs, mut n_served) = (Vec::new(), 0);
+    for number in 0..N_REQUESTS {
+        let attempt = format!("{name}-{number}");
+        cluster.checker.record_sent(&attempt, Route::Get, b"");
+        let request = format!("{}\r\n", head("GET", &Route::Get.path(), &attempt));
+        let response = exchange_quickly(cluster, request.as_bytes()).await;
+        n_served += usize::from(response.starts_with("HTTP/1.1 200"));
+        runs.extend(cluster.checker.runs(&attempt));
+    }
+    runs.sort();
+    runs.dedup();
+    (runs, n_served)
+}
+
+/// Closes the connection behind the response, so that nothing waits for its idle time.
+async fn exchange_quickly(cluster: &Cluster, request: &[u8]) -> String {
+    let request = String::from_utf8_lossy(request).replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    exchange(cluster.nodes[0].front(), request.as_bytes()).await
+}
+
+fn register(cluster: &Cluster, numbers: &[usize], state: &str) {
+    for number in numbers {
+        let id = format!("plain-{number}");
+        let endpoint = cluster.endpoints.iter().find(|it| it.id == id);
+        let entry = endpoint.expect("the endpoint exists").entry("zone-0", state);
+        cluster.store.put("servers", &id, entry);
+    }
+}
+
+#[test]
+fn endpoint_that_leaves_gets_no_requests_beside_an_unreadable_entry() {
+    with_cluster("unreadable", 1, async |cluster| {
+        let mut failures = Vec::new();
+        for Odd { what, object } in odd_objects() {
+            cluster.store.put_text("servers", NAME, object);
+            register(&cluster, &[0], "draining");
+            cluster.store.remove("servers", "plain-1");
+            sleep(DRAIN_TIME).await;
+            let (runs, n_served) = ask(&cluster, &what.replace(' ', "-")).await;
+            if (&runs[..], n_served) != (&["plain-2".to_owned()][..], N_REQUESTS) {
+                failures.push(format!("{what}: {n_served} served, at {runs:?}"));
+            }
+            cluster.store.remove("servers", NAME);
+            register(&cluster, &[0, 1], "ready");
+            sleep(Duration::from_millis(1_000)).await;
+        }
+        assert_eq!(failures, Vec::<String>::new());
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn gateway_starts_and_serves_beside_unreadable_entries() {
+    with_cluster("unreadable-start", 1, async |mut cluster| {
+        for (number, odd) in odd_objects().into_iter().enumerate() {
+            cluster.store.put_text("servers", &format!("odd-{number}"), odd.object);
+        }
+        cluster.nodes[0].signal(Signal::Kill);
+        while cluster.nodes[0].exit_status().is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        cluster.nodes[0].start().expect("the gateway starts");
+        let ready = timeout(TIMEOUT, wait_ready(cluster.nodes[0].ready())).await;
+        assert!(ready.is_ok(), "the gateway is not ready");
+        let (_, n_served) = ask(&cluster, "started").await;
+        assert_eq!(n_served, N_REQUESTS);
+    });
+}
+
+#[test]
+fn entry_that_becomes_unreadable_names_no_endpoint() {
+    with_cluster("turned-odd", 1, async |cluster| {
+        let mut failures = Vec::new();
+        for Odd { what, object } in odd_objects() {
+            let object = String::from_utf8_lossy(&object).replace("\"odd\"", "\"plain-0\"");
+            cluster.store.put_text("servers", "plain-0", object.into_bytes());
+            sleep(DRAIN_TIME).await;
+            let (runs, n_served) = ask(&cluster, &what.replace(' ', "-")).await;
+            if runs.iter().any(|it| it == "plain-0") || n_served < N_REQUESTS {
+                failures.push(format!("{what}: {n_served} served, at {runs:?}"));
+            }
+            register(&cluster, &[0], "ready");
+            sleep(Duration::from_millis(700)).await;
+        }
+        assert_eq!(failures, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn names_of_entries_do_not_break_the_list() {
+    with_cluster("odd-names", 1, async |mut cluster| {
+        cluster.nodes[0].signal(Signal::Kill);
+        while cluster.nodes[0].exit_status().is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        // Of so many, some are the last one of a page, behind which the next page starts.
+        for odd in [" a&b", "#", "?\u{fc}", "%", "/\n"] {
+            for number in 0..N_REQUESTS {
+                let name = format!("engine-0{odd}{number}");
+                let object = json!({ "Metadata": { "Name": name }, "Spec": 7 });
+                cluster.store.put_text("servers", &name, object.to_string());
+            }
+        }
+        cluster.nodes[0].start().expect("the gateway starts");
+        let ready = timeout(TIMEOUT, wait_ready(cluster.nodes[0].ready())).await;
+        assert!(ready.is_ok(), "the gateway is not ready");
+        let (_, n_served) = ask(&cluster, "named").await;
+        assert_eq!(n_served, N_REQUESTS);
+    });
+}
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -239,6 +239,23 @@
     }
 }
 
+#[test]
+fn announcement_counts_though_the_entry_of_its_start_came_before_it() {
+    for (started, accepts_work) in [(EARLIER, false), (LATER, true)] {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(1_000));
+        let entry = sim.endpoints.get("plain-0").expect("the endpoint exists").entry.clone();
+        let endpoint = ferry_model::GatewayEndpoint { started, ..entry };
+        sim.deliver(0, Event::Store(StoreUpdate::Changed { revision: 20, endpoint }));
+        // The call was sent when only the former start was known.
+        announce(&mut sim, 0, "plain-0", 1);
+        sim.run_for(ms(5_000));
+        let gateway = sim.instances[0].as_ref().expect("the instance is running");
+        let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+        assert_eq!(view.accepts_work(), accepts_work, "start {started}");
+    }
+}
+
 #[test]
 fn answer_of_a_call_that_was_cancelled_announces_too() {
     let mut sim = Simulation::new(1);
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -3,6 +3,7 @@
 mod budget;
 pub mod crashes;
 mod leaving;
+mod pauses;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -17,8 +18,10 @@
 use budget::PoolLog;
 use crashes::CrashLog;
 use leaving::LeavingLog;
+use pauses::PauseLog;
 
 pub use budget::WorstWindow;
+pub use pauses::PauseCounts;
 
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,6 +74,9 @@
     n_limited: Cell<usize>,
     crash_log: RefCell<CrashLog>,
     leaving_log: RefCell<LeavingLog>,
+    pause_log: RefCell<PauseLog>,
+    /// The gateway of a run with one gateway.
+    only_node: RefCell<Option<String>>,
     pool_log: RefCell<SortedMap<String, PoolLog>>,
 }
 
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -264,6 +264,9 @@
         for node in &mut nodes {
             node.start()?;
         }
+        if let [node] = nodes.as_slice() {
+            checker.set_only_node(&node.subject());
+        }
         let has_crashes = Rc::default();
         Ok(Cluster {
             nodes,
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -3,6 +3,7 @@
 mod behaviour;
 mod calls;
 mod entry;
+mod pause;
 mod responses;
 
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,7 @@
 use responses::{crash_response, large_event, not_run};
 
 pub use behaviour::Behaviour;
+pub use pause::Pause;
 pub use responses::{event_text, response_body};
 
 /// Time to run a plain request.
@@ -66,6 +68,7 @@
     /// Version of the endpoint's software, which its events contain.
     pub build: Cell<&'static str>,
     pub rate_limit: RateLimit,
+    pub pause: Pause,
     /// Whether it announces in its responses that it leaves.
     pub is_leaving: Cell<bool>,
     /// Start of its process in Unix milliseconds.
@@ -92,6 +95,7 @@
             id: format!("{name}-{number}"),
             build: Cell::new("v1"),
             rate_limit: RateLimit::default(),
+            pause: Pause::default(),
             is_leaving: Cell::new(false),
             started: Cell::new(entry::unix_millis()),
             crashes: Crashes::default(),
@@ -138,7 +142,11 @@
             Some(Ok(())) => self.checker.count_limited(),
             Some(Err(text)) => self.checker.add_violation(format!("{} {text}", self.id)),
         }
-        let mut response = self.run(&parts, &body).await?;
+        let attempt = parts.headers.get(headers::ATTEMPT_ID).and_then(|it| it.to_str().ok());
+        let mut response = match self.apply_pause(attempt) {
+            Some(refusal) => refusal,
+            None => self.run(&parts, &body).await?,
+        };
         self.rate_limit.add_header(response.headers_mut());
         if self.is_leaving.get() {
             response.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -280,6 +280,7 @@
             }
             if signal != Signal::HangUp {
                 cluster.checker.forget_leaving(&subject);
+                cluster.checker.forget_pauses(&subject);
             }
             cluster.nodes[node].signal(signal);
         }
@@ -338,6 +339,7 @@
     cluster.nodes[node].start()?;
     let subject = cluster.nodes[node].subject();
     cluster.checker.forget_leaving(&subject);
+    cluster.checker.forget_pauses(&subject);
     for trouble in [Trouble::Killed, Trouble::Terminated] {
         cluster.checker.set_trouble(&subject, trouble, false);
     }
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ferry_model::SortedMap;
 use ferry_platform::store::OBJECTS_PATH;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -35,11 +37,17 @@
 /// Number of objects in a page of a list.
 const PAGE_SIZE: usize = 5;
 
+/// An object as text, which need not be valid.
+#[derive(Debug, Clone)]
+struct StoredObject {
+    revision: u64,
+    text: Bytes,
+}
+
 #[derive(Debug)]
 struct Event {
-    revision: u64,
     kind: String,
-    object: Value,
+    object: StoredObject,
     is_removed: bool,
 }
 
@@ -51,7 +59,7 @@
     revision: Cell<u64>,
     /// The change history up to this revision has been discarded.
     compacted: Cell<u64>,
-    objects: RefCell<SortedMap<(String, String), Value>>,
+    objects: RefCell<SortedMap<(String, String), StoredObject>>,
     events: RefCell<Vec<Event>>,
     changed: Notify,
 }
@@ -93,16 +101,27 @@
         self.changed.notify_waiters();
     }
 
-    /// Creates or replaces an object, and returns it.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
+    /// Creates or replaces an object, and returns its text.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> Bytes {
         let revision = self.next_revision();
         let object = json!({
             "Metadata": { "Name": name, "Revision": revision, "CreateRev": revision },
             "Spec": spec, "Status": null,
         });
+        self.insert(kind, name, StoredObject { revision, text: object.to_string().into() })
+    }
+
+    /// Creates or replaces an object by a text that need not be valid.
+    pub fn put_text(&self, kind: &str, name: &str, text: impl Into<Bytes>) {
+        let revision = self.next_revision();
+        self.insert(kind, name, StoredObject { revision, text: text.into() });
+    }
+
+    fn insert(&self, kind: &str, name: &str, object: StoredObject) -> Bytes {
         self.objects.borrow_mut().insert((kind.to_owned(), name.to_owned()), object.clone());
-        self.record(revision, kind, object.clone(), false);
-        object
+        let text = object.text.clone();
+        self.record(kind, object, false);
+        text
     }
 
     /// Removes an object if it exists.
@@ -110,7 +129,7 @@
         let key = (kind.to_owned(), name.to_owned());
         let Some(object) = self.objects.borrow_mut().remove(&key) else { return };
         let revision = self.next_revision();
-        self.record(revision, kind, object, true);
+        self.record(kind, StoredObject { revision, ..object }, true);
     }
 
     fn next_revision(&self) -> u64 {
@@ -118,8 +137,8 @@
         self.revision.get()
     }
 
-    fn record(&self, revision: u64, kind: &str, object: Value, is_removed: bool) {
-        let event = Event { revision, kind: kind.to_owned(), object, is_removed };
+    fn record(&self, kind: &str, object: StoredObject, is_removed: bool) {
+        let event = Event { kind: kind.to_owned(), object, is_removed };
         self.events.borrow_mut().push(event);
         self.changed.notify_waiters();
     }
@@ -143,7 +162,7 @@
         let response = match (parts.method, path.split_once('/')) {
             (Method::GET, None) => match parameter(&query, "Watch") {
                 Some(from) => self.watch(&path, from, parameter(&query, "WaitMs")?).await,
-                None => self.list(&path, text(&query, "After")).await,
+                None => self.list(&path, text(&query, "After").as_deref()).await,
             },
             (Method::POST, None) => self.create(&path, &body)?,
             (Method::PUT, Some((kind, name))) => {
@@ -164,10 +183,10 @@
         let name = object["Metadata"]["Name"].as_str()?.to_owned();
         let key = (kind.to_owned(), name.clone());
         if let Some(present) = self.objects.borrow().get(&key) {
-            return Some(full_response(StatusCode::CONFLICT, present.to_string()));
+            return Some(full_response(StatusCode::CONFLICT, present.text.clone()));
         }
         let created = self.put(kind, &name, object["Spec"].clone());
-        Some(full_response(StatusCode::OK, created.to_string()))
+        Some(full_response(StatusCode::OK, created))
     }
 
     /// Replaces an object, if it has the revision that the call names.
@@ -177,11 +196,10 @@
             return full_response(StatusCode::NOT_FOUND, "");
         };
         let expected = &object["Metadata"]["Revision"];
-        if !expected.is_null() && *expected != present["Metadata"]["Revision"] {
-            return full_response(StatusCode::CONFLICT, present.to_string());
+        if !expected.is_null() && *expected != present.revision {
+            return full_response(StatusCode::CONFLICT, present.text);
         }
-        let replaced = self.put(kind, name, object["Spec"].clone());
-        full_response(StatusCode::OK, replaced.to_string())
+        full_response(StatusCode::OK, self.put(kind, name, object["Spec"].clone()))
     }
 
     async fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
@@ -191,13 +209,14 @@
         let objects = self.objects.borrow();
         let is_listed =
             |key: &(String, String)| key.0 == kind && after.is_none_or(|it| it < key.1.as_str());
-        let mut items: Vec<&Value> =
-            objects.iter().filter(|(key, _)| is_listed(key)).map(|(_, it)| it).collect();
+        let mut items: Vec<&[u8]> =
+            objects.iter().filter(|(key, _)| is_listed(key)).map(|(_, it)| &*it.text).collect();
         let is_truncated = PAGE_SIZE < items.len();
         items.truncate(PAGE_SIZE);
         let revision = self.revision.get();
-        let page = json!({ "Items": items, "Truncated": is_truncated, "StoreRevision": revision });
-        full_response(StatusCode::OK, page.to_string())
+        let end = format!("],\"Truncated\":{is_truncated},\"StoreRevision\":{revision}}}");
+        let page = [b"{\"Items\":[", &items.join(&b","[..])[..], end.as_bytes()].concat();
+        full_response(StatusCode::OK, page)
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: u64) -> Response<Body> {
@@ -213,18 +232,24 @@
             };
             if !events.is_empty() || until <= Instant::now() {
                 let revision = self.revision.get();
-                let body = json!({ "events": events, "StoreRevision": revision });
-                return full_response(StatusCode::OK, body.to_string());
+                let end = format!("],\"StoreRevision\":{revision}}}");
+                let events = events.join(&b","[..]);
+                let body = [b"{\"events\":[", &events[..], end.as_bytes()].concat();
+                return full_response(StatusCode::OK, body);
             }
             // After a change or the timeout, the loop checks for events again.
             let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 
-    fn events_since(&self, kind: &str, from: u64) -> Vec<Value> {
+    fn events_since(&self, kind: &str, from: u64) -> Vec<Vec<u8>> {
         let events = self.events.borrow();
-        let newer = events.iter().filter(|it| from < it.revision && it.kind == kind);
-        newer.map(|it| json!({ "Removed": it.is_removed, "Object": it.object })).collect()
+        let newer = events.iter().filter(|it| from < it.object.revision && it.kind == kind);
+        let text = |it: &Event| {
+            let start = format!("{{\"Removed\":{},\"Object\":", it.is_removed);
+            [start.as_bytes(), &it.object.text, b"}"].concat()
+        };
+        newer.map(text).collect()
     }
 }
 
@@ -232,7 +257,8 @@
     text(query, name).and_then(|it| it.parse().ok())
 }
 
-fn text<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+fn text(query: &str, name: &str) -> Option<String> {
     let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
 }
