Read the store's responses one object at a time

Callers' requests reached endpoints that had said that they leave, for as long as another writer's entry stood beside theirs: a page of a list and the changes of a watch were parsed as one text, so that one token that is invalid, nested too deeply or too large cost all other entries. The instance took the store for away and went on with what it knew; one that started was never ready. Names that are no part of a URI ended a list at each page behind them.

An object whose spec cannot be read names no endpoint from then on, also while missing entries may have lapsed; a change whose name cannot be read makes the watch list again.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -9,7 +9,7 @@
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
 use ferry_platform::headers;
 use ferry_platform::settings::NodeSettings;
-use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Refusal};
+use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Metric, Refusal};
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use slog::{Logger, info, warn};
@@ -117,13 +117,11 @@
     pub limits: watch::Sender<CallerLimits>,
     /// Number of callers' connections that close once a response has been sent.
     pub n_closing: watch::Sender<usize>,
-    /// Last warning about each invalid object of the store, by name.
-    pub invalid_objects: RefCell<SortedMap<String, String>>,
     /// The highest format in which messages are sent to peers, and read.
     pub highest_format: WireFormat,
     pub formats: RefCell<PeerFormats>,
-    /// When a warning may be written again that is written seldom.
-    next_warning: Cell<Instant>,
+    /// When each warning may be written again that is written seldom.
+    next_warnings: RefCell<SortedMap<&'static str, Instant>>,
     gateway: RefCell<Gateway>,
     socket: UdpSocket,
     start: Instant,
@@ -155,10 +153,9 @@
             phase: watch::Sender::new(Phase::Serving),
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
             n_closing: watch::Sender::new(0),
-            invalid_objects: RefCell::default(),
             highest_format,
             formats: RefCell::default(),
-            next_warning: Cell::new(Instant::now()),
+            next_warnings: RefCell::default(),
             gateway: RefCell::new(gateway),
             socket,
             start: Instant::now(),
@@ -342,14 +339,24 @@
         info!(self.log, "decision"; DecisionFields(it));
     }
 
-    /// Logs an error of which a peer may cause any number.
-    pub fn warn_seldom(&self, message: &str, error: &dyn std::fmt::Display) {
-        if self.next_warning.get() <= Instant::now() {
-            self.next_warning.set(Instant::now() + WARNING_INTERVAL);
+    /// Logs an error of which others may cause any number.
+    pub fn warn_seldom(&self, message: &'static str, error: &dyn std::fmt::Display) {
+        let now = Instant::now();
+        let mut next_warnings = self.next_warnings.borrow_mut();
+        if next_warnings.get(message).is_none_or(|it| *it <= now) {
+            next_warnings.insert(message, now + WARNING_INTERVAL);
             self.warn(message, error);
         }
     }
 
+    /// Counts and logs objects of the store whose names cannot be read.
+    pub fn note_unnamed(&self, n_objects: usize) {
+        if 0 < n_objects {
+            (0..n_objects).for_each(|_| self.metrics.count(Metric::ObjectsUnreadable));
+            self.warn_seldom("ignored objects of the store without a name", &n_objects);
+        }
+    }
+
     /// Logs an error that is not part of a decision.
     pub fn warn(&self, message: &str, error: &dyn std::fmt::Display) {
         warn!(self.log, "{}", message; "error" => error.to_string());
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -1,6 +1,5 @@
 //! Follows the objects in the platform's store, and registers this instance there.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +42,8 @@
     Status(StatusCode),
     #[error("the change history since revision {0} has been discarded")]
     HistoryGone(u64),
+    #[error("a list cannot be read on, as its page names no object behind {0:?}")]
+    Stuck(Option<String>),
 }
 
 /// A client of the store.
@@ -79,7 +80,13 @@
             let after = objects.last().map(|it| it.name.clone());
             let call = InternalCall::get(store::list_path(kind, after.as_deref()));
             let page: Page = store::read_page(&self.call(&call, RESPONSE_TIMEOUT).await?)?;
-            let is_over = !page.is_truncated || page.objects.is_empty();
+            self.driver.note_unnamed(page.n_unnamed);
+            let last = page.objects.last().map(|it| &it.name);
+            let is_stuck = last.or(after.as_ref()) == after.as_ref();
+            if page.is_truncated && is_stuck {
+                return Err(StoreError::Stuck(after));
+            }
+            let is_over = !page.is_truncated;
             objects.extend(page.objects);
             // The watch starts at the revision of the first page, so it also returns the changes
             // made while later pages were read.
@@ -119,13 +126,17 @@
                 // that do not follow the store closely learn of configurations and instances from
                 // peers.
                 let peers_report = kind != Kind::Endpoints && !is_watcher(&driver);
-                let must_list = update.is_unchanged && !peers_report;
+                let must_list = match update.content {
+                    Content::Unchanged => !peers_report,
+                    Content::Read => false,
+                    Content::Unnamed => true,
+                };
                 from = Some(update.revision).filter(|_| !must_list);
                 backoff = Backoff::new();
                 if std::mem::take(&mut is_unreachable) && kind == Kind::Endpoints {
                     driver.dispatch(Event::Store(StoreUpdate::Reachable));
                 }
-                if !update.is_unchanged && kind == Kind::Endpoints {
+                if update.content != Content::Unchanged && kind == Kind::Endpoints {
                     tokio::time::sleep(change_interval(&driver)).await;
                 }
             }
@@ -166,8 +177,16 @@
 struct Update {
     /// Revision from which the next watch starts.
     revision: u64,
-    /// Whether this was a watch without changes.
-    is_unchanged: bool,
+    content: Content,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Content {
+    /// A watch without changes.
+    Unchanged,
+    Read,
+    /// Some changes are of objects whose names cannot be read.
+    Unnamed,
 }
 
 async fn list(client: &Client, driver: &Rc<Driver>, kind: Kind) -> Result<Update, StoreError> {
@@ -175,18 +194,27 @@
     match kind {
         Kind::Config => objects.iter().for_each(|it| configure(driver, it)),
         Kind::Endpoints => {
-            let endpoints = objects.iter().filter_map(|it| endpoint(driver, it)).collect();
+            let mut endpoints = Vec::new();
+            for object in &objects {
+                match endpoint(driver, object) {
+                    Some(endpoint) => endpoints.push(endpoint),
+                    None => {
+                        let id = object.name.clone();
+                        driver.dispatch(Event::Store(StoreUpdate::Unreadable { revision, id }));
+                    }
+                }
+            }
             driver.dispatch(Event::Store(StoreUpdate::List { revision, endpoints }));
         }
         Kind::Instances => {
-            let members: Vec<SocketAddr> =
-                objects.iter().filter_map(store::read_registration).map(|it| it.peer).collect();
-            driver.dispatch(Event::Members(members));
+            let member =
+                |it: &Object| readable(driver, it, store::read_registration(it)).map(|it| it.peer);
+            driver.dispatch(Event::Members(objects.iter().filter_map(member).collect()));
         }
         // These are read when a decision needs them.
         Kind::Builds | Kind::Streams => (),
     }
-    Ok(Update { revision, is_unchanged: false })
+    Ok(Update { revision, content: Content::Read })
 }
 
 async fn watch(
@@ -202,50 +230,50 @@
             Kind::Config if change.is_removed => (),
             Kind::Config => configure(driver, &change.object),
             Kind::Endpoints => {
-                let endpoint = match change.is_removed {
-                    true => None,
-                    false => endpoint(driver, &change.object),
-                };
-                let update = match endpoint {
-                    Some(endpoint) => StoreUpdate::Changed { revision, endpoint },
-                    None => StoreUpdate::Removed { revision, id: change.object.name.clone() },
+                let id = change.object.name.clone();
+                let update = match change.is_removed {
+                    true => StoreUpdate::Removed { revision, id },
+                    false => match endpoint(driver, &change.object) {
+                        Some(endpoint) => StoreUpdate::Changed { revision, endpoint },
+                        None => StoreUpdate::Unreadable { revision, id },
+                    },
                 };
                 driver.dispatch(Event::Store(update));
             }
             Kind::Instances | Kind::Builds | Kind::Streams => (),
         }
     }
-    Ok(Update { revision, is_unchanged: changes.changes.is_empty() })
+    driver.note_unnamed(changes.n_unnamed);
+    let content = match (changes.n_unnamed, changes.changes.is_empty()) {
+        (1.., _) => Content::Unnamed,
+        (0, true) => Content::Unchanged,
+        (0, false) => Content::Read,
+    };
+    Ok(Update { revision, content })
 }
 
 fn configure(driver: &Rc<Driver>, object: &Object) {
-    match desired::read(&object.spec) {
-        Ok(config) => driver.dispatch(Event::Config(Arc::new(config))),
-        Err(error) => {
-            let what = "could not read the configuration; keeping the previous one";
-            warn_once(driver, object, what, &error);
-        }
+    if object.name != store::CONFIG_NAME {
+        return;
+    }
+    if let Some(config) = readable(driver, object, desired::read(&object.spec)) {
+        driver.dispatch(Event::Config(Arc::new(config)));
     }
 }
 
 fn endpoint(driver: &Rc<Driver>, object: &Object) -> Option<GatewayEndpoint> {
-    match endpoints::read(&object.name, &object.spec) {
-        Ok(endpoint) => Some(endpoint),
-        Err(error) => {
-            warn_once(driver, object, "ignoring an invalid endpoint entry", &error);
-            None
-        }
-    }
+    readable(driver, object, endpoints::read(&object.name, &object.spec))
 }
 
-/// Logs that an object is invalid, unless this was the last warning about it; lists return the same
-/// object repeatedly.
-fn warn_once(driver: &Rc<Driver>, object: &Object, what: &str, error: &FormatError) {
-    let line = format!("{}: {error}", object.name);
-    let last = driver.invalid_objects.borrow_mut().insert(object.name.clone(), line.clone());
-    if last.as_ref() != Some(&line) {
-        driver.warn(what, &line);
-    }
+/// Counts and logs an object that cannot be read; lists return it again and again.
+fn readable<T>(driver: &Rc<Driver>, object: &Object, result: Result<T, FormatError>) -> Option<T> {
+    let error = match result {
+        Ok(value) => return Some(value),
+        Err(error) => error,
+    };
+    driver.metrics.count(Metric::ObjectsUnreadable);
+    driver.warn_seldom("ignored an object of the store", &format!("{}: {error}", object.name));
+    None
 }
 
 /// Registers this instance so that others can find it, and reads the list of instances.
--- a/crates/ferry-gateway/tests/large_config.rs
+++ b/crates/ferry-gateway/tests/large_config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use ferry_platform::{desired, store};
 use ferry_serve::{Effect, Event, Gateway, Identity, Tuning};
 use serde_json::{Value, json};
@@ -68,9 +69,10 @@
     for has_priorities in [false, true] {
         let spec = state(has_priorities);
         let object = json!({ "Metadata": { "Name": "main", "Revision": 1 }, "Spec": spec });
-        let page = json!({ "Items": [object], "Truncated": false, "StoreRevision": 1 }).to_string();
+        let page = json!({ "Items": [object], "Truncated": false, "StoreRevision": 1 });
+        let page = Bytes::from(page.to_string());
         println!("priorities of workspaces: {has_priorities}, {} bytes", page.len());
-        let page = timed("page", || store::read_page(page.as_bytes())).expect("the page is valid");
+        let page = timed("page", || store::read_page(&page)).expect("the page is valid");
         let object = page.objects.first().expect("an object");
         let config = timed("decode", || desired::read(&object.spec)).expect("it is valid");
         let mut gateway = gateway();
--- a/crates/ferry-gateway/tests/process/unreadable.rs
+++ b/crates/ferry-gateway/tests/process/unreadable.rs
@@ -57,6 +57,15 @@
     ]
 }
 
+/// Returns an odd object under another name.
+fn renamed(object: &[u8], name: &str) -> Vec<u8> {
+    let odd = format!("\"{NAME}\"").into_bytes();
+    let Some(at) = object.windows(odd.len()).position(|it| it == odd) else {
+        return object.to_vec();
+    };
+    [&object[..at], format!("\"{name}\"").as_bytes(), &object[at + odd.len()..]].concat()
+}
+
 /// Sends requests to the plain pool; returns the endpoints that ran them, and how many were served.
 async fn ask(cluster: &Cluster, name: &str) -> (Vec<String>, usize) {
     let (mut runs, mut n_served) = (Vec::new(), 0);
@@ -114,7 +123,9 @@
 fn gateway_starts_and_serves_beside_unreadable_entries() {
     with_cluster("unreadable-start", 1, async |mut cluster| {
         for (number, odd) in odd_objects().into_iter().enumerate() {
-            cluster.store.put_text("servers", &format!("odd-{number}"), odd.object);
+            let name = format!("odd-{number}");
+            let object = renamed(&odd.object, &name);
+            cluster.store.put_text("servers", &name, object);
         }
         cluster.nodes[0].signal(Signal::Kill);
         while cluster.nodes[0].exit_status().is_none() {
@@ -133,8 +144,7 @@
     with_cluster("turned-odd", 1, async |cluster| {
         let mut failures = Vec::new();
         for Odd { what, object } in odd_objects() {
-            let object = String::from_utf8_lossy(&object).replace("\"odd\"", "\"plain-0\"");
-            cluster.store.put_text("servers", "plain-0", object.into_bytes());
+            cluster.store.put_text("servers", "plain-0", renamed(&object, "plain-0"));
             sleep(DRAIN_TIME).await;
             let (runs, n_served) = ask(&cluster, &what.replace(' ', "-")).await;
             if runs.iter().any(|it| it == "plain-0") || n_served < N_REQUESTS {
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -375,6 +375,7 @@
     RequestsRelayed,
     PoolsCut,
     ResponsesUnreadable,
+    ObjectsUnreadable,
     MessagesSkipped,
     MessagesDamaged,
 }
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -277,7 +277,9 @@
         let is_changed = match update {
             StoreUpdate::List { revision, endpoints } => self.replace(now, revision, endpoints),
             // A peer or a list already contained a later state.
-            StoreUpdate::Changed { revision, .. } | StoreUpdate::Removed { revision, .. }
+            StoreUpdate::Changed { revision, .. }
+            | StoreUpdate::Removed { revision, .. }
+            | StoreUpdate::Unreadable { revision, .. }
                 if revision < self.revision =>
             {
                 false
@@ -290,6 +292,7 @@
                 self.revision = self.revision.max(revision);
                 self.remove(now, revision, &id)
             }
+            StoreUpdate::Unreadable { revision, id } => self.discard(revision, &id),
             StoreUpdate::Peer(delta) => self.merge(now, delta),
             StoreUpdate::Unreachable => {
                 self.is_store_down = true;
@@ -380,6 +383,17 @@
         true
     }
 
+    /// Removes an endpoint whose entry is there, so that it has not lapsed, but names none.
+    fn discard(&mut self, revision: u64, id: &str) -> bool {
+        if self.get(id).is_none() {
+            return false;
+        }
+        self.revision = self.revision.max(revision);
+        self.forget(id);
+        self.record_change(revision, id);
+        true
+    }
+
     fn index(&mut self) {
         self.n_changes += 1;
         self.pools = SortedMap::new();
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -105,8 +105,10 @@
     Peer(EndpointsDelta),
     /// One entry was written.
     Changed { revision: u64, endpoint: GatewayEndpoint },
-    /// One entry was removed, or no longer describes a usable endpoint.
+    /// One entry was removed.
     Removed { revision: u64, id: EndpointId },
+    /// One entry is there but cannot be read, so that it names no endpoint.
+    Unreadable { revision: u64, id: EndpointId },
     /// The store does not answer this process.
     Unreachable,
     /// The store answers again.
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -39,6 +39,9 @@
             format!("{} is {} at {revision}", endpoint.id, endpoint.state)
         }
         StoreUpdate::Removed { revision, id } => format!("{id} was removed at {revision}"),
+        StoreUpdate::Unreadable { revision, id } => {
+            format!("{id} has an entry that cannot be read at {revision}")
+        }
         StoreUpdate::Unreachable => "store does not answer".to_owned(),
         StoreUpdate::Reachable => "store answers again".to_owned(),
     };
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -67,6 +67,31 @@
     }
 }
 
+#[test]
+fn entry_that_cannot_be_read_names_no_endpoint_at_once() {
+    for is_store_back in [false, true] {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(100));
+        sim.deliver(0, Event::Store(StoreUpdate::Unreachable));
+        if is_store_back {
+            sim.deliver(0, Event::Store(StoreUpdate::Reachable));
+        }
+        let id = "plain-0".to_owned();
+        sim.deliver(0, Event::Store(StoreUpdate::Unreadable { revision: 20, id }));
+        let before = n_calls(&sim, "plain-0");
+        send_requests(&mut sim, 20, "probe");
+        assert_eq!(n_calls(&sim, "plain-0"), before, "the store is back: {is_store_back}");
+        // Peers learn that it is gone, and those of an older state do not bring it back.
+        let gateway = sim.instances[0].as_ref().expect("the instance is running");
+        let delta = gateway.context().endpoints.delta(19);
+        assert_eq!(delta.removed, ["plain-0"]);
+        let endpoint = sim.endpoints.get("plain-0").expect("it exists").entry.clone();
+        sim.deliver(0, Event::Store(StoreUpdate::Changed { revision: 19, endpoint }));
+        send_requests(&mut sim, 20, "later");
+        assert_eq!(n_calls(&sim, "plain-0"), before, "the store is back: {is_store_back}");
+    }
+}
+
 #[test]
 fn store_that_comes_and_goes_keeps_no_removed_endpoint_in_use() {
     struct Case {
