Count an announcement whose request was sent before its start was known

An endpoint that has started again under its id may announce its leaving in the response to a request that was sent when only its former start was known. If the entry of the new start came in between, the announcement was taken for the former one's and ignored, and callers' requests went on to the endpoint until another response repeated it.

--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -46,15 +46,24 @@
 }
 
 impl Endpoints {
-    /// Records that an endpoint has announced that it leaves; returns whether that is new.
+    /// Records that an endpoint has announced that it leaves, in the response to a request that was
+    /// sent when its start `started` was known; returns whether that is new.
+    ///
+    /// The entry of another start may have come since. That start may be the one that responded.
     pub fn record_leaving(&mut self, now: Moment, id: &str, started: u64) -> bool {
         let at = self.start + now;
-        let Some(view) = self.get_mut(id).filter(|it| it.endpoint.started == started) else {
+        let Some(view) = self.get_mut(id) else { return false };
+        let is_expected = view.endpoint.started == started;
+        if !is_expected && at < Duration::from_millis(view.endpoint.started) {
             return false;
-        };
-        view.announced_at = at;
-        view.unsure_until = None;
+        }
         let is_new = !std::mem::replace(&mut view.has_announced, true);
+        if is_expected {
+            view.unsure_until = None;
+        } else if is_new {
+            view.unsure_until = Some(now + UNSURE_TIME);
+        }
+        view.announced_at = at;
         self.n_changes += u64::from(is_new);
         is_new
     }
