--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -225,7 +225,7 @@
             self.dispatch(Event::Leaving { endpoint: endpoint.to_owned(), started, report });
         }
         if let Some(report) = headers::pause(status, headers) {
-            self.dispatch(Event::Pause { endpoint: endpoint.to_owned(), started, report });
+            self.dispatch(Event::Pause { endpoint: endpoint.to_owned(), report });
         }
     }
 
--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -25,6 +25,7 @@
     ItemResult, LoadReport, Mechanism, Metric,
 };
 
+pub(crate) use backlog::group_pause;
 use backlog::usable_endpoints;
 use candidates::Candidate;
 pub use job::{Job, JobKey, JobOutcome, JobOwner};
@@ -309,7 +310,7 @@
         }
         let mut started = 0;
         if let Some(view) = cx.ctx.endpoints.get_mut(&candidate.endpoint) {
-            view.outstanding += 1;
+            view.record_sent(cx.now);
             started = view.endpoint.started;
         }
         self.permits.spend(&candidate.endpoint);
@@ -354,10 +355,11 @@
         for group in self.groups() {
             let limits = cx.ctx.catalog.shortest_limits(cx.now, &group.pool);
             let Some(limits) = limits else { continue };
-            let n_endpoints = usable_endpoints(cx.ctx, cx.now, &group, &limits);
+            let start = cx.now + group_pause(cx.ctx, cx.now, &group);
+            let n_endpoints = usable_endpoints(cx.ctx, start, &group, &limits);
             let mut waiting = self.waiting(&group);
             waiting.retain(|(key, job)| !self.is_in_calls(key, job));
-            for key in plan::too_late(cx.now, &waiting, n_endpoints, &limits) {
+            for key in plan::too_late(cx.now, start, &waiting, n_endpoints, &limits) {
                 let Some(job) = self.jobs.get_mut(&key) else { continue };
                 finish(cx, &key, job, JobOutcome::Late);
             }
--- a/crates/ferry-serve/src/batch/backlog.rs
+++ b/crates/ferry-serve/src/batch/backlog.rs
@@ -24,7 +24,8 @@
         let calls = self.calls.values().filter(|it| it.group == *group);
         let rest: Duration = calls.map(|it| (it.sent_at + it.expected).saturating_sub(now)).sum();
         let n_endpoints = usable_endpoints(ctx, now, group, &limits);
-        Some((call * n_calls as u32 + rest).div_f64(n_endpoints.max(MIN_ENDPOINTS)))
+        let queue = (call * n_calls as u32 + rest).div_f64(n_endpoints.max(MIN_ENDPOINTS));
+        Some(queue.max(group_pause(ctx, now, group)))
     }
 
     /// Returns the backlog of a group to report to peers; none if it is not a batch pool's.
@@ -64,6 +65,13 @@
     }
 }
 
+/// Returns the time until the first endpoint of a group takes calls, if all have asked for a pause.
+pub(crate) fn group_pause(ctx: &Context, now: Moment, group: &Group) -> Duration {
+    let members = ctx.endpoints.pool(&group.pool).filter(|it| group.contains(it));
+    let live = members.filter(|it| it.accepts_work());
+    live.map(|it| it.pause_left(now)).min().unwrap_or_default()
+}
+
 /// Counts the endpoints of a group that may get new work; one that limits its requests counts as the
 /// part of its time that they take.
 pub(super) fn usable_endpoints(
--- a/crates/ferry-serve/src/batch/outcomes.rs
+++ b/crates/ferry-serve/src/batch/outcomes.rs
@@ -35,7 +35,7 @@
             let expected = sent.expected.max(MIN_EXPECTED);
             let work = took.saturating_sub(TRANSIT_TIME);
             let own = work.saturating_sub(pause).max(work.min(expected));
-            view.record_success(own.div_duration_f64(expected));
+            view.record_success(cx.now, own.div_duration_f64(expected));
         }
         log_failed_items(cx, sent, &results);
         let mut unneeded = Vec::new();
--- a/crates/ferry-serve/src/batch/plan.rs
+++ b/crates/ferry-serve/src/batch/plan.rs
@@ -54,6 +54,7 @@
 /// Returns the jobs that would be served too late, given the jobs before them.
 pub fn too_late(
     now: Moment,
+    start: Moment,
     waiting: &[(&JobKey, &Job)],
     n_endpoints: f64,
     limits: &BatchLimits,
@@ -65,9 +66,10 @@
     let mut late = Vec::new();
     for (key, job) in waiting {
         let n_rounds = n_before / ((limits.max_items as f64 * n_endpoints) as usize).max(1);
-        // The first round may start at any moment, so it is never dropped here.
-        let start = now + full * n_rounds as u32;
-        if 0 < n_rounds && job.deadline < start + limits.call_time {
+        // The first round may start at any moment, so it is never dropped unless all endpoints pause.
+        let is_known = 0 < n_rounds || now < start;
+        let start = start + full * n_rounds as u32;
+        if is_known && job.deadline < start + limits.call_time {
             late.push(key.clone());
         } else {
             n_before += job.pending.len();
--- a/crates/ferry-serve/src/choose.rs
+++ b/crates/ferry-serve/src/choose.rs
@@ -79,7 +79,7 @@
     need: Requirements<'_>,
 ) -> Option<Choice> {
     let fits = |it: &&EndpointView| {
-        it.accepts_work() && it.has_build(need.build) && !need.tried.contains(&it.endpoint.id)
+        it.is_open(now) && it.has_build(need.build) && !need.tried.contains(&it.endpoint.id)
     };
     let candidates: Vec<&EndpointView> = endpoints.pool(need.pool).filter(fits).collect();
     let has_usable = candidates.iter().any(|it| it.is_usable(now));
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -358,6 +358,7 @@
     LeavingInvalid,
     PausesAsked,
     PausesInvalid,
+    RequestsPaused,
     LimitedCalls,
     PermitsGranted,
     RequestsHeldBack,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -19,6 +19,7 @@
 
 use delta::Changes;
 use leaving::Departed;
+use pause::Pause;
 use rate_limit::RateLimit;
 
 pub use delta::EndpointsDelta;
@@ -56,8 +57,8 @@
     report: Option<(Moment, LoadReport)>,
     failure_streak: u32,
     paused: Moment,
-    /// End of the pause that it has asked this instance for.
-    pause_end: Moment,
+    /// The pause that it has asked this instance for.
+    pause: Pause,
     rate_limit: RateLimit,
     /// Whether it has announced in a response that it leaves.
     has_announced: bool,
@@ -86,7 +87,7 @@
             report: None,
             failure_streak: 0,
             paused: Moment::ZERO,
-            pause_end: Moment::ZERO,
+            pause: Pause::default(),
             rate_limit: RateLimit::default(),
             has_announced: false,
             announced_at: Duration::ZERO,
@@ -98,9 +99,14 @@
         }
     }
 
-    /// Whether it may get new work; one that failed recently is paused for a while.
+    /// Whether it should get new work; one that failed recently gets none for a while.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.accepts_work() && self.paused <= now
+        self.is_open(now) && self.paused <= now
+    }
+
+    /// Whether it may get new work now, as far as it has said itself.
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.accepts_work() && self.next_call() <= now
     }
 
     /// Whether it may get work, now or after a pause.
@@ -134,7 +140,7 @@
     }
 
     pub fn paused_until(&self) -> Moment {
-        self.paused
+        self.paused.max(self.next_call())
     }
 
     /// Requests at the endpoint: those of this process, or the number that it reports if that is
@@ -154,10 +160,11 @@
     }
 
     /// Records a successful call, with its observed time divided by the expected one.
-    pub fn record_success(&mut self, ratio: f64) {
+    pub fn record_success(&mut self, now: Moment, ratio: f64) {
         self.slowdown += NEWEST_WEIGHT * (ratio - self.slowdown);
         self.failure_rate -= NEWEST_WEIGHT * self.failure_rate;
         self.failure_streak = 0;
+        self.pause.on_success(now);
     }
 
     /// Records an answer that reports a failed run.
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -8,12 +8,13 @@
 
 use ferry_model::{EndpointId, GatewayEndpoint, Moment};
 
+use super::pause::Pause;
 use super::{EndpointView, Endpoints};
 
 /// Time for which an announcement counts for a start whose entry came after it, unless it is
 /// repeated.
 const UNSURE_TIME: Duration = Duration::from_secs(10);
-/// Leaving endpoints without an entry that are remembered, as an entry may come back.
+/// Endpoints without an entry that are remembered, as an entry may come back.
 const MAX_DEPARTED: usize = 512;
 
 /// What a response says of whether its endpoint leaves.
@@ -25,23 +26,36 @@
     Invalid(String),
 }
 
-/// Leaving endpoints whose entries are gone, and which start of each it was.
+/// What a start of an endpoint said of itself, whose entry is gone.
+#[derive(Debug, Clone)]
+struct Statement {
+    id: EndpointId,
+    started: u64,
+    has_announced: bool,
+    pause: Pause,
+}
+
+/// Statements of endpoints whose entries are gone, oldest first.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Departed(Vec<(EndpointId, u64)>);
+pub(super) struct Departed(Vec<Statement>);
 
 impl Departed {
-    fn add(&mut self, id: EndpointId, started: u64) {
-        if self.contains(&id, started) {
+    fn add(&mut self, view: EndpointView) {
+        let EndpointView { endpoint, has_announced, pause, .. } = view;
+        let GatewayEndpoint { id, started, .. } = endpoint;
+        if !has_announced && pause == Pause::default() {
             return;
         }
+        self.0.retain(|it| it.id != id || it.started != started);
         if MAX_DEPARTED <= self.0.len() {
             self.0.remove(0);
         }
-        self.0.push((id, started));
+        self.0.push(Statement { id, started, has_announced, pause });
     }
 
-    pub fn contains(&self, id: &str, started: u64) -> bool {
-        self.0.iter().any(|it| it.0 == id && it.1 == started)
+    fn find(&self, endpoint: &GatewayEndpoint) -> Option<&Statement> {
+        let is_same = |it: &&Statement| it.id == endpoint.id && it.started == endpoint.started;
+        self.0.iter().find(is_same)
     }
 }
 
@@ -105,17 +119,19 @@
 
     /// Adds the endpoint of an entry.
     pub(super) fn insert(&mut self, endpoint: GatewayEndpoint) -> &mut EndpointView {
-        let has_announced = self.departed.contains(&endpoint.id, endpoint.started);
         let id = endpoint.id.clone();
-        let view = EndpointView { has_announced, ..EndpointView::new(endpoint) };
+        let mut view = EndpointView::new(endpoint);
+        if let Some(statement) = self.departed.find(&view.endpoint) {
+            view.has_announced = statement.has_announced;
+            view.pause = statement.pause;
+        }
         self.views.get_or_insert_with(id, || view)
     }
 
-    /// Removes an endpoint; an announcement is kept for the case that its entry comes back.
+    /// Removes an endpoint; what it said of itself is kept for the case that its entry comes back.
     pub(super) fn forget(&mut self, id: &str) {
-        let Some(view) = self.views.remove(id) else { return };
-        if view.has_announced {
-            self.departed.add(view.endpoint.id, view.endpoint.started);
+        if let Some(view) = self.views.remove(id) {
+            self.departed.add(view);
         }
     }
 }
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -1,11 +1,21 @@
 //! Pauses that endpoints ask this instance for when they refuse a request.
+//!
+//! A pause binds this instance only: the endpoint may have asked others for none. Behind it, the
+//! endpoint gets calls at intervals that shorten with each one that succeeds, as all that was held
+//! back at once would make it refuse again.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::Moment;
 
 use super::{EndpointView, Endpoints};
 
+/// Interval between calls behind a pause, before any of them has succeeded.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval below which calls are no longer kept apart.
+const LEAST_INTERVAL: Duration = Duration::from_millis(5);
+
 /// What a refusal says of the time for which its endpoint wants no requests from this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PauseReport {
@@ -14,21 +24,75 @@
     Invalid(String),
 }
 
+/// The pause of an endpoint, and the calls that it may get behind it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Pause {
+    end: Moment,
+    /// When the next call may be sent.
+    next_call: Moment,
+    /// Time between two calls; zero once it takes any number.
+    interval: Duration,
+}
+
+impl Pause {
+    /// Extends the pause. The one that was asked for before holds too.
+    fn extend(&mut self, end: Moment) {
+        self.end = self.end.max(end);
+        self.next_call = self.end;
+        self.interval = FIRST_INTERVAL;
+    }
+
+    pub fn on_sent(&mut self, now: Moment) {
+        if !self.interval.is_zero() {
+            self.next_call = now + self.interval;
+        }
+    }
+
+    pub fn on_success(&mut self, now: Moment) {
+        if now < self.end {
+            return;
+        }
+        self.interval /= 2;
+        if self.interval < LEAST_INTERVAL {
+            self.interval = Duration::ZERO;
+        }
+    }
+}
+
 impl EndpointView {
     /// Whether the endpoint has asked this instance for a pause that is not over.
     pub fn wants_pause(&self, now: Moment) -> bool {
-        now < self.pause_end
+        now < self.pause.end
+    }
+
+    /// Returns the time until the endpoint may get a call, as far as its pause goes.
+    pub fn pause_left(&self, now: Moment) -> Duration {
+        self.next_call().saturating_sub(now)
+    }
+
+    pub(super) fn next_call(&self) -> Moment {
+        self.pause.next_call
+    }
+
+    /// Records that a call is sent.
+    pub fn record_sent(&mut self, now: Moment) {
+        self.outstanding += 1;
+        self.pause.on_sent(now);
     }
 }
 
 impl Endpoints {
     /// Records that an endpoint asks for a pause; returns whether it had none.
-    pub fn record_pause(&mut self, now: Moment, id: &str, started: u64, pause: Duration) -> bool {
-        let Some(view) = self.get_mut(id).filter(|it| it.endpoint.started == started) else {
-            return false;
-        };
-        let is_new = !view.wants_pause(now) && !pause.is_zero();
-        view.pause_end = view.pause_end.max(now.saturating_add(pause));
+    pub fn record_pause(&mut self, now: Moment, id: &str, pause: Duration) -> bool {
+        let Some(view) = self.get_mut(id).filter(|_| !pause.is_zero()) else { return false };
+        let is_new = !view.wants_pause(now);
+        view.pause.extend(now.saturating_add(pause));
         is_new
     }
+
+    /// Whether an endpoint with this address has asked for a pause that is not over.
+    pub fn wants_pause_at(&self, now: Moment, address: SocketAddr) -> bool {
+        let mut at = self.views.values().filter(|it| it.endpoint.address == address);
+        at.any(|it| it.wants_pause(now))
+    }
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -64,8 +64,6 @@
     /// A refusal says for how long its endpoint wants no requests.
     Pause {
         endpoint: EndpointId,
-        /// Which start of the endpoint was called.
-        started: u64,
         report: PauseReport,
     },
     /// The prompt parts that an engine has cached.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -158,9 +158,7 @@
             Event::Leaving { endpoint, started, report } => {
                 updates::on_leaving(cx, &endpoint, started, report);
             }
-            Event::Pause { endpoint, started, report } => {
-                updates::on_pause(cx, &endpoint, started, report);
-            }
+            Event::Pause { endpoint, report } => updates::on_pause(cx, &endpoint, report),
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
@@ -185,7 +183,7 @@
             }
         }
         self.requests.enforce_quarantine(cx, &mut self.batcher);
-        self.requests.avoid_leaving(cx, &mut self.batcher);
+        self.requests.avoid_closed(cx, &mut self.batcher);
         updates::update_reach(cx);
         for pool in origins::exchange::update(cx) {
             self.requests.record_streams(cx, &pool);
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -93,16 +93,11 @@
     cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
 }
 
-pub(super) fn on_pause(
-    cx: &mut Pass<'_>,
-    endpoint: &EndpointId,
-    started: u64,
-    report: PauseReport,
-) {
+pub(super) fn on_pause(cx: &mut Pass<'_>, endpoint: &EndpointId, report: PauseReport) {
     let reason = match report {
         PauseReport::Asked(pause) => {
             cx.count(Metric::PausesAsked);
-            if !cx.ctx.endpoints.record_pause(cx.now, endpoint, started, pause) {
+            if !cx.ctx.endpoints.record_pause(cx.now, endpoint, pause) {
                 return;
             }
             format!("asks for a pause of {pause:?}")
@@ -151,7 +146,8 @@
 }
 
 fn probe(cx: &mut Pass<'_>, endpoint: EndpointId) {
-    let Some(view) = cx.ctx.endpoints.get(&endpoint) else { return };
+    let view = cx.ctx.endpoints.get(&endpoint).filter(|it| !it.wants_pause(cx.now));
+    let Some(view) = view else { return };
     let (started, address) = (view.endpoint.started, view.endpoint.address);
     cx.effects.push(Effect::Probe { endpoint, started, address });
 }
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -208,7 +208,7 @@
 
 /// Notifies the endpoints that hold results that these are no longer needed. One that limits its
 /// requests discards them by itself: each call would take the place of a caller's request. So does
-/// one that leaves.
+/// one that leaves, or that wants a pause.
 pub(crate) fn free(cx: &mut Pass<'_>, handles: Vec<ResultHandle>) {
     let mut by_address: SortedMap<SocketAddr, Vec<ResultHandle>> = SortedMap::new();
     for handle in handles {
@@ -216,7 +216,10 @@
     }
     for (address, handles) in by_address.iter() {
         let endpoints = &cx.ctx.endpoints;
-        if endpoints.is_limited_at(*address) || endpoints.is_leaving_at(*address) {
+        let wants_none = endpoints.is_limited_at(*address)
+            || endpoints.is_leaving_at(*address)
+            || endpoints.wants_pause_at(cx.now, *address);
+        if wants_none {
             continue;
         }
         cx.effects.push(Effect::Free { address: *address, handles: handles.clone() });
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -54,12 +54,16 @@
     }
 }
 
-/// Probes the endpoints that may have crashed; one that is no longer known has.
+/// Probes the endpoints that may have crashed; one that is no longer known has, and one that asked
+/// for a pause has responded.
 fn probe(cx: &mut Pass<'_>) {
     for (endpoint, started) in cx.ctx.crash_watch.due_probes(cx.now) {
-        let view = cx.ctx.endpoints.get(&endpoint);
-        match view.filter(|it| it.endpoint.started == started).map(|it| it.endpoint.address) {
-            Some(address) => cx.effects.push(Effect::Probe { endpoint, started, address }),
+        let view = cx.ctx.endpoints.get(&endpoint).filter(|it| it.endpoint.started == started);
+        match view.map(|it| (it.endpoint.address, it.wants_pause(cx.now))) {
+            Some((_, true)) => on_probed(cx, &endpoint, started, true),
+            Some((address, false)) => {
+                cx.effects.push(Effect::Probe { endpoint, started, address });
+            }
             None => on_probed(cx, &endpoint, started, false),
         }
     }
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod end;
 pub mod origin;
+mod pause;
 pub mod permit;
 mod reach;
 mod relay;
@@ -272,13 +273,13 @@
         }
     }
 
-    /// Sends requests elsewhere that wait for a permit of an endpoint which leaves meanwhile.
-    pub fn avoid_leaving(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
-        let leaves = |request: &ActiveRequest| {
+    /// Sends requests elsewhere that wait for a permit of an endpoint which wants none any longer.
+    pub fn avoid_closed(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        let is_closed = |request: &ActiveRequest| {
             let endpoint = permit::endpoint(request).and_then(|it| cx.ctx.endpoints.get(it));
-            permit::endpoint(request).is_some() && !endpoint.is_some_and(|it| it.accepts_work())
+            permit::endpoint(request).is_some() && !endpoint.is_some_and(|it| it.is_open(cx.now))
         };
-        let waiting = self.permits.values().filter(|it| self.active.get(it).is_some_and(leaves));
+        let waiting = self.permits.values().filter(|it| self.active.get(it).is_some_and(is_closed));
         let tickets: Vec<Ticket> = waiting.copied().collect();
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -19,7 +19,7 @@
     if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
         let ratio = took / current.expected.as_secs_f64().max(1e-3);
         view.record_load(cx.now, load);
-        view.record_success(ratio);
+        view.record_success(cx.now, ratio);
         observe(cx, current, load, Some(ratio));
     }
     schedule::report(cx, request, ScheduleProgress::Began);
@@ -73,7 +73,10 @@
         view.record_load(cx.now, load);
         match is_error {
             true => view.record_error(),
-            false => view.record_success(took / current.expected.as_secs_f64().max(1e-3)),
+            false => {
+                let ratio = took / current.expected.as_secs_f64().max(1e-3);
+                view.record_success(cx.now, ratio);
+            }
         }
     }
     if request.is_streaming() {
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
-use super::{call, origin, permit, stages, times};
+use super::{call, origin, pause, permit, stages, times};
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
@@ -146,12 +146,16 @@
     if !origin::has_endpoint(cx, request) {
         return Some((RetryHint::Late, "no endpoint of its build is left"));
     }
+    let path = times::min_path_time(request);
+    if let Some(wait) = pause::wait(cx, request).filter(|it| path < *it) {
+        return Some((RetryHint::AfterPause(wait), "its endpoints have asked for a pause"));
+    }
     let permit_wait = permit::expected_wait(cx, request);
     if permit::patience(cx, request) < permit_wait {
         let reason = "its endpoints take no more requests in time";
         return Some((RetryHint::After(permit_wait), reason));
     }
-    let mut wait = Duration::ZERO;
+    let (mut wait, mut pause) = (Duration::ZERO, Duration::ZERO);
     for (idx, stage) in request.route.stages.iter().enumerate() {
         if request.stages[idx] != StageState::Waiting {
             continue;
@@ -159,11 +163,21 @@
         if cx.ctx.endpoints.pool(&stage.pool).all(|it| !it.accepts_work()) {
             return Some((RetryHint::Soon, "a pool of its stages has no endpoint"));
         }
-        let waits = groups(&cx.ctx.endpoints, &stage.pool);
-        let waits = waits.iter().map(|it| stages::expected_wait(cx, batcher, it));
+        let groups = groups(&cx.ctx.endpoints, &stage.pool);
+        let waits = groups.iter().map(|it| stages::expected_wait(cx, batcher, it));
         wait += waits.min().unwrap_or_default();
+        let pauses = groups.iter().map(|it| stages::pause(cx, it));
+        pause = pause.max(pauses.min().unwrap_or_default());
     }
-    let needed = wait + times::min_path_time(request);
     let time_left = request.deadline.saturating_sub(cx.now);
-    (time_left < needed).then_some((RetryHint::Late, "its stages would take longer than its time"))
+    if wait + path <= time_left {
+        return None;
+    }
+    match pause.is_zero() {
+        true => Some((RetryHint::Late, "its stages would take longer than its time")),
+        false => {
+            let reason = "endpoints of its stages have asked for a pause";
+            Some((RetryHint::AfterPause(pause), reason))
+        }
+    }
 }
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, Phase, StageState};
 use super::permit::{self, Gate};
-use super::{answer, crash, end, origin, reach, relay, retry, schedule, silent, stages};
+use super::{answer, crash, end, origin, pause, reach, relay, retry, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::choose::{Requirements, choose_endpoint, likely_prefill, prefixes};
 use crate::pass::Pass;
@@ -64,14 +64,15 @@
     let is_retry = request.has_arrived();
     if is_retry && !retry::reserve(cx, request) {
         let reason = "nothing is left of the retry budget";
-        return end::give_up(cx, batcher, request, end::RetryHint::Soon, reason);
+        let hint = pause::hint(cx, request);
+        return end::give_up(cx, batcher, request, hint, reason);
     }
     request.has_retry = false;
     let call = cx.next_call();
     let tokens = prefixes(&request.head.prompt);
     let (mut build, mut started) = (BuildId::new(), 0);
     if let Some(view) = cx.ctx.endpoints.get_mut(&choice.endpoint) {
-        view.outstanding += 1;
+        view.record_sent(cx.now);
         view.record_prompt(cx.now, &tokens);
         build = view.endpoint.build.clone();
         started = view.endpoint.started;
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveRequest, Phase};
 use super::call::leave_endpoint;
-use super::{answer, crash, permit, schedule, silent, stages};
+use super::{answer, crash, pause, permit, schedule, silent, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::quarantine;
@@ -108,6 +108,8 @@
     Late,
     /// Once an endpoint is expected to take it.
     After(Duration),
+    /// Behind the pause that its endpoints have asked for.
+    AfterPause(Duration),
     /// Not at all: it would be refused again.
     Never,
 }
@@ -122,13 +124,17 @@
 ) {
     let time_left = request.deadline.saturating_sub(cx.now);
     let latest = time_left / RETRY_DIVISOR;
-    let pause = match hint {
+    let wait = match hint {
         RetryHint::Soon => Some(cx.ctx.tuning.retry_after.min(latest)),
         RetryHint::Late => Some(latest),
         RetryHint::After(wait) => Some(wait.max(cx.ctx.tuning.retry_after.min(latest))),
+        RetryHint::AfterPause(wait) => {
+            cx.count(Metric::RequestsPaused);
+            Some(pause::spread(&request.head.attempt, wait, time_left))
+        }
         RetryHint::Never => None,
     };
-    let retry_after = pause.filter(|_| status == Status::NotRun);
+    let retry_after = wait.filter(|_| status == Status::NotRun);
     cx.count(Metric::RequestsRefused);
     cx.log(
         Decision::new(DecisionKind::Refuse, reason)
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -6,7 +6,7 @@
 
 use super::active::{ActiveRequest, Phase};
 use super::end::{self, RetryHint};
-use super::{call, schedule};
+use super::{call, pause, schedule};
 use crate::batch::Batcher;
 use crate::limits::{Asked, AwaitedPermit, exchange};
 use crate::pass::Pass;
@@ -109,6 +109,9 @@
 
 /// Returns when a request should come back that no endpoint takes in time.
 pub fn retry_hint(cx: &Pass<'_>, request: &ActiveRequest) -> (RetryHint, &'static str) {
+    if let Some(wait) = pause::wait(cx, request) {
+        return (RetryHint::AfterPause(wait), "its endpoints have asked for a pause");
+    }
     match expected_wait(cx, request) {
         Duration::ZERO => (RetryHint::Soon, "no endpoint is left for it"),
         wait => (RetryHint::After(wait), "its endpoints take no more requests in time"),
@@ -130,12 +133,12 @@
                 end::end_quarantined(cx, batcher, request, &found);
                 return true;
             }
-            let accepts_work = cx
+            let is_open = cx
                 .ctx
                 .endpoints
                 .get(&choice.endpoint)
-                .is_some_and(|it| it.accepts_work() && it.has_build(request.needed_build()));
-            match accepts_work {
+                .is_some_and(|it| it.is_open(cx.now) && it.has_build(request.needed_build()));
+            match is_open {
                 true => call::send(cx, batcher, request, choice),
                 false => schedule::start(cx, batcher, request),
             }
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -2,7 +2,7 @@
 
 use super::active::{ActiveCall, ActiveRequest, StageState};
 use super::end::RetryHint;
-use super::{crash, end, origin, stages};
+use super::{crash, end, origin, pause, stages};
 use crate::batch::Batcher;
 use crate::pass::Pass;
 use crate::{Decision, DecisionKind, Metric, NotRunReason};
@@ -42,7 +42,8 @@
         reason == NotRunReason::InputsGone && request.n_restarts < stages::MAX_RESTARTS;
     let is_refused = MAX_REFUSALS <= request.n_refusals && !needs_inputs;
     if is_refused || !has_time(cx, request) || !reserve(cx, request) {
-        return end::give_up(cx, batcher, request, RetryHint::Soon, "endpoints refuse it");
+        let hint = pause::hint(cx, request);
+        return end::give_up(cx, batcher, request, hint, "endpoints refuse it");
     }
     cx.count(Metric::CallsRepeated);
     match needs_inputs {
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use ferry_model::{PoolKind, ZoneId};
+use ferry_model::{EndpointId, PoolKind, ZoneId};
 
 use super::active::{ActiveRequest, Phase};
 use super::{call, origin};
@@ -60,7 +60,7 @@
             pool: request.pool.clone(),
             prompt: request.head.prompt.clone(),
             results: call::results(cx, request),
-            tried: request.tried.clone(),
+            tried: excluded(cx, request),
             zone: cx.ctx.identity.zone.clone(),
             build: request.needed_build().map(str::to_owned),
         }),
@@ -68,6 +68,14 @@
     }
 }
 
+/// Returns the engines to which a request may not go: those that were tried, and those that have asked
+/// this instance, but not the scheduler, for a pause.
+fn excluded(cx: &Pass<'_>, request: &ActiveRequest) -> Vec<EndpointId> {
+    let pausing = cx.ctx.endpoints.pool(&request.pool).filter(|it| it.wants_pause(cx.now));
+    let pausing = pausing.map(|it| it.endpoint.id.clone());
+    request.tried.iter().cloned().chain(pausing).collect()
+}
+
 /// Returns the shard of the engines of a request: that of the parts of its prompt that others share,
 /// so that they meet at the same engines.
 fn shard(cx: &Pass<'_>, request: &ActiveRequest) -> Shard {
@@ -91,9 +99,10 @@
 pub fn schedule(cx: &mut Pass<'_>, asker: Asker, wanted: ScheduleRequest) -> Scheduled {
     let may_read = cx.ctx.tuning.is_enabled(Mechanism::CacheReading);
     if may_read && cx.ctx.scheduler.must_read_caches(&wanted.pool, wanted.shard) {
-        let Pass { ctx, effects, .. } = &mut *cx;
+        let Pass { now, ctx, effects, .. } = &mut *cx;
+        let now = *now;
         let is_own = |it: &&EndpointView| {
-            it.accepts_work() && it.rate_limit().is_none() && wanted.shard.contains(&it.endpoint.id)
+            it.is_open(now) && it.rate_limit().is_none() && wanted.shard.contains(&it.endpoint.id)
         };
         let engines = ctx.endpoints.pool(&wanted.pool).filter(is_own);
         effects.extend(engines.map(|it| Effect::ReadCache {
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -8,7 +8,7 @@
 use super::active::{ActiveRequest, Phase, StageState, Submitted};
 use super::end::RetryHint;
 use super::{call, end, times};
-use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner};
+use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner, group_pause};
 use crate::pass::{Pass, free};
 use crate::{
     Decision, DecisionKind, Effect, Group, ItemInput, JobSubmission, Mechanism, Metric,
@@ -301,6 +301,15 @@
     reported.map_or(Duration::ZERO, |it| it.wait)
 }
 
+/// Returns the time for which all endpoints of a group have asked this instance for a pause, if it
+/// collects the group's items.
+pub fn pause(cx: &Pass<'_>, group: &Group) -> Duration {
+    match cx.ctx.batcher(cx.now, group) {
+        None => group_pause(cx.ctx, cx.now, group),
+        Some(_) => Duration::ZERO,
+    }
+}
+
 fn input(request: &ActiveRequest, idx: usize) -> ItemInput {
     let after = &request.route.stages[idx].after;
     match after.is_empty() {
--- a/crates/ferry-serve/tests/decisions/pauses.rs
+++ b/crates/ferry-serve/tests/decisions/pauses.rs
@@ -1,27 +1,429 @@
 //! Endpoints that ask for a pause when they refuse a request.
 
-use ferry_serve::{DecisionKind, Event, PauseReport};
+use std::time::Duration;
 
-use crate::simulation::{Simulation, ms};
+use ferry_model::EndpointState;
+use ferry_serve::{DecisionKind, EndpointsDelta, Event, PauseReport, Status, StoreUpdate};
 
-fn ask(sim: &mut Simulation, instance: usize, endpoint: &str, started: u64, pause: u64) {
+use crate::rate_limits::load::Load;
+use crate::simulation::{Behaviour, Ending, Simulation, head, ms};
+
+const PAUSE: u64 = 3_000;
+
+fn ask(sim: &mut Simulation, instance: usize, endpoint: &str, pause: u64) {
     let (endpoint, report) = (endpoint.to_owned(), PauseReport::Asked(ms(pause)));
-    sim.deliver(instance, Event::Pause { endpoint, started, report });
+    sim.deliver(instance, Event::Pause { endpoint, report });
+}
+
+/// Counts everything that has reached an endpoint.
+fn n_received(sim: &Simulation, id: &str) -> usize {
+    let endpoint = sim.endpoints.get(id).expect("the endpoint exists");
+    endpoint.n_calls + endpoint.n_messages
+}
+
+fn n_messages(sim: &Simulation, id: &str) -> usize {
+    sim.endpoints.get(id).expect("the endpoint exists").n_messages
+}
+
+fn ids_of(sim: &Simulation, pool: &str) -> Vec<String> {
+    let prefix = format!("{pool}-");
+    sim.endpoints.keys().filter(|it| it.starts_with(&prefix)).cloned().collect()
+}
+
+/// A way on which something reaches an endpoint.
+struct Way {
+    name: &'static str,
+    routes: &'static [&'static str],
+    pausing: &'static str,
+    /// What the other endpoints of its pool do.
+    others: Behaviour,
+    /// Requests per second that it takes.
+    rate_limit: Option<f64>,
+}
+
+#[test]
+fn nothing_reaches_an_endpoint_in_its_pause_on_any_way() {
+    let first = Way {
+        name: "first runs",
+        routes: &["get", "post"],
+        pausing: "plain-0",
+        others: Behaviour::Healthy,
+        rate_limit: None,
+    };
+    let engines =
+        Way { name: "engines", routes: &["stream", "once"], pausing: "engine-0", ..first };
+    let items = Way { name: "items", pausing: "first-0", ..engines };
+    let ways = [
+        Way { name: "repeats of failed runs", others: Behaviour::Failing, ..first },
+        Way { name: "repeats of broken runs", others: Behaviour::Reset, ..first },
+        Way { name: "repeats of refusals", others: Behaviour::Full, ..first },
+        Way { name: "others that pause", others: Behaviour::Pauses(ms(700)), ..first },
+        Way { name: "second runs beside silent ones", others: Behaviour::Silent, ..first },
+        Way { name: "permits", rate_limit: Some(2.0), ..first },
+        Way { name: "resumed streams", others: Behaviour::HeadOnly(ms(50)), ..engines },
+        Way { name: "streams beside silent ones", others: Behaviour::Silent, ..engines },
+        Way { name: "engines that refuse", others: Behaviour::Full, ..engines },
+        Way { name: "engines that pause", others: Behaviour::Pauses(ms(700)), ..engines },
+        Way { name: "engines that read prompts", others: Behaviour::Reads(2), ..engines },
+        Way { name: "permits of engines", rate_limit: Some(2.0), ..engines },
+        Way { name: "items of slow endpoints", others: Behaviour::Slow(8), ..items },
+        Way { name: "items of silent endpoints", others: Behaviour::Silent, ..items },
+        Way { name: "items of endpoints that refuse", others: Behaviour::Full, ..items },
+        Way { name: "items of endpoints that pause", others: Behaviour::Pauses(ms(700)), ..items },
+        Way { name: "items of broken calls", others: Behaviour::Reset, ..items },
+        Way { name: "items of a later stage", pausing: "second-0", ..items },
+        Way { name: "permits of items", rate_limit: Some(2.0), ..items },
+        first,
+        engines,
+        items,
+    ];
+    for way in ways {
+        for n_instances in [1, 6] {
+            for delay in [0, 37, 110] {
+                let mut sim = Simulation::new(n_instances);
+                let pool = way.pausing.split('-').next().unwrap_or_default();
+                for id in ids_of(&sim, pool).iter().filter(|it| **it != way.pausing) {
+                    sim.set_behaviour(id, way.others);
+                }
+                sim.set_rate_limit(way.pausing, way.rate_limit);
+                let mut load = Load::new(way.routes, 60);
+                load.send(&mut sim, ms(3_000 + delay));
+                assert!(0 < n_received(&sim, way.pausing), "{}: was never asked", way.name);
+                for instance in 0..n_instances {
+                    ask(&mut sim, instance, way.pausing, PAUSE);
+                }
+                let before = n_received(&sim, way.pausing);
+                load.send(&mut sim, ms(PAUSE / 3 - 50));
+                // A scheduler that takes over reads the caches of engines.
+                if 1 < n_instances {
+                    sim.kill(0);
+                }
+                load.send(&mut sim, ms(PAUSE - PAUSE / 3 - 50));
+                let n_early = n_received(&sim, way.pausing) - before;
+                assert_eq!(n_early, 0, "{}, {n_instances} instances, {delay} ms", way.name);
+                load.send(&mut sim, ms(4_000));
+                let n_later = n_received(&sim, way.pausing) - before;
+                assert!(0 < n_later, "{}, {n_instances} instances, {delay} ms", way.name);
+                assert_eq!(sim.violations, Vec::<String>::new(), "{}", way.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn requests_that_wait_for_a_permit_do_not_reach_an_endpoint_in_its_pause() {
+    for n_instances in [1, 6] {
+        for delay in [0, 37, 110, 400] {
+            let mut sim = Simulation::new(n_instances);
+            let ids = ids_of(&sim, "plain");
+            ids.iter().for_each(|it| sim.set_rate_limit(it, Some(4.0)));
+            let mut load = Load::new(&["get"], 20);
+            load.send(&mut sim, ms(3_000 + delay));
+            for instance in 0..n_instances {
+                ask(&mut sim, instance, "plain-0", PAUSE);
+            }
+            let before = n_received(&sim, "plain-0");
+            load.send(&mut sim, ms(PAUSE - 1));
+            let n_early = n_received(&sim, "plain-0") - before;
+            assert_eq!(n_early, 0, "{n_instances} instances, {delay} ms");
+            load.send(&mut sim, ms(4_000));
+            assert!(before < n_received(&sim, "plain-0"), "{n_instances} instances, {delay} ms");
+        }
+    }
+}
+
+#[test]
+fn cache_of_an_engine_is_not_read_in_its_pause() {
+    let mut sim = Simulation::new(1);
+    Load::new(&["stream"], 20).send(&mut sim, ms(1_000));
+    sim.is_first_start = false;
+    sim.kill(0);
+    sim.start(0);
+    ask(&mut sim, 0, "engine-0", PAUSE);
+    let before: Vec<usize> = ids_of(&sim, "engine").iter().map(|it| n_messages(&sim, it)).collect();
+    sim.arrive(0, "first", head("stream", "first"));
+    sim.run_for(ms(PAUSE - 100));
+    let after = ids_of(&sim, "engine").into_iter().map(|it| n_messages(&sim, &it));
+    let n_read: Vec<usize> = after.zip(before).map(|(after, before)| after - before).collect();
+    assert_eq!(n_read, [0, 1, 1]);
+}
+
+#[test]
+fn pool_that_pauses_gets_no_repeats_and_serves_again_afterwards() {
+    struct Case {
+        routes: &'static [&'static str],
+        pool: &'static str,
+        n_instances: usize,
+    }
+    let cases = [
+        Case { routes: &["get"], pool: "plain", n_instances: 1 },
+        Case { routes: &["post"], pool: "plain", n_instances: 6 },
+        Case { routes: &["stream"], pool: "engine", n_instances: 1 },
+        Case { routes: &["once"], pool: "engine", n_instances: 6 },
+        Case { routes: &["stream"], pool: "first", n_instances: 1 },
+        Case { routes: &["stream"], pool: "second", n_instances: 6 },
+        Case { routes: &["get"], pool: "plain", n_instances: 76 },
+    ];
+    for Case { routes, pool, n_instances } in cases {
+        let mut sim = Simulation::new(n_instances);
+        let mut load = Load::new(routes, 40);
+        load.send(&mut sim, ms(2_000));
+        for id in ids_of(&sim, pool) {
+            sim.set_behaviour(&id, Behaviour::Pauses(ms(PAUSE)));
+        }
+        load.send(&mut sim, ms(2 * PAUSE));
+        assert!(!sim.pauses.is_empty(), "{routes:?} {pool}: no endpoint was asked");
+        for id in ids_of(&sim, pool) {
+            sim.set_behaviour(&id, Behaviour::Healthy);
+        }
+        sim.run_for(ms(PAUSE));
+        let attempts = load.send(&mut sim, ms(2_000));
+        sim.run_for(ms(5_000));
+        let is_served =
+            |it: &&String| matches!(sim.outcome(it).ending, Ending::Answer | Ending::Stream);
+        let n_served = attempts.iter().filter(is_served).count();
+        let name = format!("{routes:?} {pool} {n_instances}");
+        assert!(attempts.len() * 8 <= n_served * 10, "{name}: {n_served} of {}", attempts.len());
+        assert_eq!(sim.violations, Vec::<String>::new(), "{name}");
+    }
+}
+
+#[test]
+fn request_is_refused_at_once_until_the_first_pause_ends() {
+    struct Case {
+        route: &'static str,
+        /// Pause of each endpoint in milliseconds.
+        pauses: &'static [(&'static str, u64)],
+        /// The time after which the caller is asked to come back is in this range; none if the
+        /// request is served.
+        expected: Option<(u64, u64)>,
+    }
+    let cases = [
+        Case { route: "get", pauses: &[("plain-0", 900)], expected: None },
+        Case {
+            route: "get",
+            pauses: &[("plain-0", 900), ("plain-1", 1_500)],
+            expected: Some((900, 1_350)),
+        },
+        Case {
+            route: "post",
+            pauses: &[("plain-0", 90_000), ("plain-1", 120_000)],
+            expected: Some((90_000, 90_000)),
+        },
+        Case {
+            route: "stream",
+            pauses: &[("engine-0", 2_000), ("engine-1", 2_500), ("engine-2", 1_800)],
+            expected: Some((1_800, 2_700)),
+        },
+        // The stages take longer.
+        Case {
+            route: "stream",
+            pauses: &[("engine-0", 10), ("engine-1", 10), ("engine-2", 10)],
+            expected: None,
+        },
+        Case {
+            route: "stream",
+            pauses: &[("first-0", 9_000), ("first-1", 8_000), ("first-2", 9_000)],
+            expected: Some((8_000, 8_000)),
+        },
+        Case {
+            route: "stream",
+            pauses: &[("second-0", 9_000), ("second-1", 8_000), ("second-2", 9_000)],
+            expected: Some((8_000, 8_000)),
+        },
+        Case {
+            route: "stream",
+            pauses: &[("second-0", 500), ("second-1", 500), ("second-2", 500)],
+            expected: None,
+        },
+    ];
+    for Case { route, pauses, expected } in cases {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(100));
+        for (id, pause) in pauses {
+            ask(&mut sim, 0, id, *pause);
+        }
+        sim.arrive(0, "asked", head(route, "asked"));
+        sim.run_for(ms(4_000));
+        let outcome = sim.outcome("asked");
+        match (expected, &outcome.ending) {
+            (None, Ending::Answer | Ending::Stream) => (),
+            (Some((least, most)), Ending::Refused(refusal)) => {
+                assert_eq!(outcome.took, Duration::ZERO, "{route} {pauses:?}");
+                assert_eq!(refusal.status, Status::NotRun);
+                let wait = refusal.retry_after.expect("the caller is told when to come back");
+                assert!(ms(least) <= wait && wait <= ms(most), "{route} {pauses:?}: {wait:?}");
+            }
+            _ => panic!("{route} {pauses:?}: {outcome:?}"),
+        }
+    }
+}
+
+#[test]
+fn callers_do_not_return_in_one_wave() {
+    let mut sim = Simulation::new(1);
+    sim.run_for(ms(100));
+    ask(&mut sim, 0, "plain-0", 1_000);
+    ask(&mut sim, 0, "plain-1", 1_000);
+    let attempts: Vec<String> = (0..100).map(|it| format!("get-{it}")).collect();
+    let mut waits = Vec::new();
+    for attempt in &attempts {
+        sim.arrive(0, attempt, head("get", attempt));
+        match &sim.outcome(attempt).ending {
+            Ending::Refused(refusal) => waits.extend(refusal.retry_after),
+            ending => panic!("{attempt}: {ending:?}"),
+        }
+    }
+    waits.sort_unstable();
+    assert_eq!(waits.len(), attempts.len());
+    // In each tenth of the time, some but not many.
+    for tenth in 0..10 {
+        let from = ms(1_000 + 50 * tenth);
+        let n_back = waits.iter().filter(|it| from <= **it && **it < from + ms(50)).count();
+        assert!((2..=25).contains(&n_back), "{n_back} within 50 ms from {from:?}");
+    }
+}
+
+#[test]
+fn endpoint_gets_its_calls_back_step_by_step_behind_a_pause() {
+    let mut sim = Simulation::new(1);
+    let mut load = Load::new(&["get"], 200);
+    load.send(&mut sim, ms(1_000));
+    ask(&mut sim, 0, "plain-0", 1_000);
+    ask(&mut sim, 0, "plain-1", 1_000);
+    load.send(&mut sim, ms(1_000));
+    let end = sim.now;
+    load.send(&mut sim, ms(2_000));
+    let n_within = |from: u64, until: u64| {
+        let arrivals = &sim.endpoints.get("plain-0").expect("it exists").arrivals;
+        let range = end + ms(from)..end + ms(until);
+        arrivals.iter().filter(|it| range.contains(&it.at)).count()
+    };
+    assert_eq!(n_within(0, 50), 1);
+    assert!(n_within(0, 200) <= 10, "{} in the first 200 ms", n_within(0, 200));
+    assert!(60 <= n_within(1_000, 2_000), "{} in the second second", n_within(1_000, 2_000));
+}
+
+/// What happens to the endpoint `plain-0` in its pause.
+#[derive(Debug, Clone, Copy)]
+enum Then {
+    Nothing,
+    /// Its entry is written again, with this start.
+    Entry(u64),
+    Unreadable,
+    Removed,
+    List,
+    Peer,
+    StoreAway,
+    StoreBack,
+    Configuration,
+    Asks(u64),
+}
+
+#[test]
+fn pause_holds_until_its_end_or_another_start() {
+    struct Case {
+        then: &'static [Then],
+        /// When the endpoint takes requests again, in milliseconds after it asked for 2 s.
+        end: u64,
+    }
+    let cases = [
+        Case { then: &[Then::Nothing], end: 2_000 },
+        Case { then: &[Then::Asks(500)], end: 2_000 },
+        Case { then: &[Then::Asks(0)], end: 2_000 },
+        Case { then: &[Then::Asks(3_000)], end: 3_000 },
+        Case { then: &[Then::Asks(3_000), Then::Asks(100)], end: 3_000 },
+        Case { then: &[Then::Entry(1)], end: 2_000 },
+        Case { then: &[Then::Entry(2)], end: 0 },
+        Case { then: &[Then::Removed, Then::Entry(1)], end: 2_000 },
+        Case { then: &[Then::Removed, Then::Entry(2)], end: 0 },
+        Case { then: &[Then::Unreadable, Then::Entry(1)], end: 2_000 },
+        Case { then: &[Then::List], end: 2_000 },
+        Case { then: &[Then::Peer], end: 2_000 },
+        Case { then: &[Then::StoreAway, Then::StoreBack, Then::List], end: 2_000 },
+        Case { then: &[Then::StoreAway, Then::Removed, Then::StoreBack, Then::List], end: 2_000 },
+        Case { then: &[Then::Configuration], end: 2_000 },
+    ];
+    for Case { then, end } in cases {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(100));
+        let entry = sim.endpoints.get("plain-0").expect("the endpoint exists").entry.clone();
+        ask(&mut sim, 0, "plain-0", 2_000);
+        let start = sim.now;
+        for (step, revision) in then.iter().zip(20..) {
+            let listed = || sim.endpoints.values().map(|it| it.entry.clone()).collect();
+            let id = "plain-0".to_owned();
+            let event = match *step {
+                Then::Nothing => continue,
+                Then::Asks(pause) => {
+                    ask(&mut sim, 0, "plain-0", pause);
+                    continue;
+                }
+                Then::Entry(started) => {
+                    let state = EndpointState::Live;
+                    let endpoint = ferry_model::GatewayEndpoint { started, state, ..entry.clone() };
+                    Event::Store(StoreUpdate::Changed { revision, endpoint })
+                }
+                Then::Unreadable => Event::Store(StoreUpdate::Unreadable { revision, id }),
+                Then::Removed => Event::Store(StoreUpdate::Removed { revision, id }),
+                Then::List => Event::Store(StoreUpdate::List { revision, endpoints: listed() }),
+                Then::Peer => Event::Store(StoreUpdate::Peer(EndpointsDelta {
+                    since: 0,
+                    revision,
+                    last_change: revision,
+                    endpoints: listed(),
+                    removed: Vec::new(),
+                    missing: Vec::new(),
+                })),
+                Then::StoreAway => Event::Store(StoreUpdate::Unreachable),
+                Then::StoreBack => Event::Store(StoreUpdate::Reachable),
+                Then::Configuration => Event::Config(crate::simulation::config(2).into()),
+            };
+            sim.deliver(0, event);
+        }
+        let is_open = |sim: &Simulation| {
+            let gateway = sim.instances[0].as_ref().expect("the instance is running");
+            let view = gateway.context().endpoints.get("plain-0").expect("it is known");
+            view.is_open(sim.now)
+        };
+        if 0 < end {
+            sim.run_for((start + ms(end - 1)).saturating_sub(sim.now));
+            assert!(!is_open(&sim), "{then:?}: before its end");
+            sim.run_for(ms(1));
+        }
+        assert!(is_open(&sim), "{then:?}: at its end");
+    }
+}
+
+#[test]
+fn pause_of_a_day_and_more_breaks_nothing() {
+    for seconds in [86_400, 31_536_000, u64::MAX / 2_000] {
+        let mut sim = Simulation::new(1);
+        sim.run_for(ms(100));
+        ask(&mut sim, 0, "plain-0", seconds * 1_000);
+        ask(&mut sim, 0, "first-0", seconds * 1_000);
+        let attempts = Load::new(&["get", "stream"], 20).send(&mut sim, ms(2_000));
+        sim.run_for(ms(4_000));
+        for attempt in attempts {
+            let ending = sim.outcome(&attempt).ending.clone();
+            assert!(matches!(ending, Ending::Answer | Ending::Stream), "{attempt}: {ending:?}");
+        }
+    }
 }
 
 #[test]
 fn pause_is_logged_once_while_it_lasts() {
     let mut sim = Simulation::new(1);
     for _ in 0..50 {
-        ask(&mut sim, 0, "plain-0", 1, 2_000);
+        ask(&mut sim, 0, "plain-0", 2_000);
         sim.run_for(ms(10));
     }
     sim.run_for(ms(3_000));
-    ask(&mut sim, 0, "plain-0", 1, 500);
-    ask(&mut sim, 0, "plain-0", 1, 0);
+    ask(&mut sim, 0, "plain-0", 500);
+    ask(&mut sim, 0, "plain-0", 0);
     for _ in 0..100 {
         let (endpoint, report) = ("plain-1".to_owned(), PauseReport::Invalid("soon".to_owned()));
-        sim.deliver(0, Event::Pause { endpoint, started: 1, report });
+        sim.deliver(0, Event::Pause { endpoint, report });
     }
     let lines = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Endpoint);
     let lines: Vec<&str> =
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod faults;
 mod network;
+mod pauses;
 mod records;
 mod start;
 mod stream_check;
@@ -29,6 +30,7 @@
 use crashes::{Crashes, EndpointStep};
 pub use cuts::{Cut, CutForm};
 pub use endpoint::{Behaviour, Endpoint, Received};
+pub use pauses::Pause;
 pub use records::{RecordStore, StoreState};
 
 use stream_check::{OpenCall, PendingAnswer};
@@ -132,6 +134,8 @@
     pub loses_results: bool,
     /// Violations of the call protocol, as the endpoints saw them.
     pub violations: Vec<String>,
+    /// Pauses that endpoints have asked instances for.
+    pub pauses: Vec<Pause>,
     pub n_batches: usize,
     pub n_freed: usize,
     /// Attempts with items for which results were named that had been freed.
@@ -317,8 +321,14 @@
             Effect::Batch(call) => self.batch(instance, &call),
             Effect::Free { handles, address } => {
                 let mut endpoints = self.endpoints.values_mut();
-                if let Some(endpoint) = endpoints.find(|it| it.entry.address == address) {
-                    endpoint.n_messages += 1;
+                let endpoint = endpoints.find(|it| it.entry.address == address);
+                let id = endpoint.map(|it| {
+                    it.n_messages += 1;
+                    it.entry.id.clone()
+                });
+                drop(endpoints);
+                if let Some(id) = id {
+                    self.check_pauses(instance, &id);
                 }
                 self.n_freed += handles.len();
                 for handle in handles {
--- a/crates/ferry-serve/tests/decisions/simulation/crashes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/crashes.rs
@@ -123,6 +123,7 @@
 impl Simulation {
     /// Answers a probe of an endpoint.
     pub(super) fn probe(&mut self, instance: usize, endpoint: String, started: u64) {
+        self.check_pauses(instance, &endpoint);
         let cut_delay = self.cut_delay(instance, &endpoint);
         let is_alive = cut_delay.is_none() && !self.crashes.down.contains(&endpoint);
         let event = Event::Probed { endpoint, started, is_alive };
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -28,6 +28,8 @@
     Reset,
     /// Answers that it did not run the call.
     Full,
+    /// The same, and asks for a pause.
+    Pauses(Duration),
     /// Answers that the run failed.
     Failing,
     /// Sends the head of a stream, and resets it after this time, before any event.
@@ -156,6 +158,7 @@
                 return self.schedule(instance, NETWORK_DELAY, Event::Call { call: id, event });
             }
         }
+        self.check_pauses(instance, &call.endpoint);
         let offset = self.callers.get(&(instance, call.ticket)).map_or(0, |it| it.offset);
         let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
         let prompt = prompt.unwrap_or_default();
@@ -170,7 +173,7 @@
         let (behaviour, id) = (endpoint.behaviour, call.call);
         let source = (attempt.clone(), endpoint.entry.build.clone());
         let event = |event| Event::Call { call: id, event };
-        if !matches!(behaviour, Behaviour::Full) {
+        if !matches!(behaviour, Behaviour::Full | Behaviour::Pauses(_)) {
             let runs = self.runs.get_or_insert_with(attempt, Vec::new);
             runs.push(call.endpoint.clone());
         }
@@ -189,6 +192,7 @@
                     event(CallEvent::NotRun { reason, load: None }),
                 );
             }
+            Behaviour::Pauses(pause) => self.refuse_for_pause(instance, call, pause),
             Behaviour::Failing => {
                 self.calls.insert((instance, id), 1);
                 self.schedule_limit(instance, PLAIN_TIME, &call.endpoint);
@@ -329,6 +333,7 @@
     }
 
     pub(super) fn read_cache(&mut self, instance: usize, endpoint: String) {
+        self.check_pauses(instance, &endpoint);
         let Some(view) = self.endpoints.get_mut(&endpoint) else { return };
         view.n_messages += 1;
         let part = |it: &(u64, Moment)| PromptPart { id: it.0, tokens: 1 };
@@ -341,6 +346,7 @@
             return;
         }
         self.n_batches += 1;
+        self.check_pauses(instance, &call.endpoint);
         let now = self.now;
         let limits = limits();
         let mut results = Vec::new();
@@ -376,6 +382,7 @@
                 let failure = BatchFailure::NotRun("full".to_owned());
                 self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
             }
+            Behaviour::Pauses(pause) => self.refuse_items_for_pause(instance, call, pause),
             Behaviour::FailItems(reason) => {
                 let failed = call.items.iter().map(|_| ItemResult::Failed(reason)).collect();
                 self.schedule(instance, work, batch(Ok(failed)));
--- a/crates/ferry-serve/tests/decisions/simulation/start.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/start.rs
@@ -56,6 +56,7 @@
             is_first_start: true,
             loses_results: false,
             violations: Vec::new(),
+            pauses: Vec::new(),
             n_batches: 0,
             n_freed: 0,
             reads_of_freed: Vec::new(),
