Read results of items and cached parts one at a time

The same cause elsewhere: a call's results and an engine's list of cached prompt parts were parsed as one text.

Each is now parsed apart. A result that cannot be read is an item that has failed, and is asked for again; a part is left out. Both are counted and logged once in ten seconds.

--- a/crates/ferry-gateway/src/caches.rs
+++ b/crates/ferry-gateway/src/caches.rs
@@ -40,5 +40,9 @@
     let read = tokio::time::timeout(READ_TIMEOUT, call_once(address, &call));
     let response = read.await.map_err(|_| CallError::Timeout)??;
     driver.report_state(endpoint, started, response.status, &response.headers);
-    cache::read_list(&response.body).map_err(|it| CallError::Body(it.to_string()))
+    let list = cache::read_list(&response.body).map_err(|it| CallError::Body(it.to_string()))?;
+    if 0 < list.n_unreadable {
+        driver.note_unreadable("could not read cached prompt parts", &list.n_unreadable);
+    }
+    Ok(list.parts)
 }
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -349,6 +349,12 @@
         }
     }
 
+    /// Counts and logs a part of a response that could not be read, while the others were.
+    pub fn note_unreadable(&self, message: &'static str, error: &dyn std::fmt::Display) {
+        self.metrics.count(Metric::EntriesUnreadable);
+        self.warn_seldom(message, error);
+    }
+
     /// Counts and logs objects of the store whose names cannot be read.
     pub fn note_unnamed(&self, n_objects: usize) {
         if 0 < n_objects {
--- a/crates/ferry-gateway/src/items.rs
+++ b/crates/ferry-gateway/src/items.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use ferry_model::ResultHandle;
-use ferry_platform::{headers, items};
-use ferry_serve::{BatchCall, BatchFailure, Event, ItemResult, LimitReport, LoadReport};
+use ferry_platform::{FormatError, headers, items};
+use ferry_serve::{
+    BatchCall, BatchFailure, Event, ItemFailure, ItemResult, LimitReport, LoadReport,
+};
 use http::{Method, StatusCode};
 use tokio::task::spawn_local;
 
@@ -45,7 +47,7 @@
             report_limit(driver, call, &response);
             let BufferedResponse { status, headers, .. } = &response;
             driver.report_state(&call.endpoint, call.started, *status, headers);
-            read(&response)
+            read(driver, &response)
         }
         Ok(Err(error @ CallError::Connect(_))) => {
             (Err(BatchFailure::Unsent(error.to_string())), None)
@@ -65,15 +67,27 @@
     }
 }
 
-fn read(response: &BufferedResponse) -> Outcome {
+fn read(driver: &Rc<Driver>, response: &BufferedResponse) -> Outcome {
     let load = headers::load(&response.headers);
     let is_not_run = headers::is_not_run(&response.headers)
         || response.status == StatusCode::MISDIRECTED_REQUEST;
     let result = match response.status {
-        StatusCode::OK => items::read_results(&response.body)
+        StatusCode::OK => read_results(driver, &response.body)
             .map_err(|error| BatchFailure::Failed(error.to_string())),
         status if is_not_run => Err(BatchFailure::NotRun(status.to_string())),
         status => Err(BatchFailure::Failed(status.to_string())),
     };
     (result, load)
 }
+
+/// Parses results; one that cannot be read counts as an item that has failed.
+fn read_results(driver: &Rc<Driver>, body: &[u8]) -> Result<Vec<ItemResult>, FormatError> {
+    let results = items::read_results(body)?.into_iter().map(|result| match result {
+        Ok(result) => result,
+        Err(error) => {
+            driver.note_unreadable("could not read a result of an item", &error);
+            ItemResult::Failed(ItemFailure::Error)
+        }
+    });
+    Ok(results.collect())
+}
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -377,6 +377,7 @@
     PoolsCut,
     ResponsesUnreadable,
     ObjectsUnreadable,
+    EntriesUnreadable,
     MessagesSkipped,
     MessagesDamaged,
 }
