Read a peer's state one part at a time

A peer of a later release that names a state which this one does not know would have cost an instance without the store all of it; in a list of changes, the endpoint itself would have stayed as it was known.

The three parts are parsed apart, and so are the entries of endpoints: one that cannot be read counts as removed. They are counted and logged.

Not tried: two releases with different states, of which there are none.

--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -2,13 +2,16 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ferry_model::ConfigVersion;
-use ferry_serve::{Event, Metric, PeerMessage, Snapshot, StoreUpdate};
+use ferry_serve::{Event, Metric, PeerMessage, PoolBuilds, StoreUpdate};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use tokio::task::spawn_local;
 
-use crate::client::{CallError, InternalCall};
+use crate::client::{BufferedResponse, CallError, InternalCall};
 use crate::driver::Driver;
 use crate::wire::{self, Received, WireFormat};
 
@@ -101,15 +104,7 @@
     let driver = driver.clone();
     spawn_local(async move {
         match read(&driver, from, version, since).await {
-            Ok(snapshot) => {
-                if let Some(config) = snapshot.config {
-                    driver.dispatch(Event::Config(config));
-                }
-                if !snapshot.builds.is_empty() {
-                    driver.dispatch(Event::PoolBuilds(snapshot.builds));
-                }
-                driver.dispatch(Event::Store(StoreUpdate::Peer(snapshot.endpoints)));
-            }
+            Ok(response) => apply(&driver, &response.body),
             Err(error) => driver.warn("could not read the state from a peer", &error),
         }
     });
@@ -120,8 +115,43 @@
     from: SocketAddr,
     version: ConfigVersion,
     since: u64,
-) -> Result<Snapshot, CallError> {
+) -> Result<BufferedResponse, CallError> {
     let call = InternalCall::get(format!("{SNAPSHOT_PATH}?version={version}&since={since}"));
-    let response = driver.connections.call(from, &call, PULL_TIMEOUT).await?;
-    serde_json::from_slice(&response.body).map_err(|it| CallError::Body(it.to_string()))
+    driver.connections.call(from, &call, PULL_TIMEOUT).await
+}
+
+/// A [`ferry_serve::Snapshot`] whose parts are not parsed yet: the peer may be of a later release.
+#[derive(Deserialize)]
+struct ReceivedSnapshot<'a> {
+    #[serde(borrow)]
+    config: Option<&'a RawValue>,
+    #[serde(borrow)]
+    endpoints: &'a RawValue,
+    #[serde(borrow, default)]
+    builds: Vec<&'a RawValue>,
+}
+
+/// Applies the parts of a peer's state that can be read.
+fn apply(driver: &Rc<Driver>, body: &[u8]) {
+    let snapshot: ReceivedSnapshot<'_> = match serde_json::from_slice(body) {
+        Ok(snapshot) => snapshot,
+        Err(error) => return driver.note_unreadable("could not read the state of a peer", &error),
+    };
+    if let Some(config) = snapshot.config.and_then(|it| part(driver, it)) {
+        driver.dispatch(Event::Config(Arc::new(config)));
+    }
+    let builds: Vec<PoolBuilds> =
+        snapshot.builds.into_iter().filter_map(|it| part(driver, it)).collect();
+    if !builds.is_empty() {
+        driver.dispatch(Event::PoolBuilds(builds));
+    }
+    if let Some(endpoints) = part(driver, snapshot.endpoints) {
+        driver.dispatch(Event::Store(StoreUpdate::Peer(endpoints)));
+    }
+}
+
+fn part<'a, T: Deserialize<'a>>(driver: &Rc<Driver>, text: &'a RawValue) -> Option<T> {
+    let note =
+        |error| driver.note_unreadable("could not read a part of the state of a peer", &error);
+    serde_json::from_str(text.get()).map_err(note).ok()
 }
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -4,6 +4,7 @@
 //! endpoints, and each change would send it to every instance.
 
 use ferry_model::{EndpointId, GatewayEndpoint, Moment};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
 use super::Endpoints;
@@ -13,6 +14,7 @@
 
 /// Entries that changed after a revision.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "ReceivedDelta")]
 pub struct EndpointsDelta {
     /// Store revision that the reader has seen; zero if the list is complete.
     pub since: u64,
@@ -30,6 +32,46 @@
     pub missing: Vec<EndpointId>,
 }
 
+/// The same as received from a peer, which may be of a later release.
+#[derive(Deserialize)]
+struct ReceivedDelta {
+    since: u64,
+    #[serde(rename = "stamp")]
+    revision: u64,
+    #[serde(rename = "news")]
+    last_change: u64,
+    endpoints: Vec<ReceivedEntry>,
+    removed: Vec<EndpointId>,
+    #[serde(default)]
+    missing: Vec<EndpointId>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum ReceivedEntry {
+    Endpoint(GatewayEndpoint),
+    /// Of an endpoint that this release cannot use, whatever it knew of it before.
+    Unreadable {
+        id: EndpointId,
+    },
+    Unnamed(IgnoredAny),
+}
+
+impl From<ReceivedDelta> for EndpointsDelta {
+    fn from(received: ReceivedDelta) -> EndpointsDelta {
+        let ReceivedDelta { since, revision, last_change, missing, mut removed, .. } = received;
+        let mut endpoints = Vec::new();
+        for entry in received.endpoints {
+            match entry {
+                ReceivedEntry::Endpoint(endpoint) => endpoints.push(endpoint),
+                ReceivedEntry::Unreadable { id } => removed.push(id),
+                ReceivedEntry::Unnamed(_) => (),
+            }
+        }
+        EndpointsDelta { since, revision, last_change, endpoints, removed, missing }
+    }
+}
+
 /// Changes in the order in which they became known.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Changes {
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -11,7 +11,7 @@
 use ferry_model::{
     GatewayConfig, Incarnation, InstanceId, Moment, PoolId, ResultHandle, Route, SortedMap, ZoneId,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::admission::{AdmissionController, Shard};
 use crate::batch::{JobKey, JobOutcome};
@@ -227,12 +227,11 @@
 }
 
 /// State that a peer needs to work while the store does not answer it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Snapshot {
     /// None if the reader already has it.
     pub config: Option<Arc<GatewayConfig>>,
     pub endpoints: EndpointsDelta,
     /// Builds of pools that the store has recorded.
-    #[serde(default)]
     pub builds: Vec<PoolBuilds>,
 }
