--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -13,6 +13,7 @@
 mod outcomes;
 mod permits;
 mod plan;
+mod shed;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,7 +27,6 @@
 };
 
 pub(crate) use backlog::group_pause;
-use backlog::usable_endpoints;
 use candidates::Candidate;
 pub use job::{Job, JobKey, JobOutcome, JobOwner};
 use late::GroupAnswers;
@@ -350,31 +350,6 @@
         self.calls.insert(call, sent);
     }
 
-    /// Ends jobs that would be served too late, so that their callers get a refusal at once.
-    fn shed(&mut self, cx: &mut Pass<'_>) {
-        for group in self.groups() {
-            let limits = cx.ctx.catalog.shortest_limits(cx.now, &group.pool);
-            let Some(limits) = limits else { continue };
-            let start = cx.now + group_pause(cx.ctx, cx.now, &group);
-            let n_endpoints = usable_endpoints(cx.ctx, start, &group, &limits);
-            let mut waiting = self.waiting(&group);
-            waiting.retain(|(key, job)| !self.is_in_calls(key, job));
-            for key in plan::too_late(cx.now, start, &waiting, n_endpoints, &limits) {
-                let Some(job) = self.jobs.get_mut(&key) else { continue };
-                finish(cx, &key, job, JobOutcome::Late);
-            }
-        }
-    }
-
-    /// Whether all items of a job are in calls, so that it may be served before those that wait are.
-    fn is_in_calls(&self, key: &JobKey, job: &Job) -> bool {
-        let has =
-            |call: &SentCall, item: u16| call.items.iter().any(|it| it.0 == *key && it.1 == item);
-        // Most jobs have no item in a call.
-        job.pending.len() <= job.n_in_flight
-            && job.pending.iter().all(|item| self.calls.values().any(|it| has(it, *item)))
-    }
-
     /// Ends jobs past their deadline, and drops those that ended a while ago.
     fn expire(&mut self, cx: &mut Pass<'_>) {
         let (now, retention) = (cx.now, cx.ctx.tuning.job_retention);
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -8,6 +8,7 @@
 mod pause;
 mod prompt;
 mod rate_limit;
+mod results;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use ferry_model::{EndpointId, EndpointState, GatewayEndpoint, Moment, PoolId, SortedMap, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Mechanism, StoreUpdate, Tuning};
+use crate::{StoreUpdate, Tuning};
 
 use delta::Changes;
 use leaving::Departed;
@@ -28,14 +29,10 @@
 pub use pause::PauseReport;
 pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
 
-/// Weight of the newest observation in averages.
-const NEWEST_WEIGHT: f64 = 0.3;
 /// Time for which a load report is used.
 const REPORT_TTL: Duration = Duration::from_millis(600);
 /// Interval at which invalid headers in responses of an endpoint are logged.
 const INVALID_INTERVAL: Duration = Duration::from_secs(10);
-/// Consecutive failures after which the pause no longer doubles.
-const MAX_DOUBLINGS: u32 = 6;
 
 /// Load that an endpoint reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,42 +150,6 @@
         self.outstanding.max(reported)
     }
 
-    pub fn record_load(&mut self, now: Moment, report: Option<LoadReport>) {
-        if let Some(report) = report {
-            self.report = Some((now, report));
-        }
-    }
-
-    /// Records a successful call, with its observed time divided by the expected one.
-    pub fn record_success(&mut self, now: Moment, ratio: f64) {
-        self.slowdown += NEWEST_WEIGHT * (ratio - self.slowdown);
-        self.failure_rate -= NEWEST_WEIGHT * self.failure_rate;
-        self.failure_streak = 0;
-        self.pause.on_success(now);
-    }
-
-    /// Records an answer that reports a failed run.
-    pub fn record_error(&mut self) {
-        self.failure_rate += NEWEST_WEIGHT * (1.0 - self.failure_rate);
-        self.failure_streak = 0;
-    }
-
-    /// Records a call without an answer, and pauses the endpoint.
-    pub fn record_failure(&mut self, now: Moment, tuning: &Tuning) {
-        self.failure_rate += NEWEST_WEIGHT * (1.0 - self.failure_rate);
-        let pause = tuning.base_ejection * (1 << self.failure_streak.min(MAX_DOUBLINGS));
-        self.failure_streak += 1;
-        if !tuning.is_enabled(Mechanism::Ejection) {
-            return;
-        }
-        self.pause_until(now + pause.min(tuning.max_ejection));
-    }
-
-    /// Records that a call takes longer than expected, before it has ended.
-    pub fn record_late(&mut self, ratio: f64) {
-        self.slowdown = self.slowdown.max(ratio);
-    }
-
     pub fn pause_until(&mut self, until: Moment) {
         self.paused = self.paused.max(until);
     }
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The reducer of a gateway: every event passes through [`Gateway::reduce`].
 
 mod behind;
+mod shutdown;
 mod updates;
 
 use std::net::SocketAddr;
@@ -209,12 +210,6 @@
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
     }
 
-    fn next_shutdown_step(&self) -> Option<Moment> {
-        let since = self.leaving.filter(|_| !self.has_exited)?;
-        let tuning = &self.ctx.tuning;
-        Some(since + if self.is_closed { tuning.exit_after() } else { tuning.close_after })
-    }
-
     /// Whether callers may be sent to this instance, which needs a configuration and the endpoints.
     pub fn is_ready(&self) -> bool {
         let Context { catalog, endpoints, .. } = &self.ctx;
@@ -277,37 +272,6 @@
         self.advance_shutdown(now, effects);
     }
 
-    /// Closes idle connections once callers have had time to switch, and exits when idle.
-    fn advance_shutdown(&mut self, now: Moment, effects: &mut Vec<Effect>) {
-        let Some(since) = self.leaving else { return };
-        if !self.is_closed && since + self.ctx.tuning.close_after <= now {
-            self.is_closed = true;
-            effects.push(Effect::Close);
-        }
-        let is_idle = self.requests.is_empty() && self.batcher.is_idle();
-        let is_late = since + self.ctx.tuning.exit_after() <= now;
-        if !self.has_exited && self.is_closed && (is_late || is_idle) {
-            self.has_exited = true;
-            self.end_requests(now, effects);
-            effects.push(Effect::Exit);
-        }
-    }
-
-    /// Ends the requests that are still in progress. What others here wait for is not passed on.
-    fn end_requests(&mut self, now: Moment, effects: &mut Vec<Effect>) {
-        let Settlement { mut outcomes, mut released, mut permits } = Settlement::default();
-        let cx = &mut Pass {
-            now,
-            ctx: &mut self.ctx,
-            effects,
-            outcomes: &mut outcomes,
-            released: &mut released,
-            permits: &mut permits,
-            late: Duration::ZERO,
-        };
-        self.requests.end_all(cx, &mut self.batcher);
-    }
-
     /// Passes the outcomes of jobs, and answers of the scheduler and the limiter here, to those that
     /// wait for them until none is left.
     fn settle(&mut self, now: Moment, effects: &mut Vec<Effect>, settlement: Settlement) {
--- /dev/null
+++ b/crates/ferry-serve/src/gateway/shutdown.rs
@@ -0,0 +1,48 @@
+//! The steps from a request to stop to the exit of the process.
+
+use std::time::Duration;
+
+use ferry_model::Moment;
+
+use super::{Gateway, Settlement};
+use crate::Effect;
+use crate::pass::Pass;
+
+impl Gateway {
+    pub(super) fn next_shutdown_step(&self) -> Option<Moment> {
+        let since = self.leaving.filter(|_| !self.has_exited)?;
+        let tuning = &self.ctx.tuning;
+        Some(since + if self.is_closed { tuning.exit_after() } else { tuning.close_after })
+    }
+
+    /// Closes idle connections once callers have had time to switch, and exits when idle.
+    pub(super) fn advance_shutdown(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let Some(since) = self.leaving else { return };
+        if !self.is_closed && since + self.ctx.tuning.close_after <= now {
+            self.is_closed = true;
+            effects.push(Effect::Close);
+        }
+        let is_idle = self.requests.is_empty() && self.batcher.is_idle();
+        let is_late = since + self.ctx.tuning.exit_after() <= now;
+        if !self.has_exited && self.is_closed && (is_late || is_idle) {
+            self.has_exited = true;
+            self.end_requests(now, effects);
+            effects.push(Effect::Exit);
+        }
+    }
+
+    /// Ends the requests that are still in progress. What others here wait for is not passed on.
+    fn end_requests(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let Settlement { mut outcomes, mut released, mut permits } = Settlement::default();
+        let cx = &mut Pass {
+            now,
+            ctx: &mut self.ctx,
+            effects,
+            outcomes: &mut outcomes,
+            released: &mut released,
+            permits: &mut permits,
+            late: Duration::ZERO,
+        };
+        self.requests.end_all(cx, &mut self.batcher);
+    }
+}
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::rate_limits::load::Load;
-use crate::simulation::{Behaviour, Ending, Simulation, head, ms};
+use crate::simulation::{Ending, Simulation, head, ms};
+use crate::ways::{Way, n_received};
 
 fn announce(sim: &mut Simulation, instance: usize, endpoint: &str, started: u64) {
     let endpoint = endpoint.to_owned();
@@ -16,74 +17,19 @@
     sim.deliver(instance, Event::Leaving { endpoint, started, report });
 }
 
-/// Counts everything that has reached an endpoint.
-fn n_received(sim: &Simulation, id: &str) -> usize {
-    let endpoint = sim.endpoints.get(id).expect("the endpoint exists");
-    endpoint.n_calls + endpoint.n_messages
-}
-
-/// A way on which something reaches an endpoint.
-struct Way {
-    name: &'static str,
-    routes: &'static [&'static str],
-    leaving: &'static str,
-    /// What the other endpoints of its pool do.
-    others: Behaviour,
-    /// Requests per second that it takes.
-    rate_limit: Option<f64>,
-}
-
 #[test]
 fn nothing_reaches_an_endpoint_after_its_announcement_on_any_way() {
-    let first = Way {
-        name: "first runs",
-        routes: &["get", "post"],
-        leaving: "plain-0",
-        others: Behaviour::Healthy,
-        rate_limit: None,
-    };
-    let engines =
-        Way { name: "engines", routes: &["stream", "once"], leaving: "engine-0", ..first };
-    let items = Way { name: "items", leaving: "first-0", ..engines };
-    let ways = [
-        Way { name: "repeats of failed runs", others: Behaviour::Failing, ..first },
-        Way { name: "repeats of broken runs", others: Behaviour::Reset, ..first },
-        Way { name: "repeats of refusals", others: Behaviour::Full, ..first },
-        Way { name: "second runs beside silent ones", others: Behaviour::Silent, ..first },
-        Way { name: "slow endpoints", others: Behaviour::Slow(20), ..first },
-        Way { name: "permits", rate_limit: Some(2.0), ..first },
-        Way { name: "resumed streams", others: Behaviour::HeadOnly(ms(50)), ..engines },
-        Way { name: "streams beside silent ones", others: Behaviour::Silent, ..engines },
-        Way { name: "engines that refuse", others: Behaviour::Full, ..engines },
-        Way { name: "engines that read prompts", others: Behaviour::Reads(2), ..engines },
-        Way { name: "permits of engines", rate_limit: Some(2.0), ..engines },
-        Way { name: "items of slow endpoints", others: Behaviour::Slow(8), ..items },
-        Way { name: "items of silent endpoints", others: Behaviour::Silent, ..items },
-        Way { name: "items of endpoints that refuse", others: Behaviour::Full, ..items },
-        Way { name: "items of broken calls", others: Behaviour::Reset, ..items },
-        Way { name: "items of a later stage", leaving: "second-0", ..items },
-        Way { name: "permits of items", rate_limit: Some(2.0), ..items },
-        first,
-        engines,
-        items,
-    ];
-    for way in ways {
+    for way in Way::all() {
         for n_instances in [1, 6] {
             for delay in [0, 37, 110, 400] {
-                let mut sim = Simulation::new(n_instances);
-                let pool = way.leaving.split('-').next().unwrap_or_default();
-                let ids: Vec<String> = sim.endpoints.keys().cloned().collect();
-                for id in ids.iter().filter(|it| it.starts_with(pool) && **it != way.leaving) {
-                    sim.set_behaviour(id, way.others);
-                }
-                sim.set_rate_limit(way.leaving, way.rate_limit);
+                let mut sim = way.simulation(n_instances);
                 let mut load = Load::new(way.routes, 60);
                 load.send(&mut sim, ms(3_000 + delay));
-                assert!(0 < n_received(&sim, way.leaving), "{}: was never asked", way.name);
+                assert!(0 < n_received(&sim, way.endpoint), "{}: was never asked", way.name);
                 for instance in 0..n_instances {
-                    announce(&mut sim, instance, way.leaving, 1);
+                    announce(&mut sim, instance, way.endpoint, 1);
                 }
-                let before = n_received(&sim, way.leaving);
+                let before = n_received(&sim, way.endpoint);
                 load.send(&mut sim, ms(3_000));
                 // A scheduler that takes over reads the caches of engines.
                 if 1 < n_instances {
@@ -91,7 +37,7 @@
                 }
                 load.send(&mut sim, ms(3_000));
                 sim.run_for(ms(5_000));
-                let n_late = n_received(&sim, way.leaving) - before;
+                let n_late = n_received(&sim, way.endpoint) - before;
                 assert_eq!(n_late, 0, "{}, {n_instances} instances, {delay} ms", way.name);
                 assert_eq!(sim.violations, Vec::<String>::new(), "{}", way.name);
             }
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -22,3 +22,4 @@
 mod seeds;
 mod shutdown;
 mod silence;
+mod ways;
--- a/crates/ferry-serve/tests/decisions/pauses.rs
+++ b/crates/ferry-serve/tests/decisions/pauses.rs
@@ -7,6 +7,7 @@
 
 use crate::rate_limits::load::Load;
 use crate::simulation::{Behaviour, Ending, Simulation, head, ms};
+use crate::ways::{Way, ids_of, n_received};
 
 const PAUSE: u64 = 3_000;
 
@@ -15,94 +16,33 @@
     sim.deliver(instance, Event::Pause { endpoint, report });
 }
 
-/// Counts everything that has reached an endpoint.
-fn n_received(sim: &Simulation, id: &str) -> usize {
-    let endpoint = sim.endpoints.get(id).expect("the endpoint exists");
-    endpoint.n_calls + endpoint.n_messages
-}
-
 fn n_messages(sim: &Simulation, id: &str) -> usize {
     sim.endpoints.get(id).expect("the endpoint exists").n_messages
 }
 
-fn ids_of(sim: &Simulation, pool: &str) -> Vec<String> {
-    let prefix = format!("{pool}-");
-    sim.endpoints.keys().filter(|it| it.starts_with(&prefix)).cloned().collect()
-}
-
-/// A way on which something reaches an endpoint.
-struct Way {
-    name: &'static str,
-    routes: &'static [&'static str],
-    pausing: &'static str,
-    /// What the other endpoints of its pool do.
-    others: Behaviour,
-    /// Requests per second that it takes.
-    rate_limit: Option<f64>,
-}
-
 #[test]
 fn nothing_reaches_an_endpoint_in_its_pause_on_any_way() {
-    let first = Way {
-        name: "first runs",
-        routes: &["get", "post"],
-        pausing: "plain-0",
-        others: Behaviour::Healthy,
-        rate_limit: None,
-    };
-    let engines =
-        Way { name: "engines", routes: &["stream", "once"], pausing: "engine-0", ..first };
-    let items = Way { name: "items", pausing: "first-0", ..engines };
-    let ways = [
-        Way { name: "repeats of failed runs", others: Behaviour::Failing, ..first },
-        Way { name: "repeats of broken runs", others: Behaviour::Reset, ..first },
-        Way { name: "repeats of refusals", others: Behaviour::Full, ..first },
-        Way { name: "others that pause", others: Behaviour::Pauses(ms(700)), ..first },
-        Way { name: "second runs beside silent ones", others: Behaviour::Silent, ..first },
-        Way { name: "permits", rate_limit: Some(2.0), ..first },
-        Way { name: "resumed streams", others: Behaviour::HeadOnly(ms(50)), ..engines },
-        Way { name: "streams beside silent ones", others: Behaviour::Silent, ..engines },
-        Way { name: "engines that refuse", others: Behaviour::Full, ..engines },
-        Way { name: "engines that pause", others: Behaviour::Pauses(ms(700)), ..engines },
-        Way { name: "engines that read prompts", others: Behaviour::Reads(2), ..engines },
-        Way { name: "permits of engines", rate_limit: Some(2.0), ..engines },
-        Way { name: "items of slow endpoints", others: Behaviour::Slow(8), ..items },
-        Way { name: "items of silent endpoints", others: Behaviour::Silent, ..items },
-        Way { name: "items of endpoints that refuse", others: Behaviour::Full, ..items },
-        Way { name: "items of endpoints that pause", others: Behaviour::Pauses(ms(700)), ..items },
-        Way { name: "items of broken calls", others: Behaviour::Reset, ..items },
-        Way { name: "items of a later stage", pausing: "second-0", ..items },
-        Way { name: "permits of items", rate_limit: Some(2.0), ..items },
-        first,
-        engines,
-        items,
-    ];
-    for way in ways {
+    for way in Way::all() {
         for n_instances in [1, 6] {
             for delay in [0, 37, 110] {
-                let mut sim = Simulation::new(n_instances);
-                let pool = way.pausing.split('-').next().unwrap_or_default();
-                for id in ids_of(&sim, pool).iter().filter(|it| **it != way.pausing) {
-                    sim.set_behaviour(id, way.others);
-                }
-                sim.set_rate_limit(way.pausing, way.rate_limit);
+                let mut sim = way.simulation(n_instances);
                 let mut load = Load::new(way.routes, 60);
                 load.send(&mut sim, ms(3_000 + delay));
-                assert!(0 < n_received(&sim, way.pausing), "{}: was never asked", way.name);
+                assert!(0 < n_received(&sim, way.endpoint), "{}: was never asked", way.name);
                 for instance in 0..n_instances {
-                    ask(&mut sim, instance, way.pausing, PAUSE);
+                    ask(&mut sim, instance, way.endpoint, PAUSE);
                 }
-                let before = n_received(&sim, way.pausing);
+                let before = n_received(&sim, way.endpoint);
                 load.send(&mut sim, ms(PAUSE / 3 - 50));
                 // A scheduler that takes over reads the caches of engines.
                 if 1 < n_instances {
                     sim.kill(0);
                 }
                 load.send(&mut sim, ms(PAUSE - PAUSE / 3 - 50));
-                let n_early = n_received(&sim, way.pausing) - before;
+                let n_early = n_received(&sim, way.endpoint) - before;
                 assert_eq!(n_early, 0, "{}, {n_instances} instances, {delay} ms", way.name);
                 load.send(&mut sim, ms(4_000));
-                let n_later = n_received(&sim, way.pausing) - before;
+                let n_later = n_received(&sim, way.endpoint) - before;
                 assert!(0 < n_later, "{}, {n_instances} instances, {delay} ms", way.name);
                 assert_eq!(sim.violations, Vec::<String>::new(), "{}", way.name);
             }
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -8,6 +8,7 @@
 mod cuts;
 mod endpoint;
 mod faults;
+mod items;
 mod network;
 mod pauses;
 mod records;
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{EndpointState, GatewayEndpoint, Moment, ResultHandle};
+use ferry_model::{EndpointState, GatewayEndpoint, Moment};
 use ferry_serve::{
-    BatchCall, BatchFailure, Call, CallEvent, CallId, Event, Framing, ItemFailure, ItemInput,
-    ItemResult, LimitReport, PromptPart, RequestRate, StreamEnd,
+    Call, CallEvent, CallId, Event, Framing, ItemFailure, LimitReport, PromptPart, RequestRate,
+    StreamEnd,
 };
 
 use super::crash_moment::Answer;
-use super::{NETWORK_DELAY, QueuedEvent, Simulation, UNIX_START, limits, ms};
+use super::{NETWORK_DELAY, QueuedEvent, Simulation, UNIX_START, ms};
 
 const PLAIN_TIME: Duration = ms(50);
 const FIRST_EVENT: Duration = ms(120);
@@ -111,7 +111,7 @@
         endpoint.rate_limit = per_second.and_then(RequestRate::new);
     }
 
-    fn is_informed(&self, instance: usize, id: &str) -> bool {
+    pub(super) fn is_informed(&self, instance: usize, id: &str) -> bool {
         let gateway = self.instances[instance].as_ref();
         let view = gateway.and_then(|it| it.context().endpoints.get(id));
         view.is_some_and(|it| it.rate_limit().is_some())
@@ -124,7 +124,7 @@
         self.deliver(instance, Event::Limit { endpoint, limit });
     }
 
-    fn schedule_limit(&mut self, instance: usize, after: Duration, endpoint: &str) {
+    pub(super) fn schedule_limit(&mut self, instance: usize, after: Duration, endpoint: &str) {
         let incarnation = self.incarnations[instance];
         let endpoint = endpoint.to_owned();
         self.push(self.now + after, QueuedEvent::Limit { instance, incarnation, endpoint });
@@ -340,87 +340,4 @@
         let parts = view.cached.iter().map(part).collect();
         self.schedule(instance, NETWORK_DELAY, Event::Cached { endpoint, parts });
     }
-
-    pub(super) fn batch(&mut self, instance: usize, call: &BatchCall) {
-        if self.refuse_items(instance, call) {
-            return;
-        }
-        self.n_batches += 1;
-        self.check_pauses(instance, &call.endpoint);
-        let now = self.now;
-        let limits = limits();
-        let mut results = Vec::new();
-        for item in &call.items {
-            self.check_inputs(&item.attempt, &item.input, item.stage);
-            let id = format!("{}/{}/{}/{}", item.attempt, item.stage, item.item, self.n_queued);
-            if !self.loses_results {
-                self.results.insert(id.clone(), (item.attempt.to_string(), item.stage));
-            }
-            results.push(ItemResult::Done(ResultHandle { address: call.address, id }));
-        }
-        let is_informed = self.is_informed(instance, &call.endpoint);
-        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
-        endpoint.n_calls += 1;
-        endpoint.n_items += call.items.len();
-        endpoint.last_call = now;
-        endpoint.arrivals.push(Received { at: now, is_informed });
-        let work = limits.call_time + limits.item_time * call.items.len() as u32;
-        let id = call.call;
-        self.batches.insert((instance, id), call.endpoint.clone());
-        let silence = endpoint.silent_until.saturating_sub(now);
-        let batch = |result| Event::Batch { call: id, result, load: None };
-        match endpoint.behaviour {
-            Behaviour::Silent => {
-                let failure = BatchFailure::TimedOut;
-                self.schedule(instance, call.timeout, batch(Err(failure)));
-            }
-            Behaviour::Reset | Behaviour::Failing | Behaviour::HeadOnly(_) => {
-                let failure = BatchFailure::Broken("reset".to_owned());
-                self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
-            }
-            Behaviour::Full => {
-                let failure = BatchFailure::NotRun("full".to_owned());
-                self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
-            }
-            Behaviour::Pauses(pause) => self.refuse_items_for_pause(instance, call, pause),
-            Behaviour::FailItems(reason) => {
-                let failed = call.items.iter().map(|_| ItemResult::Failed(reason)).collect();
-                self.schedule(instance, work, batch(Ok(failed)));
-            }
-            Behaviour::Healthy | Behaviour::Slow(_) | Behaviour::Reads(_) => {
-                let factor =
-                    if let Behaviour::Slow(factor) = endpoint.behaviour { factor } else { 1 };
-                endpoint.busy = endpoint.busy.max(now) + work * factor;
-                let after = endpoint.busy - now;
-                if !self.plan_items_crash(instance, call, after) {
-                    self.schedule_limit(instance, after, &call.endpoint);
-                    self.schedule(instance, after, batch(Ok(results)));
-                }
-                let failure = BatchFailure::TimedOut;
-                self.schedule(instance, call.timeout, batch(Err(failure)));
-            }
-        }
-        self.delay_events(silence, |at, it| at == instance && it == id);
-    }
-
-    /// Checks that an item gets every result of the preceding stage, and only those of its request.
-    fn check_inputs(&mut self, attempt: &str, input: &ItemInput, stage: u8) {
-        let ItemInput::Results(handles) = input else { return };
-        if handles.is_empty() {
-            self.violations.push(format!("{attempt}: stage {stage} has no inputs"));
-        }
-        for handle in handles {
-            match self.results.get(&handle.id) {
-                Some((owner, _)) if owner == attempt => (),
-                Some((owner, _)) => {
-                    self.violations.push(format!("{attempt} was given results of {owner}"));
-                }
-                None if self.freed.contains(&handle.id) => {
-                    self.reads_of_freed.push(attempt.to_owned());
-                }
-                // A restarted endpoint has forgotten it and would report it as gone.
-                None => (),
-            }
-        }
-    }
 }
