Send no message to an endpoint without an entry

Whether an endpoint takes messages was asked in three ways, by address, and none of them was answered for an endpoint that is not known.

It is one question now, and an endpoint without an entry takes none: it discards results by itself.

results_are_not_freed_at_an_endpoint_without_an_entry failed before, with six messages for a removed endpoint in 2 s.

--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -206,6 +206,14 @@
         self.zones.get(&address)
     }
 
+    /// Whether the endpoint with this address takes calls that serve no request.
+    pub fn takes_messages_at(&self, now: Moment, address: SocketAddr) -> bool {
+        let takes_messages =
+            |it: &EndpointView| !it.leaves() && !it.wants_pause(now) && it.rate_limit().is_none();
+        let mut at = self.views.values().filter(|it| it.endpoint.address == address).peekable();
+        at.peek().is_some() && at.all(takes_messages)
+    }
+
     /// Returns the entries in the store, without those that may only have expired, as a peer that
     /// reads them would take them for present.
     pub fn listed(&self) -> impl Iterator<Item = &GatewayEndpoint> {
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -3,7 +3,6 @@
 //! An announcement holds for one start of an endpoint, whatever its entry says: the entry may be
 //! late, or never say so. docs/design/platform.md weighs that.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::{EndpointId, GatewayEndpoint, Moment};
@@ -111,12 +110,6 @@
         }
     }
 
-    /// Whether every endpoint with this address leaves; false if none is known.
-    pub fn is_leaving_at(&self, address: SocketAddr) -> bool {
-        let mut at = self.views.values().filter(|it| it.endpoint.address == address).peekable();
-        at.peek().is_some() && at.all(EndpointView::leaves)
-    }
-
     /// Adds the endpoint of an entry.
     pub(super) fn insert(&mut self, endpoint: GatewayEndpoint) -> &mut EndpointView {
         let id = endpoint.id.clone();
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -4,7 +4,6 @@
 //! endpoint gets calls at intervals that shorten with each one that succeeds, as all that was held
 //! back at once would make it refuse again.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::Moment;
@@ -89,10 +88,4 @@
         view.pause.extend(now.saturating_add(pause));
         is_new
     }
-
-    /// Whether an endpoint with this address has asked for a pause that is not over.
-    pub fn wants_pause_at(&self, now: Moment, address: SocketAddr) -> bool {
-        let mut at = self.views.values().filter(|it| it.endpoint.address == address);
-        at.any(|it| it.wants_pause(now))
-    }
 }
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -1,7 +1,6 @@
 //! The rate limits that endpoints name in their responses, for all instances together.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment};
@@ -227,12 +226,6 @@
         limited.filter_map(|(id, _)| self.limit_notice(now, id)).collect()
     }
 
-    /// Whether the endpoint with this address has a rate limit.
-    pub fn is_limited_at(&self, address: SocketAddr) -> bool {
-        let mut limited = self.views.values().filter(|it| it.rate_limit().is_some());
-        limited.any(|it| it.endpoint.address == address)
-    }
-
     /// Returns the rate of all endpoints of a pool that accept work; none if one has no limit.
     pub fn pool_rate(&self, pool: &str) -> Option<f64> {
         let mut live = self.pool(pool).filter(|it| it.accepts_work()).peekable();
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -208,21 +208,16 @@
 
 /// Notifies the endpoints that hold results that these are no longer needed. One that limits its
 /// requests discards them by itself: each call would take the place of a caller's request. So does
-/// one that leaves, or that wants a pause.
+/// one that leaves, is gone, or wants a pause.
 pub(crate) fn free(cx: &mut Pass<'_>, handles: Vec<ResultHandle>) {
     let mut by_address: SortedMap<SocketAddr, Vec<ResultHandle>> = SortedMap::new();
     for handle in handles {
         by_address.get_or_insert_with(handle.address, Vec::new).push(handle);
     }
     for (address, handles) in by_address.iter() {
-        let endpoints = &cx.ctx.endpoints;
-        let wants_none = endpoints.is_limited_at(*address)
-            || endpoints.is_leaving_at(*address)
-            || endpoints.wants_pause_at(cx.now, *address);
-        if wants_none {
-            continue;
+        if cx.ctx.endpoints.takes_messages_at(cx.now, *address) {
+            cx.effects.push(Effect::Free { address: *address, handles: handles.clone() });
         }
-        cx.effects.push(Effect::Free { address: *address, handles: handles.clone() });
     }
 }
 
--- a/crates/ferry-serve/tests/decisions/pauses.rs
+++ b/crates/ferry-serve/tests/decisions/pauses.rs
@@ -72,6 +72,25 @@
     }
 }
 
+#[test]
+fn results_are_not_freed_at_an_endpoint_without_an_entry() {
+    for is_readable in [true, false] {
+        let mut sim = Simulation::new(1);
+        let mut load = Load::new(&["stream"], 40);
+        load.send(&mut sim, ms(2_000));
+        assert!(0 < n_messages(&sim, "first-0"), "no result was freed");
+        let id = "first-0".to_owned();
+        let update = match is_readable {
+            true => StoreUpdate::Removed { revision: 20, id },
+            false => StoreUpdate::Unreadable { revision: 20, id },
+        };
+        sim.deliver(0, Event::Store(update));
+        let before = n_messages(&sim, "first-0");
+        load.send(&mut sim, ms(2_000));
+        assert_eq!(n_messages(&sim, "first-0"), before, "readable: {is_readable}");
+    }
+}
+
 #[test]
 fn cache_of_an_engine_is_not_read_in_its_pause() {
     let mut sim = Simulation::new(1);
