Log the return of the store, and not each update before it

While the store counted as away, each update was logged whether or not it changed anything: 500 entries that cannot be read made 500 lines at its return.

The two updates of the store's reachability are logged now, and others when they change something. The test failed before with 500 lines and without the one for the return.

--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -45,8 +45,9 @@
         StoreUpdate::Unreachable => "store does not answer".to_owned(),
         StoreUpdate::Reachable => "store answers again".to_owned(),
     };
+    let is_news = matches!(update, StoreUpdate::Unreachable | StoreUpdate::Reachable);
     let Context { tuning, endpoints, .. } = &mut *cx.ctx;
-    if endpoints.apply(cx.now, tuning, update) || endpoints.is_store_down() {
+    if endpoints.apply(cx.now, tuning, update) || is_news {
         cx.log(Decision::new(DecisionKind::Endpoint, reason));
     }
 }
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -1,7 +1,7 @@
 //! Which endpoints get work as entries are added, changed, expired and removed.
 
 use ferry_model::EndpointState;
-use ferry_serve::{Event, StoreUpdate};
+use ferry_serve::{DecisionKind, Event, StoreUpdate};
 
 use crate::simulation::{Behaviour, Ending, PLAIN, Simulation, head, ms};
 
@@ -92,6 +92,24 @@
     }
 }
 
+#[test]
+fn store_that_comes_back_with_unreadable_entries_is_logged_once() {
+    let mut sim = Simulation::new(1);
+    sim.run_for(ms(100));
+    sim.decisions.clear();
+    sim.deliver(0, Event::Store(StoreUpdate::Unreachable));
+    for number in 0..500 {
+        let id = format!("odd-{number}");
+        sim.deliver(0, Event::Store(StoreUpdate::Unreadable { revision: 10, id }));
+    }
+    let endpoints = sim.endpoints.values().map(|it| it.entry.clone()).collect();
+    sim.deliver(0, Event::Store(StoreUpdate::List { revision: 10, endpoints }));
+    sim.deliver(0, Event::Store(StoreUpdate::Reachable));
+    let lines = sim.decisions.iter().filter(|it| it.kind == DecisionKind::Endpoint);
+    let lines: Vec<&str> = lines.map(|it| it.reason.as_str()).collect();
+    assert_eq!(lines, ["store does not answer", "store answers again"]);
+}
+
 #[test]
 fn store_that_comes_and_goes_keeps_no_removed_endpoint_in_use() {
     struct Case {
