--- a/crates/ferry-gateway/tests/peer_state.rs
+++ b/crates/ferry-gateway/tests/peer_state.rs
@@ -21,24 +21,24 @@
         Case {
             name: "an unknown state",
             change: |it| it["state"] = json!("warming"),
-            removed: &["gone", "odd"],
+            removed: &["gone", "malformed"],
         },
         Case {
             name: "an address of another form",
             change: |it| it["address"] = json!({ "path": "/tmp/x" }),
-            removed: &["gone", "odd"],
+            removed: &["gone", "malformed"],
         },
         Case {
             name: "a field is missing",
             change: |it| it["slots"] = Value::Null,
-            removed: &["gone", "odd"],
+            removed: &["gone", "malformed"],
         },
         Case { name: "no name", change: |it| it["id"] = json!(7), removed: &["gone"] },
         Case { name: "no object", change: |it| *it = json!([1]), removed: &["gone"] },
         Case { name: "an unknown field", change: |it| it["later"] = json!(1), removed: &["gone"] },
     ];
     for Case { name, change, removed } in cases {
-        let mut odd = entry("odd");
+        let mut odd = entry("malformed");
         change(&mut odd);
         let delta = json!({
             "since": 3, "stamp": 9, "news": 8, "removed": ["gone"],
@@ -47,7 +47,7 @@
         let delta: EndpointsDelta =
             serde_json::from_value(delta).expect("the changes are readable");
         let ids: Vec<&str> = delta.endpoints.iter().map(|it| it.id.as_str()).collect();
-        let ids: Vec<&str> = ids.into_iter().filter(|it| *it != "odd").collect();
+        let ids: Vec<&str> = ids.into_iter().filter(|it| *it != "malformed").collect();
         assert_eq!(ids, ["a", "z"], "{name}");
         assert_eq!(delta.endpoints.len(), if name == "an unknown field" { 3 } else { 2 }, "{name}");
         assert_eq!(delta.removed, removed, "{name}");
--- a/crates/ferry-gateway/tests/process/unreadable.rs
+++ b/crates/ferry-gateway/tests/process/unreadable.rs
@@ -4,7 +4,7 @@
 
 use ferry_soak::cluster::{Cluster, Signal};
 use ferry_soak::config::Route;
-use ferry_soak::odd::OddObject;
+use ferry_soak::malformed::MalformedObject;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
@@ -12,7 +12,7 @@
 
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 const N_REQUESTS: usize = 10;
-const NAME: &str = "odd";
+const NAME: &str = "malformed";
 
 /// Sends requests to the plain pool; returns the endpoints that ran them, and how many were served.
 async fn ask(cluster: &Cluster, name: &str) -> (Vec<String>, usize) {
@@ -49,7 +49,7 @@
 fn endpoint_that_leaves_gets_no_requests_beside_an_unreadable_entry() {
     with_cluster("unreadable", 1, async |cluster| {
         let mut failures = Vec::new();
-        for OddObject { what, text } in OddObject::all(NAME) {
+        for MalformedObject { what, text } in MalformedObject::all(NAME) {
             cluster.store.put_text("servers", NAME, text);
             register(&cluster, &[0], "draining");
             cluster.store.remove("servers", "plain-1");
@@ -70,9 +70,9 @@
 #[test]
 fn gateway_starts_and_serves_beside_unreadable_entries() {
     with_cluster("unreadable-start", 1, async |mut cluster| {
-        for number in 0..OddObject::all(NAME).len() {
-            let name = format!("odd-{number}");
-            let odd = OddObject::all(&name).swap_remove(number);
+        for number in 0..MalformedObject::all(NAME).len() {
+            let name = format!("malformed-{number}");
+            let odd = MalformedObject::all(&name).swap_remove(number);
             cluster.store.put_text("servers", &name, odd.text);
         }
         cluster.nodes[0].signal(Signal::Kill);
@@ -89,9 +89,9 @@
 
 #[test]
 fn entry_that_becomes_unreadable_names_no_endpoint() {
-    with_cluster("turned-odd", 1, async |cluster| {
+    with_cluster("malformed-later", 1, async |cluster| {
         let mut failures = Vec::new();
-        for OddObject { what, text } in OddObject::all("plain-0") {
+        for MalformedObject { what, text } in MalformedObject::all("plain-0") {
             cluster.store.put_text("servers", "plain-0", text);
             sleep(DRAIN_TIME).await;
             let (runs, n_served) = ask(&cluster, &what.replace(' ', "-")).await;
@@ -107,7 +107,7 @@
 
 #[test]
 fn names_of_entries_do_not_break_the_list() {
-    with_cluster("odd-names", 1, async |mut cluster| {
+    with_cluster("names", 1, async |mut cluster| {
         cluster.nodes[0].signal(Signal::Kill);
         while cluster.nodes[0].exit_status().is_none() {
             sleep(Duration::from_millis(10)).await;
--- a/crates/ferry-serve/tests/decisions/endpoints.rs
+++ b/crates/ferry-serve/tests/decisions/endpoints.rs
@@ -99,7 +99,7 @@
     sim.decisions.clear();
     sim.deliver(0, Event::Store(StoreUpdate::Unreachable));
     for number in 0..500 {
-        let id = format!("odd-{number}");
+        let id = format!("malformed-{number}");
         sim.deliver(0, Event::Store(StoreUpdate::Unreadable { revision: 10, id }));
     }
     let endpoints = sim.endpoints.values().map(|it| it.entry.clone()).collect();
--- a/crates/ferry-soak/src/lib.rs
+++ b/crates/ferry-soak/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod crash;
 pub mod endpoint;
 pub mod losses;
-pub mod odd;
+pub mod malformed;
 pub mod plan;
 pub mod proxy;
 mod rate_limit;
--- a/crates/ferry-soak/src/odd.rs
+++ b/crates/ferry-soak/src/malformed.rs
@@ -3,17 +3,18 @@
 
 /// An object that cannot be read.
 #[derive(Debug, Clone)]
-pub struct OddObject {
+pub struct MalformedObject {
     pub what: &'static str,
     pub text: Vec<u8>,
 }
 
-impl OddObject {
+impl MalformedObject {
     /// Returns one of each kind.
-    pub fn all(name: &str) -> Vec<OddObject> {
-        let spec = |what, spec: &[u8]| OddObject { what, text: with_spec(name, spec, b"null") };
+    pub fn all(name: &str) -> Vec<MalformedObject> {
+        let spec =
+            |what, spec: &[u8]| MalformedObject { what, text: with_spec(name, spec, b"null") };
         let field = |what, field: &str| spec(what, entry(field).as_bytes());
-        let other = |what, text: &[u8]| OddObject { what, text: text.to_vec() };
+        let other = |what, text: &[u8]| MalformedObject { what, text: text.to_vec() };
         let digits = format!(r#""Slots":8,"born":{}"#, "9".repeat(400));
         let megabyte = [b"\"", &vec![b'x'; 1_000_000][..], b"\""].concat();
         let status = with_spec(name, b"null", &nested(3_000));
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -12,14 +12,14 @@
 use crate::config::{Variation, desired_state};
 use crate::endpoint::Behaviour;
 use crate::losses::Trouble;
-use crate::odd::OddObject;
+use crate::malformed::MalformedObject;
 use crate::proxy::{Answers, Link};
 use crate::soak::Only;
 use crate::store::StoreBehaviour;
 
 pub use processes::{generate_herds, generate_upgrades};
 pub use statements::{
-    generate_leaving, generate_limits, generate_odd_entries, generate_pause_requests,
+    generate_leaving, generate_limits, generate_malformed_entries, generate_pause_requests,
 };
 
 /// Time from SIGTERM to the start of the next process.
@@ -72,12 +72,12 @@
         endpoint: usize,
     },
     /// Makes the entry of an endpoint unreadable.
-    TurnOdd {
+    MalformEntry {
         endpoint: usize,
         kind: usize,
     },
     /// Writes an entry that cannot be read beside those of the endpoints, or removes it.
-    OddEntry {
+    MalformedEntry {
         number: usize,
         kind: Option<usize>,
     },
@@ -290,15 +290,15 @@
             cluster.store.remove("servers", id);
             cluster.checker.record_entry(id, false);
         }
-        Step::TurnOdd { endpoint, kind } => {
+        Step::MalformEntry { endpoint, kind } => {
             let id = &cluster.endpoints[endpoint].id;
-            cluster.store.put_text("servers", id, odd_text(id, kind));
+            cluster.store.put_text("servers", id, malformed_text(id, kind));
             cluster.checker.record_entry(id, false);
         }
-        Step::OddEntry { number, kind } => {
-            let name = format!("odd-{number}");
+        Step::MalformedEntry { number, kind } => {
+            let name = format!("malformed-{number}");
             match kind {
-                Some(kind) => cluster.store.put_text("servers", &name, odd_text(&name, kind)),
+                Some(kind) => cluster.store.put_text("servers", &name, malformed_text(&name, kind)),
                 None => cluster.store.remove("servers", &name),
             }
         }
@@ -359,8 +359,8 @@
     }
 }
 
-fn odd_text(name: &str, kind: usize) -> Vec<u8> {
-    let mut all = OddObject::all(name);
+fn malformed_text(name: &str, kind: usize) -> Vec<u8> {
+    let mut all = MalformedObject::all(name);
     all.swap_remove(kind % all.len()).text
 }
 
--- a/crates/ferry-soak/src/plan/statements.rs
+++ b/crates/ferry-soak/src/plan/statements.rs
@@ -8,8 +8,8 @@
 use super::{Plan, Step};
 use crate::cluster::N_ENDPOINTS;
 
-/// Names of odd entries that are in the store at a time.
-const N_ODD: usize = 6;
+/// Malformed entries that are in the store at a time, at most.
+const N_MALFORMED: usize = 6;
 
 /// Generates rate limits of endpoints, or of whole pools, at random times.
 pub fn generate_limits(rng: &mut Pcg64Mcg, duration: Duration, n_pools: usize) -> Plan {
@@ -79,21 +79,25 @@
     plan
 }
 
-/// Generates odd entries that come, change and go in series, entries of endpoints that become odd, and
-/// endpoints that leave and return meanwhile.
-pub fn generate_odd_entries(rng: &mut Pcg64Mcg, duration: Duration, n_endpoints: usize) -> Plan {
+/// Generates malformed entries that come, change and go in series, entries of endpoints that become
+/// malformed, and endpoints that leave and return meanwhile.
+pub fn generate_malformed_entries(
+    rng: &mut Pcg64Mcg,
+    duration: Duration,
+    n_endpoints: usize,
+) -> Plan {
     let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
     let mut plan = Vec::new();
-    for number in 0..N_ODD {
+    for number in 0..N_MALFORMED {
         let mut at = millis(rng, 0..3_000);
         while at < duration {
             let end = at + millis(rng, 200..6_000);
             while at < end {
                 let kind = rng.random_range(0..usize::MAX);
-                plan.push((at, Step::OddEntry { number, kind: Some(kind) }));
+                plan.push((at, Step::MalformedEntry { number, kind: Some(kind) }));
                 at += millis(rng, 20..2_000);
             }
-            plan.push((at, Step::OddEntry { number, kind: None }));
+            plan.push((at, Step::MalformedEntry { number, kind: None }));
             at += millis(rng, 0..4_000);
         }
     }
@@ -103,7 +107,7 @@
         while at < duration {
             let end = at + millis(rng, 500..6_000);
             let step = match rng.random_range(0..3) {
-                0 => Step::TurnOdd { endpoint, kind: rng.random_range(0..usize::MAX) },
+                0 => Step::MalformEntry { endpoint, kind: rng.random_range(0..usize::MAX) },
                 1 => Step::Unregister { endpoint },
                 _ => Step::Drain { endpoint },
             };
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -22,8 +22,9 @@
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
 use crate::plan::{
-    Plan, apply, generate, generate_herds, generate_leaving, generate_limits, generate_odd_entries,
-    generate_pause_requests, generate_pauses, generate_upgrades, restore,
+    Plan, apply, generate, generate_herds, generate_leaving, generate_limits,
+    generate_malformed_entries, generate_pause_requests, generate_pauses, generate_upgrades,
+    restore,
 };
 use crate::repeats::{Repeats, start_repeats};
 
@@ -237,7 +238,7 @@
         return generate_herds(rng, duration, n_nodes);
     }
     if only == Some(Only::Entries) {
-        let mut plan = generate_odd_entries(&mut entries_rng, duration, n_endpoints);
+        let mut plan = generate_malformed_entries(&mut entries_rng, duration, n_endpoints);
         plan.extend(generate_pause_requests(&mut asked_rng, duration, Pool::iter().count()));
         plan.sort_by_key(|it| it.0);
         return plan;
@@ -251,7 +252,7 @@
         plan.extend(generate_limits(&mut limits_rng, duration, Pool::iter().count()));
         plan.extend(generate_leaving(&mut leaving_rng, duration, Pool::iter().count()));
         plan.extend(generate_pause_requests(&mut asked_rng, duration, Pool::iter().count()));
-        plan.extend(generate_odd_entries(&mut entries_rng, duration, n_endpoints));
+        plan.extend(generate_malformed_entries(&mut entries_rng, duration, n_endpoints));
         if options.other.is_some() {
             plan.extend(generate_upgrades(duration, n_nodes));
         }
