--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -158,33 +158,64 @@
     }
 }
 
-/// Serves each connection in a thread of its own until `is_open` says no.
-pub fn serve(
-    listener: TcpListener,
-    is_open: Arc<dyn Fn() -> bool + Send + Sync>,
-    handle: Arc<dyn Fn(&Message) -> Answer + Send + Sync>,
-) {
+type IsOpen = Arc<dyn Fn() -> bool + Send + Sync>;
+type Handle = Arc<dyn Fn(&Message) -> Answer + Send + Sync>;
+
+/// Serves each connection in a thread of its own until `is_open` says no, and closes the listener then.
+pub fn serve(listener: TcpListener, is_open: IsOpen, handle: Handle) {
     thread::spawn(move || {
         for stream in listener.incoming() {
             if !is_open() {
                 return;
             }
             let Ok(stream) = stream else { continue };
-            let (is_open, handle) = (is_open.clone(), handle.clone());
-            thread::spawn(move || {
-                let mut connection = Connection::new(stream);
-                while let Some(request) = connection.read(false) {
-                    if !is_open() || !request.is_whole {
-                        break;
-                    }
-                    let answer = handle(&request);
-                    if answer.is_cut || !is_open() || !send(&mut connection, &answer, &*is_open) {
-                        break;
-                    }
+            converse(stream, is_open.clone(), handle.clone());
+        }
+    });
+}
+
+/// Serves each connection in a thread of its own. While `is_open` says no, nothing listens, as after a
+/// crash.
+pub fn serve_when(listener: TcpListener, is_open: IsOpen, handle: Handle) {
+    const PAUSE: Duration = Duration::from_micros(500);
+    let address = listener.local_addr().expect("a bound listener");
+    thread::spawn(move || {
+        let mut listener = Some(listener);
+        loop {
+            if !is_open() {
+                listener = None;
+                thread::sleep(PAUSE);
+                continue;
+            }
+            if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            let Some(open) = &listener else { continue };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    converse(stream, is_open.clone(), handle.clone());
                 }
-                let _ = connection.stream.shutdown(Shutdown::Both);
-            });
+                Err(_) => thread::sleep(PAUSE),
+            }
+        }
+    });
+}
+
+fn converse(stream: TcpStream, is_open: IsOpen, handle: Handle) {
+    thread::spawn(move || {
+        let mut connection = Connection::new(stream);
+        while let Some(request) = connection.read(false) {
+            if !is_open() || !request.is_whole {
+                break;
+            }
+            let answer = handle(&request);
+            if answer.is_cut || !is_open() || !send(&mut connection, &answer, &*is_open) {
+                break;
+            }
         }
+        let _ = connection.stream.shutdown(Shutdown::Both);
     });
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `standin CASE FOLDER`; the exit code is 1 if the rule was broken, 0 if it held and 2 if the
 //! case could not run. With TROUBLE=0 the disruption is left out.
 
+mod brittle;
 mod fleet;
 mod http;
 mod json;
@@ -26,6 +27,7 @@
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     let folder = Path::new(folder);
     let code = match case.as_str() {
+        "brittle" => brittle::run(&root, folder, &temporary, has_trouble),
         "pipeline" => pipeline::run(&root, folder, &temporary, has_trouble),
         "restored" => restored::run(&root, folder, &temporary, has_trouble),
         _ => 2,
