--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod json;
+mod limiters;
 mod pipeline;
 mod plain;
 mod restored;
@@ -28,6 +29,7 @@
     let folder = Path::new(folder);
     let code = match case.as_str() {
         "brittle" => brittle::run(&root, folder, &temporary, has_trouble),
+        "limiters" => limiters::run(&root, folder, &temporary, has_trouble),
         "pipeline" => pipeline::run(&root, folder, &temporary, has_trouble),
         "restored" => restored::run(&root, folder, &temporary, has_trouble),
         _ => 2,
--- a/review/standin/pipeline.rs
+++ b/review/standin/pipeline.rs
@@ -1,4 +1,4 @@
-//! Case: a pipeline that forks, and requests that omit a stage.
+//! Case: requests that omit a stage of a pipeline, of one that is a chain and of one that forks.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -30,9 +30,12 @@
     n_made: Mutex<u64>,
 }
 
-/// Stages that no other stage of the request follows. A stage without pieces is omitted.
-fn last_stages(pieces: &[u64]) -> Vec<u64> {
+/// Returns the stages that no other stage of the request follows. A stage without pieces is omitted.
+fn last_stages(route: &str, pieces: &[u64]) -> Vec<u64> {
     let has = |it: usize| 0 < pieces[it];
+    if route == "chain" {
+        return (0..3).rev().find(|it| has(*it as usize)).into_iter().collect();
+    }
     match (has(1), has(2)) {
         (false, false) => vec![0],
         (left, right) => {
@@ -41,17 +44,42 @@
     }
 }
 
+/// Returns the stage whose results a stage reads, the one before it that is not omitted.
+fn stage_before(route: &str, pieces: &[u64], stage: u64) -> Option<u64> {
+    match (route, stage) {
+        (_, 0) => None,
+        ("chain", stage) => (0..stage).rev().find(|it| 0 < pieces[*it as usize]),
+        _ => Some(0),
+    }
+}
+
+/// Reads the route and the numbers of pieces that the name of an attempt ends with.
+fn shape(attempt: &str) -> (&str, Vec<u64>) {
+    let (route, pieces) = attempt.split_once('-').unwrap_or(("", "0.0.0"));
+    (&route[5..], pieces.split('.').map(|it| it.parse().unwrap_or(0)).collect())
+}
+
+fn route(name: &str, stages: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"Host\":\"review.example\",\"PathPrefix\":\"/{name}/\",\
+         \"Kind\":\"streaming\",\"TimeoutMs\":6000,\"TargetLatencyMs\":2000,\"Priority\":0,\
+         \"Service\":\"models\",\"MaxAttempts\":1,\"Sticky\":true,\"GapAimMs\":300,\
+         \"Stages\":[{{\"Service\":\"encoders\",\"After\":[],\"Bytes\":1000}},{stages}]}}"
+    )
+}
+
 fn config() -> String {
     let pieces = "\"Pieces\":{\"Slots\":1,\"Queue\":2,\"Batch\":16,\"CallMs\":40.0,\"ItemMs\":1.0,\
                   \"HeadroomMb\":50.0,\"HandleS\":4.0,\"LinkMbps\":10000}";
+    let stages = |last: u32| {
+        format!(
+            "{{\"Service\":\"retrievers\",\"After\":[0],\"Bytes\":1000}},\
+             {{\"Service\":\"rerankers\",\"After\":[{last}],\"Bytes\":1000}}"
+        )
+    };
+    let routes = [route("chain", &stages(1)), route("fork", &stages(0))].join(",");
     format!(
-        "{{\"Version\":1,\"Routes\":[{{\"Name\":\"fork\",\"Host\":\"review.example\",\
-         \"PathPrefix\":\"/fork/\",\"Kind\":\"streaming\",\"TimeoutMs\":6000,\
-         \"TargetLatencyMs\":2000,\"Priority\":0,\"Service\":\"models\",\"MaxAttempts\":1,\
-         \"Sticky\":true,\"GapAimMs\":300,\"Stages\":[\
-         {{\"Service\":\"encoders\",\"After\":[],\"Bytes\":1000}},\
-         {{\"Service\":\"retrievers\",\"After\":[0],\"Bytes\":1000}},\
-         {{\"Service\":\"rerankers\",\"After\":[0],\"Bytes\":1000}}]}}],\"Services\":[\
+        "{{\"Version\":1,\"Routes\":[{routes}],\"Services\":[\
          {{\"Name\":\"models\",\"MaxConnections\":360,\"Engine\":{{\"Slots\":64}}}},\
          {{\"Name\":\"encoders\",\"MaxConnections\":360,{pieces}}},\
          {{\"Name\":\"retrievers\",\"MaxConnections\":360,{pieces}}},\
@@ -113,9 +141,9 @@
         return Answer::new(400, "").with("Tarragonferry-Not-Executed", "1");
     }
     let handles: Vec<String> = inputs.split(',').map(|it| it.trim().to_owned()).collect();
-    let pieces: Vec<u64> = attempt.rsplit('-').next().unwrap_or_default().split('.')
-        .map(|it| it.parse().unwrap_or(0)).collect();
-    let (found, is_gone) = check(shared, attempt, attempt, &handles, &last_stages(&pieces));
+    let (route, pieces) = shape(attempt);
+    let (found, is_gone) =
+        check(shared, attempt, attempt, &handles, &last_stages(route, &pieces));
     note(shared, record, found);
     if is_gone {
         record.add(format!("model runner {id} answers {attempt} 409: an input is gone"));
@@ -146,6 +174,7 @@
         }
         return Answer::new(200, "{}");
     }
+    let at_arrival = shared.held.lock().unwrap().clone();
     thread::sleep(Duration::from_millis(42));
     let mut results = Vec::new();
     for item in body.get("Items").map_or(&[][..], Json::list) {
@@ -157,13 +186,24 @@
             it.list().iter().filter_map(Json::text).map(str::to_owned).collect::<Vec<String>>()
         });
         record.add(format!("{id} gets {what} with inputs {inputs:?}"));
-        if let Some(handles) = &inputs {
-            let (found, is_gone) = check(shared, &what, &attempt, handles, &[0]);
-            note(shared, record, found);
-            if is_gone {
-                results.push("{\"Reason\":\"gone\"}".to_owned());
-                continue;
-            }
+        let (route, pieces) = shape(&attempt);
+        let before = stage_before(route, &pieces, stage);
+        let handles = inputs.unwrap_or_default();
+        if let Some(before) = before
+            && handles.is_empty()
+        {
+            let is_before = |it: &&Held| it.attempt == attempt && it.stage == before;
+            let n = at_arrival.values().filter(is_before).count();
+            let wanted = pieces[before as usize];
+            let text = format!("{what} is given none, as {n} of {wanted} pieces of stage {before} are done");
+            note(shared, record, vec![text]);
+        }
+        let stages: Vec<u64> = before.into_iter().collect();
+        let (found, is_gone) = check(shared, &what, &attempt, &handles, &stages);
+        note(shared, record, found);
+        if is_gone {
+            results.push("{\"Reason\":\"gone\"}".to_owned());
+            continue;
         }
         let mut n_made = shared.n_made.lock().unwrap();
         *n_made += 1;
@@ -213,15 +253,17 @@
     thread::sleep(Duration::from_millis(500));
     // The shapes of the requests, as the number of pieces of each stage.
     let shapes: &[&str] = match has_trouble {
-        true => &["2.0.2", "2.2.0", "2.0.0"],
-        false => &["2.2.2"],
+        true => &["chain/2.0.2", "fork/2.0.2", "fork/2.2.0", "fork/2.0.0"],
+        false => &["chain/2.2.2", "fork/2.2.2"],
     };
     let mut summary = Vec::new();
     let mut n_unanswered = 0;
-    for shape in shapes {
+    for full in shapes {
+        let (route, shape) = full.split_once('/').unwrap_or_default();
+        let n_before = shared.broken.lock().unwrap().len();
         let mut statuses: BTreeMap<u16, usize> = BTreeMap::new();
         for number in 0..N_REQUESTS {
-            let attempt = format!("c{number:04x}-{shape}");
+            let attempt = format!("c{number:04x}{route}-{shape}");
             let headers = format!(
                 "Tarragonferry-Model: m\r\nTarragonferry-Token-Count: 100,12\r\n\
                  Tarragonferry-Prompt-Prefix: a1:60,{:x}:40\r\nTarragonferry-Pieces: {}\r\n\
@@ -231,17 +273,23 @@
             );
             let front = gateways[number % 2].front();
             record.add(format!("client sends {attempt}"));
-            let reply = send(front, "POST", "/fork/x", &attempt, TIME_LEFT, &headers, "prompt");
+            let path = format!("/{route}/x");
+            let reply = send(front, "POST", &path, &attempt, TIME_LEFT, &headers, "prompt");
             record.add(format!("client gets {} for {attempt}", reply.status));
             let is_served = reply.status == 200 && reply.is_whole && reply.body.contains("id: 3");
             n_unanswered += usize::from(!is_served);
             *statuses.entry(if is_served { 200 } else { reply.status }).or_default() += 1;
         }
-        summary.push(format!("pieces {shape}: {N_REQUESTS} requests, by status {statuses:?}"));
+        let broken = shared.broken.lock().unwrap();
+        let first = broken.get(n_before).map_or("", String::as_str);
+        let n_broken = broken.len() - n_before;
+        summary.push(format!(
+            "{route} with pieces {shape}: {N_REQUESTS} requests, by status {statuses:?}, {n_broken} wrong lists of inputs"
+        ));
+        summary.extend((!first.is_empty()).then(|| format!("  {first}")));
     }
     let broken = shared.broken.lock().unwrap().clone();
     summary.push(format!("MIXED: {} inputs that the rule forbids", broken.len()));
-    summary.extend(broken.iter().take(3).map(|it| format!("  {it}")));
     summary.push(format!("requests without a whole answer: {n_unanswered}"));
     let has_crashed = gateways.iter_mut().any(|it| !it.is_running());
     record.finish(&summary);
--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -29,6 +29,8 @@
     is_open: AtomicBool,
     /// Whether it says in all its answers that it leaves.
     is_leaving: AtomicBool,
+    /// The requests a second that it names as its limit; zero for none.
+    limit: AtomicU64,
     pub arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -50,6 +52,7 @@
             work,
             is_open: AtomicBool::new(true),
             is_leaving: AtomicBool::new(false),
+            limit: AtomicU64::new(0),
             arrivals: Mutex::default(),
         });
         let (server, open) = (runner.clone(), runner.clone());
@@ -79,6 +82,12 @@
         self.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Names a limit in its answers from now on.
+    pub fn name_limit(&self, per_second: u64) {
+        self.limit.store(per_second, Ordering::SeqCst);
+        self.record.add(format!("{} names its limit: {per_second} requests a second", self.id));
+    }
+
     /// Removes its entry.
     pub fn unregister(&self) {
         self.store.remove("servers", &self.id);
@@ -109,6 +118,10 @@
             .with("Tarragonferry-Attempt-Id", attempt)
             .with("Tarragonferry-Response-Seal", "seal")
             .with("Tarragonferry-Instance-Load", "1,0,6");
+        let answer = match self.limit.load(Ordering::SeqCst) {
+            0 => answer,
+            limit => answer.with("Server-Limit", limit.to_string()),
+        };
         match self.is_leaving.load(Ordering::SeqCst) {
             true => answer.with("Server-Leaving", "1"),
             false => answer,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -86,12 +86,6 @@
         self.changed.notify_all();
     }
 
-    /// Cuts off all watches that wait.
-    pub fn cut_watches(&self) {
-        self.state.lock().unwrap().n_cuts += 1;
-        self.changed.notify_all();
-    }
-
     pub fn copy(&self) -> Contents {
         self.state.lock().unwrap().contents.clone()
     }
