--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod limiters;
 mod pipeline;
 mod plain;
+mod restarted;
 mod restored;
 mod store;
 
@@ -31,6 +32,7 @@
         "brittle" => brittle::run(&root, folder, &temporary, has_trouble),
         "limiters" => limiters::run(&root, folder, &temporary, has_trouble),
         "pipeline" => pipeline::run(&root, folder, &temporary, has_trouble),
+        "restarted" => restarted::run(&root, folder, &temporary, has_trouble),
         "restored" => restored::run(&root, folder, &temporary, has_trouble),
         _ => 2,
     };
--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -148,6 +148,7 @@
 #[derive(Default)]
 pub struct Clients {
     pub sent: Mutex<BTreeMap<String, Duration>>,
+    fronts: Mutex<BTreeMap<String, SocketAddr>>,
     pub ended: Mutex<Vec<(Duration, u16)>>,
     number: AtomicU64,
     is_over: AtomicBool,
@@ -170,6 +171,11 @@
         clients
     }
 
+    /// Returns the front to which a request was sent.
+    pub fn front(&self, attempt: &str) -> Option<String> {
+        self.fronts.lock().unwrap().get(attempt).map(|it| it.ip().to_string())
+    }
+
     pub fn end(&self) {
         self.is_over.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(2_500));
@@ -179,6 +185,7 @@
         let attempt = format!("f{number:07x}");
         let at = record.now();
         self.sent.lock().unwrap().insert(attempt.clone(), at);
+        self.fronts.lock().unwrap().insert(attempt.clone(), front);
         record.add(format!("client sends {attempt} to {front}"));
         let reply = send(front, "POST", "/fee/x", &attempt, Duration::from_secs(2), "", "fee");
         let status = if reply.is_whole { reply.status } else { 0 };
