--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -150,6 +150,8 @@
     pub sent: Mutex<BTreeMap<String, Duration>>,
     fronts: Mutex<BTreeMap<String, SocketAddr>>,
     pub ended: Mutex<Vec<(Duration, u16)>>,
+    /// When a machine passed on an answer, and its body, which names the runner.
+    pub answers: Mutex<Vec<(Duration, String, String)>>,
     number: AtomicU64,
     is_over: AtomicBool,
 }
@@ -191,5 +193,7 @@
         let status = if reply.is_whole { reply.status } else { 0 };
         record.add(format!("client gets {status} for {attempt}: {}", reply.body));
         self.ended.lock().unwrap().push((at, status));
+        let answer = (record.now(), front.ip().to_string(), reply.body);
+        self.answers.lock().unwrap().push(answer);
     }
 }
--- a/review/standin/restarted.rs
+++ b/review/standin/restarted.rs
@@ -148,9 +148,8 @@
     let mut first = None;
     for (machine, told) in &state.pauses {
         let (from, until) = (*told + GRACE, *told + PAUSE);
-        let reached = |it: &&(String, Duration, String)| {
-            it.0 == *machine && from < it.1 && it.1 < until
-        };
+        let reached =
+            |it: &&(String, Duration, String)| it.0 == *machine && from < it.1 && it.1 < until;
         let n = state.arrivals.iter().filter(reached).count();
         if most < n {
             (most, first) = (n, Some((machine.clone(), *told)));
--- a/review/standin/restored.rs
+++ b/review/standin/restored.rs
@@ -98,7 +98,8 @@
             let was_late = sent.get(&it.attempt).is_some_and(|at| *ack + DRAIN < *at);
             if was_late && *ack + DRAIN < it.at {
                 let after = (it.at - *ack).as_millis();
-                let text = format!("{} reaches {} {after} ms after the ack", it.attempt, leaving.id);
+                let text =
+                    format!("{} reaches {} {after} ms after the ack", it.attempt, leaving.id);
                 record.add(format!("DRAIN: {text}"));
                 late.push(text);
             }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -160,7 +160,9 @@
         let revision = state.contents.revision;
         Answer::new(
             200,
-            format!("{{\"Items\":[{items}],\"Truncated\":{is_truncated},\"StoreRevision\":{revision}}}"),
+            format!(
+                "{{\"Items\":[{items}],\"Truncated\":{is_truncated},\"StoreRevision\":{revision}}}"
+            ),
         )
     }
 
