--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -153,6 +153,7 @@
     /// When a machine passed on an answer, and its body, which names the runner.
     pub answers: Mutex<Vec<(Duration, String, String)>>,
     number: AtomicU64,
+    is_quiet: AtomicBool,
     is_over: AtomicBool,
 }
 
@@ -163,6 +164,10 @@
         let (loops, record) = (clients.clone(), record.clone());
         thread::spawn(move || {
             while !loops.is_over.load(Ordering::SeqCst) {
+                if loops.is_quiet.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                }
                 let number = loops.number.fetch_add(1, Ordering::SeqCst);
                 let front = fronts[number as usize % fronts.len()];
                 let (clients, record) = (loops.clone(), record.clone());
@@ -178,6 +183,11 @@
         self.fronts.lock().unwrap().get(attempt).map(|it| it.ip().to_string())
     }
 
+    /// Lets the clients send nothing for a while, or send again.
+    pub fn set_quiet(&self, is_quiet: bool) {
+        self.is_quiet.store(is_quiet, Ordering::SeqCst);
+    }
+
     pub fn end(&self) {
         self.is_over.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(2_500));
