Keep what an endpoint says of itself with the start that said it

Callers saw: requests at an endpoint that had announced its leaving, and more than two in a pause that it had asked for. Change: statements are kept by id and start, with or without an entry. An announcement that another start may have made counts until the endpoint has answered its health check; clocks do not count. One that cannot be asked gets work again after 10 s, one that never answers after two minutes. A pause also holds for a start that may have asked for it, clocks allowed to differ by 10 s. Expectations that changed: an announcement in doubt no longer ends by itself after 10 s where the start that announced still leaves, and whether a start accepts work no longer follows from its clock but from what it answers (the table names which start announced; for the cases of before, the answer is the same but for Entry(EARLIER), which stood for both). A pause is kept by a start whose clock is less than 10 s behind it, which the table had as ended; two starts long after it end it as before. Ruled out: to drop what is said of an unknown start (the rule counts it), and to bar the new start for good (a rollout under the same ids would lose the pool).

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -25,7 +25,7 @@
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
 use crate::wire::{PeerFormats, WireFormat};
-use crate::{caches, calls, items, peers, probes, records};
+use crate::{caches, calls, health, items, peers, probes, records};
 
 /// Lateness of the timer after which the process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(50);
@@ -225,7 +225,7 @@
             self.dispatch(Event::Leaving { endpoint: endpoint.to_owned(), started, report });
         }
         if let Some(report) = headers::pause(status, headers) {
-            self.dispatch(Event::Pause { endpoint: endpoint.to_owned(), report });
+            self.dispatch(Event::Pause { endpoint: endpoint.to_owned(), started, report });
         }
     }
 
@@ -263,6 +263,9 @@
             Effect::Probe { endpoint, started, address } => {
                 probes::start(self, endpoint, started, address);
             }
+            Effect::CheckHealth { endpoint, started, address, path } => {
+                health::check(self, endpoint, started, address, path);
+            }
             Effect::Record(call) => records::start(self, call),
             Effect::Send { to, message } => peers::send(self, to, &message),
             Effect::Pull { from, version, since } => peers::pull(self, from, version, since),
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod fair;
 pub mod front;
+pub mod health;
 pub mod inspector;
 pub mod items;
 pub mod linger;
--- a/crates/ferry-model/src/gateway.rs
+++ b/crates/ferry-model/src/gateway.rs
@@ -135,6 +135,9 @@
     /// Maximum number of connections that one endpoint accepts, over all clients.
     pub max_connections: u32,
     pub kind: PoolKind,
+    /// Path at which its endpoints say whether they accept work, if they do.
+    #[serde(default)]
+    pub health: Option<String>,
 }
 
 impl GatewayPool {
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -62,6 +62,14 @@
         started: u64,
         address: SocketAddr,
     },
+    /// Asks an endpoint whether it leaves.
+    CheckHealth {
+        endpoint: EndpointId,
+        /// Which start of the endpoint it is.
+        started: u64,
+        address: SocketAddr,
+        path: String,
+    },
     /// Reads or writes records of builds and streams in the store.
     Record(RecordCall),
     /// Sends a datagram to a peer; it may get lost.
@@ -356,6 +364,7 @@
     LimitsInvalid,
     LeavingAnnounced,
     LeavingInvalid,
+    HealthChecks,
     PausesAsked,
     PausesInvalid,
     RequestsPaused,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod delta;
+mod departed;
 mod leaving;
 mod missing;
 mod observe;
@@ -19,12 +20,13 @@
 use crate::{StoreUpdate, Tuning};
 
 use delta::Changes;
-use leaving::Departed;
+use departed::Departed;
+use leaving::Announcement;
 use pause::Pause;
 use rate_limit::RateLimit;
 
 pub use delta::EndpointsDelta;
-pub use leaving::LeavingReport;
+pub use leaving::{HealthReport, LeavingReport};
 pub use observe::{Observation, Observations};
 pub use pause::PauseReport;
 pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
@@ -58,11 +60,7 @@
     pause: Pause,
     rate_limit: RateLimit,
     /// Whether it has announced in a response that it leaves.
-    has_announced: bool,
-    /// When it has, as time since the Unix epoch.
-    announced_at: Duration,
-    /// Until when that counts, if it may have been another start of it; none if it was this one.
-    unsure_until: Option<Moment>,
+    announcement: Announcement,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
     /// Whether it gets nothing until its build is recorded; see [`Endpoints::withhold`].
@@ -86,9 +84,7 @@
             paused: Moment::ZERO,
             pause: Pause::default(),
             rate_limit: RateLimit::default(),
-            has_announced: false,
-            announced_at: Duration::ZERO,
-            unsure_until: None,
+            announcement: Announcement::default(),
             invalid_until: Moment::ZERO,
             is_withheld: false,
             missing_since: None,
@@ -113,7 +109,7 @@
 
     /// Whether its entry, or a response of it, announces that it leaves.
     pub fn leaves(&self) -> bool {
-        !self.is_listed_live() || self.has_announced
+        !self.is_listed_live() || self.has_announced()
     }
 
     /// Whether its entry says that it accepts work. Instances that have to agree on something go by
@@ -268,7 +264,7 @@
                 self.revision = self.revision.max(revision);
                 self.remove(now, revision, &id)
             }
-            StoreUpdate::Unreadable { revision, id } => self.discard(revision, &id),
+            StoreUpdate::Unreadable { revision, id } => self.discard(now, revision, &id),
             StoreUpdate::Peer(delta) => self.merge(now, delta),
             StoreUpdate::Unreachable => {
                 self.is_store_down = true;
@@ -328,7 +324,7 @@
     fn put_view(&mut self, now: Moment, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
         let Some(view) = self.views.get_mut(&id) else {
-            self.insert(endpoint);
+            self.insert(now, endpoint);
             return true;
         };
         let was_missing = view.missing_since.take().is_some();
@@ -354,18 +350,18 @@
             view.missing_since.get_or_insert(now);
             return false;
         }
-        self.forget(id);
+        self.forget(now, id);
         self.record_change(revision, id);
         true
     }
 
     /// Removes an endpoint whose entry is there, so that it has not lapsed, but names none.
-    fn discard(&mut self, revision: u64, id: &str) -> bool {
+    fn discard(&mut self, now: Moment, revision: u64, id: &str) -> bool {
         if self.get(id).is_none() {
             return false;
         }
         self.revision = self.revision.max(revision);
-        self.forget(id);
+        self.forget(now, id);
         self.record_change(revision, id);
         true
     }
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -1,4 +1,4 @@
-//! What endpoints announce in their responses of their own leaving.
+//! What endpoints say in their responses of their own leaving.
 //!
 //! An announcement holds for one start of an endpoint, whatever its entry says: the entry may be
 //! late, or never say so. docs/design/platform.md weighs that.
@@ -7,14 +7,15 @@
 
 use ferry_model::{EndpointId, GatewayEndpoint, Moment};
 
-use super::pause::Pause;
+use super::departed::Statement;
 use super::{EndpointView, Endpoints};
 
-/// Time for which an announcement counts for a start whose entry came after it, unless it is
-/// repeated.
-const UNSURE_TIME: Duration = Duration::from_secs(10);
-/// Endpoints without an entry that are remembered, as an entry may come back.
-const MAX_DEPARTED: usize = 512;
+/// Interval at which an endpoint is asked whether it leaves.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a doubtful announcement counts if the endpoint cannot be asked.
+const DOUBT_TIME: Duration = Duration::from_secs(10);
+/// The same if it is asked and does not answer clearly. One that leaves has gone by then.
+const MAX_DOUBT_TIME: Duration = Duration::from_secs(120);
 
 /// What a response says of whether its endpoint leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,36 +26,39 @@
     Invalid(String),
 }
 
-/// What a start of an endpoint said of itself, whose entry is gone.
-#[derive(Debug, Clone)]
-struct Statement {
-    id: EndpointId,
-    started: u64,
-    has_announced: bool,
-    pause: Pause,
+/// What an endpoint answers that is asked whether it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthReport {
+    Leaving,
+    /// It accepts work.
+    Sound,
+    /// It has not answered, or not clearly.
+    Unknown,
 }
 
-/// Statements of endpoints whose entries are gone, oldest first.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Departed(Vec<Statement>);
+/// Whether a start of an endpoint has announced that it leaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Announcement {
+    #[default]
+    None,
+    /// It or another start of the endpoint has; the endpoint is asked.
+    Doubtful {
+        since: Moment,
+        check_at: Moment,
+    },
+    Made,
+}
 
-impl Departed {
-    fn add(&mut self, view: EndpointView) {
-        let EndpointView { endpoint, has_announced, pause, .. } = view;
-        let GatewayEndpoint { id, started, .. } = endpoint;
-        if !has_announced && pause == Pause::default() {
-            return;
-        }
-        self.0.retain(|it| it.id != id || it.started != started);
-        if MAX_DEPARTED <= self.0.len() {
-            self.0.remove(0);
-        }
-        self.0.push(Statement { id, started, has_announced, pause });
+impl Announcement {
+    pub fn doubtful(now: Moment) -> Announcement {
+        Announcement::Doubtful { since: now, check_at: now }
     }
+}
 
-    fn find(&self, endpoint: &GatewayEndpoint) -> Option<&Statement> {
-        let is_same = |it: &&Statement| it.id == endpoint.id && it.started == endpoint.started;
-        self.0.iter().find(is_same)
+impl EndpointView {
+    /// Whether it may have announced that it leaves.
+    pub(super) fn has_announced(&self) -> bool {
+        self.announcement != Announcement::None
     }
 }
 
@@ -62,69 +66,126 @@
     /// Records that an endpoint has announced that it leaves, in the response to a request that was
     /// sent when its start `started` was known; returns whether that is new.
     ///
-    /// The entry of another start may have come since. That start may be the one that responded.
+    /// The entry may be gone, or be that of another start, which may be the one that responded. The
+    /// clocks of endpoints do not tell, so that it is asked.
     pub fn record_leaving(&mut self, now: Moment, id: &str, started: u64) -> bool {
-        let at = self.start + now;
-        let Some(view) = self.get_mut(id) else { return false };
-        let is_expected = view.endpoint.started == started;
-        if !is_expected && at < Duration::from_millis(view.endpoint.started) {
-            return false;
-        }
-        let is_new = !std::mem::replace(&mut view.has_announced, true);
-        if is_expected {
-            view.unsure_until = None;
-        } else if is_new {
-            view.unsure_until = Some(now + UNSURE_TIME);
-        }
-        view.announced_at = at;
+        let known = self.views.get_mut(id);
+        let announcement = match known {
+            Some(view) if view.endpoint.started == started => &mut view.announcement,
+            Some(_) | None => {
+                let is_new = self.departed.announce(now, id, started);
+                if is_new {
+                    self.doubt(now, id);
+                }
+                return is_new;
+            }
+        };
+        let is_new = std::mem::replace(announcement, Announcement::Made) != Announcement::Made;
         self.n_changes += u64::from(is_new);
         is_new
     }
 
-    /// Replaces an endpoint by another start of it.
-    ///
-    /// A start that had begun before the announcement may be the one that made it, while its entry
-    /// came later. The clocks of endpoints differ, so that this holds for a while only.
-    pub(super) fn restart(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
-        let id = endpoint.id.clone();
-        let began_at = Duration::from_millis(endpoint.started);
-        let before = self.views.get(&id).filter(|it| it.has_announced);
-        let announced_at = before.map(|it| it.announced_at).filter(|it| began_at <= *it);
-        self.forget(&id);
-        let view = self.insert(endpoint);
-        if let Some(at) = announced_at.filter(|_| !view.has_announced) {
-            view.has_announced = true;
-            view.announced_at = at;
-            view.unsure_until = Some(now + UNSURE_TIME);
+    /// Applies that an endpoint may have announced that it leaves.
+    pub(super) fn doubt(&mut self, now: Moment, id: &str) {
+        let view = self.views.get_mut(id).filter(|it| !it.has_announced());
+        if let Some(view) = view {
+            view.announcement = Announcement::doubtful(now);
+            self.n_changes += 1;
         }
-        view
     }
 
-    /// Ends the announcements that may have been another start's.
-    pub(super) fn end_unsure(&mut self, now: Moment) {
-        let is_due = |it: &&mut EndpointView| it.unsure_until.is_some_and(|it| it <= now);
-        for view in self.views.values_mut().filter(is_due) {
-            view.unsure_until = None;
-            view.has_announced = false;
-            self.n_changes += 1;
+    /// Returns the endpoints that are asked now whether they leave: those of the pools for which
+    /// `can_check` is true. Announcements that remain in doubt end after a while.
+    pub fn due_checks(
+        &mut self,
+        now: Moment,
+        can_check: impl Fn(&str) -> bool,
+    ) -> Vec<GatewayEndpoint> {
+        let mut due = Vec::new();
+        for view in self.views.values_mut() {
+            let Announcement::Doubtful { since, check_at } = view.announcement else { continue };
+            if now < check_at {
+                continue;
+            }
+            let is_checked = can_check(&view.endpoint.pool);
+            let limit = if is_checked { MAX_DOUBT_TIME } else { DOUBT_TIME };
+            if since + limit <= now {
+                view.announcement = Announcement::None;
+                self.n_changes += 1;
+                continue;
+            }
+            let check_at = now + CHECK_INTERVAL;
+            view.announcement = Announcement::Doubtful { since, check_at };
+            if is_checked {
+                due.push(view.endpoint.clone());
+            }
         }
+        due
+    }
+
+    /// Applies what an endpoint has answered that was asked whether it leaves; returns whether that
+    /// settles it.
+    pub fn on_health(&mut self, id: &str, started: u64, report: HealthReport) -> bool {
+        let is_asked = |it: &&mut EndpointView| {
+            it.endpoint.started == started
+                && matches!(it.announcement, Announcement::Doubtful { .. })
+        };
+        let Some(view) = self.views.get_mut(id).filter(is_asked) else { return false };
+        view.announcement = match report {
+            HealthReport::Leaving => Announcement::Made,
+            HealthReport::Sound => Announcement::None,
+            HealthReport::Unknown => return false,
+        };
+        self.n_changes += 1;
+        true
+    }
+
+    /// Returns when an endpoint is next asked whether it leaves.
+    pub(super) fn next_check(&self) -> Option<Moment> {
+        let check_at = |it: &EndpointView| match it.announcement {
+            Announcement::Doubtful { check_at, .. } => Some(check_at),
+            Announcement::None | Announcement::Made => None,
+        };
+        self.views.values().filter_map(check_at).min()
     }
 
-    /// Adds the endpoint of an entry.
-    pub(super) fn insert(&mut self, endpoint: GatewayEndpoint) -> &mut EndpointView {
+    /// Adds the endpoint of an entry, with what is known of its start.
+    ///
+    /// What another start has said since this one began may have been said by this one, whose entry
+    /// came later.
+    pub(super) fn insert(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
         let id = endpoint.id.clone();
         let mut view = EndpointView::new(endpoint);
-        if let Some(statement) = self.departed.find(&view.endpoint) {
-            view.has_announced = statement.has_announced;
-            view.pause = statement.pause;
+        let started = view.endpoint.started;
+        for Statement { started: other, announcement, pause, .. } in self.departed.of(&id) {
+            let is_same = *other == started;
+            match announcement {
+                Announcement::None => (),
+                it if is_same => view.announcement = *it,
+                Announcement::Doubtful { .. } => (),
+                Announcement::Made if view.has_announced() => (),
+                Announcement::Made => view.announcement = Announcement::doubtful(now),
+            }
+            if is_same || pause.may_be_of(started) {
+                view.pause = view.pause.longer(*pause);
+            }
         }
+        self.departed.remove(&id, started);
         self.views.get_or_insert_with(id, || view)
     }
 
-    /// Removes an endpoint; what it said of itself is kept for the case that its entry comes back.
-    pub(super) fn forget(&mut self, id: &str) {
+    /// Removes an endpoint; what it said of itself is kept, also for the case that its entry comes
+    /// back.
+    pub(super) fn forget(&mut self, now: Moment, id: &str) {
         if let Some(view) = self.views.remove(id) {
-            self.departed.add(view);
+            self.departed.add(now, view);
         }
     }
+
+    /// Replaces an endpoint by another start of it.
+    pub(super) fn restart(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
+        let id: EndpointId = endpoint.id.clone();
+        self.forget(now, &id);
+        self.insert(now, endpoint)
+    }
 }
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -17,7 +17,6 @@
     /// goes does not start it again. Endpoints of a pool that would be left without any are kept
     /// until the store has been reachable for that long.
     pub fn tick(&mut self, now: Moment, tuning: &Tuning) {
-        self.end_unsure(now);
         let is_over = self.rejoin_until.is_some_and(|it| it <= now);
         if is_over {
             self.rejoin_until = None;
@@ -36,19 +35,18 @@
             return;
         }
         for id in gone {
-            self.forget(&id);
+            self.forget(now, &id);
             self.record_change(self.revision, &id);
         }
         self.index();
     }
 
-    /// Returns when an endpoint may be removed because its entry is missing, or may accept work
-    /// again.
+    /// Returns when an endpoint may be removed because its entry is missing, or is asked whether it
+    /// leaves.
     pub fn next_wake(&self, now: Moment, tuning: &Tuning) -> Option<Moment> {
         let missing = self.views.values().filter_map(|it| it.missing_since);
         let ends = missing.map(|it| it + tuning.rejoin_window).filter(|it| now < *it);
-        let unsure = self.views.values().filter_map(|it| it.unsure_until);
-        ends.chain(unsure).chain(self.rejoin_until).min()
+        ends.chain(self.next_check()).chain(self.rejoin_until).min()
     }
 
     /// Whether an endpoint of the same pool accepts work whose entry is not missing.
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -16,6 +16,8 @@
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval below which calls are no longer kept apart.
 const LEAST_INTERVAL: Duration = Duration::from_millis(5);
+/// Largest difference between the clocks of an endpoint and of this instance.
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(10);
 
 /// What a refusal says of the time for which its endpoint wants no requests from this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +31,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Pause {
     end: Moment,
+    /// When it was last asked for, as time since the Unix epoch.
+    asked_at: Duration,
     /// When the next call may be sent.
     next_call: Moment,
     /// Time between two calls; zero once it takes any number.
@@ -37,12 +41,23 @@
 
 impl Pause {
     /// Extends the pause. The one that was asked for before holds too.
-    fn extend(&mut self, end: Moment) {
+    fn extend(&mut self, end: Moment, asked_at: Duration) {
         self.end = self.end.max(end);
+        self.asked_at = asked_at;
         self.next_call = self.end;
         self.interval = FIRST_INTERVAL;
     }
 
+    /// Whether a start of the endpoint may have asked for it, although its entry came later.
+    pub fn may_be_of(&self, started: u64) -> bool {
+        Duration::from_millis(started) <= self.asked_at + MAX_CLOCK_SKEW
+    }
+
+    /// Returns the one of two that ends later.
+    pub fn longer(self, other: Pause) -> Pause {
+        if self.end < other.end { other } else { self }
+    }
+
     pub fn on_sent(&mut self, now: Moment) {
         if !self.interval.is_zero() {
             self.next_call = now + self.interval;
@@ -83,11 +98,19 @@
 }
 
 impl Endpoints {
-    /// Records that an endpoint asks for a pause; returns whether it had none.
-    pub fn record_pause(&mut self, now: Moment, id: &str, pause: Duration) -> bool {
-        let Some(view) = self.get_mut(id).filter(|_| !pause.is_zero()) else { return false };
-        let is_new = !view.wants_pause(now);
-        view.pause.extend(now + pause.min(MAX_PAUSE));
+    /// Records that an endpoint asks for a pause, in the response to a request that was sent when
+    /// its start `started` was known; returns whether it had none.
+    pub fn record_pause(&mut self, now: Moment, id: &str, started: u64, pause: Duration) -> bool {
+        if pause.is_zero() {
+            return false;
+        }
+        let asked_at = self.start + now;
+        let known = match self.views.get_mut(id) {
+            Some(view) => &mut view.pause,
+            None => &mut self.departed.start(now, id, started).pause,
+        };
+        let is_new = known.end <= now;
+        known.extend(now + pause.min(MAX_PAUSE), asked_at);
         is_new
     }
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -11,8 +11,9 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, LeavingReport, LimitReport, LoadReport,
-    PauseReport, PeerMessage, PoolBuilds, QuarantineAction, RecordReply, RequestDigest, Tuning,
+    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, HealthReport, LeavingReport,
+    LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds, QuarantineAction, RecordReply,
+    RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -64,8 +65,16 @@
     /// A refusal says for how long its endpoint wants no requests.
     Pause {
         endpoint: EndpointId,
+        /// Which start of the endpoint was called.
+        started: u64,
         report: PauseReport,
     },
+    /// An endpoint was asked whether it leaves.
+    Health {
+        endpoint: EndpointId,
+        started: u64,
+        report: HealthReport,
+    },
     /// The prompt parts that an engine has cached.
     Cached {
         endpoint: EndpointId,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::admission::{AdmissionController, Shard};
 use crate::batch::{Batcher, JobKey, JobOutcome};
 use crate::limits::exchange;
+use crate::notices;
 use crate::origins;
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
@@ -128,6 +129,7 @@
             Event::Tick { late } => {
                 cx.ctx.overload.observe(now, late);
                 cx.ctx.endpoints.tick(now, &cx.ctx.tuning);
+                notices::check(cx);
                 exchange::tick(cx);
                 quarantine::exchange::tick(cx);
                 self.batcher.tick(cx);
@@ -157,9 +159,14 @@
             }
             Event::Limit { endpoint, limit } => updates::on_limit(cx, &endpoint, limit),
             Event::Leaving { endpoint, started, report } => {
-                updates::on_leaving(cx, &endpoint, started, report);
+                notices::on_leaving(cx, &endpoint, started, report);
+            }
+            Event::Pause { endpoint, started, report } => {
+                updates::on_pause(cx, &endpoint, started, report);
+            }
+            Event::Health { endpoint, started, report } => {
+                notices::on_health(cx, &endpoint, started, report);
             }
-            Event::Pause { endpoint, report } => updates::on_pause(cx, &endpoint, report),
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -13,8 +13,8 @@
 use crate::quarantine;
 use crate::request::{Requests, evaluate, origin, schedule};
 use crate::{
-    Asker, Decision, DecisionKind, Effect, JobSubmission, LeavingReport, LimitNotice, LimitReport,
-    Metric, PauseReport, PeerMessage, PermitAnswer, PermitId, ReachChange, StoreUpdate,
+    Asker, Decision, DecisionKind, Effect, JobSubmission, LimitNotice, LimitReport, Metric,
+    PauseReport, PeerMessage, PermitAnswer, PermitId, ReachChange, StoreUpdate,
 };
 
 pub(super) fn configure(cx: &mut Pass<'_>, batcher: &mut Batcher, config: Arc<GatewayConfig>) {
@@ -70,35 +70,16 @@
     exchange::record(cx, &notice, "by its response");
 }
 
-pub(super) fn on_leaving(
+pub(super) fn on_pause(
     cx: &mut Pass<'_>,
     endpoint: &EndpointId,
     started: u64,
-    report: LeavingReport,
+    report: PauseReport,
 ) {
-    let reason = match report {
-        LeavingReport::Leaving if cx.ctx.endpoints.record_leaving(cx.now, endpoint, started) => {
-            cx.count(Metric::LeavingAnnounced);
-            "announced in a response that it leaves".to_owned()
-        }
-        LeavingReport::Leaving => return,
-        LeavingReport::Invalid(text) => {
-            cx.count(Metric::LeavingInvalid);
-            let view = cx.ctx.endpoints.get_mut(endpoint);
-            if !view.is_some_and(|it| it.note_invalid(cx.now)) {
-                return;
-            }
-            format!("ignored {text:?}, which does not say whether it leaves")
-        }
-    };
-    cx.log(Decision::new(DecisionKind::Endpoint, reason).with_endpoint(endpoint));
-}
-
-pub(super) fn on_pause(cx: &mut Pass<'_>, endpoint: &EndpointId, report: PauseReport) {
     let reason = match report {
         PauseReport::Asked(pause) => {
             cx.count(Metric::PausesAsked);
-            if !cx.ctx.endpoints.record_pause(cx.now, endpoint, pause) {
+            if !cx.ctx.endpoints.record_pause(cx.now, endpoint, started, pause) {
                 return;
             }
             format!("asks for a pause of {pause:?}")
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -15,6 +15,7 @@
 mod group;
 mod limits;
 mod mechanism;
+mod notices;
 mod origins;
 mod overload;
 mod pass;
@@ -35,8 +36,8 @@
     Status,
 };
 pub use endpoints::{
-    EndpointView, Endpoints, EndpointsDelta, LeavingReport, LimitChange, LimitNotice, LimitReport,
-    LoadReport, Observation, Observations, PauseReport, RequestRate,
+    EndpointView, Endpoints, EndpointsDelta, HealthReport, LeavingReport, LimitChange, LimitNotice,
+    LimitReport, LoadReport, Observation, Observations, PauseReport, RequestRate,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -144,6 +144,8 @@
     /// Tokens of prompt parts that engines read although one of them had read them, or was reading
     /// them.
     pub n_read_again: u64,
+    /// Number of times that endpoints were asked whether they leave.
+    pub n_checks: usize,
     /// Number of entries that peers sent each other.
     pub n_entries_sent: usize,
     /// Decisions of all instances, in order.
@@ -343,6 +345,9 @@
             Effect::Exit => self.exited.push(instance),
             Effect::Close => self.closed.push((instance, self.now)),
             Effect::Probe { endpoint, started, .. } => self.probe(instance, endpoint, started),
+            Effect::CheckHealth { endpoint, started, .. } => {
+                self.check_health(instance, endpoint, started);
+            }
             Effect::ReadCache { endpoint, .. } => self.read_cache(instance, endpoint),
             Effect::Log(decision) => self.decisions.push(*decision),
             Effect::Count(_) => (),
--- a/crates/ferry-serve/tests/decisions/simulation/start.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/start.rs
@@ -61,6 +61,7 @@
             n_freed: 0,
             reads_of_freed: Vec::new(),
             n_read_again: 0,
+            n_checks: 0,
             n_entries_sent: 0,
             decisions: Vec::new(),
             exited: Vec::new(),
--- a/crates/ferry-soak/src/config.rs
+++ b/crates/ferry-soak/src/config.rs
@@ -6,6 +6,8 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
+use crate::endpoint::HEALTH_PATH;
+
 pub const HOST: &str = "soak.example";
 pub const API_KEY: &str = "key-of-soak";
 pub const WORKSPACE: &str = "soak-workspace";
@@ -73,8 +75,11 @@
         "Version": version,
         "Routes": routes,
         "Services": [
-            { "Name": "plain", "MaxConnections": 100 },
-            { "Name": "engine", "MaxConnections": 100, "Engine": { "Slots": 16 } },
+            { "Name": "plain", "MaxConnections": 100, "HealthPath": HEALTH_PATH },
+            {
+                "Name": "engine", "MaxConnections": 100, "HealthPath": HEALTH_PATH,
+                "Engine": { "Slots": 16 },
+            },
             batch("first"),
             batch("second"),
         ],
@@ -152,7 +157,7 @@
 
 fn batch(name: &str) -> Value {
     json!({
-        "Name": name, "MaxConnections": 100,
+        "Name": name, "MaxConnections": 100, "HealthPath": HEALTH_PATH,
         "Pieces": {
             "Slots": 1, "Queue": 2, "Batch": 16, "CallMs": 40.0, "ItemMs": 1.0,
             "HeadroomMb": 50.0, "HandleS": 4.0, "LinkMbps": 10000,
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -42,6 +42,8 @@
 const FIRST_EVENT: Duration = Duration::from_millis(40);
 /// Time between the events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(15);
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/health";
 /// Header by which an endpoint announces that it leaves.
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Number of events in a stream.
@@ -168,10 +170,23 @@
                 Some(full_response(StatusCode::OK, ""))
             }
             ferry_platform::cache::LIST_PATH => self.list_cache().await,
+            HEALTH_PATH => Some(self.health()),
             _ => self.run_request(parts, body).await,
         }
     }
 
+    fn health(&self) -> Response<Body> {
+        let status = match self.is_leaving.get() {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::OK,
+        };
+        let mut response = full_response(status, "");
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            response.headers_mut().insert("tarragonferry-instance-id", id);
+        }
+        response
+    }
+
     async fn run_items(&self, body: &[u8]) -> Option<Response<Body>> {
         if self.behaviour.get() == Behaviour::Full || 2 < self.n_calls.get() {
             return Some(not_run(StatusCode::SERVICE_UNAVAILABLE));
