Log which instance collected the items of a stage, and of how many

Cause: the log of an instance that takes a request did not name the one that sends its items, and a line about a call with items did not say whether they are of others. So a late call could not be put down to the instance that knew, or to the one that did not. Change: stage lines have the collecting instance as endpoint, batch lines the number of instances. No line more.

--- a/crates/ferry-serve/src/batch.rs
+++ b/crates/ferry-serve/src/batch.rs
@@ -296,10 +296,12 @@
     ) {
         let call = cx.next_call();
         let mut sent = Vec::with_capacity(items.len());
+        let mut owners = Vec::new();
         for (key, item) in &items {
             let Some(job) = self.jobs.get_mut(key) else { continue };
             job.pending.retain(|it| it != item);
             job.n_in_flight += 1;
+            owners.push(job.owner.peer());
             sent.push(BatchItem {
                 attempt: key.attempt.clone(),
                 stage: key.stage,
@@ -318,8 +320,11 @@
         let usual = expected.mul_f64(candidate.slowdown.max(1.0));
         let late_at = cx.now + usual.mul_f64(HEDGE_FACTOR) + HEDGE_SLACK;
         cx.count(Metric::BatchesSent);
+        owners.sort_unstable();
+        owners.dedup();
+        let reason = format!("{} items of {} instances", items.len(), owners.len());
         cx.log(
-            Decision::new(DecisionKind::Batch, format!("{} items", items.len()))
+            Decision::new(DecisionKind::Batch, reason)
                 .with_pool(&group.pool)
                 .with_endpoint(&candidate.endpoint)
                 .with_score(candidate.considered, expected.as_micros() as u64),
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -127,8 +127,16 @@
                 StageState::Submitted(it) => it.since,
                 StageState::Waiting | StageState::Done { .. } => cx.now,
             };
+            let collector = match &request.stages[idx] {
+                StageState::Submitted(Submitted { peer: Some(peer), .. }) => {
+                    cx.ctx.peers.get(*peer).map(|it| it.heartbeat.instance.clone())
+                }
+                StageState::Submitted(_) | StageState::Waiting | StageState::Done { .. } => None,
+            };
+            let collector = collector.unwrap_or_else(|| cx.ctx.identity.instance.clone());
             cx.log(
                 Decision::new(DecisionKind::Stage, "results are available")
+                    .with_endpoint(&collector)
                     .with_attempt(&request.head.attempt)
                     .with_pool(&request.route.stages[idx].pool)
                     .with_stage(key.stage)
