Bind the instance that sends items by what the owner of the request knows

Callers saw: stage N asked of an endpoint that was to get nothing more, through the instance that had announced it to its caller. Cause: what an endpoint says of itself, and what the store says of it, bound only the instance that had received it, while the items of a request are sent by another one, the collector of their group. It learns neither from the response to a plain request at the owner nor, while its watch is silent or it is cut off from the store, from the entry. Change: an announcement goes to eight peers, which pass it on, and to an instance that starts. Items go with what their owner knows of the endpoints of the pool: announcements, pauses, and entries read as leaving or gone at a revision that the collector has not reached. Notices are extensions of messages, so that earlier releases of format 3 skip them; one that cannot be read costs only itself. 64 of them take less than 1,536 bytes. The soak counts items by the gateway that took their request. Ruled out: heartbeats (seconds until all are reached), and a message of its own alone (it may be lost; the tests lose it).

--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -85,6 +85,11 @@
     }
     match received {
         Received::Message(message) => Some(message),
+        Received::Partial(message, n_unreadable) => {
+            let text = format!("{from}: {n_unreadable}");
+            driver.note_unreadable("could not read what a peer says of endpoints", &text);
+            Some(message)
+        }
         Received::UnknownKind(kind) => {
             driver.metrics.count(Metric::MessagesSkipped);
             slog::debug!(driver.log, "skipped a message of an unknown kind"; "kind" => kind);
--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use ferry_model::{Incarnation, SortedMap};
-use ferry_serve::PeerMessage;
+use ferry_serve::{EndpointNotice, PeerMessage};
 use serde::Deserialize;
 use strum::{Display, EnumCount, EnumIter, EnumString, FromRepr};
 use thiserror::Error;
@@ -21,6 +21,8 @@
 const MARKER: u8 = 0x7f;
 /// Marker, format and checksum.
 const HEADER_LEN: usize = 6;
+/// Extension with a notice about an endpoint; a message may have several.
+const NOTICE: u16 = 1;
 /// Number of message kinds in the formats before the current one.
 const N_FORMER_KINDS: u32 = 23;
 
@@ -49,6 +51,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Received {
     Message(PeerMessage),
+    /// The same, without this number of its extensions, which could not be read.
+    Partial(PeerMessage, usize),
     /// A kind of message of a later release.
     UnknownKind(u32),
     /// A format that this release does not read. Its sender uses one that is, after a heartbeat of this process.
@@ -80,9 +84,12 @@
             let body = (0_u32, FormerHeartbeat::from((**it).clone()));
             return Ok(Some(postcard::to_stdvec(&body)?));
         }
-        (PeerMessage::PoolBuilds(_) | PeerMessage::OnlyBuild { build: None, .. }, _) => {
-            return Ok(None);
-        }
+        (
+            PeerMessage::PoolBuilds(_)
+            | PeerMessage::OnlyBuild { build: None, .. }
+            | PeerMessage::Notices { .. },
+            _,
+        ) => return Ok(None),
         // These releases make no difference between the only build of a pool and a record.
         (PeerMessage::OnlyBuild { attempt, build: Some(build) }, _) => {
             &PeerMessage::Origin { attempt: attempt.clone(), build: build.clone() }
@@ -93,7 +100,9 @@
 }
 
 fn framed(message: &PeerMessage) -> Result<Vec<u8>, WireError> {
-    let body = postcard::to_stdvec(&(message, Extensions::new()))?;
+    let notice = |it: &EndpointNotice| Ok((NOTICE, postcard::to_stdvec(it)?));
+    let extensions: Result<Extensions, WireError> = message.notices().iter().map(notice).collect();
+    let body = postcard::to_stdvec(&(message, extensions?))?;
     let mut bytes = Vec::with_capacity(HEADER_LEN + body.len());
     bytes.extend([MARKER, WireFormat::Framed as u8]);
     bytes.extend(crc32fast::hash(&body).to_le_bytes());
@@ -125,12 +134,20 @@
     if PeerMessage::COUNT as u32 <= kind {
         return Ok(Received::UnknownKind(kind));
     }
-    // Extensions of later releases are ignored; this one has none.
-    let ((message, _), rest) = postcard::take_from_bytes::<(PeerMessage, Extensions)>(body)?;
-    match rest.len() {
-        0 => Ok(Received::Message(message)),
-        n_bytes => Err(WireError::Trailing(n_bytes)),
+    let ((message, extensions), rest) =
+        postcard::take_from_bytes::<(PeerMessage, Extensions)>(body)?;
+    if !rest.is_empty() {
+        return Err(WireError::Trailing(rest.len()));
     }
+    // Extensions of later releases are ignored.
+    let notices = extensions.iter().filter(|it| it.0 == NOTICE);
+    let notices: Vec<_> = notices.map(|it| read_whole::<EndpointNotice>(&it.1)).collect();
+    let n_unreadable = notices.iter().filter(|it| it.is_err()).count();
+    let message = message.with_notices(notices.into_iter().flatten().collect());
+    Ok(match n_unreadable {
+        0 => Received::Message(message),
+        _ => Received::Partial(message, n_unreadable),
+    })
 }
 
 /// Reads a message of the formats without a header, of which only heartbeats differ.
--- a/crates/ferry-gateway/tests/wire/main.rs
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use ferry_gateway::wire::{PeerFormats, Received, WireFormat, decode, encode};
-use ferry_serve::{Backlog, Group, Heartbeat, LoadReport, Observation, PeerMessage, PoolBuilds};
+use ferry_serve::{
+    Backlog, EndpointNotice, Group, Heartbeat, LoadReport, Observation, PeerMessage, PoolBuilds,
+    Restriction,
+};
 use proptest::prelude::*;
 use serde::Serialize;
 use strum::IntoEnumIterator;
@@ -175,6 +178,68 @@
     }
 }
 
+fn notices(n_notices: u64) -> Vec<EndpointNotice> {
+    let notice = |number: u64| EndpointNotice {
+        endpoint: format!("i-{number}"),
+        restriction: match number % 3 {
+            0 => Restriction::Announced { started: 1_764_000_000_000 + number },
+            1 => Restriction::Withdrawn { revision: 530 + number },
+            _ => Restriction::Paused { started: 1, left: Duration::from_millis(number) },
+        },
+    };
+    (0..n_notices).map(notice).collect()
+}
+
+/// Returns the messages that have notices, without any.
+fn messages_with_notices() -> [PeerMessage; 2] {
+    let submit = samples().into_iter().find(|it| it.0 == "submit").expect("there is one").1;
+    [submit, PeerMessage::Notices { notices: Vec::new() }]
+}
+
+#[test]
+fn notices_go_with_messages_of_the_current_format_only() {
+    for message in messages_with_notices() {
+        let sent = message.clone().with_notices(notices(5));
+        let bytes = encode(&sent, WireFormat::Framed).expect("no error").expect("a kind");
+        assert_eq!(decode(&bytes).expect("it is read").1, Received::Message(sent.clone()));
+        for format in [WireFormat::Bare, WireFormat::Reach] {
+            let bytes = encode(&sent, format).expect("no error");
+            let expected = encode(&message, format).expect("no error");
+            assert_eq!(bytes, expected, "format {format}");
+        }
+        let with = encode(&message.clone().with_notices(notices(64)), WireFormat::Framed);
+        let without = encode(&message, WireFormat::Framed);
+        let len = |it: Result<Option<Vec<u8>>, _>| {
+            let it: Option<Vec<u8>> = it.expect("no error");
+            it.expect("a kind").len()
+        };
+        let n_bytes = len(with) - len(without);
+        assert!(n_bytes < 64 * 24, "64 notices take {n_bytes} bytes");
+    }
+}
+
+#[test]
+fn notice_that_cannot_be_read_costs_only_itself() {
+    let notice = |it: &EndpointNotice| (1_u16, postcard::to_stdvec(it).expect("it is written"));
+    for message in messages_with_notices() {
+        let sent = notices(3);
+        let extensions = vec![
+            notice(&sent[0]),
+            (1, Vec::new()),
+            notice(&sent[1]),
+            (1, b"\x03i-1\x09\x01".to_vec()),
+            (4_711, b"of a later release".to_vec()),
+            (1, [notice(&sent[0]).1, vec![0]].concat()),
+            notice(&sent[2]),
+        ];
+        let body = postcard::to_stdvec(&(&message, extensions)).expect("it is written");
+        let checksum = crc32fast::hash(&body).to_le_bytes();
+        let bytes: Vec<u8> = [0x7f, 3].into_iter().chain(checksum).chain(body).collect();
+        let expected = Received::Partial(message.with_notices(sent), 3);
+        assert_eq!(decode(&bytes).expect("it is read").1, expected);
+    }
+}
+
 #[test]
 fn damaged_message_is_an_error() {
     for (name, message, _) in messages(WireFormat::Framed) {
--- a/crates/ferry-gateway/tests/wire/samples.rs
+++ b/crates/ferry-gateway/tests/wire/samples.rs
@@ -41,6 +41,7 @@
         input: ItemInput::Key(Some("key".to_owned())),
         due: ms(300),
         time_left: ms(4_000),
+        notices: Vec::new(),
     };
     let origin = OriginRequest {
         attempt: attempt.clone(),
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -364,6 +364,7 @@
     LimitsInvalid,
     LeavingAnnounced,
     LeavingInvalid,
+    NoticesApplied,
     HealthChecks,
     PausesAsked,
     PausesInvalid,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -5,6 +5,7 @@
 mod departed;
 mod leaving;
 mod missing;
+mod notices;
 mod observe;
 mod pause;
 mod prompt;
@@ -27,6 +28,7 @@
 
 pub use delta::EndpointsDelta;
 pub use leaving::{HealthReport, LeavingReport};
+pub use notices::{EndpointNotice, Restriction};
 pub use observe::{Observation, Observations};
 pub use pause::PauseReport;
 pub use rate_limit::{LimitChange, LimitNotice, LimitReport, RequestRate};
@@ -61,6 +63,11 @@
     rate_limit: RateLimit,
     /// Whether it has announced in a response that it leaves.
     announcement: Announcement,
+    /// Store revision at which its entry was last read.
+    revision: u64,
+    /// Store revision at which a peer has read that it leaves or is gone; none if this instance has
+    /// read as much.
+    withdrawn: Option<u64>,
     /// Until when no more invalid headers of its responses are logged.
     invalid_until: Moment,
     /// Whether it gets nothing until its build is recorded; see [`Endpoints::withhold`].
@@ -73,7 +80,7 @@
 }
 
 impl EndpointView {
-    fn new(endpoint: GatewayEndpoint) -> EndpointView {
+    fn new(endpoint: GatewayEndpoint, revision: u64) -> EndpointView {
         EndpointView {
             endpoint,
             outstanding: 0,
@@ -85,6 +92,8 @@
             pause: Pause::default(),
             rate_limit: RateLimit::default(),
             announcement: Announcement::default(),
+            revision,
+            withdrawn: None,
             invalid_until: Moment::ZERO,
             is_withheld: false,
             missing_since: None,
@@ -107,9 +116,9 @@
         !self.leaves() && !self.is_withheld
     }
 
-    /// Whether its entry, or a response of it, announces that it leaves.
+    /// Whether its entry, here or at a peer, or a response of it says that it leaves.
     pub fn leaves(&self) -> bool {
-        !self.is_listed_live() || self.has_announced()
+        !self.is_listed_live() || self.has_announced() || self.withdrawn.is_some()
     }
 
     /// Whether its entry says that it accepts work. Instances that have to agree on something go by
@@ -276,6 +285,7 @@
                 false
             }
         };
+        let is_changed = self.end_withdrawals() || is_changed;
         if is_changed {
             self.index();
         }
@@ -314,17 +324,17 @@
 
     fn put(&mut self, now: Moment, revision: u64, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
-        let is_changed = self.put_view(now, endpoint);
+        let is_changed = self.put_view(now, revision, endpoint);
         if is_changed {
             self.record_change(revision, &id);
         }
         is_changed
     }
 
-    fn put_view(&mut self, now: Moment, endpoint: GatewayEndpoint) -> bool {
+    fn put_view(&mut self, now: Moment, revision: u64, endpoint: GatewayEndpoint) -> bool {
         let id = endpoint.id.clone();
         let Some(view) = self.views.get_mut(&id) else {
-            self.insert(now, endpoint);
+            self.insert(now, revision, endpoint);
             return true;
         };
         let was_missing = view.missing_since.take().is_some();
@@ -333,13 +343,14 @@
             || view.endpoint.pool != endpoint.pool
             || view.endpoint.build != endpoint.build;
         if is_restarted {
-            let view = self.restart(now, endpoint);
+            let view = self.restart(now, revision, endpoint);
             view.rate_limit = RateLimit::new(now);
             return true;
         }
         // Peers may have removed a missing entry, and learn from this instance that it is back.
         let is_changed = was_missing || view.endpoint != endpoint;
         view.endpoint = endpoint;
+        view.revision = revision;
         is_changed
     }
 
@@ -350,7 +361,7 @@
             view.missing_since.get_or_insert(now);
             return false;
         }
-        self.forget(now, id);
+        self.forget(now, revision, id);
         self.record_change(revision, id);
         true
     }
@@ -361,7 +372,7 @@
             return false;
         }
         self.revision = self.revision.max(revision);
-        self.forget(now, id);
+        self.forget(now, revision, id);
         self.record_change(revision, id);
         true
     }
--- a/crates/ferry-serve/src/endpoints/departed.rs
+++ b/crates/ferry-serve/src/endpoints/departed.rs
@@ -1,6 +1,8 @@
 //! What starts of endpoints said of themselves whose entries are not there, or name another start.
 
-use ferry_model::{EndpointId, Moment, SortedMap};
+use std::time::Duration;
+
+use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
 use super::EndpointView;
 use super::leaving::Announcement;
@@ -8,14 +10,20 @@
 
 /// Statements that are kept; more than the endpoints of the largest deployment.
 const MAX_STATEMENTS: usize = 8_192;
+/// Time for which peers are told that an endpoint is gone. They read that from the store too.
+pub(super) const GONE_TIME: Duration = Duration::from_secs(60);
+
 /// What one start of an endpoint has said of itself.
 #[derive(Debug, Clone)]
 pub(super) struct Statement {
     pub started: u64,
+    /// None if its entry was never seen here.
+    pub pool: Option<PoolId>,
     pub announcement: Announcement,
     pub pause: Pause,
-    /// When this was recorded.
+    /// When this was recorded, and at which store revision its entry was gone.
     pub at: Moment,
+    pub revision: u64,
 }
 
 /// Statements by endpoint.
@@ -26,14 +34,11 @@
 }
 
 impl Departed {
-    pub fn add(&mut self, now: Moment, view: EndpointView) {
+    pub fn add(&mut self, now: Moment, revision: u64, view: EndpointView) {
         let EndpointView { endpoint, announcement, pause, .. } = view;
         self.remove(&endpoint.id, endpoint.started);
-        let started = endpoint.started;
-        if announcement == Announcement::None && pause == Pause::default() {
-            return;
-        }
-        let statement = Statement { started, announcement, pause, at: now };
+        let (started, pool) = (endpoint.started, Some(endpoint.pool));
+        let statement = Statement { started, pool, announcement, pause, at: now, revision };
         self.push(endpoint.id, statement);
     }
 
@@ -48,7 +53,8 @@
     pub fn start(&mut self, now: Moment, id: &str, started: u64) -> &mut Statement {
         if !self.of(id).iter().any(|it| it.started == started) {
             let (announcement, pause) = (Announcement::default(), Pause::default());
-            let statement = Statement { started, announcement, pause, at: now };
+            let statement =
+                Statement { started, pool: None, announcement, pause, at: now, revision: 0 };
             self.push(id.to_owned(), statement);
         }
         let statements = self.statements.get_or_insert_with(id.to_owned(), Vec::new);
@@ -61,6 +67,16 @@
         self.statements.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns what starts of endpoints of a pool have said whose entries were gone after `since`.
+    pub fn of_pool(
+        &self,
+        pool: &str,
+        since: Moment,
+    ) -> impl Iterator<Item = (&EndpointId, &Statement)> {
+        let all = self.statements.iter().flat_map(|(id, it)| it.iter().map(move |it| (id, it)));
+        all.filter(move |(_, it)| since <= it.at && it.pool.as_deref() == Some(pool))
+    }
+
     pub fn remove(&mut self, id: &str, started: u64) {
         let Some(statements) = self.statements.get_mut(id) else { return };
         let n_before = statements.len();
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -1,4 +1,4 @@
-//! What endpoints say in their responses of their own leaving.
+//! What endpoints say in their responses of their own leaving, to this instance or to a peer.
 //!
 //! An announcement holds for one start of an endpoint, whatever its entry says: the entry may be
 //! late, or never say so. docs/design/platform.md weighs that.
@@ -153,9 +153,14 @@
     ///
     /// What another start has said since this one began may have been said by this one, whose entry
     /// came later.
-    pub(super) fn insert(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
+    pub(super) fn insert(
+        &mut self,
+        now: Moment,
+        revision: u64,
+        endpoint: GatewayEndpoint,
+    ) -> &mut EndpointView {
         let id = endpoint.id.clone();
-        let mut view = EndpointView::new(endpoint);
+        let mut view = EndpointView::new(endpoint, revision);
         let started = view.endpoint.started;
         for Statement { started: other, announcement, pause, .. } in self.departed.of(&id) {
             let is_same = *other == started;
@@ -176,16 +181,21 @@
 
     /// Removes an endpoint; what it said of itself is kept, also for the case that its entry comes
     /// back.
-    pub(super) fn forget(&mut self, now: Moment, id: &str) {
+    pub(super) fn forget(&mut self, now: Moment, revision: u64, id: &str) {
         if let Some(view) = self.views.remove(id) {
-            self.departed.add(now, view);
+            self.departed.add(now, revision, view);
         }
     }
 
     /// Replaces an endpoint by another start of it.
-    pub(super) fn restart(&mut self, now: Moment, endpoint: GatewayEndpoint) -> &mut EndpointView {
+    pub(super) fn restart(
+        &mut self,
+        now: Moment,
+        revision: u64,
+        endpoint: GatewayEndpoint,
+    ) -> &mut EndpointView {
         let id: EndpointId = endpoint.id.clone();
-        self.forget(now, &id);
-        self.insert(now, endpoint)
+        self.forget(now, revision, &id);
+        self.insert(now, revision, endpoint)
     }
 }
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -35,7 +35,7 @@
             return;
         }
         for id in gone {
-            self.forget(now, &id);
+            self.forget(now, self.revision, &id);
             self.record_change(self.revision, &id);
         }
         self.index();
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -58,6 +58,11 @@
         if self.end < other.end { other } else { self }
     }
 
+    /// Returns the time until it ends.
+    pub fn left(&self, now: Moment) -> Duration {
+        self.end.saturating_sub(now)
+    }
+
     pub fn on_sent(&mut self, now: Moment) {
         if !self.interval.is_zero() {
             self.next_call = now + self.interval;
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::{Batcher, Job, JobOwner};
 use crate::limits::exchange;
+use crate::notices;
 use crate::origins;
 use crate::pass::{Context, Pass};
 use crate::quarantine;
@@ -175,6 +176,7 @@
                 cx.log(Decision::new(DecisionKind::Peer, format!("{instance} has started")));
                 requests.batcher_lost(cx, batcher, from);
                 exchange::introduce(cx, from);
+                notices::introduce(cx, from);
             }
             quarantine::exchange::on_digest(cx, from, digest);
         }
@@ -227,6 +229,7 @@
         PeerMessage::Pong { id, is_willing, n_instances } => {
             exchange::on_pong(cx, from, (id, is_willing, n_instances));
         }
+        PeerMessage::Notices { notices } => notices::on_notices(cx, &notices),
         PeerMessage::Quarantine(notices) => quarantine::exchange::on_notices(cx, &notices),
         PeerMessage::CrashReport(report) => quarantine::exchange::on_report(cx, *report),
         PeerMessage::CrashInquiry(it) => quarantine::exchange::on_inquiry(cx, &it),
@@ -235,6 +238,7 @@
 }
 
 fn on_submit(cx: &mut Pass<'_>, batcher: &mut Batcher, from: SocketAddr, submit: JobSubmission) {
+    notices::on_notices(cx, &submit.notices);
     let (key, job) = Job::from_submit(JobOwner::Peer(from), submit, cx.now);
     cx.effects.push(Effect::Send { to: from, message: PeerMessage::Accepted(key.clone()) });
     batcher.submit(cx, key, job);
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -36,8 +36,9 @@
     Status,
 };
 pub use endpoints::{
-    EndpointView, Endpoints, EndpointsDelta, HealthReport, LeavingReport, LimitChange, LimitNotice,
-    LimitReport, LoadReport, Observation, Observations, PauseReport, RequestRate,
+    EndpointNotice, EndpointView, Endpoints, EndpointsDelta, HealthReport, LeavingReport,
+    LimitChange, LimitNotice, LimitReport, LoadReport, Observation, Observations, PauseReport,
+    RequestRate, Restriction,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/src/limits/exchange.rs
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -9,8 +9,6 @@
     Asker, Decision, DecisionKind, Effect, EndpointView, LimitNotice, Metric, PeerMessage,
 };
 
-/// Peers that are told of a change; each of them tells as many others.
-const N_TOLD: usize = 8;
 /// Time for which a silent peer is not asked for permits.
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
 /// The same for one that is not the limiter by its own account.
@@ -102,8 +100,8 @@
     let reason = format!("{change}, {source}");
     cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(endpoint));
     if change.is_urgent() {
-        let key = (endpoint, &cx.ctx.identity.instance);
-        for to in cx.ctx.peers.ranked(cx.now, &cx.ctx.tuning, key, N_TOLD) {
+        let Context { peers, tuning, identity, .. } = &*cx.ctx;
+        for to in peers.told(cx.now, tuning, identity, endpoint) {
             let message = PeerMessage::Limits(vec![notice.clone()]);
             cx.effects.push(Effect::Send { to, message });
         }
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -15,6 +15,8 @@
 
 /// Peers to which an instance sends each heartbeat; if there are more, it rotates among them.
 const HEARTBEAT_FANOUT: usize = 8;
+/// Peers that are told at once of what an endpoint says; each of them tells as many others.
+const N_TOLD: usize = 8;
 /// Maximum number of new peers to which one heartbeat is sent in addition, and the pause before the
 /// next ones. The rotation alone would take seconds to reach all of a large fleet, whose instances
 /// have to agree on the role of each.
@@ -253,6 +255,17 @@
         ranked.into_iter().map(|it| it.1).take(n_peers).collect()
     }
 
+    /// Returns the peers that this instance tells at once of what an endpoint has said.
+    pub fn told(
+        &self,
+        now: Moment,
+        tuning: &Tuning,
+        own: &Identity,
+        endpoint: &str,
+    ) -> Vec<SocketAddr> {
+        self.ranked(now, tuning, (endpoint, &own.instance), N_TOLD)
+    }
+
     /// Returns the first of this instance, which none stands for, and the live peers in the order of
     /// [`Peers::ranked`].
     pub fn ranked_with(
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -12,9 +12,9 @@
 
 use crate::admission::{AdmissionAnswer, AdmissionRequest, N_CLASSES};
 use crate::{
-    CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, Group, ItemInput, JobKey,
-    JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest, PoolBuilds,
-    QuarantineNotice, RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
+    CallerAttempt, CounterEvidence, CrashInquiry, CrashReport, EndpointNotice, Group, ItemInput,
+    JobKey, JobOutcome, LimitNotice, Observation, PermitAnswer, PermitId, PermitRequest,
+    PoolBuilds, QuarantineNotice, RequestDigest, ScheduleProgress, ScheduleRequest, Scheduled,
 };
 
 /// State that an instance reports of itself; a lost heartbeat is replaced by the next one.
@@ -94,6 +94,9 @@
     pub due: Duration,
     /// Time until the results are useless.
     pub time_left: Duration,
+    /// What the owner knows of the group's endpoints; an extension of the message.
+    #[serde(skip)]
+    pub notices: Vec<EndpointNotice>,
 }
 
 /// The order of the kinds and their fields are a released format, see docs/UPGRADES.md.
@@ -192,6 +195,33 @@
         attempt: CallerAttempt,
         build: Option<BuildId>,
     },
+    /// Reports what endpoints have said of themselves.
+    Notices {
+        /// Extensions of the message.
+        #[serde(skip)]
+        notices: Vec<EndpointNotice>,
+    },
+}
+
+impl PeerMessage {
+    /// Returns the notices that go with the message.
+    pub fn notices(&self) -> &[EndpointNotice] {
+        match self {
+            PeerMessage::Submit(it) => &it.notices,
+            PeerMessage::Notices { notices } => notices,
+            _ => &[],
+        }
+    }
+
+    /// Sets them, if it is a message with notices.
+    pub fn with_notices(mut self, received: Vec<EndpointNotice>) -> PeerMessage {
+        match &mut self {
+            PeerMessage::Submit(it) => it.notices = received,
+            PeerMessage::Notices { notices } => *notices = received,
+            _ => (),
+        }
+        self
+    }
 }
 
 /// Asks which build began a stream that a request continues.
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -9,6 +9,7 @@
 use super::end::RetryHint;
 use super::{call, end, times};
 use crate::batch::{Batcher, Job, JobKey, JobOutcome, JobOwner, group_pause};
+use crate::notices;
 use crate::pass::{Pass, free};
 use crate::{
     Decision, DecisionKind, Effect, Group, ItemInput, JobSubmission, Mechanism, Metric,
@@ -66,7 +67,7 @@
             release(cx, batcher, request, idx);
             submit(cx, batcher, request, idx);
         } else if let Some(peer) = job.peer {
-            let submission = submission(cx, request, idx, job.group.clone());
+            let submission = submission(cx, request, idx, &job.group, Some(peer));
             request.stages[idx] = StageState::Submitted(Submitted { last_sent: cx.now, ..job });
             let message = PeerMessage::Submit(Box::new(submission));
             cx.effects.push(Effect::Send { to: peer, message });
@@ -260,7 +261,7 @@
         return;
     };
     let peer = cx.ctx.batcher(cx.now, &group);
-    let submission = submission(cx, request, idx, group.clone());
+    let submission = submission(cx, request, idx, &group, peer);
     let job = Submitted { peer, group, since: cx.now, last_sent: cx.now, is_accepted: false };
     request.stages[idx] = StageState::Submitted(job);
     match peer {
@@ -326,13 +327,19 @@
     }
 }
 
-fn submission(cx: &Pass<'_>, request: &ActiveRequest, idx: usize, group: Group) -> JobSubmission {
+fn submission(
+    cx: &Pass<'_>,
+    request: &ActiveRequest,
+    idx: usize,
+    group: &Group,
+    peer: Option<SocketAddr>,
+) -> JobSubmission {
     let input = input(request, idx);
     let rest = times::remaining_time(cx, request, idx);
     let zone = preferred_zone(cx, request, idx, &input);
     JobSubmission {
         key: request.job_key(idx),
-        group,
+        group: group.clone(),
         digest: request.digest,
         n_items: request.head.items.get(idx).copied().unwrap_or_default(),
         result_bytes: request.route.stages[idx].result_bytes,
@@ -341,6 +348,7 @@
         input,
         due: request.objective().saturating_sub(cx.now + rest),
         time_left: times::time_left(cx, request, idx),
+        notices: peer.map(|it| notices::for_peer(cx, it, &group.pool)).unwrap_or_default(),
     }
 }
 
--- a/crates/ferry-serve/tests/decisions/rate_limits/load.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits/load.rs
@@ -21,11 +21,13 @@
     n_keys: Option<u64>,
     /// Time for which callers wait, if it is another one than usual.
     time_left: Option<Duration>,
+    /// The only instance that gets requests; none if all do.
+    instance: Option<usize>,
 }
 
 impl Load {
     pub fn new(routes: &'static [&'static str], per_second: u64) -> Load {
-        Load { routes, per_second, n_sent: 0, n_keys: None, time_left: None }
+        Load { routes, per_second, n_sent: 0, n_keys: None, time_left: None, instance: None }
     }
 
     /// Returns the number of requests that were sent.
@@ -37,6 +39,10 @@
         Load { time_left: Some(time_left), ..self }
     }
 
+    pub fn with_instance(self, instance: usize) -> Load {
+        Load { instance: Some(instance), ..self }
+    }
+
     pub fn with_keys(self, n_keys: u64) -> Load {
         Load { n_keys: Some(n_keys), ..self }
     }
@@ -57,6 +63,7 @@
             let attempt = format!("{route}-{number}");
             // Neighbours in the order of arrival have no prompt parts and no instance in common.
             let instance = (number * 7 % sim.instances.len() as u64) as usize;
+            let instance = self.instance.unwrap_or(instance);
             if sim.instances[instance].is_some() {
                 let mut head = head_of(route, &attempt, number);
                 head.time_left = self.time_left.or(head.time_left);
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -146,6 +146,10 @@
     pub n_read_again: u64,
     /// Number of times that endpoints were asked whether they leave.
     pub n_checks: usize,
+    /// Whether messages that only tell what endpoints have said are lost.
+    pub loses_notices: bool,
+    /// Whether instances cannot read from each other.
+    pub loses_reads: bool,
     /// Number of entries that peers sent each other.
     pub n_entries_sent: usize,
     /// Decisions of all instances, in order.
--- a/crates/ferry-serve/tests/decisions/simulation/network.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/network.rs
@@ -13,6 +13,8 @@
             matches!(message, PeerMessage::Began { .. } | PeerMessage::OriginRequest(_));
         self.records.n_messages += usize::from(is_about_builds);
         let is_lost = self.drop_one_in.is_some_and(|it| self.next_random().is_multiple_of(it));
+        let is_lost =
+            is_lost || (self.loses_notices && matches!(message, PeerMessage::Notices { .. }));
         let to = usize::from(to.port()) - 7_000;
         if is_lost || self.is_cut(from, to) {
             return;
@@ -34,7 +36,8 @@
 
     pub(super) fn pull(&mut self, instance: usize, from: SocketAddr, version: u64, since: u64) {
         let from = usize::from(from.port()) - 7_000;
-        let Some(peer) = &self.instances[from] else { return };
+        let peer = self.instances[from].as_ref().filter(|_| !self.loses_reads);
+        let Some(peer) = peer else { return };
         let snapshot = peer.snapshot(version, since);
         let endpoints = &snapshot.endpoints;
         self.n_entries_sent += endpoints.endpoints.len() + endpoints.removed.len();
--- a/crates/ferry-serve/tests/decisions/simulation/start.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/start.rs
@@ -62,6 +62,8 @@
             reads_of_freed: Vec::new(),
             n_read_again: 0,
             n_checks: 0,
+            loses_notices: false,
+            loses_reads: false,
             n_entries_sent: 0,
             decisions: Vec::new(),
             exited: Vec::new(),
--- a/crates/ferry-soak/src/checker/leaving.rs
+++ b/crates/ferry-soak/src/checker/leaving.rs
@@ -59,9 +59,21 @@
 
     /// Checks a request that has reached a start of an endpoint.
     pub fn check_leaving(&self, id: &str, endpoint: &str, start: u64) {
-        let mut attempts = self.attempts.borrow_mut();
-        let Some(attempt) = attempts.get_mut(id) else { return };
-        attempt.start = start;
+        if let Some(attempt) = self.attempts.borrow_mut().get_mut(id) {
+            attempt.start = start;
+        }
+        self.check_late(id, endpoint, start);
+    }
+
+    /// Checks an item that has reached a start of an endpoint, by the gateway that took its request:
+    /// another one may have sent the item.
+    pub fn check_leaving_items(&self, id: &str, endpoint: &str, start: u64) {
+        self.check_late(id, endpoint, start);
+    }
+
+    fn check_late(&self, id: &str, endpoint: &str, start: u64) {
+        let attempts = self.attempts.borrow();
+        let Some(attempt) = attempts.get(id) else { return };
         let Some(node) = &attempt.node else { return };
         let mut log = self.leaving_log.borrow_mut();
         let Some(at) = log.find(endpoint, start, node).map(|it| it.at) else { return };
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -218,6 +218,7 @@
             return json!({ "Reason": "gone" });
         }
         self.checker.record_item(attempt, &self.id);
+        self.checker.check_leaving_items(attempt, &self.id, self.started.get());
         self.n_results.set(self.n_results.get() + 1);
         let handle = format!("{}/{:x}", self.address, self.n_results.get());
         self.checker.add_result(&handle, attempt);
