Bind the peer of a request that is passed on, and the instance that passes it on

The peer chose endpoints by what it knew itself; the instance that passed the response on to its caller, and is bound by the announcement in it, recorded nothing. Change: a request that is passed on has what its instance knows of the endpoints of its pools, 16 notices at most; the response names the endpoint that announced in it. Callers can neither send nor see these headers (announcement_in_a_response_that_was_passed_on_binds_the_gateway_of_its_caller). Not shown: that the header of the response alone binds the instance; in that test with processes the datagram came first.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use ferry_platform::headers::{self, AddedHeaders, ResponseKind};
 use ferry_serve::{
-    Call, CallEvent, CallId, Event, Framing, LimitReport, LoadReport, NotRunReason, StreamEnd,
+    Call, CallEvent, CallId, Event, Framing, LeavingReport, LimitReport, LoadReport, NotRunReason,
+    StreamEnd,
 };
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -71,24 +72,26 @@
         Ok(connection) => connection,
         Err(error) => return CallEvent::Unsent { error: error.to_string() },
     };
-    let outgoing = match outgoing(request, call) {
+    let outgoing = match outgoing(driver, request, call) {
         Ok(outgoing) => outgoing,
         Err(error) => return CallEvent::Unsent { error: error.to_string() },
     };
-    let response = match connection.send(outgoing).await {
+    let mut response = match connection.send(outgoing).await {
         Ok(response) => response,
         Err(error) => return CallEvent::Broken { error: error.to_string() },
     };
     let load = headers::load(response.headers());
     let attempt = attempt(request);
-    let kind = match call.relayed {
+    let kind = match &call.relayed {
         Some(_) => headers::peer_response_kind(response.status(), response.headers(), attempt),
         None => headers::response_kind(response.status(), response.headers(), attempt),
     };
-    // A peer learns itself what its endpoints say.
     if call.relayed.is_none() {
         report_limit(driver, &call.endpoint, &kind, response.headers());
-        report_state(driver, call, &response, attempt);
+        report_state(driver, call, &mut response, attempt);
+    } else if let Some((endpoint, started)) = relay::take_leaving(response.headers_mut()) {
+        let report = LeavingReport::Leaving;
+        driver.dispatch(Event::Leaving { endpoint, started, report });
     }
     match kind {
         ResponseKind::NotRun(reason) => CallEvent::NotRun { reason, load },
@@ -119,14 +122,32 @@
 
 /// Reports what the endpoint says of itself. A response that names another attempt may be an older
 /// one.
-fn report_state(driver: &Rc<Driver>, call: &Call, response: &Response<Incoming>, attempt: &str) {
+fn report_state(
+    driver: &Rc<Driver>,
+    call: &Call,
+    response: &mut Response<Incoming>,
+    attempt: &str,
+) {
+    relay::strip(response.headers_mut());
     let named = response.headers().get(headers::ATTEMPT_ID);
-    if named.is_none_or(|it| it.as_bytes() == attempt.as_bytes()) {
-        driver.report_state(&call.endpoint, call.started, response.status(), response.headers());
+    if named.is_some_and(|it| it.as_bytes() != attempt.as_bytes()) {
+        return;
+    }
+    driver.report_state(&call.endpoint, call.started, response.status(), response.headers());
+    if headers::leaving(response.headers()) != Some(LeavingReport::Leaving) {
+        return;
+    }
+    let named = relay::name_leaving(response.headers_mut(), &call.endpoint, call.started);
+    if let Err(error) = named {
+        driver.warn_seldom("could not tell a peer of endpoints", &error);
     }
 }
 
-fn outgoing(request: &CallerRequest, call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
+fn outgoing(
+    driver: &Driver,
+    request: &CallerRequest,
+    call: &Call,
+) -> Result<Request<Full<Bytes>>, http::Error> {
     let added = AddedHeaders {
         endpoint: &call.endpoint,
         workspace: call.workspace.as_ref(),
@@ -142,8 +163,8 @@
         .method(parts.method.clone())
         .uri(target)
         .body(Full::new(request.body.clone()))?;
-    *outgoing.headers_mut() = match call.relayed {
-        Some(relayed) => relay::outgoing_headers(&parts.headers, call, relayed),
+    *outgoing.headers_mut() = match &call.relayed {
+        Some(relayed) => relay::outgoing_headers(driver, &parts.headers, call, relayed),
         None => headers::to_endpoint(&parts.headers, &added),
     };
     Ok(outgoing)
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -61,6 +61,9 @@
         true => final_response(StatusCode::BAD_REQUEST, "the body has a length and an encoding"),
         false => respond(&driver, interface, request).await,
     };
+    if interface != Interface::Relay {
+        relay::strip(response.headers_mut());
+    }
     if is_chunked || *driver.phase.borrow() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -81,7 +84,7 @@
         });
     };
     let (mut parts, body) = request.into_parts();
-    let relayed = relay::take(&mut parts.headers).filter(|_| interface == Interface::Relay);
+    let relayed = relay::take(driver, &mut parts.headers).filter(|_| interface == Interface::Relay);
     let (body, reservation) = match read_body(driver, body, config.limits.body.min(MAX_BODY)).await
     {
         Ok(read) => read,
--- a/crates/ferry-gateway/tests/process/cuts.rs
+++ b/crates/ferry-gateway/tests/process/cuts.rs
@@ -154,6 +154,49 @@
     });
 }
 
+#[test]
+fn announcement_in_a_response_that_was_passed_on_binds_the_gateway_of_its_caller() {
+    with_cluster("cut_leaving", 2, async |mut cluster| {
+        let links = own_links(&mut cluster).await;
+        links.proxies.iter().for_each(Proxy::stop);
+        share_served(&cluster, "early", STABLE_TIME).await;
+        let (front, checker) = (cluster.nodes[0].front(), cluster.checker.clone());
+        // The endpoint that gets most of the requests is asked soon.
+        let plain = cluster.endpoints.iter().filter(|it| it.pool == Pool::Plain);
+        let leaving = plain.max_by_key(|it| checker.n_runs(&it.id)).expect("the pool has one");
+        leaving.is_leaving.set(true);
+        let mut announced = None;
+        for number in 0..200 {
+            let attempt = format!("passed-on-{number}");
+            checker.record_sent(&attempt, Route::Get, b"body");
+            let head = head("POST", &Route::Get.path(), &attempt);
+            // Callers neither name endpoints, nor see which one a peer has named.
+            let notices =
+                r#"[{"endpoint":"engine-1","restriction":{"Withdrawn":{"revision":9999}}}]"#;
+            let request = format!(
+                "{head}Ferry-Relay-Notices: {notices}\r\nFerry-Relay-Tries: 1\r\n\
+                 Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+            );
+            let response = exchange(front, request.as_bytes()).await.to_lowercase();
+            assert!(response.starts_with("http/1.1 200"), "{response}");
+            assert!(!response.contains("ferry-relay"), "{response}");
+            if response.contains("server-leaving: 1") {
+                announced = Some(Instant::now());
+                break;
+            }
+        }
+        assert!(announced.is_some(), "the endpoint was never asked");
+        assert!(0 < n_relayed(&cluster).await, "no request was passed on");
+        for node in &cluster.nodes {
+            let log = fs::read_to_string(node.log()).expect("there is a log");
+            let is_bound = log.lines().any(|it| it.contains(&leaving.id) && it.contains("leaves"));
+            assert!(is_bound, "{:?}", node.log());
+            assert!(!log.contains("gone at 9999"), "a caller has named an endpoint");
+        }
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
+
 /// Reads until the text has an event, or to its end if none is asked for.
 async fn read_on(stream: &mut TcpStream, text: &mut String, event: Option<&str>) {
     let mut buffer = [0; 4096];
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -11,9 +11,9 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, CrashCandidate, EndpointsDelta, HealthReport, LeavingReport,
-    LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds, QuarantineAction, RecordReply,
-    RequestDigest, Tuning,
+    CallId, CallerAttempt, CrashCandidate, EndpointNotice, EndpointsDelta, HealthReport,
+    LeavingReport, LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds, QuarantineAction,
+    RecordReply, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -153,10 +153,12 @@
 }
 
 /// A request that an instance passes on to a peer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayedCall {
     /// Endpoints to which the peer may send it.
     pub n_tries: u32,
+    /// What the instance that passes it on knows of these endpoints.
+    pub notices: Vec<EndpointNotice>,
 }
 
 impl RequestHead {
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -307,7 +307,7 @@
     /// Returns how many endpoints may run it.
     pub fn max_tries(&self) -> u32 {
         let max_tries = self.route.max_tries;
-        self.head.relayed.map_or(max_tries, |it| max_tries.min(it.n_tries))
+        self.head.relayed.as_ref().map_or(max_tries, |it| max_tries.min(it.n_tries))
     }
 
     /// Whether the kind of the request and the number of its runs allow another run.
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -10,6 +10,7 @@
 use crate::admission;
 use crate::batch::Batcher;
 use crate::catalog::{Rejection, ResolvedRequest};
+use crate::notices;
 use crate::pass::{Pass, RouteComparison};
 use crate::{
     Arrival, Decision, DecisionKind, Effect, Mechanism, Metric, Refusal, Status, groups,
@@ -19,6 +20,9 @@
 /// Returns the request if it is accepted; otherwise it has been answered.
 pub fn accept(cx: &mut Pass<'_>, batcher: &Batcher, arrival: Arrival) -> Option<ActiveRequest> {
     cx.count(Metric::RequestsArrived);
+    if let Some(relayed) = &arrival.head.relayed {
+        notices::on_notices(cx, &relayed.notices);
+    }
     let resolved = match cx.ctx.catalog.resolve(&arrival.head) {
         Ok(resolved) => resolved,
         Err(rejection) => {
--- a/crates/ferry-serve/src/request/relay.rs
+++ b/crates/ferry-serve/src/request/relay.rs
@@ -11,12 +11,16 @@
 use super::active::{ActiveCall, ActiveRequest, Phase, StreamBuild};
 use super::{retry, schedule, stages};
 use crate::batch::Batcher;
+use crate::notices;
 use crate::pass::Pass;
 use crate::{
-    Call, CallEvent, Decision, DecisionKind, Effect, Mechanism, Metric, PeerView, RelayedCall,
-    ScheduleProgress, rendezvous_hash,
+    Call, CallEvent, Decision, DecisionKind, Effect, EndpointNotice, Mechanism, Metric, PeerView,
+    RelayedCall, ScheduleProgress, rendezvous_hash,
 };
 
+/// Most notices that go with a request, as they take part of the bytes that its headers may have.
+const MAX_NOTICES: usize = 16;
+
 /// A peer to which a request is passed on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Target {
@@ -58,6 +62,7 @@
     let n_runs = request.n_runs + request.silent.len() as u32;
     let n_tries = request.max_tries().saturating_sub(n_runs).max(1);
     let time_left = request.deadline.saturating_sub(cx.now);
+    let notices = notices(cx, request, target.peer);
     cx.count(Metric::RequestsRelayed);
     cx.log(
         Decision::new(DecisionKind::Route, "passed on to a peer")
@@ -93,7 +98,7 @@
         endpoint: target.instance,
         started: 0,
         address: target.relay,
-        relayed: Some(RelayedCall { n_tries }),
+        relayed: Some(RelayedCall { n_tries, notices }),
         workspace: request.workspace.clone(),
         time_left,
         urgency: 0,
@@ -104,6 +109,16 @@
     true
 }
 
+/// Returns what is known of the endpoints to which a peer may send a request.
+fn notices(cx: &Pass<'_>, request: &ActiveRequest, peer: SocketAddr) -> Vec<EndpointNotice> {
+    let stages = request.route.stages.iter().map(|it| it.pool.as_str());
+    let mut pools: Vec<&str> = stages.chain([request.pool.as_str()]).collect();
+    pools.sort_unstable();
+    pools.dedup();
+    let all = pools.into_iter().flat_map(|it| notices::for_peer(cx, peer, it));
+    all.take(MAX_NOTICES).collect()
+}
+
 /// Returns the event that ends a call to a peer which is not heard any longer.
 pub fn lost_event(cx: &Pass<'_>, request: &ActiveRequest) -> Option<CallEvent> {
     let Phase::Calling(ActiveCall { peer: Some(peer), .. }) = &request.phase else { return None };
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::rate_limits::load::Load;
-use crate::simulation::{Ending, Simulation, head, ms};
+use crate::simulation::{Cut, CutForm, Ending, Simulation, head, ms};
 use crate::ways::{Way, n_received};
 
 fn announce(sim: &mut Simulation, instance: usize, endpoint: &str, started: u64) {
@@ -81,6 +81,44 @@
     }
 }
 
+#[test]
+fn announcement_binds_the_peer_to_which_requests_are_passed_on() {
+    struct Case {
+        endpoint: &'static str,
+        routes: &'static [&'static str],
+        others: &'static [&'static str],
+    }
+    let cases = [
+        Case { endpoint: "plain-0", routes: &["get"], others: &["post"] },
+        Case { endpoint: "engine-0", routes: &["stream"], others: &["once"] },
+    ];
+    for Case { endpoint, routes, others } in cases {
+        for spread in [Spread::Whole, Spread::WithRequests] {
+            let mut sim = Simulation::new(4);
+            sim.fill_pool("plain", 4);
+            sim.loses_notices = matches!(spread, Spread::WithRequests);
+            let mut load = Load::new(routes, 60).with_instance(0);
+            let mut others = Load::new(others, 60).with_instance(1);
+            load.send(&mut sim, ms(3_000));
+            sim.run_for(ms(5_000));
+            announce(&mut sim, 0, endpoint, 1);
+            sim.cut(Cut { instance: 0, form: CutForm::Reset, endpoints: "" });
+            let mut attempts = Vec::new();
+            for _ in 0..50 {
+                others.send(&mut sim, ms(50));
+                attempts.extend(load.send(&mut sim, ms(50)));
+            }
+            sim.run_for(ms(5_000));
+            assert!(50 < sim.n_passed_on, "{endpoint}: {} passed on", sim.n_passed_on);
+            let is_late = |it: &&String| {
+                sim.runs.get(it.as_str()).is_some_and(|it| it.iter().any(|it| it == endpoint))
+            };
+            let late: Vec<&String> = attempts.iter().filter(is_late).collect();
+            assert_eq!(late, Vec::<&String>::new(), "{endpoint}, {spread:?}");
+        }
+    }
+}
+
 #[test]
 fn announcement_reaches_all_instances() {
     for n_instances in [2, 6, 76] {
--- a/crates/ferry-serve/tests/decisions/simulation/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/cuts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::{Call, CallEvent, CallId, Event, Framing, RelayedCall, ResumedStream, StreamEnd};
+use ferry_serve::{Call, CallEvent, CallId, Event, Framing, ResumedStream, StreamEnd};
 
 use super::{Ending, NETWORK_DELAY, Simulation, ms};
 
@@ -77,7 +77,7 @@
         self.calls.insert((instance, call.call), if call.is_stream { 2 } else { 0 });
         self.n_passed_on += 1;
         head.time_left = Some(call.time_left);
-        head.relayed = call.relayed.map(|it| RelayedCall { n_tries: it.n_tries });
+        head.relayed = call.relayed.clone();
         if call.resume.is_some_and(|it| 0 < it) {
             head.resumed = Some(ResumedStream { first_attempt: None });
         }
