Let stages after an omitted one read the nearest that have items

Cause: a stage without items counted as done from the start, whatever came before it, so that the next one ran at once and without inputs; what stood for its results was worked out in three places, which differed: inputs of items, inputs of the request, and the release of what nobody reads any more. Change: one graph of the stages with items (request/graph.rs) is made when a request arrives, and is used by submission, inputs, release, restarts and times. Numbers of items that cannot be read counted as 0, so that a bad list omitted stages; they, and a list of another length than the route has stages, are refused with 400 and nothing runs (request_with_another_number_of_counts_than_stages_is_malformed fails before). Tests changed: begun_stream of silence/review.rs sent six numbers on a route with two stages, which is refused now; it sends as many as the route has.

--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -63,6 +63,8 @@
     Unconfigured,
     NoRoute,
     UnknownKey,
+    /// The request does not have one number of items for each stage of its route.
+    ItemCounts,
 }
 
 impl Catalog {
@@ -168,6 +170,10 @@
         if config.keys.is_some() && owner.is_none() && !route.anonymous {
             return Err(Rejection::UnknownKey);
         }
+        let n_counts = head.items.len();
+        if n_counts != route.stages.len() && n_counts != 0 && !route.stages.is_empty() {
+            return Err(Rejection::ItemCounts);
+        }
         let priority = owner.and_then(|it| it.priority).unwrap_or(route.priority);
         Ok(ResolvedRequest {
             pool: target(route, head.first_attempt()),
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -7,6 +7,7 @@
 mod call;
 mod crash;
 mod end;
+mod graph;
 pub mod origin;
 mod pause;
 pub mod permit;
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -9,6 +9,7 @@
     WorkspaceId, ZoneId,
 };
 
+use super::graph::StageGraph;
 use super::permit::PermitWait;
 use crate::batch::JobKey;
 use crate::catalog::Pools;
@@ -38,6 +39,8 @@
     /// When the answer becomes useless, by the caller's time left and the route's time limit.
     pub deadline: Moment,
     pub stages: Vec<StageState>,
+    /// Which of its stages have items, and what they read.
+    pub graph: StageGraph,
     /// Whether a retry is reserved for it that has not been sent.
     pub has_retry: bool,
     /// Whether it was passed on to a peer.
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -6,6 +6,7 @@
 
 use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
+use super::graph::StageGraph;
 use super::{call, origin, pause, permit, stages, times};
 use crate::admission;
 use crate::batch::Batcher;
@@ -80,6 +81,9 @@
         Rejection::Unconfigured => (Status::NotRun, "no configuration is known yet"),
         Rejection::NoRoute => (Status::NoRoute, "no route matches"),
         Rejection::UnknownKey => (Status::UnknownKey, "the key is unknown"),
+        Rejection::ItemCounts => {
+            (Status::Malformed, "the numbers of items are not one for each stage of the route")
+        }
     };
     cx.count(Metric::RequestsRefused);
     cx.log(Decision::new(DecisionKind::Refuse, reason).with_attempt(&arrival.head.attempt));
@@ -99,14 +103,16 @@
     let time_left = head.time_left.unwrap_or(route.time_limit).min(route.time_limit);
     let (class, value) =
         admission::classify(&head.attempt, resolved.rank, resolved.n_ranks, comparison.value);
-    let stage = |idx: usize| match head.items.get(idx) {
-        None | Some(0) => StageState::EMPTY,
-        Some(_) => StageState::Waiting,
+    let graph = StageGraph::new(&route.stages, &head.items);
+    let stage = |idx: usize| match graph.has_items(idx) {
+        true => StageState::Waiting,
+        false => StageState::EMPTY,
     };
     ActiveRequest {
         ticket,
         digest: workspace_digest(resolved.workspace.as_deref(), digest),
         stages: (0..route.stages.len()).map(stage).collect(),
+        graph,
         has_retry: false,
         was_relayed: false,
         restarts: vec![0; route.stages.len()],
--- a/crates/ferry-serve/src/request/retry.rs
+++ b/crates/ferry-serve/src/request/retry.rs
@@ -132,7 +132,7 @@
         StageState::Done { handles, is_retained, .. } => !handles.is_empty() && !is_retained,
         StageState::Waiting | StageState::Submitted(_) => false,
     };
-    if stages::last_stages(request).any(|it| is_released(&it)) {
+    if request.graph.last_stages().any(|it| is_released(&it)) {
         restart_all(cx, batcher, request);
     }
 }
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -37,7 +37,7 @@
         let is_ready =
             |after: &usize| matches!(request.stages.get(*after), Some(StageState::Done { .. }));
         if request.stages[idx] == StageState::Waiting
-            && request.route.stages[idx].after.iter().all(is_ready)
+            && request.graph.reads(idx).iter().all(is_ready)
         {
             submit(cx, batcher, request, idx);
         }
@@ -187,11 +187,9 @@
     request: &mut ActiveRequest,
     done: usize,
 ) {
-    for before in request.route.stages[done].after.clone() {
-        let route = request.route.clone();
-        let mut readers = route.stages.iter().enumerate().filter(|it| it.1.after.contains(&before));
-        let is_read =
-            readers.all(|(idx, _)| matches!(request.stages[idx], StageState::Done { .. }));
+    for before in request.graph.reads(done).to_vec() {
+        let is_done = |idx: usize| matches!(request.stages[idx], StageState::Done { .. });
+        let is_read = request.graph.readers(before).all(is_done);
         if is_read {
             release(cx, batcher, request, before);
         }
@@ -212,29 +210,27 @@
             .with_stage(idx as u8),
     );
     let mut pending = vec![idx];
+    let mut visited = Vec::new();
     while let Some(idx) = pending.pop() {
-        if !has_items(request, idx) {
+        if visited.contains(&idx) {
             continue;
         }
+        visited.push(idx);
         reset(cx, batcher, request, idx);
-        pending.extend(request.route.stages[idx].after.iter().filter(|it| **it < idx));
+        pending.extend(request.graph.reads(idx));
     }
     request.n_restarts += 1;
 }
 
 /// Withdraws a stage with items and its results, so that the next run begins with it anew.
 pub fn reset(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest, idx: usize) {
-    if has_items(request, idx) {
+    if request.graph.has_items(idx) {
         release(cx, batcher, request, idx);
         request.restarts[idx] = request.restarts[idx].wrapping_add(1);
         request.stages[idx] = StageState::Waiting;
     }
 }
 
-fn has_items(request: &ActiveRequest, idx: usize) -> bool {
-    request.head.items.get(idx).is_some_and(|it| 0 < *it)
-}
-
 /// Frees results of a request that is no longer in progress.
 pub fn free_orphaned(cx: &mut Pass<'_>, outcome: JobOutcome) {
     match outcome {
@@ -245,13 +241,7 @@
 
 /// Returns the results that the request's endpoint reads.
 pub fn inputs(request: &ActiveRequest) -> Vec<ResultHandle> {
-    last_stages(request).flat_map(|it| results(request, it)).collect()
-}
-
-/// Returns the stages that no other stage reads.
-pub fn last_stages(request: &ActiveRequest) -> impl Iterator<Item = usize> {
-    let is_last = |idx: &usize| request.route.stages.iter().all(|it| !it.after.contains(idx));
-    (0..request.stages.len()).filter(is_last)
+    request.graph.last_stages().flat_map(|it| results(request, it)).cloned().collect()
 }
 
 fn submit(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest, idx: usize) {
@@ -320,10 +310,13 @@
 }
 
 fn input(request: &ActiveRequest, idx: usize) -> ItemInput {
-    let after = &request.route.stages[idx].after;
-    match after.is_empty() {
+    let reads = request.graph.reads(idx);
+    match reads.is_empty() {
         true => ItemInput::Key(request.head.item_key.clone()),
-        false => ItemInput::Results(after.iter().flat_map(|it| results(request, *it)).collect()),
+        false => {
+            let results = reads.iter().flat_map(|it| results(request, *it));
+            ItemInput::Results(results.cloned().collect())
+        }
     }
 }
 
@@ -352,15 +345,11 @@
     }
 }
 
-/// Returns the results of a stage; those of the preceding stages if it has no items.
-fn results(request: &ActiveRequest, idx: usize) -> Vec<ResultHandle> {
+/// Returns the results of a stage; none until it is done.
+fn results(request: &ActiveRequest, idx: usize) -> &[ResultHandle] {
     match request.stages.get(idx) {
-        Some(StageState::Done { handles, .. }) if !handles.is_empty() => handles.clone(),
-        Some(StageState::Done { .. }) => {
-            let before = request.route.stages[idx].after.iter().filter(|it| **it < idx);
-            before.flat_map(|it| results(request, *it)).collect()
-        }
-        Some(StageState::Waiting | StageState::Submitted(_)) | None => Vec::new(),
+        Some(StageState::Done { handles, .. }) => handles,
+        Some(StageState::Waiting | StageState::Submitted(_)) | None => &[],
     }
 }
 
@@ -391,9 +380,10 @@
     }
     let stage = &request.route.stages[idx];
     let n_items = u64::from(request.head.items.get(idx).copied().unwrap_or_default());
-    let is_last = request.route.stages.iter().all(|it| !it.after.contains(&idx));
+    let is_last = request.graph.readers(idx).next().is_none();
     if let ItemInput::Results(handles) = input {
-        let bytes: u64 = stage.after.iter().map(|it| request.route.stages[*it].result_bytes).sum();
+        let reads = request.graph.reads(idx).iter();
+        let bytes: u64 = reads.map(|it| request.route.stages[*it].result_bytes).sum();
         // Each item reads all results.
         if LARGE_BYTES <= bytes * handles.len() as u64 * n_items {
             return majority_zone(cx, handles);
--- a/crates/ferry-serve/src/request/times.rs
+++ b/crates/ferry-serve/src/request/times.rs
@@ -43,8 +43,8 @@
 
 fn longest_path(request: &ActiveRequest, time: impl Fn(usize) -> Duration) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(request.stages.len());
-    for (idx, stage) in request.route.stages.iter().enumerate() {
-        let begin = stage.after.iter().filter_map(|it| ends.get(*it)).max().copied();
+    for idx in 0..request.stages.len() {
+        let begin = request.graph.reads(idx).iter().filter_map(|it| ends.get(*it)).max().copied();
         let own = match &request.stages[idx] {
             StageState::Waiting => time(idx),
             StageState::Submitted(_) | StageState::Done { .. } => Duration::ZERO,
@@ -72,7 +72,7 @@
 /// Returns the time until the results of a stage are useless, or its inputs expire.
 pub fn time_left(cx: &Pass<'_>, request: &ActiveRequest, idx: usize) -> Duration {
     let time_left = request.deadline.saturating_sub(cx.now + min_remaining_time(cx, request, idx));
-    let ttls = request.route.stages[idx].after.iter().filter_map(|it| {
+    let ttls = request.graph.reads(idx).iter().filter_map(|it| {
         batch_limits(request, *it).map(|it| it.result_ttl.saturating_sub(TTL_MARGIN))
     });
     ttls.fold(time_left, Duration::min)
@@ -96,6 +96,5 @@
 
 /// Returns the stage that reads the results of another.
 fn next_stage(request: &ActiveRequest, idx: usize) -> Option<usize> {
-    let mut followers = request.route.stages.iter().enumerate().skip(idx + 1);
-    followers.find(|(_, it)| it.after.contains(&idx)).map(|(next, _)| next)
+    request.graph.readers(idx).find(|next| idx < *next)
 }
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod health;
 mod leaving;
+mod omitted;
 mod pauses;
 mod peers;
 mod quarantine;
--- a/crates/ferry-serve/tests/decisions/silence/review.rs
+++ b/crates/ferry-serve/tests/decisions/silence/review.rs
@@ -25,10 +25,11 @@
 /// Returns a simulation with a stream whose engine has brought its first event, and the engine.
 fn begun_stream(config: GatewayConfig) -> (Simulation, String) {
     let mut sim = Simulation::new(1);
-    sim.spread(&Arc::new(long_config(config)));
     let mut head = head(STREAM, STREAM);
+    let route = config.routes.iter().find(|it| it.name == STREAM).expect("there is a route");
+    head.items = vec![4; route.stages.len()];
     head.time_left = Some(ms(20_000));
-    head.items = vec![4; 6];
+    sim.spread(&Arc::new(long_config(config)));
     sim.arrive(0, STREAM, head);
     assert!(sim.run_until(|it| it.events.get(STREAM).is_some()), "it has begun");
     let engine = sim.runs.get(STREAM).expect("it runs")[0].clone();
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -31,6 +31,7 @@
 use crashes::{Crashes, EndpointStep};
 pub use cuts::{Cut, CutForm};
 pub use endpoint::{Behaviour, Endpoint, Received};
+pub use items::NamedInputs;
 pub use pauses::Pause;
 pub use records::{RecordStore, StoreState};
 
@@ -133,6 +134,8 @@
     pub is_first_start: bool,
     /// Whether endpoints lose the results of stages at once.
     pub loses_results: bool,
+    /// Results that calls have named.
+    pub inputs: Vec<NamedInputs>,
     /// Violations of the call protocol, as the endpoints saw them.
     pub violations: Vec<String>,
     /// Pauses that endpoints have asked instances for.
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -169,6 +169,9 @@
                 return self.schedule(instance, NETWORK_DELAY, Event::Call { call: id, event });
             }
         }
+        if let Some(inputs) = &call.inputs {
+            self.record_inputs(&attempt, None, inputs);
+        }
         self.check_pauses(instance, &call.endpoint);
         let offset = self.callers.get(&(instance, call.ticket)).map_or(0, |it| it.offset);
         let prompt = self.callers.get(&(instance, call.ticket)).map(|it| it.prompt.clone());
--- a/crates/ferry-serve/tests/decisions/simulation/items.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/items.rs
@@ -5,6 +5,16 @@
 
 use super::{Behaviour, NETWORK_DELAY, Received, Simulation, limits};
 
+/// The results that a call names for an item, or for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NamedInputs {
+    pub attempt: String,
+    /// The stage that reads them; none for the endpoint of the request.
+    pub stage: Option<u8>,
+    /// Stages and items that made them, sorted.
+    pub makers: Vec<(u8, u16)>,
+}
+
 impl Simulation {
     pub(super) fn batch(&mut self, instance: usize, call: &BatchCall) {
         if self.refuse_items(instance, call) {
@@ -68,9 +78,29 @@
         self.delay_events(silence, |at, it| at == instance && it == id);
     }
 
+    pub(super) fn record_inputs(
+        &mut self,
+        attempt: &str,
+        stage: Option<u8>,
+        handles: &[ResultHandle],
+    ) {
+        let maker = |handle: &ResultHandle| {
+            let mut parts = handle.id.rsplit('/').skip(1);
+            let item = parts.next().and_then(|it| it.parse().ok()).expect("an item made it");
+            let stage = parts.next().and_then(|it| it.parse().ok()).expect("a stage made it");
+            (stage, item)
+        };
+        let mut makers: Vec<(u8, u16)> = handles.iter().map(maker).collect();
+        makers.sort_unstable();
+        self.inputs.push(NamedInputs { attempt: attempt.to_owned(), stage, makers });
+    }
+
     /// Checks that an item gets every result of the preceding stage, and only those of its request.
     fn check_inputs(&mut self, attempt: &str, input: &ItemInput, stage: u8) {
-        let ItemInput::Results(handles) = input else { return };
+        let ItemInput::Results(handles) = input else {
+            return self.record_inputs(attempt, Some(stage), &[]);
+        };
+        self.record_inputs(attempt, Some(stage), handles);
         if handles.is_empty() {
             self.violations.push(format!("{attempt}: stage {stage} has no inputs"));
         }
--- a/crates/ferry-serve/tests/decisions/simulation/start.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/start.rs
@@ -36,7 +36,7 @@
         Simulation::with_config(n_instances, config, tuning)
     }
 
-    fn with_config(n_instances: usize, config: GatewayConfig, tuning: Tuning) -> Simulation {
+    pub fn with_config(n_instances: usize, config: GatewayConfig, tuning: Tuning) -> Simulation {
         let mut sim = Simulation {
             now: Moment::ZERO,
             tuning,
@@ -55,6 +55,7 @@
             n_passed_on: 0,
             is_first_start: true,
             loses_results: false,
+            inputs: Vec::new(),
             violations: Vec::new(),
             pauses: Vec::new(),
             n_batches: 0,
