Let the soak omit stages, and name the requests that come in a pause

Cause: each soak request had items in both stages, and no check counted results, so that omitted stages could go wrong unseen. Change: two of five requests omit a stage; endpoints check how many results each item and each request names. A violated pause lists the attempts and how long before each was sent.

--- a/crates/ferry-soak/src/callers.rs
+++ b/crates/ferry-soak/src/callers.rs
@@ -38,6 +38,9 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Numbers of items that requests ask for in turn; some omit a stage.
+const ITEMS: [[usize; 2]; 5] = [[3, 5], [3, 5], [0, 5], [3, 5], [3, 0]];
+
 /// A caller that sends one request at a time.
 pub struct Caller {
     rng: Pcg64Mcg,
@@ -78,7 +81,8 @@
     async fn send_body(&mut self, route: Route, body: &str, prompt: String) {
         self.n_sent += 1;
         let attempt = format!("{}-{}", self.name, self.n_sent);
-        let mut stream = Stream { prompt, ..Stream::default() };
+        let items = ITEMS[self.n_sent as usize % ITEMS.len()];
+        let mut stream = Stream { prompt, items, ..Stream::default() };
         self.try_send(route, &attempt, body, &mut stream).await;
         if route == Route::Stream && stream.is_broken() {
             self.checker.count_take_up();
@@ -131,6 +135,7 @@
         stream: &mut Stream,
     ) -> Outcome {
         self.checker.record_sent(attempt, route, body.as_bytes());
+        self.checker.record_items(attempt, stream.items);
         let limit = Duration::from_millis(DEADLINE_MS) + GRACE;
         let exchange = self.exchange(route, attempt, body, stream);
         let outcome = match tokio::time::timeout(limit, exchange).await {
@@ -229,6 +234,8 @@
 #[derive(Debug, Default)]
 struct Stream {
     prompt: String,
+    /// Numbers of items of its stages.
+    items: [usize; 2],
     n_events: u64,
     /// Build of the engine that made the events.
     build: String,
@@ -280,13 +287,14 @@
     body: &str,
     stream: &Stream,
 ) -> Option<Request<Full<Bytes>>> {
+    let [first, second] = stream.items;
     let mut request = Request::builder()
         .method(Method::POST)
         .uri(route.path())
         .header(http::header::HOST, HOST)
         .header(headers::ATTEMPT_ID, attempt)
         .header("tarragonferry-deadline-remaining", DEADLINE_MS)
-        .header("tarragonferry-pieces", "3,5")
+        .header("tarragonferry-pieces", format!("{first},{second}"))
         .header("tarragonferry-piece-key", "input")
         .header("tarragonferry-prompt-prefix", &stream.prompt)
         // Only the gateway may set this header; it must drop a caller's value.
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -3,6 +3,7 @@
 mod budget;
 pub mod crashes;
 mod entries;
+mod inputs;
 mod leaving;
 mod pauses;
 
@@ -46,6 +47,8 @@
     runs: Vec<String>,
     /// Which start of the endpoint that ran it last.
     start: u64,
+    /// Numbers of items of its stages, if it is checked which results it reads.
+    items: Option<[usize; 2]>,
     /// Endpoints that have run items of its stages.
     stages: Vec<String>,
     /// Gateway that the caller's connection leads to.
@@ -91,6 +94,7 @@
             body: body.to_vec(),
             runs: Vec::new(),
             start: 0,
+            items: None,
             stages: Vec::new(),
             node: None,
             outcome: None,
--- a/crates/ferry-soak/src/checker/pauses.rs
+++ b/crates/ferry-soak/src/checker/pauses.rs
@@ -20,7 +20,8 @@
     node: String,
     from: Instant,
     until: Instant,
-    n_requests: usize,
+    /// Requests that came in it, by attempt and the time since each was sent.
+    requests: Vec<(String, Duration)>,
 }
 
 /// Pauses that are not over, and what came in those that are.
@@ -66,7 +67,7 @@
             node: node.to_owned(),
             from: now + GRACE_TIME,
             until: now + pause,
-            n_requests: 0,
+            requests: Vec::new(),
         });
     }
 
@@ -76,8 +77,10 @@
     }
 
     /// Checks a request that has reached a start of an endpoint.
-    pub fn check_pauses(&self, node: &str, endpoint: &str, start: u64) {
+    pub fn check_pauses(&self, node: &str, endpoint: &str, start: u64, attempt: Option<&str>) {
         let now = Instant::now();
+        let sent = attempt.and_then(|it| self.attempts.borrow().get(it).map(|it| it.sent));
+        let age = now - sent.unwrap_or(now);
         let mut log = self.pause_log.borrow_mut();
         let PauseLog { pauses, counts } = &mut *log;
         let is_open = |it: &&mut Pause| {
@@ -88,13 +91,14 @@
                 && now < it.until
         };
         for pause in pauses.iter_mut().filter(is_open) {
-            pause.n_requests += 1;
-            counts.most = counts.most.max(pause.n_requests);
-            if pause.n_requests == MAX_REQUESTS + 1 {
+            pause.requests.push((attempt.unwrap_or_default().to_owned(), age));
+            counts.most = counts.most.max(pause.requests.len());
+            if pause.requests.len() == MAX_REQUESTS + 1 {
                 self.add_violation(format!(
                     "{endpoint} got more than {MAX_REQUESTS} requests from {node} in a pause of \
-                     {:?} that it had asked for",
-                    pause.until - pause.from + GRACE_TIME
+                     {:?} that it had asked for: {:?}",
+                    pause.until - pause.from + GRACE_TIME,
+                    pause.requests
                 ));
             }
         }
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -213,6 +213,8 @@
         if inputs.is_some_and(Vec::is_empty) || (inputs.is_none() && item["Key"].is_null()) {
             self.checker.add_violation(format!("{}: an item of {attempt} has no input", self.id));
         }
+        let n_inputs = inputs.map_or(0, Vec::len);
+        self.checker.check_inputs(attempt, item["Stage"].as_u64(), n_inputs);
         let mut inputs = inputs.into_iter().flatten().filter_map(Value::as_str);
         if !inputs.all(|it| self.checker.has_result(it, attempt)) {
             return json!({ "Reason": "gone" });
@@ -255,6 +257,7 @@
             if inputs.is_empty() {
                 self.checker.add_violation(format!("{attempt} has no stage results as inputs"));
             }
+            self.checker.check_inputs(attempt, None, inputs.split(',').count());
             if !inputs.split(',').all(|it| self.checker.has_result(it, attempt)) {
                 return Some(not_run(StatusCode::CONFLICT));
             }
--- a/crates/ferry-soak/src/endpoint/pause.rs
+++ b/crates/ferry-soak/src/endpoint/pause.rs
@@ -38,7 +38,7 @@
     pub(super) fn apply_pause(&self, attempt: Option<&str>) -> Option<Response<Body>> {
         let sender = self.checker.sender(attempt);
         if let Some(node) = &sender {
-            self.checker.check_pauses(node, &self.id, self.started.get());
+            self.checker.check_pauses(node, &self.id, self.started.get(), attempt);
         }
         let (response, pause) = self.pause.refusal()?;
         if let (Some(node), Some(pause)) = (&sender, pause) {
