Follow a store that comes back from an older copy

Cause: revisions go back and are given out again, and no part read the era. Lists and changes with a lower revision than the highest seen were ignored, from the store and from peers. Instances registered once, at their start, so that a copy without one of them hid it from those that started later, and both granted. With the era taken as always the same, entries_count_after_the_store_came_back_from_an_older_copy fails (real processes; the soak's store gained the copy).

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -9,7 +9,9 @@
 use ferry_model::{Moment, ResultHandle, SortedMap, Ticket};
 use ferry_platform::headers;
 use ferry_platform::settings::NodeSettings;
-use ferry_serve::{CallId, Decision, Effect, Event, Gateway, LimitReport, Metric, Refusal};
+use ferry_serve::{
+    CallId, Decision, Effect, Event, Gateway, LimitReport, Metric, Refusal, StoreUpdate,
+};
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use slog::{Logger, info, warn};
@@ -117,6 +119,8 @@
     pub limits: watch::Sender<CallerLimits>,
     /// Number of callers' connections that close once a response has been sent.
     pub n_closing: watch::Sender<usize>,
+    /// The latest era of the store; none before its first answer.
+    pub era: watch::Sender<Option<u64>>,
     /// The highest format in which messages are sent to peers, and read.
     pub highest_format: WireFormat,
     pub formats: RefCell<PeerFormats>,
@@ -151,6 +155,7 @@
             callers: RefCell::default(),
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            era: watch::Sender::new(None),
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
             n_closing: watch::Sender::new(0),
             highest_format,
@@ -199,6 +204,21 @@
         }
     }
 
+    /// Records the era of an answer of the store; returns false if a later one is known. Entries that
+    /// the copy lacks count as missing since the store was away.
+    pub fn enter_era(self: &Rc<Self>, era: u64) -> bool {
+        let known = *self.era.borrow();
+        if known < Some(era) {
+            self.era.send_replace(Some(era));
+            self.metrics.set_era(era);
+        }
+        if let Some(known) = known.filter(|it| *it < era) {
+            warn!(self.log, "the store came back from an older copy"; "era" => era, "before" => known);
+            self.dispatch(Event::Store(StoreUpdate::Restored));
+        }
+        known <= Some(era)
+    }
+
     /// Reports the rate limit that a response of an endpoint names. Most endpoints name none, which
     /// is reported only if one was known.
     pub fn report_limit(self: &Rc<Self>, endpoint: &str, limit: LimitReport) {
--- a/crates/ferry-gateway/src/metrics.rs
+++ b/crates/ferry-gateway/src/metrics.rs
@@ -40,6 +40,7 @@
 pub struct Metrics {
     counters: RefCell<Vec<u64>>,
     store_calls: Cell<u64>,
+    era: Cell<u64>,
     first_event: RefCell<Histogram>,
     response: RefCell<Histogram>,
 }
@@ -59,6 +60,10 @@
         self.store_calls.set(self.store_calls.get() + 1);
     }
 
+    pub fn set_era(&self, era: u64) {
+        self.era.set(era);
+    }
+
     /// Records the time until the head of a stream.
     pub fn record_first_event(&self, time: Duration) {
         self.first_event.borrow_mut().add(time);
@@ -76,6 +81,7 @@
             let count = self.counters.borrow()[metric as usize];
             let _ = writeln!(out, "ferry_{metric}_total {count}");
         }
+        let _ = writeln!(out, "ferry_store_era {}", self.era.get());
         let _ = writeln!(out, "ferry_store_calls_total {}", self.store_calls.get());
         self.first_event.borrow().write("first_event", &mut out);
         self.response.borrow().write("answer", &mut out);
--- a/crates/ferry-gateway/src/records.rs
+++ b/crates/ferry-gateway/src/records.rs
@@ -3,16 +3,19 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use ferry_model::{StorePosition, store_era, store_revision};
 use ferry_platform::records;
 use ferry_platform::store::{self, Kind};
-use ferry_serve::{Event, RecordCall, RecordReply, StoredRecords, WriteFailure};
+use ferry_serve::{
+    Event, PoolBuilds, RecordCall, RecordReply, StoredRecords, StreamSlot, WriteFailure,
+};
 use http::{Method, StatusCode};
 use serde_json::Value;
 use tokio::task::spawn_local;
 
 use crate::client::InternalCall;
 use crate::driver::Driver;
-use crate::store::{Client, RESPONSE_TIMEOUT, StoreError};
+use crate::store::{Answer, Client, RESPONSE_TIMEOUT, StoreError};
 
 /// Makes a call, and reports its result to the reducer.
 pub fn start(driver: &Rc<Driver>, call: RecordCall) {
@@ -25,19 +28,28 @@
                 RecordReply::Read { id, records: logged(&driver, "read", records).ok() }
             }
             RecordCall::WriteBuilds(builds) => {
-                let body = records::builds_body(&builds);
-                let result = write(&client, Kind::Builds, &builds.pool, builds.revision, &body);
+                let name = builds.pool.clone();
+                let result = write(&client, Kind::Builds, &name, builds.revision, |revision| {
+                    records::builds_body(&PoolBuilds { revision, ..builds.clone() })
+                });
                 let result = logged(&driver, "write the builds of a pool to", result.await);
                 RecordReply::Builds { pool: builds.pool, result: result.map_err(failure) }
             }
             RecordCall::WriteStreams(slot) => {
-                let (name, body) = (records::slot_name(&slot), records::streams_body(&slot));
-                let result = write(&client, Kind::Streams, &name, slot.revision, &body).await;
-                let result = logged(&driver, "write records of streams to", result);
+                let name = records::slot_name(&slot);
+                let result = write(&client, Kind::Streams, &name, slot.revision, |revision| {
+                    records::streams_body(&StreamSlot { revision, ..slot.clone() })
+                });
+                let result = logged(&driver, "write records of streams to", result.await);
                 RecordReply::Streams { slot: slot.number, result: result.map_err(failure) }
             }
             RecordCall::DeleteStreams(slot) => {
-                let path = records::delete_path(&slot);
+                if slot.revision.is_some_and(|it| store_era(it) != client.era()) {
+                    // The next read tells which revision it has now.
+                    return;
+                }
+                let revision = slot.revision.map(store_revision);
+                let path = records::delete_path(&StreamSlot { revision, ..slot });
                 let deleted = client.call(&InternalCall::delete(path), RESPONSE_TIMEOUT).await;
                 // One that is still there is found by the next read.
                 let _ = logged(&driver, "delete records of streams from", deleted);
@@ -61,27 +73,34 @@
     Ok(StoredRecords { pools, streams })
 }
 
-/// Creates or replaces an object, and returns its new revision.
+/// Creates an object, or replaces the one at a position, and returns its new position. `body` writes
+/// it with the revision to replace.
 async fn write(
     client: &Client,
     kind: Kind,
     name: &str,
-    revision: Option<u64>,
-    body: &Value,
-) -> Result<u64, StoreError> {
-    let body = Bytes::from(body.to_string());
-    let call = match revision {
+    position: Option<StorePosition>,
+    body: impl Fn(Option<u64>) -> Value,
+) -> Result<StorePosition, StoreError> {
+    let known = client.era();
+    if position.is_some_and(|it| store_era(it) != known) {
+        return Err(StoreError::NewEra);
+    }
+    let body = Bytes::from(body(position.map(store_revision)).to_string());
+    let call = match position {
         Some(_) => InternalCall::json(Method::PUT, &store::object_path(kind, name), body),
         None => InternalCall::json(Method::POST, &store::create_path(kind), body),
     };
-    let body = client.call(&call, RESPONSE_TIMEOUT).await?;
-    Ok(store::read_object(&body)?.revision)
+    let Answer { body, era } = client.call(&call, RESPONSE_TIMEOUT).await?;
+    Ok(store::read_object(&body)?.with_era(era).revision)
 }
 
 /// An object that does not exist any longer counts as changed.
 fn failure(error: StoreError) -> WriteFailure {
     match error {
-        StoreError::Status(StatusCode::CONFLICT | StatusCode::NOT_FOUND) => WriteFailure::Conflict,
+        StoreError::Status(StatusCode::CONFLICT | StatusCode::NOT_FOUND) | StoreError::NewEra => {
+            WriteFailure::Conflict
+        }
         _ => WriteFailure::Failed,
     }
 }
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_model::GatewayEndpoint;
+use ferry_model::{GatewayEndpoint, StorePosition, store_era, store_position, store_revision};
 use ferry_platform::store::{self, Changes, Kind, Object, Page, Registration};
 use ferry_platform::{FormatError, desired, endpoints};
 use ferry_serve::{Event, Metric, StoreUpdate};
@@ -29,6 +29,8 @@
 /// The same on instances that do not follow the store closely, as a divisor of the time for which a
 /// draining endpoint may still receive requests.
 const DRAIN_DIVISOR: u32 = 3;
+/// Time over which instances register again in a new era, as the store takes few writes.
+const REGISTER_SPREAD: Duration = Duration::from_millis(1_000);
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
@@ -40,8 +42,12 @@
     Format(#[from] FormatError),
     #[error("the store responded with status {0}")]
     Status(StatusCode),
-    #[error("the change history since revision {0} has been discarded")]
-    HistoryGone(u64),
+    #[error("the change history since position {0} has been discarded")]
+    HistoryGone(StorePosition),
+    #[error("the answer is of era {0}, which another one has followed")]
+    OldEra(u64),
+    #[error("the store came back from a copy meanwhile")]
+    NewEra,
     #[error("a list cannot be read on, as its page names no object behind {0:?}")]
     Stuck(Option<String>),
 }
@@ -63,23 +69,34 @@
         Client { driver: driver.clone(), connections }
     }
 
-    pub async fn call(&self, call: &InternalCall, timeout: Duration) -> Result<Bytes, StoreError> {
+    /// Returns the latest era of the store.
+    pub fn era(&self) -> u64 {
+        self.driver.era.borrow().unwrap_or_default()
+    }
+
+    pub async fn call(&self, call: &InternalCall, timeout: Duration) -> Result<Answer, StoreError> {
         self.driver.metrics.count_store_call();
         let response = self.connections.call(self.driver.settings.store, call, timeout).await?;
-        match response.status {
-            status if status.is_success() => Ok(response.body),
-            status => Err(StoreError::Status(status)),
+        if !response.status.is_success() {
+            return Err(StoreError::Status(response.status));
         }
+        let era = store::era(&response.headers);
+        if !self.driver.enter_era(era) {
+            return Err(StoreError::OldEra(era));
+        }
+        Ok(Answer { body: response.body, era })
     }
 
-    /// Returns all objects of a kind, and the revision from which to watch.
-    pub async fn list(&self, kind: Kind) -> Result<(Vec<Object>, u64), StoreError> {
+    /// Returns all objects of a kind, with positions as revisions, and the position from which to
+    /// watch.
+    pub async fn list(&self, kind: Kind) -> Result<(Vec<Object>, StorePosition), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
         let mut first = None;
         loop {
             let after = objects.last().map(|it| it.name.clone());
             let call = InternalCall::get(store::list_path(kind, after.as_deref()));
-            let page: Page = store::read_page(&self.call(&call, RESPONSE_TIMEOUT).await?)?;
+            let Answer { body, era } = self.call(&call, RESPONSE_TIMEOUT).await?;
+            let page: Page = store::read_page(&body)?;
             self.driver.note_unnamed(page.n_unnamed);
             let last = page.objects.last().map(|it| &it.name);
             let is_stuck = last.or(after.as_ref()) == after.as_ref();
@@ -87,28 +104,44 @@
                 return Err(StoreError::Stuck(after));
             }
             let is_over = !page.is_truncated;
-            objects.extend(page.objects);
-            // The watch starts at the revision of the first page, so it also returns the changes
+            objects.extend(page.objects.into_iter().map(|it| it.with_era(era)));
+            // The watch starts at the position of the first page, so it also returns the changes
             // made while later pages were read.
-            let revision = *first.get_or_insert(page.revision);
+            let position = *first.get_or_insert(store_position(era, page.revision));
+            if store_era(position) != era {
+                return Err(StoreError::NewEra);
+            }
             if is_over {
-                return Ok((objects, revision));
+                return Ok((objects, position));
             }
         }
     }
 
-    /// Waits for changes after a revision.
-    async fn watch(&self, kind: Kind, from: u64) -> Result<Changes, StoreError> {
+    /// Waits for changes after a position, and returns them with the position as revision.
+    async fn watch(&self, kind: Kind, from: StorePosition) -> Result<Changes, StoreError> {
         let wait = if is_watcher(&self.driver) { WATCH_WAIT } else { RELAXED_WATCH_WAIT };
-        let call = InternalCall::get(store::watch_path(kind, from, wait));
+        let call = InternalCall::get(store::watch_path(kind, store_revision(from), wait));
         match self.call(&call, wait + RESPONSE_TIMEOUT).await {
-            Ok(body) => Ok(store::read_changes(&body)?),
+            // The revision may have been given out again.
+            Ok(Answer { era, .. }) if era != store_era(from) => Err(StoreError::NewEra),
+            Ok(Answer { body, era }) => {
+                let changes = store::read_changes(&body)?;
+                Ok(Changes { revision: store_position(era, changes.revision), ..changes })
+            }
             Err(StoreError::Status(StatusCode::GONE)) => Err(StoreError::HistoryGone(from)),
             Err(error) => Err(error),
         }
     }
 }
 
+/// What the store has answered.
+#[derive(Debug)]
+pub struct Answer {
+    pub body: Bytes,
+    /// How often the store had come back from a copy; see [`ferry_model::position`].
+    pub era: u64,
+}
+
 /// Follows the objects of a kind until the process ends.
 pub async fn follow(driver: Rc<Driver>, kind: Kind) {
     let client = Client::new(&driver);
@@ -140,7 +173,7 @@
                     tokio::time::sleep(change_interval(&driver)).await;
                 }
             }
-            Err(StoreError::HistoryGone(_)) => from = None,
+            Err(StoreError::HistoryGone(_) | StoreError::NewEra) => from = None,
             Err(error) => {
                 // Changes may have been missed during the failure.
                 from = None;
@@ -175,8 +208,8 @@
 
 /// Result of a list or a watch.
 struct Update {
-    /// Revision from which the next watch starts.
-    revision: u64,
+    /// Position from which the next watch starts.
+    revision: StorePosition,
     content: Content,
 }
 
@@ -221,7 +254,7 @@
     client: &Client,
     driver: &Rc<Driver>,
     kind: Kind,
-    from: u64,
+    from: StorePosition,
 ) -> Result<Update, StoreError> {
     let changes = client.watch(kind, from).await?;
     let revision = changes.revision;
@@ -276,16 +309,26 @@
     None
 }
 
-/// Registers this instance so that others can find it, and reads the list of instances.
+/// Registers this instance so that others can find it, and reads the list of instances; again in each
+/// era of the store, whose copy may lack the entry, and those of others.
+///
+/// Of two instances, the one that reads the list later finds the entry of the other.
 pub async fn register(driver: Rc<Driver>) {
     let client = Client::new(&driver);
-    let mut backoff = Backoff::new();
+    let mut era = driver.era.subscribe();
     loop {
-        match try_register(&client, &driver).await {
-            Ok(()) => return,
-            Err(error) => driver.warn("could not register this instance", &error),
+        era.mark_unchanged();
+        let mut backoff = Backoff::new();
+        while let Err(error) = try_register(&client, &driver).await {
+            driver.warn("could not register this instance", &error);
+            backoff.wait().await;
         }
-        backoff.wait().await;
+        // The first answer of the store may have brought its era. The driver owns the sender, so the
+        // wait can only end with a later one.
+        let registered = *era.borrow_and_update();
+        let _ = era.wait_for(|it| registered < *it).await;
+        let jitter = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(REGISTER_SPREAD.mul_f64(jitter)).await;
     }
 }
 
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -16,5 +16,6 @@
 mod soak;
 mod stalls;
 mod stops;
+mod store_copy;
 mod streams;
 mod unreadable;
--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod placement;
+pub mod position;
 pub mod sorted;
 pub mod workspace;
 
@@ -37,5 +38,6 @@
 pub use placement::{
     DemandDay, DemandHistory, EndpointReport, Lease, Order, OrderResult, Plan, PoolDemand,
 };
+pub use position::{StorePosition, store_era, store_position, store_revision};
 pub use sorted::SortedMap;
 pub use workspace::{N_SHARDS, Shard, Workspace, WorkspaceEntry};
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -15,7 +15,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{EndpointId, EndpointState, GatewayEndpoint, Moment, PoolId, SortedMap, ZoneId};
+use ferry_model::{
+    EndpointId, EndpointState, GatewayEndpoint, Moment, PoolId, SortedMap, StorePosition, ZoneId,
+    store_era,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{StoreUpdate, Tuning};
@@ -170,10 +173,10 @@
     n_changes: u64,
     /// Start of the process as time since the Unix epoch.
     start: Duration,
-    /// Store revision of the entries.
-    revision: u64,
-    /// Revision of the last known change among them.
-    last_change: u64,
+    /// Store position of the entries.
+    revision: StorePosition,
+    /// Position of the last known change among them.
+    last_change: StorePosition,
     changes: Changes,
     departed: Departed,
     is_store_down: bool,
@@ -279,7 +282,8 @@
                 self.is_store_down = true;
                 false
             }
-            StoreUpdate::Reachable => {
+            // Entries that the copy lacks are written again.
+            StoreUpdate::Reachable | StoreUpdate::Restored => {
                 self.is_store_down = false;
                 self.rejoin_until = Some(now + tuning.rejoin_window);
                 false
@@ -297,6 +301,11 @@
             return false;
         }
         let is_first = !self.is_known();
+        if store_era(self.revision) < store_era(revision) {
+            // Peers may have read changes of the former era that this instance has not, and that the
+            // store has lost.
+            self.changes.reset(revision);
+        }
         self.revision = revision;
         let mut ids: Vec<EndpointId> = endpoints.iter().map(|it| it.id.clone()).collect();
         ids.sort();
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -120,6 +120,8 @@
     Unreachable,
     /// The store answers again.
     Reachable,
+    /// The store came back from an older copy.
+    Restored,
 }
 
 /// The data of a request that decisions need; the process keeps its body.
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -45,8 +45,13 @@
         }
         StoreUpdate::Unreachable => "store does not answer".to_owned(),
         StoreUpdate::Reachable => "store answers again".to_owned(),
+        StoreUpdate::Restored => "store came back from an older copy".to_owned(),
     };
-    let is_news = matches!(update, StoreUpdate::Unreachable | StoreUpdate::Reachable);
+    let is_news =
+        matches!(update, StoreUpdate::Unreachable | StoreUpdate::Reachable | StoreUpdate::Restored);
+    if matches!(update, StoreUpdate::Restored) {
+        origins::exchange::on_restored(cx);
+    }
     let Context { tuning, endpoints, .. } = &mut *cx.ctx;
     if endpoints.apply(cx.now, tuning, update) || is_news {
         cx.log(Decision::new(DecisionKind::Endpoint, reason));
--- a/crates/ferry-serve/src/origins/exchange.rs
+++ b/crates/ferry-serve/src/origins/exchange.rs
@@ -53,6 +53,12 @@
     added
 }
 
+/// Reads the records again, as the store came back from a copy that may lack some.
+pub fn on_restored(cx: &mut Pass<'_>) {
+    cx.ctx.origins.ledger.on_restored();
+    cx.ctx.origins.writer.forget_slots();
+}
+
 /// Looks which builds the pools have, if anything has changed; returns the pools that have got a second
 /// one.
 fn review(cx: &mut Pass<'_>) -> Vec<PoolId> {
--- a/crates/ferry-serve/src/origins/ledger.rs
+++ b/crates/ferry-serve/src/origins/ledger.rs
@@ -35,6 +35,10 @@
     pools: SortedMap<PoolId, PoolBuilds>,
     /// Whether the records were read; a pool without one has none then.
     is_known: bool,
+    /// What was recorded before the store came back from a copy, until the records are read again.
+    before: SortedMap<PoolId, PoolBuilds>,
+    /// Pools whose records the copy lacks, at least in part.
+    lost: Vec<PoolId>,
     n_changes: u64,
     needs: SortedMap<PoolId, Need>,
     /// What is being written.
@@ -80,14 +84,35 @@
             return;
         }
         self.n_changes += 1;
+        self.lost.retain(|it| *it != record.pool);
         self.pools.insert(record.pool.clone(), record);
     }
 
+    /// Keeps what is recorded until the records are read again, as the store came back from a copy.
+    pub fn on_restored(&mut self) {
+        self.is_known = false;
+        for (pool, known) in self.pools.iter() {
+            let before = self.before.get_or_insert_with(pool.clone(), || known.clone());
+            before.builds = union(&before.builds, &known.builds);
+        }
+    }
+
     /// Takes over all records that were read from the store.
     pub fn on_read(&mut self, records: Vec<PoolBuilds>) {
         if !std::mem::replace(&mut self.is_known, true) {
             self.n_changes += 1;
         }
+        for (pool, before) in std::mem::take(&mut self.before).iter() {
+            let read = records.iter().find(|it| it.pool == *pool);
+            let in_store = read.map_or(&[][..], |it| &it.builds);
+            let builds = union(&before.builds, in_store);
+            if builds != in_store {
+                self.lost.push(pool.clone());
+            }
+            let revision = read.and_then(|it| it.revision);
+            let pool = pool.clone();
+            self.pools.insert(pool.clone(), PoolBuilds { pool, builds, revision });
+        }
         records.into_iter().for_each(|it| self.record(it));
     }
 
@@ -108,7 +133,9 @@
                 builds.extend(kept);
                 builds.sort_unstable();
             }
-            if builds.is_empty() || self.builds(pool) == Some(builds.as_slice()) {
+            let is_recorded =
+                self.builds(pool) == Some(builds.as_slice()) && !self.lost.contains(pool);
+            if builds.is_empty() || is_recorded {
                 self.needs.remove(pool);
                 continue;
             }
@@ -192,3 +219,11 @@
         open.map(|it| it.1.due).chain(self.removal_at).min()
     }
 }
+
+/// Returns the builds of both, sorted.
+fn union(a: &[BuildId], b: &[BuildId]) -> Vec<BuildId> {
+    let mut all: Vec<BuildId> = a.iter().chain(b).cloned().collect();
+    all.sort_unstable();
+    all.dedup();
+    all
+}
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -23,4 +23,5 @@
 mod seeds;
 mod shutdown;
 mod silence;
+mod store_copy;
 mod ways;
--- a/crates/ferry-serve/tests/decisions/simulation/records.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/records.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_model::SortedMap;
+use ferry_model::{SortedMap, store_era, store_position, store_revision};
 use ferry_serve::{
     Event, PoolBuilds, RecordCall, RecordReply, StoreUpdate, StoredRecords, StreamSlot,
     WriteFailure,
@@ -23,7 +23,7 @@
     Slow,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RecordStore {
     revision: u64,
     pools: SortedMap<String, PoolBuilds>,
@@ -125,6 +125,20 @@
         self.deliver(instance, Event::Store(update));
     }
 
+    /// Lets the store come back from a copy, in the next era.
+    pub fn restore_records(&mut self, copy: RecordStore) {
+        let era = store_era(self.records.revision) + 1;
+        let revision = |it: Option<u64>| it.map(|it| store_position(era, store_revision(it)));
+        self.records = copy;
+        self.records.revision = store_position(era, store_revision(self.records.revision));
+        let pools = self.records.pools.iter_mut().map(|it| &mut it.1.revision);
+        let slots = self.records.slots.iter_mut().map(|it| &mut it.1.revision);
+        pools.chain(slots).for_each(|it| *it = revision(*it));
+        for instance in 0..self.instances.len() {
+            self.deliver(instance, Event::Store(StoreUpdate::Restored));
+        }
+    }
+
     /// Executes a call, and answers it.
     pub(super) fn call_store(&mut self, instance: usize, call: RecordCall) {
         let is_read = matches!(call, RecordCall::Read { .. });
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -35,8 +35,9 @@
     processes: usize,
     /// only these faults: pauses (moments of silence, configurations and SIGHUP), configurations (the
     /// same with series of configurations apart from each other), herds (all gateways are killed at
-    /// once), upgrades (gateways are replaced, see --other) or entries (some cannot be read, endpoints
-    /// leave, return and ask for pauses); all by default
+    /// once), upgrades (gateways are replaced, see --other), entries (some cannot be read, endpoints
+    /// leave, return and ask for pauses) or copies (the store comes back from older copies); all by
+    /// default
     #[argh(option)]
     only: Option<Only>,
     /// sends prompts on which engines crash, and requests on which all endpoints do
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -17,7 +17,7 @@
 use crate::soak::Only;
 use crate::store::StoreBehaviour;
 
-pub use processes::{generate_herds, generate_upgrades};
+pub use processes::{generate_copies, generate_herds, generate_upgrades};
 pub use statements::{
     generate_leaving, generate_limits, generate_malformed_entries, generate_pause_requests,
 };
@@ -46,6 +46,10 @@
     },
     /// Discards the store's change history.
     Compact,
+    /// The store takes a copy of its objects.
+    CopyStore,
+    /// The store comes back from its copy.
+    RestoreStore,
     Behaviour {
         endpoint: usize,
         behaviour: Behaviour,
@@ -270,6 +274,8 @@
         Step::StoreReset => cluster.store_proxy.reset(),
         Step::Release { node, is_other } => cluster.set_release(node, is_other),
         Step::Compact => cluster.store.compact(),
+        Step::CopyStore => cluster.store.take_copy(),
+        Step::RestoreStore => cluster.store.restore(),
         Step::Behaviour { endpoint, behaviour } => {
             cluster.endpoints[endpoint].behaviour.set(behaviour);
             note(cluster, endpoint);
--- a/crates/ferry-soak/src/plan/processes.rs
+++ b/crates/ferry-soak/src/plan/processes.rs
@@ -1,4 +1,5 @@
-//! Schedules in which all gateways are killed at once, or replaced one after the other.
+//! Schedules in which all gateways are killed at once, or replaced one after the other, or the store
+//! comes back from older copies.
 
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use super::{Plan, Step};
 use crate::cluster::{N_ENDPOINTS, Signal};
 use crate::endpoint::{Behaviour, Pool};
+use crate::store::StoreBehaviour;
 
 /// Time between the replacements of two gateways.
 const UPGRADE_INTERVAL: Duration = Duration::from_millis(4_000);
@@ -53,3 +55,34 @@
     plan.sort_by_key(|it| it.0);
     plan
 }
+
+/// Generates stores that are away and come back from a copy, at times twice in a row, while
+/// configurations change and gateways start again.
+pub fn generate_copies(rng: &mut Pcg64Mcg, duration: Duration, n_nodes: usize) -> Plan {
+    let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
+    let mut plan: Plan = Vec::new();
+    let mut at = millis(rng, 0..1_500);
+    while at < duration {
+        plan.push((at, Step::CopyStore));
+        for _ in 0..rng.random_range(0..4) {
+            let (has_extra, changed) = (rng.random_range(0..2) == 0, at + millis(rng, 0..1_500));
+            plan.push((changed, Step::Configure { has_extra, variation: None }));
+        }
+        if rng.random_range(0..3) == 0 {
+            let (node, killed) = (rng.random_range(0..n_nodes), at + millis(rng, 0..1_000));
+            plan.push((killed, Step::Signal { node, signal: Signal::Kill }));
+            plan.push((killed + millis(rng, 100..800), Step::Start { node }));
+        }
+        at += millis(rng, 100..4_000);
+        for _ in 0..rng.random_range(1..3) {
+            plan.push((at, Step::Store(StoreBehaviour::Disconnects)));
+            at += millis(rng, 100..1_500);
+            plan.push((at, Step::RestoreStore));
+            plan.push((at, Step::Store(StoreBehaviour::Healthy)));
+            at += millis(rng, 100..2_000);
+        }
+        at += millis(rng, 500..3_000);
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -22,7 +22,7 @@
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
 use crate::plan::{
-    Plan, apply, generate, generate_herds, generate_leaving, generate_limits,
+    Plan, apply, generate, generate_copies, generate_herds, generate_leaving, generate_limits,
     generate_malformed_entries, generate_pause_requests, generate_pauses, generate_upgrades,
     restore,
 };
@@ -64,6 +64,8 @@
     Upgrades,
     /// Entries that cannot be read, and endpoints that leave, return and ask for pauses.
     Entries,
+    /// The store comes back from older copies, beside leaving endpoints and restarts of gateways.
+    Copies,
 }
 
 impl Only {
@@ -71,7 +73,7 @@
     fn is_calm(self) -> bool {
         match self {
             Only::Pauses | Only::Configurations | Only::Entries => true,
-            Only::Herds | Only::Upgrades => false,
+            Only::Herds | Only::Upgrades | Only::Copies => false,
         }
     }
 }
@@ -243,6 +245,12 @@
         plan.sort_by_key(|it| it.0);
         return plan;
     }
+    if only == Some(Only::Copies) {
+        let mut plan = generate_copies(&mut entries_rng, duration, n_nodes);
+        plan.extend(generate_leaving(&mut leaving_rng, duration, Pool::iter().count()));
+        plan.sort_by_key(|it| it.0);
+        return plan;
+    }
     if only == Some(Only::Upgrades) {
         return generate_upgrades(duration, n_nodes);
     }
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -51,15 +51,24 @@
     is_removed: bool,
 }
 
+type Objects = SortedMap<(String, String), StoredObject>;
+
+/// Kinds that operators and endpoints write.
+const FOREIGN_KINDS: [&str; 2] = ["config", "servers"];
+
 #[derive(Debug)]
 pub struct Store {
     behaviour: Cell<StoreBehaviour>,
+    /// How often it has come back from a copy.
+    era: Cell<u64>,
+    /// The objects of a copy, and its revision.
+    copy: RefCell<Option<(Objects, u64)>>,
     /// Delay of each page of a list except the first.
     page_delay: Cell<Duration>,
     revision: Cell<u64>,
     /// The change history up to this revision has been discarded.
     compacted: Cell<u64>,
-    objects: RefCell<SortedMap<(String, String), StoredObject>>,
+    objects: RefCell<Objects>,
     events: RefCell<Vec<Event>>,
     changed: Notify,
 }
@@ -68,6 +77,8 @@
     pub fn new() -> Rc<Store> {
         Rc::new(Store {
             behaviour: Cell::new(StoreBehaviour::Healthy),
+            era: Cell::new(1),
+            copy: RefCell::default(),
             page_delay: Cell::new(Duration::ZERO),
             revision: Cell::new(1),
             compacted: Cell::new(0),
@@ -101,6 +112,41 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies all objects.
+    pub fn take_copy(&self) {
+        self.copy.replace(Some((self.objects.borrow().clone(), self.revision.get())));
+    }
+
+    /// Comes back from the copy, if there is one: what gateways wrote since is gone, and what operators
+    /// and endpoints wrote is written again under other revisions.
+    pub fn restore(&self) {
+        let Some((objects, revision)) = self.copy.borrow().clone() else { return };
+        let lost = self.objects.replace(objects);
+        self.revision.set(revision);
+        self.compacted.set(0);
+        self.events.borrow_mut().clear();
+        self.era.set(self.era.get() + 1);
+        let is_foreign = |it: &(String, String)| FOREIGN_KINDS.contains(&it.0.as_str());
+        let gone: Vec<(String, String)> = {
+            let objects = self.objects.borrow();
+            objects.keys().filter(|it| is_foreign(it) && !lost.contains_key(*it)).cloned().collect()
+        };
+        gone.iter().for_each(|(kind, name)| self.remove(kind, name));
+        for ((kind, name), object) in lost.iter().rev().filter(|it| is_foreign(it.0)) {
+            match serde_json::from_slice::<Value>(&object.text) {
+                Ok(value) => drop(self.put(kind, name, value["Spec"].clone())),
+                Err(_) => self.put_text(kind, name, object.text.clone()),
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let objects = self.objects.borrow();
+        objects.keys().filter(|it| it.0 == kind).map(|it| it.1.clone()).collect()
+    }
+
     /// Creates or replaces an object, and returns its text.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> Bytes {
         let revision = self.next_revision();
@@ -175,6 +221,8 @@
             _ => full_response(StatusCode::NOT_FOUND, ""),
         };
         let is_lost = is_write && self.behaviour.get() == StoreBehaviour::LosesResponses;
+        let mut response = response;
+        response.headers_mut().insert("store-era", self.era.get().into());
         (!is_lost).then_some(response)
     }
 
@@ -222,7 +270,7 @@
     async fn watch(&self, kind: &str, from: u64, wait: u64) -> Response<Body> {
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
-            if from < self.compacted.get() {
+            if from < self.compacted.get() || self.revision.get() < from {
                 return full_response(StatusCode::GONE, "");
             }
             let changed = self.changed.notified();
