Bound the waits that follow from a rate of next to nothing

Cause: the admission controller turned the time until such a queue is empty into a duration, which panics beyond 2^64 s. Evidence: rate_of_next_to_nothing_ends_no_process panics before (four rates, five sets of pools, one and three instances) and passes now.

--- a/crates/ferry-serve/src/admission/controller.rs
+++ b/crates/ferry-serve/src/admission/controller.rs
@@ -128,15 +128,22 @@
         }
         Evaluation {
             decision,
-            wait: Duration::from_secs_f64(wait),
+            wait: duration(wait),
             max_wait,
-            queue: Duration::from_secs_f64(queue_time),
+            queue: duration(queue_time),
             bottleneck,
             rate,
         }
     }
 }
 
+/// Returns a time, at most a day: an endpoint may name a rate at which a queue takes longer than a
+/// duration can hold.
+fn duration(secs: f64) -> Duration {
+    const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+    Duration::try_from_secs_f64(secs).map_or(DAY, |it| it.min(DAY))
+}
+
 impl PoolQueue {
     /// Removes the items that the pool has done since the last call.
     fn drain(&mut self, now: Moment, capacity: &Capacity) {
--- a/crates/ferry-serve/tests/decisions/rate_limits.rs
+++ b/crates/ferry-serve/tests/decisions/rate_limits.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod faults;
 pub mod load;
+mod tiny;
 
 use ferry_serve::{Mechanism, Tuning};
 
