Count only endpoints that may be asked when a cut is looked for

Callers saw: with one of two endpoints of a pool leaving by its announcement, an instance that lost its links never passed their requests on. Cause: a cut needs failures at as many endpoints as have a live entry, two here, and a leaving one gets no calls that could fail. Evidence: announcement_binds_the_peer_to_which_requests_are_passed_on with two endpoints: 0 requests passed on before; served by peers now. cuts:: is as before (one known failure). Change: endpoints that leave are not counted, and a pool without any other is not in doubt.

--- a/crates/ferry-serve/src/reach.rs
+++ b/crates/ferry-serve/src/reach.rs
@@ -144,7 +144,7 @@
         let mut changes = Vec::new();
         let suspects = self.pools.iter_mut().filter(|it| it.1.is_cut || !it.1.failed.is_empty());
         for (pool, it) in suspects {
-            let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+            let live = endpoints.pool(pool).filter(|it| !it.leaves());
             let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
             it.failed.retain(|id, _| live.contains(&id));
             if it.is_cut {
@@ -160,11 +160,12 @@
             it.failed
                 .retain(|_, at| now < *at + FAILURE_TTL && opened_at.is_none_or(|it| it < *at));
             let first = it.failed.values().min().copied();
-            it.is_doubted = MIN_DOUBTED.min(live.len()) <= it.failed.len();
+            it.is_doubted = !live.is_empty() && MIN_DOUBTED.min(live.len()) <= it.failed.len();
             if !it.is_doubted {
                 it.n_doubted = 0;
             }
-            let has_failed = MIN_FAILED.min(live.len()) <= it.failed.len()
+            let has_failed = it.is_doubted
+                && MIN_FAILED.min(live.len()) <= it.failed.len()
                 && MIN_PROBED.min(live.len()) <= it.n_doubted;
             let since = first.filter(|_| has_failed).map(|it| it + EVIDENCE_DELAY);
             if since.is_some_and(|it| it <= now && is_reached(pool, it)) {
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -85,17 +85,21 @@
 fn announcement_binds_the_peer_to_which_requests_are_passed_on() {
     struct Case {
         endpoint: &'static str,
+        n_plain: usize,
         routes: &'static [&'static str],
         others: &'static [&'static str],
     }
+    let (routes, others): (&[&str], &[&str]) = (&["get"], &["post"]);
     let cases = [
-        Case { endpoint: "plain-0", routes: &["get"], others: &["post"] },
-        Case { endpoint: "engine-0", routes: &["stream"], others: &["once"] },
+        Case { endpoint: "plain-0", n_plain: 4, routes, others },
+        // The other one is the only one whose failures show the cut.
+        Case { endpoint: "plain-0", n_plain: 2, routes, others },
+        Case { endpoint: "engine-0", n_plain: 2, routes: &["stream"], others: &["once"] },
     ];
-    for Case { endpoint, routes, others } in cases {
+    for Case { endpoint, n_plain, routes, others } in cases {
         for spread in [Spread::Whole, Spread::WithRequests] {
             let mut sim = Simulation::new(4);
-            sim.fill_pool("plain", 4);
+            sim.fill_pool("plain", n_plain);
             sim.loses_notices = matches!(spread, Spread::WithRequests);
             let mut load = Load::new(routes, 60).with_instance(0);
             let mut others = Load::new(others, 60).with_instance(1);
