Register again in any era after that of the registration

Cause: an era that came between the write of the entry and its note was taken for the one of the entry, so that it was not written again. Found by reading. Change: registering returns the era in which the entry was written. No other change of behaviour.

--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -317,38 +317,39 @@
     let client = Client::new(&driver);
     let mut era = driver.era.subscribe();
     loop {
-        era.mark_unchanged();
         let mut backoff = Backoff::new();
-        while let Err(error) = try_register(&client, &driver).await {
-            driver.warn("could not register this instance", &error);
+        let registered = loop {
+            match try_register(&client, &driver).await {
+                Ok(era) => break era,
+                Err(error) => driver.warn("could not register this instance", &error),
+            }
             backoff.wait().await;
-        }
-        // The first answer of the store may have brought its era. The driver owns the sender, so the
-        // wait can only end with a later one.
-        let registered = *era.borrow_and_update();
-        let _ = era.wait_for(|it| registered < *it).await;
+        };
+        // The driver owns the sender, so the wait can only end with a later era.
+        let _ = era.wait_for(|it| Some(registered) < *it).await;
         let jitter = rand::rng().random_range(0.0..1.0);
         tokio::time::sleep(REGISTER_SPREAD.mul_f64(jitter)).await;
     }
 }
 
-async fn try_register(client: &Client, driver: &Rc<Driver>) -> Result<(), StoreError> {
+/// Registers this instance, and returns the era in which that was done.
+async fn try_register(client: &Client, driver: &Rc<Driver>) -> Result<u64, StoreError> {
     let name = &driver.settings.instance;
     let registration =
         Registration { peer: driver.settings.peer, zone: driver.settings.zone.clone() };
     let body = Bytes::from(store::registration_body(name, &registration).to_string());
     let create =
         InternalCall::json(Method::POST, &store::create_path(Kind::Instances), body.clone());
-    match client.call(&create, RESPONSE_TIMEOUT).await {
-        Ok(_) => (),
+    let answer = match client.call(&create, RESPONSE_TIMEOUT).await {
         Err(StoreError::Status(StatusCode::CONFLICT)) => {
             let path = store::object_path(Kind::Instances, name);
-            client.call(&InternalCall::json(Method::PUT, &path, body), RESPONSE_TIMEOUT).await?;
+            client.call(&InternalCall::json(Method::PUT, &path, body), RESPONSE_TIMEOUT).await
         }
-        Err(error) => return Err(error),
-    }
+        result => result,
+    };
+    let era = answer?.era;
     list(client, driver, Kind::Instances).await?;
-    Ok(())
+    Ok(era)
 }
 
 /// Exponential backoff with jitter.
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -124,17 +124,13 @@
     }
     match outcome {
         JobOutcome::Done(handles) => {
-            let since = match &request.stages[idx] {
-                StageState::Submitted(it) => it.since,
-                StageState::Waiting | StageState::Done { .. } => cx.now,
+            let (since, peer) = match &request.stages[idx] {
+                StageState::Submitted(it) => (it.since, it.peer),
+                StageState::Waiting | StageState::Done { .. } => (cx.now, None),
             };
-            let collector = match &request.stages[idx] {
-                StageState::Submitted(Submitted { peer: Some(peer), .. }) => {
-                    cx.ctx.peers.get(*peer).map(|it| it.heartbeat.instance.clone())
-                }
-                StageState::Submitted(_) | StageState::Waiting | StageState::Done { .. } => None,
-            };
-            let collector = collector.unwrap_or_else(|| cx.ctx.identity.instance.clone());
+            let collector =
+                peer.and_then(|it| cx.ctx.peers.get(it)).map(|it| &it.heartbeat.instance);
+            let collector = collector.unwrap_or(&cx.ctx.identity.instance).clone();
             cx.log(
                 Decision::new(DecisionKind::Stage, "results are available")
                     .with_endpoint(&collector)
@@ -144,10 +140,6 @@
                     .with_times(cx.now - since, times::own_call_time(request, idx))
                     .with_budget(request.deadline.saturating_sub(cx.now)),
             );
-            let peer = match request.stages[idx] {
-                StageState::Submitted(Submitted { peer, .. }) => peer,
-                StageState::Waiting | StageState::Done { .. } => None,
-            };
             request.stages[idx] = StageState::Done { handles, peer, is_retained: true };
             release_inputs(cx, batcher, request, idx);
         }
