Tell peers only of pauses that were asked of this instance

Callers would see: a pause that lasts on while requests with items go both ways between two instances. Cause: a pause that a peer had told of was told on, and each message takes time, so that two collectors put off its end for each other. Evidence: pause_that_a_peer_has_told_of_goes_no_further fails before (5 s told on instead of 2 s) and passes now.

--- a/crates/ferry-serve/src/endpoints/notices.rs
+++ b/crates/ferry-serve/src/endpoints/notices.rs
@@ -55,7 +55,7 @@
             if let Some(revision) = view.withdrawn_at().filter(|it| last_change < *it) {
                 others.push(EndpointNotice::new(id, Restriction::Withdrawn { revision }));
             }
-            let left = view.pause.left(now);
+            let left = view.pause.own_left(now);
             if !left.is_zero() {
                 others.push(EndpointNotice::new(id, Restriction::Paused { started, left }));
             }
@@ -107,7 +107,7 @@
         match notice.restriction {
             Restriction::Announced { started } => self.record_leaving(now, id, started),
             Restriction::Withdrawn { revision } => self.withdraw(now, revision, id),
-            Restriction::Paused { started, left } => self.record_pause(now, id, started, left),
+            Restriction::Paused { started, left } => self.extend_pause(now, id, started, left),
         }
     }
 
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -31,6 +31,9 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Pause {
     end: Moment,
+    /// End of the part that was asked of this instance. Peers are told of that only: each message
+    /// takes time, by which they would put off the end for each other.
+    own_end: Moment,
     /// When it was last asked for, as time since the Unix epoch.
     asked_at: Duration,
     /// When the next call may be sent.
@@ -58,9 +61,9 @@
         if self.end < other.end { other } else { self }
     }
 
-    /// Returns the time until it ends.
-    pub fn left(&self, now: Moment) -> Duration {
-        self.end.saturating_sub(now)
+    /// Returns the time until the end of what was asked of this instance.
+    pub fn own_left(&self, now: Moment) -> Duration {
+        self.own_end.saturating_sub(now)
     }
 
     pub fn on_sent(&mut self, now: Moment) {
@@ -106,16 +109,37 @@
     /// Records that an endpoint asks for a pause, in the response to a request that was sent when
     /// its start `started` was known; returns whether it had none.
     pub fn record_pause(&mut self, now: Moment, id: &str, started: u64, pause: Duration) -> bool {
+        if pause.is_zero() {
+            return false;
+        }
+        let is_new = self.extend_pause(now, id, started, pause);
+        let known = self.pause_of(now, id, started);
+        known.own_end = known.own_end.max(now + pause.min(MAX_PAUSE));
+        is_new
+    }
+
+    /// Records the pause that an endpoint has asked a peer for; returns whether it had none here.
+    pub(super) fn extend_pause(
+        &mut self,
+        now: Moment,
+        id: &str,
+        started: u64,
+        pause: Duration,
+    ) -> bool {
         if pause.is_zero() {
             return false;
         }
         let asked_at = self.start + now;
-        let known = match self.views.get_mut(id) {
-            Some(view) => &mut view.pause,
-            None => &mut self.departed.start(now, id, started).pause,
-        };
+        let known = self.pause_of(now, id, started);
         let is_new = known.end <= now;
         known.extend(now + pause.min(MAX_PAUSE), asked_at);
         is_new
     }
+
+    fn pause_of(&mut self, now: Moment, id: &str, started: u64) -> &mut Pause {
+        match self.views.get_mut(id) {
+            Some(view) => &mut view.pause,
+            None => &mut self.departed.start(now, id, started).pause,
+        }
+    }
 }
--- a/crates/ferry-serve/tests/decisions/leaving/peers.rs
+++ b/crates/ferry-serve/tests/decisions/leaving/peers.rs
@@ -1,11 +1,11 @@
 //! What one instance knows of leaving endpoints, and others send on its behalf.
 
 use ferry_model::EndpointState;
-use ferry_serve::{Event, StoreUpdate};
+use ferry_serve::{EndpointNotice, Event, PauseReport, PeerMessage, Restriction, StoreUpdate};
 
 use super::announce;
 use crate::rate_limits::load::Load;
-use crate::simulation::{Cut, CutForm, Simulation, ms};
+use crate::simulation::{Cut, CutForm, Simulation, ms, peer};
 use crate::ways::Way;
 
 /// How what an instance knows gets to others.
@@ -146,3 +146,37 @@
         }
     }
 }
+
+/// Returns the longest pause of an endpoint of which an instance tells others.
+fn told_pause(sim: &Simulation, instance: usize) -> Option<std::time::Duration> {
+    let gateway = sim.instances[instance].as_ref().expect("it is running");
+    let notices = gateway.context().endpoints.notices(sim.now, "first", 0);
+    let left = |it: &EndpointNotice| match it.restriction {
+        Restriction::Paused { left, .. } => Some(left),
+        Restriction::Announced { .. } | Restriction::Withdrawn { .. } => None,
+    };
+    notices.iter().filter_map(left).max()
+}
+
+#[test]
+fn pause_that_a_peer_has_told_of_goes_no_further() {
+    let mut sim = Simulation::new(2);
+    let (endpoint, report) = ("first-0".to_owned(), PauseReport::Asked(ms(2_000)));
+    sim.deliver(0, Event::Pause { endpoint: endpoint.clone(), started: 1, report });
+    assert_eq!(told_pause(&sim, 0), Some(ms(2_000)));
+    let restriction = Restriction::Paused { started: 1, left: ms(5_000) };
+    let notices = vec![EndpointNotice { endpoint, restriction }];
+    for (instance, from) in [(0, 1), (1, 0)] {
+        let message = PeerMessage::Notices { notices: notices.clone() };
+        sim.deliver(instance, Event::Peer { from: peer(from), message });
+    }
+    // Each hop takes time, by which two instances would put off the end for each other for good.
+    assert_eq!(told_pause(&sim, 0), Some(ms(2_000)));
+    assert_eq!(told_pause(&sim, 1), None);
+    for instance in [0, 1] {
+        let gateway = sim.instances[instance].as_ref().expect("it is running");
+        let view = gateway.context().endpoints.get("first-0").expect("it is known");
+        assert!(view.wants_pause(sim.now + ms(4_999)), "instance {instance}");
+        assert!(!view.wants_pause(sim.now + ms(5_000)), "instance {instance}");
+    }
+}
