Keep a pause whatever the clocks of endpoints say

What callers saw: an endpoint that started again asked a gateway for five seconds without requests, and got nine in that time once its entry arrived (two are allowed; four of four trials with its clock 12 s and 30 s ahead).

Cause: whether the start named by an entry had asked for a pause was decided by comparing the endpoint's clock with that of the gateway, with ten seconds to spare. A clock that is stepped, or wrong since the start of either process, is off by more.

Change: only the order of events at the instance counts. A start whose entry comes within two minutes after the refusal may have asked for the pause, so that the pause holds for it; later ones cannot have. The start of the process by the wall clock is no longer needed.

That a start which began long after is free of it is asked by the new test.

--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -75,7 +75,6 @@
         zone: settings.zone.clone(),
         weight: weight(&settings),
         is_first_start: settings.is_first_start,
-        started: Duration::from_millis(process::unix_millis()),
         front: settings.front,
         peer: settings.peer,
         relay: settings.relay,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -171,8 +171,6 @@
     zones: SortedMap<SocketAddr, ZoneId>,
     /// Number of changes so far to the endpoints that may get work.
     n_changes: u64,
-    /// Start of the process as time since the Unix epoch.
-    start: Duration,
     /// Store position of the entries.
     revision: StorePosition,
     /// Position of the last known change among them.
@@ -189,12 +187,6 @@
         Endpoints::default()
     }
 
-    /// Sets the start of the process as time since the Unix epoch, by which the age of endpoints is
-    /// known.
-    pub fn with_start(self, start: Duration) -> Endpoints {
-        Endpoints { start, ..self }
-    }
-
     pub fn get(&self, id: &str) -> Option<&EndpointView> {
         self.views.get(id)
     }
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -171,7 +171,7 @@
                 Announcement::Made if view.has_announced() => (),
                 Announcement::Made => view.announcement = Announcement::doubtful(now),
             }
-            if is_same || pause.may_be_of(started) {
+            if is_same || pause.may_be_of_entry(now) {
                 view.pause = view.pause.longer(*pause);
             }
         }
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -16,8 +16,8 @@
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval below which calls are no longer kept apart.
 const LEAST_INTERVAL: Duration = Duration::from_millis(5);
-/// Largest difference between the clocks of an endpoint and of this instance.
-const MAX_CLOCK_SKEW: Duration = Duration::from_secs(10);
+/// Longest time for which an endpoint serves before its entry is known here.
+const MAX_ENTRY_DELAY: Duration = Duration::from_secs(120);
 
 /// What a refusal says of the time for which its endpoint wants no requests from this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,8 +34,8 @@
     /// End of the part that was asked of this instance. Peers are told of that only: each message
     /// takes time, by which they would put off the end for each other.
     own_end: Moment,
-    /// When it was last asked for, as time since the Unix epoch.
-    asked_at: Duration,
+    /// When it was last asked for.
+    asked_at: Moment,
     /// When the next call may be sent.
     next_call: Moment,
     /// Time between two calls; zero once it takes any number.
@@ -44,16 +44,19 @@
 
 impl Pause {
     /// Extends the pause. The one that was asked for before holds too.
-    fn extend(&mut self, end: Moment, asked_at: Duration) {
-        self.end = self.end.max(end);
-        self.asked_at = asked_at;
+    fn extend(&mut self, now: Moment, pause: Duration) {
+        self.end = self.end.max(now + pause.min(MAX_PAUSE));
+        self.asked_at = now;
         self.next_call = self.end;
         self.interval = FIRST_INTERVAL;
     }
 
-    /// Whether a start of the endpoint may have asked for it, although its entry came later.
-    pub fn may_be_of(&self, started: u64) -> bool {
-        Duration::from_millis(started) <= self.asked_at + MAX_CLOCK_SKEW
+    /// Whether a start of the endpoint may have asked for it whose entry comes now.
+    ///
+    /// Clocks of endpoints and instances may be off by any time, so that only the order of events at this
+    /// instance tells starts apart.
+    pub fn may_be_of_entry(&self, now: Moment) -> bool {
+        now <= self.asked_at + MAX_ENTRY_DELAY
     }
 
     /// Returns the one of two that ends later.
@@ -129,10 +132,9 @@
         if pause.is_zero() {
             return false;
         }
-        let asked_at = self.start + now;
         let known = self.pause_of(now, id, started);
         let is_new = known.end <= now;
-        known.extend(now + pause.min(MAX_PAUSE), asked_at);
+        known.extend(now, pause);
         is_new
     }
 
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -64,7 +64,7 @@
 impl Gateway {
     pub fn new(identity: Identity, tuning: Tuning) -> Gateway {
         let scheduler = Scheduler::new(!identity.is_first_start);
-        let endpoints = Endpoints::new().with_start(identity.started);
+        let endpoints = Endpoints::new();
         // A limiter may still know the permits that a former process here has asked for.
         let last_permit = identity.incarnation << PERMIT_BITS;
         Gateway {
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -41,8 +41,6 @@
     pub weight: f64,
     /// Whether it started with the whole system, for the first time.
     pub is_first_start: bool,
-    /// Start of the process as time since the Unix epoch.
-    pub started: Duration,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where peers send datagrams.
