Hear an instance that has started again with its clock set back

What callers saw: nothing yet; found by looking for other decisions that compare clocks. An instance whose clock had been set back before it started again was unknown to its peers for good: they passed nothing on to it, the directory did not name it, and each side had a limiter, a collector and a scheduler of its own.

Cause: an incarnation begins with the time of the start, and heartbeats with a lower one than the highest known were taken for late ones of a former process.

Change: a lower incarnation counts once nothing was received of the higher one for a second. One function decides that, for the peers and for the formats that they read; the format table had a copy of it.

Evidence: instance_whose_clock_was_set_back_is_known_after_it_has_started_again fails on the code before (peers know incarnation 65532 instead of 65530 six seconds after the start), and passes with 2, 6 and 76 instances.

--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -77,7 +77,11 @@
         driver.metrics.count(Metric::MessagesSkipped);
         return None;
     }
+    let now = driver.now();
+    let is_overtaken =
+        |it: u64| driver.query(|gateway| gateway.context().peers.is_overtaken(now, from, it));
     if let (Some(format), Received::Message(PeerMessage::Heartbeat(it))) = (format, &received)
+        && !is_overtaken(it.incarnation)
         && driver.formats.borrow_mut().record(from, it.incarnation, format)
     {
         slog::info!(driver.log, "a peer uses another format than before";
--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -198,7 +198,8 @@
 /// The format that each peer reads, by the address at which it receives datagrams.
 ///
 /// A process sends its heartbeat in all formats until it has received the peer's, so that the highest one
-/// counts; one that takes its place may be of an earlier release, so that its format counts alone.
+/// counts; one that takes its place may be of an earlier release, so that its format counts alone. Late
+/// heartbeats of former processes are not recorded, see [`ferry_serve::Peers::is_overtaken`].
 #[derive(Debug, Default)]
 pub struct PeerFormats {
     known: SortedMap<SocketAddr, (Incarnation, WireFormat)>,
@@ -214,7 +215,6 @@
     ) -> bool {
         let before = self.known.get(&peer).copied();
         let now = match before {
-            Some((known, _)) if incarnation < known => return false,
             Some((known, spoken)) if incarnation == known => spoken.max(format),
             Some(_) | None => format,
         };
--- a/crates/ferry-serve/src/peers.rs
+++ b/crates/ferry-serve/src/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{ConfigVersion, Moment, SortedMap};
+use ferry_model::{ConfigVersion, Incarnation, Moment, SortedMap};
 
 use crate::{Identity, Tuning, rendezvous_hash};
 
@@ -22,6 +22,8 @@
 /// have to agree on the role of each.
 const MAX_NEW_PEERS: usize = 48;
 const NEW_PEERS_INTERVAL: Duration = Duration::from_millis(40);
+/// Longest time by which a datagram may be overtaken by later ones.
+const OVERTAKING_TIME: Duration = Duration::from_secs(1);
 /// Time after which a silent peer counts as gone for good, not as cut off.
 const MEMORY: Duration = Duration::from_secs(60);
 /// Time after its last message for which a peer counts where the instances share something: longer
@@ -76,11 +78,11 @@
         if let Err(idx) = self.known.binary_search(&from) {
             self.known.insert(idx, from);
         }
-        let before = self.views.get(&from);
-        if before.is_some_and(|it| heartbeat.incarnation < it.heartbeat.incarnation) {
+        if self.is_overtaken(now, from, heartbeat.incarnation) {
             return false;
         }
-        let is_new = before.is_none_or(|it| it.heartbeat.incarnation < heartbeat.incarnation);
+        let before = self.views.get(&from);
+        let is_new = before.is_none_or(|it| it.heartbeat.incarnation != heartbeat.incarnation);
         self.views.insert(from, PeerView { heartbeat, last_heard: now, is_suspect: false });
         if is_new && !self.unannounced.contains(&from) {
             self.unannounced.push(from);
@@ -89,6 +91,16 @@
         is_new
     }
 
+    /// Whether a heartbeat is of a process that another one has replaced at its address.
+    ///
+    /// Incarnations begin with the time of the start, by a clock that may have been set back since, so
+    /// that a lower one may be of a later process. It counts once the known process is silent.
+    pub fn is_overtaken(&self, now: Moment, from: SocketAddr, incarnation: Incarnation) -> bool {
+        self.views.get(&from).is_some_and(|it| {
+            incarnation < it.heartbeat.incarnation && now < it.last_heard + OVERTAKING_TIME
+        })
+    }
+
     pub fn get(&self, address: SocketAddr) -> Option<&PeerView> {
         self.views.get(&address)
     }
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -201,6 +201,8 @@
     /// Streams that have brought an event.
     begun: BTreeSet<(usize, CallId)>,
     incarnations: Vec<u64>,
+    /// Whether the clock of an instance is behind its former one whenever it starts from now on.
+    pub sets_clocks_back: bool,
     /// When each instance's timer fires.
     timers: Vec<Option<Moment>>,
     queue: BTreeMap<(Moment, u64), QueuedEvent>,
