Send releases that know no eras revisions of the store

Cause: a position of the store has its era above the bits of the revision, and was sent in the fields in which released messages have a revision. The bytes were those of the release, their meaning was not. An instance of the release before took such a position over from a peer, and from then on ignored what it read from the store, whose revisions are lower. Nothing told it of changes once the last newer instance was gone. Builds of pools, which carry a revision too, could not be written any more for the same reason.

Change: the meaning is a format of its own, 4.

--- a/crates/ferry-gateway/src/auxiliary.rs
+++ b/crates/ferry-gateway/src/auxiliary.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use ferry_platform::directory;
+use ferry_serve::Endpoints;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -15,7 +16,7 @@
 use strum::IntoEnumIterator;
 
 use crate::driver::{Driver, Phase};
-use crate::peers::SNAPSHOT_PATH;
+use crate::peers::{SNAPSHOT_PATH, has_era};
 use crate::quarantine;
 use crate::server::Interface;
 use crate::wire::WireFormat;
@@ -73,7 +74,12 @@
         fields.filter(|it| it.0 == name).find_map(|it| it.1.parse().ok()).unwrap_or(0)
     };
     let (version, since) = (number("version"), number("since"));
-    match serde_json::to_vec(&driver.query(|it| it.snapshot(version, since))) {
+    // Releases before the parameter compare revisions, unless a peer has told them of positions.
+    let names_era = since != Endpoints::NO_ENDPOINTS && has_era(since);
+    let knows_eras = WireFormat::Eras as u64 <= number("format") || names_era;
+    let state = driver.query(|it| it.snapshot(version, since));
+    let state = if knows_eras { state } else { state.without_eras() };
+    match serde_json::to_vec(&state) {
         Ok(body) => json(Bytes::from(body)),
         Err(error) => {
             driver.warn("could not serialize the state for a peer", &error);
--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_model::ConfigVersion;
+use ferry_model::{ConfigVersion, StorePosition, store_era};
 use ferry_serve::{Event, Metric, PeerMessage, PoolBuilds, StoreUpdate};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -24,9 +24,9 @@
 
 /// Sends a message to a peer in the format that it reads.
 pub fn send(driver: &Rc<Driver>, to: SocketAddr, message: &PeerMessage) {
-    let formats = driver.formats.borrow().of(to, driver.highest_format);
-    for format in formats {
-        let bytes = match wire::encode(message, format) {
+    let readers = driver.formats.borrow().of(to, driver.highest_format);
+    for reader in readers {
+        let bytes = match wire::encode(message, reader) {
             Ok(Some(bytes)) => bytes,
             // Its release has no such message.
             Ok(None) => continue,
@@ -41,6 +41,11 @@
     }
 }
 
+/// Whether a position has an era, so that its sender knows of eras, or has it from one that does.
+pub fn has_era(position: StorePosition) -> bool {
+    0 < store_era(position)
+}
+
 /// Receives datagrams until the process exits.
 pub async fn receive(driver: Rc<Driver>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -82,7 +87,7 @@
         |it: u64| driver.query(|gateway| gateway.context().peers.is_overtaken(now, from, it));
     if let (Some(format), Received::Message(PeerMessage::Heartbeat(it))) = (format, &received)
         && !is_overtaken(it.incarnation)
-        && driver.formats.borrow_mut().record(from, it.incarnation, format)
+        && driver.formats.borrow_mut().record(from, it.incarnation, format, has_era(it.last_change))
     {
         slog::info!(driver.log, "a peer uses another format than before";
             "peer" => from.to_string(), "format" => format.to_string());
@@ -125,7 +130,9 @@
     version: ConfigVersion,
     since: u64,
 ) -> Result<BufferedResponse, CallError> {
-    let call = InternalCall::get(format!("{SNAPSHOT_PATH}?version={version}&since={since}"));
+    let format = driver.highest_format as u8;
+    let path = format!("{SNAPSHOT_PATH}?version={version}&since={since}&format={format}");
+    let call = InternalCall::get(path);
     driver.connections.call(from, &call, PULL_TIMEOUT).await
 }
 
--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -40,11 +40,30 @@
     /// Messages have a header, a checksum and extensions.
     #[strum(serialize = "3")]
     Framed = 3,
+    /// Positions in the store's history have its era. Most releases of the formats before compare them
+    /// with revisions of the store, which are lower.
+    #[strum(serialize = "4")]
+    Eras = 4,
 }
 
 impl WireFormat {
-    pub const CURRENT: WireFormat = WireFormat::Framed;
-    pub const ALL: [WireFormat; 3] = [WireFormat::Framed, WireFormat::Reach, WireFormat::Bare];
+    pub const CURRENT: WireFormat = WireFormat::Eras;
+    pub const ALL: [WireFormat; 4] =
+        [WireFormat::Eras, WireFormat::Framed, WireFormat::Reach, WireFormat::Bare];
+}
+
+/// What the release of a peer can read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reader {
+    pub format: WireFormat,
+    /// Whether it compares positions, not revisions of the store.
+    pub knows_eras: bool,
+}
+
+impl From<WireFormat> for Reader {
+    fn from(format: WireFormat) -> Reader {
+        Reader { format, knows_eras: WireFormat::Eras <= format }
+    }
 }
 
 /// What a datagram has.
@@ -76,10 +95,16 @@
 /// Fields that were added to a message after its format was released, by tag.
 type Extensions = Vec<(u16, Vec<u8>)>;
 
-/// Returns the bytes of a message; none if the format does not have it.
-pub fn encode(message: &PeerMessage, format: WireFormat) -> Result<Option<Vec<u8>>, WireError> {
+/// Returns the bytes of a message; none if the format of its reader does not have it.
+pub fn encode(
+    message: &PeerMessage,
+    reader: impl Into<Reader>,
+) -> Result<Option<Vec<u8>>, WireError> {
+    let Reader { format, knows_eras } = reader.into();
+    let without_eras = (!knows_eras).then(|| message.clone().without_eras());
+    let message = without_eras.as_ref().unwrap_or(message);
     let former = match (message, format) {
-        (_, WireFormat::Framed) => return framed(message).map(Some),
+        (_, WireFormat::Framed | WireFormat::Eras) => return framed(message, format).map(Some),
         (PeerMessage::Heartbeat(it), WireFormat::Bare) => {
             let body = (0_u32, FormerHeartbeat::from((**it).clone()));
             return Ok(Some(postcard::to_stdvec(&body)?));
@@ -99,12 +124,12 @@
     Ok(Some(postcard::to_stdvec(former)?))
 }
 
-fn framed(message: &PeerMessage) -> Result<Vec<u8>, WireError> {
+fn framed(message: &PeerMessage, format: WireFormat) -> Result<Vec<u8>, WireError> {
     let notice = |it: &EndpointNotice| Ok((NOTICE, postcard::to_stdvec(it)?));
     let extensions: Result<Extensions, WireError> = message.notices().iter().map(notice).collect();
     let body = postcard::to_stdvec(&(message, extensions?))?;
     let mut bytes = Vec::with_capacity(HEADER_LEN + body.len());
-    bytes.extend([MARKER, WireFormat::Framed as u8]);
+    bytes.extend([MARKER, format as u8]);
     bytes.extend(crc32fast::hash(&body).to_le_bytes());
     bytes.extend(body);
     Ok(bytes)
@@ -118,8 +143,12 @@
 pub fn decode(bytes: &[u8]) -> Result<(Option<WireFormat>, Received), WireError> {
     match bytes {
         [MARKER, format, rest @ ..] => match WireFormat::from_repr(*format) {
-            Some(WireFormat::Framed) => Ok((Some(WireFormat::Framed), read_framed(rest)?)),
-            Some(_) | None => Ok((None, Received::LaterFormat(*format))),
+            Some(format @ (WireFormat::Framed | WireFormat::Eras)) => {
+                Ok((Some(format), read_framed(rest)?))
+            }
+            Some(WireFormat::Bare | WireFormat::Reach) | None => {
+                Ok((None, Received::LaterFormat(*format)))
+            }
         },
         _ => read_former(bytes),
     }
@@ -202,37 +231,42 @@
 /// heartbeats of former processes are not recorded, see [`ferry_serve::Peers::is_overtaken`].
 #[derive(Debug, Default)]
 pub struct PeerFormats {
-    known: SortedMap<SocketAddr, (Incarnation, WireFormat)>,
+    known: SortedMap<SocketAddr, (Incarnation, Reader)>,
 }
 
 impl PeerFormats {
-    /// Records the format of a peer's heartbeat; returns whether it uses another one than before.
+    /// Records the format of a peer's heartbeat, and whether a position in it has an era; returns whether
+    /// it uses another format than before.
     pub fn record(
         &mut self,
         peer: SocketAddr,
         incarnation: Incarnation,
         format: WireFormat,
+        has_era: bool,
     ) -> bool {
         let before = self.known.get(&peer).copied();
-        let now = match before {
-            Some((known, spoken)) if incarnation == known => spoken.max(format),
-            Some(_) | None => format,
-        };
-        self.known.insert(peer, (incarnation, now));
-        before.map(|it| it.1) != Some(now)
+        let same = before.filter(|it| it.0 == incarnation).map(|it| it.1);
+        let format = same.map_or(format, |it| it.format.max(format));
+        let knows_eras = has_era || same.is_some_and(|it| it.knows_eras);
+        let reader = Reader { format, knows_eras: knows_eras || Reader::from(format).knows_eras };
+        self.known.insert(peer, (incarnation, reader));
+        before.map(|it| it.1.format) != Some(format)
     }
 
-    /// Returns the formats in which a message is sent to a peer: its own, or all of them until a
-    /// heartbeat has arrived.
-    pub fn of(&self, peer: SocketAddr, highest: WireFormat) -> Vec<WireFormat> {
+    /// Returns the forms in which a message is sent to a peer: its own, or all of them until a heartbeat
+    /// has arrived.
+    pub fn of(&self, peer: SocketAddr, highest: WireFormat) -> Vec<Reader> {
         match self.known.get(&peer) {
-            Some((_, format)) => vec![(*format).min(highest)],
-            None => WireFormat::ALL.into_iter().filter(|it| *it <= highest).collect(),
+            Some((_, it)) => vec![Reader { format: it.format.min(highest), ..*it }],
+            None => {
+                let allowed = WireFormat::ALL.into_iter().filter(|it| *it <= highest);
+                allowed.map(Reader::from).collect()
+            }
         }
     }
 
     /// Counts the peers that use a format.
     pub fn count(&self, format: WireFormat) -> usize {
-        self.known.values().filter(|it| it.1 == format).count()
+        self.known.values().filter(|it| it.1.format == format).count()
     }
 }
--- a/crates/ferry-gateway/tests/peer_state.rs
+++ b/crates/ferry-gateway/tests/peer_state.rs
@@ -1,6 +1,7 @@
 //! Changes to endpoints that a peer of a later release may send.
 
-use ferry_serve::EndpointsDelta;
+use ferry_model::store_position;
+use ferry_serve::{EndpointsDelta, PoolBuilds, Snapshot};
 use serde_json::{Value, json};
 
 fn entry(id: &str) -> Value {
@@ -66,3 +67,24 @@
     let again: EndpointsDelta = serde_json::from_value(written).expect("they are readable");
     assert_eq!(again, delta);
 }
+
+#[test]
+fn release_that_knows_no_eras_reads_revisions_of_the_store() {
+    let position = |revision| store_position(2, revision);
+    let endpoints: EndpointsDelta = serde_json::from_value(json!({
+        "since": position(3), "stamp": position(9), "news": position(8), "removed": ["gone"],
+        "endpoints": [entry("a")],
+    }))
+    .expect("the changes are readable");
+    let builds = |revision| {
+        vec![PoolBuilds { pool: "pool".to_owned(), builds: vec!["v1".to_owned()], revision }]
+    };
+    let state = Snapshot { config: None, endpoints, builds: builds(Some(position(7))) };
+    let written = serde_json::to_value(state.clone().without_eras()).expect("it is written");
+    let numbers = ["since", "stamp", "news"].map(|it| written["endpoints"][it].clone());
+    assert_eq!(numbers, [json!(3), json!(9), json!(8)]);
+    assert_eq!(written["builds"][0]["revision"], json!(7));
+    assert_eq!(written["endpoints"]["removed"], json!(["gone"]));
+    let none = Snapshot { builds: builds(None), ..state };
+    assert_eq!(none.without_eras().builds, builds(None));
+}
--- a/crates/ferry-gateway/tests/wire/main.rs
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_gateway::wire::{PeerFormats, Received, WireFormat, decode, encode};
+use ferry_gateway::wire::{PeerFormats, Reader, Received, WireFormat, decode, encode};
+use ferry_model::store_position;
 use ferry_serve::{
     Backlog, EndpointNotice, Group, Heartbeat, LoadReport, Observation, PeerMessage, PoolBuilds,
     Restriction,
@@ -17,12 +18,16 @@
 use samples::samples;
 
 /// Bytes of the messages of each release, by name; a released file never changes.
-const RECORDED: [(WireFormat, &str); 3] = [
+const RECORDED: [(WireFormat, &str); 4] = [
     (WireFormat::Bare, include_str!("format-1.txt")),
     (WireFormat::Reach, include_str!("format-2.txt")),
     (WireFormat::Framed, include_str!("format-3.txt")),
+    (WireFormat::Eras, include_str!("format-4.txt")),
 ];
 
+/// Era of the store in positions.
+const ERA: u64 = 2;
+
 fn heartbeat() -> Heartbeat {
     let address = |port| SocketAddr::from(([10, 1, 0, 41], port));
     Heartbeat {
@@ -58,6 +63,7 @@
 /// Returns what a heartbeat of a format says.
 fn heartbeat_of(format: WireFormat) -> Heartbeat {
     match format {
+        WireFormat::Eras => Heartbeat { last_change: store_position(ERA, 530), ..heartbeat() },
         WireFormat::Reach | WireFormat::Framed => heartbeat(),
         WireFormat::Bare => Heartbeat {
             relay: heartbeat().front,
@@ -82,13 +88,9 @@
         };
         messages.push((name, message, read));
     }
-    if format == WireFormat::Framed {
-        let pools = vec![PoolBuilds {
-            pool: "pool".to_owned(),
-            builds: vec!["v1".to_owned(), "v1.2".to_owned()],
-            revision: Some(412),
-        }];
-        let known = PeerMessage::PoolBuilds(pools);
+    if WireFormat::Framed <= format {
+        let era = if format == WireFormat::Framed { 0 } else { ERA };
+        let known = pool_builds(store_position(era, 412));
         let only = PeerMessage::OnlyBuild { attempt: "9c41".into(), build: None };
         messages.push(("pool_builds", known.clone(), known));
         messages.push(("only_build", only.clone(), only));
@@ -96,6 +98,14 @@
     messages
 }
 
+fn pool_builds(revision: u64) -> PeerMessage {
+    PeerMessage::PoolBuilds(vec![PoolBuilds {
+        pool: "pool".to_owned(),
+        builds: vec!["v1".to_owned(), "v1.2".to_owned()],
+        revision: Some(revision),
+    }])
+}
+
 /// Returns a framed message with an extension, as a later release may send it.
 fn with_extension(message: &impl Serialize, tag: u16, value: &[u8]) -> Vec<u8> {
     let body = postcard::to_stdvec(&(message, vec![(tag, value)])).expect("it is written");
@@ -133,6 +143,50 @@
     }
 }
 
+/// Releases that know no eras took positions for revisions that their store had yet to reach, and ignored
+/// it once the last instance that named eras was gone.
+#[test]
+fn release_that_knows_no_eras_gets_revisions_of_the_store() {
+    let revision = |message: &PeerMessage| match message {
+        PeerMessage::Heartbeat(it) => it.last_change,
+        PeerMessage::PoolBuilds(pools) => pools[0].revision.expect("it has one"),
+        PeerMessage::Notices { notices } => match notices[0].restriction {
+            Restriction::Withdrawn { revision } => revision,
+            _ => panic!("another notice"),
+        },
+        _ => panic!("another message"),
+    };
+    let withdrawn = Restriction::Withdrawn { revision: store_position(ERA, 531) };
+    let notice = EndpointNotice { endpoint: "i-1".to_owned(), restriction: withdrawn };
+    let cases = [
+        (PeerMessage::Heartbeat(Box::new(heartbeat_of(WireFormat::Eras))), 530),
+        (pool_builds(store_position(ERA, 412)), 412),
+        (PeerMessage::Notices { notices: vec![notice] }, 531),
+    ];
+    for (message, bare) in cases {
+        for format in WireFormat::iter() {
+            for knows_eras in [false, true] {
+                let reader = Reader { format, knows_eras };
+                let Some(bytes) = encode(&message, reader).expect("no error") else { continue };
+                let Received::Message(read) = decode(&bytes).expect("it is read").1 else {
+                    panic!("{reader:?}: a part is missing");
+                };
+                let expected = if knows_eras { store_position(ERA, bare) } else { bare };
+                assert_eq!(revision(&read), expected, "{reader:?}");
+            }
+        }
+    }
+    // The bytes are those of the release.
+    for (format, text) in RECORDED.iter().filter(|it| it.0 < WireFormat::Eras) {
+        let recorded = text.lines().find_map(|it| it.strip_prefix("heartbeat "));
+        let last_change = store_position(ERA, 530);
+        let sent = Heartbeat { last_change, ..heartbeat_of(*format) };
+        let sent = PeerMessage::Heartbeat(Box::new(sent));
+        let bytes = encode(&sent, *format).expect("no error").expect("it has the kind");
+        assert_eq!(Some(hex(&bytes).as_str()), recorded, "format {format}");
+    }
+}
+
 #[test]
 fn message_without_a_counterpart_is_not_sent() {
     let only = |build| PeerMessage::OnlyBuild { attempt: "9c41".into(), build };
@@ -153,7 +207,7 @@
     }
     let ping = PeerMessage::Ping { id: 300 };
     let later_kind = with_extension(&(200_u32, "content"), 1, &[]);
-    let mut later_format = encode(&ping, WireFormat::Framed).expect("no error").expect("a kind");
+    let mut later_format = encode(&ping, WireFormat::Eras).expect("no error").expect("a kind");
     later_format[1] = 9;
     let cases = [
         Case {
@@ -197,18 +251,20 @@
 }
 
 #[test]
-fn notices_go_with_messages_of_the_current_format_only() {
+fn notices_go_with_framed_messages_only() {
     for message in messages_with_notices() {
         let sent = message.clone().with_notices(notices(5));
-        let bytes = encode(&sent, WireFormat::Framed).expect("no error").expect("a kind");
-        assert_eq!(decode(&bytes).expect("it is read").1, Received::Message(sent.clone()));
+        for format in [WireFormat::Framed, WireFormat::Eras] {
+            let bytes = encode(&sent, format).expect("no error").expect("a kind");
+            assert_eq!(decode(&bytes).expect("it is read").1, Received::Message(sent.clone()));
+        }
         for format in [WireFormat::Bare, WireFormat::Reach] {
             let bytes = encode(&sent, format).expect("no error");
             let expected = encode(&message, format).expect("no error");
             assert_eq!(bytes, expected, "format {format}");
         }
-        let with = encode(&message.clone().with_notices(notices(64)), WireFormat::Framed);
-        let without = encode(&message, WireFormat::Framed);
+        let with = encode(&message.clone().with_notices(notices(64)), WireFormat::Eras);
+        let without = encode(&message, WireFormat::Eras);
         let len = |it: Result<Option<Vec<u8>>, _>| {
             let it: Option<Vec<u8>> = it.expect("no error");
             it.expect("a kind").len()
@@ -242,8 +298,8 @@
 
 #[test]
 fn damaged_message_is_an_error() {
-    for (name, message, _) in messages(WireFormat::Framed) {
-        let bytes = encode(&message, WireFormat::Framed).expect("no error").expect("a kind");
+    for (name, message, _) in messages(WireFormat::Eras) {
+        let bytes = encode(&message, WireFormat::Eras).expect("no error").expect("a kind");
         for idx in 2..bytes.len() {
             let mut damaged = bytes.clone();
             damaged[idx] ^= 0x10;
@@ -267,63 +323,76 @@
 fn peer_gets_the_format_that_it_speaks() {
     struct Case {
         name: &'static str,
-        /// Heartbeats by incarnation, and the format of each.
-        spoken: &'static [(u64, WireFormat)],
+        /// Heartbeats by incarnation, the format of each, and whether its positions have an era.
+        spoken: &'static [(u64, WireFormat, bool)],
         highest: WireFormat,
-        expected: &'static [WireFormat],
+        /// Formats in which it is sent messages, and whether with eras.
+        expected: &'static [(WireFormat, bool)],
     }
+    use WireFormat::{Bare, Eras, Framed, Reach};
+    const NO_ERA: bool = false;
+    const ERA: bool = true;
     let cases = [
         Case {
             name: "it was not heard yet",
             spoken: &[],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Framed, WireFormat::Reach, WireFormat::Bare],
+            highest: Eras,
+            expected: &[(Eras, ERA), (Framed, NO_ERA), (Reach, NO_ERA), (Bare, NO_ERA)],
         },
         Case {
             name: "this release",
-            spoken: &[(1, WireFormat::Framed)],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Framed],
+            spoken: &[(1, Eras, NO_ERA)],
+            highest: Eras,
+            expected: &[(Eras, ERA)],
         },
         Case {
             name: "an earlier release",
-            spoken: &[(1, WireFormat::Bare)],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Bare],
+            spoken: &[(1, Bare, NO_ERA)],
+            highest: Eras,
+            expected: &[(Bare, NO_ERA)],
+        },
+        Case {
+            name: "an earlier release that has said a position",
+            spoken: &[(1, Framed, NO_ERA), (1, Framed, ERA), (1, Framed, NO_ERA)],
+            highest: Eras,
+            expected: &[(Framed, ERA)],
         },
         Case {
             name: "the settings allow less than it speaks",
-            spoken: &[(1, WireFormat::Framed)],
-            highest: WireFormat::Reach,
-            expected: &[WireFormat::Reach],
+            spoken: &[(1, Framed, NO_ERA)],
+            highest: Reach,
+            expected: &[(Reach, NO_ERA)],
         },
         Case {
             name: "its first heartbeat came in all formats",
-            spoken: &[(1, WireFormat::Framed), (1, WireFormat::Reach), (1, WireFormat::Bare)],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Framed],
+            spoken: &[(1, Eras, ERA), (1, Framed, NO_ERA), (1, Reach, NO_ERA), (1, Bare, NO_ERA)],
+            highest: Eras,
+            expected: &[(Eras, ERA)],
         },
         Case {
             name: "it was replaced by an earlier release",
-            spoken: &[(1, WireFormat::Framed), (2, WireFormat::Reach)],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Reach],
+            spoken: &[(1, Eras, ERA), (2, Reach, NO_ERA)],
+            highest: Eras,
+            expected: &[(Reach, NO_ERA)],
         },
         Case {
             name: "it was replaced by an earlier release, and its clock was set back",
-            spoken: &[(2, WireFormat::Framed), (1, WireFormat::Reach)],
-            highest: WireFormat::Framed,
-            expected: &[WireFormat::Reach],
+            spoken: &[(2, Eras, ERA), (1, Framed, NO_ERA)],
+            highest: Eras,
+            expected: &[(Framed, NO_ERA)],
         },
     ];
     let peer = SocketAddr::from(([10, 1, 0, 41], 7_740));
     for Case { name, spoken, highest, expected } in cases {
         let mut formats = PeerFormats::default();
-        for (incarnation, format) in spoken {
-            formats.record(peer, *incarnation, *format);
-            assert!(!formats.record(peer, *incarnation, *format), "{name}: it is no news");
+        for (incarnation, format, has_era) in spoken {
+            formats.record(peer, *incarnation, *format, *has_era);
+            let is_news = formats.record(peer, *incarnation, *format, *has_era);
+            assert!(!is_news, "{name}: it is no news");
         }
-        assert_eq!(formats.of(peer, highest), expected, "{name}");
+        let readers = formats.of(peer, highest).into_iter();
+        let readers: Vec<_> = readers.map(|it| (it.format, it.knows_eras)).collect();
+        assert_eq!(readers, expected, "{name}");
         let n_peers: usize = WireFormat::iter().map(|it| formats.count(it)).sum();
         assert_eq!(n_peers, spoken.len().min(1), "{name}");
     }
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -3,7 +3,7 @@
 //! Many instances read the list from a few peers. The complete list grows with the number of
 //! endpoints, and each change would send it to every instance.
 
-use ferry_model::{EndpointId, GatewayEndpoint, Moment};
+use ferry_model::{EndpointId, GatewayEndpoint, Moment, store_revision};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +32,15 @@
     pub missing: Vec<EndpointId>,
 }
 
+impl EndpointsDelta {
+    /// Replaces positions by revisions of the store.
+    pub fn drop_era(&mut self) {
+        for position in [&mut self.since, &mut self.revision, &mut self.last_change] {
+            *position = store_revision(*position);
+        }
+    }
+}
+
 /// The same as received from a peer, which may be of a later release.
 #[derive(Deserialize)]
 struct ReceivedDelta {
--- a/crates/ferry-serve/src/endpoints/notices.rs
+++ b/crates/ferry-serve/src/endpoints/notices.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ferry_model::{EndpointId, Moment};
+use ferry_model::{EndpointId, Moment, store_revision};
 use serde::{Deserialize, Serialize};
 
 use super::departed::{FormerStart, GONE_TIME};
@@ -39,6 +39,14 @@
     fn new(endpoint: &str, restriction: Restriction) -> EndpointNotice {
         EndpointNotice { endpoint: endpoint.to_owned(), restriction }
     }
+
+    /// Replaces a position by the revision of the store.
+    pub fn drop_era(&mut self) {
+        match &mut self.restriction {
+            Restriction::Withdrawn { revision } => *revision = store_revision(*revision),
+            Restriction::Announced { .. } | Restriction::Paused { .. } => (),
+        }
+    }
 }
 
 impl Endpoints {
--- a/crates/ferry-serve/src/origins/record.rs
+++ b/crates/ferry-serve/src/origins/record.rs
@@ -1,6 +1,6 @@
 //! What the instances record in the store of builds and streams, and the calls for it.
 
-use ferry_model::{BuildId, InstanceId, PoolId};
+use ferry_model::{BuildId, InstanceId, PoolId, store_revision};
 use serde::{Deserialize, Serialize};
 
 use crate::CallerAttempt;
@@ -18,6 +18,13 @@
     pub revision: Option<u64>,
 }
 
+impl PoolBuilds {
+    /// Replaces the position by the revision of the store.
+    pub fn drop_era(&mut self) {
+        self.revision = self.revision.map(store_revision);
+    }
+}
+
 /// The build that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamRecord {
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -228,3 +228,12 @@
     /// Builds of pools that the store has recorded.
     pub builds: Vec<PoolBuilds>,
 }
+
+impl Snapshot {
+    /// Returns the state as a release reads it that compares revisions of the store, not positions.
+    pub fn without_eras(mut self) -> Snapshot {
+        self.endpoints.drop_era();
+        self.builds.iter_mut().for_each(PoolBuilds::drop_era);
+        self
+    }
+}
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_model::{BuildId, ConfigVersion, EndpointId, Incarnation, InstanceId, PoolId, ZoneId};
+use ferry_model::{
+    BuildId, ConfigVersion, EndpointId, Incarnation, InstanceId, PoolId, ZoneId, store_revision,
+};
 use serde::{Deserialize, Serialize};
 use strum::EnumCount;
 
@@ -222,6 +224,21 @@
         }
         self
     }
+
+    /// Returns the message as a release reads it that compares revisions of the store, not positions: it
+    /// would take a position for a revision that the store has yet to reach.
+    pub fn without_eras(mut self) -> PeerMessage {
+        match &mut self {
+            PeerMessage::Heartbeat(it) => it.last_change = store_revision(it.last_change),
+            PeerMessage::PoolBuilds(pools) => pools.iter_mut().for_each(PoolBuilds::drop_era),
+            PeerMessage::Submit(it) => it.notices.iter_mut().for_each(EndpointNotice::drop_era),
+            PeerMessage::Notices { notices } => {
+                notices.iter_mut().for_each(EndpointNotice::drop_era);
+            }
+            _ => (),
+        }
+        self
+    }
 }
 
 /// Asks which build began a stream that a request continues.
