--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -74,8 +74,10 @@
     pub pause: Pause,
     /// Whether it announces in its responses that it leaves.
     pub is_leaving: Cell<bool>,
-    /// Start of its process in Unix milliseconds.
+    /// Start of its process in Unix milliseconds, by its own clock.
     pub started: Cell<u64>,
+    /// Number of its starts, counted from its number so that clocks differ.
+    n_starts: Cell<usize>,
     pub crashes: Crashes,
     address: SocketAddr,
     pub checker: Rc<Checker>,
@@ -100,7 +102,8 @@
             rate_limit: RateLimit::default(),
             pause: Pause::default(),
             is_leaving: Cell::new(false),
-            started: Cell::new(entry::unix_millis()),
+            started: Cell::new(entry::start_time(number)),
+            n_starts: Cell::new(number),
             crashes: Crashes::default(),
             pool,
             behaviour: Cell::new(Behaviour::Healthy),
