--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -18,14 +18,18 @@
 /// A seed, and the reason for testing it.
 struct Case {
     seed: u64,
+    /// Seconds in which faults come.
+    seconds: u64,
     reason: &'static str,
 }
 
-const CASES: [Case; 4] = [
-    Case { seed: 1, reason: "random seed" },
-    Case { seed: 2, reason: "random seed" },
-    Case { seed: 9004, reason: "streams that ended inside an event looked complete" },
-    Case { seed: 9104, reason: "streams went on at another build" },
+const CASES: [Case; 6] = [
+    Case { seed: 1, seconds: 6, reason: "random seed" },
+    Case { seed: 2, seconds: 6, reason: "random seed" },
+    Case { seed: 9004, seconds: 6, reason: "streams that ended inside an event looked complete" },
+    Case { seed: 9104, seconds: 6, reason: "streams went on at another build" },
+    Case { seed: 9900, seconds: 8, reason: "a limit was forgotten when an entry came" },
+    Case { seed: 9906, seconds: 8, reason: "a limit was forgotten when an entry came" },
 ];
 
 /// Seeds with which streams ended because their endpoint was silent for a moment.
@@ -43,7 +47,7 @@
     let runtime = runtime.expect("a runtime starts");
     let mut n_limited = 0;
     for case in CASES {
-        let options = options(case.seed, 6, None);
+        let options = options(case.seed, case.seconds, None);
         let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
         let report = report.expect("the soak runs");
         assert!(report.is_ok(), "seed {} ({}): {report:#?}", case.seed, case.reason);
