Take up streams of a new build at an instance that is behind

Another operator's report: one instance was out of step for seconds while endpoints of a new version joined, and streams that had begun there through others went on at another version. With the agreement of peers taken out of the decision the test fails (streams with events of v1 and v2 at an isolated instance without the store).

--- a/crates/ferry-serve/tests/decisions/rejoined.rs
+++ b/crates/ferry-serve/tests/decisions/rejoined.rs
@@ -1,5 +1,6 @@
 //! Streams that callers take up after many instances, or all, were killed during a rollout.
 
+mod behind;
 mod drawn;
 
 use ferry_model::EndpointState;
--- a/crates/ferry-serve/tests/decisions/statements.rs
+++ b/crates/ferry-serve/tests/decisions/statements.rs
@@ -31,7 +31,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
-    /// A response to a request, or to a call with items.
+    /// A response to a request, to a call with items, or to a request that a peer passed on: each of
+    /// them is the same event.
     Response,
     /// A notice of a peer.
     Peer,
