Let peers that know no eras follow this instance after a store copy

What callers saw: in a trial, the store came back from a copy while two of three gateways were of the release before eras.

Cause: such a peer ignores the store from then on, whose revisions are lower than before.

Change: peers that were known when the era rose get positions. Those that start later read the store as it is and get revisions.

--- a/crates/ferry-gateway/src/auxiliary.rs
+++ b/crates/ferry-gateway/src/auxiliary.rs
@@ -16,7 +16,7 @@
 use strum::IntoEnumIterator;
 
 use crate::driver::{Driver, Phase};
-use crate::peers::{SNAPSHOT_PATH, has_era};
+use crate::peers::SNAPSHOT_PATH;
 use crate::quarantine;
 use crate::server::Interface;
 use crate::wire::WireFormat;
@@ -75,8 +75,9 @@
     };
     let (version, since) = (number("version"), number("since"));
     // Releases before the parameter compare revisions, unless a peer has told them of positions.
-    let names_era = since != Endpoints::NO_ENDPOINTS && has_era(since);
-    let knows_eras = WireFormat::Eras as u64 <= number("format") || names_era;
+    let own = driver.query(|it| it.context().endpoints.revision());
+    let follows = since != Endpoints::NO_ENDPOINTS && driver.formats.borrow().follows(since, own);
+    let knows_eras = WireFormat::Eras as u64 <= number("format") || follows;
     let state = driver.query(|it| it.snapshot(version, since));
     let state = if knows_eras { state } else { state.without_eras() };
     match serde_json::to_vec(&state) {
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -214,6 +214,7 @@
         }
         if let Some(known) = known.filter(|it| *it < era) {
             warn!(self.log, "the store came back from an older copy"; "era" => era, "before" => known);
+            self.formats.borrow_mut().on_new_era();
             self.dispatch(Event::Store(StoreUpdate::Restored));
         }
         known <= Some(era)
--- a/crates/ferry-gateway/src/peers.rs
+++ b/crates/ferry-gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_model::{ConfigVersion, StorePosition, store_era};
+use ferry_model::{ConfigVersion, store_era};
 use ferry_serve::{Event, Metric, PeerMessage, PoolBuilds, StoreUpdate};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -41,11 +41,6 @@
     }
 }
 
-/// Whether a position has an era, so that its sender knows of eras, or has it from one that does.
-pub fn has_era(position: StorePosition) -> bool {
-    0 < store_era(position)
-}
-
 /// Receives datagrams until the process exits.
 pub async fn receive(driver: Rc<Driver>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -87,7 +82,12 @@
         |it: u64| driver.query(|gateway| gateway.context().peers.is_overtaken(now, from, it));
     if let (Some(format), Received::Message(PeerMessage::Heartbeat(it))) = (format, &received)
         && !is_overtaken(it.incarnation)
-        && driver.formats.borrow_mut().record(from, it.incarnation, format, has_era(it.last_change))
+        && driver.formats.borrow_mut().record(
+            from,
+            it.incarnation,
+            format,
+            0 < store_era(it.last_change),
+        )
     {
         slog::info!(driver.log, "a peer uses another format than before";
             "peer" => from.to_string(), "format" => format.to_string());
--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use ferry_model::{Incarnation, SortedMap};
+use ferry_model::{Incarnation, SortedMap, StorePosition, store_era, store_revision};
 use ferry_serve::{EndpointNotice, PeerMessage};
 use serde::Deserialize;
 use strum::{Display, EnumCount, EnumIter, EnumString, FromRepr};
@@ -232,6 +232,8 @@
 #[derive(Debug, Default)]
 pub struct PeerFormats {
     known: SortedMap<SocketAddr, (Incarnation, Reader)>,
+    /// Whether the store has come back from a copy since this process began.
+    has_new_era: bool,
 }
 
 impl PeerFormats {
@@ -265,6 +267,21 @@
         }
     }
 
+    /// Records that the store came back from a copy.
+    ///
+    /// Peers that know no eras ignore the store from then on, as its revisions are lower than before. They
+    /// get positions, which are higher, so that they follow this instance.
+    pub fn on_new_era(&mut self) {
+        self.has_new_era = true;
+        self.known.values_mut().for_each(|it| it.1.knows_eras = true);
+    }
+
+    /// Whether a peer without a format of its own that has seen the store at `since` gets positions, if
+    /// this instance has seen it at `own`.
+    pub fn follows(&self, since: StorePosition, own: StorePosition) -> bool {
+        0 < store_era(since) || (self.has_new_era && store_revision(own) < since)
+    }
+
     /// Counts the peers that use a format.
     pub fn count(&self, format: WireFormat) -> usize {
         self.known.values().filter(|it| it.1.format == format).count()
--- a/crates/ferry-gateway/tests/wire/main.rs
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -187,6 +187,34 @@
     }
 }
 
+/// Peers that know no eras ignore a store that came back from a copy; they went on with endpoints that had
+/// left.
+#[test]
+fn peer_that_cannot_follow_the_store_follows_this_instance() {
+    let peers = [7_740, 7_741].map(|port| SocketAddr::from(([10, 1, 0, 41], port)));
+    let knows_eras = |formats: &PeerFormats, peer: SocketAddr| {
+        let readers = formats.of(peer, WireFormat::CURRENT);
+        readers.iter().map(|it| it.knows_eras).collect::<Vec<_>>()
+    };
+    let (before, own) = (500, store_position(ERA, 40));
+    let mut formats = PeerFormats::default();
+    formats.record(peers[0], 1, WireFormat::Framed, false);
+    assert_eq!(knows_eras(&formats, peers[0]), [false]);
+    assert!(!formats.follows(before, own), "this instance may be behind");
+    formats.on_new_era();
+    // Its next heartbeats change nothing.
+    formats.record(peers[0], 1, WireFormat::Framed, false);
+    assert_eq!(knows_eras(&formats, peers[0]), [true]);
+    assert!(formats.follows(before, own));
+    assert!(!formats.follows(30, own), "it may have read the store since");
+    // Those that start later read the store as it is.
+    for (peer, incarnation) in [(peers[0], 2), (peers[1], 1)] {
+        formats.record(peer, incarnation, WireFormat::Framed, false);
+        assert_eq!(knows_eras(&formats, peer), [false]);
+    }
+    assert!(formats.follows(store_position(1, 3), own), "it has said a position");
+}
+
 #[test]
 fn message_without_a_counterpart_is_not_sent() {
     let only = |build| PeerMessage::OnlyBuild { attempt: "9c41".into(), build };
