Say what the record of statements is for, and name its lookups plainly

Reading of the change as a whole: one closure had the name of another, and a condition said what it asks in three parts. No decision changes; the tests of statements, limits and formats pass.

--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -276,8 +276,8 @@
         self.known.values_mut().for_each(|it| it.1.knows_eras = true);
     }
 
-    /// Whether a peer without a format of its own that has seen the store at `since` gets positions, if
-    /// this instance has seen it at `own`.
+    /// Whether a peer that names no format, and has seen the store at `since`, reads positions from this
+    /// instance, which has seen it at `own`.
     pub fn follows(&self, since: StorePosition, own: StorePosition) -> bool {
         0 < store_era(since) || (self.has_new_era && store_revision(own) < since)
     }
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -195,7 +195,8 @@
         at: Moment,
         rate: Option<RequestRate>,
     ) -> Option<LimitChange> {
-        if rate.is_none() && self.get(id).is_none() && self.limit(id).is_none() {
+        let is_known = self.get(id).is_some() || self.limit(id).is_some();
+        if rate.is_none() && !is_known {
             return None;
         }
         let started = started.unwrap_or_else(|| self.last_start(id));
@@ -228,9 +229,11 @@
     }
 
     fn rate_limit(&self, id: &str) -> RateLimit {
-        let departed = || self.departed.of(id).iter().map(|it| it.statements.rate_limit);
-        let departed = || departed().reduce(RateLimit::later).unwrap_or_default();
-        self.get(id).map_or_else(departed, |it| it.statements.rate_limit)
+        let Some(view) = self.get(id) else {
+            let former = self.departed.of(id).iter().map(|it| it.statements.rate_limit);
+            return former.reduce(RateLimit::later).unwrap_or_default();
+        };
+        view.statements.rate_limit
     }
 
     /// Returns what this instance knows of an endpoint's rate limit.
--- a/crates/ferry-serve/src/endpoints/statements.rs
+++ b/crates/ferry-serve/src/endpoints/statements.rs
@@ -19,6 +19,7 @@
 /// Start of an endpoint of which only peers have heard, and not which one.
 const UNKNOWN_START: u64 = 0;
 
+/// All that one start has said, so that no kind of statement gets lost on a way of its own.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Statements {
     pub announcement: Announcement,
