Let the gateway of the cut tests read its own store first

By the gateway's log it had read the entries from a peer 6 ms after its start, whose addresses lead past the test's proxies; its own store's list came later with a lower revision and did not count. So nothing was cut. In production all instances read one store.

The test stops the other gateways until the first is ready, and gives its store the highest revision. All checks are as they were.

--- a/crates/ferry-gateway/tests/process/cuts.rs
+++ b/crates/ferry-gateway/tests/process/cuts.rs
@@ -20,6 +20,8 @@
 
 /// Time after the beginning of a cut from which callers must be served.
 const STABLE_TIME: Duration = Duration::from_secs(3);
+/// Times that each entry of the first gateway's own store is written, so that its revision is the highest.
+const N_WRITES: usize = 100;
 
 /// Links of the first gateway to the endpoints, apart from those of the others.
 struct OwnLinks {
@@ -44,12 +46,17 @@
         let own = SocketAddr::from((Ipv4Addr::new(a, b, c, last + 100), public.port()));
         proxies.push(Proxy::start(own, internal).await.expect("the proxy starts"));
         entry["Address"] = own.to_string().into();
-        store.put("servers", &endpoint.id, entry);
+        // What peers have read counts if its revision is higher.
+        for _ in 0..N_WRITES {
+            store.put("servers", &endpoint.id, entry.clone());
+        }
     }
     let SocketAddr::V4(at) = cluster.store_proxy.address else { panic!("it is an IPv4 address") };
     let [a, b, c, _] = at.ip().octets();
     let address = SocketAddr::from((Ipv4Addr::new(a, b, c, 3), at.port()));
     let listener = store.listen(address).await.expect("the store listens");
+    // What it reads first has to come from its own store, not from a peer.
+    cluster.nodes[1..].iter_mut().for_each(|it| it.signal(Signal::Stop));
     let node = &mut cluster.nodes[0];
     let text = fs::read_to_string(node.settings()).expect("the settings are readable");
     let text =
@@ -61,6 +68,7 @@
     }
     node.start().expect("the gateway starts");
     wait_ready(node.ready()).await;
+    cluster.nodes[1..].iter_mut().for_each(|it| it.signal(Signal::Continue));
     // Enough for the gateways to hear of each other.
     sleep(Duration::from_millis(800)).await;
     OwnLinks { proxies, _store: store, _listener: listener }
