Evacuate zones that the operator names in the store

Cause: evacuations/ZONE had no reader.

Change: the entries are read through a watch and lists of their own, go to peers with the endpoints, and mark the endpoints of their zones. Whatever may send asks accepts_work, so that requests, retries, hedges, items, permits, probes, health checks and cache reads stop together. Groups of evacuated endpoints are left out, and what waits there moves at once; what runs is finished. An instance that does not know the zones yet sends nothing. A copy of the store that lacks an evacuation keeps it for the rejoin window. Switched on by Bounds.EvacuateMs.

--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -97,6 +97,9 @@
     spawn_local(store::register(driver.clone()));
     spawn_local(store::follow(driver.clone(), Kind::Config));
     spawn_local(store::follow(driver.clone(), Kind::Endpoints));
+    if addresses.evacuation.is_some() {
+        spawn_local(store::follow(driver.clone(), Kind::Evacuations));
+    }
     spawn_local(driver.clone().run_timer());
     spawn_local(watch_settings(driver.clone(), hangup, sources));
     let stopping = wait_for_stop(&driver, signals).await;
--- a/crates/ferry-gateway/src/settings.rs
+++ b/crates/ferry-gateway/src/settings.rs
@@ -64,6 +64,7 @@
         self.tuning.retry_extra = node.retry_extra;
         self.tuning.retry_window = node.retry_window;
         self.tuning.shutdown_grace = node.grace;
+        self.tuning.has_evacuations = node.evacuation.is_some();
         self.tuning.store_writes = node.store_writes.unwrap_or(self.tuning.store_writes);
         self
     }
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -8,7 +8,7 @@
 use ferry_model::{GatewayEndpoint, StorePosition, store_era, store_position, store_revision};
 use ferry_platform::store::{self, Changes, Kind, Object, Page, Registration};
 use ferry_platform::{FormatError, desired, endpoints};
-use ferry_serve::{Event, Metric, StoreUpdate};
+use ferry_serve::{EvacuatedZones, Event, Metric, StoreUpdate};
 use http::{Method, StatusCode};
 use rand::RngExt;
 use thiserror::Error;
@@ -239,6 +239,11 @@
             }
             driver.dispatch(Event::Store(StoreUpdate::List { revision, endpoints }));
         }
+        Kind::Evacuations => {
+            let zones = objects.into_iter().map(|it| it.name).collect();
+            let list = EvacuatedZones { revision, zones };
+            driver.dispatch(Event::Store(StoreUpdate::EvacuatedZones(list)));
+        }
         Kind::Instances => {
             let member =
                 |it: &Object| readable(driver, it, store::read_registration(it)).map(|it| it.peer);
@@ -273,6 +278,13 @@
                 };
                 driver.dispatch(Event::Store(update));
             }
+            Kind::Evacuations => {
+                let zone = change.object.name.clone();
+                driver.dispatch(Event::Store(match change.is_removed {
+                    true => StoreUpdate::Readmitted { revision, zone },
+                    false => StoreUpdate::Evacuated { revision, zone },
+                }));
+            }
             Kind::Instances | Kind::Builds | Kind::Streams => (),
         }
     }
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod cuts;
 mod digests;
 mod endless;
+mod evacuations;
 mod leaving;
 mod lifecycle;
 mod pauses;
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod delta;
 mod departed;
+mod evacuation;
 mod leaving;
 mod missing;
 mod notices;
@@ -26,9 +27,11 @@
 
 use delta::Changes;
 use departed::Departed;
+use evacuation::Evacuations;
 use statements::Statements;
 
 pub use delta::EndpointsDelta;
+pub use evacuation::EvacuatedZones;
 pub use leaving::{HealthReport, LeavingReport};
 pub use notices::{EndpointNotice, Restriction};
 pub use observe::{Observation, Observations};
@@ -71,6 +74,8 @@
     invalid_until: Moment,
     /// Whether it gets nothing until its build is recorded; see [`Endpoints::withhold`].
     is_withheld: bool,
+    /// Whether its zone is evacuated, or it is not known yet which ones are.
+    is_evacuated: bool,
     /// Since when its entry is missing, if it may only have expired while the store was
     /// unreachable.
     missing_since: Option<Moment>,
@@ -93,6 +98,7 @@
             withdrawn: None,
             invalid_until: Moment::ZERO,
             is_withheld: false,
+            is_evacuated: false,
             missing_since: None,
             parts: SortedMap::new(),
         }
@@ -110,7 +116,7 @@
 
     /// Whether it may get work, now or after a pause.
     pub fn accepts_work(&self) -> bool {
-        !self.leaves() && !self.is_withheld
+        self.may_be_called() && !self.is_withheld
     }
 
     /// Whether its entry, here or at a peer, or a response of it says that it leaves.
@@ -171,6 +177,7 @@
     last_change: StorePosition,
     changes: Changes,
     departed: Departed,
+    evacuations: Evacuations,
     is_store_down: bool,
     /// End of the time in which endpoints may register again after the store became reachable.
     rejoin_until: Option<Moment>,
@@ -202,8 +209,9 @@
 
     /// Whether the endpoint with this address takes calls that serve no request.
     pub fn takes_messages_at(&self, now: Moment, address: SocketAddr) -> bool {
-        let takes_messages =
-            |it: &EndpointView| !it.leaves() && !it.wants_pause(now) && it.rate_limit().is_none();
+        let takes_messages = |it: &EndpointView| {
+            it.may_be_called() && !it.wants_pause(now) && it.rate_limit().is_none()
+        };
         let mut at = self.views.values().filter(|it| it.endpoint.address == address).peekable();
         at.peek().is_some() && at.all(takes_messages)
     }
@@ -226,15 +234,16 @@
         self.revision
     }
 
-    /// Whether a list was received from the store or from a peer.
+    /// Whether a list was received from the store or from a peer, and the evacuated zones if the
+    /// deployment has them.
     pub fn is_known(&self) -> bool {
-        0 < self.revision
+        0 < self.revision && self.evacuations.is_known()
     }
 
     /// Returns the revision of the last change. Peers compare it instead of the store's revision,
     /// which grows with each write to the store.
     pub fn last_change(&self) -> u64 {
-        self.last_change
+        self.last_change.max(self.evacuations.last_change)
     }
 
     /// Whether the store does not answer this process.
@@ -263,7 +272,14 @@
                 self.remove(now, revision, &id)
             }
             StoreUpdate::Unreadable { revision, id } => self.discard(now, revision, &id),
-            StoreUpdate::Peer(delta) => self.merge(now, delta),
+            StoreUpdate::Peer(delta) => self.merge(now, tuning, delta),
+            StoreUpdate::EvacuatedZones(zones) => {
+                self.replace_zones(now, tuning.rejoin_window, &zones)
+            }
+            StoreUpdate::Evacuated { revision, zone } => self.set_zone(now, revision, &zone, true),
+            StoreUpdate::Readmitted { revision, zone } => {
+                self.set_zone(now, revision, &zone, false)
+            }
             StoreUpdate::Unreachable => {
                 self.is_store_down = true;
                 false
@@ -286,7 +302,7 @@
         if revision < self.revision {
             return false;
         }
-        let is_first = !self.is_known();
+        let is_first = self.revision == 0;
         if store_era(self.revision) < store_era(revision) {
             // Peers may have read changes of the former era that this instance has not, and that the
             // store has lost.
@@ -380,5 +396,6 @@
             self.pools.get_or_insert_with(endpoint.pool.clone(), Vec::new).push(id.clone());
             self.zones.insert(endpoint.address, endpoint.zone.clone());
         }
+        self.mark_evacuated();
     }
 }
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::Endpoints;
+use super::evacuation::{EvacuatedZones, ReceivedZones};
+use crate::Tuning;
 
 /// Changes that are kept; a peer that lacks more gets the complete list.
 const MAX_CHANGES: usize = 512;
@@ -30,6 +32,9 @@
     /// reader takes over that they are missing: the removal that it reads itself may be older.
     #[serde(default)]
     pub missing: Vec<EndpointId>,
+    /// None from a peer that knows of none, or whose release does not.
+    #[serde(default)]
+    pub evacuated: Option<EvacuatedZones>,
 }
 
 impl EndpointsDelta {
@@ -38,6 +43,7 @@
         for position in [&mut self.since, &mut self.revision, &mut self.last_change] {
             *position = store_revision(*position);
         }
+        self.evacuated.iter_mut().for_each(EvacuatedZones::drop_era);
     }
 }
 
@@ -53,6 +59,8 @@
     removed: Vec<EndpointId>,
     #[serde(default)]
     missing: Vec<EndpointId>,
+    #[serde(default)]
+    evacuated: Option<ReceivedZones>,
 }
 
 #[derive(Deserialize)]
@@ -69,6 +77,7 @@
 impl From<ReceivedDelta> for EndpointsDelta {
     fn from(received: ReceivedDelta) -> EndpointsDelta {
         let ReceivedDelta { since, revision, last_change, missing, mut removed, .. } = received;
+        let evacuated = received.evacuated.and_then(ReceivedZones::readable);
         let mut endpoints = Vec::new();
         for entry in received.endpoints {
             match entry {
@@ -77,7 +86,7 @@
                 ReceivedEntry::Unnamed(_) => (),
             }
         }
-        EndpointsDelta { since, revision, last_change, endpoints, removed, missing }
+        EndpointsDelta { since, revision, last_change, endpoints, removed, missing, evacuated }
     }
 }
 
@@ -127,7 +136,8 @@
     /// Entries that may only have expired are named apart: a peer would take them for present, or
     /// for removed.
     pub fn delta(&self, since: u64) -> EndpointsDelta {
-        let (revision, last_change) = (self.revision, self.last_change);
+        let (revision, last_change) = (self.revision, self.last_change());
+        let evacuated = self.told_zones();
         let missing = self.views.values().filter(|it| it.missing_since.is_some());
         let missing = missing.map(|it| it.endpoint.id.clone()).collect();
         let Some(ids) = self.changes.after(since) else {
@@ -139,6 +149,7 @@
                 endpoints,
                 removed: Vec::new(),
                 missing,
+                evacuated,
             };
         };
         let (mut endpoints, mut removed) = (Vec::new(), Vec::new());
@@ -149,12 +160,19 @@
                 Some(view) => endpoints.push(view.endpoint.clone()),
             }
         }
-        EndpointsDelta { since, revision, last_change, endpoints, removed, missing }
+        EndpointsDelta { since, revision, last_change, endpoints, removed, missing, evacuated }
     }
 
     /// Merges the changes that a peer has sent; returns whether it changed anything.
-    pub(super) fn merge(&mut self, now: Moment, delta: EndpointsDelta) -> bool {
-        let EndpointsDelta { since, revision, last_change, endpoints, removed, missing } = delta;
+    pub(super) fn merge(&mut self, now: Moment, tuning: &Tuning, delta: EndpointsDelta) -> bool {
+        let zones = delta.evacuated.as_ref();
+        let is_changed = zones.is_some_and(|it| self.replace_zones(now, tuning.rejoin_window, it));
+        self.merge_entries(now, delta) || is_changed
+    }
+
+    fn merge_entries(&mut self, now: Moment, delta: EndpointsDelta) -> bool {
+        let EndpointsDelta { since, revision, last_change, endpoints, removed, missing, .. } =
+            delta;
         if revision < self.revision {
             // This instance has already seen everything that the peer knows.
             self.last_change = self.last_change.max(last_change);
--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -105,7 +105,7 @@
             let Announcement::Doubtful { since, check_at } = view.statements.announcement else {
                 continue;
             };
-            if now < check_at {
+            if now < check_at || view.is_evacuated {
                 continue;
             }
             let is_checked = can_check(&view.endpoint.pool);
@@ -147,6 +147,6 @@
             Announcement::Doubtful { check_at, .. } => Some(check_at),
             Announcement::None | Announcement::Made => None,
         };
-        self.views.values().filter_map(check_at).min()
+        self.views.values().filter(|it| !it.is_evacuated).filter_map(check_at).min()
     }
 }
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -21,6 +21,7 @@
         if is_over {
             self.rejoin_until = None;
         }
+        self.expire_zones(now);
         let may_have_lapsed = self.may_have_lapsed(now);
         let is_gone = |it: &&EndpointView| {
             let end = it.missing_since.map(|since| since + tuning.rejoin_window);
@@ -46,7 +47,8 @@
     pub fn next_wake(&self, now: Moment, tuning: &Tuning) -> Option<Moment> {
         let missing = self.views.values().filter_map(|it| it.missing_since);
         let ends = missing.map(|it| it + tuning.rejoin_window).filter(|it| now < *it);
-        ends.chain(self.next_check()).chain(self.rejoin_until).min()
+        let others = self.next_check().into_iter().chain(self.next_zone_end());
+        ends.chain(others).chain(self.rejoin_until).min()
     }
 
     /// Whether an endpoint of the same pool accepts work whose entry is not missing.
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use ferry_model::{
-    ApiKey, EndpointId, GatewayConfig, GatewayEndpoint, PoolId, ResultHandle, Ticket,
+    ApiKey, EndpointId, GatewayConfig, GatewayEndpoint, PoolId, ResultHandle, Ticket, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    CallId, CallerAttempt, CrashCandidate, EndpointNotice, EndpointsDelta, HealthReport,
-    LeavingReport, LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds, QuarantineAction,
-    RecordReply, RequestDigest, Tuning,
+    CallId, CallerAttempt, CrashCandidate, EndpointNotice, EndpointsDelta, EvacuatedZones,
+    HealthReport, LeavingReport, LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds,
+    QuarantineAction, RecordReply, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -105,7 +105,7 @@
     Shutdown,
 }
 
-/// What the store, or a peer in its place, reports of the endpoints.
+/// What the store, or a peer in its place, reports of the endpoints and their zones.
 #[derive(Debug, Clone)]
 pub enum StoreUpdate {
     /// The complete list at a store revision.
@@ -118,6 +118,12 @@
     Removed { revision: u64, id: EndpointId },
     /// One entry is there but cannot be read, so that it names no endpoint.
     Unreadable { revision: u64, id: EndpointId },
+    /// The complete list of evacuated zones.
+    EvacuatedZones(EvacuatedZones),
+    /// A zone is evacuated from this store revision on.
+    Evacuated { revision: u64, zone: ZoneId },
+    /// A zone is no longer evacuated.
+    Readmitted { revision: u64, zone: ZoneId },
     /// The store does not answer this process.
     Unreachable,
     /// The store answers again.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -20,7 +20,7 @@
 use crate::overload::OverloadDetector;
 use crate::pass::{Context, Identity, Pass, Snapshot};
 use crate::quarantine;
-use crate::request::Requests;
+use crate::request::{Requests, schedule};
 use crate::{
     Backlog, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, DecisionKind, Effect,
     Endpoints, Event, Group, Heartbeat, Limiter, Mechanism, Observation, Observations, Origins,
@@ -64,7 +64,10 @@
 impl Gateway {
     pub fn new(identity: Identity, tuning: Tuning) -> Gateway {
         let scheduler = Scheduler::new(!identity.is_first_start);
-        let endpoints = Endpoints::new();
+        let endpoints = match tuning.has_evacuations {
+            true => Endpoints::new().with_evacuations(),
+            false => Endpoints::new(),
+        };
         // A limiter may still know the permits that a former process here has asked for.
         let last_permit = identity.incarnation << PERMIT_BITS;
         Gateway {
@@ -136,7 +139,13 @@
                 self.requests.tick(cx, &mut self.batcher);
             }
             Event::Config(config) => updates::configure(cx, &mut self.batcher, config),
-            Event::Store(update) => updates::on_store(cx, update),
+            Event::Store(update) => {
+                if updates::on_store(cx, update) {
+                    schedule::release_excluded(cx);
+                    self.requests.reassign(cx, &mut self.batcher);
+                    self.batcher.dispatch_all(cx);
+                }
+            }
             Event::Record(reply) => {
                 let read = origins::exchange::on_reply(cx, reply);
                 read.into_iter().for_each(|it| self.requests.on_records(cx, &mut self.batcher, it));
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -27,7 +27,9 @@
     }
 }
 
-pub(super) fn on_store(cx: &mut Pass<'_>, update: StoreUpdate) {
+/// Applies what the store or a peer reports of endpoints; returns whether other zones are evacuated
+/// now.
+pub(super) fn on_store(cx: &mut Pass<'_>, update: StoreUpdate) -> bool {
     let reason = match &update {
         StoreUpdate::List { revision, endpoints } => {
             format!("list of {} endpoints at {revision}", endpoints.len())
@@ -43,6 +45,15 @@
         StoreUpdate::Unreadable { revision, id } => {
             format!("{id} has an entry that cannot be read at {revision}")
         }
+        StoreUpdate::EvacuatedZones(zones) => {
+            format!("list of {} evacuated zones at {}", zones.zones.len(), zones.revision)
+        }
+        StoreUpdate::Evacuated { revision, zone } => {
+            format!("zone {zone} is evacuated at {revision}")
+        }
+        StoreUpdate::Readmitted { revision, zone } => {
+            format!("zone {zone} is no longer evacuated at {revision}")
+        }
         StoreUpdate::Unreachable => "store does not answer".to_owned(),
         StoreUpdate::Reachable => "store answers again".to_owned(),
         StoreUpdate::Restored => "store came back from an older copy".to_owned(),
@@ -53,9 +64,27 @@
         origins::exchange::on_restored(cx);
     }
     let Context { tuning, endpoints, .. } = &mut *cx.ctx;
+    let n_before = endpoints.n_evacuation_changes();
     if endpoints.apply(cx.now, tuning, update) || is_news {
         cx.log(Decision::new(DecisionKind::Endpoint, reason));
     }
+    let is_evacuation = cx.ctx.endpoints.n_evacuation_changes() != n_before;
+    if is_evacuation {
+        log_evacuations(cx);
+    }
+    is_evacuation
+}
+
+fn log_evacuations(cx: &mut Pass<'_>) {
+    cx.count(Metric::EvacuationsChanged);
+    let zones: Vec<String> = cx.ctx.endpoints.evacuated().map(|it| it.0.clone()).collect();
+    let reason = match zones.is_empty() {
+        true => "no zone is evacuated".to_owned(),
+        false => format!("evacuated zones: {}", zones.join(", ")),
+    };
+    cx.log(Decision::new(DecisionKind::Evacuate, reason));
+    let now = cx.now;
+    cx.ctx.peers.heartbeat_now(now);
 }
 
 pub(super) fn on_limit(cx: &mut Pass<'_>, endpoint: &EndpointId, started: u64, limit: LimitReport) {
--- a/crates/ferry-serve/src/group.rs
+++ b/crates/ferry-serve/src/group.rs
@@ -37,11 +37,13 @@
     }
 }
 
-/// Returns the groups of a pool, sorted; none if it has no endpoint whose entry says that it
-/// accepts work.
+/// Returns the groups of a pool, sorted, without those whose zones are evacuated; none if it has no
+/// endpoint whose entry says that it accepts work.
+///
+/// An evacuation does not change how the others are divided, so that no job moves that need not.
 pub fn groups(endpoints: &Endpoints, pool: &str) -> Vec<Group> {
     let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.is_listed_live()).collect();
-    match live.len() {
+    let mut groups = match live.len() {
         0 => Vec::new(),
         n_live if n_live < DIVIDE_THRESHOLD => vec![Group::whole(pool)],
         _ => {
@@ -50,7 +52,9 @@
             groups.dedup();
             groups
         }
-    }
+    };
+    groups.retain(|it| live.iter().any(|view| it.contains(view) && !view.is_evacuated()));
+    groups
 }
 
 /// Returns the group of an endpoint of a divided pool. The number of shards is a power of two, so
--- a/crates/ferry-serve/src/reach.rs
+++ b/crates/ferry-serve/src/reach.rs
@@ -8,7 +8,7 @@
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
-use crate::Endpoints;
+use crate::{EndpointView, Endpoints};
 
 /// Time for which a pool counts as reached since one of its endpoints was last heard.
 const REACHED_TIME: Duration = Duration::from_millis(300);
@@ -53,7 +53,8 @@
     /// Returns the endpoint whose turn it is to be probed.
     fn next_endpoint(&mut self, pool: &str, endpoints: &Endpoints) -> Option<EndpointId> {
         self.n_probes += 1;
-        let live = endpoints.pool(pool).filter(|it| it.is_listed_live());
+        let is_probed = |it: &&EndpointView| it.is_listed_live() && !it.is_evacuated();
+        let live = endpoints.pool(pool).filter(is_probed);
         let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
         live.get(self.n_probes % live.len().max(1)).map(|it| (*it).clone())
     }
@@ -144,7 +145,7 @@
         let mut changes = Vec::new();
         let suspects = self.pools.iter_mut().filter(|it| it.1.is_cut || !it.1.failed.is_empty());
         for (pool, it) in suspects {
-            let live = endpoints.pool(pool).filter(|it| !it.leaves());
+            let live = endpoints.pool(pool).filter(|it| it.may_be_called());
             let live: Vec<&EndpointId> = live.map(|it| &it.endpoint.id).collect();
             it.failed.retain(|id, _| live.contains(&id));
             if it.is_cut {
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -247,6 +247,15 @@
         }
     }
 
+    /// Moves the jobs of stages whose group gets nothing more.
+    pub fn reassign(&mut self, cx: &mut Pass<'_>, batcher: &mut Batcher) {
+        let tickets: Vec<Ticket> = self.active.keys().copied().collect();
+        for ticket in tickets {
+            let Some(request) = self.active.get_mut(&ticket) else { continue };
+            stages::reassign(cx, batcher, request);
+        }
+    }
+
     /// Excuses the silence of endpoints while this process stood still for `time`.
     pub fn excuse_silence(&mut self, now: Moment, time: Duration) {
         self.active.values_mut().for_each(|it| it.excuse_silence(now, time));
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -151,7 +151,12 @@
     request: &ActiveRequest,
 ) -> Option<(RetryHint, &'static str)> {
     if cx.ctx.endpoints.pool(&request.pool).all(|it| !it.accepts_work()) {
-        return Some((RetryHint::Soon, "its pool has no endpoint"));
+        let is_evacuated = cx.ctx.endpoints.pool(&request.pool).any(|it| it.is_evacuated());
+        let reason = match is_evacuated {
+            true => "the zones of its endpoints are evacuated",
+            false => "its pool has no endpoint",
+        };
+        return Some((RetryHint::Soon, reason));
     }
     if !origin::has_endpoint(cx, request) {
         return Some((RetryHint::Late, "no endpoint of its build is left"));
--- a/crates/ferry-serve/src/request/schedule.rs
+++ b/crates/ferry-serve/src/request/schedule.rs
@@ -12,7 +12,8 @@
 use crate::pass::{Context, Pass};
 use crate::{
     Asker, CallerAttempt, Choice, Chooser, Decision, DecisionKind, Effect, EndpointView, Mechanism,
-    Metric, PeerMessage, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Shard,
+    Metric, PeerMessage, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled,
+    Shard,
 };
 
 /// Time to wait for a decision, after which this instance chooses: several round trips between
@@ -125,9 +126,20 @@
 pub fn on_progress(cx: &mut Pass<'_>, attempt: &CallerAttempt, progress: ScheduleProgress) {
     let (now, ctx) = (cx.now, &mut *cx.ctx);
     let Context { scheduler, endpoints, tuning, .. } = ctx;
-    for (asker, attempt, scheduled) in
-        scheduler.on_progress(now, endpoints, tuning, attempt, progress)
-    {
+    let released = scheduler.on_progress(now, endpoints, tuning, attempt, progress);
+    answer(cx, released);
+}
+
+/// Answers those that wait for an engine which gets nothing more.
+pub fn release_excluded(cx: &mut Pass<'_>) {
+    let (now, ctx) = (cx.now, &mut *cx.ctx);
+    let Context { scheduler, endpoints, tuning, .. } = ctx;
+    let released = scheduler.release_excluded(now, endpoints, tuning);
+    answer(cx, released);
+}
+
+fn answer(cx: &mut Pass<'_>, released: Vec<Release>) {
+    for (asker, attempt, scheduled) in released {
         match asker {
             Asker::This => cx.released.push((attempt, scheduled)),
             Asker::Peer(to) => {
--- a/crates/ferry-serve/src/request/stages.rs
+++ b/crates/ferry-serve/src/request/stages.rs
@@ -75,6 +75,19 @@
     }
 }
 
+/// Moves the jobs whose group no longer exists, or gets nothing more.
+pub fn reassign(cx: &mut Pass<'_>, batcher: &mut Batcher, request: &mut ActiveRequest) {
+    for idx in 0..request.stages.len() {
+        let StageState::Submitted(job) = &request.stages[idx] else { continue };
+        if groups(&cx.ctx.endpoints, &job.group.pool).contains(&job.group) {
+            continue;
+        }
+        cx.count(Metric::BatchersSwitched);
+        release(cx, batcher, request, idx);
+        submit(cx, batcher, request, idx);
+    }
+}
+
 /// Records that a peer has accepted the items of a stage.
 pub fn on_accepted(request: &mut ActiveRequest, key: &JobKey) {
     let idx = usize::from(key.stage);
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -251,6 +251,20 @@
         (asker, attempt, scheduled)
     }
 
+    /// Schedules the requests anew that wait for an engine which gets nothing more.
+    pub fn release_excluded(
+        &mut self,
+        now: Moment,
+        endpoints: &Endpoints,
+        tuning: &Tuning,
+    ) -> Vec<Release> {
+        let is_excluded = |it: &mut Held| {
+            !endpoints.get(&it.decision.endpoint).is_some_and(|it| it.accepts_work())
+        };
+        let excluded: Vec<Held> = self.held.extract_if(.., is_excluded).collect();
+        excluded.into_iter().map(|it| self.release(now, endpoints, tuning, false, it)).collect()
+    }
+
     /// Forgets engines that are gone, and calls whose end was not reported.
     fn expire(&mut self, now: Moment, endpoints: &Endpoints) {
         if now < self.next_expiry {
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -68,6 +68,8 @@
     pub shutdown_grace: Duration,
     /// Writes per second that the store takes from all instances together.
     pub store_writes: f64,
+    /// Whether the operator evacuates zones, so that nothing is sent before it is known which ones.
+    pub has_evacuations: bool,
     /// Mechanisms that are switched off, sorted.
     pub disabled: Vec<Mechanism>,
 }
@@ -103,6 +105,7 @@
             close_after: ms(2_800),
             shutdown_grace: ms(8_000),
             store_writes: 400.0,
+            has_evacuations: false,
             disabled: Vec::new(),
         }
     }
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -213,6 +213,7 @@
                     endpoints: listed(),
                     removed: Vec::new(),
                     missing: Vec::new(),
+                    evacuated: None,
                 })),
                 Then::StoreAway => Event::Store(StoreUpdate::Unreachable),
                 Then::Configuration => Event::Config(crate::simulation::config(2).into()),
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod config_changes;
 mod cuts;
 mod endpoints;
+mod evacuations;
 mod health;
 mod leaving;
 mod omitted;
--- a/crates/ferry-serve/tests/decisions/pauses.rs
+++ b/crates/ferry-serve/tests/decisions/pauses.rs
@@ -345,6 +345,7 @@
                     endpoints: listed(),
                     removed: Vec::new(),
                     missing: Vec::new(),
+                    evacuated: None,
                 })),
                 Then::StoreAway => Event::Store(StoreUpdate::Unreachable),
                 Then::StoreBack => Event::Store(StoreUpdate::Reachable),
--- a/crates/ferry-serve/tests/decisions/simulation.rs
+++ b/crates/ferry-serve/tests/decisions/simulation.rs
@@ -132,6 +132,8 @@
     pub n_passed_on: usize,
     /// Whether instances start with the whole system, for the first time.
     pub is_first_start: bool,
+    /// Zones that are evacuated as an instance starts, if the deployment evacuates zones.
+    pub evacuated: Vec<String>,
     /// Whether endpoints lose the results of stages at once.
     pub loses_results: bool,
     /// Results that calls have named.
--- a/crates/ferry-serve/tests/decisions/simulation/start.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/start.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ferry_model::{GatewayConfig, Moment, SortedMap};
-use ferry_serve::{Event, Gateway, Identity, StoreUpdate, Tuning};
+use ferry_serve::{EvacuatedZones, Event, Gateway, Identity, StoreUpdate, Tuning};
 
 use super::{
     Crashes, ENGINE, FIRST, PLAIN, RecordStore, SECOND, Simulation, config, front, ms, peer, relay,
@@ -53,6 +53,7 @@
             abandoned: BTreeSet::new(),
             n_passed_on: 0,
             is_first_start: true,
+            evacuated: Vec::new(),
             loses_results: false,
             inputs: Vec::new(),
             violations: Vec::new(),
@@ -118,6 +119,10 @@
         let endpoints = self.endpoints.values().map(|it| it.entry.clone()).collect();
         let revision = 10;
         self.deliver(instance, Event::Store(StoreUpdate::List { revision, endpoints }));
+        if self.tuning.has_evacuations {
+            let zones = EvacuatedZones { revision, zones: self.evacuated.clone() };
+            self.deliver(instance, Event::Store(StoreUpdate::EvacuatedZones(zones)));
+        }
     }
 
     /// Starts an instance that the store does not answer.
--- a/crates/ferry-serve/tests/decisions/ways.rs
+++ b/crates/ferry-serve/tests/decisions/ways.rs
@@ -1,5 +1,7 @@
 //! The ways on which something reaches an endpoint.
 
+use ferry_serve::Tuning;
+
 use crate::simulation::{Behaviour, Simulation, ms};
 
 /// A way on which something reaches an endpoint.
@@ -58,7 +60,12 @@
 
     /// Returns a simulation in which requests reach the endpoint on this way.
     pub fn simulation(&self, n_instances: usize) -> Simulation {
-        let mut sim = Simulation::new(n_instances);
+        self.simulation_with(n_instances, Tuning::default())
+    }
+
+    /// The same with other settings.
+    pub fn simulation_with(&self, n_instances: usize, tuning: Tuning) -> Simulation {
+        let mut sim = Simulation::with_tuning(n_instances, tuning);
         let pool = self.endpoint.split('-').next().unwrap_or_default();
         for id in ids_of(&sim, pool).iter().filter(|it| **it != self.endpoint) {
             sim.set_behaviour(id, self.others);
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -173,7 +173,8 @@
              InternalPortRange={PEER_PORT},7755\nLimits.CpuShare=0.25\nLimits.Cores=1\n\
              Limits.MemoryMb=260\nBounds.DrainMs=2000\nBounds.GraceS=8\n\
              Bounds.RetryBudgetRatio={BUDGET_RATIO}\nBounds.RetryBudgetExtra={BUDGET_EXTRA}\n\
-             Bounds.BudgetWindowS={}\nBounds.ttl_max_s=5\nPlatform.Address={store}\nNew.Field=ignored\n",
+             Bounds.BudgetWindowS={}\nBounds.ttl_max_s=5\nBounds.EvacuateMs=5000\n\
+             Platform.Address={store}\nNew.Field=ignored\n",
             BUDGET_WINDOW.as_secs()
         )
     }
