Let calls for other kinds wait while the store does not answer those for endpoints

Change: in an outage, followers of other kinds wait for the first answer to the calls for endpoints, three seconds at most. The watch of evacuations waits 30 s, 3 s on the watchers.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -121,6 +121,8 @@
     pub n_closing: watch::Sender<usize>,
     /// The latest era of the store; none before its first answer.
     pub era: watch::Sender<Option<u64>>,
+    /// Whether the store answers, as far as the most frequent calls tell.
+    pub is_store_up: watch::Sender<bool>,
     /// The highest format in which messages are sent to peers, and read.
     pub highest_format: WireFormat,
     pub formats: RefCell<PeerFormats>,
@@ -156,6 +158,7 @@
             calls: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             era: watch::Sender::new(None),
+            is_store_up: watch::Sender::new(true),
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
             n_closing: watch::Sender::new(0),
             highest_format,
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -22,6 +22,9 @@
 /// The same on other instances; long, because calls to the store are charged and peers report
 /// changes that a silent connection hides.
 const RELAXED_WATCH_WAIT: Duration = Duration::from_millis(15_000);
+/// The same two for what seldom changes; the second is the longest wait that the store allows.
+const SELDOM_WATCH_WAIT: Duration = Duration::from_millis(3_000);
+const LONGEST_WATCH_WAIT: Duration = Duration::from_millis(30_000);
 /// Time limit for a response, in addition to the wait of a watch.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a change of endpoints, so that the next call returns several changes.
@@ -31,6 +34,8 @@
 const DRAIN_DIVISOR: u32 = 3;
 /// Time over which instances register again in a new era, as the store takes few writes.
 const REGISTER_SPREAD: Duration = Duration::from_millis(1_000);
+/// Longest time for which calls for other kinds wait until those for endpoints are answered.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(3_000);
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
@@ -119,7 +124,12 @@
 
     /// Waits for changes after a position, and returns them with the position as revision.
     async fn watch(&self, kind: Kind, from: StorePosition) -> Result<Changes, StoreError> {
-        let wait = if is_watcher(&self.driver) { WATCH_WAIT } else { RELAXED_WATCH_WAIT };
+        let wait = match (kind, is_watcher(&self.driver)) {
+            (Kind::Evacuations, true) => SELDOM_WATCH_WAIT,
+            (Kind::Evacuations, false) => LONGEST_WATCH_WAIT,
+            (_, true) => WATCH_WAIT,
+            (_, false) => RELAXED_WATCH_WAIT,
+        };
         let call = InternalCall::get(store::watch_path(kind, store_revision(from), wait));
         match self.call(&call, wait + RESPONSE_TIMEOUT).await {
             // The revision may have been given out again.
@@ -167,6 +177,7 @@
                 from = Some(update.revision).filter(|_| !must_list);
                 backoff = Backoff::new();
                 if std::mem::take(&mut is_unreachable) && kind == Kind::Endpoints {
+                    driver.is_store_up.send_replace(true);
                     driver.dispatch(Event::Store(StoreUpdate::Reachable));
                 }
                 if update.content != Content::Unchanged && kind == Kind::Endpoints {
@@ -184,15 +195,27 @@
                 if !std::mem::replace(&mut is_unreachable, true) {
                     driver.warn("the store does not answer", &error);
                     if kind == Kind::Endpoints {
+                        driver.is_store_up.send_replace(false);
                         driver.dispatch(Event::Store(StoreUpdate::Unreachable));
                     }
                 }
                 backoff.wait().await;
+                if kind != Kind::Endpoints {
+                    wait_for_store(&driver).await;
+                }
             }
         }
     }
 }
 
+/// Waits until the store answers the calls for endpoints, so that an outage does not cost calls for
+/// each kind.
+async fn wait_for_store(driver: &Rc<Driver>) {
+    let mut is_up = driver.is_store_up.subscribe();
+    // Another kind may be answered although that one is not.
+    let _ = tokio::time::timeout(MAX_STORE_WAIT, is_up.wait_for(|it| *it)).await;
+}
+
 /// Returns whether this instance follows the store closely.
 fn is_watcher(driver: &Rc<Driver>) -> bool {
     let now = driver.now();
