Keep a doubtful announcement while other endpoints are free

Change: where the endpoint cannot be asked, the doubt ends only once no other endpoint of its pool is free. One that can be asked is asked as before.

Measured: the table of pool kinds, asked or not, leaving or sound, beside others or none fails at its first case with the condition taken out, and holds with it.

--- a/crates/ferry-serve/src/endpoints/leaving.rs
+++ b/crates/ferry-serve/src/endpoints/leaving.rs
@@ -5,13 +5,13 @@
 
 use std::time::Duration;
 
-use ferry_model::{GatewayEndpoint, Moment};
+use ferry_model::{GatewayEndpoint, Moment, PoolId};
 
 use super::{EndpointView, Endpoints};
 
 /// Interval at which an endpoint is asked whether it leaves.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a doubtful announcement counts if the endpoint cannot be asked.
+/// Time for which a doubtful announcement counts if the endpoint cannot be asked, and is needed.
 const DOUBT_TIME: Duration = Duration::from_secs(10);
 /// The same if it is asked and does not answer clearly. One that leaves has gone by then.
 const MAX_DOUBT_TIME: Duration = Duration::from_secs(120);
@@ -59,6 +59,11 @@
     pub(super) fn has_announced(&self) -> bool {
         self.statements.announcement != Announcement::None
     }
+
+    /// Whether it takes a call now without a queue, as far as known here.
+    fn is_free(&self, now: Moment) -> bool {
+        self.is_usable(now) && self.occupancy(now) < self.endpoint.slots.max(1)
+    }
 }
 
 impl Endpoints {
@@ -94,13 +99,20 @@
     }
 
     /// Returns the endpoints that are asked now whether they leave: those of the pools for which
-    /// `can_check` is true. Announcements that remain in doubt end after a while.
+    /// `can_check` is true. Announcements that remain in doubt end after a while; at an endpoint that
+    /// cannot be asked only once no other one of its pool is free, as the next request would be the
+    /// question.
     pub fn due_checks(
         &mut self,
         now: Moment,
         can_check: impl Fn(&str) -> bool,
     ) -> Vec<GatewayEndpoint> {
         let mut due = Vec::new();
+        if self.next_check().is_none_or(|it| now < it) {
+            return due;
+        }
+        let mut with_free: Vec<PoolId> = self.pools.keys().cloned().collect();
+        with_free.retain(|it| self.pool(it).any(|it| it.is_free(now)));
         for view in self.views.values_mut() {
             let Announcement::Doubtful { since, check_at } = view.statements.announcement else {
                 continue;
@@ -110,7 +122,8 @@
             }
             let is_checked = can_check(&view.endpoint.pool);
             let limit = if is_checked { MAX_DOUBT_TIME } else { DOUBT_TIME };
-            if since + limit <= now {
+            let is_needed = with_free.binary_search(&view.endpoint.pool).is_err();
+            if since + limit <= now && (is_checked || is_needed) {
                 view.statements.announcement = Announcement::None;
                 self.n_changes += 1;
                 continue;
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -325,3 +325,61 @@
     let view = gateway.context().endpoints.get("plain-0").expect("it is known");
     assert!(view.accepts_work());
 }
+
+/// An announcement of which it was not certain whether it held ended after ten seconds where the
+/// endpoint could not be asked, and the next request was the question.
+#[test]
+fn doubt_lasts_as_long_as_other_endpoints_are_free() {
+    struct Case {
+        endpoint: &'static str,
+        routes: &'static [&'static str],
+    }
+    let cases = [
+        Case { endpoint: "plain-0", routes: &["get", "post"] },
+        Case { endpoint: "engine-0", routes: &["stream", "once"] },
+        Case { endpoint: "first-0", routes: &["stream"] },
+    ];
+    for Case { endpoint, routes } in cases {
+        for (is_asked, leaves, has_others) in [
+            (false, true, true),
+            (false, false, true),
+            (true, true, true),
+            (true, false, true),
+            (false, true, false),
+            (false, false, false),
+            (true, true, false),
+            (true, false, false),
+        ] {
+            let mut config = crate::simulation::config(1);
+            let pool = endpoint.split('-').next().unwrap_or_default();
+            let health = is_asked.then(|| "/health".to_owned());
+            config.pools.get_mut(pool).expect("there is such a pool").health = health;
+            let mut sim = Simulation::with_config(2, config, ferry_serve::Tuning::default());
+            for id in sim.ids(pool).iter().filter(|it| !has_others && **it != endpoint) {
+                let id = id.clone();
+                let revision = 12;
+                for instance in 0..2 {
+                    let update = StoreUpdate::Removed { revision, id: id.clone() };
+                    sim.deliver(instance, Event::Store(update));
+                }
+            }
+            // The next start's entry comes while requests are under way, which it answers with the
+            // announcement.
+            sim.endpoints.get_mut(endpoint).expect("it exists").entry.started = LATER;
+            sim.register_at(endpoint, 20);
+            announce(&mut sim, 0, endpoint, 1);
+            let health = if leaves { HealthReport::Leaving } else { HealthReport::Sound };
+            sim.endpoints.get_mut(endpoint).expect("it exists").health = health;
+            sim.run_for(ms(12_000));
+            let before = n_received(&sim, endpoint);
+            let mut load = Load::new(routes, 20);
+            load.send(&mut sim, ms(3_000));
+            sim.run_for(ms(3_000));
+            let is_used = before < n_received(&sim, endpoint);
+            let may_be_used = if is_asked { !leaves } else { !has_others };
+            let name =
+                format!("{endpoint}, asked: {is_asked}, leaves: {leaves}, others: {has_others}");
+            assert_eq!(is_used, may_be_used, "{name}");
+        }
+    }
+}
--- a/crates/ferry-serve/tests/decisions/simulation/changes.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/changes.rs
@@ -67,10 +67,15 @@
 
     /// Registers the present entry of an endpoint again, as all instances know.
     pub fn register(&mut self, id: &str) {
+        self.register_at(id, 11);
+    }
+
+    /// The same at a store revision.
+    pub fn register_at(&mut self, id: &str, revision: u64) {
         let endpoint = self.endpoints.get(id).expect("the endpoint exists").entry.clone();
         for instance in 0..self.instances.len() {
             let endpoint = endpoint.clone();
-            let update = StoreUpdate::Changed { revision: 11, endpoint };
+            let update = StoreUpdate::Changed { revision, endpoint };
             self.deliver(instance, Event::Store(update));
         }
     }
