Ask for a permit for each request to a cold endpoint

Cause: ColdLeftMs and Tarragonferry-Cold-Remaining were read and dropped, so that all instances together could send a cold engine as many requests as it has places.

Change: a cold endpoint counts as one that limits its requests: by its entry, by the answer to a health check, for ColdS from a start that joins, and after its zone was evacuated. The limiter of the endpoint grants the permits, from the moment at which it becomes cold. A request for a permit says that the endpoint is cold, for a limiter that has not read so. The rate is ColdPerS x ColdOver, less where the slack would not cover what bunches under way.

Ruled out: a share for each instance (a tenth of a request a second on 64 instances), and the scheduler alone (instances that get no answer in time choose by themselves).

--- a/crates/ferry-gateway/src/health.rs
+++ b/crates/ferry-gateway/src/health.rs
@@ -28,7 +28,13 @@
         let mut call = InternalCall::get(path);
         headers::set_expected(&mut call.headers, &endpoint);
         let report = match timeout(CHECK_TIMEOUT, call_once(address, &call)).await {
-            Ok(Ok(it)) => headers::health(it.status, &it.headers, &endpoint),
+            Ok(Ok(it)) => {
+                if let Some(left) = headers::cold_left(&it.headers) {
+                    let endpoint = endpoint.clone();
+                    driver.dispatch(Event::Cold { endpoint, started, left });
+                }
+                headers::health(it.status, &it.headers, &endpoint)
+            }
             Ok(Err(error)) => {
                 slog::debug!(driver.log, "could not check the health of an endpoint";
                     "endpoint" => &endpoint, "error" => error.to_string());
--- a/crates/ferry-gateway/src/settings.rs
+++ b/crates/ferry-gateway/src/settings.rs
@@ -64,6 +64,8 @@
         self.tuning.retry_extra = node.retry_extra;
         self.tuning.retry_window = node.retry_window;
         self.tuning.shutdown_grace = node.grace;
+        self.tuning.cold_factor = node.cold_factor.unwrap_or(self.tuning.cold_factor);
+        self.tuning.cold_slack = node.cold_slack.unwrap_or(self.tuning.cold_slack);
         self.tuning.has_evacuations = node.evacuation.is_some();
         self.tuning.store_writes = node.store_writes.unwrap_or(self.tuning.store_writes);
         self
--- a/crates/ferry-gateway/tests/wire/main.rs
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -263,10 +263,11 @@
 fn notices(n_notices: u64) -> Vec<EndpointNotice> {
     let notice = |number: u64| EndpointNotice {
         endpoint: format!("i-{number}"),
-        restriction: match number % 3 {
+        restriction: match number % 4 {
             0 => Restriction::Announced { started: 1_764_000_000_000 + number },
             1 => Restriction::Withdrawn { revision: 530 + number },
-            _ => Restriction::Paused { started: 1, left: Duration::from_millis(number) },
+            2 => Restriction::Paused { started: 1, left: Duration::from_millis(number) },
+            _ => Restriction::Cold { started: 1, left: Duration::from_millis(number) },
         },
     };
     (0..n_notices).map(notice).collect()
--- a/crates/ferry-gateway/tests/wire/samples.rs
+++ b/crates/ferry-gateway/tests/wire/samples.rs
@@ -16,8 +16,14 @@
     let group = Group::whole("pool");
     let rate = RequestRate::new(2.5);
     let limit = LimitNotice { endpoint: "i-1".to_owned(), rate, age: ms(120) };
-    let permit =
-        PermitRequest { id: 7, n_asks: 2, limit: limit.clone(), class: 3, max_wait: ms(900) };
+    let permit = PermitRequest {
+        id: 7,
+        n_asks: 2,
+        limit: limit.clone(),
+        class: 3,
+        max_wait: ms(900),
+        notices: Vec::new(),
+    };
     let shard = Shard { index: 1, count: 2 };
     let prompt = vec![PromptPart { id: 7, tokens: 500 }];
     let schedule = ScheduleRequest {
--- a/crates/ferry-model/src/gateway.rs
+++ b/crates/ferry-model/src/gateway.rs
@@ -138,6 +138,17 @@
     /// Path at which its endpoints say whether they accept work, if they do.
     #[serde(default)]
     pub health: Option<String>,
+    /// What its endpoints take while they are cold, if they ever are.
+    #[serde(default)]
+    pub cold: Option<ColdLimit>,
+}
+
+/// What an endpoint takes from all instances together for some time after its start.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ColdLimit {
+    pub time: Duration,
+    /// Requests per second, more than zero.
+    pub per_second: f64,
 }
 
 impl GatewayPool {
@@ -196,4 +207,7 @@
     /// has lost all earlier state.
     #[serde(rename = "born")]
     pub started: u64,
+    /// Time for which it was still cold when the entry was written.
+    #[serde(default)]
+    pub cold_left: Duration,
 }
--- a/crates/ferry-model/src/lib.rs
+++ b/crates/ferry-model/src/lib.rs
@@ -24,8 +24,9 @@
 };
 pub use fleet::{CacheUpdate, Endpoint, EndpointState, Instance, Load, Role};
 pub use gateway::{
-    ApiKey, BatchLimits, ConfigVersion, ConnectionLimits, GatewayConfig, GatewayEndpoint,
-    GatewayPool, KeyOwner, PoolKind, ResultHandle, Route, RouteKind, RouteStage, Target,
+    ApiKey, BatchLimits, ColdLimit, ConfigVersion, ConnectionLimits, GatewayConfig,
+    GatewayEndpoint, GatewayPool, KeyOwner, PoolKind, ResultHandle, Route, RouteKind, RouteStage,
+    Target,
 };
 pub use ids::{
     AttemptId, BuildId, Digest, EndpointId, Fence, Incarnation, InstanceId, ModelId, Moment,
--- a/crates/ferry-serve/src/batch/permits.rs
+++ b/crates/ferry-serve/src/batch/permits.rs
@@ -146,7 +146,11 @@
                 wait.permit.on_elsewhere(cx);
                 defer(cx, RETRY_PAUSE, RETRY_PAUSE);
             }
-            PermitAnswer::NotNeeded(notice) => exchange::on_notice(cx, notice),
+            PermitAnswer::NotNeeded(notice) => {
+                exchange::on_notice(cx, notice);
+                // The limiter may not know that the endpoint is cold.
+                defer(cx, RETRY_PAUSE, RETRY_PAUSE);
+            }
         }
     }
 }
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -368,6 +368,7 @@
     NoticesApplied,
     HealthChecks,
     EvacuationsChanged,
+    EndpointsCold,
     PausesAsked,
     PausesInvalid,
     RequestsPaused,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! What is known of each endpoint: its entry, its load and the results of its calls.
 
 mod builds;
+mod cold;
 mod delta;
 mod departed;
 mod evacuation;
@@ -25,11 +26,13 @@
 
 use crate::{StoreUpdate, Tuning};
 
+use cold::{Cold, ColdPace};
 use delta::Changes;
 use departed::Departed;
 use evacuation::Evacuations;
 use statements::Statements;
 
+pub use cold::ColdChange;
 pub use delta::EndpointsDelta;
 pub use evacuation::EvacuatedZones;
 pub use leaving::{HealthReport, LeavingReport};
@@ -65,6 +68,7 @@
     paused: Moment,
     /// What it has said of itself in responses.
     statements: Statements,
+    cold: Cold,
     /// Store revision at which its entry was last read.
     revision: u64,
     /// Store revision at which a peer has read that it leaves or is gone; none if this instance has
@@ -94,6 +98,7 @@
             failure_streak: 0,
             paused: Moment::ZERO,
             statements: Statements::default(),
+            cold: Cold::default(),
             revision,
             withdrawn: None,
             invalid_until: Moment::ZERO,
@@ -178,6 +183,11 @@
     changes: Changes,
     departed: Departed,
     evacuations: Evacuations,
+    /// What cold endpoints take, by pool.
+    paces: SortedMap<PoolId, ColdPace>,
+    cold_changes: Vec<ColdChange>,
+    /// Whether the first list was applied, whose endpoints may have started long ago.
+    has_list: bool,
     is_store_down: bool,
     /// End of the time in which endpoints may register again after the store became reachable.
     rejoin_until: Option<Moment>,
@@ -320,6 +330,7 @@
         for endpoint in endpoints {
             is_changed |= self.put(now, revision, endpoint);
         }
+        self.has_list = true;
         if is_first {
             // The first list is not a change for instances that already run.
             self.changes.reset(revision);
@@ -358,10 +369,19 @@
             return true;
         }
         // Peers may have removed a missing entry, and learn from this instance that it is back.
-        let is_changed = was_missing || view.endpoint != endpoint;
+        // An endpoint that warms up writes its entry again and again.
+        let before = GatewayEndpoint { cold_left: endpoint.cold_left, ..view.endpoint.clone() };
+        let is_changed = was_missing || before != endpoint;
+        let cold_left = endpoint.cold_left;
+        // A copy of an entry that was read before says nothing new.
+        let has_news = cold_left != view.endpoint.cold_left;
+        let (was_cold, started) = (view.is_cold(), endpoint.started);
         view.endpoint = endpoint;
         view.revision = revision;
-        is_changed
+        if has_news {
+            self.record_cold(now, &id, started, cold_left);
+        }
+        is_changed || (!was_cold && self.get(&id).is_some_and(EndpointView::is_cold))
     }
 
     fn remove(&mut self, now: Moment, revision: u64, id: &str) -> bool {
--- a/crates/ferry-serve/src/endpoints/evacuation.rs
+++ b/crates/ferry-serve/src/endpoints/evacuation.rs
@@ -198,7 +198,10 @@
         rejoin: Duration,
         list: &EvacuatedZones,
     ) -> bool {
-        self.evacuations.replace(now, rejoin, list)
+        let before: Vec<ZoneId> = self.evacuations.zones.keys().cloned().collect();
+        let is_changed = self.evacuations.replace(now, rejoin, list);
+        self.presume_ended_cold(now, before);
+        is_changed
     }
 
     /// Applies that one zone is evacuated, or no longer; returns whether that is new.
@@ -209,16 +212,29 @@
         zone: &ZoneId,
         is_evacuated: bool,
     ) -> bool {
-        self.evacuations.set(now, revision, zone, is_evacuated)
+        let is_changed = self.evacuations.set(now, revision, zone, is_evacuated);
+        if is_changed && !is_evacuated {
+            self.presume_zone_cold(now, zone);
+        }
+        is_changed
     }
 
     /// Ends the evacuations that the store has lost.
     pub(super) fn expire_zones(&mut self, now: Moment) {
+        let before: Vec<ZoneId> = self.evacuations.zones.keys().cloned().collect();
         if self.evacuations.expire(now) {
+            self.presume_ended_cold(now, before);
             self.index();
         }
     }
 
+    /// Takes the endpoints for cold of the zones among `before` that are no longer evacuated.
+    fn presume_ended_cold(&mut self, now: Moment, before: Vec<ZoneId>) {
+        let mut ended = before;
+        ended.retain(|it| !self.evacuations.zones.contains_key(it));
+        ended.iter().for_each(|it| self.presume_zone_cold(now, it));
+    }
+
     /// Returns when an evacuation ends that the store has lost.
     pub(super) fn next_zone_end(&self) -> Option<Moment> {
         self.evacuations.zones.values().filter_map(|it| it.until).min()
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -22,6 +22,7 @@
             self.rejoin_until = None;
         }
         self.expire_zones(now);
+        self.expire_cold(now);
         let may_have_lapsed = self.may_have_lapsed(now);
         let is_gone = |it: &&EndpointView| {
             let end = it.missing_since.map(|since| since + tuning.rejoin_window);
@@ -47,7 +48,8 @@
     pub fn next_wake(&self, now: Moment, tuning: &Tuning) -> Option<Moment> {
         let missing = self.views.values().filter_map(|it| it.missing_since);
         let ends = missing.map(|it| it + tuning.rejoin_window).filter(|it| now < *it);
-        let others = self.next_check().into_iter().chain(self.next_zone_end());
+        let others =
+            self.next_check().into_iter().chain(self.next_zone_end()).chain(self.next_warm());
         ends.chain(others).chain(self.rejoin_until).min()
     }
 
--- a/crates/ferry-serve/src/endpoints/notices.rs
+++ b/crates/ferry-serve/src/endpoints/notices.rs
@@ -33,6 +33,8 @@
     Withdrawn { revision: u64 },
     /// This start of it has asked for a pause that ends after this time.
     Paused { started: u64, left: Duration },
+    /// This start of it is cold for this time, in which it takes few requests.
+    Cold { started: u64, left: Duration },
 }
 
 impl EndpointNotice {
@@ -44,7 +46,9 @@
     pub fn drop_era(&mut self) {
         match &mut self.restriction {
             Restriction::Withdrawn { revision } => *revision = store_revision(*revision),
-            Restriction::Announced { .. } | Restriction::Paused { .. } => (),
+            Restriction::Announced { .. }
+            | Restriction::Paused { .. }
+            | Restriction::Cold { .. } => (),
         }
     }
 }
@@ -68,6 +72,7 @@
             if !left.is_zero() {
                 others.push(EndpointNotice::new(id, Restriction::Paused { started, left }));
             }
+            others.extend(self.cold_notices(now, id));
         }
         let gone = self.gone(since).filter(|it| it.1.pool.as_deref() == Some(pool));
         for (id, it) in gone {
@@ -126,6 +131,7 @@
             Restriction::Announced { started } => self.record_leaving(now, id, started),
             Restriction::Withdrawn { revision } => self.withdraw(now, revision, id),
             Restriction::Paused { started, left } => self.extend_pause(now, id, started, left),
+            Restriction::Cold { started, left } => self.extend_cold(now, id, started, left),
         }
     }
 
--- a/crates/ferry-serve/src/endpoints/pause.rs
+++ b/crates/ferry-serve/src/endpoints/pause.rs
@@ -94,6 +94,7 @@
     /// Records that a call is sent.
     pub fn record_sent(&mut self, now: Moment) {
         self.outstanding += 1;
+        self.count_cold();
         self.statements.pause.on_sent(now);
     }
 }
--- a/crates/ferry-serve/src/endpoints/rate_limit.rs
+++ b/crates/ferry-serve/src/endpoints/rate_limit.rs
@@ -137,14 +137,19 @@
 }
 
 impl EndpointView {
-    /// Returns the rate that the endpoint takes from all instances together, if it has named one.
+    /// Returns the rate that the endpoint takes from all instances together, if it has named one or
+    /// is cold.
     pub fn rate_limit(&self) -> Option<RequestRate> {
-        self.statements.rate_limit.rate
+        match (self.statements.rate_limit.rate, self.cold.rate) {
+            (Some(named), Some(cold)) if cold < named => Some(cold),
+            (named, cold) => named.or(cold),
+        }
     }
 
     /// Returns since when the endpoint has had a rate limit.
     pub fn limited_since(&self) -> Option<Moment> {
-        self.statements.rate_limit.rate.map(|_| self.statements.rate_limit.since)
+        let named = self.statements.rate_limit;
+        named.rate.map(|_| named.since).or(self.cold_since())
     }
 
     /// Whether a request may be sent, or it is worth asking for a permit.
@@ -154,7 +159,7 @@
 
     /// Returns the time for which it is not worth asking for a permit.
     pub fn permit_pause(&self, now: Moment) -> Duration {
-        match self.statements.rate_limit.rate {
+        match self.rate_limit() {
             Some(_) => self.statements.rate_limit.ask_at.saturating_sub(now),
             None => Duration::ZERO,
         }
@@ -162,7 +167,7 @@
 
     /// Returns the expected time until a permit is free.
     pub fn permit_wait(&self, now: Moment) -> Duration {
-        match self.statements.rate_limit.rate {
+        match self.rate_limit() {
             Some(_) => self.statements.rate_limit.free_at.saturating_sub(now),
             None => Duration::ZERO,
         }
@@ -176,7 +181,7 @@
 
     /// Counts a permit that another instance is about to ask for.
     pub fn expect_request(&mut self, now: Moment) {
-        let Some(rate) = self.statements.rate_limit.rate else { return };
+        let Some(rate) = self.rate_limit() else { return };
         let interval = rate.interval();
         let wait = self.permit_wait(now).saturating_add(interval).min(interval * MAX_EXPECTED);
         self.defer_permits(now, wait, wait);
--- a/crates/ferry-serve/src/endpoints/statements.rs
+++ b/crates/ferry-serve/src/endpoints/statements.rs
@@ -73,8 +73,16 @@
         for FormerStart { statements, .. } in former.iter().filter(|it| it.started != started) {
             view.statements.adopt(now, statements);
         }
+        let is_new = same.is_none();
         self.departed.remove(&id, started);
-        self.views.insert(id, view);
+        let cold_left = view.endpoint.cold_left;
+        self.views.insert(id.clone(), view);
+        self.record_cold(now, &id, started, cold_left);
+        match self.has_list {
+            true if is_new => self.presume_cold(now, &id),
+            true => (),
+            false => self.mark_cold_before(&id),
+        }
     }
 
     /// Removes an endpoint; what it said of itself is kept for the case that its entry comes back, or
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -77,6 +77,12 @@
         started: u64,
         report: HealthReport,
     },
+    /// The answer to a health check says for how much longer its endpoint is cold.
+    Cold {
+        endpoint: EndpointId,
+        started: u64,
+        left: Duration,
+    },
     /// The prompt parts that an engine has cached.
     Cached {
         endpoint: EndpointId,
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -178,6 +178,9 @@
             Event::Health { endpoint, started, report } => {
                 notices::on_health(cx, &endpoint, started, report);
             }
+            Event::Cold { endpoint, started, left } => {
+                cx.ctx.endpoints.record_cold(now, &endpoint, started, left);
+            }
             Event::Cached { endpoint, parts } => {
                 cx.ctx.scheduler.on_cached(now, &endpoint, &parts);
             }
@@ -191,7 +194,10 @@
             Event::Quarantine { pool, candidate, action } => {
                 quarantine::exchange::on_operator(cx, &pool, candidate, action);
             }
-            Event::Retune(tuning) => cx.ctx.tuning = *tuning,
+            Event::Retune(tuning) => {
+                cx.ctx.tuning = *tuning;
+                updates::set_paces(cx);
+            }
             Event::Shutdown => {
                 if self.leaving.is_none() {
                     self.leaving = Some(now);
@@ -201,6 +207,7 @@
                 }
             }
         }
+        exchange::on_cold_changes(cx);
         self.requests.enforce_quarantine(cx, &mut self.batcher);
         self.requests.avoid_closed(cx, &mut self.batcher);
         updates::update_reach(cx);
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -23,10 +23,19 @@
         cx.log(Decision::new(DecisionKind::Configure, "newer configuration applied"));
         let now = cx.now;
         cx.ctx.peers.heartbeat_now(now);
+        set_paces(cx);
         batcher.dispatch_all(cx);
     }
 }
 
+/// Applies what cold endpoints take, by the configuration and the settings.
+pub(super) fn set_paces(cx: &mut Pass<'_>) {
+    let Context { endpoints, catalog, tuning, .. } = &mut *cx.ctx;
+    if let Some(config) = catalog.config() {
+        endpoints.set_paces(cx.now, config.pools.iter(), tuning);
+    }
+}
+
 /// Applies what the store or a peer reports of endpoints; returns whether other zones are evacuated
 /// now.
 pub(super) fn on_store(cx: &mut Pass<'_>, update: StoreUpdate) -> bool {
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -36,9 +36,9 @@
     Status,
 };
 pub use endpoints::{
-    EndpointNotice, EndpointView, Endpoints, EndpointsDelta, EvacuatedZones, HealthReport,
-    LeavingReport, LimitChange, LimitNotice, LimitReport, LoadReport, Observation, Observations,
-    PauseReport, RequestRate, Restriction,
+    ColdChange, EndpointNotice, EndpointView, Endpoints, EndpointsDelta, EvacuatedZones,
+    HealthReport, LeavingReport, LimitChange, LimitNotice, LimitReport, LoadReport, Observation,
+    Observations, PauseReport, RequestRate, Restriction,
 };
 pub use event::{
     Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
--- a/crates/ferry-serve/src/limits/awaited.rs
+++ b/crates/ferry-serve/src/limits/awaited.rs
@@ -7,7 +7,7 @@
 use super::exchange;
 use super::{PermitAnswer, PermitId, PermitRequest};
 use crate::pass::Pass;
-use crate::{Asker, Effect, PeerMessage};
+use crate::{Asker, Effect, EndpointView, PeerMessage};
 
 /// Time to wait for an answer of the limiter: several round trips between instances with little CPU
 /// time.
@@ -62,12 +62,15 @@
         max_wait: Duration,
     ) -> Asked {
         let limit = cx.ctx.endpoints.limit_notice(cx.now, endpoint);
-        if limit.rate.is_none() {
+        let notices = cx.ctx.endpoints.cold_notices(cx.now, endpoint);
+        let is_cold = cx.ctx.endpoints.get(endpoint).is_some_and(EndpointView::is_cold);
+        if limit.rate.is_none() && !is_cold {
             return Asked::NotNeeded;
         }
         self.n_asks = self.n_asks.wrapping_add(1);
         self.asked_at = cx.now;
-        let request = PermitRequest { id: self.id, n_asks: self.n_asks, limit, class, max_wait };
+        let request =
+            PermitRequest { id: self.id, n_asks: self.n_asks, limit, class, max_wait, notices };
         match cx.ctx.limiter_peer(cx.now, endpoint) {
             None => {
                 self.limiter = Asker::This;
--- a/crates/ferry-serve/src/limits/exchange.rs
+++ b/crates/ferry-serve/src/limits/exchange.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::{PermitAnswer, PermitReply, PermitRequest};
+use crate::notices;
 use crate::pass::{Context, Pass};
-use crate::{Asker, Decision, DecisionKind, Effect, LimitNotice, Metric, PeerMessage};
+use crate::{Asker, ColdChange, Decision, DecisionKind, Effect, LimitNotice, Metric, PeerMessage};
 
 /// Time for which a silent peer is not asked for permits.
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
@@ -21,6 +22,7 @@
 /// Answers a peer that asks for a permit.
 pub fn on_request(cx: &mut Pass<'_>, from: SocketAddr, request: &PermitRequest) {
     on_notice(cx, &request.limit);
+    notices::on_notices(cx, &request.notices);
     let endpoint = &request.limit.endpoint;
     let answer = match cx.ctx.limiter_peer(cx.now, endpoint) {
         None => grant(cx, Asker::Peer(from), request),
@@ -108,6 +110,34 @@
     }
 }
 
+/// Logs which endpoints have become cold or warm, and begins to grant the permits for those of which
+/// this instance is the limiter: a cold endpoint would be warm before a new limiter grants any.
+pub fn on_cold_changes(cx: &mut Pass<'_>) {
+    for change in cx.ctx.endpoints.take_cold_changes() {
+        let ColdChange { endpoint, cold, n_sent } = change;
+        let reason = match cold {
+            Some((rate, left)) => {
+                cx.count(Metric::EndpointsCold);
+                begin(cx, &endpoint);
+                format!("is cold for {left:?}, takes {rate} requests per second")
+            }
+            None => format!("is warm, got {n_sent} requests of this instance meanwhile"),
+        };
+        cx.log(Decision::new(DecisionKind::Limit, reason).with_endpoint(&endpoint));
+    }
+}
+
+fn begin(cx: &mut Pass<'_>, endpoint: &str) {
+    if cx.ctx.limiter_peer(cx.now, endpoint).is_some() {
+        return;
+    }
+    let Context { endpoints, limiter, .. } = &mut *cx.ctx;
+    if let Some((view, rate)) = endpoints.get(endpoint).and_then(|it| Some((it, it.rate_limit()?)))
+    {
+        limiter.begin(cx.now, view, rate);
+    }
+}
+
 /// Tells a peer that has just started which endpoints have a limit.
 pub fn introduce(cx: &mut Pass<'_>, to: SocketAddr) {
     let notices = cx.ctx.endpoints.limit_notices(cx.now);
--- a/crates/ferry-serve/src/limits/limiter.rs
+++ b/crates/ferry-serve/src/limits/limiter.rs
@@ -40,6 +40,15 @@
         asker: Asker,
         request: &PermitRequest,
     ) -> PermitAnswer {
+        self.bucket(now, view, rate).ask(now, asker, request)
+    }
+
+    /// Begins to grant the permits for an endpoint, if that is not done already.
+    pub fn begin(&mut self, now: Moment, view: &EndpointView, rate: RequestRate) {
+        self.bucket(now, view, rate);
+    }
+
+    fn bucket(&mut self, now: Moment, view: &EndpointView, rate: RequestRate) -> &mut Bucket {
         self.reach.activate(now);
         let rate = scaled(rate, self.reach.share());
         let is_first =
@@ -48,7 +57,7 @@
         let id = view.endpoint.id.clone();
         let bucket = self.buckets.get_or_insert_with(id, || Bucket::new(now, rate, ready));
         bucket.set_rate(now, rate);
-        bucket.ask(now, asker, request)
+        bucket
     }
 
     /// Removes a request that no longer needs its permit.
--- a/crates/ferry-serve/src/limits/message.rs
+++ b/crates/ferry-serve/src/limits/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::LimitNotice;
+use crate::{EndpointNotice, LimitNotice};
 
 /// Identifies a permit at the instance that asks for it.
 pub type PermitId = u64;
@@ -21,6 +21,9 @@
     pub class: u8,
     /// Longest useful wait for the permit.
     pub max_wait: Duration,
+    /// What the instance knows of the endpoint besides; an extension of the message.
+    #[serde(skip)]
+    pub notices: Vec<EndpointNotice>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/ferry-serve/src/notices.rs
+++ b/crates/ferry-serve/src/notices.rs
@@ -53,6 +53,7 @@
             Restriction::Withdrawn { revision } => {
                 format!("leaves or is gone at {revision}, as a peer knows")
             }
+            Restriction::Cold { left, .. } => format!("is cold for {left:?}, as a peer knows"),
             Restriction::Paused { left, .. } => {
                 format!("has asked a peer for a pause that lasts {left:?} more")
             }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -210,6 +210,7 @@
     pub fn notices(&self) -> &[EndpointNotice] {
         match self {
             PeerMessage::Submit(it) => &it.notices,
+            PeerMessage::PermitRequest(it) => &it.notices,
             PeerMessage::Notices { notices } => notices,
             _ => &[],
         }
@@ -219,6 +220,7 @@
     pub fn with_notices(mut self, received: Vec<EndpointNotice>) -> PeerMessage {
         match &mut self {
             PeerMessage::Submit(it) => it.notices = received,
+            PeerMessage::PermitRequest(it) => it.notices = received,
             PeerMessage::Notices { notices } => *notices = received,
             _ => (),
         }
--- a/crates/ferry-serve/src/request/permit.rs
+++ b/crates/ferry-serve/src/request/permit.rs
@@ -186,7 +186,12 @@
         PermitAnswer::Granted { .. } => return ask(cx, request, wait),
         PermitAnswer::NotNeeded(notice) => {
             exchange::on_notice(cx, notice);
-            return Gate::Open;
+            // The limiter may not know that the endpoint is cold.
+            let view = cx.ctx.endpoints.get(&endpoint);
+            return match view.is_some_and(|it| it.rate_limit().is_some()) {
+                true => close(cx, request, &endpoint, RETRY_PAUSE, RETRY_PAUSE),
+                false => Gate::Open,
+            };
         }
         PermitAnswer::Denied { wait, pause } => {
             return close(cx, request, &endpoint, *wait, *pause);
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -68,6 +68,10 @@
     pub shutdown_grace: Duration,
     /// Writes per second that the store takes from all instances together.
     pub store_writes: f64,
+    /// Requests per second that a cold endpoint may get, as a multiple of what it takes.
+    pub cold_factor: f64,
+    /// Requests that it may get in a second in addition.
+    pub cold_slack: f64,
     /// Whether the operator evacuates zones, so that nothing is sent before it is known which ones.
     pub has_evacuations: bool,
     /// Mechanisms that are switched off, sorted.
@@ -105,6 +109,8 @@
             close_after: ms(2_800),
             shutdown_grace: ms(8_000),
             store_writes: 400.0,
+            cold_factor: 1.0,
+            cold_slack: 0.0,
             has_evacuations: false,
             disabled: Vec::new(),
         }
--- a/crates/ferry-serve/tests/decisions/leaving/peers.rs
+++ b/crates/ferry-serve/tests/decisions/leaving/peers.rs
@@ -153,7 +153,9 @@
     let notices = gateway.context().endpoints.notices(sim.now, "first", 0);
     let left = |it: &EndpointNotice| match it.restriction {
         Restriction::Paused { left, .. } => Some(left),
-        Restriction::Announced { .. } | Restriction::Withdrawn { .. } => None,
+        Restriction::Announced { .. }
+        | Restriction::Withdrawn { .. }
+        | Restriction::Cold { .. } => None,
     };
     notices.iter().filter_map(left).max()
 }
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod batches;
 mod budgets;
 mod builds;
+mod cold;
 mod config;
 mod config_changes;
 mod cuts;
--- a/crates/ferry-serve/tests/decisions/schedule.rs
+++ b/crates/ferry-serve/tests/decisions/schedule.rs
@@ -164,6 +164,7 @@
         state: EndpointState::Live,
         build: "v1".to_owned(),
         started: 1,
+        cold_left: Duration::ZERO,
     };
     let endpoints: Vec<GatewayEndpoint> = (0..900).map(engine).collect();
     let mut view = Endpoints::new();
--- a/crates/ferry-serve/tests/decisions/simulation/config.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/config.rs
@@ -47,7 +47,7 @@
     ];
     let pool = |(name, kind): (&str, PoolKind)| {
         let health = Some("/health".to_owned());
-        (name.to_owned(), GatewayPool { max_connections: 100, kind, health })
+        (name.to_owned(), GatewayPool { max_connections: 100, kind, health, cold: None })
     };
     let owner = KeyOwner { workspace: "workspace".to_owned(), priority: None };
     GatewayConfig {
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -86,6 +86,7 @@
             state: EndpointState::Live,
             build: "v1".to_owned(),
             started: 1,
+            cold_left: Duration::ZERO,
         };
         let endpoint = Endpoint {
             entry,
--- a/crates/ferry-serve/tests/decisions/statements.rs
+++ b/crates/ferry-serve/tests/decisions/statements.rs
@@ -305,3 +305,71 @@
     }
     assert_eq!(exceeded, Vec::<String>::new());
 }
+
+/// What one instance reads of an endpoint that starts again, in milliseconds from its start.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    /// When its former entry lapses, if that is read.
+    lapse: Option<u64>,
+    entry: u64,
+}
+
+#[test]
+fn limit_of_a_start_holds_while_instances_read_its_entry_one_after_the_other() {
+    let mut exceeded = Vec::new();
+    for seed in 0..60_u64 {
+        let n_instances = [4, 6, 20][seed as usize % 3];
+        let random = |instance: usize, salt: u64| {
+            let key = (seed << 32) | (salt << 16) | instance as u64;
+            key.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+                .rotate_left(23)
+                .wrapping_mul(0xd134_2543_de82_ef95)
+                >> 33
+        };
+        let draw = |instance, salt, range: u64| random(instance, salt) % range;
+        let readings: Vec<Reading> = (0..n_instances)
+            .map(|it| Reading {
+                lapse: (draw(it, 1, 2) == 0).then(|| 3_600 + draw(it, 2, 900)),
+                entry: 4_500 + draw(it, 3, 1_100),
+            })
+            .collect();
+        let mut sim = Simulation::new(n_instances);
+        for id in ids_of(&sim, "plain") {
+            sim.set_behaviour(&id, Behaviour::Slow(SLOWDOWN));
+        }
+        let mut load = Load::new(&["get", "post"], 100);
+        load.send(&mut sim, ms(1_000));
+        sim.set_behaviour(ID, Behaviour::Reset);
+        load.send(&mut sim, ms(100));
+        sim.set_behaviour(ID, Behaviour::Healthy);
+        sim.set_rate_limit(ID, Some(RATE));
+        let start = sim.now;
+        let endpoint = sim.endpoints.get_mut(ID).expect("the endpoint exists");
+        endpoint.entry.started = LATER;
+        let entry = endpoint.entry.clone();
+        let mut steps: Vec<(u64, usize, StoreUpdate)> = Vec::new();
+        for (instance, reading) in readings.iter().enumerate() {
+            if let Some(at) = reading.lapse {
+                let update = StoreUpdate::Removed { revision: 20, id: ID.to_owned() };
+                steps.push((at, instance, update));
+            }
+            let update = StoreUpdate::Changed { revision: 21, endpoint: entry.clone() };
+            steps.push((reading.entry, instance, update));
+        }
+        steps.sort_by_key(|it| it.0);
+        for (at, instance, update) in steps {
+            let at = start + ms(at);
+            if sim.now < at {
+                let wait = at - sim.now;
+                load.send(&mut sim, wait);
+            }
+            sim.deliver(instance, Event::Store(update));
+        }
+        load.send(&mut sim, ms(6_000));
+        let most = most_in_window(&sim, ID, start + LEARNING_TIME, |_| true);
+        if allowed(RATE) < most {
+            exceeded.push(format!("seed {seed}, {n_instances} instances: {most}, {readings:?}"));
+        }
+    }
+    assert_eq!(exceeded, Vec::<String>::new());
+}
