Log the longest pause of a stream, and count it among the losses

Cause: a stream that began in time and paused for longer than its route allows is late, and no log line said so: ferry-bench losses counted it as served in time.

Change: complete lines have pause_ms, and max_pause_ms where the route has an objective for it; losses has the cause "a pause between events".

--- a/crates/ferry-bench/src/losses.rs
+++ b/crates/ferry-bench/src/losses.rs
@@ -47,6 +47,8 @@
     Between,
     /// An earlier attempt of its caller was refused or failed.
     EarlierAttempt,
+    /// It began in time, and its stream paused for too long.
+    Pause,
     Refused(String),
     Failed(String),
     /// The log ends before it, or its caller left.
@@ -64,6 +66,7 @@
             Cause::SharedParts => f.write_str("late: shared parts read by the engine"),
             Cause::Between => f.write_str("late: between steps"),
             Cause::EarlierAttempt => f.write_str("late: an earlier attempt of the caller"),
+            Cause::Pause => f.write_str("late: a pause between events"),
             Cause::Refused(reason) => write!(f, "refused: {reason}"),
             Cause::Failed(reason) => write!(f, "failed: {reason}"),
             Cause::Unfinished => f.write_str("not finished"),
--- a/crates/ferry-bench/src/losses/request.rs
+++ b/crates/ferry-bench/src/losses/request.rs
@@ -25,6 +25,8 @@
     took_us: Option<u64>,
     floor_us: Option<u64>,
     slack_ms: Option<u64>,
+    pause_ms: Option<u64>,
+    max_pause_ms: Option<u64>,
     own_tokens: Option<u32>,
     shared_tokens: Option<u32>,
     uncached_tokens: Option<u32>,
@@ -56,6 +58,8 @@
     Complete {
         first: Duration,
         is_in_time: bool,
+        /// Whether two events were further apart than its route allows.
+        has_paused: bool,
     },
     Refused(String),
     Failed(String),
@@ -108,7 +112,8 @@
             }
             "complete" => {
                 let is_in_time = 0 < it.slack_ms.unwrap_or_default();
-                self.end = Some(End::Complete { first: took, is_in_time });
+                let has_paused = it.max_pause_ms.is_some_and(|max| Some(max) < it.pause_ms);
+                self.end = Some(End::Complete { first: took, is_in_time, has_paused });
             }
             // The admission controller writes one as well, before the instance of the caller.
             "refuse" if it.reason.starts_with("class ") => (),
@@ -137,7 +142,8 @@
     /// Returns why it was not in time; none if it was.
     pub(super) fn cause(&self) -> Option<Cause> {
         match self.end.clone() {
-            Some(End::Complete { is_in_time: true, .. }) => None,
+            Some(End::Complete { is_in_time: true, has_paused: false, .. }) => None,
+            Some(End::Complete { is_in_time: true, has_paused: true, .. }) => Some(Cause::Pause),
             Some(End::Complete { first, .. }) => Some(self.late_cause(first)),
             Some(End::Refused(reason)) => Some(Cause::Refused(reason)),
             Some(End::Failed(reason)) => Some(Cause::Failed(reason)),
--- a/crates/ferry-gateway/src/decision_log.rs
+++ b/crates/ferry-gateway/src/decision_log.rs
@@ -28,6 +28,8 @@
         emit_number(out, "score_us", it.score)?;
         emit_number(out, "budget_ms", it.budget.map(millis))?;
         emit_number(out, "slack_ms", it.slack.map(millis))?;
+        emit_number(out, "pause_ms", it.pause.map(millis))?;
+        emit_number(out, "max_pause_ms", it.max_pause.map(millis))?;
         emit_number(out, "took_us", it.took.map(micros))?;
         emit_number(out, "floor_us", it.floor.map(micros))?;
         emit_number(out, "own_tokens", it.prompt.map(|it| u64::from(it.own)))?;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -193,6 +193,10 @@
     pub floor: Option<Duration>,
     /// Time left until the answer, or its first event, is late.
     pub slack: Option<Duration>,
+    /// Longest time between two events of its stream.
+    pub pause: Option<Duration>,
+    /// The objective for that.
+    pub max_pause: Option<Duration>,
     pub prompt: Option<PromptTokens>,
     /// How the endpoint ended its stream.
     pub end: Option<StreamEnd>,
@@ -226,6 +230,8 @@
             took: None,
             floor: None,
             slack: None,
+            pause: None,
+            max_pause: None,
             prompt: None,
             end: None,
             silence: None,
@@ -263,6 +269,12 @@
         self
     }
 
+    pub fn with_pause(mut self, pause: Option<Duration>, max: Option<Duration>) -> Decision {
+        self.pause = pause;
+        self.max_pause = max.filter(|_| pause.is_some());
+        self
+    }
+
     pub fn with_prompt(mut self, prompt: Option<PromptTokens>) -> Decision {
         self.prompt = prompt;
         self
--- a/crates/ferry-serve/src/request/active.rs
+++ b/crates/ferry-serve/src/request/active.rs
@@ -71,12 +71,33 @@
     pub n_restarts: u32,
     /// When the caller got the headers of a stream; none before that.
     pub began_at: Option<Moment>,
+    /// Pauses between the events that it has received.
+    pub pauses: EventPauses,
     /// Last complete event that the caller has received.
     pub last_event: Option<u64>,
     /// The build at which its stream goes on.
     pub build: StreamBuild,
 }
 
+/// The pauses between the events of a stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EventPauses {
+    last: Option<Moment>,
+    longest: Option<Duration>,
+}
+
+impl EventPauses {
+    pub fn record(&mut self, now: Moment) {
+        let pause = self.last.replace(now).map(|it| now.saturating_sub(it));
+        self.longest = self.longest.max(pause);
+    }
+
+    /// Returns the longest pause; none if there were less than two events.
+    pub fn longest(self) -> Option<Duration> {
+        self.longest
+    }
+}
+
 /// An endpoint's answer that its run failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldError {
--- a/crates/ferry-serve/src/request/arrive.rs
+++ b/crates/ferry-serve/src/request/arrive.rs
@@ -4,7 +4,7 @@
 
 use ferry_model::{Moment, RouteKind};
 
-use super::active::{ActiveRequest, Phase, StageState, StreamBuild};
+use super::active::{ActiveRequest, EventPauses, Phase, StageState, StreamBuild};
 use super::end::{self, RetryHint};
 use super::graph::StageGraph;
 use super::{call, origin, pause, permit, stages, times};
@@ -137,6 +137,7 @@
         n_denials: 0,
         n_restarts: 0,
         began_at: None,
+        pauses: EventPauses::default(),
         last_event: None,
         build: StreamBuild::Any,
         head,
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -172,6 +172,7 @@
         CallEvent::Progress { last_event } => {
             answer::relay_head(cx, batcher, request, &current);
             request.last_event = last_event.or(request.last_event);
+            request.pauses.record(cx.now);
             if current.peer.is_none() {
                 origin::on_event(cx, request, &current.build);
             }
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -92,6 +92,7 @@
             .with_end(end)
             .with_times(first - request.arrived, cx.now - request.arrived)
             .with_slack(request.objective().saturating_sub(first))
+            .with_pause(request.pauses.longest(), request.route.max_gap)
             .with_budget(request.deadline.saturating_sub(cx.now)),
     );
     release_stages(cx, batcher, request);
