Keep long prompts from engines whose streams would pause for too long

Change: a prompt whose reading, with what waits before it, takes more than six tenths of the pool's shortest objective for pauses costs 200 ms for each stream that its engine writes. The parts of the cost of an engine are kept apart.

--- a/crates/ferry-serve/src/catalog.rs
+++ b/crates/ferry-serve/src/catalog.rs
@@ -130,6 +130,19 @@
         &self.resumable
     }
 
+    /// Returns the shortest objective for the pauses of streams, by pool.
+    pub fn max_pauses(&self) -> SortedMap<PoolId, Duration> {
+        let mut max_pauses: SortedMap<PoolId, Duration> = SortedMap::new();
+        for route in self.config.iter().flat_map(|it| &it.routes) {
+            let Some(max_pause) = route.max_gap else { continue };
+            for target in &route.targets {
+                let known = max_pauses.get_or_insert_with(target.pool.clone(), || max_pause);
+                *known = max_pause.min(*known);
+            }
+        }
+        max_pauses
+    }
+
     /// Whether the current configuration has a pool.
     pub fn has_pool(&self, pool: &str) -> bool {
         self.pools.contains_key(pool)
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -24,6 +24,8 @@
         let now = cx.now;
         cx.ctx.peers.heartbeat_now(now);
         set_paces(cx);
+        let max_pauses = cx.ctx.catalog.max_pauses();
+        cx.ctx.scheduler.set_max_pauses(max_pauses);
         batcher.dispatch_all(cx);
     }
 }
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -63,7 +63,8 @@
 pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
 pub use schedule::{
-    Asker, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled, Scheduler,
+    Asker, EngineCost, Release, ScheduleDecision, ScheduleProgress, ScheduleRequest, Scheduled,
+    Scheduler,
 };
 pub use tuning::Tuning;
 
--- a/crates/ferry-serve/src/mechanism.rs
+++ b/crates/ferry-serve/src/mechanism.rs
@@ -35,6 +35,8 @@
     SharedReading,
     /// Ends jobs that would get their turn too late.
     Shedding,
+    /// Keeps prompts from engines whose streams would pause for too long while they read them.
+    StallAvoidance,
     /// Lets few instances watch the store closely, from which the others learn.
     WatchSharing,
     /// Runs stages in the zone of their data or their engine.
--- a/crates/ferry-serve/src/schedule.rs
+++ b/crates/ferry-serve/src/schedule.rs
@@ -19,6 +19,8 @@
 
 use engine::Engine;
 
+pub use estimate::EngineCost;
+
 /// Time after which a call is forgotten whose end was not reported.
 const MAX_CALL_TIME: Duration = Duration::from_secs(30);
 /// Interval at which such calls are looked for.
@@ -105,6 +107,8 @@
     calls: SortedMap<CallerAttempt, (Moment, EndpointId)>,
     held: Vec<Held>,
     next_expiry: Moment,
+    /// Longest useful pause between the events of a stream, by pool.
+    max_pauses: SortedMap<PoolId, Duration>,
     /// Whether another scheduler has chosen engines before.
     has_predecessor: bool,
     /// Pools, and shards of them, whose caches were read since.
@@ -116,6 +120,11 @@
         Scheduler { has_predecessor, ..Scheduler::default() }
     }
 
+    /// Sets the longest useful pauses between the events of streams, by pool.
+    pub fn set_max_pauses(&mut self, max_pauses: SortedMap<PoolId, Duration>) {
+        self.max_pauses = max_pauses;
+    }
+
     /// Records that another instance schedules requests.
     pub fn note_predecessor(&mut self) {
         self.has_predecessor = true;
--- a/crates/ferry-serve/src/schedule/engine.rs
+++ b/crates/ferry-serve/src/schedule/engine.rs
@@ -143,6 +143,11 @@
         self.n_begun + self.pending.len() as u32
     }
 
+    /// Counts the streams that it writes.
+    pub(super) fn n_begun(&self) -> u32 {
+        self.n_begun
+    }
+
     pub(super) fn slowdown(&self) -> f64 {
         self.slowdown
     }
--- a/crates/ferry-serve/src/schedule/estimate.rs
+++ b/crates/ferry-serve/src/schedule/estimate.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use ferry_model::Moment;
+use ferry_model::{EndpointId, Moment};
 
 use super::engine::Engine;
 use super::{ScheduleRequest, Scheduler};
 use crate::choose::{
-    FAIL_COST, LIKELY_CACHED_FRACTION, PERMIT_COST, ZONE_HOP_COST, millis, sort_by_affinity,
+    FAIL_COST, LIKELY_CACHED_FRACTION, PERMIT_COST, ZONE_HOP_COST, millis, prefixes,
+    sort_by_affinity,
 };
 use crate::{EndpointView, Endpoints, Mechanism, Tuning};
 
@@ -17,6 +18,10 @@
 /// known to have cached it. A scheduler that has just taken over then finds what others chose.
 const RANK_COST: Duration = Duration::from_millis(100);
 const MAX_RANK: usize = 4;
+/// Cost of a stream that pauses for too long while its engine reads a prompt, as time.
+const PAUSE_COST: Duration = Duration::from_millis(200);
+/// Part of the objective for pauses that reading may take; tokens are written in the rest.
+const STALL_FRACTION: f64 = 0.6;
 /// Longest wait for a permit that makes a difference.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(60);
 
@@ -29,6 +34,22 @@
     most: u32,
 }
 
+/// What a request would cost at one engine, in parts, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineCost {
+    pub endpoint: EndpointId,
+    /// Time until the prompts of earlier calls are read.
+    pub wait: Duration,
+    /// Time to read the prompt.
+    pub read: Duration,
+    /// Cost of the streams that would pause for too long meanwhile.
+    pub stall: Duration,
+    /// Shared tokens that the engine has to read.
+    pub uncached: u32,
+    /// All of that with the smaller parts, as time.
+    pub total: Duration,
+}
+
 /// What a request would cost at one engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Estimate {
@@ -36,7 +57,9 @@
     pub(super) wait: f64,
     /// Milliseconds to read the prompt.
     pub(super) read: f64,
-    /// Cost in milliseconds.
+    /// Cost in milliseconds of the streams that would pause for too long.
+    stall: f64,
+    /// Cost of all that in milliseconds.
     pub(super) cost: f64,
     /// Shared tokens that the engine has to read.
     pub(super) uncached: u32,
@@ -52,6 +75,21 @@
         request: &ScheduleRequest,
         prefixes: &[(u64, u32)],
     ) -> Option<(Estimate, &'a EndpointView, u32)> {
+        let (estimates, considered) = self.estimates(now, endpoints, tuning, request, prefixes);
+        let (best, view) = estimates.into_iter().min_by(|a, b| a.0.cost.total_cmp(&b.0.cost))?;
+        Some((best, view, considered))
+    }
+
+    /// Returns what a request would cost at each engine that may get it now, and the number of
+    /// engines that may get it at all.
+    fn estimates<'a>(
+        &self,
+        now: Moment,
+        endpoints: &'a Endpoints,
+        tuning: &Tuning,
+        request: &ScheduleRequest,
+        prefixes: &[(u64, u32)],
+    ) -> (Vec<(Estimate, &'a EndpointView)>, u32) {
         let fits = |it: &&EndpointView| {
             it.accepts_work()
                 && it.has_build(request.build.as_deref())
@@ -87,8 +125,36 @@
             }
             (estimate, view)
         });
-        let (best, view) = estimates.min_by(|a, b| a.0.cost.total_cmp(&b.0.cost))?;
-        Some((best, view, candidates.len() as u32))
+        (estimates.collect(), candidates.len() as u32)
+    }
+
+    /// Whether the streams of an engine pause for longer than is useful while it reads prompts for this
+    /// number of milliseconds.
+    fn is_too_long(&self, pool: &str, tuning: &Tuning, reading: f64) -> bool {
+        tuning.is_enabled(Mechanism::StallAvoidance)
+            && self.max_pauses.get(pool).is_some_and(|it| STALL_FRACTION * millis(*it) < reading)
+    }
+
+    /// Returns what a request would cost at each engine that may get it now, without choosing one.
+    pub fn explain(
+        &self,
+        now: Moment,
+        endpoints: &Endpoints,
+        tuning: &Tuning,
+        request: &ScheduleRequest,
+    ) -> Vec<EngineCost> {
+        let prefixes = prefixes(&request.prompt);
+        let (estimates, _) = self.estimates(now, endpoints, tuning, request, &prefixes);
+        let time = |millis: f64| Duration::from_secs_f64(millis.max(0.0) / 1e3);
+        let cost = |(it, view): (Estimate, &EndpointView)| EngineCost {
+            endpoint: view.endpoint.id.clone(),
+            wait: time(it.wait),
+            read: time(it.read),
+            stall: time(it.stall),
+            uncached: it.uncached,
+            total: time(it.cost),
+        };
+        estimates.into_iter().map(cost).collect()
     }
 
     /// Returns how many tokens of the shared parts an engine has cached.
@@ -133,8 +199,14 @@
         let permit = view.rate_limit().map_or(0.0, |_| {
             millis(PERMIT_COST) + millis(view.permit_wait(now).min(MAX_PERMIT_WAIT))
         });
+        let n_begun = engine.map_or(0, Engine::n_begun);
+        let stall = match self.is_too_long(&request.pool, tuning, wait + read) {
+            true => f64::from(n_begun) * millis(PAUSE_COST),
+            false => 0.0,
+        };
         let cost = wait
             + read
+            + stall
             + permit
             + overflow
             + f64::from(n_running) * millis(RUNNING_COST)
@@ -142,6 +214,6 @@
             + elsewhere * millis(tuning.transfer_cost)
             + hop
             + view.failure_rate * millis(FAIL_COST);
-        Estimate { wait, read, cost, uncached }
+        Estimate { wait, read, stall, cost, uncached }
     }
 }
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -25,6 +25,7 @@
 mod seeds;
 mod shutdown;
 mod silence;
+mod stalls;
 mod statements;
 mod store_copy;
 mod ways;
