--- a/crates/ferry-serve/src/endpoints/cold.rs
+++ b/crates/ferry-serve/src/endpoints/cold.rs
@@ -9,12 +9,12 @@
 
 use super::{EndpointNotice, EndpointView, Endpoints, RequestRate, Restriction};
 use crate::Tuning;
+use crate::limits::{BURST_TIME, PERMIT_TTL};
 
 /// Longest time for which an endpoint is cold; a longer one counts as this.
 const MAX_COLD_TIME: Duration = Duration::from_secs(60);
-/// Longest span by which requests may bunch under way, as a part of a second: the age up to which a
-/// permit may be used, and the permits that are granted at once.
-const BUNCHING: f64 = 0.35;
+/// Fraction of the rate of a cold endpoint that is used even if no slack is left for bursts.
+const MIN_FRACTION: f64 = 0.5;
 
 /// What the cold endpoints of a pool take.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,13 +27,18 @@
 impl ColdPace {
     /// Returns the pace of a pool; none if its endpoints are never cold.
     ///
-    /// The rate leaves no second with more requests than the platform allows, however they bunch.
+    /// A second may have the requests whose permits were granted in it, those whose permits were granted
+    /// just before, and a burst of permits granted at once. The rate keeps all of them within what the
+    /// platform allows.
     fn new(pool: &GatewayPool, tuning: &Tuning) -> Option<ColdPace> {
         let limit = pool.cold.as_ref()?;
         let steady = limit.per_second * tuning.cold_factor;
         let most = steady + tuning.cold_slack;
-        let spread = (most / (1.0 + BUNCHING)).min((most - 1.0) / (1.0 + BUNCHING - 0.1));
-        let rate = RequestRate::new(steady.min(spread.max(limit.per_second / 2.0)))?;
+        let seconds = 1.0 + PERMIT_TTL.as_secs_f64();
+        let burst = BURST_TIME.as_secs_f64();
+        // A burst has one permit at least.
+        let safe = (most / (seconds + burst)).min((most - 1.0) / seconds);
+        let rate = RequestRate::new(steady.min(safe.max(limit.per_second * MIN_FRACTION)))?;
         Some(ColdPace { time: limit.time, rate })
     }
 }
@@ -45,9 +50,9 @@
     said_until: Moment,
     /// By what usually happens to it, before it has said anything.
     presumed_until: Moment,
-    /// As peers know. They are not told of that again: each message takes time, by which they would
-    /// put off the end for each other.
-    told_until: Moment,
+    /// By notices of peers. Notices to others leave it out: each message takes time, by which
+    /// instances would put off the end for each other.
+    notified_until: Moment,
     since: Moment,
     /// Requests that it takes; none if it is warm.
     pub(super) rate: Option<RequestRate>,
@@ -57,7 +62,7 @@
 
 impl Cold {
     fn until(&self) -> Moment {
-        self.own_until().max(self.told_until)
+        self.own_until().max(self.notified_until)
     }
 
     fn own_until(&self) -> Moment {
@@ -128,12 +133,12 @@
     pub fn record_cold(&mut self, now: Moment, id: &str, started: u64, left: Duration) {
         if let Some(view) = self.views.get_mut(id).filter(|it| it.endpoint.started == started) {
             view.cold.said_until = now + left.min(MAX_COLD_TIME);
-            view.cold.told_until = Moment::ZERO;
+            view.cold.notified_until = Moment::ZERO;
             self.refresh(now, id);
         }
     }
 
-    /// Applies what a peer knows; returns whether the endpoint was not cold here.
+    /// Applies the notice of a peer; returns whether the endpoint was not cold here.
     pub(super) fn extend_cold(
         &mut self,
         now: Moment,
@@ -144,7 +149,7 @@
         let view = self.views.get_mut(id).filter(|it| it.endpoint.started == started);
         let Some(view) = view else { return false };
         let was_cold = view.is_cold();
-        view.cold.told_until = view.cold.told_until.max(now + left.min(MAX_COLD_TIME));
+        view.cold.notified_until = view.cold.notified_until.max(now + left.min(MAX_COLD_TIME));
         self.refresh(now, id);
         !was_cold && self.get(id).is_some_and(EndpointView::is_cold)
     }
@@ -196,7 +201,7 @@
         self.views.values().filter(|it| it.is_cold()).count()
     }
 
-    /// Returns what a limiter has to know of an endpoint that is cold.
+    /// Returns the notice for the limiter of an endpoint that is cold.
     pub fn cold_notices(&self, now: Moment, id: &str) -> Vec<EndpointNotice> {
         let notice = |it: &EndpointView| {
             let left = it.cold.own_until().saturating_sub(now);
--- a/crates/ferry-serve/src/endpoints/delta.rs
+++ b/crates/ferry-serve/src/endpoints/delta.rs
@@ -32,7 +32,7 @@
     /// reader takes over that they are missing: the removal that it reads itself may be older.
     #[serde(default)]
     pub missing: Vec<EndpointId>,
-    /// None from a peer that knows of none, or whose release does not.
+    /// None from a peer that has not read them, or whose release has no evacuations.
     #[serde(default)]
     pub evacuated: Option<EvacuatedZones>,
 }
@@ -137,7 +137,7 @@
     /// for removed.
     pub fn delta(&self, since: u64) -> EndpointsDelta {
         let (revision, last_change) = (self.revision, self.last_change());
-        let evacuated = self.told_zones();
+        let evacuated = self.announced_zones();
         let missing = self.views.values().filter(|it| it.missing_since.is_some());
         let missing = missing.map(|it| it.endpoint.id.clone()).collect();
         let Some(ids) = self.changes.after(since) else {
--- a/crates/ferry-serve/src/endpoints/evacuation.rs
+++ b/crates/ferry-serve/src/endpoints/evacuation.rs
@@ -1,7 +1,7 @@
 //! Availability zones that an operator evacuates: their endpoints get nothing new.
 //!
-//! The store, or a peer that has read it, says which zones these are. Before either has, no endpoint
-//! gets anything, as a process that has just started cannot tell; docs/design/load.md weighs that.
+//! They are read from the store, or from a peer. Before that no endpoint gets anything, as a process
+//! that has just started may be in the midst of an evacuation; docs/design/load.md weighs that.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 use super::{EndpointView, Endpoints};
 
-/// The evacuated zones as one instance tells them to another.
+/// The evacuated zones as one instance sends them to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuatedZones {
     /// Store position at which they were read.
@@ -59,7 +59,7 @@
     is_used: bool,
     /// Store position at which they were last read; zero before that.
     revision: StorePosition,
-    /// Position of the last change, which peers have to know.
+    /// Position of the last change, by which peers see that they are behind.
     pub(super) last_change: StorePosition,
     zones: SortedMap<ZoneId, Evacuation>,
     n_changes: u64,
@@ -76,7 +76,7 @@
         !self.is_known() || self.zones.contains_key(zone)
     }
 
-    fn told(&self) -> Option<EvacuatedZones> {
+    fn announced(&self) -> Option<EvacuatedZones> {
         let listed = self.zones.iter().filter(|it| it.1.until.is_none());
         let zones = listed.map(|it| it.0.clone()).collect();
         (0 < self.revision).then_some(EvacuatedZones { revision: self.revision, zones })
@@ -186,9 +186,9 @@
         self.evacuations.n_changes
     }
 
-    /// Returns what peers are told of evacuated zones; none before anything is known.
-    pub(super) fn told_zones(&self) -> Option<EvacuatedZones> {
-        self.evacuations.told()
+    /// Returns the evacuated zones for a peer; none before they are known.
+    pub(super) fn announced_zones(&self) -> Option<EvacuatedZones> {
+        self.evacuations.announced()
     }
 
     /// Applies a complete list of evacuated zones; returns whether it changes anything.
--- a/crates/ferry-serve/src/gateway/explain.rs
+++ b/crates/ferry-serve/src/gateway/explain.rs
@@ -19,7 +19,7 @@
 pub struct Explanation {
     /// What would be logged of it, in order.
     pub steps: Vec<Step>,
-    /// What its caller would be told at once, if it would be refused.
+    /// The refusal that its caller would get at once, if it would be refused.
     pub refusal: Option<Refusal>,
     /// The peer whose admission controller decides on it; none if this instance does.
     pub asked: Option<SocketAddr>,
--- a/crates/ferry-serve/src/limits.rs
+++ b/crates/ferry-serve/src/limits.rs
@@ -12,6 +12,7 @@
 mod reach;
 
 pub use awaited::{Asked, AwaitedPermit, PERMIT_TTL};
+pub(crate) use bucket::BURST_TIME;
 pub use bucket::PermitReply;
 pub use limiter::Limiter;
 pub use message::{PermitAnswer, PermitId, PermitRequest};
--- a/crates/ferry-serve/src/limits/bucket.rs
+++ b/crates/ferry-serve/src/limits/bucket.rs
@@ -8,7 +8,7 @@
 use crate::{Asker, RequestRate};
 
 /// Time whose permits may be granted at once, if that is more than one.
-const BURST_TIME: Duration = Duration::from_millis(100);
+pub(crate) const BURST_TIME: Duration = Duration::from_millis(100);
 /// Time for which a permit that was granted is kept, as its answer may be lost.
 const GRANT_RETENTION: Duration = Duration::from_millis(500);
 /// Part of a permit that may be lost when times are rounded.
