Let the soak evacuate zones

Cause: no soak had evacuated zones; a process test has them in four cases only.

Five seconds after the entry nothing may reach their endpoints.

--- a/crates/ferry-gateway/tests/process/soak.rs
+++ b/crates/ferry-gateway/tests/process/soak.rs
@@ -38,6 +38,8 @@
 /// Seeds, and numbers of gateways, with entries that cannot be read.
 const ENTRY_SEEDS: [(u64, usize); 2] = [(1, 1), (21, 3)];
 
+/// Seed with which zones are evacuated beside kills and an outage.
+const EVACUATION_SEED: u64 = 9_001;
 /// Seed with which all gateways are killed several times.
 const HERD_SEED: u64 = 1;
 
@@ -85,6 +87,17 @@
     }
 }
 
+#[test]
+fn evacuated_zones_get_nothing_beside_outages_and_kills() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime starts");
+    let options = options(EVACUATION_SEED, 20, Some(Only::Evacuations));
+    let report = LocalSet::new().block_on(&runtime, ferry_soak::run(&options));
+    let report = report.expect("the soak runs");
+    assert!(report.is_ok(), "seed {EVACUATION_SEED}: {report:#?}");
+    assert!(100 <= report.under_faults.served, "seed {EVACUATION_SEED}: {report:#?}");
+}
+
 #[test]
 fn streams_go_on_after_all_gateways_were_killed() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -9,10 +9,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_model::SortedMap;
 use tokio::time::Instant;
 
+use crate::cluster::N_ZONES;
 use crate::config::Route;
 use crate::crash::Cause;
 use crate::losses::{Cuts, Ended, Trouble, Troubles, is_at_limit};
@@ -26,6 +28,9 @@
 pub use budget::WorstWindow;
 pub use pauses::PauseCounts;
 
+/// Time after which nothing may reach the endpoints of an evacuated zone, as the settings have it.
+const EVACUATION_BOUND: Duration = Duration::from_millis(5_000);
+
 /// The outcome of a request, as its caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -71,6 +76,8 @@
     /// The attempt of each stage result, by handle.
     results: RefCell<SortedMap<String, String>>,
     violations: RefCell<Vec<String>>,
+    /// Zones that are evacuated, and since when.
+    evacuated: RefCell<Vec<(usize, Instant)>>,
     troubles: RefCell<Troubles>,
     /// When configurations were written to the store.
     configured: RefCell<Vec<Instant>>,
@@ -109,6 +116,7 @@
 
     /// Records that an endpoint starts to run an attempt.
     pub fn record_run(&self, id: &str, endpoint: &str, path: &str, body: &[u8]) {
+        self.check_evacuation(id, endpoint);
         let mut attempts = self.attempts.borrow_mut();
         let Some(attempt) = attempts.get_mut(id) else {
             return self.add_violation(format!("{endpoint} ran {id}, which was never sent"));
@@ -153,6 +161,7 @@
     pub fn record_item(&self, id: &str, endpoint: &str) {
         if let Some(attempt) = self.attempts.borrow_mut().get_mut(id) {
             attempt.stages.push(endpoint.to_owned());
+            self.check_evacuation(id, endpoint);
             self.check_entry(id, endpoint, attempt.sent);
         }
     }
@@ -260,6 +269,29 @@
         self.violations.borrow_mut().push(text);
     }
 
+    /// Records that the operator has evacuated a zone, or no longer does.
+    pub fn record_evacuation(&self, zone: usize, is_evacuated: bool) {
+        let mut evacuated = self.evacuated.borrow_mut();
+        evacuated.retain(|it| it.0 != zone);
+        if is_evacuated {
+            evacuated.push((zone, Instant::now()));
+        }
+    }
+
+    /// Checks that nothing reaches an endpoint whose zone was evacuated long enough ago.
+    fn check_evacuation(&self, id: &str, endpoint: &str) {
+        let number: Option<usize> = endpoint.rsplit('-').next().and_then(|it| it.parse().ok());
+        let Some(zone) = number.map(|it| it % N_ZONES) else { return };
+        let evacuated = self.evacuated.borrow();
+        let Some((_, since)) = evacuated.iter().find(|it| it.0 == zone) else { return };
+        let time = since.elapsed();
+        if EVACUATION_BOUND < time {
+            self.add_violation(format!(
+                "{id} reached {endpoint} {time:?} after its zone was evacuated"
+            ));
+        }
+    }
+
     pub fn violations(&self) -> Vec<String> {
         self.violations.borrow().clone()
     }
--- a/crates/ferry-soak/src/cluster.rs
+++ b/crates/ferry-soak/src/cluster.rs
@@ -30,6 +30,8 @@
 const EXTRA_OCTET: u8 = 200;
 /// Number of endpoints in each pool.
 pub const N_ENDPOINTS: usize = 3;
+/// Availability zones of the endpoints and the gateways.
+pub const N_ZONES: usize = 2;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Signal {
@@ -166,7 +168,7 @@
 
     fn settings_text(&self, number: usize, store: SocketAddr) -> String {
         let ip = self.ip;
-        let zone = number % 2;
+        let zone = number % N_ZONES;
         format!(
             "Node=edge-{number}\nBootstrap=true\nIp={ip}\nZone=zone-{zone}\nListen.Front={ip}:{FRONT_PORT}\n\
              Listen.Ready={ip}:{READY_PORT}\nListen.Directory={ip}:{DIRECTORY_PORT}\n\
@@ -237,7 +239,7 @@
                 let endpoint = Endpoint::new(pool, number, public, &checker);
                 listeners.push(endpoint.listen(internal).await?);
                 let proxy = Rc::new(Proxy::start(public, internal).await?);
-                let zone = format!("zone-{}", number % 2);
+                let zone = format!("zone-{}", number % N_ZONES);
                 store.put("servers", &endpoint.id, endpoint.entry(&zone, "ready"));
                 spawn_local(run_crashes(endpoint.clone(), proxy.clone(), store.clone(), zone));
                 endpoints.push(endpoint);
--- a/crates/ferry-soak/src/main.rs
+++ b/crates/ferry-soak/src/main.rs
@@ -36,7 +36,8 @@
     /// only these faults: pauses (moments of silence, configurations and SIGHUP), configurations (the
     /// same with series of configurations apart from each other), herds (all gateways are killed at
     /// once), upgrades (gateways are replaced, see --other), entries (some cannot be read, endpoints
-    /// leave, return and ask for pauses) or copies (the store comes back from older copies); all by
+    /// leave, return and ask for pauses), copies (the store comes back from older copies) or
+    /// evacuations (of zones, beside outages of the store and killed gateways); all but the last by
     /// default
     #[argh(option)]
     only: Option<Only>,
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -7,8 +7,9 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use serde_json::json;
 
-use crate::cluster::{Cluster, Signal};
+use crate::cluster::{Cluster, N_ZONES, Signal};
 use crate::config::{Variation, desired_state};
 use crate::endpoint::Behaviour;
 use crate::losses::Trouble;
@@ -17,7 +18,7 @@
 use crate::soak::Only;
 use crate::store::StoreBehaviour;
 
-pub use processes::{generate_copies, generate_herds, generate_upgrades};
+pub use processes::{generate_copies, generate_evacuations, generate_herds, generate_upgrades};
 pub use statements::{
     generate_leaving, generate_limits, generate_malformed_entries, generate_pause_requests,
 };
@@ -108,6 +109,11 @@
         endpoint: usize,
         seconds: Option<f64>,
     },
+    /// The operator evacuates a zone, or no longer does.
+    Evacuate {
+        zone: usize,
+        is_evacuated: bool,
+    },
     /// Makes an endpoint name a rate limit, which may be no valid one, or none any longer.
     RateLimit {
         endpoint: usize,
@@ -331,6 +337,14 @@
                 register(cluster, endpoint, "ready");
             }
         }
+        Step::Evacuate { zone, is_evacuated } => {
+            let name = format!("zone-{zone}");
+            match is_evacuated {
+                true => drop(cluster.store.put("evacuations", &name, json!({}))),
+                false => cluster.store.remove("evacuations", &name),
+            }
+            cluster.checker.record_evacuation(zone, is_evacuated);
+        }
         Step::AskPause { endpoint, seconds } => cluster.endpoints[endpoint].pause.set(seconds),
         Step::RateLimit { endpoint, per_second } => {
             cluster.endpoints[endpoint].rate_limit.set(per_second);
@@ -374,6 +388,9 @@
 pub fn restore(cluster: &mut Cluster) -> std::io::Result<()> {
     cluster.store.set_behaviour(StoreBehaviour::Healthy);
     cluster.store_proxy.set(Link::Open);
+    for zone in 0..N_ZONES {
+        apply(cluster, Step::Evacuate { zone, is_evacuated: false })?;
+    }
     for idx in 0..cluster.endpoints.len() {
         cluster.endpoints[idx].behaviour.set(Behaviour::Healthy);
         cluster.endpoints[idx].rate_limit.set(None);
--- a/crates/ferry-soak/src/plan/processes.rs
+++ b/crates/ferry-soak/src/plan/processes.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{Plan, Step};
-use crate::cluster::{N_ENDPOINTS, Signal};
+use crate::cluster::{N_ENDPOINTS, N_ZONES, Signal};
 use crate::endpoint::{Behaviour, Pool};
 use crate::store::StoreBehaviour;
 
@@ -86,3 +86,42 @@
     plan.sort_by_key(|it| it.0);
     plan
 }
+
+/// Generates zones that are evacuated one after the other or together, while gateways are killed and
+/// the store is away or slow. The store answers for some time behind each change.
+pub fn generate_evacuations(rng: &mut Pcg64Mcg, duration: Duration, n_nodes: usize) -> Plan {
+    /// Time in which gateways that are in touch with the store read a change.
+    const READ_TIME: Duration = Duration::from_millis(3_000);
+    let millis = |rng: &mut Pcg64Mcg, range| Duration::from_millis(rng.random_range(range));
+    let mut plan: Plan = Vec::new();
+    let mut at = millis(rng, 500..2_000);
+    while at < duration {
+        let zone = rng.random_range(0..N_ZONES);
+        plan.push((at, Step::Evacuate { zone, is_evacuated: true }));
+        if rng.random_range(0..3) == 0 {
+            // In quick succession.
+            plan.push((at + millis(rng, 1..200), Step::Evacuate { zone, is_evacuated: false }));
+            plan.push((at + millis(rng, 200..400), Step::Evacuate { zone, is_evacuated: true }));
+        }
+        for _ in 0..rng.random_range(0..3) {
+            let (node, killed) = (rng.random_range(0..n_nodes), at + millis(rng, 0..5_000));
+            plan.push((killed, Step::Signal { node, signal: Signal::Kill }));
+            plan.push((killed + millis(rng, 100..800), Step::Start { node }));
+        }
+        if rng.random_range(0..2) == 0 {
+            let behaviour = match rng.random_range(0..3) {
+                0 => StoreBehaviour::Unavailable,
+                1 => StoreBehaviour::Disconnects,
+                _ => StoreBehaviour::Slow(millis(rng, 100..700)),
+            };
+            let away = at + READ_TIME + millis(rng, 0..1_000);
+            plan.push((away, Step::Store(behaviour)));
+            plan.push((away + millis(rng, 500..2_000), Step::Store(StoreBehaviour::Healthy)));
+        }
+        at += millis(rng, 7_000..9_000);
+        plan.push((at, Step::Evacuate { zone, is_evacuated: false }));
+        at += millis(rng, 500..3_000);
+    }
+    plan.sort_by_key(|it| it.0);
+    plan
+}
--- a/crates/ferry-soak/src/soak.rs
+++ b/crates/ferry-soak/src/soak.rs
@@ -22,9 +22,9 @@
 use crate::endpoint::Pool;
 use crate::losses::Cuts;
 use crate::plan::{
-    Plan, apply, generate, generate_copies, generate_herds, generate_leaving, generate_limits,
-    generate_malformed_entries, generate_pause_requests, generate_pauses, generate_upgrades,
-    restore,
+    Plan, apply, generate, generate_copies, generate_evacuations, generate_herds, generate_leaving,
+    generate_limits, generate_malformed_entries, generate_pause_requests, generate_pauses,
+    generate_upgrades, restore,
 };
 use crate::repeats::{Repeats, start_repeats};
 
@@ -66,6 +66,8 @@
     Entries,
     /// The store comes back from older copies, beside leaving endpoints and restarts of gateways.
     Copies,
+    /// Zones are evacuated, beside outages of the store and killed gateways.
+    Evacuations,
 }
 
 impl Only {
@@ -73,7 +75,7 @@
     fn is_calm(self) -> bool {
         match self {
             Only::Pauses | Only::Configurations | Only::Entries => true,
-            Only::Herds | Only::Upgrades | Only::Copies => false,
+            Only::Herds | Only::Upgrades | Only::Copies | Only::Evacuations => false,
         }
     }
 }
@@ -251,6 +253,9 @@
         plan.sort_by_key(|it| it.0);
         return plan;
     }
+    if only == Some(Only::Evacuations) {
+        return generate_evacuations(&mut entries_rng, duration, n_nodes);
+    }
     if only == Some(Only::Upgrades) {
         return generate_upgrades(duration, n_nodes);
     }
