Leave evacuated endpoints out of groups in one pass

Change: groups are made of the endpoints that are not evacuated, and divided by all of them as before. Where no pool has cold endpoints, none is looked for.

--- a/crates/ferry-serve/src/endpoints/cold.rs
+++ b/crates/ferry-serve/src/endpoints/cold.rs
@@ -179,6 +179,9 @@
 
     /// Ends what is over.
     pub(super) fn expire_cold(&mut self, now: Moment) {
+        if self.paces.is_empty() {
+            return;
+        }
         let is_over = |it: &&EndpointView| it.is_cold() && it.cold.until() <= now;
         let over = self.views.values().filter(is_over);
         let ids: Vec<EndpointId> = over.map(|it| it.endpoint.id.clone()).collect();
@@ -187,6 +190,9 @@
 
     /// Returns when an endpoint is warm again.
     pub(super) fn next_warm(&self) -> Option<Moment> {
+        if self.paces.is_empty() {
+            return None;
+        }
         let cold = self.views.values().filter(|it| it.is_cold());
         cold.map(|it| it.cold.until()).min()
     }
--- a/crates/ferry-serve/src/group.rs
+++ b/crates/ferry-serve/src/group.rs
@@ -43,17 +43,16 @@
 /// An evacuation does not change how the others are divided, so that no job moves that need not.
 pub fn groups(endpoints: &Endpoints, pool: &str) -> Vec<Group> {
     let live: Vec<&EndpointView> = endpoints.pool(pool).filter(|it| it.is_listed_live()).collect();
-    let mut groups = match live.len() {
-        0 => Vec::new(),
-        n_live if n_live < DIVIDE_THRESHOLD => vec![Group::whole(pool)],
-        _ => {
-            let mut groups: Vec<Group> = live.iter().map(|it| group(it, &live)).collect();
-            groups.sort();
-            groups.dedup();
-            groups
-        }
-    };
-    groups.retain(|it| live.iter().any(|view| it.contains(view) && !view.is_evacuated()));
+    let mut open = live.iter().filter(|it| !it.is_evacuated()).peekable();
+    if open.peek().is_none() {
+        return Vec::new();
+    }
+    if live.len() < DIVIDE_THRESHOLD {
+        return vec![Group::whole(pool)];
+    }
+    let mut groups: Vec<Group> = open.map(|it| group(it, &live)).collect();
+    groups.sort();
+    groups.dedup();
     groups
 }
 
