--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -105,6 +105,7 @@
         fronts: Vec<SocketAddr>,
         path: &str,
         first_parts: &'static [&'static str],
+        n_tokens: usize,
         interval: Duration,
         record: &Record,
     ) -> SoundTraffic {
@@ -129,7 +130,7 @@
                         numbers.next() % 40,
                         numbers.next() >> 16
                     ),
-                    n_tokens: 24,
+                    n_tokens,
                 };
                 let record = record.clone();
                 clients.push(std::thread::spawn(move || {
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -19,8 +19,6 @@
 /// GraceS of the deployment.
 const GRACE: Duration = Duration::from_secs(8);
 const RESTART_DELAY: Duration = Duration::from_millis(300);
-/// Time after which a runner that has fallen over is back.
-const RUNNER_DOWN: Duration = Duration::from_secs(3);
 
 /// Ids of the gateways that run, by which they are ended if the run takes too long.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -246,12 +244,14 @@
 }
 
 impl Runners {
-    /// Starts the runners of services, given the service of each.
+    /// Starts the runners of services, given the service of each. `down` is the time after which one that
+    /// has fallen over is back.
     pub fn start(
         addresses: Addresses,
         services: &[&str],
         poison: &str,
         work: Option<Duration>,
+        down: Duration,
         record_path: &Path,
         record: &Record,
     ) -> io::Result<Runners> {
@@ -294,7 +294,7 @@
                     while !has_ended(&current) {
                         std::thread::sleep(Duration::from_millis(20));
                     }
-                    let back = Instant::now() + RUNNER_DOWN;
+                    let back = Instant::now() + down;
                     while Instant::now() < back && !is_over.load(Ordering::SeqCst) {
                         std::thread::sleep(Duration::from_millis(20));
                     }
@@ -305,6 +305,18 @@
     }
 }
 
+impl Runners {
+    /// Ends runners at the same moment, without a warning.
+    pub fn kill(&self, numbers: &[usize]) {
+        for number in numbers {
+            if let Some(process) = self.current[*number].lock().unwrap().as_mut() {
+                // It may be down already.
+                let _ = process.kill();
+            }
+        }
+    }
+}
+
 fn has_ended(current: &Mutex<Option<Child>>) -> bool {
     match current.lock().unwrap().as_mut() {
         Some(process) => !matches!(process.try_wait(), Ok(None)),
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -17,7 +17,7 @@
 use quarantine::Disruption;
 use record::Verdict;
 
-const USAGE: &str = "usage: standin herd|move|shutdown DIRECTORY";
+const USAGE: &str = "usage: standin herd|move|crashes|shutdown DIRECTORY";
 const BROKEN: u8 = 1;
 const COULD_NOT_RUN: u8 = 2;
 const TIME_LIMIT: Duration = Duration::from_secs(114);
@@ -32,6 +32,7 @@
         Some((what, rest)) if what == "runner" => return serve_runner(rest),
         Some((what, [directory])) => match what.as_str() {
             "herd" => quarantine::run(Disruption::Herd, is_disrupted, Path::new(directory)),
+            "crashes" => quarantine::run(Disruption::Crashes, is_disrupted, Path::new(directory)),
             "move" => quarantine::run(Disruption::Move, is_disrupted, Path::new(directory)),
             "shutdown" => shutdown::run(is_disrupted, Path::new(directory)),
             _ => return could_not_run(USAGE),
--- a/review/standin-2/quarantine.rs
+++ b/review/standin-2/quarantine.rs
@@ -3,6 +3,8 @@
 
 use std::io;
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::client::{API_KEY, HOST, Numbers, Request, SoundTraffic, ask};
@@ -17,10 +19,16 @@
 /// StableWindowMs of the deployment.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
-const SOUND_INTERVAL: Duration = Duration::from_millis(80);
 /// Time between two requests with the part until it is known, and afterwards.
 const FIRST_INTERVAL: Duration = Duration::from_millis(900);
 const LATER_INTERVAL: Duration = Duration::from_millis(3_100);
+/// The same beside runners that crash by themselves.
+const STEADY_INTERVAL: Duration = Duration::from_millis(3_100);
+/// Runners of which a quarter crash at once, for how long they are down, and the time between two such
+/// crashes.
+const N_CRASHING: usize = 8;
+const CRASHED: Duration = Duration::from_secs(2);
+const CRASH_INTERVAL: Duration = Duration::from_millis(2_100);
 /// Longest time until the fifth crash.
 const LEARNING_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time behind the fifth crash before the disruption: the part is known by then.
@@ -38,6 +46,51 @@
     Herd,
     /// A newer desired state moves the route to another service.
     Move,
+    /// A quarter of the runners crash at once, again and again from the first request with the part on.
+    Crashes,
+}
+
+impl Disruption {
+    fn services(self) -> Vec<&'static str> {
+        match self {
+            Disruption::Herd => vec!["drafter"; 9],
+            Disruption::Move => [["drafter"; 6].as_slice(), ["second"; 6].as_slice()].concat(),
+            Disruption::Crashes => vec!["drafter"; N_CRASHING],
+        }
+    }
+
+    /// Returns the time after which a runner that has fallen over is back.
+    fn down(self) -> Duration {
+        match self {
+            Disruption::Herd | Disruption::Move => Duration::from_secs(3),
+            Disruption::Crashes => CRASHED,
+        }
+    }
+
+    /// Returns the tokens of an answer.
+    fn n_tokens(self) -> usize {
+        match self {
+            Disruption::Herd | Disruption::Move => 24,
+            Disruption::Crashes => 460,
+        }
+    }
+
+    /// Returns the time between two sound requests.
+    fn sound_interval(self) -> Duration {
+        match self {
+            Disruption::Herd | Disruption::Move => Duration::from_millis(80),
+            Disruption::Crashes => Duration::from_millis(50),
+        }
+    }
+
+    /// Returns the time between two requests with the part until five runners have crashed, and
+    /// afterwards.
+    fn intervals(self) -> (Duration, Duration) {
+        match self {
+            Disruption::Herd | Disruption::Move => (FIRST_INTERVAL, LATER_INTERVAL),
+            Disruption::Crashes => (STEADY_INTERVAL, STEADY_INTERVAL),
+        }
+    }
 }
 
 pub fn run(disruption: Disruption, is_disrupted: bool, directory: &Path) -> io::Result<Verdict> {
@@ -46,11 +99,10 @@
     let addresses = Addresses::new()?;
     let store = Store::start(addresses.store())?;
     store.put("config", "main", &config(1, "drafter"));
-    let services = match disruption {
-        Disruption::Herd => ["drafter"; 9].to_vec(),
-        Disruption::Move => [["drafter"; 6].as_slice(), ["second"; 6].as_slice()].concat(),
-    };
-    let _runners = Runners::start(addresses, &services, POISON, None, &path, &record)?;
+    let services = disruption.services();
+    let down = disruption.down();
+    let runners = Runners::start(addresses, &services, POISON, None, down, &path, &record)?;
+    let crashes = Crashes::new(runners, &record);
     std::thread::sleep(Duration::from_secs(1));
     let mut gateways = Gateways::new(addresses, directory, &record);
     gateways.start_all(N_GATEWAYS, true)?;
@@ -60,22 +112,33 @@
     }
     std::thread::sleep(STABLE_WINDOW);
     let fronts: Vec<_> = (0..N_GATEWAYS).map(|it| addresses.front(it)).collect();
-    let mut sound = SoundTraffic::start(fronts.clone(), PATH, FIRST_PARTS, SOUND_INTERVAL, &record);
+    let mut sound = SoundTraffic::start(
+        fronts.clone(),
+        PATH,
+        FIRST_PARTS,
+        disruption.n_tokens(),
+        disruption.sound_interval(),
+        &record,
+    );
     std::thread::sleep(Duration::from_secs(3));
     let mut poison = Poison { fronts, numbers: Numbers::new(now()), n_sent: 0, record: &record };
+    let (first_interval, later_interval) = disruption.intervals();
+    if disruption == Disruption::Crashes && is_disrupted {
+        crashes.begin();
+    }
     let end = Instant::now() + LEARNING_TIMEOUT;
     while n_crashes(&path)? < N_CRASHES {
         if end < Instant::now() {
             record.add("could-not-run the part has not crashed five runners");
             return Ok(Verdict::CouldNotRun);
         }
-        poison.send_for(FIRST_INTERVAL, FIRST_INTERVAL);
+        poison.send_for(first_interval, first_interval);
     }
-    poison.send_for(CALM, LATER_INTERVAL);
+    poison.send_for(CALM, later_interval);
     record.add("disruption-begins");
     let mut in_touch_from = now();
     match (disruption, is_disrupted) {
-        (_, false) => (),
+        (_, false) | (Disruption::Crashes, true) => (),
         (Disruption::Herd, true) => {
             gateways.kill_all();
             std::thread::sleep(GATEWAY_DOWN);
@@ -88,7 +151,7 @@
         }
         (Disruption::Move, true) => store.put("config", "main", &config(2, "second")),
     }
-    poison.send_for(AFTERWARDS, LATER_INTERVAL);
+    poison.send_for(AFTERWARDS, later_interval);
     sound.stop();
     if !gateways.are_running() {
         record.add("a gateway has ended by itself");
@@ -96,6 +159,46 @@
     judge(&path, in_touch_from, &record)
 }
 
+/// Crashes of runners that no request causes.
+struct Crashes {
+    runners: Arc<Runners>,
+    record: Record,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Crashes {
+    fn new(runners: Runners, record: &Record) -> Crashes {
+        Crashes { runners: Arc::new(runners), record: record.clone(), is_over: Arc::default() }
+    }
+
+    /// Lets a quarter of the runners crash at once, drawn anew each time, until the run ends.
+    fn begin(&self) {
+        let (runners, record) = (self.runners.clone(), self.record.clone());
+        let is_over = self.is_over.clone();
+        std::thread::spawn(move || {
+            let mut numbers = Numbers::new(now());
+            while !is_over.load(Ordering::SeqCst) {
+                let first = numbers.next() as usize % N_CRASHING;
+                let offset = 1 + numbers.next() as usize % (N_CRASHING - 1);
+                let drawn = [first, (first + offset) % N_CRASHING];
+                record.add(&format!("killed-runners numbers={},{}", drawn[0], drawn[1]));
+                runners.kill(&drawn);
+                std::thread::sleep(CRASH_INTERVAL);
+            }
+        });
+    }
+}
+
+impl Drop for Crashes {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        // The thread that crashes runners must not keep them.
+        while 1 < Arc::strong_count(&self.runners) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 /// Sends requests with the part, no two alike, to all gateways in turns.
 struct Poison<'a> {
     fronts: Vec<std::net::SocketAddr>,
--- a/review/standin-2/shutdown.rs
+++ b/review/standin-2/shutdown.rs
@@ -34,6 +34,8 @@
 /// Longest time between two requests of a host.
 const MAX_PAUSE_MS: u64 = 340;
 const TIME_LIMIT: Duration = Duration::from_millis(4_000);
+/// Time after which a runner would be back that has ended; none does.
+const RUNNER_DOWN: Duration = Duration::from_secs(3);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// StableWindowMs of the deployment.
@@ -52,7 +54,8 @@
     let store = Store::start(addresses.store())?;
     store.put("config", "main", &config());
     let services = ["filing-desk"; N_RUNNERS];
-    let _runners = Runners::start(addresses, &services, "", Some(WORK), &path, &record)?;
+    let _runners =
+        Runners::start(addresses, &services, "", Some(WORK), RUNNER_DOWN, &path, &record)?;
     std::thread::sleep(Duration::from_secs(1));
     let mut gateways = Gateways::new(addresses, directory, &record);
     gateways.start_all(N_GATEWAYS, true)?;
