--- a/review/standin-2/shutdown.rs
+++ b/review/standin-2/shutdown.rs
@@ -98,6 +98,9 @@
 }
 
 struct Host {
+    number: usize,
+    /// Requests sent so far.
+    n_sent: u64,
     numbers: Numbers,
     addresses: Addresses,
     record: Record,
@@ -112,7 +115,9 @@
 impl Host {
     fn new(number: usize, addresses: Addresses, record: Record) -> Host {
         Host {
-            numbers: Numbers::new(now() + number as u64),
+            number,
+            n_sent: 0,
+            numbers: Numbers::new(now() * N_HOSTS as u64 + number as u64),
             addresses,
             record,
             zone: zone((number / 8) as u8),
@@ -134,7 +139,9 @@
                 continue;
             }
             let front = self.fronts[self.numbers.next() as usize % self.fronts.len()];
-            let attempt = format!("{:016x}", self.numbers.next());
+            // Each attempt of any host has its own id.
+            self.n_sent += 1;
+            let attempt = format!("{:04x}{:012x}", self.number, self.n_sent);
             let (is_slow, record) = (self.is_slow, self.record.clone());
             requests.retain(|it| !it.is_finished());
             requests.push(std::thread::spawn(move || ask(front, &attempt, is_slow, &record)));
@@ -242,6 +249,13 @@
         let near = stops.iter().filter(|it| it.0.to_string() == front);
         near.clone().any(|it| it.1 <= at && at <= it.1 + PLANNED_MS)
     };
+    let mut attempts: Vec<&str> =
+        lines.iter().filter(|it| it.is("answered")).map(|it| it.get("attempt")).collect();
+    attempts.sort_unstable();
+    if attempts.windows(2).any(|it| it[0] == it[1]) {
+        record.add("could-not-run two attempts have the same id");
+        return Ok(Verdict::CouldNotRun);
+    }
     let mut ran: Vec<&str> =
         lines.iter().filter(|it| it.is("arrived")).map(|it| it.get("attempt")).collect();
     ran.sort_unstable();
