Refuse requests after the decision to exit, and wait for all begun ones

Cause: the reducer decided to exit and went on accepting requests, for which nothing waited. The process waited only for connections that had a request in progress when idle ones were closed, not for those on which a head was still arriving.

Change: the reducer refuses requests as not run from its decision on, and accepts no items of peers; it decides once no body is on the way. The process waits for each connection from the head of a request to the last byte of its response, in any phase.

Why it works: what was refused is answered before the exit, and what was passed on is a request in progress that the decision or the wait sees; no request is read between the end of the wait and the exit.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -52,14 +52,45 @@
 
 #[derive(Debug)]
 struct IdleState {
+    /// Number of connections that the process waits for before it exits.
+    n_open: watch::Sender<usize>,
+    /// Whether this connection is one of them.
+    is_open: Cell<bool>,
     n_requests: Cell<usize>,
     is_closing: Cell<bool>,
+    /// Whether the process waits for the end of the connection.
+    is_awaited: Cell<bool>,
     /// Whether bytes of a response may wait in the process, long after its body was taken over.
     has_unsent: Cell<bool>,
     /// When the connection was accepted, or its last response ended.
     since: Cell<Instant>,
 }
 
+impl IdleState {
+    /// Counts the connection from the head of a request to the last byte of its response; to its own
+    /// end if that is awaited.
+    fn count(&self) {
+        let is_busy = 0 < self.n_requests.get() || self.has_unsent.get();
+        self.set_open(is_busy || self.is_awaited.get());
+    }
+
+    fn set_open(&self, is_open: bool) {
+        if self.is_open.replace(is_open) == is_open {
+            return;
+        }
+        self.n_open.send_modify(|it| match is_open {
+            true => *it += 1,
+            false => *it -= 1,
+        });
+    }
+}
+
+impl Drop for IdleState {
+    fn drop(&mut self) {
+        self.set_open(false);
+    }
+}
+
 /// A request in progress, from its head to the end of its response.
 #[derive(Debug)]
 pub struct RequestGuard {
@@ -70,16 +101,21 @@
     fn drop(&mut self) {
         let state = &self.idle.state;
         state.n_requests.set(state.n_requests.get() - 1);
+        state.count();
         self.idle.record_write();
     }
 }
 
 impl IdleWatch {
-    /// Creates the watch of a connection accepted now.
-    pub fn new(now: Instant) -> IdleWatch {
+    /// Creates the watch of a connection accepted now. `n_open` counts the connections with a request
+    /// in progress.
+    pub fn new(now: Instant, n_open: watch::Sender<usize>) -> IdleWatch {
         let state = IdleState {
+            n_open,
+            is_open: Cell::new(false),
             n_requests: Cell::new(0),
             is_closing: Cell::new(false),
+            is_awaited: Cell::new(false),
             has_unsent: Cell::new(false),
             since: Cell::new(now),
         };
@@ -88,27 +124,29 @@
 
     pub fn start_request(&self) -> RequestGuard {
         self.state.n_requests.set(self.state.n_requests.get() + 1);
+        self.state.count();
         RequestGuard { idle: self.clone() }
     }
 
-    /// Whether a request is in progress.
-    pub fn is_busy(&self) -> bool {
-        0 < self.state.n_requests.get()
+    /// Whether a request is in progress, or bytes of its response may wait in the process.
+    pub fn is_open(&self) -> bool {
+        self.state.is_open.get()
     }
 
-    /// Whether bytes of a response may wait in the process.
-    pub fn has_unsent(&self) -> bool {
-        self.state.has_unsent.get()
+    fn is_busy(&self) -> bool {
+        0 < self.state.n_requests.get()
     }
 
     /// Records that bytes are about to be sent.
     pub fn record_unsent(&self) {
         self.state.has_unsent.set(true);
+        self.state.count();
     }
 
     /// Records that no bytes wait any longer.
     pub fn record_flush(&self) {
         self.state.has_unsent.set(false);
+        self.state.count();
     }
 
     /// Records that bytes were sent: the end of a response may be sent long after its body was
@@ -122,6 +160,13 @@
         self.state.is_closing.set(true);
     }
 
+    /// Makes the process wait for the end of the connection: a reset would discard the end of its last
+    /// response.
+    pub fn await_close(&self) {
+        self.state.is_awaited.set(true);
+        self.state.count();
+    }
+
     /// Waits until the connection has been idle for longer than the limits in force allow.
     ///
     /// Returns only after another turn of the event loop, in which the connection has to be read. A
--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -96,7 +96,7 @@
     Leaving,
     /// Idle connections are closed, and no new ones are accepted.
     Closing,
-    /// All requests have ended.
+    /// All requests have ended, and new ones are refused.
     Stopped,
 }
 
@@ -115,10 +115,13 @@
     pub callers: RefCell<SortedMap<Ticket, PendingCaller>>,
     pub calls: RefCell<SortedMap<CallId, ActiveCall>>,
     pub phase: watch::Sender<Phase>,
+    /// Number of requests whose bodies are on the way.
+    n_receiving: Cell<usize>,
     /// Limits of callers' connections in the configuration in force.
     pub limits: watch::Sender<CallerLimits>,
-    /// Number of callers' connections that close once a response has been sent.
-    pub n_closing: watch::Sender<usize>,
+    /// Number of callers' connections with a request whose response has not been sent. The process
+    /// waits for them, as a caller may read a response long after its endpoint has ended it.
+    pub n_open: watch::Sender<usize>,
     /// The latest era of the store; none before its first answer.
     pub era: watch::Sender<Option<u64>>,
     /// Whether the store answers, as far as the most frequent calls tell.
@@ -160,7 +163,8 @@
             era: watch::Sender::new(None),
             is_store_up: watch::Sender::new(true),
             limits: watch::Sender::new(CallerLimits::of(&gateway)),
-            n_closing: watch::Sender::new(0),
+            n_open: watch::Sender::new(0),
+            n_receiving: Cell::new(0),
             highest_format,
             formats: RefCell::default(),
             next_warnings: RefCell::default(),
@@ -357,7 +361,22 @@
         spawn_local(async move { items::free(&driver, address, &handles).await });
     }
 
-    pub fn set_phase(&self, phase: Phase) {
+    /// Begins the shutdown.
+    pub fn stop(self: &Rc<Self>) {
+        self.set_phase(Phase::Leaving);
+        self.report_receiving();
+        self.dispatch(Event::Shutdown);
+    }
+
+    fn report_receiving(self: &Rc<Self>) {
+        match *self.phase.borrow() {
+            Phase::Serving | Phase::Stopped => return,
+            Phase::Leaving | Phase::Closing => (),
+        }
+        self.dispatch(Event::Receiving { n_requests: self.n_receiving.get() });
+    }
+
+    fn set_phase(&self, phase: Phase) {
         self.phase.send_replace(phase);
     }
 
@@ -395,6 +414,28 @@
     }
 }
 
+/// A request whose body is on the way. The reducer needs to know only during a shutdown, which waits for
+/// it.
+#[derive(Debug)]
+pub struct ReceivingGuard {
+    driver: Rc<Driver>,
+}
+
+impl ReceivingGuard {
+    pub fn new(driver: &Rc<Driver>) -> ReceivingGuard {
+        driver.n_receiving.set(driver.n_receiving.get() + 1);
+        driver.report_receiving();
+        ReceivingGuard { driver: driver.clone() }
+    }
+}
+
+impl Drop for ReceivingGuard {
+    fn drop(&mut self) {
+        self.driver.n_receiving.set(self.driver.n_receiving.get() - 1);
+        self.driver.report_receiving();
+    }
+}
+
 /// Handles what has arrived while the process stood still. Otherwise a timer would find endpoints
 /// silent whose bytes wait in the sockets.
 async fn catch_up() {
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use ferry_model::Ticket;
 use ferry_platform::headers;
-use ferry_serve::{Arrival, Event, Metric, Refusal, RequestHead, Status};
+use ferry_serve::{Arrival, Event, Gateway, Metric, Refusal, RequestHead, Status};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -18,7 +18,7 @@
 use crate::calls::status_code;
 use crate::client::BufferedResponse;
 use crate::digest::request_digest;
-use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, Reply};
+use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, ReceivingGuard, Reply};
 use crate::inspector::Inspector;
 use crate::memory::MemoryReservation;
 use crate::relay;
@@ -85,8 +85,19 @@
     };
     let (mut parts, body) = request.into_parts();
     let relayed = relay::take(driver, &mut parts.headers).filter(|_| interface == Interface::Relay);
-    let (body, reservation) = match read_body(driver, body, config.limits.body.min(MAX_BODY)).await
-    {
+    let receiving = ReceivingGuard::new(driver);
+    let mut phase = driver.phase.subscribe();
+    let limit = config.limits.body.min(MAX_BODY);
+    // A body that is complete comes first, so that the reducer decides on its request.
+    let read = tokio::select! {
+        biased;
+        read = read_body(driver, body, limit) => read,
+        // The rest of the body is not read.
+        _ = phase.wait_for(|it| *it == Phase::Stopped) => {
+            Err(Box::new(refusal_response(&driver.query(Gateway::exit_refusal))))
+        }
+    };
+    let (body, reservation) = match read {
         Ok(read) => read,
         Err(response) => return *response,
     };
@@ -112,6 +123,7 @@
     driver.callers.borrow_mut().insert(ticket, caller);
     let guard = CallerGuard { driver: driver.clone(), ticket };
     driver.dispatch(Event::Arrive(Box::new(Arrival { ticket, digest, head })));
+    drop(receiving);
     match replied.await {
         Ok(Reply::Refusal(it)) => refusal_response(&it),
         Ok(Reply::Buffered(response)) => {
--- a/crates/ferry-gateway/src/run.rs
+++ b/crates/ferry-gateway/src/run.rs
@@ -25,7 +25,7 @@
 const FULL_LINK_MBPS: f64 = 100.0;
 /// Interval at which the settings file is checked, as it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
-/// Time to send the last bytes of responses before the process exits.
+/// Time after the last request in which heads that have begun may end, to be refused instead of cut.
 const EXIT_DELAY: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Error)]
@@ -122,19 +122,19 @@
 async fn wait_for_stop(driver: &Rc<Driver>, mut signals: StopSignals) -> Instant {
     let name = signals.next().await;
     info!(driver.log, "received a stop signal; finishing open requests"; "signal" => name);
-    driver.set_phase(Phase::Leaving);
-    driver.dispatch(Event::Shutdown);
+    driver.stop();
     Instant::now()
 }
 
-/// Waits until callers have got the responses that endpoints have ended, within the grace period.
+/// Waits until callers have got their responses, within the grace period. No request is read between
+/// the end of the wait and the exit.
 async fn wait_for_callers(driver: &Rc<Driver>, stopping: Instant) {
     let latest = stopping + driver.query(|it| it.context().tuning.exit_after());
-    let mut n_closing = driver.n_closing.subscribe();
-    let sent = n_closing.wait_for(|it| *it == 0);
+    let mut n_open = driver.n_open.subscribe();
+    let sent = n_open.wait_for(|it| *it == 0);
     if tokio::time::timeout_at(latest, sent).await.is_err() {
-        let n_closing = *driver.n_closing.borrow();
-        driver.warn("callers have not read their responses in time; closing them", &n_closing);
+        let n_open = *driver.n_open.borrow();
+        driver.warn("callers have not read their responses in time; closing them", &n_open);
     }
 }
 
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -107,7 +107,7 @@
     let capacity = max_head.max(HEAD_CAPACITY);
     let mut phase = driver.phase.subscribe();
     let inspector = Inspector::new(max_head);
-    let idle = IdleWatch::new(Instant::now());
+    let idle = IdleWatch::new(Instant::now(), driver.n_open.clone());
     let inspected = InspectedStream {
         stream,
         inspector: inspector.clone(),
@@ -121,9 +121,12 @@
         service_fn(move |it| {
             let request = idle.start_request();
             let response = front::serve(driver.clone(), inspector.clone(), interface, it);
-            let driver = driver.clone();
+            let (driver, idle) = (driver.clone(), idle.clone());
             async move {
                 let mut response = response.await?;
+                if *driver.phase.borrow() != Phase::Serving {
+                    idle.await_close();
+                }
                 // A larger head would be refused here, and is taken on a new connection.
                 if capacity < driver.limits.borrow().max_head {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -146,14 +149,11 @@
         _ = phase.wait_for(|it| is_closing(*it)) => connection.as_mut().graceful_shutdown(),
         () = idle.expired(&mut limits) => return close_idle(&driver, &inspector),
     }
-    if !idle.is_busy() && !idle.has_unsent() {
-        let _ = connection.await;
-        return;
+    if idle.is_open() {
+        idle.await_close();
     }
-    // The process waits for it, as a caller may read a response long after its endpoint has ended it.
-    driver.n_closing.send_modify(|it| *it += 1);
+    // A head that has begun may still end; its request is served, or refused once the process exits.
     let _ = connection.await;
-    driver.n_closing.send_modify(|it| *it -= 1);
 }
 
 /// Records why a connection is closed that had no request in progress for too long.
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod digests;
 mod endless;
 mod evacuations;
+mod exits;
 mod explain;
 mod leaving;
 mod lifecycle;
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -107,6 +107,10 @@
     },
     /// The settings of the decisions have changed.
     Retune(Box<Tuning>),
+    /// During a shutdown: the bodies of this many requests are on the way.
+    Receiving {
+        n_requests: usize,
+    },
     /// The process was asked to shut down.
     Shutdown,
 }
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -2,7 +2,7 @@
 
 mod behind;
 mod explain;
-mod shutdown;
+pub(crate) mod shutdown;
 mod updates;
 
 use std::net::SocketAddr;
@@ -61,6 +61,8 @@
     leaving: Option<Moment>,
     is_closed: bool,
     has_exited: bool,
+    /// Number of requests whose bodies are on the way; only kept up to date during the shutdown.
+    n_receiving: usize,
 }
 
 impl Gateway {
@@ -103,6 +105,7 @@
             leaving: None,
             is_closed: false,
             has_exited: false,
+            n_receiving: 0,
         }
     }
 
@@ -158,6 +161,7 @@
                 cx.ctx.peers.add_known(&addresses, own);
                 cx.ctx.peers.heartbeat_now(now);
             }
+            Event::Arrive(arrival) if self.has_exited => shutdown::refuse(cx, &arrival),
             Event::Arrive(arrival) => self.requests.arrive(cx, &mut self.batcher, *arrival),
             Event::CallerGone { ticket } => {
                 self.requests.caller_gone(cx, &mut self.batcher, ticket);
@@ -190,6 +194,8 @@
                 updates::on_probed(cx, &endpoint, is_alive);
                 quarantine::exchange::on_probed(cx, &endpoint, started, is_alive);
             }
+            // Its owner submits the job to another instance.
+            Event::Peer { message: PeerMessage::Submit(_), .. } if self.has_exited => (),
             Event::Peer { from, message } => {
                 updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
@@ -200,6 +206,7 @@
                 cx.ctx.tuning = *tuning;
                 updates::set_paces(cx);
             }
+            Event::Receiving { n_requests } => self.n_receiving = n_requests,
             Event::Shutdown => {
                 if self.leaving.is_none() {
                     self.leaving = Some(now);
--- a/crates/ferry-serve/src/gateway/shutdown.rs
+++ b/crates/ferry-serve/src/gateway/shutdown.rs
@@ -5,10 +5,32 @@
 use ferry_model::Moment;
 
 use super::{Gateway, Settlement};
-use crate::Effect;
 use crate::pass::Pass;
+use crate::{Arrival, Decision, DecisionKind, Effect, Metric, Refusal, Status, Tuning};
+
+/// Why a request is ended, or refused, as the process exits.
+pub const REASON: &str = "the instance stops";
+
+/// Refuses a request that arrives after the decision to exit, for whose call nothing would wait.
+pub(super) fn refuse(cx: &mut Pass<'_>, arrival: &Arrival) {
+    cx.count(Metric::RequestsArrived);
+    cx.count(Metric::RequestsRefused);
+    let decision = Decision::new(DecisionKind::Refuse, REASON);
+    cx.log(decision.with_attempt(&arrival.head.attempt));
+    let refusal = refusal(&cx.ctx.tuning);
+    cx.effects.push(Effect::Refuse { ticket: arrival.ticket, refusal });
+}
+
+fn refusal(tuning: &Tuning) -> Refusal {
+    Refusal { status: Status::NotRun, retry_after: Some(tuning.retry_after), reason: REASON }
+}
 
 impl Gateway {
+    /// Returns the answer to requests that have not arrived completely by the decision to exit.
+    pub fn exit_refusal(&self) -> Refusal {
+        refusal(&self.ctx.tuning)
+    }
+
     pub(super) fn next_shutdown_step(&self) -> Option<Moment> {
         let since = self.leaving.filter(|_| !self.has_exited)?;
         let tuning = &self.ctx.tuning;
@@ -22,7 +44,7 @@
             self.is_closed = true;
             effects.push(Effect::Close);
         }
-        let is_idle = self.requests.is_empty() && self.batcher.is_idle();
+        let is_idle = self.requests.is_empty() && self.batcher.is_idle() && self.n_receiving == 0;
         let is_late = since + self.ctx.tuning.exit_after() <= now;
         if !self.has_exited && self.is_closed && (is_late || is_idle) {
             self.has_exited = true;
--- a/crates/ferry-serve/src/request.rs
+++ b/crates/ferry-serve/src/request.rs
@@ -26,6 +26,7 @@
 
 use crate::admission::AdmissionAnswer;
 use crate::batch::{Batcher, JobKey, JobOutcome};
+use crate::gateway::shutdown;
 use crate::origins::exchange::Read;
 use crate::pass::Pass;
 use crate::{
@@ -313,7 +314,7 @@
         for ticket in tickets {
             let Some(mut request) = self.active.remove(&ticket) else { continue };
             self.forget(cx, &mut request);
-            end::expire(cx, batcher, request, "the instance stops");
+            end::expire(cx, batcher, request, shutdown::REASON);
         }
     }
 
--- a/crates/ferry-serve/tests/decisions/shutdown.rs
+++ b/crates/ferry-serve/tests/decisions/shutdown.rs
@@ -1,6 +1,6 @@
 //! A shutdown cuts no request and ends in time.
 
-use ferry_serve::{Event, Refusal, Status};
+use ferry_serve::{Event, Refusal, RelayedCall, Status};
 
 use crate::simulation::{Behaviour, ENGINE, Ending, PLAIN, Simulation, front, head, ms};
 
@@ -70,6 +70,76 @@
     }
 }
 
+/// Runs until the first instance has decided to exit.
+fn run_until_exit(sim: &mut Simulation) {
+    for _ in 0..1_000 {
+        if sim.exited == [0] {
+            return;
+        }
+        sim.run_for(ms(10));
+    }
+    panic!("it does not exit");
+}
+
+/// Guards against requests that are sent to an endpoint by an instance which no longer waits for them.
+#[test]
+fn request_after_the_decision_to_exit_is_refused_and_never_runs() {
+    struct Case {
+        route: &'static str,
+        /// Whether a peer passes it on.
+        is_relayed: bool,
+        /// Time since the decision.
+        after: u64,
+    }
+    let mut failures = Vec::new();
+    for route in ["get", "post", "stream", "once"] {
+        for (is_relayed, after) in [(false, 0), (false, 90), (true, 0), (true, 90)] {
+            let case = Case { route, is_relayed, after };
+            let name = format!("{route}, passed on {is_relayed}, after {after} ms");
+            let mut sim = Simulation::new(3);
+            sim.deliver(0, Event::Shutdown);
+            run_until_exit(&mut sim);
+            sim.run_for(ms(case.after));
+            let mut head = head(case.route, "late");
+            head.relayed = case.is_relayed.then(|| RelayedCall { n_tries: 2, notices: Vec::new() });
+            sim.arrive(0, "late", head);
+            sim.run_for(ms(1_000));
+            let ending = sim.outcomes.get("late").map(|it| it.ending.clone());
+            let is_refused = matches!(&ending, Some(Ending::Refused(it))
+                if it.status == Status::NotRun && it.retry_after.is_some());
+            let runs = sim.runs.get("late");
+            let n_items: usize = sim.endpoints.values().map(|it| it.n_items).sum();
+            if !is_refused || runs.is_some() || n_items != 0 {
+                failures.push(format!("{name}: {ending:?}, run by {runs:?}, {n_items} items"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{} failures: {failures:#?}", failures.len());
+}
+
+/// Guards against the refusal of a request whose body a caller has begun to send before the exit.
+#[test]
+fn shutdown_waits_for_bodies_on_the_way_within_the_grace_time() {
+    for (received_at, exits) in [(5_000, ms(5_000)..ms(5_300)), (20_000, ms(7_500)..ms(8_000))] {
+        let mut sim = Simulation::new(3);
+        let requested_at = sim.now;
+        sim.deliver(0, Event::Receiving { n_requests: 1 });
+        sim.deliver(0, Event::Shutdown);
+        while sim.exited.is_empty() {
+            sim.run_for(ms(10));
+            if sim.now == requested_at + ms(received_at) {
+                sim.arrive(0, "late", head("get", "late"));
+                sim.deliver(0, Event::Receiving { n_requests: 0 });
+            }
+        }
+        let after = sim.now - requested_at;
+        assert!(exits.contains(&after), "received at {received_at}: it exits after {after:?}");
+        let ending = sim.outcomes.get("late").map(|it| &it.ending);
+        let expected = (received_at < 8_000).then_some(&Ending::Answer);
+        assert_eq!(ending, expected, "received at {received_at}");
+    }
+}
+
 #[test]
 fn request_in_progress_at_the_end_of_the_grace_time_gets_an_answer() {
     struct Case {
