Close idle connections within half of a short grace time

What callers would see: with a grace time under 2.8 s, a stopped process is killed with requests in progress.

Cause: idle connections were closed 2.8 s after the signal whatever the grace time, and the exit came after that.

Change: they are closed after half of the time until the forced exit, if that is shorter. Evidence: short_grace_time_is_enough_to_finish_requests fails before (grace 500 ms: callers are accepted for 2.8 s) and passes; with 8 s nothing changes.

--- a/crates/ferry-serve/src/gateway/shutdown.rs
+++ b/crates/ferry-serve/src/gateway/shutdown.rs
@@ -34,13 +34,13 @@
     pub(super) fn next_shutdown_step(&self) -> Option<Moment> {
         let since = self.leaving.filter(|_| !self.has_exited)?;
         let tuning = &self.ctx.tuning;
-        Some(since + if self.is_closed { tuning.exit_after() } else { tuning.close_after })
+        Some(since + if self.is_closed { tuning.exit_after() } else { tuning.close_after() })
     }
 
     /// Closes idle connections once callers have had time to switch, and exits when idle.
     pub(super) fn advance_shutdown(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         let Some(since) = self.leaving else { return };
-        if !self.is_closed && since + self.ctx.tuning.close_after <= now {
+        if !self.is_closed && since + self.ctx.tuning.close_after() <= now {
             self.is_closed = true;
             effects.push(Effect::Close);
         }
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -125,6 +125,12 @@
         self.disabled.binary_search(&mechanism).is_err()
     }
 
+    /// Returns the time after the shutdown request at which no more connections are accepted: in time
+    /// to end their requests, if the grace time is short.
+    pub fn close_after(&self) -> Duration {
+        self.close_after.min(self.exit_after() / 2)
+    }
+
     /// Returns the time after the shutdown request at which the process exits in any case.
     pub fn exit_after(&self) -> Duration {
         self.shutdown_grace.saturating_sub(EXIT_MARGIN)
--- a/crates/ferry-serve/tests/decisions/shutdown.rs
+++ b/crates/ferry-serve/tests/decisions/shutdown.rs
@@ -140,6 +140,22 @@
     }
 }
 
+/// Guards against the kill of a process that closes its connections after its grace time.
+#[test]
+fn short_grace_time_is_enough_to_finish_requests() {
+    for grace in [500, 1_000, 2_000, 3_000, 8_000] {
+        let mut sim = Simulation::new(3);
+        sim.tuning.shutdown_grace = ms(grace);
+        sim.deliver(0, Event::Retune(Box::new(sim.tuning.clone())));
+        let requested_at = sim.now;
+        sim.deliver(0, Event::Shutdown);
+        run_until_exit(&mut sim);
+        let (closed, exited) = (sim.closed[0].1 - requested_at, sim.now - requested_at);
+        assert!(closed < ms(grace) / 2, "grace {grace} ms: callers are accepted for {closed:?}");
+        assert!(exited < ms(grace), "grace {grace} ms: it exits after {exited:?}");
+    }
+}
+
 #[test]
 fn request_in_progress_at_the_end_of_the_grace_time_gets_an_answer() {
     struct Case {
