Keep the quarantine in the store, so that it outlives all instances

Cause: the records of the quarantine were in the memory of the instances only. Whole requests and the lifts of operators had the same fault.

Change: one object of the store for each candidate. An instance lists them once at its start and when the store came back from a copy; nothing waits for it. The instance that changes a record writes it, conditional on its revision; three others look whether it is there. The newest version counts.

Why it works: what is needed after the end of all instances is where it survives them, and each instance reads it before it counts as stable.

The two older tests in which the part, or the request, is learnt again lose the record of the store as well now, so that they still show what they did.

--- a/crates/ferry-gateway/src/records.rs
+++ b/crates/ferry-gateway/src/records.rs
@@ -1,13 +1,15 @@
 //! Reads and writes the records of builds and streams in the platform's store.
 
 use std::rc::Rc;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use ferry_model::{StorePosition, store_era, store_revision};
-use ferry_platform::records;
 use ferry_platform::store::{self, Kind};
+use ferry_platform::{quarantine, records};
 use ferry_serve::{
-    Event, PoolBuilds, RecordCall, RecordReply, StoredRecords, StreamSlot, WriteFailure,
+    Event, Metric, PoolBuilds, QuarantineCall, QuarantineReply, RecordCall, RecordReply,
+    StoredEntry, StoredRecords, StreamSlot, WriteFailure,
 };
 use http::{Method, StatusCode};
 use serde_json::Value;
@@ -43,6 +45,9 @@
                 let result = logged(&driver, "write records of streams to", result.await);
                 RecordReply::Streams { slot: slot.number, result: result.map_err(failure) }
             }
+            RecordCall::Quarantine(call) => {
+                RecordReply::Quarantine(quarantine(&driver, &client, call).await)
+            }
             RecordCall::DeleteStreams(slot) => {
                 if slot.revision.is_some_and(|it| store_era(it) != client.era()) {
                     // The next read tells which revision it has now.
@@ -60,6 +65,50 @@
     });
 }
 
+async fn quarantine(driver: &Rc<Driver>, client: &Client, call: QuarantineCall) -> QuarantineReply {
+    match call {
+        QuarantineCall::Read => {
+            let entries = read_quarantine(driver, client).await;
+            QuarantineReply::Read(logged(driver, "read the quarantine in", entries).ok())
+        }
+        QuarantineCall::Write { key, record, revision } => {
+            let body = |it| quarantine::body(&key, record, it, SystemTime::now());
+            let name = quarantine::name(&key);
+            let written = write(client, Kind::Quarantine, &name, revision, body).await;
+            let written = logged(driver, "write the quarantine to", written);
+            QuarantineReply::Written(written.map(Some).map_err(failure))
+        }
+        QuarantineCall::Delete { key, revision } => {
+            if revision.is_some_and(|it| store_era(it) != client.era()) {
+                return QuarantineReply::Written(Err(WriteFailure::Conflict));
+            }
+            let path = quarantine::delete_path(&key, revision.map(store_revision));
+            let deleted = client.call(&InternalCall::delete(path), RESPONSE_TIMEOUT).await;
+            let deleted = logged(driver, "delete the quarantine from", deleted);
+            QuarantineReply::Written(deleted.map(|_| None).map_err(failure))
+        }
+    }
+}
+
+/// Reads what the store has of the quarantine. An object that cannot be read costs only itself.
+async fn read_quarantine(
+    driver: &Rc<Driver>,
+    client: &Client,
+) -> Result<Vec<StoredEntry>, StoreError> {
+    let (objects, _) = client.list(Kind::Quarantine).await?;
+    let now = SystemTime::now();
+    let mut entries = Vec::new();
+    for object in &objects {
+        let entry = quarantine::read(object, now);
+        if entry.as_ref().is_none_or(|it| it.record.is_none()) {
+            driver.metrics.count(Metric::ObjectsUnreadable);
+            driver.warn_seldom("ignored a record of the quarantine", &object.name);
+        }
+        entries.extend(entry);
+    }
+    Ok(entries)
+}
+
 async fn read(client: &Client, with_streams: bool) -> Result<StoredRecords, StoreError> {
     let (objects, _) = client.list(Kind::Builds).await?;
     let pools = objects.iter().filter_map(records::read_builds).collect();
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -273,7 +273,7 @@
             driver.dispatch(Event::Members(objects.iter().filter_map(member).collect()));
         }
         // These are read when a decision needs them.
-        Kind::Builds | Kind::Streams => (),
+        Kind::Builds | Kind::Streams | Kind::Quarantine => (),
     }
     Ok(Update { revision, content: Content::Read })
 }
@@ -308,7 +308,7 @@
                     false => StoreUpdate::Evacuated { revision, zone },
                 }));
             }
-            Kind::Instances | Kind::Builds | Kind::Streams => (),
+            Kind::Instances | Kind::Builds | Kind::Streams | Kind::Quarantine => (),
         }
     }
     driver.note_unnamed(changes.n_unnamed);
--- a/crates/ferry-gateway/tests/process/quarantine.rs
+++ b/crates/ferry-gateway/tests/process/quarantine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ferry_soak::cluster::{Cluster, Node};
+use ferry_soak::cluster::{Cluster, Node, Signal};
 use ferry_soak::config::Route;
 use ferry_soak::soak::{N_CALLERS, start_callers};
 use rand::SeedableRng;
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::harness::{exchange, head, logged_digest, with_cluster};
+use crate::harness::{exchange, head, logged_digest, wait_ready, with_cluster};
 
 /// Time in which all instances know of a change.
 const SPREAD_TIME: Duration = Duration::from_secs(1);
@@ -166,6 +166,57 @@
     });
 }
 
+/// Kills all gateways, starts them again and waits until they are ready.
+async fn kill_all(cluster: &mut Cluster) {
+    cluster.nodes.iter_mut().for_each(|it| it.signal(Signal::Kill));
+    for node in &mut cluster.nodes {
+        while node.exit_status().is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        node.start().expect("the gateway starts");
+    }
+    for node in &cluster.nodes {
+        wait_ready(node.ready()).await;
+    }
+}
+
+/// Guards against a quarantine, or its end, that is forgotten when all gateways are killed at once.
+#[test]
+fn quarantine_and_its_end_outlive_all_gateways() {
+    const KIND: &str = "ferry-quarantine";
+    /// Attempts at each gateway.
+    const N_TRIES: usize = 3;
+    with_cluster("quarantine-killed", 3, async |mut cluster| {
+        // A later release may have written one, and anybody else another.
+        cluster.store.put(KIND, "part-f00d.engine", json!({ "Format": 9 }));
+        cluster.store.put_text(KIND, "nobody", "no JSON");
+        let path = "/v1/quarantine/engine/beef";
+        for (phase, method, status) in [("set", "PUT", 503), ("lifted", "DELETE", 200)] {
+            let response = call(cluster.nodes[0].ready(), method, path).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+            sleep(SPREAD_TIME).await;
+            kill_all(&mut cluster).await;
+            sleep(SPREAD_TIME).await;
+            for (node, number) in (0..3).flat_map(|node| (0..N_TRIES).map(move |it| (node, it))) {
+                let attempt = format!("{phase}-{node}-{number}");
+                let parts = "a1:9,beef:9,c3:9";
+                let response = send(&cluster, node, Route::Stream, &attempt, parts).await;
+                assert!(
+                    response.starts_with(&format!("HTTP/1.1 {status}")),
+                    "{attempt}: {response}"
+                );
+                let is_run = !cluster.checker.runs(&attempt).is_empty();
+                assert_eq!(is_run, status == 200, "{attempt}");
+                let response = send(&cluster, node, Route::Stream, "other", "f00d:9,c3:9").await;
+                assert!(response.starts_with("HTTP/1.1 200"), "{attempt}: {response}");
+            }
+            let names = cluster.store.names(KIND);
+            assert_eq!(names, ["nobody", "part-beef.engine", "part-f00d.engine"], "{phase}");
+        }
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
+
 /// Paths of requests: a valid one, and others whose ids have a digit less, one more, or a sign.
 const REQUEST: &str = "/v1/quarantine/plain/0123456789abcdef0123456789abcdef";
 const REQUEST_31: &str = "/v1/quarantine/plain/0123456789abcdef0123456789abcde";
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -26,7 +26,8 @@
 use crate::{
     Backlog, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, DecisionKind, Effect,
     Endpoints, Event, Group, Heartbeat, Limiter, Mechanism, Observation, Observations, Origins,
-    PeerMessage, Peers, PermitAnswer, PermitId, Quarantine, Reach, Scheduled, Scheduler, Tuning,
+    PeerMessage, Peers, PermitAnswer, PermitId, Quarantine, QuarantineLedger, Reach, Scheduled,
+    Scheduler, Tuning,
 };
 
 /// Lateness of a pass from which on this process stood still, so that it heard no endpoint.
@@ -94,6 +95,7 @@
                 last_permit,
                 limiter: Limiter::new(),
                 quarantine: Quarantine::new(),
+                quarantine_ledger: QuarantineLedger::new(),
                 crash_watch: CrashWatch::default(),
                 collector: CrashCollector::new(),
                 is_leaving: false,
@@ -220,6 +222,7 @@
         self.requests.enforce_quarantine(cx, &mut self.batcher);
         self.requests.avoid_closed(cx, &mut self.batcher);
         updates::update_reach(cx);
+        quarantine::exchange::keep(cx);
         for pool in origins::exchange::update(cx) {
             self.requests.record_streams(cx, &pool);
         }
@@ -239,6 +242,7 @@
             self.ctx.collector.next_wake(),
             self.ctx.reach.next_wake(now),
             self.ctx.origins.next_wake().filter(|_| !self.ctx.endpoints.is_store_down()),
+            self.ctx.quarantine_ledger.next_wake().filter(|_| !self.ctx.endpoints.is_store_down()),
             self.next_shutdown_step(),
         ];
         due.into_iter().flatten().fold(self.ctx.peers.next_wake(), Moment::min)
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -73,6 +73,7 @@
         matches!(update, StoreUpdate::Unreachable | StoreUpdate::Reachable | StoreUpdate::Restored);
     if matches!(update, StoreUpdate::Restored) {
         origins::exchange::on_restored(cx);
+        cx.ctx.quarantine_ledger.on_restored();
     }
     let Context { tuning, endpoints, .. } = &mut *cx.ctx;
     let n_before = endpoints.n_evacuation_changes();
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -57,8 +57,9 @@
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
 pub use quarantine::{
     CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport, CrashWatch,
-    Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineNotice, QuarantineReason,
-    QuarantineRecord, QuarantineState, workspace_digest,
+    Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineCall, QuarantineLedger,
+    QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply, QuarantineState,
+    RecordKey, StoredEntry, StoredRecord, workspace_digest,
 };
 pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
--- a/crates/ferry-serve/src/origins/exchange.rs
+++ b/crates/ferry-serve/src/origins/exchange.rs
@@ -9,6 +9,7 @@
     WriteFailure,
 };
 use crate::pass::{Context, Pass};
+use crate::quarantine;
 use crate::{CallerAttempt, Decision, DecisionKind, Effect, PeerMessage, RecordCall};
 
 /// Share of the calls that the store takes which may be used for records of streams.
@@ -119,6 +120,10 @@
 /// Applies the result of a call; returns the read that it ends, if it is one.
 pub fn on_reply(cx: &mut Pass<'_>, reply: RecordReply) -> Option<Read> {
     match reply {
+        RecordReply::Quarantine(reply) => {
+            quarantine::exchange::on_stored(cx, reply);
+            None
+        }
         RecordReply::Read { id, records } => on_read(cx, id, records),
         RecordReply::Builds { pool, result } => {
             on_builds_written(cx, &pool, result);
--- a/crates/ferry-serve/src/origins/record.rs
+++ b/crates/ferry-serve/src/origins/record.rs
@@ -1,9 +1,10 @@
-//! What the instances record in the store of builds and streams, and the calls for it.
+//! What the instances record in the store of builds and streams, and the calls for it and for other
+//! records.
 
 use ferry_model::{BuildId, InstanceId, PoolId, store_revision};
 use serde::{Deserialize, Serialize};
 
-use crate::CallerAttempt;
+use crate::{CallerAttempt, QuarantineCall, QuarantineReply};
 
 /// Numbers the reads of this process.
 pub type ReadId = u64;
@@ -66,6 +67,7 @@
     WriteStreams(StreamSlot),
     /// Deletes the records of an instance that is gone.
     DeleteStreams(StreamSlot),
+    Quarantine(QuarantineCall),
 }
 
 /// Why a write is not known to have taken place.
@@ -86,7 +88,14 @@
         records: Option<StoredRecords>,
     },
     /// The object's new revision.
-    Builds { pool: PoolId, result: Result<u64, WriteFailure> },
+    Builds {
+        pool: PoolId,
+        result: Result<u64, WriteFailure>,
+    },
     /// The same.
-    Streams { slot: u32, result: Result<u64, WriteFailure> },
+    Streams {
+        slot: u32,
+        result: Result<u64, WriteFailure>,
+    },
+    Quarantine(QuarantineReply),
 }
--- a/crates/ferry-serve/src/pass.rs
+++ b/crates/ferry-serve/src/pass.rs
@@ -19,8 +19,8 @@
 use crate::{
     CallId, CallerAttempt, Catalog, CrashCollector, CrashWatch, Decision, Effect, Endpoints,
     EndpointsDelta, Group, Limiter, Mechanism, Metric, Observations, Origins, Peers, PermitAnswer,
-    PermitId, PoolBuilds, Quarantine, Reach, RequestHead, RetryBudget, RetryShare, Scheduled,
-    Scheduler, Tuning,
+    PermitId, PoolBuilds, Quarantine, QuarantineLedger, Reach, RequestHead, RetryBudget,
+    RetryShare, Scheduled, Scheduler, Tuning,
 };
 
 use averages::RouteAverages;
@@ -77,6 +77,8 @@
     pub limiter: Limiter,
     /// What is not sent to its pool.
     pub quarantine: Quarantine,
+    /// Which of its records the store has.
+    pub quarantine_ledger: QuarantineLedger,
     pub crash_watch: CrashWatch,
     /// Crashes of the pools of which this instance is a collector.
     pub collector: CrashCollector,
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -9,7 +9,9 @@
 mod collector;
 mod evidence;
 pub mod exchange;
+mod ledger;
 mod message;
+mod stored;
 mod watch;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -23,9 +25,11 @@
 
 pub use candidate::{CrashCandidate, PartId, workspace_digest};
 pub use collector::CrashCollector;
+pub use ledger::{QuarantineLedger, RecordKey};
 pub use message::{
     CounterEvidence, CrashInquiry, CrashReport, Crashed, Exposure, QuarantineNotice,
 };
+pub use stored::{QuarantineCall, QuarantineReply, StoredEntry, StoredRecord};
 pub use watch::{CallTrace, CrashWatch};
 
 /// Largest number of records; the oldest that were lifted go first.
@@ -64,6 +68,13 @@
     told_refused: Moment,
 }
 
+impl QuarantineRecord {
+    fn stored(&self, now: Moment) -> StoredRecord {
+        let QuarantineRecord { state, reason, version, since, .. } = *self;
+        StoredRecord { state, reason, version, age: now.saturating_sub(since) }
+    }
+}
+
 #[derive(
     Debug,
     Clone,
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -7,12 +7,13 @@
 
 use super::collector::Finding;
 use super::evidence::Standing;
+use super::ledger::N_KEEPERS;
 use super::{
     CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Quarantine, QuarantineAction,
-    QuarantineNotice, QuarantineReason, QuarantineState,
+    QuarantineNotice, QuarantineReason, QuarantineReply, QuarantineState, RecordKey, StoredEntry,
 };
 use crate::pass::{Context, Pass};
-use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage};
+use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage, RecordCall};
 
 /// Collectors of a pool, so that one may fail and messages may be lost.
 const N_COLLECTORS: usize = 3;
@@ -20,6 +21,8 @@
 const FANOUT: usize = 8;
 /// Hash input that separates the choice of collectors from other roles.
 const COLLECTORS_KEY: &str = "crash collectors";
+/// The same for the instances that look whether a record is stored.
+const KEEPERS_KEY: &str = "quarantine keepers";
 
 /// Reports crashes that are certain by now, attributes them, and ends what has lasted for long enough.
 pub fn tick(cx: &mut Pass<'_>) {
@@ -161,6 +164,35 @@
     change(cx, pool, candidate, state, QuarantineReason::Operator, "by an operator");
 }
 
+/// Calls the store for what is due.
+pub fn keep(cx: &mut Pass<'_>) {
+    if cx.ctx.endpoints.is_store_down() {
+        return;
+    }
+    let Context { quarantine_ledger, quarantine, peers, tuning, identity, .. } = &mut *cx.ctx;
+    let turn = |key: &RecordKey| {
+        let keepers = peers.ranked_with(cx.now, tuning, identity, (KEEPERS_KEY, key), N_KEEPERS);
+        keepers.iter().position(Option::is_none)
+    };
+    let call = quarantine_ledger.due(cx.now, quarantine, turn);
+    cx.effects.extend(call.map(|it| Effect::Record(RecordCall::Quarantine(it))));
+}
+
+/// Applies what the store has answered. Peers read it themselves.
+pub fn on_stored(cx: &mut Pass<'_>, reply: QuarantineReply) {
+    match reply {
+        QuarantineReply::Written(result) => cx.ctx.quarantine_ledger.on_written(cx.now, result),
+        QuarantineReply::Read(entries) => {
+            for notice in entries.iter().flatten().filter_map(StoredEntry::notice) {
+                if cx.ctx.quarantine.merge(cx.now, &notice) {
+                    note(cx, &notice, "as the store has it");
+                }
+            }
+            cx.ctx.quarantine_ledger.on_read(cx.now, entries.as_deref());
+        }
+    }
+}
+
 /// Records that a request was refused for a candidate.
 pub fn on_refused(cx: &mut Pass<'_>, pool: &str, candidate: CrashCandidate) {
     cx.count(Metric::RequestsQuarantined);
@@ -254,12 +286,18 @@
     why: &str,
 ) {
     if let Some(notice) = cx.ctx.quarantine.set(cx.now, (pool, candidate), state, reason) {
+        cx.ctx.quarantine_ledger.on_changed(pool, candidate);
         spread(cx, &notice, why);
     }
 }
 
 /// Logs a change and tells peers.
 fn spread(cx: &mut Pass<'_>, notice: &QuarantineNotice, why: &str) {
+    note(cx, notice, why);
+    tell(cx, notice);
+}
+
+fn note(cx: &mut Pass<'_>, notice: &QuarantineNotice, why: &str) {
     let QuarantineNotice { pool, candidate, state, reason, .. } = notice;
     log(cx, pool, format!("{candidate} is {state} ({reason}): {why}"));
     match (state, candidate) {
@@ -271,7 +309,6 @@
         }
         (QuarantineState::Lifted, _) => cx.ctx.collector.on_lifted(pool, *candidate),
     }
-    tell(cx, notice);
 }
 
 fn tell(cx: &mut Pass<'_>, notice: &QuarantineNotice) {
--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod drawn;
 mod faults;
+mod kept;
 mod records;
 mod repeated;
 mod request_faults;
--- a/crates/ferry-serve/tests/decisions/quarantine/faults.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/faults.rs
@@ -5,7 +5,7 @@
 use crate::quarantine::records::{operate, quarantined};
 use crate::quarantine::traffic::{CRASHING, Place, Traffic};
 use crate::quarantine::trouble::Trouble;
-use crate::simulation::{CrashCause, ENGINE, Simulation, ms};
+use crate::simulation::{CrashCause, ENGINE, RecordStore, Simulation, ms};
 
 /// What happens to the instances, in steps of half a second from the first crash on.
 pub struct FaultCase {
@@ -120,7 +120,7 @@
     assert_eq!(quarantined(&sim), [CrashCause::Part(CRASHING)]);
 }
 
-/// Without any instance left that knew the part, it is learnt again.
+/// Without any instance left that knew the part, and without its record, it is learnt again.
 #[test]
 fn part_is_learnt_again_after_all_instances_died() {
     let mut sim = Simulation::new(6);
@@ -132,6 +132,7 @@
     traffic.run(&mut sim, ms(8_000));
     assert_eq!(quarantined(&sim), [CrashCause::Part(CRASHING)]);
     (0..6).for_each(|it| sim.kill(it));
+    sim.records = RecordStore::default();
     sim.run_for(ms(500));
     (0..6).for_each(|it| sim.start(it));
     let n_crashes = sim.crashes.crashed.len();
--- a/crates/ferry-serve/tests/decisions/quarantine/request_faults.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/request_faults.rs
@@ -8,7 +8,8 @@
 use crate::quarantine::returns::{FIRST_DIGEST, Kind, Load, Place, STABLE_TIME};
 use crate::quarantine::trouble::Trouble;
 use crate::simulation::{
-    Behaviour, CrashCause, CrashMoment, ENGINE, Ending, PLAIN, Simulation, config, head, ms,
+    Behaviour, CrashCause, CrashMoment, ENGINE, Ending, PLAIN, RecordStore, Simulation, config,
+    head, ms,
 };
 
 const N_ENDPOINTS: usize = 10;
@@ -63,7 +64,7 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Without any instance left that knew the request, three crashes are enough again.
+/// Without any instance left that knew the request, and without its record, three crashes are enough again.
 #[test]
 fn crashing_request_is_learnt_again_after_all_instances_died() {
     let (mut sim, mut load) = start(6, Kind::Idempotent, 0);
@@ -71,6 +72,7 @@
     load.run(&mut sim, ms(8_000));
     assert_eq!(quarantined(&sim), [CRASHING]);
     (0..6).for_each(|it| sim.kill(it));
+    sim.records = RecordStore::default();
     sim.run_for(ms(500));
     (0..6).for_each(|it| sim.start(it));
     let n_crashes = sim.crashes.crashed.len();
--- a/crates/ferry-serve/tests/decisions/quarantine/traffic.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/traffic.rs
@@ -93,6 +93,11 @@
         self
     }
 
+    /// Changes how many crashing requests are sent per second.
+    pub fn set_crashing_rate(&mut self, rate: f64) {
+        self.crashing_rate = rate;
+    }
+
     pub fn with_distinct(mut self, n_distinct: u64) -> Traffic {
         self.n_distinct = n_distinct;
         self
--- a/crates/ferry-serve/tests/decisions/simulation/records.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/records.rs
@@ -4,8 +4,8 @@
 
 use ferry_model::{SortedMap, store_era, store_position, store_revision};
 use ferry_serve::{
-    Event, PoolBuilds, RecordCall, RecordReply, StoreUpdate, StoredRecords, StreamSlot,
-    WriteFailure,
+    Event, PoolBuilds, QuarantineCall, QuarantineReply, RecordCall, RecordKey, RecordReply,
+    StoreUpdate, StoredEntry, StoredRecords, StreamSlot, WriteFailure,
 };
 
 use super::{Simulation, ms};
@@ -28,6 +28,7 @@
     revision: u64,
     pools: SortedMap<String, PoolBuilds>,
     slots: SortedMap<(String, u32), StreamSlot>,
+    pub quarantine: SortedMap<RecordKey, StoredEntry>,
     /// Instances that the store does not serve as usual.
     states: SortedMap<usize, StoreState>,
     /// One in this many writes is executed without an answer, some of them seconds later.
@@ -36,6 +37,8 @@
     pub n_messages: usize,
     pub n_reads: usize,
     pub n_writes: usize,
+    /// Calls about the quarantine: reads, writes and removals.
+    pub n_quarantine: [usize; 3],
     /// Bytes of the attempts and builds in all writes.
     pub n_bytes: usize,
 }
@@ -44,7 +47,13 @@
     /// Executes a write if its condition holds.
     fn write(&mut self, call: &RecordCall) -> Result<u64, WriteFailure> {
         let (before, expected) = match call {
-            RecordCall::Read { .. } => return Err(WriteFailure::Failed),
+            RecordCall::Read { .. } | RecordCall::Quarantine(QuarantineCall::Read) => {
+                return Err(WriteFailure::Failed);
+            }
+            RecordCall::Quarantine(
+                QuarantineCall::Write { key, revision, .. }
+                | QuarantineCall::Delete { key, revision },
+            ) => (self.quarantine.get(key).and_then(|it| it.revision), *revision),
             RecordCall::DeleteStreams(it) => {
                 let key = (it.instance.clone(), it.number);
                 return match self.slots.get(&key).is_some_and(|slot| slot.revision == it.revision) {
@@ -70,7 +79,16 @@
         self.revision += 1;
         let revision = Some(self.revision);
         match call.clone() {
-            RecordCall::Read { .. } | RecordCall::DeleteStreams(_) => (),
+            RecordCall::Read { .. }
+            | RecordCall::DeleteStreams(_)
+            | RecordCall::Quarantine(QuarantineCall::Read) => (),
+            RecordCall::Quarantine(QuarantineCall::Write { key, record, .. }) => {
+                let entry = StoredEntry { key: key.clone(), record: Some(record), revision };
+                self.quarantine.insert(key, entry);
+            }
+            RecordCall::Quarantine(QuarantineCall::Delete { key, .. }) => {
+                self.quarantine.remove(&key);
+            }
             RecordCall::WriteBuilds(it) => {
                 self.pools.insert(it.pool.clone(), PoolBuilds { revision, ..it });
             }
@@ -104,6 +122,11 @@
 fn reply(call: RecordCall, result: Result<u64, WriteFailure>) -> RecordReply {
     match call {
         RecordCall::Read { id, .. } => RecordReply::Read { id, records: None },
+        RecordCall::Quarantine(call) => RecordReply::Quarantine(match call {
+            QuarantineCall::Read => QuarantineReply::Read(None),
+            QuarantineCall::Write { .. } => QuarantineReply::Written(result.map(Some)),
+            QuarantineCall::Delete { .. } => QuarantineReply::Written(result.map(|_| None)),
+        }),
         RecordCall::WriteBuilds(it) => RecordReply::Builds { pool: it.pool, result },
         RecordCall::WriteStreams(it) | RecordCall::DeleteStreams(it) => {
             RecordReply::Streams { slot: it.number, result }
@@ -133,7 +156,8 @@
         self.records.revision = store_position(era, store_revision(self.records.revision));
         let pools = self.records.pools.iter_mut().map(|it| &mut it.1.revision);
         let slots = self.records.slots.iter_mut().map(|it| &mut it.1.revision);
-        pools.chain(slots).for_each(|it| *it = revision(*it));
+        let entries = self.records.quarantine.iter_mut().map(|it| &mut it.1.revision);
+        pools.chain(slots).chain(entries).for_each(|it| *it = revision(*it));
         for instance in 0..self.instances.len() {
             self.deliver(instance, Event::Store(StoreUpdate::Restored));
         }
@@ -141,9 +165,19 @@
 
     /// Executes a call, and answers it.
     pub(super) fn call_store(&mut self, instance: usize, call: RecordCall) {
-        let is_read = matches!(call, RecordCall::Read { .. });
-        self.records.n_reads += usize::from(is_read);
-        self.records.n_writes += usize::from(!is_read);
+        let is_read =
+            matches!(call, RecordCall::Read { .. } | RecordCall::Quarantine(QuarantineCall::Read));
+        match &call {
+            RecordCall::Quarantine(QuarantineCall::Read) => self.records.n_quarantine[0] += 1,
+            RecordCall::Quarantine(QuarantineCall::Write { .. }) => {
+                self.records.n_quarantine[1] += 1;
+            }
+            RecordCall::Quarantine(QuarantineCall::Delete { .. }) => {
+                self.records.n_quarantine[2] += 1;
+            }
+            _ if is_read => self.records.n_reads += 1,
+            _ => self.records.n_writes += 1,
+        }
         if matches!(call, RecordCall::DeleteStreams(_)) {
             // Nobody waits for the answer.
             return self.write_late(&call);
@@ -176,6 +210,10 @@
             RecordCall::Read { id, with_streams } => {
                 RecordReply::Read { id, records: Some(self.records.read(with_streams)) }
             }
+            RecordCall::Quarantine(QuarantineCall::Read) => {
+                let entries = self.records.quarantine.values().cloned().collect();
+                RecordReply::Quarantine(QuarantineReply::Read(Some(entries)))
+            }
             call => {
                 let result = self.records.write(&call);
                 reply(call, result)
