Bound chance by how long calls had run when their endpoint crashed

Cause: chance was the share of calls that other crashes break off, about a half where streams are long. The calls with the part ended within 0.1 s, which the bound did not use.

Change: crash reports have the time that each call had run, as an extension that earlier releases ignore. For a part that was never sound, other crashes explain its runs only as far as the endpoint is likely to crash within such a time, at the rate of crashes without the part, by endpoint and start (Fisher's method over the crashes). The lower of both bounds counts, both at 1e-5.

Why it works: an unrelated crash seldom comes in the first moment of a call, however many long calls it breaks off.

--- a/crates/ferry-gateway/src/wire.rs
+++ b/crates/ferry-gateway/src/wire.rs
@@ -23,6 +23,8 @@
 const HEADER_LEN: usize = 6;
 /// Extension with a notice about an endpoint; a message may have several.
 const NOTICE: u16 = 1;
+/// Extension with the run times in a crash report.
+const RUN_TIMES: u16 = 2;
 /// Number of message kinds in the formats before the current one.
 const N_FORMER_KINDS: u32 = 23;
 
@@ -127,7 +129,12 @@
 fn framed(message: &PeerMessage, format: WireFormat) -> Result<Vec<u8>, WireError> {
     let notice = |it: &EndpointNotice| Ok((NOTICE, postcard::to_stdvec(it)?));
     let extensions: Result<Extensions, WireError> = message.notices().iter().map(notice).collect();
-    let body = postcard::to_stdvec(&(message, extensions?))?;
+    let mut extensions = extensions?;
+    let run_times = message.run_times();
+    if !run_times.is_empty() {
+        extensions.push((RUN_TIMES, postcard::to_stdvec(&run_times)?));
+    }
+    let body = postcard::to_stdvec(&(message, extensions))?;
     let mut bytes = Vec::with_capacity(HEADER_LEN + body.len());
     bytes.extend([MARKER, format as u8]);
     bytes.extend(crc32fast::hash(&body).to_le_bytes());
@@ -171,8 +178,12 @@
     // Extensions of later releases are ignored.
     let notices = extensions.iter().filter(|it| it.0 == NOTICE);
     let notices: Vec<_> = notices.map(|it| read_whole::<EndpointNotice>(&it.1)).collect();
-    let n_unreadable = notices.iter().filter(|it| it.is_err()).count();
+    let run_times = extensions.iter().find(|it| it.0 == RUN_TIMES);
+    let run_times = run_times.map(|it| read_whole::<Vec<u32>>(&it.1)).transpose();
+    let n_unreadable =
+        notices.iter().filter(|it| it.is_err()).count() + usize::from(run_times.is_err());
     let message = message.with_notices(notices.into_iter().flatten().collect());
+    let message = message.with_run_times(run_times.ok().flatten().unwrap_or_default());
     Ok(match n_unreadable {
         0 => Received::Message(message),
         _ => Received::Partial(message, n_unreadable),
--- a/crates/ferry-gateway/tests/wire/main.rs
+++ b/crates/ferry-gateway/tests/wire/main.rs
@@ -8,8 +8,8 @@
 use ferry_gateway::wire::{PeerFormats, Reader, Received, WireFormat, decode, encode};
 use ferry_model::store_position;
 use ferry_serve::{
-    Backlog, EndpointNotice, Group, Heartbeat, LoadReport, Observation, PeerMessage, PoolBuilds,
-    Restriction,
+    Backlog, CrashCandidate, CrashReport, Crashed, EndpointNotice, Exposure, Group, Heartbeat,
+    LoadReport, Observation, PeerMessage, PoolBuilds, Restriction,
 };
 use proptest::prelude::*;
 use serde::Serialize;
@@ -303,6 +303,50 @@
     }
 }
 
+/// Returns a crash report whose calls have run for so long, in milliseconds.
+fn crash_report(run_times: &[Option<u64>]) -> PeerMessage {
+    let exposure = |(number, millis): (usize, &Option<u64>)| Exposure {
+        candidate: CrashCandidate::Part(number as u64),
+        request: 7,
+        place: 1,
+        run_time: millis.map(Duration::from_millis),
+    };
+    let crashed = Crashed { endpoint: "i-1".to_owned(), started: 5, age: Duration::ZERO };
+    PeerMessage::CrashReport(Box::new(CrashReport {
+        pool: "pool".to_owned(),
+        crashed,
+        exposures: run_times.iter().enumerate().map(exposure).collect(),
+    }))
+}
+
+/// Guards against reports that earlier releases cannot read, and against run times of other exposures.
+#[test]
+fn run_times_of_a_crash_report_are_an_extension() {
+    let sent = crash_report(&[Some(105), None, Some(4_600)]);
+    let bare = crash_report(&[None; 3]);
+    for format in [WireFormat::Framed, WireFormat::Eras] {
+        let bytes = encode(&sent, format).expect("no error").expect("a kind");
+        assert_eq!(decode(&bytes).expect("it is read").1, Received::Message(sent.clone()));
+        // What an earlier release has written.
+        let bytes = encode(&bare, format).expect("no error").expect("a kind");
+        assert_eq!(decode(&bytes).expect("it is read").1, Received::Message(bare.clone()));
+    }
+    for format in [WireFormat::Bare, WireFormat::Reach] {
+        let bytes = encode(&sent, format).expect("no error");
+        assert_eq!(bytes, encode(&bare, format).expect("no error"), "format {format}");
+    }
+    for (extension, expected) in [
+        (vec![9_u8, 9], Received::Partial(bare.clone(), 1)),
+        (vec![1, 105], Received::Message(crash_report(&[Some(105), None, None]))),
+        (vec![4, 0, 0, 3, 4], Received::Message(crash_report(&[None, None, Some(3)]))),
+    ] {
+        let body = postcard::to_stdvec(&(&bare, vec![(2_u16, extension)])).expect("it is written");
+        let checksum = crc32fast::hash(&body).to_le_bytes();
+        let bytes: Vec<u8> = [0x7f, 4].into_iter().chain(checksum).chain(body).collect();
+        assert_eq!(decode(&bytes).expect("it is read").1, expected);
+    }
+}
+
 #[test]
 fn notice_that_cannot_be_read_costs_only_itself() {
     let notice = |it: &EndpointNotice| (1_u16, postcard::to_stdvec(it).expect("it is written"));
--- a/crates/ferry-serve/src/batch/crash.rs
+++ b/crates/ferry-serve/src/batch/crash.rs
@@ -60,11 +60,13 @@
             candidate: CrashCandidate::Request(digest),
             request: digest as u32,
             place: 0,
+            run_time: None,
         };
         CallTrace {
             pool: sent.group.pool.clone(),
             endpoint: sent.endpoint.clone(),
             started: sent.started,
+            sent_at: sent.sent_at,
             exposures: digests.into_iter().map(exposure).collect(),
         }
     }
--- a/crates/ferry-serve/src/peers/message.rs
+++ b/crates/ferry-serve/src/peers/message.rs
@@ -227,6 +227,26 @@
         self
     }
 
+    /// Returns the run times of a crash report in milliseconds, rounded up, in the order of its exposures;
+    /// zero if one is not known. Empty if none is.
+    pub fn run_times(&self) -> Vec<u32> {
+        let PeerMessage::CrashReport(report) = self else { return Vec::new() };
+        let millis = |it: Duration| it.as_micros().div_ceil(1_000).clamp(1, u32::MAX.into()) as u32;
+        let run_times = report.exposures.iter().map(|it| it.run_time.map_or(0, millis));
+        let run_times: Vec<u32> = run_times.collect();
+        if run_times.iter().all(|it| *it == 0) { Vec::new() } else { run_times }
+    }
+
+    /// Sets them, if it is a crash report.
+    pub fn with_run_times(mut self, received: Vec<u32>) -> PeerMessage {
+        if let PeerMessage::CrashReport(report) = &mut self {
+            for (exposure, millis) in report.exposures.iter_mut().zip(received) {
+                exposure.run_time = (0 < millis).then(|| Duration::from_millis(millis.into()));
+            }
+        }
+        self
+    }
+
     /// Returns the message as a release reads it that compares revisions of the store, not positions: it
     /// would take a position for a revision that the store has yet to reach.
     pub fn without_eras(mut self) -> PeerMessage {
--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -32,6 +32,14 @@
 const MAX_NAMED: usize = 6;
 const MAX_ATTRIBUTIONS: usize = 16;
 
+/// What a pool serves at present.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolLoad {
+    /// Sound answers per second, over all instances, as far as known.
+    pub sound_rate: f64,
+    pub n_endpoints: usize,
+}
+
 /// One start of an endpoint that crashed.
 #[derive(Debug, Clone)]
 struct Crash {
@@ -116,14 +124,14 @@
         now: Moment,
         report: CrashReport,
         rank: usize,
-        sound_rate: f64,
+        load: PoolLoad,
         standing: impl Fn(CrashCandidate) -> Standing,
     ) {
         let CrashReport { pool, crashed, exposures } = report;
         let at = now.saturating_sub(crashed.age);
         let record = self.pools.get_or_insert_with(pool, PoolRecord::default);
         record.add(now, crashed, at, exposures);
-        if record.inquiry.is_none() && !record.likely(now, sound_rate, &standing).is_empty() {
+        if record.inquiry.is_none() && !record.likely(now, load, &standing).is_empty() {
             let next = record.last_inquiry.map_or(now, |it| it + INQUIRY_INTERVAL);
             record.inquiry = Some(Inquiry::Opens(next.max(now + RANK_DELAY * rank as u32)));
         }
@@ -172,7 +180,7 @@
     pub fn tick(
         &mut self,
         now: Moment,
-        sound_rate: impl Fn(&str) -> f64,
+        load: impl Fn(&str) -> PoolLoad,
         standing: impl Fn(&str, CrashCandidate) -> Standing,
     ) -> Vec<(PoolId, Finding)> {
         let mut findings = Vec::new();
@@ -181,7 +189,7 @@
             if !record.inquiry.is_some_and(is_due) {
                 continue;
             }
-            let found = record.decide(now, sound_rate(pool), &|it| standing(pool, it));
+            let found = record.decide(now, load(pool), &|it| standing(pool, it));
             findings.extend(found.into_iter().map(|it| (pool.clone(), it)));
         }
         findings
@@ -220,10 +228,10 @@
     fn decide(
         &mut self,
         now: Moment,
-        sound_rate: f64,
+        load: PoolLoad,
         standing: &impl Fn(CrashCandidate) -> Standing,
     ) -> Vec<Finding> {
-        let likely = self.likely(now, sound_rate, standing);
+        let likely = self.likely(now, load, standing);
         match self.inquiry {
             Some(Inquiry::Opens(_)) => {
                 let candidates: Vec<CrashCandidate> =
@@ -250,7 +258,7 @@
                     true => Standing::Quarantined,
                     false => standing(it),
                 };
-                if !self.likely(now, sound_rate, &is_known).is_empty() {
+                if !self.likely(now, load, &is_known).is_empty() {
                     self.inquiry = Some(Inquiry::Opens(now + INQUIRY_INTERVAL));
                 }
                 findings
@@ -289,7 +297,7 @@
     fn likely(
         &self,
         now: Moment,
-        sound_rate: f64,
+        load: PoolLoad,
         standing: &impl Fn(CrashCandidate) -> Standing,
     ) -> Vec<CrashCandidate> {
         let open: Vec<&Crash> =
@@ -311,8 +319,8 @@
             let order = order.then_with(|| self.fraction(*a).total_cmp(&self.fraction(*b)));
             order.then_with(|| (Reverse(x.place), a).cmp(&(Reverse(y.place), b)))
         });
-        let calls = pool_calls(now, sound_rate, &open);
         let is_certain = |(candidate, it): &(CrashCandidate, &Evidence)| {
+            let calls = pool_calls(now, load, &open, *candidate);
             standing(*candidate) == Standing::Expired
                 || it.is_unlikely_by_chance(*candidate, was_sound(candidate), calls)
         };
@@ -374,12 +382,21 @@
     matches!(candidate, CrashCandidate::Part(_))
 }
 
-/// Returns the calls of a pool since the first of these crashes that counts.
-fn pool_calls(now: Moment, sound_rate: f64, crashes: &[&Crash]) -> PoolCalls {
+/// Returns the calls of a pool since the first of these crashes that counts, and the crashes without a
+/// candidate.
+fn pool_calls(
+    now: Moment,
+    load: PoolLoad,
+    crashes: &[&Crash],
+    candidate: CrashCandidate,
+) -> PoolCalls {
     let recent = || crashes.iter().filter(|it| now < it.at + CHANCE_TIME);
     let span = recent().next().map_or(Duration::ZERO, |it| now.saturating_sub(it.at));
+    let n_others = recent().filter(|it| !it.has(candidate)).count();
+    let endpoint_time = span.as_secs_f64() * load.n_endpoints as f64;
     PoolCalls {
         n_broken: recent().map(|it| it.n_calls()).sum(),
-        n_sound: sound_rate * span.as_secs_f64(),
+        n_sound: load.sound_rate * span.as_secs_f64(),
+        crash_rate: n_others as f64 / endpoint_time.max(f64::MIN_POSITIVE),
     }
 }
--- a/crates/ferry-serve/src/quarantine/evidence.rs
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -1,5 +1,7 @@
 //! What speaks for the attribution of crashes to one candidate, and whether it is enough.
 
+use std::time::Duration;
+
 use super::{CrashCandidate, Exposure};
 
 /// Incidents in a row, without a sound answer between them, that are enough for a request as a whole.
@@ -13,6 +15,9 @@
 /// The same for a request that was never sound, which alone suffers if that is wrong.
 const MAX_CHANCE_UNSOUND: f64 = 1e-2;
 
+/// Shortest time that a run counts with: breaks are seen some time after a crash.
+const MIN_RUN_TIME: Duration = Duration::from_millis(20);
+
 /// What a candidate may count on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -29,6 +34,8 @@
     pub n_broken: usize,
     /// Sound answers, over all instances, as far as known.
     pub n_sound: f64,
+    /// Crashes per second of one endpoint that the candidate does not explain.
+    pub crash_rate: f64,
 }
 
 /// The crashes of a pool that one candidate may explain, since its last sound answer.
@@ -38,6 +45,8 @@
     crashes: Count,
     /// Calls that these crashes have broken off.
     n_broken: usize,
+    /// The longest run of the candidate that each incident ended; none if one is not known.
+    run_times: Vec<Option<Duration>>,
     /// Short hashes of the requests that had it.
     requests: Vec<u32>,
     /// Its last place in a prompt.
@@ -66,6 +75,12 @@
             self.n_broken += n_broken;
         }
         self.crashes.add(crash);
+        match self.run_times.last_mut().filter(|_| self.incidents.last == Some(incident)) {
+            Some(longest) => {
+                *longest = longest.zip(exposure.run_time).map(|(a, b)| a.max(b));
+            }
+            None => self.run_times.push(exposure.run_time),
+        }
         self.incidents.add(incident);
         if self.requests.len() < MIN_REQUESTS && !self.requests.contains(&exposure.request) {
             self.requests.push(exposure.request);
@@ -109,7 +124,31 @@
             (false, CrashCandidate::Part(_)) => (self.crashes.n, MAX_CHANCE),
             (false, CrashCandidate::Request(_)) => (self.crashes.n, MAX_CHANCE_UNSOUND),
         };
+        let is_part = matches!(candidate, CrashCandidate::Part(_));
         self.chance(pool).powi(n as i32) <= max_chance
+            || (is_part && !was_sound && self.chance_of_run_times(pool) <= max_chance)
+    }
+
+    /// Returns the probability that other crashes end runs of the candidate as early as these, one by
+    /// one.
+    ///
+    /// Other crashes come at any moment of a run, so that each is as likely to have come within a time
+    /// as the endpoint is to crash in it. The product of such probabilities is compared with that of as
+    /// many evenly distributed ones (Fisher's method).
+    fn chance_of_run_times(&self, pool: PoolCalls) -> f64 {
+        let mut log_sum = 0.0;
+        for run_time in &self.run_times {
+            let Some(run_time) = run_time else { return 1.0 };
+            let hits = pool.crash_rate * run_time.max(&MIN_RUN_TIME).as_secs_f64();
+            // The logarithm of no chance is infinite.
+            log_sum -= (1.0 - (-hits).exp()).max(f64::MIN_POSITIVE).ln();
+        }
+        let (mut term, mut sum) = (1.0, 0.0);
+        for idx in 0..self.run_times.len() {
+            sum += term;
+            term *= log_sum / (idx + 1) as f64;
+        }
+        (-log_sum).exp() * sum
     }
 
     /// Returns the fraction of the calls that are broken off by crashes which this candidate does not
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -3,17 +3,18 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-use ferry_model::{EndpointId, PoolId};
+use ferry_model::{EndpointId, Moment, PoolId};
 
-use super::collector::Finding;
+use super::collector::{Finding, PoolLoad};
 use super::evidence::Standing;
 use super::ledger::N_KEEPERS;
 use super::{
-    CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Quarantine, QuarantineAction,
-    QuarantineNotice, QuarantineReason, QuarantineReply, QuarantineState, RecordKey, StoredEntry,
+    CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, CrashWatch, Quarantine,
+    QuarantineAction, QuarantineNotice, QuarantineReason, QuarantineReply, QuarantineState,
+    RecordKey, StoredEntry,
 };
 use crate::pass::{Context, Pass};
-use crate::{Decision, DecisionKind, Effect, Metric, PeerMessage, RecordCall};
+use crate::{Decision, DecisionKind, Effect, Endpoints, Metric, PeerMessage, RecordCall};
 
 /// Collectors of a pool, so that one may fail and messages may be lost.
 const N_COLLECTORS: usize = 3;
@@ -35,10 +36,10 @@
     for evidence in cx.ctx.crash_watch.take_retractions() {
         retract(cx, &evidence);
     }
-    let Context { collector, quarantine, crash_watch, .. } = &mut *cx.ctx;
+    let Context { collector, quarantine, crash_watch, endpoints, .. } = &mut *cx.ctx;
     let findings = collector.tick(
         cx.now,
-        |pool| crash_watch.sound_rate(cx.now, pool) * n_instances as f64,
+        |pool| pool_load(cx.now, crash_watch, endpoints, n_instances, pool),
         |pool, candidate| standing(quarantine, pool, candidate),
     );
     for (pool, finding) in findings {
@@ -77,11 +78,11 @@
     let collectors = collectors(cx, &report.pool);
     let rank = collectors.iter().position(Option::is_none).unwrap_or(N_COLLECTORS - 1);
     let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
-    let Context { collector, quarantine, catalog, crash_watch, .. } = &mut *cx.ctx;
+    let Context { collector, quarantine, catalog, crash_watch, endpoints, .. } = &mut *cx.ctx;
     let pool = report.pool.clone();
     if catalog.has_pool(&pool) {
-        let sound_rate = crash_watch.sound_rate(cx.now, &pool) * n_instances as f64;
-        collector.on_report(cx.now, report, rank, sound_rate, |it| standing(quarantine, &pool, it));
+        let load = pool_load(cx.now, crash_watch, endpoints, n_instances, &pool);
+        collector.on_report(cx.now, report, rank, load, |it| standing(quarantine, &pool, it));
     }
 }
 
@@ -325,6 +326,20 @@
     peers.ranked_with(cx.now, tuning, identity, (COLLECTORS_KEY, pool), N_COLLECTORS)
 }
 
+/// Returns what a pool serves, as far as this instance can tell for all of them.
+fn pool_load(
+    now: Moment,
+    watch: &CrashWatch,
+    endpoints: &Endpoints,
+    n_instances: usize,
+    pool: &str,
+) -> PoolLoad {
+    PoolLoad {
+        sound_rate: watch.sound_rate(now, pool) * n_instances as f64,
+        n_endpoints: endpoints.pool(pool).count(),
+    }
+}
+
 fn standing(quarantine: &Quarantine, pool: &str, candidate: CrashCandidate) -> Standing {
     match quarantine.get(pool, candidate).map(|it| (it.state, it.reason)) {
         Some((QuarantineState::Quarantined, _)) => Standing::Quarantined,
--- a/crates/ferry-serve/src/quarantine/message.rs
+++ b/crates/ferry-serve/src/quarantine/message.rs
@@ -48,6 +48,9 @@
     pub request: u32,
     /// Its place in the prompt.
     pub place: u8,
+    /// Time from the call with it to the crash, if known. It is sent as an extension.
+    #[serde(skip)]
+    pub run_time: Option<Duration>,
 }
 
 /// Asks all instances for evidence against the attribution of crashes to these candidates.
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -32,7 +32,7 @@
 const MAX_REPORTED_BYTES: f64 = 1_900.0;
 /// Approximate bytes of a report, and of each exposure.
 const REPORT_SIZE: usize = 40;
-const EXPOSURE_SIZE: usize = 22;
+const EXPOSURE_SIZE: usize = 24;
 /// Reported crashes that are retracted if their endpoint is heard again, and for how long.
 const MAX_RETRACTABLE: usize = 64;
 const RETRACTABLE_TIME: Duration = Duration::from_secs(30);
@@ -44,10 +44,20 @@
     pub endpoint: EndpointId,
     /// Which start of the endpoint it is.
     pub started: u64,
+    pub sent_at: Moment,
     /// What may crash the endpoint.
     pub exposures: Vec<Exposure>,
 }
 
+impl CallTrace {
+    /// Records how long the call had run as it ended.
+    fn with_end(mut self, at: Moment) -> CallTrace {
+        let run_time = Some(at.saturating_sub(self.sent_at));
+        self.exposures.iter_mut().for_each(|it| it.run_time = run_time);
+        self
+    }
+}
+
 /// Breaks at one endpoint that may be its crash.
 #[derive(Debug, Clone)]
 struct Breaks {
@@ -150,7 +160,7 @@
         }
         breaks.last = now;
         if breaks.calls.len() < MAX_CALLS {
-            breaks.calls.push(trace);
+            breaks.calls.push(trace.with_end(now));
         }
     }
 
@@ -160,7 +170,7 @@
         if MAX_ENDS <= self.ends.len() {
             self.ends.remove(0);
         }
-        self.ends.push((now, trace));
+        self.ends.push((now, trace.with_end(now)));
     }
 
     /// Records that an endpoint takes no connections, or is gone: calls that ended with their
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -81,11 +81,13 @@
         candidate,
         request: request.digest as u32,
         place: idx.min(usize::from(u8::MAX)) as u8,
+        run_time: None,
     };
     CallTrace {
         pool: request.pool.clone(),
         endpoint: current.endpoint.clone(),
         started: current.started,
+        sent_at: current.sent_at,
         exposures: candidates(request).enumerate().map(exposure).collect(),
     }
 }
--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -3,6 +3,7 @@
 mod drawn;
 mod faults;
 mod kept;
+mod kills;
 mod records;
 mod repeated;
 mod request_faults;
