Report crashes with as many candidates as fit

Cause: a report with 48 candidates uses up most of the bytes for reports. The next crashes did not fit, and were not reported at all.

Change: a report has as many candidates as fit now, eight at least, the likeliest first: those that were never sound, then those that were reported most often, then parts, as each call has a request of its own.

Evidence: crashes_of_busy_endpoints_are_all_reported has [1, 1, 0, 0, 1, 0] reports with the part before, and all six now.

--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -56,10 +56,10 @@
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
 pub use quarantine::{
-    CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport, CrashWatch,
-    Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineCall, QuarantineLedger,
-    QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply, QuarantineState,
-    RecordKey, StoredEntry, StoredRecord, workspace_digest,
+    CallTrace, CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport,
+    CrashWatch, Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineCall,
+    QuarantineLedger, QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply,
+    QuarantineState, RecordKey, StoredEntry, StoredRecord, workspace_digest,
 };
 pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -2,6 +2,7 @@
 
 mod sound;
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
@@ -17,6 +18,8 @@
 const END_TTL: Duration = Duration::from_secs(5);
 /// Candidates of one report; the rest of the calls is dropped.
 const MAX_EXPOSURES: usize = 48;
+/// Candidates without which a report is not worth its bytes, if there are more.
+const MIN_EXPOSURES: usize = 8;
 /// Requests that are named for each candidate.
 const MAX_REQUESTS: usize = 2;
 const MAX_ENDS: usize = 256;
@@ -76,6 +79,9 @@
     }
 }
 
+/// The last sound answer, how often a candidate was reported since, and whether it is a request.
+type ExposureRank = (Option<Moment>, Reverse<u8>, bool);
+
 /// A crash that this instance has reported.
 #[derive(Debug, Clone)]
 struct Reported {
@@ -333,10 +339,13 @@
             }
         }
         self.ends.retain(|it| it.1.endpoint != endpoint || last + SILENCE < it.0);
-        let exposures = self.exposures(&pool, &calls);
-        if exposures.is_empty() || !self.try_spend(now, exposures.len()) {
+        let mut exposures = self.exposures(&pool, &calls);
+        let n_allowed = self.n_allowed(now);
+        if exposures.is_empty() || n_allowed < exposures.len().min(MIN_EXPOSURES) {
             return None;
         }
+        exposures.truncate(n_allowed);
+        self.n_bytes += (REPORT_SIZE + exposures.len() * EXPOSURE_SIZE) as f64;
         self.count_reported(now, &pool, &exposures);
         self.retractable.retain(|it| now < it.at + RETRACTABLE_TIME);
         if self.retractable.len() < MAX_RETRACTABLE {
@@ -347,28 +356,29 @@
         Some(CrashReport { pool, crashed, exposures })
     }
 
-    /// Whether a report stays within the bytes that reports may take.
-    fn try_spend(&mut self, now: Moment, n_exposures: usize) -> bool {
+    /// Returns the number of exposures with which a report stays within the bytes that reports may take.
+    fn n_allowed(&mut self, now: Moment) -> usize {
         let refilled = (now - self.last_report).as_secs_f64() * REPORT_RATE;
         self.last_report = now;
         self.n_bytes = (self.n_bytes - refilled).max(0.0);
-        let n_bytes = self.n_bytes + (REPORT_SIZE + n_exposures * EXPOSURE_SIZE) as f64;
-        let is_allowed = n_bytes <= MAX_REPORTED_BYTES;
-        if is_allowed {
-            self.n_bytes = n_bytes;
-        }
-        is_allowed
+        let left = MAX_REPORTED_BYTES - self.n_bytes - REPORT_SIZE as f64;
+        (left / EXPOSURE_SIZE as f64).max(0.0) as usize
     }
 
     /// Returns the candidates of calls that broke off together: those that were never sound first, then
-    /// those that were not for longest.
+    /// those that were not for longest. Of equal ones, those that were reported most often come first, and
+    /// parts before requests, of which there are many.
     fn exposures(&self, pool: &str, calls: &[CallTrace]) -> Vec<Exposure> {
-        let mut ranked: Vec<(Option<Moment>, Exposure)> = Vec::new();
+        let mut ranked: Vec<(ExposureRank, Exposure)> = Vec::new();
         for exposure in calls.iter().flat_map(|it| &it.exposures) {
             let known = || ranked.iter().filter(|it| it.1.candidate == exposure.candidate);
             let is_known = known().any(|it| it.1.request == exposure.request);
             if !is_known && known().count() < MAX_REQUESTS {
-                ranked.push((self.last_sound(pool, exposure.candidate), *exposure));
+                let candidate = exposure.candidate;
+                let n_reported = self.reported.get(&(pool.to_owned(), candidate)).map(|it| it.0);
+                let is_request = matches!(candidate, CrashCandidate::Request(_));
+                let rank = Reverse(n_reported.unwrap_or_default());
+                ranked.push(((self.last_sound(pool, candidate), rank, is_request), *exposure));
             }
         }
         ranked.sort_by_key(|it| it.0);
--- a/crates/ferry-serve/tests/decisions/quarantine/drawn.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/drawn.rs
@@ -1,6 +1,6 @@
 //! What the messages about crashes cost, and drawn combinations of trouble.
 
-use ferry_serve::{Framing, QuarantineAction};
+use ferry_serve::{CallTrace, CrashCandidate, CrashWatch, Exposure, Framing, QuarantineAction};
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
 
 use crate::quarantine::records::{MAX_BYTES, most_bytes, operate};
@@ -38,6 +38,47 @@
     }
 }
 
+/// Guards against crashes that go unreported since the reports before named many candidates.
+#[test]
+fn crashes_of_busy_endpoints_are_all_reported() {
+    const N_ENDPOINTS: u64 = 6;
+    const N_CALLS: u64 = 40;
+    const PART: u64 = 7;
+    let mut watch = CrashWatch::default();
+    let mut n_reported = Vec::new();
+    for number in 0..N_ENDPOINTS {
+        let now = ms(1_000 + number * 500);
+        let endpoint = format!("engine-{number}");
+        for call in 0..N_CALLS {
+            let digest = u128::from(number * N_CALLS + call);
+            let exposure = |candidate| Exposure {
+                candidate,
+                request: digest as u32,
+                place: 0,
+                run_time: None,
+            };
+            let request = exposure(CrashCandidate::Request(digest));
+            let part = (call == N_CALLS / 2).then(|| exposure(CrashCandidate::Part(PART)));
+            watch.on_broken(
+                now,
+                CallTrace {
+                    pool: ENGINE.to_owned(),
+                    endpoint: endpoint.clone(),
+                    started: 1,
+                    sent_at: now,
+                    exposures: [request].into_iter().chain(part).collect(),
+                },
+            );
+        }
+        let probed_at = now + ms(200);
+        assert_eq!(watch.due_probes(probed_at), [(endpoint.clone(), 1)]);
+        let report = watch.on_probed(probed_at, &endpoint, 1, false);
+        let names = report.iter().flat_map(|it| &it.exposures).map(|it| it.candidate);
+        n_reported.push(names.filter(|it| *it == CrashCandidate::Part(PART)).count());
+    }
+    assert_eq!(n_reported, [1; N_ENDPOINTS as usize]);
+}
+
 /// Instances that have missed as many records as there can be.
 #[test]
 fn records_of_a_long_cut_stay_within_the_bound() {
