Take no status outside 200 to 599 for that of an answer

What callers saw: an endpoint in trouble that answered with the status 101, 600 or 999 had it passed on to the caller, on plain and stream routes. Others (000, 099, 1000, three characters that are no digits) were no answers already.

Cause: the HTTP library accepts 100 to 999, and ends interim answers by itself except 101, which was never asked for.

Change: Connection::send, through which all requests, calls for stages, requests of peers, probes and calls to the store go, returns an error for such a status.

Evidence: status_that_is_none_is_no_answer plays twelve statuses on three routes; without the change 101, 600 and 999 reach the caller. The second test plays an upload of 0.9 MB that is answered at once with a success without a length and then reset: 502 each time, before and after; no test had it.

--- a/crates/ferry-gateway/src/client.rs
+++ b/crates/ferry-gateway/src/client.rs
@@ -1,6 +1,7 @@
 //! Opens connections and sends requests; never retries a request by itself.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum pause within a response to an internal call, as a peer may stop responding for good.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// Statuses of answers; interim ones come before an answer.
+const STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum size in bytes of the body of a complete response.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
 
@@ -32,12 +35,21 @@
     Handshake { address: SocketAddr, error: hyper::Error },
 }
 
+/// Why a request has no answer.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+    #[error("the status {0} is that of no answer")]
+    Status(StatusCode),
+}
+
 #[derive(Debug, Error)]
 pub enum CallError {
     #[error(transparent)]
     Connect(#[from] ConnectError),
     #[error("could not finish the call: {0}")]
-    Http(#[from] hyper::Error),
+    Answer(#[from] AnswerError),
     #[error("could not read the response: {0}")]
     Body(String),
     #[error("could not build the call: {0}")]
@@ -81,11 +93,21 @@
         self.sender.is_ready()
     }
 
+    /// Sends a request, and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer, also if its status is that of none: a switch of protocols
+    /// was not asked for, and nothing is known of those from 600 on.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+    ) -> Result<Response<Incoming>, AnswerError> {
+        let response = self.sender.send_request(request).await?;
+        match response.status() {
+            status if STATUSES.contains(&status.as_u16()) => Ok(response),
+            status => Err(AnswerError::Status(status)),
+        }
     }
 }
 
--- a/crates/ferry-gateway/tests/process/endless.rs
+++ b/crates/ferry-gateway/tests/process/endless.rs
@@ -2,15 +2,13 @@
 
 use std::time::Duration;
 
-use ferry_soak::cluster::Cluster;
 use ferry_soak::config::Route;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::harness::{TIMEOUT, head, with_cluster};
+use crate::harness::{TIMEOUT, head, replace_pool, with_cluster};
 
 /// Bytes of memory that the gateway may need in addition, for a request of each case.
 const MAX_GROWTH: u64 = 48_000_000;
@@ -40,20 +38,6 @@
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTarragonferry-Attempt-Id: endless\r\n\
                        Tarragonferry-Response-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// Makes `listener` the only endpoint of a pool of three.
-async fn replace_pool(cluster: &Cluster, service: &str, listener: &TcpListener) {
-    let address = listener.local_addr().expect("the listener has an address");
-    for number in 0..3 {
-        cluster.store.remove("servers", &format!("{service}-{number}"));
-    }
-    let entry = json!({
-        "Service": service, "Address": address.to_string(), "Zone": "zone-0", "Version": "v1",
-        "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1,
-    });
-    cluster.store.put("servers", "raw", entry);
-    sleep(Duration::from_millis(1_500)).await;
-}
-
 /// Sends bytes on each connection until the other side closes it.
 async fn send_endlessly(listener: TcpListener, start: &'static str, part: String, gap: Duration) {
     loop {
--- a/crates/ferry-gateway/tests/process/harness.rs
+++ b/crates/ferry-gateway/tests/process/harness.rs
@@ -8,9 +8,9 @@
 
 use ferry_soak::cluster::{Cluster, N_ENDPOINTS, Node};
 use ferry_soak::config::{API_KEY, HOST};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
@@ -60,6 +60,20 @@
     });
 }
 
+/// Makes `listener` the only endpoint of a pool of three.
+pub async fn replace_pool(cluster: &Cluster, service: &str, listener: &TcpListener) {
+    let address = listener.local_addr().expect("the listener has an address");
+    for number in 0..3 {
+        cluster.store.remove("servers", &format!("{service}-{number}"));
+    }
+    let entry = json!({
+        "Service": service, "Address": address.to_string(), "Zone": "zone-0", "Version": "v1",
+        "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1,
+    });
+    cluster.store.put("servers", "raw", entry);
+    sleep(Duration::from_millis(1_500)).await;
+}
+
 /// Waits until the gateway with this readiness address is ready.
 pub async fn wait_ready(address: SocketAddr) {
     let ready = async {
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+mod answers;
 mod closes;
 mod connections;
 mod cuts;
