End connections that read bytes without a result

What callers saw: an endpoint that sends a chunk size without end (0000...) took the processor for the whole time limit of each request, and many of them all the memory; requests of other callers had no answer.

Cause: the HTTP library bounds heads, extensions and trailers, but not zeros before a chunk size. Time slices shared the processor, and nothing ended the answer.

Why it works: whatever the library reads on for, it has no result, so the bound holds for kinds of bytes that nobody has thought of.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -12,7 +12,6 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::spawn_local;
@@ -21,6 +20,7 @@
 use crate::client::{BufferedResponse, Connection, read_buffered};
 use crate::driver::{ActiveCall, CallerRequest, Driver, Pending};
 use crate::events::EventSplitter;
+use crate::progress::TrackedBody;
 use crate::relay;
 
 /// Maximum size of an event in bytes; a stream with a larger one is treated as invalid.
@@ -125,7 +125,7 @@
 fn report_state(
     driver: &Rc<Driver>,
     call: &Call,
-    response: &mut Response<Incoming>,
+    response: &mut Response<TrackedBody>,
     attempt: &str,
 ) {
     relay::strip(response.headers_mut());
@@ -175,7 +175,7 @@
     header.and_then(|it| it.to_str().ok()).map_or("", str::trim)
 }
 
-fn is_encoded(response: &Response<Incoming>) -> bool {
+fn is_encoded(response: &Response<TrackedBody>) -> bool {
     response.headers().contains_key(http::header::CONTENT_ENCODING)
 }
 
@@ -187,7 +187,7 @@
 async fn read_response(
     driver: &Rc<Driver>,
     call: &Call,
-    response: Response<Incoming>,
+    response: Response<TrackedBody>,
     load: Option<LoadReport>,
 ) -> CallEvent {
     match read_buffered(response).await {
@@ -206,7 +206,7 @@
 async fn forward_stream(
     driver: &Rc<Driver>,
     call: &Call,
-    response: Response<Incoming>,
+    response: Response<TrackedBody>,
     load: Option<LoadReport>,
 ) -> CallEvent {
     let (parts, mut body) = response.into_parts();
--- a/crates/ferry-gateway/src/client.rs
+++ b/crates/ferry-gateway/src/client.rs
@@ -7,7 +7,6 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -15,6 +14,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::fair::FairStream;
+use crate::progress::{Progress, TrackedBody};
 
 /// Time limit for opening a connection; allows several round trips between distant zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -22,6 +22,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Statuses of answers; interim ones come before an answer.
 const STATUSES: RangeInclusive<u16> = 200..=599;
+/// Maximum number of bytes that are read without a head or a part of a body; heads are smaller.
+const MAX_UNUSED: usize = 64 * 1024;
 /// Maximum size in bytes of the body of a complete response.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
 
@@ -62,6 +64,7 @@
 #[derive(Debug)]
 pub struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
     task: AbortHandle,
 }
 
@@ -78,14 +81,16 @@
             .map_err(|_| ConnectError::Timeout { address })?
             .map_err(|error| ConnectError::Io { address, error })?;
         stream.set_nodelay(true).map_err(|error| ConnectError::Io { address, error })?;
-        let (sender, connection) = handshake(TokioIo::new(FairStream::new(stream)))
+        let progress = Progress::new(MAX_UNUSED);
+        let fair = FairStream::new(stream, progress.clone());
+        let (sender, connection) = handshake(TokioIo::new(fair))
             .await
             .map_err(|error| ConnectError::Handshake { address, error })?;
         // The request in progress returns errors of the connection.
         let task = spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, progress, task: task.abort_handle() })
     }
 
     /// Returns whether another request can be sent.
@@ -102,10 +107,12 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, AnswerError> {
+    ) -> Result<Response<TrackedBody>, AnswerError> {
         let response = self.sender.send_request(request).await?;
         match response.status() {
-            status if STATUSES.contains(&status.as_u16()) => Ok(response),
+            status if STATUSES.contains(&status.as_u16()) => {
+                Ok(response.map(|it| TrackedBody::new(it, self.progress.clone())))
+            }
             status => Err(AnswerError::Status(status)),
         }
     }
@@ -120,7 +127,7 @@
 }
 
 /// Reads the complete body of a response.
-pub async fn read_buffered(response: Response<Incoming>) -> Result<BufferedResponse, CallError> {
+pub async fn read_buffered(response: Response<TrackedBody>) -> Result<BufferedResponse, CallError> {
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE).collect().await;
     let body = body.map_err(|it| CallError::Body(it.to_string()))?.to_bytes();
@@ -199,7 +206,7 @@
 }
 
 /// Reads a complete response with a timeout for each frame.
-async fn read_with_timeout(response: Response<Incoming>) -> Result<BufferedResponse, CallError> {
+async fn read_with_timeout(response: Response<TrackedBody>) -> Result<BufferedResponse, CallError> {
     let (parts, body) = response.into_parts();
     let mut body = Limited::new(body, MAX_RESPONSE);
     let mut bytes = BytesMut::new();
--- a/crates/ferry-gateway/src/fair.rs
+++ b/crates/ferry-gateway/src/fair.rs
@@ -8,6 +8,8 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
+use crate::progress::Progress;
+
 /// Number of bytes after which other tasks have their turn.
 const TURN: usize = 256 * 1024;
 
@@ -17,6 +19,7 @@
 /// body, such as interim responses or a chunk size without end.
 pub struct FairStream {
     stream: TcpStream,
+    progress: Progress,
     /// Bytes read in this turn.
     n_read: usize,
     /// Ends once the event loop has looked at timers and other connections.
@@ -24,8 +27,8 @@
 }
 
 impl FairStream {
-    pub fn new(stream: TcpStream) -> FairStream {
-        FairStream { stream, n_read: 0, pause: None }
+    pub fn new(stream: TcpStream, progress: Progress) -> FairStream {
+        FairStream { stream, progress, n_read: 0, pause: None }
     }
 }
 
@@ -46,11 +49,13 @@
         }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buffer);
+        let n_bytes = buffer.filled().len() - before;
         this.n_read = match polled.is_ready() {
-            true => this.n_read + buffer.filled().len() - before,
+            true => this.n_read + n_bytes,
             false => 0,
         };
-        polled
+        ready!(polled)?;
+        Poll::Ready(this.progress.record_read(n_bytes))
     }
 }
 
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -10,7 +10,6 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -21,6 +20,7 @@
 use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, ReceivingGuard, Reply};
 use crate::inspector::Inspector;
 use crate::memory::MemoryReservation;
+use crate::progress::TrackedBody;
 use crate::relay;
 use crate::server::Interface;
 
@@ -48,7 +48,7 @@
     driver: Rc<Driver>,
     inspector: Inspector,
     interface: Interface,
-    request: Request<Incoming>,
+    request: Request<TrackedBody>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     // The connection is closed after a chunked body, so that bytes behind it are never parsed as
     // another request.
@@ -73,7 +73,7 @@
 async fn respond(
     driver: &Rc<Driver>,
     interface: Interface,
-    request: Request<Incoming>,
+    request: Request<TrackedBody>,
 ) -> Response<ResponseBody> {
     let since = Instant::now();
     let Some(config) = driver.query(|it| it.config().cloned()) else {
@@ -146,7 +146,7 @@
 /// Reads a body while memory is available; the error is the response to send.
 async fn read_body(
     driver: &Driver,
-    body: Incoming,
+    body: TrackedBody,
     limit: usize,
 ) -> Result<(Bytes, MemoryReservation), Box<Response<ResponseBody>>> {
     let mut body = Limited::new(body, limit);
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -19,6 +19,7 @@
 use crate::caller_limits::{CallerLimits, IdleWatch};
 use crate::driver::Phase;
 use crate::linger::Linger;
+use crate::progress::Progress;
 
 /// Maximum number of headers of a request; the HTTP library rejects requests with more.
 const MAX_HEADERS: usize = 100;
@@ -218,6 +219,7 @@
 pub struct InspectedStream {
     pub stream: TcpStream,
     pub inspector: Inspector,
+    pub progress: Progress,
     pub idle: IdleWatch,
     pub limits: watch::Receiver<CallerLimits>,
     pub phase: watch::Receiver<Phase>,
@@ -259,7 +261,8 @@
         }
         let len = part.filled().len();
         buffer.advance(len);
-        polled
+        ready!(polled)?;
+        Poll::Ready(this.progress.record_read(len))
     }
 }
 
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod probes;
+pub mod progress;
 pub mod quarantine;
 pub mod records;
 pub mod relay;
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use ferry_serve::Metric;
-use http::HeaderValue;
 use http::header::CONNECTION;
+use http::{HeaderValue, Request};
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -19,6 +20,7 @@
 use crate::caller_limits::{CountedBody, IdleWatch};
 use crate::driver::{Driver, Phase};
 use crate::inspector::{InspectedStream, Inspector};
+use crate::progress::{Progress, TrackedBody};
 use crate::{auxiliary, front};
 
 /// Maximum size of a request head in bytes that a connection can take, unless the configuration
@@ -107,10 +109,12 @@
     let capacity = max_head.max(HEAD_CAPACITY);
     let mut phase = driver.phase.subscribe();
     let inspector = Inspector::new(max_head);
+    let progress = Progress::new(capacity);
     let idle = IdleWatch::new(Instant::now(), driver.n_open.clone());
     let inspected = InspectedStream {
         stream,
         inspector: inspector.clone(),
+        progress: progress.clone(),
         idle: idle.clone(),
         limits: limits.clone(),
         phase: phase.clone(),
@@ -118,8 +122,9 @@
     };
     let service = {
         let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
-        service_fn(move |it| {
+        service_fn(move |it: Request<Incoming>| {
             let request = idle.start_request();
+            let it = it.map(|body| TrackedBody::new(body, progress.clone()));
             let response = front::serve(driver.clone(), inspector.clone(), interface, it);
             let (driver, idle) = (driver.clone(), idle.clone());
             async move {
--- a/crates/ferry-gateway/tests/process/endless.rs
+++ b/crates/ferry-gateway/tests/process/endless.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use ferry_soak::config::Route;
+use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::harness::{TIMEOUT, head, replace_pool, with_cluster};
+use crate::harness::{TIMEOUT, exchange, head, replace_pool, with_cluster};
 
 /// Bytes of memory that the gateway may need in addition, for a request of each case.
 const MAX_GROWTH: u64 = 48_000_000;
@@ -45,9 +46,9 @@
         let part = part.clone();
         spawn_local(async move {
             let mut buffer = [0; 4096];
-            if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
-                return;
-            }
+            let Ok(len @ 1..) = stream.read(&mut buffer).await else { return };
+            let request = String::from_utf8_lossy(&buffer[..len]).into_owned();
+            let start = start.replace("endless", attempt(&request));
             let mut sent = stream.write_all(start.as_bytes()).await;
             while sent.is_ok() {
                 sent = stream.write_all(part.as_bytes()).await;
@@ -57,6 +58,13 @@
     }
 }
 
+/// Returns the attempt that a request names.
+fn attempt(request: &str) -> &str {
+    let headers = request.lines().filter_map(|it| it.split_once(": "));
+    let mut named = headers.filter(|it| it.0.eq_ignore_ascii_case("tarragonferry-attempt-id"));
+    named.next().map_or("none", |it| it.1)
+}
+
 #[test]
 fn endless_bytes_of_an_endpoint_neither_fill_the_memory_nor_hold_the_caller() {
     let cases = [
@@ -116,6 +124,95 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against chunk sizes without end that use the processor and the memory until the time of each
+/// request is over.
+#[test]
+fn many_chunk_sizes_without_end_are_no_answers() {
+    const N_REQUESTS: u32 = 80;
+    const GAP: Duration = Duration::from_millis(50);
+    /// Much less than the time that callers give.
+    const SOON: Duration = Duration::from_secs(2);
+    with_cluster("endless-many", 1, async |cluster| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        replace_pool(&cluster, "plain", &listener).await;
+        let endpoint =
+            spawn_local(send_endlessly(listener, CHUNKED, "0".repeat(PART), Duration::ZERO));
+        let before = cluster.nodes[0].memory_peak().expect("the process is running");
+        let front = cluster.nodes[0].front();
+        let ask = async |number: u32| {
+            sleep(GAP * number).await;
+            let head = head("POST", &Route::Post.path(), &format!("endless-{number}"));
+            let request = format!("{head}Content-Length: 4\r\n\r\nbody");
+            let mut stream = TcpStream::connect(front).await.expect("the gateway listens");
+            let sent = Instant::now();
+            stream.write_all(request.as_bytes()).await.expect("the request is written");
+            (read_response(&mut stream).await.0, sent.elapsed())
+        };
+        cluster.checker.record_sent("sound", Route::Once, b"body");
+        let sound = async {
+            sleep(GAP * (N_REQUESTS / 2)).await;
+            let head = head("POST", &Route::Once.path(), "sound");
+            let pieces = "Tarragonferry-Pieces: 1,1\r\nTarragonferry-Piece-Key: k\r\n";
+            let request = format!("{head}{pieces}Content-Length: 4\r\n\r\nbody");
+            exchange(front, request.as_bytes()).await
+        };
+        let (answers, sound) = tokio::join!(join_all((0..N_REQUESTS).map(ask)), sound);
+        let after = cluster.nodes[0].memory_peak().expect("the process is running");
+        let late = answers.iter().filter(|it| SOON < it.1 || !it.0.starts_with("HTTP/1.1 50"));
+        let late: Vec<_> = late.collect();
+        assert!(late.is_empty(), "{} of {N_REQUESTS}: {late:#?}", late.len());
+        assert!(sound.starts_with("HTTP/1.1 200"), "{sound}");
+        let growth = after.saturating_sub(before);
+        assert!(growth <= MAX_GROWTH, "{growth} bytes more");
+        endpoint.abort();
+    });
+}
+
+/// Guards against callers whose bodies have no end, and use the memory and the processor of all.
+#[test]
+fn endless_bytes_of_callers_end_their_connections() {
+    const N_CALLERS: usize = 20;
+    /// Much less than callers may take for a request.
+    const SOON: Duration = Duration::from_secs(3);
+    let cases = [("chunk size", "0"), ("extension", "8;xxxxxxxx"), ("trailers", "0\r\nA: x\r\n")];
+    with_cluster("endless-callers", 1, async |cluster| {
+        let before = cluster.nodes[0].memory_peak().expect("the process is running");
+        let front = cluster.nodes[0].front();
+        for (name, part) in cases {
+            let send = async |number: usize| {
+                let head = head("POST", &Route::Post.path(), &format!("{name}-{number}"));
+                let mut stream = TcpStream::connect(front).await.expect("the gateway listens");
+                let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+                let mut sent = stream.write_all(start.as_bytes()).await;
+                let part = part.repeat(PART / part.len());
+                let began = Instant::now();
+                // Fails once the gateway has closed the connection.
+                while sent.is_ok() && began.elapsed() < SOON {
+                    sent = stream.write_all(part.as_bytes()).await;
+                }
+                began.elapsed()
+            };
+            let callers = join_all((0..N_CALLERS).map(send));
+            let sound = async {
+                sleep(Duration::from_millis(100)).await;
+                let attempt = format!("sound-{}", name.replace(' ', "-"));
+                cluster.checker.record_sent(&attempt, Route::Post, b"body");
+                let head = head("POST", &Route::Post.path(), &attempt);
+                let request = format!("{head}Content-Length: 4\r\n\r\nbody");
+                exchange(front, request.as_bytes()).await
+            };
+            let (times, sound) = tokio::join!(callers, sound);
+            let longest = times.into_iter().max().unwrap_or_default();
+            assert!(longest < SOON, "{name}: {longest:?}");
+            assert!(sound.starts_with("HTTP/1.1 200"), "{name}: {sound}");
+        }
+        let after = cluster.nodes[0].memory_peak().expect("the process is running");
+        let growth = after.saturating_sub(before);
+        assert!(growth <= MAX_GROWTH, "{growth} bytes more");
+        assert_eq!(cluster.checker.violations(), Vec::<String>::new());
+    });
+}
+
 /// Reads until the response has ended or stands still; returns its first line and its size.
 async fn read_response(stream: &mut TcpStream) -> (String, usize) {
     /// Bytes kept of a response.
