Reset streams that break off for callers without chunks

What callers saw: a caller of HTTP/1.0 got a stream that its endpoint broke off closed like a whole one.

Cause: without chunks and without a length the end of the connection is that of the body. The connection was closed in the usual way.

Change: it is reset if the body has failed and the caller's version has no chunks. Evidence: stream_that_breaks_off_is_reset_for_callers_without_chunks fails before and passes; a whole stream ends as it did.

--- a/crates/ferry-gateway/src/caller_limits.rs
+++ b/crates/ferry-gateway/src/caller_limits.rs
@@ -3,11 +3,12 @@
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_serve::Gateway;
+use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::watch;
 use tokio::task::yield_now;
@@ -58,6 +59,8 @@
     is_open: Cell<bool>,
     n_requests: Cell<usize>,
     is_closing: Cell<bool>,
+    /// Whether the last response was broken off.
+    is_aborted: Cell<bool>,
     /// Whether the process waits for the end of the connection.
     is_awaited: Cell<bool>,
     /// Whether bytes of a response may wait in the process, long after its body was taken over.
@@ -115,6 +118,7 @@
             is_open: Cell::new(false),
             n_requests: Cell::new(0),
             is_closing: Cell::new(false),
+            is_aborted: Cell::new(false),
             is_awaited: Cell::new(false),
             has_unsent: Cell::new(false),
             since: Cell::new(now),
@@ -160,6 +164,11 @@
         self.state.is_closing.set(true);
     }
 
+    /// Whether the last response was broken off, in a form that its caller cannot tell from a whole one.
+    pub fn is_aborted(&self) -> bool {
+        self.state.is_aborted.get()
+    }
+
     /// Makes the process wait for the end of the connection: a reset would discard the end of its last
     /// response.
     pub fn await_close(&self) {
@@ -202,12 +211,15 @@
 #[derive(Debug)]
 pub struct CountedBody {
     body: ResponseBody,
-    _request: RequestGuard,
+    request: RequestGuard,
+    /// Whether the caller's version of HTTP has no chunks, so that the end of the connection is that of
+    /// the body.
+    is_bare: bool,
 }
 
 impl CountedBody {
-    pub fn new(body: ResponseBody, request: RequestGuard) -> CountedBody {
-        CountedBody { body, _request: request }
+    pub fn new(body: ResponseBody, request: RequestGuard, version: Version) -> CountedBody {
+        CountedBody { body, request, is_bare: version < Version::HTTP_11 }
     }
 }
 
@@ -219,7 +231,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
+        if this.is_bare && matches!(frame, Some(Err(_))) {
+            this.request.idle.state.is_aborted.set(true);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/ferry-gateway/src/inspector.rs
+++ b/crates/ferry-gateway/src/inspector.rs
@@ -227,6 +227,15 @@
     pub linger: Option<Linger>,
 }
 
+impl Drop for InspectedStream {
+    fn drop(&mut self) {
+        if self.idle.is_aborted() {
+            // The connection is closed in the usual way if it cannot be reset.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl InspectedStream {
     /// Returns for how long the connection lingers. While the process serves, a caller may take as
     /// long to read a response as it may leave the connection idle.
--- a/crates/ferry-gateway/src/server.rs
+++ b/crates/ferry-gateway/src/server.rs
@@ -123,7 +123,7 @@
     let service = {
         let (driver, inspector, idle) = (driver.clone(), inspector.clone(), idle.clone());
         service_fn(move |it: Request<Incoming>| {
-            let request = idle.start_request();
+            let (request, version) = (idle.start_request(), it.version());
             let it = it.map(|body| TrackedBody::new(body, progress.clone()));
             let response = front::serve(driver.clone(), inspector.clone(), interface, it);
             let (driver, idle) = (driver.clone(), idle.clone());
@@ -136,7 +136,7 @@
                 if capacity < driver.limits.borrow().max_head {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, request)))
+                Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, request, version)))
             }
         })
     };
--- a/crates/ferry-gateway/tests/process/answers.rs
+++ b/crates/ferry-gateway/tests/process/answers.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use ferry_soak::config::Route;
+use ferry_soak::endpoint::{Behaviour, Pool};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use crate::harness::{exchange, head, replace_pool, with_cluster};
+use crate::harness::{TIMEOUT, exchange, head, replace_pool, with_cluster};
 
 /// The start of a successful answer, whose body ends with its connection.
 const SEALED: &str = "Tarragonferry-Attempt-Id: ATTEMPT\r\nTarragonferry-Response-Seal: sealed\r\n";
@@ -82,6 +83,28 @@
     }
 }
 
+/// Guards against a stream that looks whole to a caller without chunks, though it was broken off.
+#[test]
+fn stream_that_breaks_off_is_reset_for_callers_without_chunks() {
+    for (behaviour, is_whole) in [(Behaviour::Healthy, true), (Behaviour::Truncates, false)] {
+        with_cluster(&format!("bare-{is_whole}"), 1, async |cluster| {
+            let engines = cluster.endpoints.iter().filter(|it| it.pool == Pool::Engine);
+            engines.for_each(|it| it.behaviour.set(behaviour));
+            cluster.checker.record_sent("bare", Route::Once, b"body");
+            let head = head("POST", &Route::Once.path(), "bare").replace("HTTP/1.1", "HTTP/1.0");
+            let request = format!("{head}{PIECES}Content-Length: 4\r\n\r\nbody");
+            let front = cluster.nodes[0].front();
+            let mut stream = TcpStream::connect(front).await.expect("the gateway listens");
+            stream.write_all(request.as_bytes()).await.expect("the request is written");
+            let mut text = Vec::new();
+            let read = timeout(TIMEOUT, stream.read_to_end(&mut text)).await.expect("it ends");
+            let text = String::from_utf8_lossy(&text);
+            assert!(text.starts_with("HTTP/1.0 200") || !is_whole, "{behaviour:?}: {text}");
+            assert_eq!(read.is_ok(), is_whole, "{behaviour:?}: {text}");
+        });
+    }
+}
+
 /// Guards against a part of an answer that is passed on as the whole one: it has no length, and its
 /// connection ends while the request is still being written.
 #[test]
