Show what a kill right behind the fifth crash costs, and split files

The guard of bodies on the way, the trace of a call and the load of a pool move to files of their own or to their kind; no behaviour changes.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -27,7 +27,7 @@
 use crate::memory::{BodyMemory, MemoryReservation};
 use crate::metrics::Metrics;
 use crate::wire::{PeerFormats, WireFormat};
-use crate::{caches, calls, health, items, peers, probes, records};
+use crate::{caches, calls, health, items, peers, probes, receiving, records};
 
 /// Lateness of the timer after which the process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(50);
@@ -116,7 +116,7 @@
     pub calls: RefCell<SortedMap<CallId, ActiveCall>>,
     pub phase: watch::Sender<Phase>,
     /// Number of requests whose bodies are on the way.
-    n_receiving: Cell<usize>,
+    pub n_receiving: Cell<usize>,
     /// Limits of callers' connections in the configuration in force.
     pub limits: watch::Sender<CallerLimits>,
     /// Number of callers' connections with a request whose response has not been sent. The process
@@ -364,18 +364,10 @@
     /// Begins the shutdown.
     pub fn stop(self: &Rc<Self>) {
         self.set_phase(Phase::Leaving);
-        self.report_receiving();
+        receiving::report(self);
         self.dispatch(Event::Shutdown);
     }
 
-    fn report_receiving(self: &Rc<Self>) {
-        match *self.phase.borrow() {
-            Phase::Serving | Phase::Stopped => return,
-            Phase::Leaving | Phase::Closing => (),
-        }
-        self.dispatch(Event::Receiving { n_requests: self.n_receiving.get() });
-    }
-
     fn set_phase(&self, phase: Phase) {
         self.phase.send_replace(phase);
     }
@@ -414,28 +406,6 @@
     }
 }
 
-/// A request whose body is on the way. The reducer needs to know only during a shutdown, which waits for
-/// it.
-#[derive(Debug)]
-pub struct ReceivingGuard {
-    driver: Rc<Driver>,
-}
-
-impl ReceivingGuard {
-    pub fn new(driver: &Rc<Driver>) -> ReceivingGuard {
-        driver.n_receiving.set(driver.n_receiving.get() + 1);
-        driver.report_receiving();
-        ReceivingGuard { driver: driver.clone() }
-    }
-}
-
-impl Drop for ReceivingGuard {
-    fn drop(&mut self) {
-        self.driver.n_receiving.set(self.driver.n_receiving.get() - 1);
-        self.driver.report_receiving();
-    }
-}
-
 /// Handles what has arrived while the process stood still. Otherwise a timer would find endpoints
 /// silent whose bytes wait in the sockets.
 async fn catch_up() {
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -17,10 +17,11 @@
 use crate::calls::status_code;
 use crate::client::BufferedResponse;
 use crate::digest::request_digest;
-use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, ReceivingGuard, Reply};
+use crate::driver::{CallerRequest, Driver, PendingCaller, Phase, Reply};
 use crate::inspector::Inspector;
 use crate::memory::MemoryReservation;
 use crate::progress::TrackedBody;
+use crate::receiving::ReceivingGuard;
 use crate::relay;
 use crate::server::Interface;
 
--- a/crates/ferry-gateway/src/lib.rs
+++ b/crates/ferry-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod probes;
 pub mod progress;
 pub mod quarantine;
+pub mod receiving;
 pub mod records;
 pub mod relay;
 pub mod run;
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -254,10 +254,6 @@
         catalog.config().is_some() && endpoints.is_known() && self.leaving.is_none()
     }
 
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.is_some()
-    }
-
     pub fn n_requests(&self) -> usize {
         self.requests.len()
     }
--- a/crates/ferry-serve/src/gateway/shutdown.rs
+++ b/crates/ferry-serve/src/gateway/shutdown.rs
@@ -26,6 +26,10 @@
 }
 
 impl Gateway {
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
     /// Returns the answer to requests that have not arrived completely by the decision to exit.
     pub fn exit_refusal(&self) -> Refusal {
         refusal(&self.ctx.tuning)
--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -6,7 +6,7 @@
 use ferry_model::{EndpointId, Moment, PoolId, SortedMap};
 
 use super::arrivals::Arrivals;
-use super::evidence::{Evidence, PoolCalls, Standing};
+use super::evidence::{Evidence, PoolCalls, PoolLoad, Standing};
 use super::{CounterEvidence, CrashCandidate, CrashReport, Crashed, Exposure};
 use crate::PromptPart;
 
@@ -32,14 +32,6 @@
 const MAX_NAMED: usize = 6;
 const MAX_ATTRIBUTIONS: usize = 16;
 
-/// What a pool serves at present.
-#[derive(Debug, Clone, Copy)]
-pub struct PoolLoad {
-    /// Sound answers per second, over all instances, as far as known.
-    pub sound_rate: f64,
-    pub n_endpoints: usize,
-}
-
 /// One start of an endpoint that crashed.
 #[derive(Debug, Clone)]
 struct Crash {
--- a/crates/ferry-serve/src/quarantine/evidence.rs
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -27,6 +27,14 @@
     Free,
 }
 
+/// What a pool serves at present.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolLoad {
+    /// Sound answers per second, over all instances, as far as known.
+    pub sound_rate: f64,
+    pub n_endpoints: usize,
+}
+
 /// The calls of a pool since its first crash that counts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PoolCalls {
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -5,8 +5,8 @@
 
 use ferry_model::{EndpointId, Moment, PoolId};
 
-use super::collector::{Finding, PoolLoad};
-use super::evidence::Standing;
+use super::collector::Finding;
+use super::evidence::{PoolLoad, Standing};
 use super::ledger::N_KEEPERS;
 use super::{
     CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, CrashWatch, Quarantine,
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -1,6 +1,7 @@
 //! What one instance notices: breaks that may be crashes, and sound answers.
 
 mod sound;
+mod trace;
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 
 use super::{CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, Crashed, Exposure};
 use sound::SoundAnswers;
+pub use trace::CallTrace;
 
 /// Silence of an endpoint after a break that may be its crash.
 const SILENCE: Duration = Duration::from_millis(150);
@@ -40,27 +42,6 @@
 const MAX_RETRACTABLE: usize = 64;
 const RETRACTABLE_TIME: Duration = Duration::from_secs(30);
 
-/// What is known of one call.
-#[derive(Debug, Clone)]
-pub struct CallTrace {
-    pub pool: PoolId,
-    pub endpoint: EndpointId,
-    /// Which start of the endpoint it is.
-    pub started: u64,
-    pub sent_at: Moment,
-    /// What may crash the endpoint.
-    pub exposures: Vec<Exposure>,
-}
-
-impl CallTrace {
-    /// Records how long the call had run as it ended.
-    fn with_end(mut self, at: Moment) -> CallTrace {
-        let run_time = Some(at.saturating_sub(self.sent_at));
-        self.exposures.iter_mut().for_each(|it| it.run_time = run_time);
-        self
-    }
-}
-
 /// Breaks at one endpoint that may be its crash.
 #[derive(Debug, Clone)]
 struct Breaks {
--- a/crates/ferry-serve/tests/decisions/quarantine/kept.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/kept.rs
@@ -160,6 +160,32 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against crashes that are counted anew after a kill of all instances, before the part is in
+/// quarantine.
+#[test]
+fn part_is_found_soon_although_all_instances_are_killed_at_its_fifth_crash() {
+    let mut failed = Vec::new();
+    for (n_instances, n_crashes) in [(1, 5), (6, 3), (6, 5), (60, 5)] {
+        let mut sim = Simulation::new(n_instances);
+        sim.add_engines(10);
+        sim.crashes.n_events = 30;
+        let mut traffic = Traffic::new(25.0);
+        traffic.run(&mut sim, ms(4_000));
+        traffic.start_crashing(&mut sim, Place::Middle, SLOW_RATE);
+        while sim.crashes.crashed.len() < n_crashes {
+            traffic.run(&mut sim, ms(10));
+        }
+        kill_all(&mut sim);
+        traffic.run(&mut sim, ms(60_000));
+        let late = sim.crashes.received_after(PART, 5, DOWN_TIME + STABLE_TIME).len();
+        println!("{n_instances} instances, killed at crash {n_crashes}: {late} late");
+        if 3 < late {
+            failed.push(format!("{n_instances} instances, crash {n_crashes}: {late} late"));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// The same for a request as a whole.
 #[test]
 fn request_in_quarantine_reaches_no_endpoint_after_all_instances_were_killed() {
