Wait after a conflict about a record of the quarantine

Found by reading: a conflict that the next list does not explain would be tried again every 200 ms by each keeper. It waits a second now, as after any failed call.

--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -285,7 +285,8 @@
     /// then the one with most incidents; then the one that was not sound for longest, as one that many
     /// share is often sound; then a whole request before a part, and a part that fewer requests have,
     /// as fewer suffer if it is the wrong one. If the likeliest may have been hit by chance, only parts
-    /// are returned that were never sound and have not. A part that nearly all requests have is no candidate: its quarantine would close the pool.
+    /// are returned that were never sound and have not. A part that nearly all requests have is no
+    /// candidate: its quarantine would close the pool.
     fn likely(
         &self,
         now: Moment,
--- a/crates/ferry-serve/src/quarantine/ledger.rs
+++ b/crates/ferry-serve/src/quarantine/ledger.rs
@@ -112,8 +112,12 @@
                 self.stored.insert(key, Stored { rank: Some(rank), revision });
             }
             (OpenCall::Delete { key }, Ok(_)) => drop(self.stored.remove(&key)),
-            (_, Err(WriteFailure::Conflict)) => self.read_at = None,
-            (_, Err(WriteFailure::Failed)) => self.next_call = now + RETRY_INTERVAL,
+            (_, Err(failure)) => {
+                self.next_call = now + RETRY_INTERVAL;
+                if failure == WriteFailure::Conflict {
+                    self.read_at = None;
+                }
+            }
             (OpenCall::Read { .. }, Ok(_)) => (),
         }
     }
