Show that a part that crashes engines does so again in the next service of its route

After the route has moved to another one, the part crashes engines there until five crashes are counted anew.

--- a/review/standins-3/copied_store.rs
+++ b/review/standins-3/copied_store.rs
@@ -46,8 +46,8 @@
 
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let work = Work::Stream { n_events: N_EVENTS, pause: EVENT_PAUSE };
-    let plan = Plan { service: "drafter-pool", work, slots: 64, queue: 134 };
-    let world = World::start(folder, N_GATEWAYS, N_RUNNERS, &plan, ROUTE)?;
+    let plan = Plan { service: "drafter-pool", work, slots: 64, queue: 134, crashing_part: None };
+    let world = World::start(folder, N_GATEWAYS, &[(plan, N_RUNNERS)], ROUTE)?;
     let attempts = Attempts::default();
     let start = Instant::now();
     let (fronts, record) = (fronts(&world), world.record.clone());
@@ -106,13 +106,7 @@
     }
 }
 
-fn draft(
-    front: SocketAddr,
-    gateway: usize,
-    number: usize,
-    attempts: &Attempts,
-    record: &Record,
-) {
+fn draft(front: SocketAddr, gateway: usize, number: usize, attempts: &Attempts, record: &Record) {
     let attempt = format!("{number:016x}");
     let sent = Sent { gateway, at: Instant::now(), is_whole: false };
     let lock = || attempts.lock().unwrap_or_else(PoisonError::into_inner);
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -7,6 +7,8 @@
 
 /// Longest wait for bytes of a request at a stand-in.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before the next connection is looked for.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
 
 /// The first line and the headers of a message.
 #[derive(Debug, Clone, Default)]
@@ -132,16 +134,27 @@
     }
 }
 
-/// Accepts connections until the process ends, and serves each request of a connection with `handle`,
-/// which returns whether another one may follow.
-pub fn serve<H>(address: SocketAddr, handle: H) -> io::Result<()>
+/// Accepts connections while `is_up`, and serves each request of a connection with `handle`, which returns
+/// whether another one may follow. While it is not up, connections are refused.
+pub fn serve<U, H>(address: SocketAddr, is_up: U, handle: H) -> io::Result<()>
 where
+    U: Fn() -> bool + Send + Sync + 'static,
     H: Fn(&Message, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind(address)?;
+    let mut listener = Some(listen(address)?);
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        loop {
+            if !is_up() {
+                listener = None;
+            } else if listener.is_none() {
+                listener = listen(address).ok();
+            }
+            let accepted = listener.as_ref().map(TcpListener::accept);
+            let Some(Ok((stream, _))) = accepted else {
+                std::thread::sleep(ACCEPT_PAUSE);
+                continue;
+            };
             let handle = handle.clone();
             std::thread::spawn(move || {
                 // The other side may close the connection at any time.
@@ -152,11 +165,18 @@
     Ok(())
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// Serves the requests of one connection.
 pub fn connection(
     mut stream: TcpStream,
     handle: &(dyn Fn(&Message, &mut TcpStream) -> io::Result<bool> + Send + Sync),
 ) -> io::Result<()> {
+    stream.set_nonblocking(false)?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
     stream.set_nodelay(true)?;
     let mut reader = Reader::new(stream.try_clone()?);
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -12,6 +12,10 @@
 use crate::store::{HEARTBEAT, Store};
 
 pub const HEALTH_PATH: &str = "/health";
+/// Time from the start of a run to its first token.
+const FIRST_TOKEN: Duration = Duration::from_millis(100);
+/// Time after which a runner that crashed is back.
+const DOWN_TIME: Duration = Duration::from_secs(3);
 const SEAL: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 
 /// What a runner does with a request.
@@ -30,6 +34,8 @@
     pub attempt: String,
     pub at: Instant,
     pub body: Vec<u8>,
+    /// The parts of its prompt.
+    pub prompt: String,
 }
 
 /// How a runner of a service is made.
@@ -40,6 +46,8 @@
     pub slots: u64,
     /// Requests that may wait for a slot; further ones are turned away.
     pub queue: u64,
+    /// A part of prompts on which the runners crash as they begin to write.
+    pub crashing_part: Option<&'static str>,
 }
 
 /// A runner.
@@ -49,7 +57,11 @@
     plan: Plan,
     address: SocketAddr,
     zone: String,
-    born: u128,
+    /// Unix millisecond of its start.
+    born: AtomicU64,
+    /// Number of its crashes.
+    n_crashes: AtomicU64,
+    crashes: Arc<Mutex<Vec<Instant>>>,
     store: Arc<Store>,
     record: Arc<Record>,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -58,7 +70,8 @@
     n_runs: AtomicU64,
     /// Whether it reports its status, which one that has left does not.
     is_reporting: AtomicBool,
-    has_exited: AtomicBool,
+    /// Whether its process has ended, for good or after a crash.
+    is_down: AtomicBool,
     /// Of ten requests, so many fail with status 503 after they have run.
     n_failing: AtomicU64,
 }
@@ -71,15 +84,16 @@
         address: SocketAddr,
         zone: String,
         (store, record): (&Arc<Store>, &Arc<Record>),
-        runs: &Arc<Mutex<Vec<Run>>>,
+        (runs, crashes): (&Arc<Mutex<Vec<Run>>>, &Arc<Mutex<Vec<Instant>>>),
     ) -> io::Result<Arc<Runner>> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let runner = Arc::new(Runner {
             id: id.to_owned(),
             plan,
             address,
             zone,
-            born,
+            born: AtomicU64::new(unix_millis()),
+            n_crashes: AtomicU64::new(0),
+            crashes: crashes.clone(),
             store: store.clone(),
             record: record.clone(),
             runs: runs.clone(),
@@ -87,11 +101,13 @@
             n_open: AtomicU64::new(0),
             n_runs: AtomicU64::new(0),
             is_reporting: AtomicBool::new(true),
-            has_exited: AtomicBool::new(false),
+            is_down: AtomicBool::new(false),
             n_failing: AtomicU64::new(0),
         });
-        let serving = runner.clone();
-        http::serve(address, move |request, stream| serving.respond(request, stream))?;
+        let (living, serving) = (runner.clone(), runner.clone());
+        let respond =
+            move |request: &Message, stream: &mut TcpStream| serving.respond(request, stream);
+        http::serve(address, move || !living.is_down(), respond)?;
         let reporting = runner.clone();
         std::thread::spawn(move || reporting.report_status());
         Ok(runner)
@@ -111,15 +127,42 @@
 
     /// Exits: runs in progress end with their channels, and nothing is served any longer.
     pub fn exit(&self) {
-        self.has_exited.store(true, Ordering::Relaxed);
+        self.is_down.store(true, Ordering::Relaxed);
     }
 
-    fn has_exited(&self) -> bool {
-        self.has_exited.load(Ordering::Relaxed)
+    /// Crashes: runs in progress end with their channels, and the runner is back after some seconds, under
+    /// the id that it had.
+    fn crash(self: &Arc<Self>) {
+        if self.is_down.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.n_crashes.fetch_add(1, Ordering::Relaxed);
+        self.record.note(&format!("{} crashes", self.id));
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+        let runner = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(DOWN_TIME);
+            runner.born.store(unix_millis(), Ordering::Relaxed);
+            runner.is_down.store(false, Ordering::Relaxed);
+            runner.record.note(&format!("{} is back", runner.id));
+        });
+    }
+
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
+    }
+
+    /// Whether the process that began a run after so many crashes still lives.
+    fn has_ended(&self, n_crashes: u64) -> bool {
+        self.is_down() || self.n_crashes.load(Ordering::Relaxed) != n_crashes
     }
 
     fn report_status(&self) {
         while self.is_reporting.load(Ordering::Relaxed) {
+            if self.is_down() {
+                std::thread::sleep(Duration::from_millis(20));
+                continue;
+            }
             let number = self.n_reports.fetch_add(1, Ordering::Relaxed);
             // A report that the store does not take is made again soon.
             let pause = match self.store.report(&self.id, self.entry(number)) {
@@ -140,12 +183,12 @@
             ("State", Json::text("ready")),
             ("ColdLeftMs", Json::number(0)),
             ("Sequence", Json::number(number)),
-            ("born", Json::number(self.born)),
+            ("born", Json::number(self.born.load(Ordering::Relaxed))),
         ])
     }
 
-    fn respond(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
-        if self.has_exited() {
+    fn respond(self: &Arc<Self>, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        if self.is_down() {
             return Ok(false);
         }
         let (path, _) = request.head.target();
@@ -174,23 +217,40 @@
             false => http::answer(stream, 503, &[("Tarragonferry-Not-Executed", "1")], b""),
         };
         self.n_open.fetch_sub(1, Ordering::Relaxed);
-        answered.map(|()| !self.has_exited())
+        answered.map(|()| !self.is_down())
     }
 
-    fn run(&self, request: &Message, attempt: &str, stream: &mut TcpStream) -> io::Result<()> {
+    fn run(
+        self: &Arc<Self>,
+        request: &Message,
+        attempt: &str,
+        stream: &mut TcpStream,
+    ) -> io::Result<()> {
+        let n_crashes = self.n_crashes.load(Ordering::Relaxed);
         self.record.note(&format!("{} runs {attempt}", self.id));
         let run = Run {
             runner: self.id.clone(),
             attempt: attempt.to_owned(),
             at: Instant::now(),
             body: request.body.clone(),
+            prompt: request
+                .head
+                .header("tarragonferry-prompt-prefix")
+                .unwrap_or_default()
+                .to_owned(),
         };
+        let crashes_it = self.plan.crashing_part.is_some_and(|it| run.prompt.contains(it));
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
         let number = self.n_runs.fetch_add(1, Ordering::Relaxed);
+        if crashes_it {
+            std::thread::sleep(FIRST_TOKEN);
+            self.crash();
+            return Err(io::Error::other("the runner has crashed"));
+        }
         match self.plan.work {
             Work::Plain(time) => {
                 std::thread::sleep(time);
-                if self.has_exited() {
+                if self.has_ended(n_crashes) {
                     return Err(io::Error::other("the runner has exited"));
                 }
                 // 7 is prime to 10, so that failures are spread over the requests.
@@ -201,15 +261,18 @@
                     [("Tarragonferry-Attempt-Id", attempt), ("Tarragonferry-Response-Seal", SEAL)];
                 http::answer(stream, status, &headers, body.as_bytes())
             }
-            Work::Stream { n_events, pause } => self.stream(attempt, n_events, pause, stream),
+            Work::Stream { n_events, pause } => {
+                std::thread::sleep(FIRST_TOKEN);
+                self.stream(attempt, (n_events, pause), n_crashes, stream)
+            }
         }
     }
 
     fn stream(
         &self,
         attempt: &str,
-        n_events: u64,
-        pause: Duration,
+        (n_events, pause): (u64, Duration),
+        n_crashes: u64,
         stream: &mut TcpStream,
     ) -> io::Result<()> {
         let head = format!(
@@ -219,9 +282,9 @@
         );
         stream.write_all(head.as_bytes())?;
         for number in 1..=n_events {
-            if self.has_exited() {
-                self.record.note(&format!("{} cuts {attempt} at its exit", self.id));
-                return Err(io::Error::other("the runner has exited"));
+            if self.has_ended(n_crashes) {
+                self.record.note(&format!("{} cuts {attempt} as it ends", self.id));
+                return Err(io::Error::other("the runner has ended"));
             }
             let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
@@ -231,3 +294,8 @@
         stream.write_all(b"0\r\n\r\n")
     }
 }
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or_default()
+}
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -73,6 +73,8 @@
     copy: Option<Content>,
     era: u64,
     is_away: bool,
+    /// How often the watches that waited were cut off.
+    n_cuts: u64,
     /// Last status report of each runner with an entry.
     reported: BTreeMap<String, Instant>,
     told: Vec<Told>,
@@ -96,7 +98,10 @@
         }
         for (gateway, address) in addresses.iter().enumerate() {
             let store = store.clone();
-            http::serve(*address, move |request, stream| store.respond(gateway, request, stream))?;
+            let respond = move |request: &Message, stream: &mut TcpStream| {
+                store.respond(gateway, request, stream)
+            };
+            http::serve(*address, || true, respond)?;
         }
         let registrar = store.clone();
         std::thread::spawn(move || {
@@ -179,6 +184,12 @@
         self.changed.notify_all();
     }
 
+    /// Cuts off the watches that wait.
+    pub fn cut_watches(&self) {
+        self.lock().n_cuts += 1;
+        self.changed.notify_all();
+    }
+
     /// Returns the answers that have told gateways of the entries of runners.
     pub fn told(&self) -> Vec<Told> {
         self.lock().told.clone()
@@ -258,21 +269,15 @@
     }
 
     /// Waits for changes; none if the watch is cut off.
-    fn watch(
-        &self,
-        gateway: usize,
-        kind: &str,
-        from: u64,
-        wait: Duration,
-    ) -> Option<(u16, Json)> {
+    fn watch(&self, gateway: usize, kind: &str, from: u64, wait: Duration) -> Option<(u16, Json)> {
         let until = Instant::now() + wait;
         let mut state = self.lock();
-        let era = state.era;
+        let (era, n_cuts) = (state.era, state.n_cuts);
         if state.content.revision < from {
             return Some((410, Json::Null));
         }
         loop {
-            if state.is_away || state.era != era {
+            if state.is_away || state.era != era || state.n_cuts != n_cuts {
                 return None;
             }
             let history = state.content.history.iter();
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::caller::{API_KEY, HOST, TENANT};
 use crate::gateway::{self, Gateway};
@@ -16,6 +16,8 @@
 
 const STORE_PORT: u16 = 8_624;
 const RUNNER_PORT: u16 = 8_743;
+/// Version of the first desired state.
+const FIRST_VERSION: u64 = 7;
 /// Time from the start of the machines to that of the traffic, as on the installation's sheet.
 const LEAD: Duration = Duration::from_secs(10);
 
@@ -35,6 +37,10 @@
     pub gateways: Vec<Gateway>,
     pub runners: Vec<Arc<Runner>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// When runners crashed.
+    pub crashes: Arc<Mutex<Vec<Instant>>>,
+    plans: Vec<Plan>,
+    route: Route,
     directory: PathBuf,
 }
 
@@ -51,8 +57,7 @@
     pub fn start(
         folder: &Path,
         n_gateways: usize,
-        n_runners: usize,
-        plan: &Plan,
+        services: &[(Plan, usize)],
         route: Route,
     ) -> io::Result<World> {
         let record = Arc::new(Record::create(&folder.join("record.txt"))?);
@@ -64,15 +69,18 @@
         let store_at = |number: usize| SocketAddr::from((ip(1 + number), STORE_PORT));
         let addresses: Vec<SocketAddr> = (0..n_gateways).map(store_at).collect();
         let store = Store::start(&addresses)?;
-        store.put("config", "main", desired_state(plan, route));
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let plans: Vec<Plan> = services.iter().map(|it| it.0.clone()).collect();
+        let first = plans.first().map_or("", |it| it.service);
+        store.put("config", "main", desired_state(FIRST_VERSION, &plans, route, first));
+        let (runs, crashes) = (Arc::default(), Arc::default());
         let mut runners = Vec::new();
-        for number in 0..n_runners {
+        let all = services.iter().flat_map(|(plan, n_runners)| vec![plan.clone(); *n_runners]);
+        for (number, plan) in all.enumerate() {
             let address = SocketAddr::from((ip(100 + number), RUNNER_PORT));
             let id = format!("i-{number:08x}");
             let zone = gateway::zone(number);
             let parts = (&store, &record);
-            runners.push(Runner::start(&id, plan.clone(), address, zone, parts, &runs)?);
+            runners.push(Runner::start(&id, plan, address, zone, parts, (&runs, &crashes))?);
         }
         let mut gateways = Vec::new();
         for number in 0..n_gateways {
@@ -80,7 +88,19 @@
             gateways.push(Gateway::start(number, at, addresses[number], &directory)?);
         }
         std::thread::sleep(LEAD);
-        Ok(World { record, store, gateways, runners, runs, directory })
+        Ok(World { record, store, gateways, runners, runs, crashes, plans, route, directory })
+    }
+
+    /// Moves the route to another service, by a newer desired state.
+    pub fn move_route(&self, service: &str) {
+        let state = desired_state(FIRST_VERSION + 2, &self.plans, self.route, service);
+        let revision = self.store.put("config", "main", state);
+        self.record.note(&format!("the route moves to {service} at {revision}"));
+    }
+
+    /// Returns the moments of the crashes so far.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns all runs so far.
@@ -89,9 +109,9 @@
     }
 }
 
-fn desired_state(plan: &Plan, route: Route) -> Json {
+fn desired_state(version: u64, plans: &[Plan], route: Route, service: &str) -> Json {
     let is_stream = route.kind == "streaming";
-    let mut route_fields = vec![
+    let mut fields = vec![
         ("Name", Json::text("route")),
         ("Host", Json::text(HOST)),
         ("PathPrefix", Json::text(route.prefix)),
@@ -99,35 +119,39 @@
         ("TimeoutMs", Json::number(route.timeout_ms)),
         ("TargetLatencyMs", Json::number(route.target_ms)),
         ("Priority", Json::number(1)),
-        ("Service", Json::text(plan.service)),
+        ("Service", Json::text(service)),
         ("MaxAttempts", Json::number(1)),
     ];
-    let mut service_fields = vec![
-        ("Name", Json::text(plan.service)),
-        ("MaxConnections", Json::number(360)),
-        ("HealthPath", Json::text(HEALTH_PATH)),
-    ];
     if is_stream {
-        route_fields.push(("Resumable", Json::Bool(false)));
-        route_fields.push(("GapAimMs", Json::number(250)));
-        let engine = Json::object(&[("Slots", Json::number(plan.slots))]);
-        service_fields.push(("Engine", engine));
+        fields.push(("Resumable", Json::Bool(false)));
+        fields.push(("GapAimMs", Json::number(250)));
     }
+    let services = plans.iter().map(|it| service_fields(it, is_stream)).collect();
     let keys = Json::List(vec![Json::text(API_KEY)]);
     let tenant = Json::object(&[("Name", Json::text(TENANT)), ("ApiKeys", keys)]);
+    let limits = Json::object(&[
+        ("MaxHeaderBytes", Json::number(16_384)),
+        ("MaxBodyBytes", Json::number(4_194_304)),
+        ("HeaderTimeoutMs", Json::number(3_000)),
+        ("IdleTimeoutMs", Json::number(15_000)),
+    ]);
     Json::object(&[
-        ("Version", Json::number(7)),
-        ("Routes", Json::List(vec![Json::object(&route_fields)])),
-        ("Services", Json::List(vec![Json::object(&service_fields)])),
-        (
-            "Limits",
-            Json::object(&[
-                ("MaxHeaderBytes", Json::number(16_384)),
-                ("MaxBodyBytes", Json::number(4_194_304)),
-                ("HeaderTimeoutMs", Json::number(3_000)),
-                ("IdleTimeoutMs", Json::number(15_000)),
-            ]),
-        ),
+        ("Version", Json::number(version)),
+        ("Routes", Json::List(vec![Json::object(&fields)])),
+        ("Services", Json::List(services)),
+        ("Limits", limits),
         ("Tenants", Json::List(vec![tenant])),
     ])
 }
+
+fn service_fields(plan: &Plan, is_engine: bool) -> Json {
+    let mut fields = vec![
+        ("Name", Json::text(plan.service)),
+        ("MaxConnections", Json::number(360)),
+        ("HealthPath", Json::text(HEALTH_PATH)),
+    ];
+    if is_engine {
+        fields.push(("Engine", Json::object(&[("Slots", Json::number(plan.slots))])));
+    }
+    Json::object(&fields)
+}
