--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # the disturbance out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/ferry-gateway ] && [ -x target/review-3/review-3 ] || exit 2
-exec target/review-3/review-3 moved-route review/13
+exec target/review-3/review-3 crashing-part review/13
--- a/review/standins-3/copied_store.rs
+++ b/review/standins-3/copied_store.rs
@@ -47,7 +47,7 @@
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let work = Work::Stream { n_events: N_EVENTS, pause: EVENT_PAUSE };
     let plan = Plan { service: "drafter-pool", work, slots: 64, queue: 134, crashing_part: None };
-    let world = World::start(folder, N_GATEWAYS, &[(plan, N_RUNNERS)], ROUTE)?;
+    let world = World::start(folder, N_GATEWAYS, (plan, N_RUNNERS), ROUTE)?;
     let attempts = Attempts::default();
     let start = Instant::now();
     let (fronts, record) = (fronts(&world), world.record.clone());
--- a/review/standins-3/crashing_part.rs
+++ b/review/standins-3/crashing_part.rs
@@ -1,5 +1,5 @@
 //! A part of prompts crashes each engine that begins to write an answer on it: one whose id has 32
-//! hexadecimal digits, or one whose route is moved to another service.
+//! hexadecimal digits.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -14,16 +14,16 @@
 use crate::runner::{Plan, Work};
 use crate::world::{Route, World};
 
-const ROUTE: Route =
+pub const ROUTE: Route =
     Route { kind: "streaming", prefix: "/drafts/", timeout_ms: 5_000, target_ms: 1_900 };
 const PATIENCE: Duration = Duration::from_millis(5_000);
-const N_RUNNERS: usize = 9;
+pub const N_RUNNERS: usize = 9;
 const N_GATEWAYS: usize = 3;
 const N_EVENTS: u64 = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
-const INTERVAL: Duration = Duration::from_millis(100);
+pub const INTERVAL: Duration = Duration::from_millis(100);
 /// Traffic without the part, and with it.
-const CALM_TIME: Duration = Duration::from_secs(8);
+pub const CALM_TIME: Duration = Duration::from_secs(8);
 const TRAFFIC_TIME: Duration = Duration::from_secs(40);
 /// Of so many requests one has the part, from the end of the calm time on.
 const BAD_EVERY: usize = 4;
@@ -31,77 +31,41 @@
 const FIRST_PART: &str = "5c1e07a2:800";
 const LONG: Parts =
     Parts { bad: "91bd3f06c2a7e4402b7d5c1e07a26f38", sound: "3e8f5a10d6b94c27a1f0e2837b46d95c" };
-const SHORT: Parts = Parts { bad: "91bd3f06", sound: "3e8f5a10" };
-/// Services of the route, before and after the move, and the time of the move.
-const SERVICE: &str = "drafter-pool";
-const NEXT_SERVICE: &str = "drafter-next";
-const MOVE_AT: Duration = Duration::from_secs(22);
 /// What the rule names: `StableWindowMs`, the crash from which it counts, and the requests that may pass.
-const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
-const N_CRASHES: usize = 5;
-const MAX_REQUESTS: usize = 3;
+pub const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+pub const N_CRASHES: usize = 5;
+pub const MAX_REQUESTS: usize = 3;
 
 /// Ids of the second part of prompts.
 #[derive(Debug, Clone, Copy)]
-struct Parts {
-    bad: &'static str,
-    sound: &'static str,
+pub struct Parts {
+    pub bad: &'static str,
+    pub sound: &'static str,
 }
 
 /// What a caller has seen of one attempt.
 #[derive(Debug, Clone, Copy)]
-struct Sent {
-    at: Instant,
-    is_bad: bool,
-    status: Option<u16>,
-    is_whole: bool,
+pub struct Sent {
+    pub at: Instant,
+    pub is_bad: bool,
+    pub status: Option<u16>,
+    pub is_whole: bool,
 }
 
-type Attempts = Arc<Mutex<BTreeMap<String, Sent>>>;
+pub type Attempts = Arc<Mutex<BTreeMap<String, Sent>>>;
 
-/// The id of the part has 32 digits.
-pub fn run_long(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let services = [(plan(SERVICE, LONG, has_trouble), N_RUNNERS)];
-    play(folder, &services, LONG, false)
-}
-
-/// The route is moved to a service with other runners.
-pub fn run_moved(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let services = [SERVICE, NEXT_SERVICE].map(|it| (plan(it, SHORT, has_trouble), N_RUNNERS));
-    play(folder, &services, SHORT, true)
-}
-
-fn plan(service: &'static str, parts: Parts, has_trouble: bool) -> Plan {
-    Plan {
-        service,
-        work: Work::Stream { n_events: N_EVENTS, pause: EVENT_PAUSE },
-        slots: 64,
-        queue: 134,
-        crashing_part: has_trouble.then_some(parts.bad),
-    }
-}
-
-fn play(
-    folder: &Path,
-    services: &[(Plan, usize)],
-    parts: Parts,
-    moves: bool,
-) -> io::Result<Verdict> {
-    let world = World::start(folder, N_GATEWAYS, services, ROUTE)?;
+pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let world =
+        World::start(folder, N_GATEWAYS, (plan(LONG, N_EVENTS, has_trouble), N_RUNNERS), ROUTE)?;
     let attempts = Attempts::default();
     let start = Instant::now();
     let mut callers = Vec::new();
-    let mut has_moved = !moves;
     for number in 0.. {
         if TRAFFIC_TIME <= start.elapsed() {
             break;
         }
-        if !has_moved && MOVE_AT <= start.elapsed() {
-            world.move_route(NEXT_SERVICE);
-            has_moved = true;
-        }
         let is_bad = CALM_TIME <= start.elapsed() && number % BAD_EVERY == 0;
-        let part = if is_bad { parts.bad } else { parts.sound };
+        let part = if is_bad { LONG.bad } else { LONG.sound };
         // The number of gateways is prime to the interval of the bad requests.
         let front = world.gateways[number % N_GATEWAYS].front();
         let (attempts, record) = (attempts.clone(), world.record.clone());
@@ -113,10 +77,22 @@
     for caller in callers {
         caller.join().map_err(|_| io::Error::other("a caller has failed"))?;
     }
-    Ok(judge(&world, parts, start + CALM_TIME, &attempts))
+    Ok(judge(&world, start + CALM_TIME, &attempts))
+}
+
+/// The plan of an engine that the bad part crashes, or that nothing does.
+pub fn plan(parts: Parts, n_events: u64, is_crashed: bool) -> Plan {
+    Plan {
+        service: "drafter-pool",
+        work: Work::Stream { n_events, pause: EVENT_PAUSE },
+        slots: 64,
+        queue: 134,
+        crashing_part: is_crashed.then_some(parts.bad),
+    }
 }
 
-fn draft(
+/// Asks for a draft with this part as the second one of its prompt.
+pub fn draft(
     front: SocketAddr,
     number: usize,
     (part, is_bad): (&str, bool),
@@ -149,14 +125,14 @@
     attempts.lock().unwrap_or_else(PoisonError::into_inner).insert(attempt, sent);
 }
 
-fn judge(world: &World, parts: Parts, since: Instant, attempts: &Attempts) -> Verdict {
+fn judge(world: &World, since: Instant, attempts: &Attempts) -> Verdict {
     let crashes = world.crashes();
     let Some(fifth) = crashes.get(N_CRASHES - 1).copied() else {
         world.record.say(&format!("{} crashes", crashes.len()));
         return Verdict::Held;
     };
     let runs = world.runs();
-    let late = runs.iter().filter(|it| it.prompt.contains(parts.bad));
+    let late = runs.iter().filter(|it| it.prompt.contains(LONG.bad));
     let late: Vec<_> = late.filter(|it| fifth + STABLE_WINDOW < it.at).collect();
     for run in &late {
         let at = (run.at - fifth).as_secs_f64();
--- a/review/standins-3/cut_watches.rs
+++ b/review/standins-3/cut_watches.rs
@@ -34,7 +34,7 @@
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let work = Work::Plain(Duration::from_millis(60));
     let plan = Plan { service: "filing-desk", work, slots: 6, queue: 24, crashing_part: None };
-    let world = World::start(folder, N_GATEWAYS, &[(plan, N_RUNNERS)], ROUTE)?;
+    let world = World::start(folder, N_GATEWAYS, (plan, N_RUNNERS), ROUTE)?;
     let start = Instant::now();
     let (fronts, record) = (fronts(&world), world.record.clone());
     let traffic = std::thread::spawn(move || send_all(&fronts, &record));
--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -24,17 +24,43 @@
 pub fn kill_all() {
     let processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     for process in processes.iter() {
-        let mut child = process.lock().unwrap_or_else(PoisonError::into_inner);
-        // Fails if the process has ended by itself.
-        let _ = child.kill();
-        let _ = child.wait();
+        end(process);
     }
 }
 
+fn end(process: &Process) {
+    let mut child = process.lock().unwrap_or_else(PoisonError::into_inner);
+    // Fails if the process has ended by itself.
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+fn spawn(settings: &Path, log: &Path) -> io::Result<Process> {
+    let log = fs::File::options().create(true).append(true).open(log)?;
+    let command = deploy_command()?;
+    let (program, arguments) =
+        command.split_first().ok_or_else(|| io::Error::other("the command is empty"))?;
+    let child = Command::new(program)
+        .args(arguments)
+        .env_clear()
+        .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+        .env("TARRAGONFERRY_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    let process = Arc::new(Mutex::new(child));
+    PROCESSES.lock().unwrap_or_else(PoisonError::into_inner).push(process.clone());
+    Ok(process)
+}
+
 /// A gateway on a loopback address of its own.
 #[derive(Debug)]
 pub struct Gateway {
-    pub ip: Ipv4Addr,
+    ip: Ipv4Addr,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Mutex<Process>,
 }
 
 impl Gateway {
@@ -47,32 +73,32 @@
     ) -> io::Result<Gateway> {
         let settings = directory.join(format!("node-{number}.conf"));
         fs::write(&settings, settings_text(number, ip, store))?;
-        let log = fs::File::create(directory.join(format!("node-{number}.log")))?;
-        let command = deploy_command()?;
-        let (program, arguments) =
-            command.split_first().ok_or_else(|| io::Error::other("the command is empty"))?;
-        let child = Command::new(program)
-            .args(arguments)
-            .env_clear()
-            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
-            .env("TARRAGONFERRY_BOOT", &settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
-        processes.push(Arc::new(Mutex::new(child)));
-        drop(processes);
-        let gateway = Gateway { ip };
+        let log = directory.join(format!("node-{number}.log"));
+        let process = Mutex::new(spawn(&settings, &log)?);
+        let gateway = Gateway { ip, settings, log, process };
         gateway.wait_ready()?;
         Ok(gateway)
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
+        end(&process);
+    }
+
+    /// Starts the process again after it was killed.
+    pub fn restart(&self) -> io::Result<()> {
+        let process = spawn(&self.settings, &self.log)?;
+        *self.process.lock().unwrap_or_else(PoisonError::into_inner) = process;
+        Ok(())
+    }
+
     pub fn front(&self) -> SocketAddr {
         SocketAddr::from((self.ip, FRONT_PORT))
     }
 
-    fn wait_ready(&self) -> io::Result<()> {
+    /// Waits until it is ready.
+    pub fn wait_ready(&self) -> io::Result<()> {
         let until = Instant::now() + READY_TIMEOUT;
         while Instant::now() < until {
             if self.is_ready().unwrap_or(false) {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod http;
 mod json;
+mod killed_gateways;
 mod record;
 mod refused;
 mod runner;
@@ -61,9 +62,9 @@
     match case {
         "refused" => refused::run(directory, has_trouble),
         "copied-store" => copied_store::run(directory, has_trouble),
-        "crashing-part" => crashing_part::run_long(directory, has_trouble),
+        "crashing-part" => crashing_part::run(directory, has_trouble),
         "cut-watches" => cut_watches::run(directory, has_trouble),
-        "moved-route" => crashing_part::run_moved(directory, has_trouble),
+        "killed-gateways" => killed_gateways::run(directory, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
 }
--- a/review/standins-3/refused.rs
+++ b/review/standins-3/refused.rs
@@ -37,7 +37,7 @@
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let work = Work::Plain(Duration::from_millis(60));
     let plan = Plan { service: "filing-desk", work, slots: 6, queue: 24, crashing_part: None };
-    let world = World::start(folder, 2, &[(plan, N_RUNNERS)], ROUTE)?;
+    let world = World::start(folder, 2, (plan, N_RUNNERS), ROUTE)?;
     let answers = Answers::default();
     let start = Instant::now();
     let mut callers = Vec::new();
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -16,8 +16,8 @@
 
 const STORE_PORT: u16 = 8_624;
 const RUNNER_PORT: u16 = 8_743;
-/// Version of the first desired state.
-const FIRST_VERSION: u64 = 7;
+/// Version of the desired state.
+const VERSION: u64 = 7;
 /// Time from the start of the machines to that of the traffic, as on the installation's sheet.
 const LEAD: Duration = Duration::from_secs(10);
 
@@ -39,8 +39,6 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// When runners crashed.
     pub crashes: Arc<Mutex<Vec<Instant>>>,
-    plans: Vec<Plan>,
-    route: Route,
     directory: PathBuf,
 }
 
@@ -57,7 +55,7 @@
     pub fn start(
         folder: &Path,
         n_gateways: usize,
-        services: &[(Plan, usize)],
+        (plan, n_runners): (Plan, usize),
         route: Route,
     ) -> io::Result<World> {
         let record = Arc::new(Record::create(&folder.join("record.txt"))?);
@@ -69,18 +67,22 @@
         let store_at = |number: usize| SocketAddr::from((ip(1 + number), STORE_PORT));
         let addresses: Vec<SocketAddr> = (0..n_gateways).map(store_at).collect();
         let store = Store::start(&addresses)?;
-        let plans: Vec<Plan> = services.iter().map(|it| it.0.clone()).collect();
-        let first = plans.first().map_or("", |it| it.service);
-        store.put("config", "main", desired_state(FIRST_VERSION, &plans, route, first));
+        store.put("config", "main", desired_state(&plan, route));
         let (runs, crashes) = (Arc::default(), Arc::default());
         let mut runners = Vec::new();
-        let all = services.iter().flat_map(|(plan, n_runners)| vec![plan.clone(); *n_runners]);
-        for (number, plan) in all.enumerate() {
+        for number in 0..n_runners {
             let address = SocketAddr::from((ip(100 + number), RUNNER_PORT));
             let id = format!("i-{number:08x}");
             let zone = gateway::zone(number);
             let parts = (&store, &record);
-            runners.push(Runner::start(&id, plan, address, zone, parts, (&runs, &crashes))?);
+            runners.push(Runner::start(
+                &id,
+                plan.clone(),
+                address,
+                zone,
+                parts,
+                (&runs, &crashes),
+            )?);
         }
         let mut gateways = Vec::new();
         for number in 0..n_gateways {
@@ -88,14 +90,20 @@
             gateways.push(Gateway::start(number, at, addresses[number], &directory)?);
         }
         std::thread::sleep(LEAD);
-        Ok(World { record, store, gateways, runners, runs, crashes, plans, route, directory })
+        Ok(World { record, store, gateways, runners, runs, crashes, directory })
     }
 
-    /// Moves the route to another service, by a newer desired state.
-    pub fn move_route(&self, service: &str) {
-        let state = desired_state(FIRST_VERSION + 2, &self.plans, self.route, service);
-        let revision = self.store.put("config", "main", state);
-        self.record.note(&format!("the route moves to {service} at {revision}"));
+    /// Kills all gateways at once, and starts them again after this time. Returns when all are ready.
+    pub fn restart_gateways(&self, down_time: Duration) -> io::Result<Instant> {
+        self.record.note("all gateways are killed");
+        self.gateways.iter().for_each(Gateway::kill);
+        std::thread::sleep(down_time);
+        self.gateways.iter().try_for_each(Gateway::restart)?;
+        let started_at = Instant::now();
+        self.record.note("all gateways have been started again");
+        self.gateways.iter().try_for_each(Gateway::wait_ready)?;
+        self.record.note("all gateways are ready");
+        Ok(started_at)
     }
 
     /// Returns the moments of the crashes so far.
@@ -109,7 +117,7 @@
     }
 }
 
-fn desired_state(version: u64, plans: &[Plan], route: Route, service: &str) -> Json {
+fn desired_state(plan: &Plan, route: Route) -> Json {
     let is_stream = route.kind == "streaming";
     let mut fields = vec![
         ("Name", Json::text("route")),
@@ -119,14 +127,14 @@
         ("TimeoutMs", Json::number(route.timeout_ms)),
         ("TargetLatencyMs", Json::number(route.target_ms)),
         ("Priority", Json::number(1)),
-        ("Service", Json::text(service)),
+        ("Service", Json::text(plan.service)),
         ("MaxAttempts", Json::number(1)),
     ];
     if is_stream {
         fields.push(("Resumable", Json::Bool(false)));
         fields.push(("GapAimMs", Json::number(250)));
     }
-    let services = plans.iter().map(|it| service_fields(it, is_stream)).collect();
+    let services = vec![service_fields(plan, is_stream)];
     let keys = Json::List(vec![Json::text(API_KEY)]);
     let tenant = Json::object(&[("Name", Json::text(TENANT)), ("ApiKeys", keys)]);
     let limits = Json::object(&[
@@ -136,7 +144,7 @@
         ("IdleTimeoutMs", Json::number(15_000)),
     ]);
     Json::object(&[
-        ("Version", Json::number(version)),
+        ("Version", Json::number(VERSION)),
         ("Routes", Json::List(vec![Json::object(&fields)])),
         ("Services", Json::List(services)),
         ("Limits", limits),
