--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # the disturbance out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/ferry-gateway ] && [ -x target/review-3/review-3 ] || exit 2
-exec target/review-3/review-3 killed-gateways review/14
+exec target/review-3/review-3 rolled-gateways review/14
--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -24,17 +24,13 @@
 pub fn kill_all() {
     let processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     for process in processes.iter() {
-        end(process);
+        let mut child = process.lock().unwrap_or_else(PoisonError::into_inner);
+        // Fails if the process has ended by itself.
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
-fn end(process: &Process) {
-    let mut child = process.lock().unwrap_or_else(PoisonError::into_inner);
-    // Fails if the process has ended by itself.
-    let _ = child.kill();
-    let _ = child.wait();
-}
-
 fn spawn(settings: &Path, log: &Path) -> io::Result<Process> {
     let log = fs::File::options().create(true).append(true).open(log)?;
     let command = deploy_command()?;
@@ -80,13 +76,18 @@
         Ok(gateway)
     }
 
-    /// Kills the process.
-    pub fn kill(&self) {
-        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
-        end(&process);
+    /// Stops the process with SIGTERM, and returns when it has ended.
+    pub fn stop(&self) -> io::Result<()> {
+        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut child = process.lock().unwrap_or_else(PoisonError::into_inner);
+        let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        if !status.success() {
+            return Err(io::Error::other("the process has ended by itself"));
+        }
+        child.wait().map(|_| ())
     }
 
-    /// Starts the process again after it was killed.
+    /// Starts the process again after it has ended.
     pub fn restart(&self) -> io::Result<()> {
         let process = spawn(&self.settings, &self.log)?;
         *self.process.lock().unwrap_or_else(PoisonError::into_inner) = process;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -9,9 +9,9 @@
 mod gateway;
 mod http;
 mod json;
-mod killed_gateways;
 mod record;
 mod refused;
+mod rolled_gateways;
 mod runner;
 mod store;
 mod world;
@@ -64,7 +64,7 @@
         "copied-store" => copied_store::run(directory, has_trouble),
         "crashing-part" => crashing_part::run(directory, has_trouble),
         "cut-watches" => cut_watches::run(directory, has_trouble),
-        "killed-gateways" => killed_gateways::run(directory, has_trouble),
+        "rolled-gateways" => rolled_gateways::run(directory, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
 }
--- a/review/standins-3/killed_gateways.rs
+++ b/review/standins-3/rolled_gateways.rs
@@ -1,5 +1,5 @@
 //! A part of prompts crashes each engine that begins to write an answer on it; between its fourth and its
-//! fifth crash, all gateways are killed at once.
+//! fifth crash, the gateways are stopped and started in turn.
 
 use std::io;
 use std::path::Path;
@@ -18,11 +18,13 @@
 const N_EVENTS: u64 = 30;
 /// A request with the part comes so often, after the calm time.
 const BAD_INTERVAL: Duration = Duration::from_millis(3_400);
-const TRAFFIC_TIME: Duration = Duration::from_secs(52);
-/// The gateways are killed so long after this crash, and are down so long.
+const TRAFFIC_TIME: Duration = Duration::from_secs(62);
+/// The gateways are stopped so long after this crash, one each interval; no request with the part
+/// comes meanwhile.
 const N_CRASHES_BEFORE: usize = 4;
-const KILL_DELAY: Duration = Duration::from_millis(1_000);
-const DOWN_TIME: Duration = Duration::from_millis(530);
+const ROLL_DELAY: Duration = Duration::from_millis(500);
+const ROLL_INTERVAL: Duration = Duration::from_millis(2_000);
+const BAD_PAUSE: Duration = Duration::from_secs(18);
 
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let plan = crashing_part::plan(PARTS, N_EVENTS, true);
@@ -35,9 +37,9 @@
         while start.elapsed() < TRAFFIC_TIME {
             std::thread::sleep(Duration::from_millis(10));
             let crash = world.crashes().get(N_CRASHES_BEFORE - 1).copied();
-            let is_due = crash.is_some_and(|it| KILL_DELAY <= it.elapsed());
+            let is_due = crash.is_some_and(|it| ROLL_DELAY <= it.elapsed());
             if has_trouble && is_due && started_at.is_none() {
-                started_at = Some(world.restart_gateways(DOWN_TIME)?);
+                started_at = Some(world.roll_gateways(ROLL_INTERVAL)?);
             }
         }
         Ok::<(), io::Error>(())
@@ -50,13 +52,15 @@
     let start = Instant::now();
     let mut callers = Vec::new();
     let mut bad_at = start + CALM_TIME;
+    let mut n_bad = 0;
     for number in 0.. {
         if TRAFFIC_TIME <= start.elapsed() {
             break;
         }
         let is_bad = bad_at <= Instant::now();
         if is_bad {
-            bad_at += BAD_INTERVAL;
+            n_bad += 1;
+            bad_at += if n_bad == N_CRASHES_BEFORE { BAD_PAUSE } else { BAD_INTERVAL };
         }
         let part = if is_bad { PARTS.bad } else { PARTS.sound };
         let front = world.gateways[number % N_GATEWAYS].front();
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -93,17 +93,29 @@
         Ok(World { record, store, gateways, runners, runs, crashes, directory })
     }
 
-    /// Kills all gateways at once, and starts them again after this time. Returns when all are ready.
-    pub fn restart_gateways(&self, down_time: Duration) -> io::Result<Instant> {
-        self.record.note("all gateways are killed");
-        self.gateways.iter().for_each(Gateway::kill);
-        std::thread::sleep(down_time);
-        self.gateways.iter().try_for_each(Gateway::restart)?;
-        let started_at = Instant::now();
-        self.record.note("all gateways have been started again");
-        self.gateways.iter().try_for_each(Gateway::wait_ready)?;
-        self.record.note("all gateways are ready");
-        Ok(started_at)
+    /// Stops the gateways in turn with SIGTERM, one each interval, and starts each again. Returns when
+    /// all are ready.
+    pub fn roll_gateways(&self, interval: Duration) -> io::Result<Instant> {
+        let roll = &|number: usize, gateway: &Gateway| {
+            std::thread::sleep(interval * u32::try_from(number).unwrap_or_default());
+            self.record.note(&format!("gateway {number} is told to stop"));
+            gateway.stop()?;
+            gateway.restart()?;
+            let started_at = Instant::now();
+            gateway.wait_ready()?;
+            self.record.note(&format!("gateway {number} is ready again"));
+            Ok(started_at)
+        };
+        std::thread::scope(|scope| {
+            let gateways = self.gateways.iter().enumerate();
+            let rolls: Vec<_> =
+                gateways.map(|(number, it)| scope.spawn(move || roll(number, it))).collect();
+            let results = rolls
+                .into_iter()
+                .map(|it| it.join().unwrap_or_else(|_| Err(io::Error::other("a roll has failed"))));
+            results.collect::<io::Result<Vec<Instant>>>()
+        })
+        .map(|all| all.into_iter().max().unwrap_or_else(Instant::now))
     }
 
     /// Returns the moments of the crashes so far.
