Take only an endpoint's own refusal for one, not its status

What callers saw: at the project's own interface, a stage call that is answered with 429 or 503 counts as not taken, whatever the body is, so that a request whose stage has run could be reported as not run. Cause: `refused` read a body that is no refusal of the protocol as one without a message. Change: such a body makes the call broken, which may have run. A refusal with a message is as before. Test: status_alone_is_no_refusal, 6 bodies x 2 statuses x 3 kinds of stages.

--- a/crates/ferry-edge/src/endpoint.rs
+++ b/crates/ferry-edge/src/endpoint.rs
@@ -130,9 +130,9 @@
         .map(Duration::from_secs);
     match response.json::<RefusalBody>() {
         Ok(body) => CallEvent::Refused { error: body.message, leaving: body.leaving, retry_after },
+        // Something else answers with this status, such as a proxy behind which the call has run.
         Err(_) => {
-            let error = format!("status {}", response.status);
-            CallEvent::Refused { error, leaving: false, retry_after }
+            broken(&format!("status {}, whose body is no refusal of an endpoint", response.status))
         }
     }
 }
