Promise callers nothing by an endpoint's status that it does not confirm

What callers saw: an endpoint runs a request that may not be repeated and answers 503, 429 or 408 without saying that it has not run it. Cause: an answer was read twice. response_kind takes only the header, or 421, for the endpoint's word; on_answer forwarded any status, whatever the route. Change: CallEvent::Answer says what the status tells (AnswerKind). A refusal that is not confirmed ends a request that may not be repeated in doubt, like a connection that breaks off: 502 without a header of the endpoint. Routes that may be repeated keep what they have. The fail line has endpoint and status; ferry_refusals_unconfirmed_total counts. Why it works: what a caller is told follows from the one reading of the answer, on all ways to it. The soak has endpoints that answer so at odd numbers, where it had failing ones, and its check covers sealed statuses, which it passed over.

--- a/crates/ferry-gateway/src/calls.rs
+++ b/crates/ferry-gateway/src/calls.rs
@@ -192,11 +192,11 @@
 ) -> CallEvent {
     match read_buffered(response).await {
         Ok(response) => {
-            let is_error = response.status.is_server_error();
+            let kind = headers::answer_kind(response.status);
             if let Some(active) = driver.calls.borrow_mut().get_mut(&call.call) {
                 active.pending = Some(Pending::Answer(response));
             }
-            CallEvent::Answer { is_error, load }
+            CallEvent::Answer { kind, load }
         }
         Err(error) => CallEvent::Broken { error: error.to_string() },
     }
--- a/crates/ferry-gateway/tests/process/cuts.rs
+++ b/crates/ferry-gateway/tests/process/cuts.rs
@@ -226,6 +226,7 @@
     let cases = [
         Case { behaviour: Behaviour::Slow(8), is_whole: true },
         Case { behaviour: Behaviour::Failing, is_whole: false },
+        Case { behaviour: Behaviour::Unavailable, is_whole: false },
         Case { behaviour: Behaviour::Full, is_whole: false },
         Case { behaviour: Behaviour::WrongAttempt, is_whole: false },
         Case { behaviour: Behaviour::Disconnects, is_whole: false },
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -16,6 +16,7 @@
 mod pauses;
 mod quarantine;
 mod raw_requests;
+mod refusals;
 mod robustness;
 mod soak;
 mod stalls;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -400,6 +400,7 @@
     RequestsQuarantined,
     RequestsRelayed,
     PoolsCut,
+    RefusalsUnconfirmed,
     ResponsesUnreadable,
     ObjectsUnreadable,
     EntriesUnreadable,
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -226,11 +226,34 @@
     /// The endpoint ended the stream.
     Ended(StreamEnd),
     /// A complete answer arrived and waits to be forwarded.
-    Answer { is_error: bool, load: Option<LoadReport> },
+    Answer { kind: AnswerKind, load: Option<LoadReport> },
     /// Bytes were written, and no complete answer will arrive.
     Broken { error: String },
 }
 
+/// What the status of an answer says of the request, which its endpoint has run or may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// A result, or an error of the caller.
+    Result,
+    /// The run failed.
+    Error,
+    /// Callers take this HTTP status for the promise that the request has not run and never will, but the
+    /// endpoint does not confirm that.
+    UnconfirmedRefusal { status: u16 },
+}
+
+impl AnswerKind {
+    /// Returns whether another run may bring a better answer.
+    pub fn is_error(self) -> bool {
+        match self {
+            AnswerKind::Result => false,
+            AnswerKind::Error => true,
+            AnswerKind::UnconfirmedRefusal { status } => 500 <= status,
+        }
+    }
+}
+
 /// How an endpoint ended a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamEnd {
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -41,9 +41,9 @@
     Observations, PauseReport, RequestRate, Restriction,
 };
 pub use event::{
-    Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput, ItemResult,
-    NotRunReason, PromptPart, RelayedCall, RequestHead, ResumedStream, StoreUpdate, StreamEnd,
-    TokenCounts,
+    AnswerKind, Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput,
+    ItemResult, NotRunReason, PromptPart, RelayedCall, RequestHead, ResumedStream, StoreUpdate,
+    StreamEnd, TokenCounts,
 };
 pub use gateway::{EndpointExplanation, Explanation, Gateway, PoolExplanation, Standing, Step};
 pub use group::{Group, groups};
--- a/crates/ferry-serve/src/request/answer.rs
+++ b/crates/ferry-serve/src/request/answer.rs
@@ -5,7 +5,7 @@
 use super::{end, retry, schedule, silent};
 use crate::batch::Batcher;
 use crate::pass::Pass;
-use crate::{Decision, DecisionKind, Effect, LoadReport, Metric, ScheduleProgress};
+use crate::{AnswerKind, Decision, DecisionKind, Effect, LoadReport, Metric, ScheduleProgress};
 
 /// Records that the head of a stream has arrived.
 pub fn on_began(
@@ -63,7 +63,7 @@
     batcher: &mut Batcher,
     request: &mut ActiveRequest,
     current: &ActiveCall,
-    is_error: bool,
+    kind: AnswerKind,
     load: Option<LoadReport>,
 ) -> bool {
     leave_endpoint(cx, request, current);
@@ -71,9 +71,9 @@
     let took = cx.now.saturating_sub(current.sent_at).as_secs_f64();
     if let Some(view) = cx.ctx.endpoints.get_mut(&current.endpoint) {
         view.record_load(cx.now, load);
-        match is_error {
-            true => view.record_error(),
-            false => {
+        match kind {
+            AnswerKind::Error | AnswerKind::UnconfirmedRefusal { .. } => view.record_error(),
+            AnswerKind::Result => {
                 let ratio = took / current.expected.as_secs_f64().max(1e-3);
                 view.record_success(cx.now, ratio);
             }
@@ -83,7 +83,15 @@
         let reason = "an endpoint answered without a stream, which has begun";
         return retry::rerun(cx, batcher, request, reason);
     }
-    if is_error && looks_further(cx, batcher, request, current) {
+    // Only callers whose requests may be repeated may see a status that promises more than is known.
+    if let AnswerKind::UnconfirmedRefusal { status } = kind
+        && !request.route.is_repeatable()
+    {
+        cx.count(Metric::RefusalsUnconfirmed);
+        let reason = format!("its endpoint may have run it, and answered with status {status}");
+        return end::fail(cx, batcher, request, &reason);
+    }
+    if kind.is_error() && looks_further(cx, batcher, request, current) {
         return false;
     }
     silent::abandon(cx, request);
--- a/crates/ferry-serve/src/request/call.rs
+++ b/crates/ferry-serve/src/request/call.rs
@@ -202,8 +202,8 @@
             end::complete(cx, batcher, request, &current.endpoint, Some(end));
             true
         }
-        CallEvent::Answer { is_error, load } => {
-            answer::on_answer(cx, batcher, request, &current, is_error, load)
+        CallEvent::Answer { kind, load } => {
+            answer::on_answer(cx, batcher, request, &current, kind, load)
         }
         CallEvent::Broken { error } => on_broken(cx, batcher, request, &current, &error),
     }
--- a/crates/ferry-serve/src/request/crash.rs
+++ b/crates/ferry-serve/src/request/crash.rs
@@ -38,9 +38,9 @@
                 current.has_begun = true;
             }
         }
-        CallEvent::Answer { is_error, .. } => {
+        CallEvent::Answer { kind, .. } => {
             watch.on_heard(now, endpoint, *started);
-            if !is_error {
+            if !kind.is_error() {
                 watch.on_sound(now, &trace(request, current));
             }
         }
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -193,19 +193,21 @@
         return true;
     }
     cx.count(Metric::RequestsFailed);
-    cx.log(
-        Decision::new(DecisionKind::Fail, reason)
-            .with_attempt(&request.head.attempt)
-            .with_pool(&request.pool)
-            .with_budget(request.deadline.saturating_sub(cx.now)),
-    );
+    let mut decision = Decision::new(DecisionKind::Fail, reason)
+        .with_attempt(&request.head.attempt)
+        .with_pool(&request.pool)
+        .with_budget(request.deadline.saturating_sub(cx.now));
+    if let Some(last) = request.tried.last() {
+        decision = decision.with_endpoint(last);
+    }
+    cx.log(decision);
     match request.is_streaming() {
         true => cx.effects.push(Effect::Abort { ticket: request.ticket }),
         false => {
             let refusal = Refusal {
                 status: Status::InDoubt,
                 retry_after: None,
-                reason: "the endpoint gave no whole answer",
+                reason: "no answer of an endpoint can be forwarded",
             };
             cx.effects.push(Effect::Refuse { ticket: request.ticket, refusal });
         }
--- a/crates/ferry-serve/src/request/silent.rs
+++ b/crates/ferry-serve/src/request/silent.rs
@@ -50,7 +50,7 @@
     let (goes_on, has_run) = match event {
         CallEvent::Began { .. } | CallEvent::Progress { .. } | CallEvent::Blocked => (true, true),
         CallEvent::Ended(end) => (end.is_complete(), true),
-        CallEvent::Answer { is_error, .. } => (!is_error && !request.is_streaming(), true),
+        CallEvent::Answer { kind, .. } => (!kind.is_error() && !request.is_streaming(), true),
         CallEvent::Broken { .. } => (false, true),
         CallEvent::NotRun { .. } | CallEvent::Unsent { .. } => (false, false),
     };
--- a/crates/ferry-serve/tests/decisions/leaving.rs
+++ b/crates/ferry-serve/tests/decisions/leaving.rs
@@ -6,8 +6,8 @@
 
 use ferry_model::EndpointState;
 use ferry_serve::{
-    CallEvent, DecisionKind, EndpointsDelta, Event, HealthReport, LeavingReport, Status,
-    StoreUpdate,
+    AnswerKind, CallEvent, DecisionKind, EndpointsDelta, Event, HealthReport, LeavingReport,
+    Status, StoreUpdate,
 };
 
 use crate::rate_limits::load::Load;
@@ -303,7 +303,7 @@
     announce(&mut sim, 0, "plain-0", 1);
     sim.deliver(
         0,
-        Event::Call { call: 1, event: CallEvent::Answer { is_error: false, load: None } },
+        Event::Call { call: 1, event: CallEvent::Answer { kind: AnswerKind::Result, load: None } },
     );
     let gateway = sim.instances[0].as_ref().expect("the instance is running");
     let view = gateway.context().endpoints.get("plain-0").expect("it is known");
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod quarantine;
 mod rate_limits;
+mod refusals;
 mod rejoined;
 mod requests;
 mod schedule;
--- a/crates/ferry-serve/tests/decisions/seeds.rs
+++ b/crates/ferry-serve/tests/decisions/seeds.rs
@@ -21,7 +21,7 @@
 
 const ROUTES: [&str; 4] = ["get", "post", "stream", "once"];
 const POOLS: [&str; 4] = ["plain", "engine", FIRST, SECOND];
-const BEHAVIOURS: [Behaviour; 10] = [
+const BEHAVIOURS: [Behaviour; 11] = [
     Behaviour::Healthy,
     Behaviour::Silent,
     Behaviour::Reset,
@@ -32,6 +32,7 @@
     Behaviour::FailItems(ItemFailure::OutOfMemory),
     Behaviour::FailItems(ItemFailure::Error),
     Behaviour::FailItems(ItemFailure::Gone),
+    Behaviour::RefusesAfterRun(503),
 ];
 
 fn step() -> impl Strategy<Value = Step> {
--- a/crates/ferry-serve/tests/decisions/silence/review.rs
+++ b/crates/ferry-serve/tests/decisions/silence/review.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ferry_model::{GatewayConfig, RouteStage};
-use ferry_serve::{CallEvent, Event, NotRunReason, PeerMessage, PermitAnswer, Status};
+use ferry_serve::{AnswerKind, CallEvent, Event, NotRunReason, PeerMessage, PermitAnswer, Status};
 use proptest::prelude::*;
 
 use super::{Budget, failures, is_whole, n_silences, pool, silence_first, start, tuning};
@@ -89,7 +89,13 @@
 
 #[test]
 fn answer_that_cannot_go_on_with_a_stream_is_not_better_than_its_silent_engine() {
-    for is_error in [false, true] {
+    let kinds = [
+        AnswerKind::Result,
+        AnswerKind::Error,
+        AnswerKind::UnconfirmedRefusal { status: 429 },
+        AnswerKind::UnconfirmedRefusal { status: 503 },
+    ];
+    for kind in kinds {
         let (mut sim, engine) = begun_stream(config(2));
         sim.silence(&engine, ms(2_000));
         for id in pool(&sim, ENGINE).iter().filter(|it| **it != engine) {
@@ -97,10 +103,10 @@
         }
         assert!(sim.run_until(|it| it.runs.get(STREAM).is_some_and(|it| it.len() == 2)));
         let call = sim.last_call(STREAM).expect("it is called");
-        let answer = CallEvent::Answer { is_error, load: None };
+        let answer = CallEvent::Answer { kind, load: None };
         sim.deliver(0, Event::Call { call, event: answer });
         sim.run_for(ms(6_000));
-        assert!(is_whole(&sim, STREAM), "error {is_error}: {}", describe(&sim, STREAM));
+        assert!(is_whole(&sim, STREAM), "{kind:?}: {}", describe(&sim, STREAM));
     }
 }
 
--- a/crates/ferry-serve/tests/decisions/simulation/cuts.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/cuts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::{Call, CallEvent, CallId, Event, Framing, ResumedStream, StreamEnd};
+use ferry_serve::{AnswerKind, Call, CallEvent, CallId, Event, Framing, ResumedStream, StreamEnd};
 
 use super::{Ending, NETWORK_DELAY, Simulation, ms};
 
@@ -118,8 +118,8 @@
         let Some((to, call)) = self.passed_on.remove(&(instance, ticket)) else { return false };
         let broken = |error: &str| CallEvent::Broken { error: error.to_owned() };
         let event = match ending {
-            Ending::Answer => CallEvent::Answer { is_error: false, load: None },
-            Ending::Error => CallEvent::Answer { is_error: true, load: None },
+            Ending::Answer => CallEvent::Answer { kind: AnswerKind::Result, load: None },
+            Ending::Error => CallEvent::Answer { kind: AnswerKind::Error, load: None },
             Ending::Stream => {
                 let end = StreamEnd { framing: Framing::Chunked, n_events: 1, partial: 0 };
                 CallEvent::Ended(end)
--- a/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/endpoint.rs
@@ -5,8 +5,8 @@
 
 use ferry_model::{EndpointState, GatewayEndpoint, Moment};
 use ferry_serve::{
-    Call, CallEvent, CallId, Event, Framing, HealthReport, ItemFailure, LimitReport, PromptPart,
-    RequestRate, StreamEnd,
+    AnswerKind, Call, CallEvent, CallId, Event, Framing, HealthReport, ItemFailure, LimitReport,
+    PromptPart, RequestRate, StreamEnd,
 };
 
 use super::crash_moment::Answer;
@@ -32,6 +32,8 @@
     Pauses(Duration),
     /// Answers that the run failed.
     Failing,
+    /// Runs the call, and answers with this status of a refusal.
+    RefusesAfterRun(u16),
     /// Sends the head of a stream, and resets it after this time, before any event.
     HeadOnly(Duration),
     /// Takes this many times longer.
@@ -216,10 +218,14 @@
                 );
             }
             Behaviour::Pauses(pause) => self.refuse_for_pause(instance, call, pause),
-            Behaviour::Failing => {
+            Behaviour::Failing | Behaviour::RefusesAfterRun(_) => {
                 self.calls.insert((instance, id), 1);
                 self.schedule_limit(instance, PLAIN_TIME, &call.endpoint);
-                let answer = CallEvent::Answer { is_error: true, load: None };
+                let kind = match behaviour {
+                    Behaviour::RefusesAfterRun(status) => AnswerKind::UnconfirmedRefusal { status },
+                    _ => AnswerKind::Error,
+                };
+                let answer = CallEvent::Answer { kind, load: None };
                 self.schedule(instance, PLAIN_TIME, event(answer));
             }
             Behaviour::HeadOnly(time) => {
@@ -278,7 +284,7 @@
                     self.schedule(instance, end, event(CallEvent::Broken { error }));
                 } else if crash.is_none() {
                     self.schedule_limit(instance, end, &call.endpoint);
-                    let answer = CallEvent::Answer { is_error: false, load: None };
+                    let answer = CallEvent::Answer { kind: AnswerKind::Result, load: None };
                     self.schedule(instance, end, event(answer));
                 }
             }
@@ -350,8 +356,13 @@
 
     /// Answers a call in progress with an error.
     pub fn fail(&mut self, instance: usize, call: CallId) {
+        self.answer(instance, call, AnswerKind::Error);
+    }
+
+    /// Answers a call in progress without a result.
+    pub fn answer(&mut self, instance: usize, call: CallId, kind: AnswerKind) {
         self.calls.insert((instance, call), 1);
-        let event = CallEvent::Answer { is_error: true, load: None };
+        let event = CallEvent::Answer { kind, load: None };
         self.deliver(instance, Event::Call { call, event });
     }
 
--- a/crates/ferry-serve/tests/decisions/simulation/items.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/items.rs
@@ -53,6 +53,10 @@
                 let failure = BatchFailure::Broken("reset".to_owned());
                 self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
             }
+            Behaviour::RefusesAfterRun(status) => {
+                let failure = BatchFailure::Failed(status.to_string());
+                self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
+            }
             Behaviour::Full => {
                 let failure = BatchFailure::NotRun("full".to_owned());
                 self.schedule(instance, NETWORK_DELAY, batch(Err(failure)));
--- a/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/stream_check.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_serve::{Call, CallEvent, CallId, Event};
+use ferry_serve::{AnswerKind, Call, CallEvent, CallId, Event};
 
 use super::{QueuedEvent, Simulation};
 
@@ -86,6 +86,15 @@
         own.map(|it| it.0.1).max()
     }
 
+    /// Returns the call of an attempt that is in progress at an instance.
+    pub fn call_at(&self, instance: usize, attempt: &str) -> Option<CallId> {
+        let is_own = |ticket: u64| {
+            self.callers.get(&(instance, ticket)).is_some_and(|it| it.attempt == attempt)
+        };
+        let mut open = self.open_calls.iter();
+        open.find(|it| it.0.0 == instance && is_own(it.1.ticket)).map(|it| it.0.1)
+    }
+
     /// Delays what is to come of calls.
     pub(super) fn delay_events(
         &mut self,
@@ -144,7 +153,11 @@
     pub(super) fn check_event(&mut self, instance: usize, event: &Event) {
         let Event::Call { call, event } = event else { return };
         let key = (instance, *call);
-        if let CallEvent::Broken { .. } | CallEvent::Answer { is_error: true, .. } = event {
+        let is_failed = match event {
+            CallEvent::Answer { kind, .. } => *kind != AnswerKind::Result,
+            _ => matches!(event, CallEvent::Broken { .. }),
+        };
+        if is_failed {
             let ticket = self.open_calls.get(&key).map(|it| it.ticket);
             let caller = ticket.and_then(|it| self.callers.get(&(instance, it)));
             self.broken.extend(caller.map(|it| it.attempt.clone()));
--- a/crates/ferry-soak/src/checker.rs
+++ b/crates/ferry-soak/src/checker.rs
@@ -142,7 +142,8 @@
         let mut attempts = self.attempts.borrow_mut();
         let Some(attempt) = attempts.get_mut(id) else { return };
         // These statuses state that the request has not been run.
-        let is_not_run = matches!(outcome, Outcome::Refused(429 | 503));
+        let is_not_run =
+            matches!(outcome, Outcome::Refused(429 | 503) | Outcome::Failed(408 | 421 | 429 | 503));
         if is_not_run && !attempt.runs.is_empty() && attempt.route.max_runs() == 1 {
             self.add_violation(format!("{id} got {outcome:?} and ran at {:?}", attempt.runs));
         }
--- a/crates/ferry-soak/src/endpoint.rs
+++ b/crates/ferry-soak/src/endpoint.rs
@@ -204,8 +204,8 @@
         let made: Vec<Value> =
             call["Items"].as_array()?.iter().map(|it| self.make_item(it)).collect();
         self.apply_fault().await?;
-        if self.behaviour.get() == Behaviour::Failing {
-            return Some(full_response(StatusCode::INTERNAL_SERVER_ERROR, ""));
+        if let Some(status) = self.behaviour.get().error_status() {
+            return Some(full_response(status, ""));
         }
         Some(full_response(StatusCode::OK, json!({ "Items": made }).to_string()))
     }
@@ -290,10 +290,10 @@
         self.run_head(PLAIN_TIME, crash.as_ref()).await;
         self.apply_fault().await?;
         let text = response_body(attempt, body);
-        let mut response = match (self.behaviour.get(), crash) {
-            (Behaviour::Failing, _) => full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-            (_, Some(crash)) => crash_response(text, crash),
-            (_, None) => full_response(StatusCode::OK, text),
+        let mut response = match (self.behaviour.get().error_status(), crash) {
+            (Some(status), _) => full_response(status, "failed"),
+            (None, Some(crash)) => crash_response(text, crash),
+            (None, None) => full_response(StatusCode::OK, text),
         };
         self.add_headers(&mut response, attempt);
         match self.behaviour.get() {
@@ -313,8 +313,8 @@
             self.apply_fault().await?;
         }
         let behaviour = self.behaviour.get();
-        if behaviour == Behaviour::Failing {
-            let mut response = full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        if let Some(status) = behaviour.error_status() {
+            let mut response = full_response(status, "failed");
             self.add_headers(&mut response, attempt);
             return Some(response);
         }
@@ -381,6 +381,7 @@
             Behaviour::Healthy
             | Behaviour::Full
             | Behaviour::Failing
+            | Behaviour::Unavailable
             | Behaviour::WrongAttempt
             | Behaviour::HeadOnly
             | Behaviour::EndsInEvent { .. }
--- a/crates/ferry-soak/src/endpoint/behaviour.rs
+++ b/crates/ferry-soak/src/endpoint/behaviour.rs
@@ -1,5 +1,7 @@
 //! What simulated endpoints do with requests.
 
+use http::StatusCode;
+
 /// How an endpoint responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -12,6 +14,8 @@
     Full,
     /// Runs requests and responds with status 500.
     Failing,
+    /// Runs requests and responds with status 503, without stating whether it has run them.
+    Unavailable,
     /// Closes the connection in the middle of a stream.
     Truncates,
     /// Sends the head of a stream, and closes the connection before the first event.
@@ -33,6 +37,15 @@
 }
 
 impl Behaviour {
+    /// Returns the status of responses after runs, if it is that of an error.
+    pub fn error_status(self) -> Option<StatusCode> {
+        match self {
+            Behaviour::Failing => Some(StatusCode::INTERNAL_SERVER_ERROR),
+            Behaviour::Unavailable => Some(StatusCode::SERVICE_UNAVAILABLE),
+            _ => None,
+        }
+    }
+
     /// Whether requests that the endpoint runs come to a right and whole answer.
     pub fn is_sound(self) -> bool {
         match self {
@@ -40,6 +53,7 @@
             Behaviour::NeverResponds
             | Behaviour::Disconnects
             | Behaviour::Failing
+            | Behaviour::Unavailable
             | Behaviour::Truncates
             | Behaviour::HeadOnly
             | Behaviour::EndsInEvent { .. }
--- a/crates/ferry-soak/src/endpoint/cache.rs
+++ b/crates/ferry-soak/src/endpoint/cache.rs
@@ -11,10 +11,13 @@
     pub(super) async fn list_cache(&self) -> Option<Response<Body>> {
         tokio::time::sleep(self.time(PLAIN_TIME)).await;
         self.apply_fault().await?;
-        let response = match self.behaviour.get() {
-            Behaviour::Failing => full_response(StatusCode::INTERNAL_SERVER_ERROR, ""),
-            Behaviour::WrongAttempt => full_response(StatusCode::OK, "no list"),
-            _ => {
+        let behaviour = self.behaviour.get();
+        let response = match behaviour.error_status() {
+            Some(status) => full_response(status, ""),
+            None if behaviour == Behaviour::WrongAttempt => {
+                full_response(StatusCode::OK, "no list")
+            }
+            None => {
                 let part = |it: &String| json!(["", it, 100, "m"]);
                 let held: Vec<Value> = self.parts.borrow().iter().map(part).collect();
                 let body = json!({ "epoch": 1, "Next": 1, "held": held });
--- a/crates/ferry-soak/src/plan.rs
+++ b/crates/ferry-soak/src/plan.rs
@@ -233,7 +233,7 @@
         12 => behaviour(Behaviour::NeverResponds),
         13 => behaviour(Behaviour::Disconnects),
         14 => behaviour(Behaviour::Full),
-        15 => behaviour(Behaviour::Failing),
+        15 => behaviour([Behaviour::Failing, Behaviour::Unavailable][endpoint % 2]),
         16 => behaviour(Behaviour::Truncates),
         17 => behaviour(Behaviour::WrongAttempt),
         18 => behaviour(Behaviour::Slow(6)),
