Read each part of a prompt by itself, and ids of any length

Cause: the header was read up to the first entry that did not fit, an id above 64 bits or a number of tokens that is none. What was left ended with a shared part, and the last part is no candidate. Nothing was counted. Change: each entry is read by itself (ferry-serve/src/prompt.rs, for requests, caches and operators). Ids of up to 16 digits are their own keys, longer ones are hashed into as many bits. An entry whose id cannot be read is a part that no other request has; all are counted. The header may come on several lines; of more than 256 parts the rest belongs to the request's own. Operators name a long id behind part:, and see it with its key. Why it works: a part is a candidate by its own id alone, whatever stands before it.

--- a/crates/ferry-gateway/src/driver.rs
+++ b/crates/ferry-gateway/src/driver.rs
@@ -392,6 +392,14 @@
         self.warn_seldom(message, error);
     }
 
+    /// Counts and logs parts of a caller's prompt that could not be read, while the others were.
+    pub fn note_parts(&self, n_unreadable: usize) {
+        if 0 < n_unreadable {
+            (0..n_unreadable).for_each(|_| self.metrics.count(Metric::PartsUnreadable));
+            self.warn_seldom("could not read parts of a prompt", &n_unreadable);
+        }
+    }
+
     /// Counts and logs objects of the store whose names cannot be read.
     pub fn note_unnamed(&self, n_objects: usize) {
         if 0 < n_objects {
--- a/crates/ferry-gateway/src/front.rs
+++ b/crates/ferry-gateway/src/front.rs
@@ -115,6 +115,7 @@
         Ok(head) => RequestHead { relayed, ..head },
         Err(problem) => return final_response(StatusCode::BAD_REQUEST, problem),
     };
+    driver.note_parts(head.n_unreadable);
     let path = parts.uri.path_and_query().map_or(parts.uri.path(), |it| it.as_str());
     let digest = request_digest(&parts.method, host, path, &body);
     let ticket = driver.next_ticket();
--- a/crates/ferry-gateway/src/quarantine.rs
+++ b/crates/ferry-gateway/src/quarantine.rs
@@ -6,7 +6,8 @@
 
 use ferry_model::PoolId;
 use ferry_serve::{
-    CrashCandidate, Event, PartId, QuarantineAction, QuarantineRecord, RequestDigest,
+    CrashCandidate, Event, LongId, PartId, Quarantine, QuarantineAction, QuarantineRecord,
+    RequestDigest, read_part_id,
 };
 use http::{Method, StatusCode};
 use percent_encoding::percent_decode_str;
@@ -18,16 +19,29 @@
 use crate::driver::Driver;
 
 const PATH: &str = "/v1/quarantine";
-/// Largest number of digits of a part's id; that of a request has exactly twice as many.
+/// Start of an id that names a part, whatever its length.
+const PART: &str = "part:";
+/// Largest number of digits of a part's id without that start; that of a request has exactly twice as many.
 const PART_DIGITS: usize = 2 * size_of::<PartId>();
 const REQUEST_DIGITS: usize = 2 * size_of::<RequestDigest>();
 
+/// What an operator's request is about.
+#[derive(Debug)]
+struct Target {
+    pool: PoolId,
+    candidate: CrashCandidate,
+    long_id: Option<LongId>,
+}
+
 /// A record as operators see it.
 #[derive(Debug, Serialize)]
 struct Entry<'a> {
     pool: &'a str,
     #[serde(flatten)]
     id: EntryId,
+    /// A part as callers have written it, if that is longer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    written: Option<&'a str>,
     state: &'static str,
     since: String,
     reason: &'static str,
@@ -37,7 +51,7 @@
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum EntryId {
-    /// As callers name it.
+    /// As callers name it, or the key of a longer id.
     Part(String),
     /// As `admit` lines of the log have it.
     Request(String),
@@ -63,7 +77,7 @@
     Pool(PoolId),
     #[error(
         "the id {0:?} is not a hexadecimal number of up to {PART_DIGITS} digits, for a part, or of \
-         {REQUEST_DIGITS}, for a request"
+         {REQUEST_DIGITS}, for a request; that of a part may have any length behind {PART:?}"
     )]
     Id(String),
     #[error("{candidate} of pool {pool:?} is not in quarantine")]
@@ -113,8 +127,9 @@
 /// Lists what is in quarantine, and what was lifted.
 fn list(driver: &Driver) -> Result<Vec<u8>, OperatorError> {
     driver.query(|it| {
-        let records = it.quarantine().iter();
-        let entries = records.map(|(pool, candidate, it)| entry(driver, pool, candidate, it));
+        let all = it.quarantine();
+        let records = all.iter();
+        let entries = records.map(|(pool, id, it)| entry(driver, all, (pool.as_str(), id), it));
         let entries: Vec<Entry<'_>> = entries.collect::<Result<_, _>>()?;
         Ok(serde_json::to_vec(&entries)?)
     })
@@ -126,7 +141,7 @@
     path: &str,
     action: QuarantineAction,
 ) -> Result<Vec<u8>, OperatorError> {
-    let (pool, candidate) = read_path(path)?;
+    let Target { pool, candidate, long_id } = read_path(path)?;
     driver.query(|it| {
         let catalog = &it.context().catalog;
         catalog.config().ok_or(OperatorError::Unconfigured)?;
@@ -141,39 +156,50 @@
             QuarantineAction::Set | QuarantineAction::Lift => Ok(()),
         }
     })?;
-    driver.dispatch(Event::Quarantine { pool: pool.clone(), candidate, action });
+    driver.dispatch(Event::Quarantine { pool: pool.clone(), candidate, long_id, action });
     driver.query(|it| {
-        let record = it.quarantine().get(&pool, candidate);
-        let entry = record.map(|it| entry(driver, &pool, candidate, it)).transpose()?;
+        let quarantine = it.quarantine();
+        let record = quarantine.get(&pool, candidate);
+        let entry = record.map(|it| entry(driver, quarantine, (&pool, candidate), it));
+        let entry = entry.transpose()?;
         Ok(serde_json::to_vec(&entry)?)
     })
 }
 
 /// Reads the pool and the candidate of a path.
-fn read_path(path: &str) -> Result<(PoolId, CrashCandidate), OperatorError> {
+fn read_path(path: &str) -> Result<Target, OperatorError> {
     let (pool, id) = path.rsplit_once('/').ok_or(OperatorError::Path)?;
     let pool = pool.strip_prefix('/').filter(|it| !it.is_empty()).ok_or(OperatorError::Path)?;
     let pool = percent_decode_str(pool).decode_utf8().map_err(|_| OperatorError::PoolEncoding)?;
-    Ok((pool.into_owned(), read_id(id).ok_or_else(|| OperatorError::Id(id.to_owned()))?))
+    let (candidate, long_id) = read_id(id).ok_or_else(|| OperatorError::Id(id.to_owned()))?;
+    Ok(Target { pool: pool.into_owned(), candidate, long_id })
 }
 
-/// Reads an id, whose length tells what it names.
-fn read_id(text: &str) -> Option<CrashCandidate> {
-    // The number may not have a sign.
-    if !text.bytes().all(|it| it.is_ascii_hexdigit()) {
-        return None;
+/// Reads an id, whose start or length tells what it names.
+fn read_id(text: &str) -> Option<(CrashCandidate, Option<LongId>)> {
+    if let Some(id) = text.strip_prefix(PART) {
+        return read_part(id);
     }
     match text.len() {
-        1..=PART_DIGITS => PartId::from_str_radix(text, 16).ok().map(CrashCandidate::Part),
-        REQUEST_DIGITS => RequestDigest::from_str_radix(text, 16).ok().map(CrashCandidate::Request),
+        1..=PART_DIGITS => read_part(text),
+        // The number may not have a sign.
+        REQUEST_DIGITS if text.bytes().all(|it| it.is_ascii_hexdigit()) => {
+            let digest = RequestDigest::from_str_radix(text, 16).ok()?;
+            Some((CrashCandidate::Request(digest), None))
+        }
         _ => None,
     }
 }
 
+fn read_part(id: &str) -> Option<(CrashCandidate, Option<LongId>)> {
+    let (part, long_id) = read_part_id(id)?;
+    Some((CrashCandidate::Part(part), long_id))
+}
+
 fn entry<'a>(
     driver: &Driver,
-    pool: &'a str,
-    candidate: CrashCandidate,
+    quarantine: &'a Quarantine,
+    (pool, candidate): (&'a str, CrashCandidate),
     record: &QuarantineRecord,
 ) -> Result<Entry<'a>, time::error::Format> {
     let age = driver.now().saturating_sub(record.since);
@@ -181,6 +207,7 @@
     Ok(Entry {
         pool,
         id: candidate.into(),
+        written: quarantine.long_id(candidate),
         state: record.state.into(),
         since: since.format(&Rfc3339)?,
         reason: record.reason.into(),
--- a/crates/ferry-gateway/tests/process/quarantine.rs
+++ b/crates/ferry-gateway/tests/process/quarantine.rs
@@ -109,6 +109,53 @@
     });
 }
 
+/// Guards against a part that is in quarantine and whose requests go on, as its id is long or its
+/// prompt comes on two lines.
+#[test]
+fn part_with_a_long_id_is_refused_and_shown_as_callers_write_it() {
+    const ID: &str = "00A123456789abcdef0123456789abcdef0123456789";
+    let key = "a123456789ABCDEF0123456789abcdef0123456789";
+    with_cluster("long-part", 2, async |cluster| {
+        let served = send(&cluster, 0, Route::Stream, "before", &format!("a1:9,{ID}:9,c3:9")).await;
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+        let path = format!("/v1/quarantine/engine/part:{key}");
+        let set = call(cluster.nodes[0].ready(), "PUT", &path).await;
+        assert!(set.starts_with("HTTP/1.1 200"), "{set}");
+        assert!(set.contains(&format!("\"written\":\"{key}\"")), "{set}");
+        sleep(SPREAD_TIME).await;
+        let lines = "Tarragonferry-Prompt-Prefix: a1:9,b2:x\r\n\
+                     Tarragonferry-Prompt-Prefix";
+        for node in [0, 1] {
+            for (name, parts, is_refused) in [
+                ("one line", format!("a1:9,{ID}:9,c3:9"), true),
+                ("odd before", format!("+1:9,{ID},c3:9"), true),
+                ("last", format!("a1:9,c3:9,{ID}:9"), false),
+                ("another", format!("a1:9,{ID}0:9,c3:9"), false),
+                ("two lines", format!("a1:9\r\n{lines}: {ID}:9,c3:9"), true),
+            ] {
+                let attempt = format!("{name}, {node}");
+                let response = send(&cluster, node, Route::Stream, &attempt, &parts).await;
+                let status = if is_refused { "HTTP/1.1 503" } else { "HTTP/1.1 200" };
+                assert!(response.starts_with(status), "{attempt}: {response}");
+            }
+            let listed = list(&cluster.nodes[node]).await;
+            assert_eq!(listed.as_array().map(Vec::len), Some(1), "{listed}");
+            assert_eq!(listed[0]["written"], json!(ID), "{listed}");
+            let part = listed[0]["part"].as_str().expect("it has a key").to_owned();
+            let log = fs::read_to_string(cluster.nodes[node].log()).expect("there is a log");
+            assert!(log.contains(&format!("refused: part {part} ({ID})")), "{log}");
+            let metrics = call(cluster.nodes[node].ready(), "GET", "/metrics").await;
+            let line = "ferry_parts_unreadable_total 3";
+            assert!(metrics.lines().any(|it| it == line), "{metrics}");
+        }
+        let lifted = call(cluster.nodes[1].ready(), "DELETE", &path).await;
+        assert!(lifted.starts_with("HTTP/1.1 200"), "{lifted}");
+        let response =
+            send(&cluster, 1, Route::Stream, "after", &format!("a1:9,{ID}:9,c3:9")).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    });
+}
+
 #[test]
 fn request_set_or_lifted_at_one_instance_is_known_at_all() {
     struct Case {
@@ -243,6 +290,9 @@
         wrong("PUT", "/v1/quarantine/engine/xyz", "the id \"xyz\" is not a hexadecimal number"),
         wrong("PUT", "/v1/quarantine/engine/+1", "the id \"+1\" is not a hexadecimal number"),
         wrong("PUT", "/v1/quarantine/engine/12345678901234567", "of up to 16 digits, for a part"),
+        wrong("PUT", "/v1/quarantine/engine/part:", "of up to 16 digits, for a part"),
+        wrong("PUT", "/v1/quarantine/engine/part:+1", "of up to 16 digits, for a part"),
+        wrong("PUT", "/v1/quarantine/engine/part:section-7", "of up to 16 digits, for a part"),
         wrong("PUT", REQUEST_31, "or of 32, for a request"),
         wrong("PUT", REQUEST_33, "or of 32, for a request"),
         wrong("PUT", REQUEST_SIGNED, "is not a hexadecimal number"),
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -404,6 +404,7 @@
     ResponsesUnreadable,
     ObjectsUnreadable,
     EntriesUnreadable,
+    PartsUnreadable,
     MessagesSkipped,
     MessagesDamaged,
 }
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     CallId, CallerAttempt, CrashCandidate, EndpointNotice, EndpointsDelta, EvacuatedZones,
-    HealthReport, LeavingReport, LimitReport, LoadReport, PauseReport, PeerMessage, PoolBuilds,
-    QuarantineAction, RecordReply, RequestDigest, Tuning,
+    HealthReport, LeavingReport, LimitReport, LoadReport, LongId, PauseReport, PeerMessage,
+    PoolBuilds, PromptPart, QuarantineAction, RecordReply, RequestDigest, Tuning,
 };
 
 /// Input of [`crate::Gateway::reduce`].
@@ -103,6 +103,8 @@
     Quarantine {
         pool: PoolId,
         candidate: CrashCandidate,
+        /// The id of a part, if the operator has named it by a long one.
+        long_id: Option<LongId>,
         action: QuarantineAction,
     },
     /// The settings of the decisions have changed.
@@ -162,6 +164,10 @@
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order.
     pub prompt: Vec<PromptPart>,
+    /// Long ids of its shared parts.
+    pub long_ids: Vec<LongId>,
+    /// Number of parts of which the id or the number of tokens could not be read.
+    pub n_unreadable: usize,
     /// Number of items of each stage; a stage beyond the list has none.
     pub items: Vec<u16>,
     /// Input of the stages that read no other stage.
@@ -203,13 +209,6 @@
     pub output: u32,
 }
 
-/// A part of a prompt that other requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptPart {
-    pub id: u64,
-    pub tokens: u32,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallEvent {
     /// No byte of the request was written.
--- a/crates/ferry-serve/src/gateway.rs
+++ b/crates/ferry-serve/src/gateway.rs
@@ -201,7 +201,8 @@
             Event::Peer { from, message } => {
                 updates::on_peer(cx, &mut self.batcher, &mut self.requests, from, message);
             }
-            Event::Quarantine { pool, candidate, action } => {
+            Event::Quarantine { pool, candidate, long_id, action } => {
+                cx.ctx.quarantine.record_long_id(long_id.as_ref());
                 quarantine::exchange::on_operator(cx, &pool, candidate, action);
             }
             Event::Retune(tuning) => {
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -20,6 +20,7 @@
 mod overload;
 mod pass;
 mod peers;
+mod prompt;
 mod quarantine;
 mod reach;
 mod request;
@@ -42,8 +43,8 @@
 };
 pub use event::{
     AnswerKind, Arrival, BatchFailure, CallEvent, Event, Framing, ItemFailure, ItemInput,
-    ItemResult, NotRunReason, PromptPart, RelayedCall, RequestHead, ResumedStream, StoreUpdate,
-    StreamEnd, TokenCounts,
+    ItemResult, NotRunReason, RelayedCall, RequestHead, ResumedStream, StoreUpdate, StreamEnd,
+    TokenCounts,
 };
 pub use gateway::{EndpointExplanation, Explanation, Gateway, PoolExplanation, Standing, Step};
 pub use group::{Group, groups};
@@ -55,11 +56,12 @@
 };
 pub use pass::{Context, Identity, Pass, Snapshot};
 pub use peers::{Backlog, Heartbeat, JobSubmission, OriginRequest, PeerMessage, PeerView, Peers};
+pub use prompt::{LongId, MAX_PARTS, PartId, Prompt, PromptPart, read_part_id};
 pub use quarantine::{
     CallTrace, CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport,
-    CrashWatch, Crashed, Exposure, PartId, Quarantine, QuarantineAction, QuarantineCall,
-    QuarantineLedger, QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply,
-    QuarantineState, RecordKey, StoredEntry, StoredRecord, workspace_digest,
+    CrashWatch, Crashed, Exposure, Quarantine, QuarantineAction, QuarantineCall, QuarantineLedger,
+    QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply, QuarantineState,
+    RecordKey, StoredEntry, StoredRecord, workspace_digest,
 };
 pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -21,9 +21,9 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::RequestDigest;
+use crate::{LongId, PartId, RequestDigest};
 
-pub use candidate::{CrashCandidate, PartId, workspace_digest};
+pub use candidate::{CrashCandidate, workspace_digest};
 pub use collector::CrashCollector;
 pub use ledger::{QuarantineLedger, RecordKey};
 pub use message::{
@@ -46,6 +46,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     pools: SortedMap<PoolId, SortedMap<CrashCandidate, QuarantineRecord>>,
+    /// Long ids of parts that were refused here, or that an operator has named.
+    long_ids: SortedMap<PartId, String>,
     /// Candidates whose requests in progress are still to be ended.
     fresh: Vec<(PoolId, CrashCandidate)>,
     next_sync: Moment,
@@ -134,6 +136,22 @@
         self.get(pool, candidate).is_some_and(|it| it.state == QuarantineState::Quarantined)
     }
 
+    /// Keeps how a part is written.
+    pub fn record_long_id(&mut self, id: Option<&LongId>) {
+        let Some(LongId { part, text }) = id else { return };
+        if self.long_ids.len() < MAX_RECORDS || self.long_ids.contains_key(part) {
+            self.long_ids.insert(*part, text.clone());
+        }
+    }
+
+    /// Returns the id of a candidate as callers have written it, if that is another name than its own.
+    pub fn long_id(&self, candidate: CrashCandidate) -> Option<&str> {
+        match candidate {
+            CrashCandidate::Part(part) => self.long_ids.get(&part).map(String::as_str),
+            CrashCandidate::Request(_) => None,
+        }
+    }
+
     /// Returns the first of some candidates that is in quarantine.
     pub fn find(
         &self,
@@ -275,6 +293,17 @@
         std::mem::take(&mut self.fresh)
     }
 
+    /// Drops the long ids of parts without a record.
+    fn forget_long_ids(&mut self) {
+        let has_record = |part: PartId| {
+            let candidate = CrashCandidate::Part(part);
+            self.pools.values().any(|it| it.contains_key(&candidate))
+        };
+        let parts: Vec<PartId> = self.long_ids.keys().copied().collect();
+        let unused: Vec<PartId> = parts.into_iter().filter(|it| !has_record(*it)).collect();
+        unused.iter().for_each(|it| drop(self.long_ids.remove(it)));
+    }
+
     fn insert(&mut self, pool: &str, candidate: CrashCandidate, record: QuarantineRecord) {
         if record.state == QuarantineState::Quarantined {
             self.fresh.push((pool.to_owned(), candidate));
@@ -287,6 +316,7 @@
             if let Some(records) = self.pools.get_mut(&pool) {
                 records.remove(&candidate);
             }
+            self.forget_long_ids();
         }
         self.digest = self.hash_records();
     }
--- a/crates/ferry-serve/src/quarantine/arrivals.rs
+++ b/crates/ferry-serve/src/quarantine/arrivals.rs
@@ -4,8 +4,7 @@
 
 use ferry_model::{Moment, SortedMap};
 
-use super::PartId;
-use crate::PromptPart;
+use crate::{PartId, PromptPart};
 
 /// Time after which requests count half.
 const HALF_LIFE: Duration = Duration::from_secs(30);
--- a/crates/ferry-serve/src/quarantine/candidate.rs
+++ b/crates/ferry-serve/src/quarantine/candidate.rs
@@ -5,10 +5,7 @@
 use blake3::Hasher;
 use serde::{Deserialize, Serialize};
 
-use crate::RequestDigest;
-
-/// Identifier of a prompt part.
-pub type PartId = u64;
+use crate::{PartId, RequestDigest};
 
 /// What may crash each endpoint that runs it, at any moment of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/ferry-serve/src/quarantine/watch/sound.rs
+++ b/crates/ferry-serve/src/quarantine/watch/sound.rs
@@ -5,8 +5,9 @@
 
 use ferry_model::{Moment, SortedMap};
 
+use crate::PartId;
 use crate::RequestDigest;
-use crate::quarantine::{CrashCandidate, PartId};
+use crate::quarantine::CrashCandidate;
 
 const MAX_SOUND_PARTS: usize = 2_048;
 /// Sound answers of a pool that are kept, the newest ones.
--- a/crates/ferry-serve/src/request/end.rs
+++ b/crates/ferry-serve/src/request/end.rs
@@ -11,8 +11,8 @@
 use crate::pass::Pass;
 use crate::quarantine;
 use crate::{
-    CrashCandidate, Decision, DecisionKind, Effect, Metric, Refusal, ScheduleProgress, Status,
-    StreamEnd,
+    CrashCandidate, Decision, DecisionKind, Effect, LongId, Metric, Refusal, ScheduleProgress,
+    Status, StreamEnd,
 };
 
 /// A refused caller should retry within its time left divided by this.
@@ -59,8 +59,12 @@
     (pool, candidate): &(PoolId, CrashCandidate),
 ) {
     quarantine::exchange::on_refused(cx, pool, *candidate);
+    let is_own = |it: &&LongId| CrashCandidate::Part(it.part) == *candidate;
+    let long_id = request.head.long_ids.iter().find(is_own);
+    cx.ctx.quarantine.record_long_id(long_id);
+    let written = long_id.map_or(String::new(), |it| format!(" ({})", it.text));
     cx.log(
-        Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}"))
+        Decision::new(DecisionKind::Quarantine, format!("refused: {candidate}{written}"))
             .with_attempt(&request.head.attempt)
             .with_digest(request.digest)
             .with_pool(pool),
--- a/crates/ferry-serve/tests/decisions/quarantine/records.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/records.rs
@@ -66,7 +66,7 @@
     action: QuarantineAction,
 ) {
     let pool = pool.to_owned();
-    let event = Event::Quarantine { pool, candidate: candidate(cause), action };
+    let event = Event::Quarantine { pool, candidate: candidate(cause), long_id: None, action };
     sim.deliver(instance, event);
 }
 
--- a/crates/ferry-serve/tests/decisions/simulation/config.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/config.rs
@@ -108,6 +108,8 @@
         key: Some("key".to_owned()),
         time_left: Some(ms(4_000)),
         prompt: vec![PromptPart { id: 7, tokens: 500 }, PromptPart { id: 8, tokens: 100 }],
+        long_ids: Vec::new(),
+        n_unreadable: 0,
         items: vec![4, 4],
         tokens: None,
         item_key: Some("input".to_owned()),
