Let no quarantine end by a former one of the same candidate

What callers saw: a request that crashes endpoints again after an operator has lifted its quarantine is found again, and its quarantine ends at the same moment, so that it reaches endpoints for as long as it comes. Cause: a collector keeps which crashes each quarantine explains. A later quarantine that explains all crashes of a former one lifts that, also if both are of the same candidate. Change: a quarantine replaces the attribution of its own candidate. Test: request_that_crashes_endpoints_again_after_a_lift_is_in_quarantine_again, 1 and 3 instances, four lifts.

--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -269,6 +269,7 @@
         let open = self.crashes.iter().filter(|it| !it.is_explained(standing));
         let explained: Vec<Crash> = open.filter(|it| it.has(candidate)).cloned().collect();
         let mut findings = vec![Finding::Quarantine { candidate, n_crashes: explained.len() }];
+        self.attributions.retain(|it| it.0 != candidate);
         let is_wrong = |it: &(CrashCandidate, Vec<Crash>)| it.1.iter().all(|it| it.has(candidate));
         let (wrong, kept) =
             std::mem::take(&mut self.attributions).into_iter().partition::<Vec<_>, _>(is_wrong);
--- a/crates/ferry-serve/tests/decisions/quarantine/request_faults.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/request_faults.rs
@@ -105,6 +105,7 @@
         assert_eq!(quarantined(&sim), []);
         load.start_crashing(&mut sim, 1, ms(500), Place::AnyInstance);
         load.run(&mut sim, ms(10_000));
+        crate::quarantine::records::print_decisions(&sim);
         assert_eq!(quarantined(&sim), [CRASHING], "after {pause:?}");
         let after = sim.crashes.received_after(CRASHING, n_crashes + 3, STABLE_TIME);
         assert!(after.len() <= 3, "crashes at {:?}", sim.crashes.crashed);
@@ -113,6 +114,23 @@
     }
 }
 
+/// Guards against a quarantine that ends at once, as a later one explains the crashes of the former one of
+/// the same request.
+#[test]
+fn request_that_crashes_endpoints_again_after_a_lift_is_in_quarantine_again() {
+    for n_instances in [1, 3] {
+        let (mut sim, mut load) = start(n_instances, Kind::Idempotent, 0);
+        for number in 0..4 {
+            load.start_crashing(&mut sim, 1, ms(500), Place::AnyInstance);
+            load.run(&mut sim, ms(10_000));
+            assert_eq!(quarantined(&sim), [CRASHING], "{n_instances} instances, lift {number}");
+            load.stop();
+            operate(&mut sim, 0, PLAIN, CRASHING, QuarantineAction::Lift);
+            sim.run_for(ms(2_000));
+        }
+    }
+}
+
 #[test]
 fn messages_about_crashing_requests_stay_within_their_bound() {
     for n_instances in [6, 76, 300, 470] {
