Keep the crashes that no quarantine explains beyond their collectors

Cause: what is known before a quarantine was in the memory of three collectors. A stop handed nothing over, a start asked for nothing, a change of who collects left the counts behind, and reports that the watch held back went with the process. Change: one object a pool in the store has the open crashes, with the candidates that several of them have and the last sound answers to these. The first collector writes it behind a crash, after an inquiry; instances read it at their start, collectors with the first report after ten quiet seconds. A stop waits for the breaks that it has seen, 2 s at most. Why it works: whoever collects when the next crash comes has what was collected before, with what speaks against it. Evidence: decisions/quarantine/rolled.rs, five changes x 1, 6, 60 instances x crashes.

--- a/crates/ferry-gateway/src/records.rs
+++ b/crates/ferry-gateway/src/records.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use ferry_model::{StorePosition, store_era, store_revision};
 use ferry_platform::store::{self, Kind};
-use ferry_platform::{quarantine, records};
+use ferry_platform::{crashes, quarantine, records};
 use ferry_serve::{
     Event, Metric, PoolBuilds, QuarantineCall, QuarantineReply, RecordCall, RecordReply,
-    StoredEntry, StoredRecords, StreamSlot, WriteFailure,
+    StoredQuarantine, StoredRecords, StreamSlot, WriteFailure,
 };
 use http::{Method, StatusCode};
 use serde_json::Value;
@@ -68,8 +68,8 @@
 async fn quarantine(driver: &Rc<Driver>, client: &Client, call: QuarantineCall) -> QuarantineReply {
     match call {
         QuarantineCall::Read => {
-            let entries = read_quarantine(driver, client).await;
-            QuarantineReply::Read(logged(driver, "read the quarantine in", entries).ok())
+            let stored = read_quarantine(driver, client).await;
+            QuarantineReply::Read(logged(driver, "read the quarantine in", stored).ok())
         }
         QuarantineCall::Write { key, record, revision } => {
             let body = |it| quarantine::body(&key, record, it, SystemTime::now());
@@ -87,6 +87,22 @@
             let deleted = logged(driver, "delete the quarantine from", deleted);
             QuarantineReply::Written(deleted.map(|_| None).map_err(failure))
         }
+        QuarantineCall::WriteCrashes { pool, open, revision } => {
+            let body = |it| crashes::body(&pool, &open, it, SystemTime::now());
+            let name = crashes::name(&pool);
+            let written = write(client, Kind::Quarantine, &name, revision, body).await;
+            let written = logged(driver, "write open crashes to", written);
+            QuarantineReply::Written(written.map(Some).map_err(failure))
+        }
+        QuarantineCall::DeleteCrashes { pool, revision } => {
+            if store_era(revision) != client.era() {
+                return QuarantineReply::Written(Err(WriteFailure::Conflict));
+            }
+            let path = crashes::delete_path(&pool, store_revision(revision));
+            let deleted = client.call(&InternalCall::delete(path), RESPONSE_TIMEOUT).await;
+            let deleted = logged(driver, "delete open crashes from", deleted);
+            QuarantineReply::Written(deleted.map(|_| None).map_err(failure))
+        }
     }
 }
 
@@ -94,19 +110,27 @@
 async fn read_quarantine(
     driver: &Rc<Driver>,
     client: &Client,
-) -> Result<Vec<StoredEntry>, StoreError> {
+) -> Result<StoredQuarantine, StoreError> {
     let (objects, _) = client.list(Kind::Quarantine).await?;
     let now = SystemTime::now();
-    let mut entries = Vec::new();
+    let mut stored = StoredQuarantine::default();
     for object in &objects {
+        if let Some(read) = crashes::read(object, now) {
+            if 0 < read.n_unreadable {
+                driver.metrics.count(Metric::ObjectsUnreadable);
+                driver.warn_seldom("could not read all open crashes of a pool", &object.name);
+            }
+            stored.crashes.push(read.stored);
+            continue;
+        }
         let entry = quarantine::read(object, now);
         if entry.as_ref().is_none_or(|it| it.record.is_none()) {
             driver.metrics.count(Metric::ObjectsUnreadable);
             driver.warn_seldom("ignored a record of the quarantine", &object.name);
         }
-        entries.extend(entry);
+        stored.entries.extend(entry);
     }
-    Ok(entries)
+    Ok(stored)
 }
 
 async fn read(client: &Client, with_streams: bool) -> Result<StoredRecords, StoreError> {
--- a/crates/ferry-serve/src/gateway/shutdown.rs
+++ b/crates/ferry-serve/src/gateway/shutdown.rs
@@ -6,8 +6,11 @@
 
 use super::{Gateway, Settlement};
 use crate::pass::Pass;
+use crate::quarantine;
 use crate::{Arrival, Decision, DecisionKind, Effect, Metric, Refusal, Status, Tuning};
 
+/// Time for which an instance without requests waits until what it knows of crashes is kept.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Why a request is ended, or refused, as the process exits.
 pub const REASON: &str = "the instance stops";
 
@@ -49,8 +52,10 @@
             effects.push(Effect::Close);
         }
         let is_idle = self.requests.is_empty() && self.batcher.is_idle() && self.n_receiving == 0;
+        let is_settled = quarantine::exchange::is_settled(&self.ctx)
+            || since + self.ctx.tuning.close_after() + SETTLE_TIME <= now;
         let is_late = since + self.ctx.tuning.exit_after() <= now;
-        if !self.has_exited && self.is_closed && (is_late || is_idle) {
+        if !self.has_exited && self.is_closed && (is_late || (is_idle && is_settled)) {
             self.has_exited = true;
             self.end_requests(now, effects);
             effects.push(Effect::Exit);
--- a/crates/ferry-serve/src/lib.rs
+++ b/crates/ferry-serve/src/lib.rs
@@ -59,9 +59,10 @@
 pub use prompt::{LongId, MAX_PARTS, PartId, Prompt, PromptPart, read_part_id};
 pub use quarantine::{
     CallTrace, CounterEvidence, CrashCandidate, CrashCollector, CrashInquiry, CrashReport,
-    CrashWatch, Crashed, Exposure, Quarantine, QuarantineAction, QuarantineCall, QuarantineLedger,
-    QuarantineNotice, QuarantineReason, QuarantineRecord, QuarantineReply, QuarantineState,
-    RecordKey, StoredEntry, StoredRecord, workspace_digest,
+    CrashWatch, Crashed, Exposure, OpenCrash, OpenCrashes, Quarantine, QuarantineAction,
+    QuarantineCall, QuarantineLedger, QuarantineNotice, QuarantineReason, QuarantineRecord,
+    QuarantineReply, QuarantineState, RecordKey, StoredCrashes, StoredEntry, StoredQuarantine,
+    StoredRecord, workspace_digest,
 };
 pub use reach::{Reach, ReachChange};
 pub use retry_budget::{RetryBudget, RetryShare};
--- a/crates/ferry-serve/src/quarantine.rs
+++ b/crates/ferry-serve/src/quarantine.rs
@@ -29,7 +29,10 @@
 pub use message::{
     CounterEvidence, CrashInquiry, CrashReport, Crashed, Exposure, QuarantineNotice,
 };
-pub use stored::{QuarantineCall, QuarantineReply, StoredEntry, StoredRecord};
+pub use stored::{
+    OpenCrash, OpenCrashes, QuarantineCall, QuarantineReply, StoredCrashes, StoredEntry,
+    StoredQuarantine, StoredRecord,
+};
 pub use watch::{CallTrace, CrashWatch};
 
 /// Largest number of records; the oldest that were lifted go first.
--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -1,5 +1,7 @@
 //! Attributes the crashes of a pool to a candidate, from the reports of all instances.
 
+mod open;
+
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -39,6 +41,8 @@
     started: u64,
     at: Moment,
     exposures: Vec<Exposure>,
+    /// Number of calls that it broke off, if it is kept without some of them.
+    n_calls: usize,
 }
 
 impl Crash {
@@ -49,7 +53,7 @@
     /// Returns the number of calls that it broke off.
     fn n_calls(&self) -> usize {
         let is_request = |it: &&Exposure| matches!(it.candidate, CrashCandidate::Request(_));
-        self.exposures.iter().filter(is_request).count()
+        self.exposures.iter().filter(is_request).count().max(self.n_calls)
     }
 
     /// Whether a candidate in quarantine caused it, which then speaks for no other one.
@@ -76,6 +80,11 @@
     last_inquiry: Option<Moment>,
     /// The candidates of the last inquiry.
     candidates: Vec<CrashCandidate>,
+    /// When the last report came, and the place of this instance among the collectors then.
+    last_report: Option<Moment>,
+    rank: usize,
+    /// Whether the open crashes are others than those that were last kept.
+    is_changed: bool,
     /// The crashes that each candidate in quarantine explains.
     attributions: Vec<(CrashCandidate, Vec<Crash>)>,
 }
@@ -96,6 +105,8 @@
     Lift {
         candidate: CrashCandidate,
     },
+    /// The open crashes have changed.
+    Keep,
 }
 
 /// Collects the crashes of the pools for which this instance attributes them.
@@ -123,10 +134,9 @@
         let at = now.saturating_sub(crashed.age);
         let record = self.pools.get_or_insert_with(pool, PoolRecord::default);
         record.add(now, crashed, at, exposures);
-        if record.inquiry.is_none() && !record.likely(now, load, &standing).is_empty() {
-            let next = record.last_inquiry.map_or(now, |it| it + INQUIRY_INTERVAL);
-            record.inquiry = Some(Inquiry::Opens(next.max(now + RANK_DELAY * rank as u32)));
-        }
+        (record.last_report, record.rank) = (Some(now), rank);
+        record.is_changed |= record.is_keeper() && !record.suspects(&standing).is_empty();
+        record.open_inquiry(now, load, &standing);
     }
 
     /// Counts a request that has reached this instance.
@@ -160,12 +170,15 @@
     pub fn on_lifted(&mut self, pool: &str, candidate: CrashCandidate) {
         if let Some(record) = self.pools.get_mut(pool) {
             record.crashes.retain(|it| !it.has(candidate));
+            record.is_changed = true;
         }
     }
 
     pub fn next_wake(&self) -> Option<Moment> {
         let inquiries = self.pools.values().filter_map(|it| it.inquiry);
-        inquiries.map(|(Inquiry::Opens(at) | Inquiry::Ends(at))| at).min()
+        let inquiries = inquiries.map(|(Inquiry::Opens(at) | Inquiry::Ends(at))| at);
+        let is_due = self.pools.values().any(PoolRecord::is_to_keep);
+        inquiries.chain(is_due.then_some(Moment::ZERO)).min()
     }
 
     /// Returns what is due for each pool.
@@ -178,10 +191,14 @@
         let mut findings = Vec::new();
         for (pool, record) in self.pools.iter_mut() {
             let is_due = |it| matches!(it, Inquiry::Opens(at) | Inquiry::Ends(at) if at <= now);
-            if !record.inquiry.is_some_and(is_due) {
-                continue;
+            let mut found = Vec::new();
+            if record.inquiry.is_some_and(is_due) {
+                found = record.decide(now, load(pool), &|it| standing(pool, it));
+            }
+            if record.is_to_keep() {
+                record.is_changed = false;
+                found.push(Finding::Keep);
             }
-            let found = record.decide(now, load(pool), &|it| standing(pool, it));
             findings.extend(found.into_iter().map(|it| (pool.clone(), it)));
         }
         findings
@@ -195,7 +212,7 @@
         let is_same = |it: &Crash| it.endpoint == endpoint && it.started == started;
         match self.crashes.iter_mut().find(|it| is_same(it)) {
             Some(crash) if crash.at + BREAK_TIME < at => {
-                *crash = Crash { endpoint, started, at, exposures };
+                *crash = Crash { endpoint, started, at, exposures, n_calls: 0 };
             }
             // What ended earlier was whole.
             Some(crash) if at + BREAK_TIME < crash.at => (),
@@ -208,11 +225,32 @@
                     }
                 }
             }
-            None => self.crashes.push(Crash { endpoint, started, at, exposures }),
+            None => self.crashes.push(Crash { endpoint, started, at, exposures, n_calls: 0 }),
         }
+        self.sort();
+    }
+
+    /// Puts the crashes into the order of time, and drops the oldest if there are too many.
+    fn sort(&mut self) {
         self.crashes.sort_by_key(|it| it.at);
-        if MAX_CRASHES < self.crashes.len() {
-            self.crashes.remove(0);
+        let n_surplus = self.crashes.len().saturating_sub(MAX_CRASHES);
+        self.crashes.drain(..n_surplus);
+    }
+
+    /// Asks all instances about the candidates, unless that is going on.
+    fn open_inquiry(
+        &mut self,
+        now: Moment,
+        load: PoolLoad,
+        standing: &impl Fn(CrashCandidate) -> Standing,
+    ) {
+        let has_candidates = || {
+            !self.likely(now, load, standing).is_empty()
+                || (self.is_keeper() && !self.suspects(standing).is_empty())
+        };
+        if self.inquiry.is_none() && has_candidates() {
+            let next = self.last_inquiry.map_or(now, |it| it + INQUIRY_INTERVAL);
+            self.inquiry = Some(Inquiry::Opens(next.max(now + RANK_DELAY * self.rank as u32)));
         }
     }
 
@@ -226,8 +264,12 @@
         let likely = self.likely(now, load, standing);
         match self.inquiry {
             Some(Inquiry::Opens(_)) => {
-                let candidates: Vec<CrashCandidate> =
-                    likely.into_iter().take(MAX_CANDIDATES).collect();
+                let mut candidates = likely;
+                candidates.truncate(MAX_CANDIDATES);
+                // What is kept should come with what speaks against it.
+                if candidates.is_empty() && self.is_changed {
+                    candidates = self.suspects(standing);
+                }
                 if candidates.is_empty() {
                     self.inquiry = None;
                     return Vec::new();
@@ -268,6 +310,7 @@
     ) -> Vec<Finding> {
         let open = self.crashes.iter().filter(|it| !it.is_explained(standing));
         let explained: Vec<Crash> = open.filter(|it| it.has(candidate)).cloned().collect();
+        self.is_changed = true;
         let mut findings = vec![Finding::Quarantine { candidate, n_crashes: explained.len() }];
         self.attributions.retain(|it| it.0 != candidate);
         let is_wrong = |it: &(CrashCandidate, Vec<Crash>)| it.1.iter().all(|it| it.has(candidate));
@@ -304,15 +347,7 @@
         };
         let mut likely: Vec<(CrashCandidate, &Evidence)> =
             evidence.iter().filter(fits).map(|it| (*it.0, it.1)).collect();
-        likely.sort_by(|(a, x), (b, y)| {
-            let key = |it: &CrashCandidate, evidence: &Evidence| {
-                let n_incidents = Reverse(evidence.n_incidents());
-                (was_sound(it), n_incidents, self.sound.get(it).copied(), is_part(*it))
-            };
-            let order = key(a, x).cmp(&key(b, y));
-            let order = order.then_with(|| self.fraction(*a).total_cmp(&self.fraction(*b)));
-            order.then_with(|| (Reverse(x.place), a).cmp(&(Reverse(y.place), b)))
-        });
+        self.sort_candidates(&mut likely);
         let is_certain = |(candidate, it): &(CrashCandidate, &Evidence)| {
             let calls = pool_calls(now, load, &open, *candidate);
             standing(*candidate) == Standing::Expired
@@ -325,6 +360,19 @@
         likely.into_iter().map(|it| it.0).collect()
     }
 
+    /// Sorts candidates, the likeliest first, as [`PoolRecord::likely`] has them.
+    fn sort_candidates(&self, candidates: &mut [(CrashCandidate, &Evidence)]) {
+        candidates.sort_by(|(a, x), (b, y)| {
+            let key = |it: &CrashCandidate, evidence: &Evidence| {
+                let sound = self.sound.get(it).copied();
+                (sound.is_some(), Reverse(evidence.n_incidents()), sound, is_part(*it))
+            };
+            let order = key(a, x).cmp(&key(b, y));
+            let order = order.then_with(|| self.fraction(*a).total_cmp(&self.fraction(*b)));
+            order.then_with(|| (Reverse(x.place), a).cmp(&(Reverse(y.place), b)))
+        });
+    }
+
     /// Returns what speaks for each candidate of these crashes, which are in the order of time.
     fn evidence(&self, crashes: &[&Crash]) -> SortedMap<CrashCandidate, Evidence> {
         let mut evidence: SortedMap<CrashCandidate, Evidence> = SortedMap::new();
--- a/crates/ferry-serve/src/quarantine/evidence.rs
+++ b/crates/ferry-serve/src/quarantine/evidence.rs
@@ -100,6 +100,10 @@
         self.incidents.n
     }
 
+    pub fn n_crashes(&self) -> usize {
+        self.crashes.n
+    }
+
     /// Whether a candidate comes into question; `was_sound` says whether any instance knows of a sound
     /// answer to it.
     pub fn is_enough(
--- a/crates/ferry-serve/src/quarantine/exchange.rs
+++ b/crates/ferry-serve/src/quarantine/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ferry_model::{EndpointId, Moment, PoolId};
 
@@ -11,7 +12,7 @@
 use super::{
     CounterEvidence, CrashCandidate, CrashInquiry, CrashReport, CrashWatch, Quarantine,
     QuarantineAction, QuarantineNotice, QuarantineReason, QuarantineReply, QuarantineState,
-    RecordKey, StoredEntry,
+    RecordKey, StoredCrashes, StoredEntry,
 };
 use crate::pass::{Context, Pass};
 use crate::{Decision, DecisionKind, Effect, Endpoints, Metric, PeerMessage, RecordCall};
@@ -20,6 +21,9 @@
 const N_COLLECTORS: usize = 3;
 /// Peers that receive a change or an inquiry; each of them passes it on to as many others.
 const FANOUT: usize = 8;
+/// Time without reports of a pool after which a collector may have missed some, as it did not collect, or
+/// stood still.
+const QUIET_TIME: Duration = Duration::from_secs(10);
 /// Hash input that separates the choice of collectors from other roles.
 const COLLECTORS_KEY: &str = "crash collectors";
 /// The same for the instances that look whether a record is stored.
@@ -78,9 +82,14 @@
     let collectors = collectors(cx, &report.pool);
     let rank = collectors.iter().position(Option::is_none).unwrap_or(N_COLLECTORS - 1);
     let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
-    let Context { collector, quarantine, catalog, crash_watch, endpoints, .. } = &mut *cx.ctx;
+    let Context {
+        collector, quarantine, quarantine_ledger, catalog, crash_watch, endpoints, ..
+    } = &mut *cx.ctx;
     let pool = report.pool.clone();
     if catalog.has_pool(&pool) {
+        if collector.is_quiet(&pool, cx.now.saturating_sub(QUIET_TIME)) {
+            quarantine_ledger.refresh();
+        }
         let load = pool_load(cx.now, crash_watch, endpoints, n_instances, &pool);
         collector.on_report(cx.now, report, rank, load, |it| standing(quarantine, &pool, it));
     }
@@ -170,12 +179,14 @@
     if cx.ctx.endpoints.is_store_down() {
         return;
     }
-    let Context { quarantine_ledger, quarantine, peers, tuning, identity, .. } = &mut *cx.ctx;
+    let Context { quarantine_ledger, quarantine, collector, peers, tuning, identity, .. } =
+        &mut *cx.ctx;
     let turn = |key: &RecordKey| {
         let keepers = peers.ranked_with(cx.now, tuning, identity, (KEEPERS_KEY, key), N_KEEPERS);
         keepers.iter().position(Option::is_none)
     };
-    let call = quarantine_ledger.due(cx.now, quarantine, turn);
+    let open = |pool: &str| collector.open(cx.now, pool, |it| standing(quarantine, pool, it));
+    let call = quarantine_ledger.due(cx.now, quarantine, turn, open);
     cx.effects.extend(call.map(|it| Effect::Record(RecordCall::Quarantine(it))));
 }
 
@@ -183,17 +194,49 @@
 pub fn on_stored(cx: &mut Pass<'_>, reply: QuarantineReply) {
     match reply {
         QuarantineReply::Written(result) => cx.ctx.quarantine_ledger.on_written(cx.now, result),
-        QuarantineReply::Read(entries) => {
-            for notice in entries.iter().flatten().filter_map(StoredEntry::notice) {
+        QuarantineReply::Read(stored) => {
+            let entries = stored.iter().flat_map(|it| &it.entries);
+            for notice in entries.filter_map(StoredEntry::notice) {
                 if cx.ctx.quarantine.merge(cx.now, &notice) {
                     note(cx, &notice, "as the store has it");
                 }
             }
-            cx.ctx.quarantine_ledger.on_read(cx.now, entries.as_deref());
+            cx.ctx.quarantine_ledger.on_read(cx.now, stored.as_ref());
+            for crashes in stored.iter().flat_map(|it| &it.crashes) {
+                restore(cx, crashes);
+            }
         }
     }
 }
 
+/// Takes over the open crashes of a pool for which this instance collects, and removes old ones.
+fn restore(cx: &mut Pass<'_>, crashes: &StoredCrashes) {
+    let StoredCrashes { pool, open: Some(open), .. } = crashes else { return };
+    let rank = collectors(cx, pool).iter().position(Option::is_none);
+    let n_instances = cx.ctx.peers.n_instances(cx.now, &cx.ctx.tuning);
+    let Context { collector, quarantine, quarantine_ledger, crash_watch, endpoints, .. } =
+        &mut *cx.ctx;
+    if rank.is_none() {
+        return;
+    }
+    let load = pool_load(cx.now, crash_watch, endpoints, n_instances, pool);
+    let is_known = |it| standing(quarantine, pool, it);
+    let n_restored = collector.restore(cx.now, pool, open, load, is_known);
+    if rank == Some(0) && collector.open(cx.now, pool, is_known).crashes.is_empty() {
+        quarantine_ledger.keep_crashes(pool.clone());
+    }
+    if 0 < n_restored {
+        log(cx, pool, format!("{n_restored} open crashes taken over from the store"));
+    }
+}
+
+/// Whether all that this instance knows of crashes is reported, decided on and kept, as far as the store
+/// answers.
+pub fn is_settled(cx: &Context) -> bool {
+    let is_kept = cx.endpoints.is_store_down() || cx.quarantine_ledger.is_settled();
+    cx.crash_watch.is_settled() && cx.collector.is_settled() && is_kept
+}
+
 /// Records that a request was refused for a candidate.
 pub fn on_refused(cx: &mut Pass<'_>, pool: &str, candidate: CrashCandidate) {
     cx.count(Metric::RequestsQuarantined);
@@ -275,6 +318,11 @@
             let state = QuarantineState::Lifted;
             change(cx, &pool, candidate, state, QuarantineReason::Explained, why);
         }
+        Finding::Keep => {
+            if collectors(cx, &pool).first() == Some(&None) {
+                cx.ctx.quarantine_ledger.keep_crashes(pool);
+            }
+        }
     }
 }
 
@@ -320,10 +368,19 @@
     }
 }
 
-/// Returns the collectors of a pool; none stands for this instance.
+/// Returns the collectors of a pool; none stands for this instance, which hands that over to others as it
+/// stops.
 fn collectors(cx: &Pass<'_>, pool: &str) -> Vec<Option<SocketAddr>> {
-    let Context { peers, tuning, identity, .. } = &*cx.ctx;
-    peers.ranked_with(cx.now, tuning, identity, (COLLECTORS_KEY, pool), N_COLLECTORS)
+    let Context { peers, tuning, identity, is_leaving, .. } = &*cx.ctx;
+    let key = (COLLECTORS_KEY, pool);
+    let others = match is_leaving {
+        true => peers.ranked(cx.now, tuning, key, N_COLLECTORS),
+        false => Vec::new(),
+    };
+    match others.is_empty() {
+        true => peers.ranked_with(cx.now, tuning, identity, key, N_COLLECTORS),
+        false => others.into_iter().map(Some).collect(),
+    }
 }
 
 /// Returns what a pool serves, as far as this instance can tell for all of them.
--- a/crates/ferry-serve/src/quarantine/ledger.rs
+++ b/crates/ferry-serve/src/quarantine/ledger.rs
@@ -8,7 +8,9 @@
 
 use ferry_model::{Moment, PoolId, SortedMap};
 
-use super::{CrashCandidate, Quarantine, QuarantineCall, QuarantineState, StoredEntry};
+use super::{
+    CrashCandidate, OpenCrashes, Quarantine, QuarantineCall, QuarantineState, StoredQuarantine,
+};
 use crate::WriteFailure;
 
 /// Instances that look whether a record is stored, besides the one that has changed it.
@@ -54,6 +56,15 @@
     Read { began: Moment },
     Write { key: RecordKey, rank: Rank },
     Delete { key: RecordKey },
+    Crashes { pool: PoolId },
+}
+
+/// The object with the open crashes of a pool.
+#[derive(Debug, Clone, Copy)]
+struct StoredObject {
+    revision: u64,
+    /// Whether it can be read. It is not replaced otherwise.
+    is_readable: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -66,6 +77,10 @@
     needs: SortedMap<RecordKey, Need>,
     /// Records that this instance has changed since the last review.
     changed: Vec<RecordKey>,
+    /// Open crashes of pools in the store.
+    crashes: SortedMap<PoolId, StoredObject>,
+    /// Pools whose open crashes are to be kept.
+    unkept: Vec<PoolId>,
     /// Records that the store has and that were dropped here to make room.
     surplus: Vec<RecordKey>,
     /// Digest of the records at the last review; none if what is stored has changed since.
@@ -86,12 +101,30 @@
     pub fn on_restored(&mut self) {
         (self.read_at, self.reviewed) = (None, None);
         self.stored = SortedMap::new();
+        self.crashes = SortedMap::new();
+    }
+
+    /// Reads the store again.
+    pub fn refresh(&mut self) {
+        self.read_at = None;
+    }
+
+    /// Notes that the open crashes of a pool are to be kept.
+    pub fn keep_crashes(&mut self, pool: PoolId) {
+        if !self.unkept.contains(&pool) {
+            self.unkept.push(pool);
+        }
+    }
+
+    /// Whether all open crashes are kept that this instance keeps.
+    pub fn is_settled(&self) -> bool {
+        self.unkept.is_empty() && !matches!(self.open, Some(OpenCall::Crashes { .. }))
     }
 
     /// Takes over what was read; none if the read has failed.
-    pub fn on_read(&mut self, now: Moment, entries: Option<&[StoredEntry]>) {
+    pub fn on_read(&mut self, now: Moment, stored: Option<&StoredQuarantine>) {
         let Some(OpenCall::Read { began }) = self.open.take() else { return };
-        let Some(entries) = entries else {
+        let Some(StoredQuarantine { entries, crashes }) = stored else {
             self.next_call = now + RETRY_INTERVAL;
             return;
         };
@@ -101,6 +134,10 @@
             (it.key.clone(), Stored { rank, revision: it.revision })
         });
         self.stored = stored.collect();
+        let object = |is_readable, revision| StoredObject { revision, is_readable };
+        let crashes = crashes.iter();
+        let crashes = crashes.map(|it| (it.pool.clone(), object(it.open.is_some(), it.revision)));
+        self.crashes = crashes.collect();
     }
 
     /// Takes over the result of a write or a removal.
@@ -112,7 +149,14 @@
                 self.stored.insert(key, Stored { rank: Some(rank), revision });
             }
             (OpenCall::Delete { key }, Ok(_)) => drop(self.stored.remove(&key)),
-            (_, Err(failure)) => {
+            (OpenCall::Crashes { pool }, Ok(Some(revision))) => {
+                self.crashes.insert(pool, StoredObject { revision, is_readable: true });
+            }
+            (OpenCall::Crashes { pool }, Ok(None)) => drop(self.crashes.remove(&pool)),
+            (open, Err(failure)) => {
+                if let OpenCall::Crashes { pool } = open {
+                    self.keep_crashes(pool);
+                }
                 self.next_call = now + RETRY_INTERVAL;
                 if failure == WriteFailure::Conflict {
                     self.read_at = None;
@@ -123,12 +167,13 @@
     }
 
     /// Returns the call that is due, if any. `turn` is the place of this instance among those that look
-    /// after a record, if it is one of them.
+    /// after a record, if it is one of them; `open` returns the open crashes of a pool.
     pub fn due(
         &mut self,
         now: Moment,
         quarantine: &Quarantine,
         turn: impl Fn(&RecordKey) -> Option<usize>,
+        open: impl Fn(&str) -> OpenCrashes,
     ) -> Option<QuarantineCall> {
         self.review(now, quarantine);
         self.take_turns(now, &turn);
@@ -145,6 +190,9 @@
                 false => Some(self.read(now)),
             };
         }
+        if let Some(call) = self.write_crashes(now, open) {
+            return Some(call);
+        }
         let key = self.surplus.pop()?;
         (turn(&key) == Some(0)).then(|| self.delete(now, key))
     }
@@ -153,7 +201,7 @@
         let is_idle = self.open.is_none();
         let due = match self.read_at {
             None => Some(Moment::ZERO),
-            Some(_) if !self.surplus.is_empty() => Some(Moment::ZERO),
+            Some(_) if !self.surplus.is_empty() || !self.unkept.is_empty() => Some(Moment::ZERO),
             Some(_) => self.needs.values().map(|it| it.due.unwrap_or(it.next_review)).min(),
         };
         due.filter(|_| is_idle).map(|it| it.max(self.next_call))
@@ -227,6 +275,33 @@
         Some(QuarantineCall::Write { key, record, revision })
     }
 
+    /// Writes the open crashes of a pool that are to be kept; removes the object if there are none.
+    fn write_crashes(
+        &mut self,
+        now: Moment,
+        open: impl Fn(&str) -> OpenCrashes,
+    ) -> Option<QuarantineCall> {
+        while let Some(pool) = self.unkept.pop() {
+            let stored = self.crashes.get(&pool).copied();
+            let open = open(&pool);
+            let call = match stored {
+                Some(StoredObject { is_readable: false, .. }) => continue,
+                None if open.crashes.is_empty() => continue,
+                Some(StoredObject { revision, .. }) if open.crashes.is_empty() => {
+                    QuarantineCall::DeleteCrashes { pool: pool.clone(), revision }
+                }
+                _ => {
+                    let revision = stored.map(|it| it.revision);
+                    QuarantineCall::WriteCrashes { pool: pool.clone(), open, revision }
+                }
+            };
+            self.next_call = now + CALL_INTERVAL;
+            self.open = Some(OpenCall::Crashes { pool });
+            return Some(call);
+        }
+        None
+    }
+
     fn delete(&mut self, now: Moment, key: RecordKey) -> QuarantineCall {
         let revision = self.stored.get(&key).and_then(|it| it.revision);
         self.next_call = now + CALL_INTERVAL;
--- a/crates/ferry-serve/src/quarantine/watch.rs
+++ b/crates/ferry-serve/src/quarantine/watch.rs
@@ -224,6 +224,11 @@
         self.report(now, endpoint.clone())
     }
 
+    /// Whether every break is known to be a crash or none.
+    pub fn is_settled(&self) -> bool {
+        self.breaks.is_empty()
+    }
+
     pub fn next_wake(&self) -> Option<Moment> {
         let retraction = (!self.retractions.is_empty()).then_some(Moment::ZERO);
         self.breaks.values().map(Breaks::due).chain(retraction).min()
--- a/crates/ferry-serve/tests/decisions/quarantine.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine.rs
@@ -9,6 +9,7 @@
 mod request_faults;
 mod requests;
 mod returns;
+mod rolled;
 mod traffic;
 mod trouble;
 mod ways;
--- a/crates/ferry-serve/tests/decisions/simulation/records.rs
+++ b/crates/ferry-serve/tests/decisions/simulation/records.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use ferry_model::{SortedMap, store_era, store_position, store_revision};
+use ferry_model::{Moment, SortedMap, store_era, store_position, store_revision};
 use ferry_serve::{
-    Event, PoolBuilds, QuarantineCall, QuarantineReply, RecordCall, RecordKey, RecordReply,
-    StoreUpdate, StoredEntry, StoredRecords, StreamSlot, WriteFailure,
+    Event, OpenCrashes, PoolBuilds, QuarantineCall, QuarantineReply, RecordCall, RecordKey,
+    RecordReply, StoreUpdate, StoredCrashes, StoredEntry, StoredQuarantine, StoredRecords,
+    StreamSlot, WriteFailure,
 };
 
 use super::{Simulation, ms};
@@ -29,6 +30,10 @@
     pools: SortedMap<String, PoolBuilds>,
     slots: SortedMap<(String, u32), StreamSlot>,
     pub quarantine: SortedMap<RecordKey, StoredEntry>,
+    /// Open crashes of each pool, and when they were written.
+    pub crashes: SortedMap<String, (Moment, StoredCrashes)>,
+    /// Whether calls for open crashes are dropped, as by releases that do not make them.
+    pub drops_crashes: bool,
     /// Instances that the store does not serve as usual.
     states: SortedMap<usize, StoreState>,
     /// One in this many writes is executed without an answer, some of them seconds later.
@@ -39,13 +44,15 @@
     pub n_writes: usize,
     /// Calls about the quarantine: reads, writes and removals.
     pub n_quarantine: [usize; 3],
+    /// Writes and removals of open crashes.
+    pub n_crashes: usize,
     /// Bytes of the attempts and builds in all writes.
     pub n_bytes: usize,
 }
 
 impl RecordStore {
     /// Executes a write if its condition holds.
-    fn write(&mut self, call: &RecordCall) -> Result<u64, WriteFailure> {
+    fn write(&mut self, now: Moment, call: &RecordCall) -> Result<u64, WriteFailure> {
         let (before, expected) = match call {
             RecordCall::Read { .. } | RecordCall::Quarantine(QuarantineCall::Read) => {
                 return Err(WriteFailure::Failed);
@@ -54,6 +61,12 @@
                 QuarantineCall::Write { key, revision, .. }
                 | QuarantineCall::Delete { key, revision },
             ) => (self.quarantine.get(key).and_then(|it| it.revision), *revision),
+            RecordCall::Quarantine(QuarantineCall::WriteCrashes { pool, revision, .. }) => {
+                (self.crashes.get(pool).map(|it| it.1.revision), *revision)
+            }
+            RecordCall::Quarantine(QuarantineCall::DeleteCrashes { pool, revision }) => {
+                (self.crashes.get(pool).map(|it| it.1.revision), Some(*revision))
+            }
             RecordCall::DeleteStreams(it) => {
                 let key = (it.instance.clone(), it.number);
                 return match self.slots.get(&key).is_some_and(|slot| slot.revision == it.revision) {
@@ -89,6 +102,14 @@
             RecordCall::Quarantine(QuarantineCall::Delete { key, .. }) => {
                 self.quarantine.remove(&key);
             }
+            RecordCall::Quarantine(QuarantineCall::WriteCrashes { pool, open, .. }) => {
+                let revision = self.revision;
+                let stored = StoredCrashes { pool: pool.clone(), open: Some(open), revision };
+                self.crashes.insert(pool, (now, stored));
+            }
+            RecordCall::Quarantine(QuarantineCall::DeleteCrashes { pool, .. }) => {
+                self.crashes.remove(&pool);
+            }
             RecordCall::WriteBuilds(it) => {
                 self.pools.insert(it.pool.clone(), PoolBuilds { revision, ..it });
             }
@@ -100,6 +121,20 @@
         Ok(self.revision)
     }
 
+    fn read_quarantine(&self, now: Moment) -> StoredQuarantine {
+        let aged = |(written, stored): &(Moment, StoredCrashes)| {
+            let mut stored = stored.clone();
+            if let Some(OpenCrashes { crashes, sound }) = &mut stored.open {
+                let ages = crashes.iter_mut().map(|it| &mut it.crashed.age);
+                let ages = ages.chain(sound.iter_mut().map(|it| &mut it.1));
+                ages.for_each(|it| *it += now - *written);
+            }
+            stored
+        };
+        let entries = self.quarantine.values().cloned().collect();
+        StoredQuarantine { entries, crashes: self.crashes.values().map(aged).collect() }
+    }
+
     fn read(&self, with_streams: bool) -> StoredRecords {
         let pools = self.pools.values().cloned().collect();
         let streams = with_streams.then(|| self.slots.values().cloned().collect());
@@ -124,8 +159,12 @@
         RecordCall::Read { id, .. } => RecordReply::Read { id, records: None },
         RecordCall::Quarantine(call) => RecordReply::Quarantine(match call {
             QuarantineCall::Read => QuarantineReply::Read(None),
-            QuarantineCall::Write { .. } => QuarantineReply::Written(result.map(Some)),
-            QuarantineCall::Delete { .. } => QuarantineReply::Written(result.map(|_| None)),
+            QuarantineCall::Write { .. } | QuarantineCall::WriteCrashes { .. } => {
+                QuarantineReply::Written(result.map(Some))
+            }
+            QuarantineCall::Delete { .. } | QuarantineCall::DeleteCrashes { .. } => {
+                QuarantineReply::Written(result.map(|_| None))
+            }
         }),
         RecordCall::WriteBuilds(it) => RecordReply::Builds { pool: it.pool, result },
         RecordCall::WriteStreams(it) | RecordCall::DeleteStreams(it) => {
@@ -158,6 +197,8 @@
         let slots = self.records.slots.iter_mut().map(|it| &mut it.1.revision);
         let entries = self.records.quarantine.iter_mut().map(|it| &mut it.1.revision);
         pools.chain(slots).chain(entries).for_each(|it| *it = revision(*it));
+        let crashes = self.records.crashes.iter_mut().map(|it| &mut it.1.1.revision);
+        crashes.for_each(|it| *it = store_position(era, store_revision(*it)));
         for instance in 0..self.instances.len() {
             self.deliver(instance, Event::Store(StoreUpdate::Restored));
         }
@@ -175,6 +216,9 @@
             RecordCall::Quarantine(QuarantineCall::Delete { .. }) => {
                 self.records.n_quarantine[2] += 1;
             }
+            RecordCall::Quarantine(
+                QuarantineCall::WriteCrashes { .. } | QuarantineCall::DeleteCrashes { .. },
+            ) => self.records.n_crashes += 1,
             _ if is_read => self.records.n_reads += 1,
             _ => self.records.n_writes += 1,
         }
@@ -186,6 +230,16 @@
             let len = |it: &ferry_serve::StreamRecord| it.attempt.len() + 3;
             self.records.n_bytes += slot.streams.iter().map(len).sum::<usize>();
         }
+        let is_crashes = matches!(
+            call,
+            RecordCall::Quarantine(
+                QuarantineCall::WriteCrashes { .. } | QuarantineCall::DeleteCrashes { .. }
+            )
+        );
+        if is_crashes && self.records.drops_crashes {
+            let reply = reply(call, Ok(0));
+            return self.schedule(instance, STORE_DELAY, Event::Record(reply));
+        }
         let delay = match self.records.states.get(&instance) {
             Some(StoreState::Refuses) => {
                 let reply = reply(call, Err(WriteFailure::Failed));
@@ -211,11 +265,11 @@
                 RecordReply::Read { id, records: Some(self.records.read(with_streams)) }
             }
             RecordCall::Quarantine(QuarantineCall::Read) => {
-                let entries = self.records.quarantine.values().cloned().collect();
-                RecordReply::Quarantine(QuarantineReply::Read(Some(entries)))
+                let stored = self.records.read_quarantine(self.now);
+                RecordReply::Quarantine(QuarantineReply::Read(Some(stored)))
             }
             call => {
-                let result = self.records.write(&call);
+                let result = self.records.write(self.now, &call);
                 reply(call, result)
             }
         };
@@ -225,6 +279,6 @@
     /// Executes a write whose answer was lost.
     pub(super) fn write_late(&mut self, call: &RecordCall) {
         // Its condition may no longer hold.
-        let _ = self.records.write(call);
+        let _ = self.records.write(self.now, call);
     }
 }
