Bound the use of a removed endpoint by DrainMs, whatever cuts off watches

Cause: each error of a call counted as an absence of the store, also a connection that closes while a watch waits, and each next answer began another 1.8 s in which a missing entry may only have lapsed. Below that, the time counted from when the instance saw the entry missing, up to DrainMs / 3 late, so that both together were longer than DrainMs behind a short real absence too. Change: a cut watch is followed by a list, which tells whether the store is away. Answers say how old the changes in them may be, and a missing entry counts from there. Entries may have lapsed only after an absence as long as the interval at which endpoints renew them. The time is at most DrainMs less 200 ms. While entries are missing all instances look every 0.3 s. Why it works: the last answer that had the entry is no later than the ack, so that one bound holds both times.

--- a/crates/ferry-gateway/src/settings.rs
+++ b/crates/ferry-gateway/src/settings.rs
@@ -14,6 +14,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 const MINUTE: Duration = Duration::from_secs(60);
+/// Time for which requests are on the way to an endpoint that is no longer used.
+const REMOVAL_MARGIN: Duration = Duration::from_millis(200);
 /// Allowed range of timeouts and intervals.
 const DURATION_RANGE: RangeInclusive<Duration> = MS..=MINUTE;
 /// Allowed range of ratios.
@@ -67,6 +69,10 @@
         self.tuning.cold_factor = node.cold_factor.unwrap_or(self.tuning.cold_factor);
         self.tuning.cold_slack = node.cold_slack.unwrap_or(self.tuning.cold_slack);
         self.tuning.has_evacuations = node.evacuation.is_some();
+        self.tuning.renewal = node.renewal.unwrap_or(self.tuning.renewal);
+        // Entries that are missing count from the last answer of the store that had them.
+        let max_rejoin = node.drain.saturating_sub(REMOVAL_MARGIN);
+        self.tuning.rejoin_window = self.tuning.rejoin_window.min(max_rejoin);
         self.tuning.store_writes = node.store_writes.unwrap_or(self.tuning.store_writes);
         self
     }
--- a/crates/ferry-gateway/src/store.rs
+++ b/crates/ferry-gateway/src/store.rs
@@ -12,8 +12,9 @@
 use http::{Method, StatusCode};
 use rand::RngExt;
 use thiserror::Error;
+use tokio::time::Instant;
 
-use crate::client::{CallError, ConnectionCache, InternalCall};
+use crate::client::{AnswerError, CallError, ConnectionCache, InternalCall};
 use crate::driver::Driver;
 
 /// Time for which a watch waits for changes on an instance that follows the store closely; short,
@@ -27,7 +28,8 @@
 const LONGEST_WATCH_WAIT: Duration = Duration::from_millis(30_000);
 /// Time limit for a response, in addition to the wait of a watch.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Pause after a change of endpoints, so that the next call returns several changes.
+/// Pause after a change of endpoints, so that the next call returns several changes. It is as short on all
+/// instances while entries are missing that may come back.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 /// The same on instances that do not follow the store closely, as a divisor of the time for which a
 /// draining endpoint may still receive requests.
@@ -57,6 +59,14 @@
     Stuck(Option<String>),
 }
 
+impl StoreError {
+    /// Whether the connection of a call ended while that was waiting, which says nothing of the store.
+    fn is_cut(&self) -> bool {
+        let StoreError::Call(error) = self else { return false };
+        matches!(error, CallError::Answer(AnswerError::Http(_)) | CallError::Body(_))
+    }
+}
+
 /// A client of the store.
 pub struct Client {
     driver: Rc<Driver>,
@@ -156,15 +166,23 @@
 pub async fn follow(driver: Rc<Driver>, kind: Kind) {
     let client = Client::new(&driver);
     let mut from: Option<u64> = None;
-    let mut backoff = Backoff::new();
+    // Until then, all changes are known.
+    let mut seen = Instant::now();
+    let (mut backoff, mut cut_backoff) = (Backoff::new(), Backoff::new());
     let mut is_unreachable = false;
     loop {
+        let sent = Instant::now();
         let result = match from {
-            None => list(&client, &driver, kind).await,
-            Some(from) => watch(&client, &driver, kind, from).await,
+            None => list(&client, &driver, kind, seen).await,
+            Some(from) => watch(&client, &driver, kind, from, seen).await,
         };
         match result {
             Ok(update) => {
+                if from.is_some() {
+                    (seen, cut_backoff) = (Instant::now(), Backoff::new());
+                } else {
+                    seen = sent;
+                }
                 // A watch may miss changes, so one without changes is followed by a list. Instances
                 // that do not follow the store closely learn of configurations and instances from
                 // peers.
@@ -185,6 +203,12 @@
                 }
             }
             Err(StoreError::HistoryGone(_) | StoreError::NewEra) => from = None,
+            // Whether the store is away is told by the list that follows.
+            Err(error) if from.is_some() && error.is_cut() => {
+                (from, seen) = (None, Instant::now());
+                driver.metrics.count(Metric::WatchesCut);
+                cut_backoff.wait().await;
+            }
             Err(error) => {
                 // Changes may have been missed during the failure.
                 from = None;
@@ -223,7 +247,8 @@
 }
 
 fn change_interval(driver: &Rc<Driver>) -> Duration {
-    match is_watcher(driver) {
+    let has_missing = driver.query(|it| it.context().endpoints.has_missing());
+    match is_watcher(driver) || has_missing {
         true => CHANGE_INTERVAL,
         false => CHANGE_INTERVAL.max(driver.settings.drain / DRAIN_DIVISOR),
     }
@@ -245,8 +270,14 @@
     Unnamed,
 }
 
-async fn list(client: &Client, driver: &Rc<Driver>, kind: Kind) -> Result<Update, StoreError> {
+async fn list(
+    client: &Client,
+    driver: &Rc<Driver>,
+    kind: Kind,
+    seen: Instant,
+) -> Result<Update, StoreError> {
     let (objects, revision) = client.list(kind).await?;
+    report_gap(driver, kind, seen);
     match kind {
         Kind::Config => objects.iter().for_each(|it| configure(driver, it)),
         Kind::Endpoints => {
@@ -283,9 +314,13 @@
     driver: &Rc<Driver>,
     kind: Kind,
     from: StorePosition,
+    seen: Instant,
 ) -> Result<Update, StoreError> {
     let changes = client.watch(kind, from).await?;
     let revision = changes.revision;
+    if !changes.changes.is_empty() {
+        report_gap(driver, kind, seen);
+    }
     for change in &changes.changes {
         match kind {
             Kind::Config if change.is_removed => (),
@@ -320,6 +355,13 @@
     Ok(Update { revision, content })
 }
 
+/// Reports how long ago the changes may have happened that are reported next.
+fn report_gap(driver: &Rc<Driver>, kind: Kind, seen: Instant) {
+    if kind == Kind::Endpoints {
+        driver.dispatch(Event::Store(StoreUpdate::Answered { gap: seen.elapsed() }));
+    }
+}
+
 fn configure(driver: &Rc<Driver>, object: &Object) {
     if object.name != store::CONFIG_NAME {
         return;
@@ -383,7 +425,7 @@
         result => result,
     };
     let era = answer?.era;
-    list(client, driver, Kind::Instances).await?;
+    list(client, driver, Kind::Instances, Instant::now()).await?;
     Ok(era)
 }
 
--- a/crates/ferry-gateway/tests/process/main.rs
+++ b/crates/ferry-gateway/tests/process/main.rs
@@ -24,3 +24,4 @@
 mod store_copy;
 mod streams;
 mod unreadable;
+mod watches;
--- a/crates/ferry-serve/src/effect.rs
+++ b/crates/ferry-serve/src/effect.rs
@@ -401,6 +401,7 @@
     RequestsRelayed,
     PoolsCut,
     RefusalsUnconfirmed,
+    WatchesCut,
     ResponsesUnreadable,
     ObjectsUnreadable,
     EntriesUnreadable,
--- a/crates/ferry-serve/src/endpoints.rs
+++ b/crates/ferry-serve/src/endpoints.rs
@@ -80,7 +80,7 @@
     is_withheld: bool,
     /// Whether its zone is evacuated, or it is not known yet which ones are.
     is_evacuated: bool,
-    /// Since when its entry is missing, if it may only have expired while the store was
+    /// Since when its entry may be missing, if it may only have expired while the store was
     /// unreachable.
     missing_since: Option<Moment>,
     /// Hashes of prompt prefixes, and when each was last used.
@@ -189,6 +189,9 @@
     /// Whether the first list was applied, whose endpoints may have started long ago.
     has_list: bool,
     is_store_down: bool,
+    /// Time before the last answer of the store from which on changes may have been missed; none if it is
+    /// not known.
+    gap: Option<Duration>,
     /// End of the time in which endpoints may register again after the store became reachable.
     rejoin_until: Option<Moment>,
 }
@@ -294,8 +297,19 @@
                 self.is_store_down = true;
                 false
             }
+            StoreUpdate::Answered { gap } => {
+                self.gap = Some(gap);
+                false
+            }
+            StoreUpdate::Reachable => {
+                self.is_store_down = false;
+                if self.gap.is_none_or(|it| tuning.renewal <= it) {
+                    self.rejoin_until = Some(now + tuning.rejoin_window);
+                }
+                false
+            }
             // Entries that the copy lacks are written again.
-            StoreUpdate::Reachable | StoreUpdate::Restored => {
+            StoreUpdate::Restored => {
                 self.is_store_down = false;
                 self.rejoin_until = Some(now + tuning.rejoin_window);
                 false
@@ -386,9 +400,10 @@
 
     fn remove(&mut self, now: Moment, revision: u64, id: &str) -> bool {
         let may_lapse = self.may_have_lapsed(now);
+        let gap = self.gap.filter(|_| !self.is_store_down).unwrap_or_default();
         let Some(view) = self.views.get_mut(id) else { return false };
         if may_lapse && !view.leaves() {
-            view.missing_since.get_or_insert(now);
+            view.missing_since.get_or_insert(now.saturating_sub(gap));
             return false;
         }
         self.forget(now, revision, id);
--- a/crates/ferry-serve/src/endpoints/missing.rs
+++ b/crates/ferry-serve/src/endpoints/missing.rs
@@ -11,11 +11,17 @@
         self.is_store_down || self.rejoin_until.is_some_and(|it| now < it)
     }
 
+    /// Whether entries are missing that may be registered again.
+    pub fn has_missing(&self) -> bool {
+        self.views.values().any(|it| it.missing_since.is_some())
+    }
+
     /// Removes endpoints whose entries have been missing for the rejoin window.
     ///
-    /// The time counts from when the entry was first seen missing, so that a store which comes and
-    /// goes does not start it again. Endpoints of a pool that would be left without any are kept
-    /// until the store has been reachable for that long.
+    /// The time counts from the last answer of the store that had the entry, so that it is over in time
+    /// however seldom this instance looks, and a store which comes and goes does not start it again.
+    /// Endpoints of a pool that would be left without any are kept until the store has been reachable
+    /// for that long.
     pub fn tick(&mut self, now: Moment, tuning: &Tuning) {
         let is_over = self.rejoin_until.is_some_and(|it| it <= now);
         if is_over {
--- a/crates/ferry-serve/src/event.rs
+++ b/crates/ferry-serve/src/event.rs
@@ -136,6 +136,9 @@
     Evacuated { revision: u64, zone: ZoneId },
     /// A zone is no longer evacuated.
     Readmitted { revision: u64, zone: ZoneId },
+    /// The store has answered. What it reports next may have happened this long ago: until then this
+    /// instance has seen all changes.
+    Answered { gap: Duration },
     /// The store does not answer this process.
     Unreachable,
     /// The store answers again.
--- a/crates/ferry-serve/src/gateway/updates.rs
+++ b/crates/ferry-serve/src/gateway/updates.rs
@@ -65,6 +65,7 @@
         StoreUpdate::Readmitted { revision, zone } => {
             format!("zone {zone} is no longer evacuated at {revision}")
         }
+        StoreUpdate::Answered { gap } => format!("store answered after {} ms", gap.as_millis()),
         StoreUpdate::Unreachable => "store does not answer".to_owned(),
         StoreUpdate::Reachable => "store answers again".to_owned(),
         StoreUpdate::Restored => "store came back from an older copy".to_owned(),
--- a/crates/ferry-serve/src/tuning.rs
+++ b/crates/ferry-serve/src/tuning.rs
@@ -30,6 +30,8 @@
     /// Time for which missing entries are kept after the store became reachable, while endpoints
     /// register again.
     pub rejoin_window: Duration,
+    /// Interval at which endpoints renew their entries: none lapses while the store is away for less.
+    pub renewal: Duration,
     /// First pause of an endpoint that failed; doubles with each consecutive failure.
     pub base_ejection: Duration,
     pub max_ejection: Duration,
@@ -90,6 +92,7 @@
             resubmit_unaccepted: ms(100),
             resubmit_accepted: ms(250),
             rejoin_window: ms(1_800),
+            renewal: ms(1_200),
             base_ejection: ms(300),
             max_ejection: ms(4_000),
             first_event_timeout: ms(1_200),
--- a/crates/ferry-serve/tests/decisions/main.rs
+++ b/crates/ferry-serve/tests/decisions/main.rs
@@ -22,6 +22,7 @@
 mod rate_limits;
 mod refusals;
 mod rejoined;
+mod removals;
 mod requests;
 mod schedule;
 mod seeds;
--- a/crates/ferry-soak/src/store.rs
+++ b/crates/ferry-soak/src/store.rs
@@ -71,6 +71,8 @@
     objects: RefCell<Objects>,
     events: RefCell<Vec<Event>>,
     changed: Notify,
+    /// How often watches that wait were cut off.
+    n_cuts: Cell<u64>,
 }
 
 impl Store {
@@ -85,6 +87,7 @@
             objects: RefCell::default(),
             events: RefCell::default(),
             changed: Notify::new(),
+            n_cuts: Cell::new(0),
         })
     }
 
@@ -112,6 +115,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Cuts off the watches that wait, and nothing else.
+    pub fn cut_watches(&self) {
+        self.n_cuts.set(self.n_cuts.get() + 1);
+        self.changed.notify_waiters();
+    }
+
     /// Copies all objects.
     pub fn take_copy(&self) {
         self.copy.replace(Some((self.objects.borrow().clone(), self.revision.get())));
@@ -207,7 +216,7 @@
         let is_write = parts.method != Method::GET;
         let response = match (parts.method, path.split_once('/')) {
             (Method::GET, None) => match parameter(&query, "Watch") {
-                Some(from) => self.watch(&path, from, parameter(&query, "WaitMs")?).await,
+                Some(from) => self.watch(&path, from, parameter(&query, "WaitMs")?).await?,
                 None => self.list(&path, text(&query, "After").as_deref()).await,
             },
             (Method::POST, None) => self.create(&path, &body)?,
@@ -267,11 +276,16 @@
         full_response(StatusCode::OK, page)
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait: u64) -> Response<Body> {
+    /// Returns the changes after a revision; none if the watch is cut off.
+    async fn watch(&self, kind: &str, from: u64, wait: u64) -> Option<Response<Body>> {
+        let n_cuts = self.n_cuts.get();
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
             if from < self.compacted.get() || self.revision.get() < from {
-                return full_response(StatusCode::GONE, "");
+                return Some(full_response(StatusCode::GONE, ""));
+            }
+            if n_cuts != self.n_cuts.get() {
+                return None;
             }
             let changed = self.changed.notified();
             let events = match self.behaviour.get() {
@@ -283,7 +297,7 @@
                 let end = format!("],\"StoreRevision\":{revision}}}");
                 let events = events.join(&b","[..]);
                 let body = [b"{\"events\":[", &events[..], end.as_bytes()].concat();
-                return full_response(StatusCode::OK, body);
+                return Some(full_response(StatusCode::OK, body));
             }
             // After a change or the timeout, the loop checks for events again.
             let _ = tokio::time::timeout_at(until, changed).await;
