--- a/crates/ferry-serve/tests/decisions/removals.rs
+++ b/crates/ferry-serve/tests/decisions/removals.rs
@@ -77,8 +77,8 @@
     }
 
     fn is_there(&self) -> bool {
-        let past = self.changes.iter().filter(|it| it.at <= self.sim.now);
-        past.last().is_none_or(|it| it.is_there)
+        let latest = self.changes.iter().rfind(|it| it.at <= self.sim.now);
+        latest.is_none_or(|it| it.is_there)
     }
 
     fn is_used(&self) -> bool {
