Let no inquiry about what is only kept delay a decision

What callers saw: nothing yet; found on re-reading. Crashes that are kept are asked about from the second one on, and the pause of a second between inquiries then held for the one that decides as well: a part could be refused up to a second later, with another crash or two. Change: the two kinds of inquiries have pauses of their own, and a decisive one takes the place of one that waits.

--- a/crates/ferry-serve/src/quarantine/collector.rs
+++ b/crates/ferry-serve/src/quarantine/collector.rs
@@ -78,6 +78,8 @@
     sound: SortedMap<CrashCandidate, Moment>,
     inquiry: Option<Inquiry>,
     last_inquiry: Option<Moment>,
+    /// When the last inquiry was opened about candidates that are only kept.
+    last_look: Option<Moment>,
     /// The candidates of the last inquiry.
     candidates: Vec<CrashCandidate>,
     /// When the last report came, and the place of this instance among the collectors then.
@@ -244,13 +246,20 @@
         load: PoolLoad,
         standing: &impl Fn(CrashCandidate) -> Standing,
     ) {
-        let has_candidates = || {
-            !self.likely(now, load, standing).is_empty()
-                || (self.is_keeper() && !self.suspects(standing).is_empty())
+        // What is only kept must not delay a decision.
+        let last = if !self.likely(now, load, standing).is_empty() {
+            self.last_inquiry
+        } else if self.is_keeper() && !self.suspects(standing).is_empty() {
+            self.last_inquiry.max(self.last_look)
+        } else {
+            return;
         };
-        if self.inquiry.is_none() && has_candidates() {
-            let next = self.last_inquiry.map_or(now, |it| it + INQUIRY_INTERVAL);
-            self.inquiry = Some(Inquiry::Opens(next.max(now + RANK_DELAY * self.rank as u32)));
+        let next = last.map_or(now, |it| it + INQUIRY_INTERVAL);
+        let next = next.max(now + RANK_DELAY * self.rank as u32);
+        match self.inquiry {
+            None => self.inquiry = Some(Inquiry::Opens(next)),
+            Some(Inquiry::Opens(at)) => self.inquiry = Some(Inquiry::Opens(at.min(next))),
+            Some(Inquiry::Ends(_)) => (),
         }
     }
 
@@ -266,8 +275,9 @@
             Some(Inquiry::Opens(_)) => {
                 let mut candidates = likely;
                 candidates.truncate(MAX_CANDIDATES);
+                let is_decisive = !candidates.is_empty();
                 // What is kept should come with what speaks against it.
-                if candidates.is_empty() && self.is_changed {
+                if !is_decisive && self.is_changed {
                     candidates = self.suspects(standing);
                 }
                 if candidates.is_empty() {
@@ -275,7 +285,10 @@
                     return Vec::new();
                 }
                 self.inquiry = Some(Inquiry::Ends(now + INQUIRY_TIME));
-                self.last_inquiry = Some(now);
+                match is_decisive {
+                    true => self.last_inquiry = Some(now),
+                    false => self.last_look = Some(now),
+                }
                 self.candidates.clone_from(&candidates);
                 vec![Finding::Inquire { crashes: self.named(now, &candidates), candidates }]
             }
--- a/crates/ferry-serve/tests/decisions/quarantine/rolled.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/rolled.rs
@@ -271,3 +271,32 @@
         assert!(n_calls <= most, "{n_instances} instances, {n_crashes} crashes: {n_calls} calls");
     }
 }
+
+/// Guards against a quarantine that comes late because the instances were just asked about what is only
+/// kept.
+#[test]
+fn crashes_that_are_kept_delay_no_quarantine() {
+    /// Silence, probe and inquiry, and a step of the traffic.
+    const DECISION_TIME: Duration = ms(150 + 600 + 300 + 50);
+    let mut failed = Vec::new();
+    for seed in 0..20 {
+        let mut sim = Simulation::new(1);
+        sim.add_engines(20);
+        sim.crashes.n_events = 30;
+        let mut traffic = Traffic::new(60.0).with_seed(seed);
+        traffic.run(&mut sim, ms(4_000));
+        traffic.start_crashing(&mut sim, Place::Middle, 3.0);
+        while sim.crashes.crashed.len() < 5 {
+            traffic.run(&mut sim, ms(10));
+        }
+        let fifth = sim.now;
+        while quarantined(&sim).is_empty() && sim.now < fifth + ms(10_000) {
+            traffic.run(&mut sim, ms(10));
+        }
+        let took = sim.now - fifth;
+        if DECISION_TIME < took {
+            failed.push(format!("seed {seed}: {took:?}, crashes at {:?}", sim.crashes.crashed));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
