Keep the listeners of tests with odd answers bound

Cause: the test closed its listener for half a second between cases and bound the same port again. The port is one of those that the system gives to outgoing connections, and something else had got it meanwhile. No gateway took part. Change: one listener for all cases, also in the two other tests that did so. What they check is as it was.

--- a/crates/ferry-gateway/tests/process/answers.rs
+++ b/crates/ferry-gateway/tests/process/answers.rs
@@ -1,5 +1,6 @@
 //! Answers of endpoints that are none, or are broken off.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use ferry_soak::config::Route;
@@ -17,7 +18,7 @@
 
 /// Answers each request at once with a text, and closes the connection after a pause, with the rest of
 /// the request unread.
-async fn answer(listener: TcpListener, text: String, gap: Duration) {
+async fn answer(listener: Rc<TcpListener>, text: String, gap: Duration) {
     loop {
         let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
         let text = text.clone();
@@ -54,16 +55,16 @@
         let name: &'static str = route.into();
         with_cluster(&format!("status-{name}"), 1, async |cluster| {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("the listener has an address");
             replace_pool(&cluster, service, &listener).await;
-            drop(listener);
+            // Another process might take the port if it were bound for each case.
+            let listener = Rc::new(listener);
             let mut failed = Vec::new();
             for (number, status) in STATUSES.into_iter().enumerate() {
-                let listener = TcpListener::bind(address).await.expect("the port is free again");
                 let attempt = format!("{name}-{number}");
                 let text = format!("HTTP/1.1 {status}\r\n{SEALED}Content-Length: 4\r\n\r\nbody");
                 let text = text.replace("ATTEMPT", &attempt);
-                let endpoint = spawn_local(answer(listener, text, Duration::from_millis(20)));
+                let endpoint =
+                    spawn_local(answer(listener.clone(), text, Duration::from_millis(20)));
                 cluster.checker.record_sent(&attempt, route, b"body");
                 let method = if route == Route::Get { "GET" } else { "POST" };
                 let head = head(method, &route.path(), &attempt);
@@ -124,16 +125,16 @@
     });
     with_cluster("upload", 1, async |cluster| {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("the listener has an address");
         replace_pool(&cluster, "plain", &listener).await;
-        drop(listener);
+        // Another process might take the port if it were bound for each case.
+        let listener = Rc::new(listener);
         let mut failed = Vec::new();
         for (number, Case { method, is_sealed, gap }) in cases.enumerate() {
-            let listener = TcpListener::bind(address).await.expect("the port is free again");
             let attempt = format!("upload-{number}");
             let sealed = if is_sealed { SEALED } else { "Tarragonferry-Attempt-Id: ATTEMPT\r\n" };
             let text = format!("HTTP/1.1 200 OK\r\n{sealed}\r\na part of the answer");
-            let endpoint = spawn_local(answer(listener, text.replace("ATTEMPT", &attempt), gap));
+            let endpoint =
+                spawn_local(answer(listener.clone(), text.replace("ATTEMPT", &attempt), gap));
             let body = "x".repeat(UPLOAD);
             cluster.checker.record_sent(&attempt, Route::Post, body.as_bytes());
             let head = head(method, &Route::Post.path(), &attempt);
--- a/crates/ferry-gateway/tests/process/refusals.rs
+++ b/crates/ferry-gateway/tests/process/refusals.rs
@@ -1,5 +1,6 @@
 //! Endpoints that answer with the status of a refusal, whether or not they have run the request.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use ferry_soak::config::Route;
@@ -55,7 +56,7 @@
     }
 }
 
-async fn serve(listener: TcpListener, case: Case) {
+async fn serve(listener: Rc<TcpListener>, case: Case) {
     loop {
         let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
         spawn_local(async move {
@@ -81,13 +82,12 @@
         let name: &'static str = route.into();
         with_cluster(&format!("refusals-{name}"), 1, async |cluster| {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("the listener has an address");
             replace_pool(&cluster, service, &listener).await;
-            drop(listener);
+            // Another process might take the port if it were bound for each case.
+            let listener = Rc::new(listener);
             let mut failed = Vec::new();
             for (number, case) in Case::all().enumerate() {
-                let listener = TcpListener::bind(address).await.expect("the port is free again");
-                let endpoint = spawn_local(serve(listener, case));
+                let endpoint = spawn_local(serve(listener.clone(), case));
                 let attempt = format!("{name}-{number}");
                 cluster.checker.record_sent(&attempt, route, b"body");
                 let head = head("POST", &route.path(), &attempt);
