Check entries that come back within two seconds of the store's return

Entries that come back later than that, up to 2 s, are now checked too: they are in use from the next look.

--- a/crates/ferry-serve/tests/decisions/removals.rs
+++ b/crates/ferry-serve/tests/decisions/removals.rs
@@ -162,12 +162,13 @@
 }
 
 /// Guards against endpoints that are dropped although their entries have lapsed only while the store was
-/// away, and come back soon after its return.
+/// away, and come back soon after its return: such an entry is back within about [`DRAIN`], of which the last
+/// 200 ms are the margin of the drop, and the 300 ms before it the time until the next look.
 #[test]
 fn endpoint_whose_entry_lapsed_while_the_store_was_away_stays_in_use() {
     for interval in INTERVALS {
         for length in [ms(2_500), ms(4_000), ms(12_000)] {
-            for back in [ms(100), ms(800), ms(1_400)] {
+            for back in [ms(100), ms(800), ms(1_500), ms(1_700), ms(1_900), DRAIN] {
                 let absences = absences(length, 1);
                 let end = absences[0].1;
                 let changes = vec![
@@ -176,7 +177,10 @@
                 ];
                 let looker = Looker::new(interval, absences, changes).run(end + ms(6_000));
                 let name = format!("every {interval:?}, away for {length:?}, back after {back:?}");
-                assert_eq!(looker.unused, Duration::ZERO, "{name}");
+                // An entry that comes back later than that is in use from the next look.
+                let is_late = DRAIN - ms(500) < back;
+                let most = if is_late { interval + STEP } else { Duration::ZERO };
+                assert!(looker.unused <= most, "{name}: not used for {:?}", looker.unused);
             }
         }
     }
