Show that an instance exits only when its last crash is kept

The check that was there compared a stop with a kill, and passed as well with the wait of the stop taken out: what it compares is kept before the stop. It has a name that says so now. The new one lets the last crash come 0 to 1 s before the connections close, and the process end at its exit.

--- a/crates/ferry-serve/tests/decisions/quarantine/rolled.rs
+++ b/crates/ferry-serve/tests/decisions/quarantine/rolled.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ferry_model::Moment;
-use ferry_serve::Event;
+use ferry_serve::{Event, Tuning};
 
 use crate::quarantine::records::{print_decisions, quarantined};
 use crate::quarantine::returns::{FIRST_DIGEST, Kind, Load, Place as At};
@@ -227,10 +227,10 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Guards against a crash that is forgotten as the only instance that has seen it stops before it is
-/// certain.
+/// Guards against crashes that are forgotten as the only instance that has seen them stops right behind the
+/// last one.
 #[test]
-fn stop_waits_until_a_crash_is_reported_and_kept() {
+fn stop_keeps_crashes_that_a_kill_loses() {
     for n_crashes in [2, 3, 4] {
         let case = Case {
             change: Change::Rollout,
@@ -246,6 +246,51 @@
     }
 }
 
+/// Guards against a process that exits as soon as it has no requests, before the crash that ended the last of
+/// them is reported and kept.
+#[test]
+fn instance_exits_only_when_its_last_crash_is_kept() {
+    let close_after = Tuning::default().close_after();
+    let mut failed = Vec::new();
+    for n_before in [1, 2, 3] {
+        for before_close in (0..=1_000).step_by(50).map(ms) {
+            let mut sim = Simulation::new(1);
+            sim.add_engines(10);
+            sim.crashes.n_events = 30;
+            let mut traffic = Traffic::new(25.0);
+            traffic.run(&mut sim, ms(4_000));
+            traffic.start_crashing(&mut sim, Place::Middle, SLOW_RATE);
+            while sim.crashes.crashed.len() < n_before {
+                traffic.run(&mut sim, ms(10));
+            }
+            traffic.set_crashing_rate(0.0);
+            traffic.run(&mut sim, PAUSE);
+            sim.deliver(0, Event::Shutdown);
+            sim.run_for(close_after - before_close);
+            traffic.set_crashing_rate(100.0);
+            traffic.run(&mut sim, ms(10));
+            while sim.exited.is_empty() {
+                sim.run_for(ms(1));
+            }
+            sim.kill(0);
+            let crashes = sim.crashes.crashed.len();
+            let open = sim.records.crashes.values().filter_map(|it| it.1.open.as_ref());
+            let n_kept: usize = open.map(|it| it.crashes.len()).sum();
+            // A quarantine that is kept explains them all.
+            let n_found = sim.records.quarantine.len();
+            let name = format!(
+                "{n_before} crashes, another {before_close:?} before the close: {crashes} crashes, \
+                 {n_kept} kept, {n_found} found"
+            );
+            println!("{name}");
+            if crashes <= n_before || (n_kept < crashes && n_found == 0) {
+                failed.push(name);
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// The calls that crashes cost, with as many instances as there may be: none for a request.
 #[test]
 fn crashes_cost_few_calls() {
