--- a/crates/ferry-serve/src/quarantine/exchange/storage.rs
+++ b/crates/ferry-serve/src/quarantine/exchange/storage.rs
@@ -41,7 +41,8 @@
     }
 }
 
-/// Takes over the open crashes of a pool for which this instance collects, and removes old ones.
+/// Takes over the open crashes of a pool: what they make suspect, and all of them if this instance collects for
+/// it, which removes old ones as well.
 fn restore(cx: &mut Pass<'_>, crashes: &StoredCrashes) {
     let StoredCrashes { pool, open: Some(open), .. } = crashes else { return };
     let rank = collectors(cx, pool).iter().position(Option::is_none);
